--- /dev/null
+++ b/packages/common/RequestClass.ts
@@ -0,0 +1,6 @@
+/** Importance of a request, from the defaults and the listed exceptions. */
+export enum RequestClass {
+  Important = "important",
+  Standard = "standard",
+  Bulk = "bulk",
+}
--- /dev/null
+++ b/packages/common/TargetKind.ts
@@ -0,0 +1,5 @@
+/** What a target serves. */
+export enum TargetKind {
+  Engine = "engine",
+  Service = "service",
+}
--- /dev/null
+++ b/packages/metrics/Counters.ts
@@ -0,0 +1,27 @@
+/** Counters with a label each, such as one for every refusal reason. */
+export class Counters<Label extends string> {
+  readonly name: string;
+  readonly labelName: string;
+  readonly #values = new Map<Label, number>();
+
+  /** Starts every label at 0, so that a reason that never occurred is visible too. */
+  constructor(name: string, labelName: string, labels: readonly Label[]) {
+    this.name = name;
+    this.labelName = labelName;
+    for (const label of labels) {
+      this.#values.set(label, 0);
+    }
+  }
+
+  add(label: Label, amount = 1): void {
+    this.#values.set(label, this.get(label) + amount);
+  }
+
+  get(label: Label): number {
+    return this.#values.get(label) ?? 0;
+  }
+
+  entries(): IterableIterator<[Label, number]> {
+    return this.#values.entries();
+  }
+}
--- /dev/null
+++ b/packages/settings/getFieldUnit.ts
@@ -0,0 +1,13 @@
+const unitsBySuffix: readonly (readonly [string, string])[] = [
+  ["BytesPerS", "bytes per second"],
+  ["PerS", "per second"],
+  ["Ms", "milliseconds"],
+  ["Bytes", "bytes"],
+  ["Share", "share from 0 to 1"],
+  ["Count", "count"],
+];
+
+/** Reads the unit of a field off its suffix; empty when the field has none. */
+export function getFieldUnit(field: string): string {
+  return unitsBySuffix.find(([suffix]) => field.endsWith(suffix))?.[1] ?? "";
+}
--- /dev/null
+++ b/packages/settings/parseSettings.ts
@@ -0,0 +1,87 @@
+import { findNodeAtLocation, parseTree, printParseErrorCode } from "jsonc-parser";
+import type { Node, ParseError } from "jsonc-parser";
+import { Left, Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import type * as z from "zod";
+import { SettingsError } from "./SettingsError";
+import { describeIssue } from "./describeIssue";
+
+/** Parses JSON with comments and checks it against a schema. Reports every fault with its line. */
+export function parseSettings<Schema extends z.ZodType>(
+  file: string,
+  text: string,
+  schema: Schema,
+): Either<readonly SettingsError[], z.output<Schema>> {
+  const parseErrors: ParseError[] = [];
+  const tree = parseTree(text, parseErrors, { allowTrailingComma: true });
+  if (parseErrors.length > 0 || tree === undefined) {
+    const faults = parseErrors.map(
+      ({ error, offset }) => new SettingsError(file, getLine(text, offset), "", printParseErrorCode(error)),
+    );
+    return Left(faults.length > 0 ? faults : [new SettingsError(file, 1, "", "file is empty")]);
+  }
+  const duplicates = findDuplicates(file, text, tree, "");
+  if (duplicates.length > 0) {
+    return Left(duplicates);
+  }
+  const checked = schema.safeParse(getPlainValue(tree));
+  if (checked.success) {
+    return Right(checked.data);
+  }
+  return Left(
+    checked.error.issues.flatMap((issue) =>
+      describeIssue(issue, schema).map(({ path, message }) => {
+        const offset = findOffset(tree, path);
+        return new SettingsError(file, getLine(text, offset), path.join("."), message);
+      }),
+    ),
+  );
+}
+
+function getLine(text: string, offset: number): number {
+  return text.slice(0, offset).split("\n").length;
+}
+
+/** Finds the place of a field, or of the nearest enclosing object when the field is missing. */
+function findOffset(tree: Node, path: readonly (string | number)[]): number {
+  for (let length = path.length; length > 0; length -= 1) {
+    const node = findNodeAtLocation(tree, path.slice(0, length));
+    if (node !== undefined) {
+      return (node.parent?.type === "property" ? node.parent : node).offset;
+    }
+  }
+  return tree.offset;
+}
+
+function findDuplicates(file: string, text: string, node: Node, path: string): SettingsError[] {
+  const seen = new Set<string>();
+  return (node.children ?? []).flatMap((child) => {
+    if (node.type !== "object") {
+      return findDuplicates(file, text, child, path);
+    }
+    const [keyNode, valueNode] = child.children ?? [];
+    const key = String(keyNode?.value);
+    const field = path === "" ? key : `${path}.${key}`;
+    const nested = valueNode === undefined ? [] : findDuplicates(file, text, valueNode, field);
+    if (seen.has(key)) {
+      return [new SettingsError(file, getLine(text, child.offset), field, "field is given twice"), ...nested];
+    }
+    seen.add(key);
+    return nested;
+  });
+}
+
+function getPlainValue(node: Node): unknown {
+  if (node.type === "array") {
+    return (node.children ?? []).map(getPlainValue);
+  }
+  if (node.type === "object") {
+    return Object.fromEntries(
+      (node.children ?? []).map((property) => {
+        const [key, value] = property.children ?? [];
+        return [String(key?.value), value === undefined ? undefined : getPlainValue(value)];
+      }),
+    );
+  }
+  return node.value as unknown;
+}
--- /dev/null
+++ b/packages/settings/startFromSettings.ts
@@ -0,0 +1,38 @@
+import type * as z from "zod";
+import { loadSettings } from "./loadSettings";
+
+/** Exit code of a daemon whose command line or settings are wrong. */
+const badSettingsExitCode = 78;
+
+/**
+ * Entry point of a daemon: `NAME --settings FILE [--check]`. With `--check`, the settings are validated and
+ * the process exits without starting.
+ */
+export function startFromSettings<Schema extends z.ZodType>(
+  name: string,
+  schema: Schema,
+  start: (settings: z.output<Schema>) => Promise<void>,
+): void {
+  const args = process.argv.slice(2);
+  const file = args[args.indexOf("--settings") + 1];
+  if (!args.includes("--settings") || file === undefined) {
+    process.stderr.write(`usage: ${name} --settings FILE [--check]\n`);
+    process.exit(badSettingsExitCode);
+  }
+  loadSettings(file, schema).caseOf({
+    Left: (errors) => {
+      process.stderr.write(`${errors.map(({ message }) => message).join("\n")}\n`);
+      process.exit(badSettingsExitCode);
+    },
+    Right: (settings) => {
+      if (args.includes("--check")) {
+        process.stdout.write(`${file}: settings are valid\n`);
+        return;
+      }
+      start(settings).catch((error: unknown) => {
+        process.stderr.write(`${name}: ${error instanceof Error ? error.message : String(error)}\n`);
+        process.exit(1);
+      });
+    },
+  });
+}
--- /dev/null
+++ b/packages/wire/Address.ts
@@ -0,0 +1,5 @@
+/** Where a process listens. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
--- /dev/null
+++ b/packages/wire/MessageName.ts
@@ -0,0 +1,23 @@
+/** Names of the messages between processes. */
+export enum MessageName {
+  Announce = "announce",
+  Heartbeat = "heartbeat",
+  Renew = "renew",
+  FetchConfig = "fetchConfig",
+  FetchTargets = "fetchTargets",
+  DirectorySync = "directorySync",
+  Probe = "probe",
+  Propose = "propose",
+  Claim = "claim",
+  CompleteClaim = "completeClaim",
+  CancelClaim = "cancelClaim",
+  LookupClaim = "lookupClaim",
+  Raft = "raft",
+  GroupLease = "groupLease",
+  DecideMap = "decideMap",
+  PrepareMap = "prepareMap",
+  ArmMap = "armMap",
+  MapDecision = "mapDecision",
+  LoadReport = "loadReport",
+  Order = "order",
+}
--- /dev/null
+++ b/packages/wire/RemoteError.ts
@@ -0,0 +1,12 @@
+/** Thrown by a message handler to answer the peer with a typed error instead of `internal`. */
+export class RemoteError extends Error {
+  readonly code: string;
+  readonly detail: unknown;
+
+  constructor(code: string, message: string, detail?: unknown) {
+    super(message);
+    this.name = "RemoteError";
+    this.code = code;
+    this.detail = detail;
+  }
+}
--- /dev/null
+++ b/packages/wire/RpcClient.ts
@@ -0,0 +1,175 @@
+import { connect as connectTcp } from "node:net";
+import { connect as connectTls } from "node:tls";
+import type { Socket } from "node:net";
+import { Left, Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import type { Address } from "./Address";
+import type { Frame } from "./Frame";
+import { FrameDecoder } from "./FrameDecoder";
+import { FrameKind } from "./FrameKind";
+import type { RemoteErrorBody } from "./RemoteErrorBody";
+import type { TlsFiles } from "./TlsFiles";
+import { WireError } from "./WireError";
+import { WireErrorCode } from "./WireErrorCode";
+import { encodeFrame } from "./encodeFrame";
+import { wireLimits } from "./wireLimits";
+
+interface RpcClientOptions {
+  readonly address: Address;
+  readonly tls?: TlsFiles | undefined;
+  readonly connectTimeoutMs?: number;
+}
+
+interface PendingCall {
+  readonly resolve: (result: Either<WireError, unknown>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+const defaultConnectTimeoutMs = 500;
+// After this many calls in a row without an answer, the connection is taken for dead and the next call
+// opens a new one: an established connection can go silent while new ones work.
+const maxSilentCalls = 2;
+
+/** Calls another process. Connects on the first call and again after a connection was lost. */
+export class RpcClient {
+  readonly #options: RpcClientOptions;
+  readonly #pending = new Map<number, PendingCall>();
+  #socket: Socket | null = null;
+  #nextId = 1;
+  #silentCalls = 0;
+  #closed = false;
+
+  constructor(options: RpcClientOptions) {
+    this.#options = options;
+  }
+
+  get address(): Address {
+    return this.#options.address;
+  }
+
+  /** Sends a request and waits for its answer; never rejects. */
+  call(name: string, body: unknown, timeoutMs: number): Promise<Either<WireError, unknown>> {
+    if (this.#closed) {
+      return Promise.resolve(Left(new WireError(WireErrorCode.ConnectionClosed, "client is closed")));
+    }
+    const id = this.#nextId;
+    this.#nextId += 1;
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => {
+        this.#onTimeout(id, name, timeoutMs);
+      }, timeoutMs);
+      this.#pending.set(id, { resolve, timer });
+      this.#write({ kind: FrameKind.Request, id, name, body });
+    });
+  }
+
+  /** Sends a message without an answer. It may be lost. */
+  notify(name: string, body: unknown): void {
+    if (!this.#closed) {
+      this.#write({ kind: FrameKind.Notify, id: 0, name, body });
+    }
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#dropConnection(new WireError(WireErrorCode.ConnectionClosed, "client is closed"));
+  }
+
+  #write(frame: Frame): void {
+    const socket = this.#socket ?? this.#connect();
+    if (socket.writableLength > wireLimits.maxUnsentBytes) {
+      this.#dropConnection(new WireError(WireErrorCode.ConnectionClosed, "peer has stopped reading"));
+      return;
+    }
+    socket.write(encodeFrame(frame));
+  }
+
+  #connect(): Socket {
+    const { address, tls } = this.#options;
+    const socket =
+      tls === undefined
+        ? connectTcp({ ...address })
+        : connectTls({ ...address, ...tls, checkServerIdentity: () => undefined });
+    const decoder = new FrameDecoder();
+    const connectTimeoutMs = this.#options.connectTimeoutMs ?? defaultConnectTimeoutMs;
+    const where = `${address.host}:${address.port}`;
+    const fail = (code: WireErrorCode, why: string): void => {
+      if (this.#socket === socket) {
+        this.#dropConnection(new WireError(code, `${where}: ${why}`));
+      }
+    };
+    const connectTimer = setTimeout(() => {
+      fail(WireErrorCode.ConnectFailed, `no connection within ${connectTimeoutMs} ms`);
+    }, connectTimeoutMs);
+    let connected = false;
+    this.#socket = socket;
+    this.#silentCalls = 0;
+    socket.setNoDelay(true);
+    socket.on(tls === undefined ? "connect" : "secureConnect", () => {
+      connected = true;
+      clearTimeout(connectTimer);
+    });
+    socket.on("error", (error: Error) => {
+      fail(connected ? WireErrorCode.ConnectionClosed : WireErrorCode.ConnectFailed, error.message);
+    });
+    socket.on("close", () => {
+      clearTimeout(connectTimer);
+      fail(WireErrorCode.ConnectionClosed, "connection closed by the peer");
+    });
+    socket.on("data", (chunk: Buffer) => {
+      try {
+        for (const frame of decoder.push(chunk)) {
+          this.#onFrame(frame);
+        }
+      } catch (error) {
+        fail(WireErrorCode.FrameMalformed, error instanceof Error ? error.message : String(error));
+      }
+    });
+    return socket;
+  }
+
+  #onFrame(frame: Frame): void {
+    this.#silentCalls = 0;
+    const pending = this.#take(frame.id);
+    if (pending === null) {
+      // The answer came after its timeout.
+      return;
+    }
+    if (frame.kind === FrameKind.Error) {
+      const { code, message, detail } = frame.body as RemoteErrorBody;
+      pending.resolve(Left(new WireError(WireErrorCode.Remote, message, { code, detail })));
+      return;
+    }
+    pending.resolve(Right(frame.body));
+  }
+
+  #onTimeout(id: number, name: string, timeoutMs: number): void {
+    const pending = this.#take(id);
+    this.#silentCalls += 1;
+    pending?.resolve(
+      Left(new WireError(WireErrorCode.Timeout, `no answer to "${name}" within ${timeoutMs} ms`)),
+    );
+    if (this.#silentCalls >= maxSilentCalls) {
+      this.#dropConnection(new WireError(WireErrorCode.ConnectionClosed, "connection went silent"));
+    }
+  }
+
+  #take(id: number): PendingCall | null {
+    const pending = this.#pending.get(id);
+    if (pending === undefined) {
+      return null;
+    }
+    clearTimeout(pending.timer);
+    this.#pending.delete(id);
+    return pending;
+  }
+
+  #dropConnection(error: WireError): void {
+    const socket = this.#socket;
+    this.#socket = null;
+    socket?.destroy();
+    for (const id of [...this.#pending.keys()]) {
+      this.#take(id)?.resolve(Left(error));
+    }
+  }
+}
--- /dev/null
+++ b/packages/wire/RpcServer.ts
@@ -0,0 +1,124 @@
+import { createServer as createTcpServer } from "node:net";
+import { createServer as createTlsServer } from "node:tls";
+import type { Server, Socket } from "node:net";
+import type { Frame } from "./Frame";
+import { FrameDecoder } from "./FrameDecoder";
+import { FrameKind } from "./FrameKind";
+import type { MessageHandler } from "./MessageHandler";
+import { RemoteError } from "./RemoteError";
+import type { RemoteErrorBody } from "./RemoteErrorBody";
+import type { TlsFiles } from "./TlsFiles";
+import { encodeFrame } from "./encodeFrame";
+import { wireLimits } from "./wireLimits";
+
+interface RpcServerOptions {
+  readonly handlers: Readonly<Record<string, MessageHandler>>;
+  readonly tls?: TlsFiles | undefined;
+  /** Called with the reason when a connection is closed because of what its peer sent. */
+  readonly onRefused?: (reason: string, peer: string) => void;
+}
+
+/** Accepts frames from other processes and answers them from a table of handlers. */
+export class RpcServer {
+  readonly #options: RpcServerOptions;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(options: RpcServerOptions) {
+    this.#options = options;
+    const { tls } = options;
+    this.#server =
+      tls === undefined
+        ? createTcpServer((socket) => {
+            this.#accept(socket);
+          })
+        : createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, (socket) => {
+            this.#accept(socket);
+          });
+    this.#server.maxConnections = wireLimits.maxConnections;
+  }
+
+  /** Resolves with the bound port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        const bound = this.#server.address();
+        resolve(typeof bound === "object" && bound !== null ? bound.port : port);
+      });
+    });
+  }
+
+  close(): Promise<void> {
+    for (const socket of this.#sockets) {
+      socket.destroy();
+    }
+    return new Promise((resolve) => {
+      this.#server.close(() => {
+        resolve();
+      });
+    });
+  }
+
+  #accept(socket: Socket): void {
+    const peer = `${socket.remoteAddress ?? "?"}:${socket.remotePort ?? 0}`;
+    const decoder = new FrameDecoder();
+    socket.setNoDelay(true);
+    this.#sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("data", (chunk: Buffer) => {
+      let frames: Frame[];
+      try {
+        frames = decoder.push(chunk);
+      } catch (error) {
+        this.#options.onRefused?.(error instanceof Error ? error.message : String(error), peer);
+        socket.destroy();
+        return;
+      }
+      for (const frame of frames) {
+        void this.#answer(socket, frame, peer);
+      }
+    });
+  }
+
+  async #answer(socket: Socket, frame: Frame, peer: string): Promise<void> {
+    const handler = this.#options.handlers[frame.name];
+    try {
+      if (handler === undefined) {
+        throw new RemoteError("unknown_message", `no handler for message "${frame.name}"`);
+      }
+      const body: unknown = await handler(frame.body, peer);
+      if (frame.kind === FrameKind.Request) {
+        this.#send(socket, { kind: FrameKind.Response, id: frame.id, name: frame.name, body });
+      }
+    } catch (error) {
+      if (frame.kind === FrameKind.Request) {
+        this.#send(socket, {
+          kind: FrameKind.Error,
+          id: frame.id,
+          name: frame.name,
+          body: getErrorBody(error),
+        });
+      }
+    }
+  }
+
+  #send(socket: Socket, frame: Frame): void {
+    if (socket.destroyed) {
+      return;
+    }
+    if (socket.writableLength > wireLimits.maxUnsentBytes) {
+      socket.destroy();
+      return;
+    }
+    socket.write(encodeFrame(frame));
+  }
+}
+
+function getErrorBody(error: unknown): RemoteErrorBody {
+  if (error instanceof RemoteError) {
+    return { code: error.code, message: error.message, detail: error.detail };
+  }
+  return { code: "internal", message: error instanceof Error ? error.message : String(error) };
+}
--- /dev/null
+++ b/packages/wire/WireErrorCode.ts
@@ -0,0 +1,11 @@
+/** Causes of a failed exchange between two processes. */
+export enum WireErrorCode {
+  FrameTooLarge = "frame_too_large",
+  FrameMalformed = "frame_malformed",
+  ConnectFailed = "connect_failed",
+  ConnectionClosed = "connection_closed",
+  Timeout = "timeout",
+  /** The peer answered with an error of its own. */
+  Remote = "remote",
+  UnknownMessage = "unknown_message",
+}
