--- a/packages/settings/test/parseSettings.test.ts
+++ b/packages/settings/test/parseSettings.test.ts
@@ -9,10 +9,10 @@
 });
 
 function getMessages(text: string): string[] {
-  return parseSettings("x.jsonc", text, schema).either(
-    (errors) => errors.map(({ message }) => message),
-    () => [],
-  );
+  return parseSettings("x.jsonc", text, schema).caseOf({
+    Left: (errors) => errors.map(({ message }) => message),
+    Right: () => [],
+  });
 }
 
 // Guards against defaults or comments being lost.
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -22,6 +22,7 @@
 function countResults(file, output, exitCode) {
   const source = file.replace("build/tests/", "packages/").replace(/\.mjs$/, ".ts");
   let seenFailure = false;
+  let printOutput = false;
   for (const line of output.split("\n")) {
     const match = /^(not ok|ok) \d+ - (.*?)(?: # time=.*)?(?: \{)?$/.exec(line);
     if (match === null) {
@@ -39,7 +40,10 @@
       continue;
     }
     totals.failed += 1;
+    printOutput = true;
     console.log(`FAILED: ${name}`);
+  }
+  if (printOutput) {
     console.log(output);
   }
   if (exitCode !== 0 && !seenFailure) {
