--- a/packages/wire/test/frameDecoder.test.ts
+++ b/packages/wire/test/frameDecoder.test.ts
@@ -1,3 +1,4 @@
+import { encode } from "cbor-x";
 import t from "tap";
 import { FrameDecoder } from "@clementinemux/wire/FrameDecoder";
 import { FrameKind } from "@clementinemux/wire/FrameKind";
@@ -29,8 +30,9 @@
 
 // Guards against acting on bytes that are not a frame.
 t.test("malformed frame is refused", (t) => {
-  const bytes = encodeFrame({ ...frame, kind: 9 as FrameKind });
-  t.throws(() => new FrameDecoder().push(bytes), WireError);
+  const body = encode([9, 7, "announce", {}]);
+  const unknownKind = Buffer.concat([Buffer.from([0, 0, 0, body.length]), body]);
+  t.throws(() => new FrameDecoder().push(unknownKind), WireError);
   t.throws(() => new FrameDecoder().push(Buffer.from([0, 0, 0, 1, 0xff])), WireError);
   t.end();
 });
