--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,6 +1,6 @@
 import type * as z from "zod";
-import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import { RelayService } from "@clementinemux/membership/RelayService";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import type { ControlSettings } from "./ControlSettings";
@@ -8,19 +8,14 @@
 /** Control process: configuration, and directory of announced targets. */
 export class ControlServer {
   readonly #settings: z.output<typeof ControlSettings>;
-  readonly #targets = new Map<string, TargetAnnouncement>();
+  readonly #relay = new RelayService();
   readonly #server: RpcServer;
 
   constructor(settings: z.output<typeof ControlSettings>) {
     this.#settings = settings;
     this.#server = new RpcServer({
       handlers: {
-        [MessageName.Announce]: (body) => {
-          const announcement = body as TargetAnnouncement;
-          this.#targets.set(announcement.target, announcement);
-          return { accepted: true };
-        },
-        [MessageName.FetchTargets]: () => [...this.#targets.values()],
+        ...this.#relay.handlers,
         [MessageName.FetchConfig]: () => createDefaultConfig(),
       },
     });
--- /dev/null
+++ b/packages/messages/CompleteClaimRequest.ts
@@ -0,0 +1,11 @@
+import type { Claimant } from "./Claimant";
+import type { RecordedAnswer } from "./RecordedAnswer";
+
+/** Body of `completeClaim`. A null answer records that the outcome is unknown. */
+export interface CompleteClaimRequest {
+  readonly team: string;
+  readonly key: string;
+  readonly claimant: Claimant;
+  readonly attempt: number;
+  readonly answer: RecordedAnswer | null;
+}
--- /dev/null
+++ b/packages/messages/MapDecision.ts
@@ -0,0 +1,5 @@
+/** Durable decision about a map version. */
+export enum MapDecision {
+  Activate = "activate",
+  Abort = "abort",
+}
--- /dev/null
+++ b/packages/messages/ProposeOutcome.ts
@@ -0,0 +1,7 @@
+/** Answers to a proposed change. */
+export enum ProposeOutcome {
+  Accepted = "accepted",
+  Conflict = "conflict",
+  RequestIdReused = "request_id_reused",
+  Invalid = "invalid",
+}
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -1,6 +1,8 @@
 /** Names of the messages between processes. */
 export enum MessageName {
   Announce = "announce",
+  AnnounceEntry = "announceEntry",
+  FetchEntries = "fetchEntries",
   Heartbeat = "heartbeat",
   Renew = "renew",
   FetchConfig = "fetchConfig",
