--- /dev/null
+++ b/packages/cli/createCli.ts
@@ -0,0 +1,41 @@
+import { Builtins, Cli } from "clipanion";
+import { ConfigApplyCommand } from "./commands/ConfigApplyCommand";
+import { ConfigDiffCommand } from "./commands/ConfigDiffCommand";
+import { ConfigHistoryCommand } from "./commands/ConfigHistoryCommand";
+import { ConfigSetCommand } from "./commands/ConfigSetCommand";
+import { ConfigShowCommand } from "./commands/ConfigShowCommand";
+import { ExceptionAddCommand } from "./commands/ExceptionAddCommand";
+import { ExceptionListCommand } from "./commands/ExceptionListCommand";
+import { ExceptionRemoveCommand } from "./commands/ExceptionRemoveCommand";
+import { ExplainCommand } from "./commands/ExplainCommand";
+import { StatusCommand } from "./commands/StatusCommand";
+import { TargetDrainCommand } from "./commands/TargetDrainCommand";
+import { TargetListCommand } from "./commands/TargetListCommand";
+import { TargetUndrainCommand } from "./commands/TargetUndrainCommand";
+
+const commands = [
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+  ConfigApplyCommand,
+  ConfigDiffCommand,
+  ConfigHistoryCommand,
+  ConfigSetCommand,
+  ConfigShowCommand,
+  ExceptionAddCommand,
+  ExceptionListCommand,
+  ExceptionRemoveCommand,
+  ExplainCommand,
+  StatusCommand,
+  TargetDrainCommand,
+  TargetListCommand,
+  TargetUndrainCommand,
+] as const;
+
+/** Creates the operator's command line. */
+export function createCli(): Cli {
+  const cli = new Cli({ binaryLabel: "clementinemux", binaryName: "clementinemux", binaryVersion: "0.1.0" });
+  for (const command of commands) {
+    cli.register(command);
+  }
+  return cli;
+}
