Add the directory, failure suspicion and exchange between relays

Cause: the relay kept a bare map, so a target that died stayed listed, relays knew only their own agents, and every fetch returned the whole list.

Change: a directory without I/O with incarnations, tombstones and per-origin sequence numbers; a suspicion core without I/O that needs two observers of different failure domains and holds back on a mass suspicion; RelayService carries both. fetchTargets without since still returns the plain list.

Ruled out: expiry by one relay's clock (a cut-off relay would remove the fleet), and ordering by receive time (relays would not agree after a partition).

--- /dev/null
+++ b/packages/membership/EntryWatch.ts
@@ -0,0 +1,37 @@
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
+
+// Entries announce themselves at least every few seconds; callers try the next address of their list anyway,
+// so an entry that is gone may stay listed for this long.
+const defaultExpireAfterMs = 15_000;
+
+/** Finds the entries that have stopped announcing themselves to any relay. Without I/O. */
+export class EntryWatch {
+  readonly #expireAfterMs: number;
+  readonly #lastHeardMs = new Map<string, number>();
+
+  constructor(expireAfterMs = defaultExpireAfterMs) {
+    this.#expireAfterMs = expireAfterMs;
+  }
+
+  hear(entry: string, nowMs: number): void {
+    this.#lastHeardMs.set(entry, nowMs);
+  }
+
+  isHeard(entry: string): boolean {
+    return this.#lastHeardMs.has(entry);
+  }
+
+  /** Returns the entries that this relay heard of last longer ago than the expiry. */
+  expire(entries: readonly EntryAnnouncement[], nowMs: number): EntryAnnouncement[] {
+    const present = new Set(entries.map(({ entry }) => entry));
+    for (const entry of this.#lastHeardMs.keys()) {
+      if (!present.has(entry)) {
+        this.#lastHeardMs.delete(entry);
+      }
+    }
+    return entries.filter(({ entry }) => {
+      const heardMs = this.#lastHeardMs.get(entry);
+      return heardMs !== undefined && nowMs - heardMs > this.#expireAfterMs;
+    });
+  }
+}
--- /dev/null
+++ b/packages/membership/HeartbeatRequest.ts
@@ -0,0 +1,5 @@
+/** Body of `heartbeat`. */
+export interface HeartbeatRequest {
+  readonly target: string;
+  readonly incarnation: string;
+}
--- /dev/null
+++ b/packages/membership/MassSuspicion.ts
@@ -0,0 +1,122 @@
+import type { FleetCounts } from "./FleetCounts";
+import type { SuspicionSettings } from "./SuspicionSettings";
+import type { WatchedTarget } from "./WatchedTarget";
+
+interface MemberOfDomain {
+  readonly target: string;
+  readonly failureDomain: string;
+}
+
+interface RemovedTarget extends MemberOfDomain {
+  readonly atMs: number;
+}
+
+/**
+ * Detects that many targets became suspect within a window. Such a pattern is more often a failed switch or
+ * an observer that is cut off than many processes that died at once.
+ */
+export class MassSuspicion {
+  readonly #settings: SuspicionSettings;
+  /** Failure domains under mass suspicion. */
+  readonly #active = new Map<string, { readonly sinceMs: number; lastMs: number }>();
+  #removed: RemovedTarget[] = [];
+  #suspectCounts: ReadonlyMap<string, number> = new Map();
+  #totalCounts: ReadonlyMap<string, number> = new Map();
+  #fleetLastMs = -Infinity;
+  #nowMs = 0;
+
+  constructor(settings: SuspicionSettings) {
+    this.#settings = settings;
+  }
+
+  /** Counts a removed target for the rest of the window, so that removals one by one stay bounded too. */
+  noteRemoved(target: string, failureDomain: string, nowMs: number): void {
+    this.#removed.push({ target, failureDomain, atMs: nowMs });
+  }
+
+  /** Counts the targets that are suspect now or were removed within the window. */
+  update(watched: readonly WatchedTarget[], counts: FleetCounts, nowMs: number): void {
+    const { massWindowMs } = this.#settings;
+    this.#nowMs = nowMs;
+    const present = new Set(watched.map(({ target }) => target));
+    this.#removed = this.#removed.filter(({ atMs }) => nowMs - atMs <= massWindowMs);
+    const suspects = watched.filter(({ suspectSinceMs }) => suspectSinceMs !== null);
+    // A target counts once, also when it was removed and is suspect again.
+    const distinct = new Map<string, MemberOfDomain>(
+      [...this.#removed, ...suspects].map((each) => [each.target, each]),
+    );
+    const absent = new Map(this.#removed.map((each) => [each.target, each]));
+    for (const target of present) {
+      absent.delete(target);
+    }
+    this.#suspectCounts = countByDomain([...distinct.values()]);
+    this.#totalCounts = addCounts(counts.countByDomain, countByDomain([...absent.values()]));
+    for (const [domain, suspectCount] of this.#suspectCounts) {
+      if (this.#isMass(suspectCount, this.#totalCounts.get(domain) ?? 0)) {
+        this.#active.set(domain, { sinceMs: this.#active.get(domain)?.sinceMs ?? nowMs, lastMs: nowMs });
+      }
+    }
+    for (const [domain, { lastMs }] of this.#active) {
+      if (nowMs - lastMs > massWindowMs) {
+        this.#active.delete(domain);
+      }
+    }
+    if (this.#isMass(sum(this.#suspectCounts), sum(this.#totalCounts))) {
+      this.#fleetLastMs = nowMs;
+    }
+  }
+
+  isActive(failureDomain: string): boolean {
+    return this.#isFleetActive() || this.#active.has(failureDomain);
+  }
+
+  /**
+   * A failure domain that stays lost is given up target by target, as long as the rest of the fleet is well.
+   * When many are suspect outside it too, the observers are the more likely cause.
+   */
+  isRemovalAllowed(failureDomain: string, nowMs: number): boolean {
+    const sinceMs = this.#active.get(failureDomain)?.sinceMs;
+    const outsideSuspectCount = sum(this.#suspectCounts) - (this.#suspectCounts.get(failureDomain) ?? 0);
+    const outsideCount = sum(this.#totalCounts) - (this.#totalCounts.get(failureDomain) ?? 0);
+    return (
+      sinceMs !== undefined &&
+      nowMs - sinceMs >= this.#settings.massHoldMs &&
+      outsideCount > 0 &&
+      !this.#isMass(outsideSuspectCount, outsideCount)
+    );
+  }
+
+  #isFleetActive(): boolean {
+    return this.#nowMs - this.#fleetLastMs <= this.#settings.massWindowMs;
+  }
+
+  #isMass(suspectCount: number, totalCount: number): boolean {
+    return (
+      suspectCount >= this.#settings.minMassCount &&
+      suspectCount > totalCount * this.#settings.maxEjectedShare
+    );
+  }
+}
+
+function countByDomain(targets: readonly MemberOfDomain[]): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const { failureDomain } of targets) {
+    counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function addCounts(
+  left: ReadonlyMap<string, number>,
+  right: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const total = new Map(left);
+  for (const [key, count] of right) {
+    total.set(key, (total.get(key) ?? 0) + count);
+  }
+  return total;
+}
+
+function sum(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((total, count) => total + count, 0);
+}
--- /dev/null
+++ b/packages/membership/ProbeRequest.ts
@@ -0,0 +1,7 @@
+/** Body of `probe`: asks a relay to reach a target on a new connection. */
+export interface ProbeRequest {
+  readonly target: string;
+  readonly incarnation: string;
+  /** `host:port` of the target's agent. */
+  readonly address: string;
+}
--- /dev/null
+++ b/packages/membership/ProbeResponse.ts
@@ -0,0 +1,6 @@
+/** Answer to `probe`. */
+export interface ProbeResponse {
+  readonly reached: boolean;
+  /** Failure domain of the relay that made the attempt. */
+  readonly failureDomain: string;
+}
--- /dev/null
+++ b/packages/membership/RecordKind.ts
@@ -0,0 +1,5 @@
+/** What a directory record describes. */
+export enum RecordKind {
+  Target = "target",
+  Entry = "entry",
+}
--- /dev/null
+++ b/packages/membership/RelayOptions.ts
@@ -0,0 +1,25 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import type { ProbeRequest } from "./ProbeRequest";
+import type { SuspicionSettings } from "./SuspicionSettings";
+
+/** Options of a relay. */
+export interface RelayOptions {
+  /** Name of this relay. Its changes carry the name and the time of its start. */
+  readonly name: string;
+  readonly failureDomain: string;
+  /** Frame addresses (`host:port`) of the other relays. */
+  readonly peers: readonly string[];
+  readonly tls: TlsFiles | undefined;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly suspicion: Partial<SuspicionSettings>;
+  readonly tickIntervalMs: number;
+  readonly syncIntervalMs: number;
+  readonly rpcTimeoutMs: number;
+  /** Weight of a target that is suspect but kept. */
+  readonly suspectWeight: number;
+  /** Reaches a target's agent on a new connection. */
+  readonly probe: (request: ProbeRequest, timeoutMs: number) => Promise<boolean>;
+}
--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -1,18 +1,328 @@
+import { periodic } from "most";
+import { SystemClock } from "@clementinemux/common/SystemClock";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
+import { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+import type { AnnounceRequest } from "./AnnounceRequest";
+import type { AnnounceResult } from "./AnnounceResult";
+import { Directory } from "./Directory";
+import type { DirectorySyncRequest } from "./DirectorySyncRequest";
+import type { DirectorySyncResponse } from "./DirectorySyncResponse";
+import { EntryWatch } from "./EntryWatch";
+import type { FetchTargetsRequest } from "./FetchTargetsRequest";
+import type { HeartbeatRequest } from "./HeartbeatRequest";
+import type { ProbeRequest } from "./ProbeRequest";
+import type { ProbeResponse } from "./ProbeResponse";
+import { RecordKind } from "./RecordKind";
+import type { RelayOptions } from "./RelayOptions";
+import { Suspicion } from "./Suspicion";
+import type { SuspicionAction } from "./SuspicionAction";
+import { SuspicionActionKind } from "./SuspicionActionKind";
+import { SuspicionReason } from "./SuspicionReason";
+import { TargetQuery } from "./TargetQuery";
+import { createSuspicionSettings } from "./createSuspicionSettings";
+import { probeAgent } from "./probeAgent";
+
+interface Peer {
+  readonly client: RpcClient;
+  /** Learnt from its answers to `probe`; null until the first one. */
+  failureDomain: string | null;
+}
+
+const probeTimeoutMs = 500;
+const incarnationDigits = 14;
+const orphanTimeoutCount = 2;
 
 /** Membership part of a control process: keeps the directory of announced targets and entries. */
 export class RelayService {
-  readonly #targets = new Map<string, TargetAnnouncement>();
+  readonly counters = new Counters(
+    "clementinemux_suspicion_events_total",
+    "reason",
+    Object.values(SuspicionReason),
+  );
+
+  readonly #options: RelayOptions;
+  readonly #directory: Directory;
+  readonly #query: TargetQuery;
+  readonly #suspicion: Suspicion;
+  readonly #entryWatch = new EntryWatch();
+  readonly #peers: readonly Peer[];
+  readonly #syncing = new Set<Peer>();
+  #dueMs = 0;
+  #nextPeer = 0;
+  #stopped = false;
+
+  constructor(options: Partial<RelayOptions> = {}) {
+    const clock = options.clock ?? new SystemClock();
+    const { tls } = options;
+    this.#options = {
+      name: "relay",
+      failureDomain: "",
+      peers: [],
+      tls,
+      clock,
+      random: Math.random,
+      suspicion: {},
+      tickIntervalMs: 250,
+      syncIntervalMs: 500,
+      rpcTimeoutMs: 1000,
+      suspectWeight: 0.1,
+      probe: (request, timeoutMs) => probeAgent(request, timeoutMs, tls),
+      ...options,
+    };
+    const startedAt = String(Math.floor(clock.wallMs())).padStart(incarnationDigits, "0");
+    const suffix = Math.floor(this.#options.random() * 0x1_0000_0000).toString(16);
+    this.#directory = new Directory({ origin: `${this.#options.name}/${startedAt}-${suffix}` });
+    this.#query = new TargetQuery(this.#directory);
+    this.#suspicion = new Suspicion(
+      { ...createSuspicionSettings(this.#options.failureDomain), ...this.#options.suspicion },
+      (reason) => {
+        this.counters.add(reason);
+      },
+    );
+    this.#peers = this.#options.peers.map((peer) => ({
+      client: new RpcClient({ address: parseAddress(peer), tls }),
+      failureDomain: null,
+    }));
+    this.#nextPeer = Math.floor(this.#options.random() * Math.max(1, this.#peers.length));
+  }
 
   /** Handlers that the control process adds to its frame server. */
   readonly handlers: Readonly<Record<string, MessageHandler>> = {
-    [MessageName.Announce]: (body) => {
-      const announcement = body as TargetAnnouncement;
-      this.#targets.set(announcement.target, announcement);
-      return { accepted: true };
+    [MessageName.Announce]: (body) => this.#onAnnounce(body as AnnounceRequest),
+    [MessageName.Heartbeat]: (body) => this.#onHeartbeat(body as HeartbeatRequest),
+    [MessageName.AnnounceEntry]: (body) => this.#onAnnounceEntry(body as EntryAnnouncement),
+    [MessageName.FetchEntries]: () => this.entries(),
+    [MessageName.FetchTargets]: (body) => {
+      const request = (body ?? {}) as FetchTargetsRequest;
+      return request.since === undefined ? this.#directory.targets() : this.#query.fetch(request);
     },
-    [MessageName.FetchTargets]: () => [...this.#targets.values()],
+    [MessageName.DirectorySync]: (body) => this.#directory.sync(body as DirectorySyncRequest),
+    [MessageName.Probe]: (body) => this.#onProbe(body as ProbeRequest),
   };
+
+  get directory(): Directory {
+    return this.#directory;
+  }
+
+  /** Entries that are announced now, also those that are leaving. */
+  entries(): EntryAnnouncement[] {
+    return this.#directory.entries();
+  }
+
+  /** Starts to judge targets and to exchange the directory with the peers. */
+  start(): void {
+    const { tickIntervalMs, syncIntervalMs, random, clock } = this.#options;
+    this.#dueMs = clock.monotonicMs();
+    void periodic(tickIntervalMs)
+      .takeWhile(() => !this.#stopped)
+      .observe(() => {
+        this.tick(this.#dueMs);
+        this.#dueMs = clock.monotonicMs() + tickIntervalMs;
+      });
+    const schedule = (): void => {
+      // Jitter keeps relays that started together from asking each other in the same instant.
+      const delayMs = syncIntervalMs * (0.75 + random() / 2);
+      setTimeout(() => {
+        if (!this.#stopped) {
+          void this.syncNext();
+          schedule();
+        }
+      }, delayMs).unref();
+    };
+    schedule();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    for (const { client } of this.#peers) {
+      client.close();
+    }
+  }
+
+  /** One round of judging. `dueMs` is the time for which it was scheduled. */
+  tick(dueMs: number): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#directory.beat(nowMs);
+    this.#adoptOrphans(nowMs);
+    const targets = this.#directory.targets();
+    const countByDomain = new Map<string, number>();
+    for (const { failureDomain } of targets) {
+      countByDomain.set(failureDomain, (countByDomain.get(failureDomain) ?? 0) + 1);
+    }
+    const counts = { fleetCount: targets.length, countByDomain };
+    this.#run(this.#suspicion.tick(nowMs, dueMs, counts));
+    for (const { entry, incarnation } of this.#entryWatch.expire(this.#directory.entries(), nowMs)) {
+      this.#directory.remove(RecordKind.Entry, entry, incarnation, nowMs);
+    }
+    this.#directory.collect(nowMs);
+  }
+
+  /** Fetches changes from the next peer in turn. */
+  async syncNext(): Promise<void> {
+    const peer = this.#peers[this.#nextPeer % this.#peers.length];
+    this.#nextPeer += 1;
+    if (peer === undefined || this.#syncing.has(peer)) {
+      return;
+    }
+    this.#syncing.add(peer);
+    try {
+      for (let more = true; more && !this.#stopped;) {
+        const request = this.#directory.createSyncRequest();
+        const answer = await peer.client.call(MessageName.DirectorySync, request, this.#options.rpcTimeoutMs);
+        const response = answer.toMaybe().extractNullable() as DirectorySyncResponse | null;
+        if (response === null) {
+          return;
+        }
+        this.#directory.apply(response, this.#options.clock.monotonicMs());
+        more = response.more;
+      }
+    } finally {
+      this.#syncing.delete(peer);
+    }
+  }
+
+  #onAnnounce({ leaving = false, ...announcement }: AnnounceRequest): AnnounceResult {
+    const nowMs = this.#options.clock.monotonicMs();
+    const result = this.#directory.announceTarget(announcement, leaving, nowMs);
+    if (result.accepted && leaving) {
+      this.#suspicion.forget(announcement.target);
+    } else if (result.accepted) {
+      this.#hear(announcement, nowMs);
+    }
+    return result;
+  }
+
+  #onHeartbeat({ target, incarnation }: HeartbeatRequest): AnnounceResult {
+    const nowMs = this.#options.clock.monotonicMs();
+    const result = this.#directory.checkHeartbeat(RecordKind.Target, target, incarnation);
+    const announcement = this.#directory.get(RecordKind.Target, target)?.announcement;
+    if (result.accepted && announcement !== null && announcement !== undefined) {
+      this.#hear(announcement as TargetAnnouncement, nowMs);
+    }
+    return result;
+  }
+
+  #hear({ target, incarnation, failureDomain }: TargetAnnouncement, nowMs: number): void {
+    this.#run(this.#suspicion.hear(target, incarnation, failureDomain, nowMs));
+  }
+
+  #onAnnounceEntry(announcement: EntryAnnouncement): AnnounceResult {
+    const nowMs = this.#options.clock.monotonicMs();
+    const result = this.#directory.announceEntry(announcement, nowMs);
+    if (result.accepted) {
+      this.#entryWatch.hear(announcement.entry, nowMs);
+    }
+    return result;
+  }
+
+  async #onProbe(request: ProbeRequest): Promise<ProbeResponse> {
+    const reached = await this.#options.probe(request, probeTimeoutMs);
+    return { reached, failureDomain: this.#options.failureDomain };
+  }
+
+  /**
+   * Takes over the records of a relay that is gone: at once those of processes heard here; after a second
+   * timeout, which gives the relays that hear a process time to do so, also those that nobody hears.
+   */
+  #adoptOrphans(nowMs: number): void {
+    for (const { target, incarnation, failureDomain } of this.#directory.targets()) {
+      const record = this.#directory.get(RecordKind.Target, target);
+      if (record === undefined || !this.#directory.isOrphaned(record, nowMs)) {
+        continue;
+      }
+      if (this.#suspicion.isHeard(target)) {
+        this.#directory.takeOver(RecordKind.Target, target, nowMs);
+      } else if (this.#directory.isOrphaned(record, nowMs, orphanTimeoutCount)) {
+        this.#suspicion.adopt(target, incarnation, failureDomain, nowMs);
+      }
+    }
+    for (const { entry } of this.#directory.entries()) {
+      const record = this.#directory.get(RecordKind.Entry, entry);
+      if (record === undefined || !this.#directory.isOrphaned(record, nowMs)) {
+        continue;
+      }
+      if (this.#entryWatch.isHeard(entry)) {
+        this.#directory.takeOver(RecordKind.Entry, entry, nowMs);
+      } else if (this.#directory.isOrphaned(record, nowMs, orphanTimeoutCount)) {
+        this.#entryWatch.hear(entry, nowMs);
+      }
+    }
+  }
+
+  #run(actions: readonly SuspicionAction[]): void {
+    const nowMs = this.#options.clock.monotonicMs();
+    const handlers: Readonly<Record<SuspicionActionKind, (action: SuspicionAction) => void>> = {
+      [SuspicionActionKind.Probe]: (action) => void this.#probe(action),
+      [SuspicionActionKind.AskPeer]: (action) => void this.#askPeer(action),
+      [SuspicionActionKind.Remove]: ({ target, incarnation }) => {
+        this.#directory.remove(RecordKind.Target, target, incarnation, nowMs);
+      },
+      [SuspicionActionKind.LowerWeight]: ({ target, incarnation }) => {
+        this.#directory.setWeight(target, incarnation, this.#options.suspectWeight, nowMs);
+      },
+      [SuspicionActionKind.RestoreWeight]: ({ target, incarnation }) => {
+        this.#directory.setWeight(target, incarnation, 1, nowMs);
+      },
+    };
+    for (const action of actions) {
+      handlers[action.kind](action);
+    }
+  }
+
+  async #probe(action: SuspicionAction): Promise<void> {
+    const request = this.#createProbe(action);
+    if (request === null) {
+      this.#suspicion.forget(action.target);
+      return;
+    }
+    const startedAtMs = this.#options.clock.monotonicMs();
+    const reached = await this.#options.probe(request, probeTimeoutMs);
+    this.#takeResult(action, this.#options.failureDomain, reached, startedAtMs);
+  }
+
+  /** Asks peers in turn until one of a failure domain that is not excluded has tried. */
+  async #askPeer(action: SuspicionAction): Promise<void> {
+    const request = this.#createProbe(action);
+    const offset = Math.floor(this.#options.random() * this.#peers.length);
+    for (let turn = 0; request !== null && turn < this.#peers.length; turn += 1) {
+      const peer = this.#peers[(offset + turn) % this.#peers.length];
+      if (peer === undefined || action.excludedDomains.includes(peer.failureDomain ?? "")) {
+        continue;
+      }
+      const startedAtMs = this.#options.clock.monotonicMs();
+      const answer = await peer.client.call(MessageName.Probe, request, this.#options.rpcTimeoutMs);
+      const response = answer.toMaybe().extractNullable() as ProbeResponse | null;
+      if (response === null) {
+        continue;
+      }
+      peer.failureDomain = response.failureDomain;
+      if (!action.excludedDomains.includes(response.failureDomain)) {
+        this.#takeResult(action, response.failureDomain, response.reached, startedAtMs);
+        return;
+      }
+    }
+  }
+
+  #createProbe({ target, incarnation }: SuspicionAction): ProbeRequest | null {
+    const record = this.#directory.get(RecordKind.Target, target);
+    const announcement = record?.announcement as TargetAnnouncement | null | undefined;
+    return announcement?.incarnation === incarnation
+      ? { target, incarnation, address: announcement.address }
+      : null;
+  }
+
+  #takeResult(
+    { target, incarnation }: SuspicionAction,
+    observerDomain: string,
+    reached: boolean,
+    startedAtMs: number,
+  ): void {
+    const result = { target, incarnation, observerDomain, reached, startedAtMs };
+    this.#run(this.#suspicion.onProbe(result, this.#options.clock.monotonicMs()));
+  }
 }
--- /dev/null
+++ b/packages/membership/Suspicion.ts
@@ -0,0 +1,255 @@
+import type { FleetCounts } from "./FleetCounts";
+import { MassSuspicion } from "./MassSuspicion";
+import type { ProbeResult } from "./ProbeResult";
+import type { SuspicionAction } from "./SuspicionAction";
+import { SuspicionActionKind } from "./SuspicionActionKind";
+import { SuspicionReason } from "./SuspicionReason";
+import type { SuspicionSettings } from "./SuspicionSettings";
+import type { WatchedTarget } from "./WatchedTarget";
+
+const requiredObserverCount = 2;
+
+/**
+ * Judges which of the watched targets have failed. Without I/O: the shell reports heartbeats and probe
+ * results, calls `tick`, and carries out the returned actions. All times are monotonic milliseconds of this
+ * process.
+ */
+export class Suspicion {
+  readonly #settings: SuspicionSettings;
+  readonly #count: (reason: SuspicionReason) => void;
+  readonly #watched = new Map<string, WatchedTarget>();
+  readonly #removals = new Map<string, number[]>();
+  readonly #mass: MassSuspicion;
+  #judgeFromMs = 0;
+  #stallEndedAtMs = -Infinity;
+
+  constructor(settings: SuspicionSettings, count: (reason: SuspicionReason) => void = () => undefined) {
+    this.#settings = settings;
+    this.#count = count;
+    this.#mass = new MassSuspicion(settings);
+  }
+
+  get watchedCount(): number {
+    return this.#watched.size;
+  }
+
+  /** Whether the target was heard here and is not suspect. */
+  isHeard(target: string): boolean {
+    return this.#watched.get(target)?.heard === true && !this.isSuspect(target);
+  }
+
+  isSuspect(target: string): boolean {
+    return (this.#watched.get(target)?.suspectSinceMs ?? null) !== null;
+  }
+
+  /** Starts to watch a target, or records that it was heard. Returns a lower weight for a flapping target. */
+  hear(target: string, incarnation: string, failureDomain: string, nowMs: number): SuspicionAction[] {
+    const known = this.#watched.get(target);
+    if (known?.incarnation === incarnation) {
+      known.lastHeardMs = nowMs;
+      known.heard = true;
+      known.answeredProbeCount = 0;
+      this.#clear(known);
+      return [];
+    }
+    const watched = this.#watch(target, incarnation, failureDomain, nowMs);
+    watched.heard = true;
+    if (!this.#isFlapping(target, nowMs)) {
+      return [];
+    }
+    this.#count(SuspicionReason.Flapping);
+    return this.#lower(watched, nowMs);
+  }
+
+  /** Starts to watch a target that nobody watches; it has to be heard or reached to stay. */
+  adopt(target: string, incarnation: string, failureDomain: string, nowMs: number): void {
+    if (this.#watched.get(target)?.incarnation !== incarnation) {
+      this.#watch(target, incarnation, failureDomain, nowMs);
+    }
+  }
+
+  forget(target: string): void {
+    this.#watched.delete(target);
+  }
+
+  /** Judges all targets. `dueMs` is the time for which this tick was scheduled. */
+  tick(nowMs: number, dueMs: number, counts: FleetCounts): SuspicionAction[] {
+    if (nowMs - dueMs > this.#settings.stallToleranceMs) {
+      this.#onOwnStall(nowMs);
+      return [];
+    }
+    if (nowMs < this.#judgeFromMs) {
+      return [];
+    }
+    for (const watched of this.#watched.values()) {
+      this.#markSilent(watched, nowMs);
+    }
+    this.#mass.update([...this.#watched.values()], counts, nowMs);
+    return [...this.#watched.values()].flatMap((watched) => this.#judge(watched, nowMs));
+  }
+
+  /** Takes the result of a probe of this relay or of a peer. */
+  onProbe(result: ProbeResult, nowMs: number): SuspicionAction[] {
+    const watched = this.#watched.get(result.target);
+    if (watched?.incarnation !== result.incarnation || watched.suspectSinceMs === null) {
+      return [];
+    }
+    if (result.reached) {
+      this.#count(SuspicionReason.SilentConnection);
+      watched.lastHeardMs = nowMs;
+      watched.answeredProbeCount += 1;
+      this.#clear(watched);
+      return [];
+    }
+    if (result.startedAtMs < this.#stallEndedAtMs || nowMs < this.#judgeFromMs) {
+      // The attempt may have failed because this process did not run.
+      return [];
+    }
+    this.#count(SuspicionReason.Unreachable);
+    watched.failedDomains.add(result.observerDomain);
+    return this.#decide(watched, nowMs);
+  }
+
+  #watch(target: string, incarnation: string, failureDomain: string, nowMs: number): WatchedTarget {
+    const watched: WatchedTarget = {
+      target,
+      incarnation,
+      failureDomain,
+      lastHeardMs: nowMs,
+      heard: false,
+      suspectSinceMs: null,
+      failedDomains: new Set(),
+      nextProbeAtMs: 0,
+      answeredProbeCount: 0,
+      lowered: false,
+      lastSuspectMs: nowMs,
+    };
+    this.#watched.set(target, watched);
+    return watched;
+  }
+
+  #onOwnStall(nowMs: number): void {
+    this.#count(SuspicionReason.OwnStall);
+    this.#judgeFromMs = nowMs + this.#settings.stallGraceMs;
+    this.#stallEndedAtMs = nowMs;
+    for (const watched of this.#watched.values()) {
+      // Heartbeats sent during the stall may still be in the socket buffers.
+      watched.lastHeardMs = nowMs;
+      this.#clear(watched);
+    }
+  }
+
+  #markSilent(watched: WatchedTarget, nowMs: number): void {
+    if (watched.suspectSinceMs !== null) {
+      watched.lastSuspectMs = nowMs;
+      return;
+    }
+    const allowedMs = Math.min(
+      this.#settings.suspectAfterMs * 2 ** watched.answeredProbeCount,
+      this.#settings.maxProbeIntervalMs,
+    );
+    if (nowMs - watched.lastHeardMs > allowedMs) {
+      this.#count(SuspicionReason.HeartbeatMissed);
+      watched.suspectSinceMs = nowMs;
+      watched.lastSuspectMs = nowMs;
+      watched.nextProbeAtMs = nowMs;
+    }
+  }
+
+  #judge(watched: WatchedTarget, nowMs: number): SuspicionAction[] {
+    if (watched.suspectSinceMs === null) {
+      return watched.lowered && nowMs - watched.lastSuspectMs >= this.#settings.stableAfterMs
+        ? this.#restore(watched)
+        : [];
+    }
+    if (this.#isConfirmed(watched) && nowMs >= this.#getConfirmAtMs(watched)) {
+      watched.nextProbeAtMs = Math.max(watched.nextProbeAtMs, nowMs + this.#settings.probeIntervalMs);
+      const decided = this.#decide(watched, nowMs);
+      watched.failedDomains.clear();
+      return decided;
+    }
+    const actions = this.#mass.isActive(watched.failureDomain) ? this.#lower(watched, nowMs) : [];
+    if (nowMs >= watched.nextProbeAtMs) {
+      watched.nextProbeAtMs = nowMs + this.#settings.probeIntervalMs;
+      // Each round needs fresh evidence: a domain that failed to reach it earlier may reach it now.
+      if (watched.failedDomains.size > 0) {
+        this.#count(SuspicionReason.Unconfirmed);
+        actions.push(...this.#lower(watched, nowMs));
+        watched.failedDomains.clear();
+      }
+      actions.push(createAction(SuspicionActionKind.Probe, watched));
+    }
+    return actions;
+  }
+
+  #decide(watched: WatchedTarget, nowMs: number): SuspicionAction[] {
+    if (!this.#isConfirmed(watched)) {
+      const excluded = this.#mass.isActive(watched.failureDomain) ? [watched.failureDomain] : [];
+      const excludedDomains = [
+        ...new Set([this.#settings.failureDomain, ...watched.failedDomains, ...excluded]),
+      ];
+      return [{ ...createAction(SuspicionActionKind.AskPeer, watched), excludedDomains }];
+    }
+    const confirmAtMs = this.#getConfirmAtMs(watched);
+    if (nowMs < confirmAtMs) {
+      watched.nextProbeAtMs = confirmAtMs + this.#settings.probeIntervalMs;
+      return [];
+    }
+    const { failureDomain } = watched;
+    if (this.#mass.isActive(failureDomain) && !this.#mass.isRemovalAllowed(failureDomain, nowMs)) {
+      this.#count(SuspicionReason.MassSuspicion);
+      return this.#lower(watched, nowMs);
+    }
+    this.#count(SuspicionReason.Removed);
+    this.#watched.delete(watched.target);
+    this.#mass.noteRemoved(watched.target, failureDomain, nowMs);
+    this.#removals.set(watched.target, [...this.#recentRemovals(watched.target, nowMs), nowMs]);
+    return [createAction(SuspicionActionKind.Remove, watched)];
+  }
+
+  /** Under a mass suspicion, observers within the target's own failure domain do not count. */
+  #isConfirmed(watched: WatchedTarget): boolean {
+    const isMass = this.#mass.isActive(watched.failureDomain);
+    const inside = isMass && watched.failedDomains.has(watched.failureDomain) ? 1 : 0;
+    return watched.failedDomains.size - inside >= requiredObserverCount;
+  }
+
+  #getConfirmAtMs(watched: WatchedTarget): number {
+    return (watched.suspectSinceMs ?? 0) + this.#settings.confirmAfterMs;
+  }
+
+  #lower(watched: WatchedTarget, nowMs: number): SuspicionAction[] {
+    watched.lastSuspectMs = nowMs;
+    if (watched.lowered) {
+      return [];
+    }
+    watched.lowered = true;
+    return [createAction(SuspicionActionKind.LowerWeight, watched)];
+  }
+
+  #restore(watched: WatchedTarget): SuspicionAction[] {
+    watched.lowered = false;
+    return [createAction(SuspicionActionKind.RestoreWeight, watched)];
+  }
+
+  #clear(watched: WatchedTarget): void {
+    watched.suspectSinceMs = null;
+    watched.failedDomains.clear();
+  }
+
+  #recentRemovals(target: string, nowMs: number): number[] {
+    return (this.#removals.get(target) ?? []).filter((atMs) => nowMs - atMs < this.#settings.flapWindowMs);
+  }
+
+  #isFlapping(target: string, nowMs: number): boolean {
+    const recent = this.#recentRemovals(target, nowMs);
+    if (recent.length === 0) {
+      this.#removals.delete(target);
+    }
+    return recent.length >= this.#settings.flapCount;
+  }
+}
+
+function createAction(kind: SuspicionActionKind, watched: WatchedTarget): SuspicionAction {
+  return { kind, target: watched.target, incarnation: watched.incarnation, excludedDomains: [] };
+}
--- /dev/null
+++ b/packages/membership/SuspicionReason.ts
@@ -0,0 +1,13 @@
+/** Events of the suspicion core, each with a counter. */
+export enum SuspicionReason {
+  HeartbeatMissed = "heartbeat_missed",
+  /** The target answered on a new connection while its heartbeats were missing. */
+  SilentConnection = "silent_connection",
+  Unreachable = "unreachable",
+  /** No relay of another failure domain confirmed that the target is unreachable. */
+  Unconfirmed = "unconfirmed",
+  MassSuspicion = "mass_suspicion",
+  Flapping = "flapping",
+  OwnStall = "own_stall",
+  Removed = "removed",
+}
--- /dev/null
+++ b/packages/membership/probeAgent.ts
@@ -0,0 +1,63 @@
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+import type { ProbeRequest } from "./ProbeRequest";
+
+const maxAnswerBytes = 65_536;
+
+/**
+ * Asks an agent for its state on a new connection. An accepted connection is no proof of life, since the
+ * kernel accepts connections for a stopped process; the answer must name the target and its incarnation.
+ */
+export async function probeAgent(
+  { target, incarnation, address }: ProbeRequest,
+  timeoutMs: number,
+  tls?: TlsFiles,
+): Promise<boolean> {
+  const { request } = tls === undefined ? await import("node:http") : await import("node:https");
+  return new Promise((resolve) => {
+    const options = {
+      ...parseAddress(address),
+      ...(tls === undefined ? {} : { ...tls, checkServerIdentity: () => undefined }),
+      path: "/agent/state",
+      agent: false,
+      headers: { connection: "close" },
+    };
+    const outgoing = request(options, (answer) => {
+      let text = "";
+      answer.setEncoding("utf8");
+      answer.on("data", (chunk: string) => {
+        text += chunk;
+        if (text.length > maxAnswerBytes) {
+          outgoing.destroy();
+        }
+      });
+      answer.on("end", () => {
+        finish(answer.statusCode === 200 && isStateOf(text, target, incarnation));
+      });
+    });
+    const timer = setTimeout(() => {
+      finish(false);
+    }, timeoutMs);
+    const finish = (reached: boolean): void => {
+      clearTimeout(timer);
+      outgoing.destroy();
+      resolve(reached);
+    };
+    outgoing.on("error", () => {
+      finish(false);
+    });
+    outgoing.on("close", () => {
+      finish(false);
+    });
+    outgoing.end();
+  });
+}
+
+function isStateOf(text: string, target: string, incarnation: string): boolean {
+  try {
+    const state = JSON.parse(text) as { target?: unknown; stamp?: unknown };
+    return state.target === target && String(state.stamp).startsWith(`${incarnation}/`);
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/membership/test/suspicion.test.ts
@@ -0,0 +1,258 @@
+import fc from "fast-check";
+import t from "tap";
+import { Suspicion } from "@clementinemux/membership/Suspicion";
+import type { SuspicionAction } from "@clementinemux/membership/SuspicionAction";
+import { SuspicionActionKind } from "@clementinemux/membership/SuspicionActionKind";
+import { SuspicionReason } from "@clementinemux/membership/SuspicionReason";
+import { createSuspicionSettings } from "@clementinemux/membership/createSuspicionSettings";
+
+const tickMs = 250;
+const beatMs = 1000;
+
+interface Fleet {
+  readonly suspicion: Suspicion;
+  readonly actions: SuspicionAction[];
+  readonly reasons: SuspicionReason[];
+  readonly removals: { readonly target: string; readonly atMs: number }[];
+  /** Advances virtual time, with heartbeats of the targets for which `beats` holds. */
+  run(
+    durationMs: number,
+    beats: (target: string) => boolean,
+    reach: (target: string, domain: string) => boolean,
+  ): void;
+  /** Lets time pass without any tick, as when the observer is stopped. */
+  freeze(durationMs: number): void;
+}
+
+function createFleet(targetCount: number, domainOf: (index: number) => string): Fleet {
+  const targets = Array.from({ length: targetCount }, (_, index) => `r-${index}`);
+  const domains = new Map(targets.map((target, index) => [target, domainOf(index)]));
+  const countByDomain = new Map<string, number>();
+  for (const domain of domains.values()) {
+    countByDomain.set(domain, (countByDomain.get(domain) ?? 0) + 1);
+  }
+  const actions: SuspicionAction[] = [];
+  const reasons: SuspicionReason[] = [];
+  const removals: { target: string; atMs: number }[] = [];
+  const suspicion = new Suspicion(createSuspicionSettings("fd-a"), (reason) => reasons.push(reason));
+  let nowMs = 0;
+  let dueMs = 0;
+  const take = (made: SuspicionAction[], reach: (target: string, domain: string) => boolean): void => {
+    for (const action of made) {
+      actions.push(action);
+      if (action.kind === SuspicionActionKind.Remove) {
+        removals.push({ target: action.target, atMs: nowMs });
+      }
+      const { kind, target, incarnation, excludedDomains } = action;
+      const observer =
+        kind === SuspicionActionKind.Probe
+          ? "fd-a"
+          : ["fd-b", "fd-c"].find((domain) => !excludedDomains.includes(domain));
+      if (
+        (kind === SuspicionActionKind.Probe || kind === SuspicionActionKind.AskPeer) &&
+        observer !== undefined
+      ) {
+        const result = {
+          target,
+          incarnation,
+          observerDomain: observer,
+          reached: reach(target, observer),
+          startedAtMs: nowMs,
+        };
+        take(suspicion.onProbe(result, nowMs), reach);
+      }
+    }
+  };
+  for (const target of targets) {
+    suspicion.hear(target, "1", domains.get(target)!, 0);
+  }
+  return {
+    suspicion,
+    actions,
+    reasons,
+    removals,
+    run: (durationMs, beats, reach) => {
+      for (const endMs = nowMs + durationMs; nowMs < endMs;) {
+        nowMs += tickMs;
+        if (nowMs % beatMs === 0) {
+          for (const target of targets.filter(beats)) {
+            take(suspicion.hear(target, "1", domains.get(target)!, nowMs), reach);
+          }
+        }
+        take(
+          suspicion.tick(nowMs, dueMs === 0 ? nowMs : dueMs, { fleetCount: targetCount, countByDomain }),
+          reach,
+        );
+        dueMs = nowMs + tickMs;
+      }
+    },
+    freeze: (durationMs) => {
+      nowMs += durationMs;
+    },
+  };
+}
+
+function getRemoved(actions: readonly SuspicionAction[]): string[] {
+  return actions.filter(({ kind }) => kind === SuspicionActionKind.Remove).map(({ target }) => target);
+}
+
+const byThirds = (index: number): string => `fd-${"abc"[index % 3]}`;
+const always = (): boolean => true;
+const never = (): boolean => false;
+
+// Guards against a dead target that stays in, and against removing others with it.
+t.test("one dead target is removed", (t) => {
+  const fleet = createFleet(18, byThirds);
+  fleet.run(
+    10_000,
+    (target) => target !== "r-4",
+    (target) => target !== "r-4",
+  );
+  t.same(getRemoved(fleet.actions), ["r-4"]);
+  t.end();
+});
+
+// Guards against removal on the word of one observer, whose own link may be the one that failed.
+t.test("one observer is not enough", (t) => {
+  const fleet = createFleet(18, byThirds);
+  fleet.run(
+    10_000,
+    (target) => target !== "r-4",
+    (target, domain) => target !== "r-4" || domain !== "fd-a",
+  );
+  t.same(getRemoved(fleet.actions), []);
+  t.end();
+});
+
+// Guards against taking a silent connection for a dead process.
+t.test("silent connection is no failure", (t) => {
+  const fleet = createFleet(18, byThirds);
+  fleet.run(60_000, (target) => target !== "r-4", always);
+  t.same(getRemoved(fleet.actions), []);
+  t.ok(fleet.reasons.includes(SuspicionReason.SilentConnection));
+  t.end();
+});
+
+// Guards against a failed switch that takes a whole failure domain out at once.
+t.test("switch failure lowers weights first", (t) => {
+  const fleet = createFleet(18, byThirds);
+  const isCutOff = (target: string): boolean => Number(target.slice(2)) % 3 === 1;
+  fleet.run(
+    25_000,
+    (target) => !isCutOff(target),
+    (target) => !isCutOff(target),
+  );
+  t.same(getRemoved(fleet.actions), []);
+  const lowered = fleet.actions.filter(({ kind }) => kind === SuspicionActionKind.LowerWeight);
+  t.equal(lowered.length, 6);
+  t.ok(lowered.every(({ target }) => isCutOff(target)));
+  fleet.run(
+    20_000,
+    (target) => !isCutOff(target),
+    (target) => !isCutOff(target),
+  );
+  t.equal(getRemoved(fleet.actions).length, 6);
+  t.end();
+});
+
+// Guards against an observer that is cut off and takes the whole fleet for dead.
+t.test("whole fleet is never removed", (t) => {
+  const fleet = createFleet(18, byThirds);
+  fleet.run(120_000, never, never);
+  t.same(getRemoved(fleet.actions), []);
+  t.end();
+});
+
+// Guards against an observer that was stopped and judges others by its own stall.
+t.test("frozen observer judges nobody", (t) => {
+  const fleet = createFleet(18, byThirds);
+  fleet.run(5000, always, always);
+  fleet.freeze(60_000);
+  // Its probes fail at first, since it has not read its sockets yet.
+  fleet.run(1500, never, never);
+  fleet.run(5000, always, always);
+  t.same(getRemoved(fleet.actions), []);
+  t.same(fleet.actions, []);
+  t.ok(fleet.reasons.includes(SuspicionReason.OwnStall));
+  t.end();
+});
+
+// Guards against a flapping target that gets its full load back each time.
+t.test("flapping target returns with low weight", (t) => {
+  const fleet = createFleet(18, byThirds);
+  for (let turn = 0; turn < 3; turn += 1) {
+    fleet.run(
+      6000,
+      (target) => target !== "r-4",
+      (target) => target !== "r-4",
+    );
+    fleet.run(2000, always, always);
+  }
+  t.equal(getRemoved(fleet.actions).length, 3);
+  t.equal(fleet.actions.at(-1)?.kind, SuspicionActionKind.LowerWeight);
+  fleet.run(61_000, always, always);
+  t.equal(fleet.actions.at(-1)?.kind, SuspicionActionKind.RestoreWeight);
+  t.end();
+});
+
+// Guards against schedules of losses, cuts and stalls in which a target that answers others is removed.
+t.test("no schedule removes a target that peers reach", (t) => {
+  const step = fc.record({
+    silent: fc.array(fc.integer({ min: 0, max: 17 }), { maxLength: 18 }),
+    dead: fc.array(fc.integer({ min: 0, max: 17 }), { maxLength: 5 }),
+    freezeMs: fc.constantFrom(0, 0, 300, 5000),
+    durationMs: fc.integer({ min: 1, max: 30 }).map((count) => count * tickMs),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 12 }), (steps) => {
+      const fleet = createFleet(18, byThirds);
+      const everDead = new Set<string>();
+      for (const { silent, dead, freezeMs, durationMs } of steps) {
+        const isDead = (target: string): boolean => dead.includes(Number(target.slice(2)));
+        const isSilent = (target: string): boolean => silent.includes(Number(target.slice(2)));
+        for (const index of dead) {
+          everDead.add(`r-${index}`);
+        }
+        fleet.freeze(freezeMs);
+        fleet.run(
+          durationMs,
+          (target) => !isDead(target) && !isSilent(target),
+          (target, domain) => !isDead(target) && (domain !== "fd-a" || !isSilent(target)),
+        );
+      }
+      const wrong = getRemoved(fleet.actions).filter((target) => !everDead.has(target));
+      t.same(wrong, []);
+    }),
+    { seed: 11, numRuns: 200 },
+  );
+  t.end();
+});
+
+// Guards against many targets of a failure domain removed one by one within the window of a mass suspicion.
+t.test("removals within the window are bounded", (t) => {
+  const step = fc.record({
+    dead: fc.array(fc.integer({ min: 0, max: 17 }), { maxLength: 6 }),
+    durationMs: fc.integer({ min: 4, max: 12 }).map((count) => count * tickMs),
+  });
+  fc.assert(
+    // The whole schedule is shorter than the hold, after which a lost failure domain may be given up.
+    fc.property(fc.array(step, { maxLength: 9 }), (steps) => {
+      const fleet = createFleet(18, byThirds);
+      for (const { dead, durationMs } of steps) {
+        const isAlive = (target: string): boolean => !dead.includes(Number(target.slice(2)));
+        fleet.run(durationMs, isAlive, isAlive);
+      }
+      for (const { target, atMs } of fleet.removals) {
+        const domain = byThirds(Number(target.slice(2)));
+        const near = fleet.removals.filter(
+          (other) =>
+            byThirds(Number(other.target.slice(2))) === domain && Math.abs(other.atMs - atMs) < 10_000,
+        );
+        const distinct = new Set(near.map((other) => other.target));
+        t.ok(distinct.size <= 1, `${distinct.size} of 6 removed within 10 s`);
+      }
+    }),
+    { seed: 13, numRuns: 300 },
+  );
+  t.end();
+});
--- /dev/null
+++ b/packages/membership/test/targetQuery.test.ts
@@ -0,0 +1,84 @@
+import t from "tap";
+import { Directory } from "@clementinemux/membership/Directory";
+import { TargetQuery } from "@clementinemux/membership/TargetQuery";
+import { assignSubset } from "@clementinemux/membership/assignSubset";
+import { createAnnouncement } from "./createAnnouncement";
+
+function createFleet(): { directory: Directory; query: TargetQuery } {
+  const directory = new Directory({ origin: "relay/1" });
+  for (let index = 0; index < 12; index += 1) {
+    const models = [index % 2 === 0 ? "small" : "large"];
+    directory.announceTarget(createAnnouncement(`r-${index}`, "1", { models }), false, 0);
+  }
+  return { directory, query: new TargetQuery(directory) };
+}
+
+// Guards against lists that are sent again while nothing has changed, and against lost removals.
+t.test("only changes are sent", (t) => {
+  const { directory, query } = createFleet();
+  const first = query.fetch({ since: null });
+  t.equal(first.full, true);
+  t.equal(first.targets.length, 12);
+  const second = query.fetch({ since: first });
+  t.match(second, { full: false, targets: [], removed: [] });
+  directory.announceTarget(createAnnouncement("r-3", "1"), true, 1);
+  directory.setWeight("r-5", "1", 0.1, 1);
+  const third = query.fetch({ since: second });
+  t.same(third.removed, ["r-3"]);
+  t.same(third.weights, { "r-5": 0.1 });
+  t.end();
+});
+
+// Guards against a delta that is counted from another relay's version.
+t.test("another relay starts a full list", (t) => {
+  const { query } = createFleet();
+  const first = query.fetch({ since: null });
+  t.equal(query.fetch({ since: { ...first, directory: "other/1" } }).full, true);
+  t.end();
+});
+
+// Guards against targets skipped or an endless exchange when an answer is cut off at its limit.
+t.test("bounded answers reach every target", (t) => {
+  const { query } = createFleet();
+  const seen = new Set<string>();
+  let answer = query.fetch({ since: null, limit: 5 });
+  for (let turn = 0; turn < 3; turn += 1) {
+    for (const { target } of answer.targets) {
+      seen.add(target);
+    }
+    t.equal(answer.more, turn < 2);
+    answer = query.fetch({ since: answer, limit: 5 });
+  }
+  t.equal(seen.size, 12);
+  t.end();
+});
+
+// Guards against targets of other models, which the asker could not use.
+t.test("models filter the list", (t) => {
+  const { query } = createFleet();
+  const { targets } = query.fetch({ since: null, models: ["large"] });
+  t.equal(targets.length, 6);
+  t.ok(targets.every(({ models }) => models.includes("large")));
+  t.end();
+});
+
+// Guards against units that get far more entries than others, subsets within one failure domain, and subsets
+// that depend on the order of arrival.
+t.test("subsets are balanced and spread", (t) => {
+  const units = Array.from({ length: 53 }, (_, index) => ({
+    name: `g-${index}`,
+    failureDomain: `fd-${index % 15}`,
+  }));
+  const entries = Array.from({ length: 350 }, (_, index) => `entry-${index}`);
+  const assigned = assignSubset(entries, units, 3);
+  const loads = new Map<string, number>();
+  for (const names of assigned.values()) {
+    t.equal(new Set(names.map((name) => Number(name.slice(2)) % 15)).size, 3);
+    for (const name of names) {
+      loads.set(name, (loads.get(name) ?? 0) + 1);
+    }
+  }
+  t.ok(Math.max(...loads.values()) <= Math.ceil((350 * 3) / 53));
+  t.same(assignSubset([...entries].reverse(), [...units].reverse(), 3), assigned);
+  t.end();
+});
