Close slow connections, and keep frame calls from rejecting

Cause: a peer that sent part of a frame held its connection for ever; a message above the frame limit made RpcClient.call reject and leave its timer behind; a message named constructor ran an inherited function.

Change: a begun frame has 5 s to complete; encoding errors are answers of the call; only own properties of the handler table are handlers; pending calls are bounded.

Conclusion: the API is unchanged; RpcServer has a new option frameTimeoutMs, and onRefused a third argument.

--- a/packages/wire/FrameDecoder.ts
+++ b/packages/wire/FrameDecoder.ts
@@ -10,6 +10,11 @@
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
 
+  /** Whether a frame has been begun and not completed. */
+  get isPartial(): boolean {
+    return this.#bufferedBytes > 0;
+  }
+
   /** Adds received bytes and returns the frames they complete. Throws `frame_too_large` or `frame_malformed`. */
   push(chunk: Buffer): Frame[] {
     this.#chunks.push(chunk);
--- a/packages/wire/RpcClient.ts
+++ b/packages/wire/RpcClient.ts
@@ -52,21 +52,33 @@
     if (this.#closed) {
       return Promise.resolve(Left(new WireError(WireErrorCode.ConnectionClosed, "client is closed")));
     }
+    if (this.#pending.size >= wireLimits.maxPendingCalls) {
+      return Promise.resolve(
+        Left(
+          new WireError(WireErrorCode.TooManyCalls, `${this.#pending.size} calls are waiting for an answer`),
+        ),
+      );
+    }
     const id = this.#nextId;
     this.#nextId += 1;
+    const bytes = encode({ kind: FrameKind.Request, id, name, body });
+    if (bytes instanceof WireError) {
+      return Promise.resolve(Left(bytes));
+    }
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#onTimeout(id, name, timeoutMs);
       }, timeoutMs);
       this.#pending.set(id, { resolve, timer });
-      this.#write({ kind: FrameKind.Request, id, name, body });
+      this.#write(bytes);
     });
   }
 
-  /** Sends a message without an answer. It may be lost. */
+  /** Sends a message without an answer. It may be lost; one that is too large always is. */
   notify(name: string, body: unknown): void {
-    if (!this.#closed) {
-      this.#write({ kind: FrameKind.Notify, id: 0, name, body });
+    const bytes = encode({ kind: FrameKind.Notify, id: 0, name, body });
+    if (!this.#closed && !(bytes instanceof WireError)) {
+      this.#write(bytes);
     }
   }
 
@@ -75,13 +87,13 @@
     this.#dropConnection(new WireError(WireErrorCode.ConnectionClosed, "client is closed"));
   }
 
-  #write(frame: Frame): void {
+  #write(bytes: Buffer): void {
     const socket = this.#socket ?? this.#connect();
     if (socket.writableLength > wireLimits.maxUnsentBytes) {
       this.#dropConnection(new WireError(WireErrorCode.ConnectionClosed, "peer has stopped reading"));
       return;
     }
-    socket.write(encodeFrame(frame));
+    socket.write(bytes);
   }
 
   #connect(): Socket {
@@ -173,3 +185,11 @@
     }
   }
 }
+
+function encode(frame: Frame): Buffer | WireError {
+  try {
+    return encodeFrame(frame);
+  } catch (error) {
+    return error instanceof WireError ? error : new WireError(WireErrorCode.FrameMalformed, String(error));
+  }
+}
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -8,6 +8,8 @@
 import { RemoteError } from "./RemoteError";
 import type { RemoteErrorBody } from "./RemoteErrorBody";
 import type { TlsFiles } from "./TlsFiles";
+import { WireError } from "./WireError";
+import { WireErrorCode } from "./WireErrorCode";
 import { encodeFrame } from "./encodeFrame";
 import { wireLimits } from "./wireLimits";
 
@@ -15,7 +17,8 @@
   readonly handlers: Readonly<Record<string, MessageHandler>>;
   readonly tls?: TlsFiles | undefined;
   /** Called with the reason when a connection is closed because of what its peer sent. */
-  readonly onRefused?: (reason: string, peer: string) => void;
+  readonly onRefused?: (reason: string, peer: string, code: WireErrorCode) => void;
+  readonly frameTimeoutMs?: number;
 }
 
 /** Accepts frames from other processes and answers them from a table of handlers. */
@@ -32,9 +35,17 @@
         ? createTcpServer((socket) => {
             this.#accept(socket);
           })
-        : createTlsServer({ ...tls, requestCert: true, rejectUnauthorized: true }, (socket) => {
-            this.#accept(socket);
-          });
+        : createTlsServer(
+            {
+              ...tls,
+              requestCert: true,
+              rejectUnauthorized: true,
+              handshakeTimeout: wireLimits.frameTimeoutMs,
+            },
+            (socket) => {
+              this.#accept(socket);
+            },
+          );
     this.#server.maxConnections = wireLimits.maxConnections;
   }
 
@@ -63,19 +74,46 @@
   #accept(socket: Socket): void {
     const peer = `${socket.remoteAddress ?? "?"}:${socket.remotePort ?? 0}`;
     const decoder = new FrameDecoder();
+    const refuse = (error: unknown): void => {
+      const code = error instanceof WireError ? error.code : WireErrorCode.FrameMalformed;
+      this.#options.onRefused?.(error instanceof Error ? error.message : String(error), peer, code);
+      socket.destroy();
+    };
+    let frameTimer: NodeJS.Timeout | null = null;
+    const limitFrameTime = (): void => {
+      if (!decoder.isPartial && frameTimer !== null) {
+        clearTimeout(frameTimer);
+        frameTimer = null;
+      } else if (decoder.isPartial && frameTimer === null) {
+        const timeoutMs = this.#options.frameTimeoutMs ?? wireLimits.frameTimeoutMs;
+        frameTimer = setTimeout(() => {
+          refuse(new WireError(WireErrorCode.FrameIncomplete, `frame not complete within ${timeoutMs} ms`));
+        }, timeoutMs);
+      }
+    };
     socket.setNoDelay(true);
     this.#sockets.add(socket);
     socket.on("error", () => socket.destroy());
-    socket.on("close", () => this.#sockets.delete(socket));
+    socket.on("close", () => {
+      this.#sockets.delete(socket);
+      if (frameTimer !== null) {
+        clearTimeout(frameTimer);
+      }
+    });
     socket.on("data", (chunk: Buffer) => {
       let frames: Frame[];
       try {
         frames = decoder.push(chunk);
       } catch (error) {
-        this.#options.onRefused?.(error instanceof Error ? error.message : String(error), peer);
-        socket.destroy();
+        refuse(error);
         return;
       }
+      if (frames.length > 0 && frameTimer !== null) {
+        // The rest of the buffer is a new frame with its own time.
+        clearTimeout(frameTimer);
+        frameTimer = null;
+      }
+      limitFrameTime();
       for (const frame of frames) {
         void this.#answer(socket, frame, peer);
       }
@@ -83,7 +121,9 @@
   }
 
   async #answer(socket: Socket, frame: Frame, peer: string): Promise<void> {
-    const handler = this.#options.handlers[frame.name];
+    const { handlers } = this.#options;
+    // The name comes from the peer; inherited properties such as "constructor" are not handlers.
+    const handler = Object.hasOwn(handlers, frame.name) ? handlers[frame.name] : undefined;
     try {
       if (handler === undefined) {
         throw new RemoteError("unknown_message", `no handler for message "${frame.name}"`);
