Build the agent: admission, orders, streaming, relays and shutdown

Cause: the agent accepted any request with a good stamp: drains, lost leases, replaced processes and copies of a request were not refused, orders did not exist, and SIGTERM cut off requests.

Change: cores without I/O decide admission, orders, relays and the configuration; the shell streams, polls the target's load and renews its lease. Until the control daemon answers renew from its log, it answers with the default configuration.

Ruled out: frames for orders (a second listener for one message), and forgetting attempt ids when their memory is full (a copy would run).

--- a/bin/clementinemux-agent.ts
+++ b/bin/clementinemux-agent.ts
@@ -1,8 +1,5 @@
-import { Agent } from "@clementinemux/agent/Agent";
 import { AgentSettings } from "@clementinemux/agent/AgentSettings";
-import { SystemClock } from "@clementinemux/common/SystemClock";
+import { runAgent } from "@clementinemux/agent/runAgent";
 import { startFromSettings } from "@clementinemux/settings/startFromSettings";
 
-startFromSettings("clementinemux-agent", AgentSettings, (settings) =>
-  new Agent(settings, new SystemClock()).start(),
-);
+startFromSettings("clementinemux-agent", AgentSettings, runAgent);
--- /dev/null
+++ b/packages/agent/AdmissionGate.ts
@@ -0,0 +1,104 @@
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { AgentRefusal } from "./AgentRefusal";
+import { AttemptMemory } from "./AttemptMemory";
+import type { ConfigView } from "./ConfigView";
+import { checkStamp } from "./checkStamp";
+import { formatStamp } from "./formatStamp";
+import { parseStamp } from "./parseStamp";
+
+interface Permit {
+  readonly stamp: string;
+  readonly attemptId: string;
+}
+
+/**
+ * Decides whether the agent accepts new work. Without I/O; all times are the agent's monotonic clock. A
+ * refusal is given before anything is forwarded, so it proves that the request was not run.
+ */
+export class AdmissionGate {
+  readonly incarnation: string;
+  readonly #view: ConfigView;
+  readonly #attempts = new AttemptMemory();
+  #leaseUntilMs = -Infinity;
+  #superseded = false;
+  #leaving = false;
+  #targetFailed = false;
+
+  constructor(incarnation: string, view: ConfigView) {
+    this.incarnation = incarnation;
+    this.#view = view;
+  }
+
+  createStamp(nowMs: number): string {
+    return formatStamp({ incarnation: this.incarnation, issuedAtMs: nowMs });
+  }
+
+  /**
+   * Takes an answer to `renew`. The lease counts from the sending of the renewal, and only when the answer is
+   * confirmed and its revision has been applied. Returns whether the lease was extended.
+   */
+  onRenewed(response: RenewResponse, sentAtMs: number): boolean {
+    const isCurrent = this.#view.apply(response);
+    if (!response.confirmed || !isCurrent) {
+      return false;
+    }
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, sentAtMs + response.leaseMs);
+    return true;
+  }
+
+  markSuperseded(): void {
+    this.#superseded = true;
+  }
+
+  markLeaving(): void {
+    this.#leaving = true;
+  }
+
+  setTargetFailed(failed: boolean): void {
+    this.#targetFailed = failed;
+  }
+
+  /** Why the agent accepts no new work at all; null when it does. */
+  getClosedReason(nowMs: number): AgentRefusal | null {
+    if (this.#superseded) {
+      return AgentRefusal.Superseded;
+    }
+    if (this.#leaving) {
+      return AgentRefusal.TargetLeaving;
+    }
+    if (nowMs >= this.#leaseUntilMs) {
+      return AgentRefusal.LeaseExpired;
+    }
+    if (this.#view.config.drain !== null) {
+      return AgentRefusal.TargetDrained;
+    }
+    return this.#targetFailed ? AgentRefusal.TargetUnreachable : null;
+  }
+
+  /** Judges a request. An admitted attempt id is never admitted again. */
+  admit({ stamp, attemptId }: Permit, nowMs: number): AgentRefusal | null {
+    const refusal =
+      this.getClosedReason(nowMs) ??
+      checkStamp(
+        parseStamp(stamp).extractNullable(),
+        this.incarnation,
+        nowMs,
+        this.#view.config.permitMaxAgeMs,
+      ) ??
+      this.#checkAttempt(attemptId, nowMs);
+    if (refusal === null) {
+      this.#attempts.add(attemptId, nowMs);
+    }
+    return refusal;
+  }
+
+  #checkAttempt(attemptId: string, nowMs: number): AgentRefusal | null {
+    if (attemptId === "") {
+      return AgentRefusal.AttemptMissing;
+    }
+    if (this.#attempts.has(attemptId)) {
+      return AgentRefusal.AttemptRepeated;
+    }
+    return this.#attempts.isFull(nowMs) ? AgentRefusal.TooManyAttempts : null;
+  }
+}
--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -1,139 +1,252 @@
-import { createServer, request as requestHttp } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { periodic } from "most";
 import type * as z from "zod";
 import type { Clock } from "@clementinemux/common/Clock";
 import { Outcome } from "@clementinemux/common/Outcome";
-import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import { headerNames } from "@clementinemux/common/headerNames";
-import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
-import { MessageName } from "@clementinemux/wire/MessageName";
-import { RpcClient } from "@clementinemux/wire/RpcClient";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
+import { AdmissionGate } from "./AdmissionGate";
+import { AgentRefusal } from "./AgentRefusal";
 import type { AgentSettings } from "./AgentSettings";
 import type { AgentState } from "./AgentState";
-import { checkStamp } from "./checkStamp";
+import { ConfigView } from "./ConfigView";
+import { Forwarder } from "./Forwarder";
+import { LoadPoller } from "./LoadPoller";
+import { OrderDesk } from "./OrderDesk";
+import { OrderGate } from "./OrderGate";
+import { RelayLink } from "./RelayLink";
+import { TargetClient } from "./TargetClient";
+import { createAgentServer } from "./createAgentServer";
 import { createIncarnation } from "./createIncarnation";
-import { formatStamp } from "./formatStamp";
-import { parseStamp } from "./parseStamp";
+import { readTlsFiles } from "./readTlsFiles";
 
-const announceTimeoutMs = 1000;
+const drainCheckIntervalMs = 50;
 
 /** Stands beside one target: announces it and is the only way to it. */
 export class Agent {
+  readonly counters = new Counters(
+    "clementinemux_agent_refusals_total",
+    "reason",
+    Object.values(AgentRefusal),
+  );
+
   readonly #settings: z.output<typeof AgentSettings>;
   readonly #clock: Clock;
-  readonly #incarnation: string;
-  readonly #relays: readonly RpcClient[];
-  readonly #server: Server;
-  #inFlight = 0;
+  readonly #view: ConfigView;
+  readonly #gate: AdmissionGate;
+  readonly #forwarder: Forwarder;
+  readonly #target: TargetClient;
+  readonly #load: LoadPoller;
+  readonly #orders: OrderDesk;
+  readonly #relays: RelayLink;
+  #server: Server | null = null;
+  #stopped = false;
 
   constructor(settings: z.output<typeof AgentSettings>, clock: Clock) {
     this.#settings = settings;
     this.#clock = clock;
-    this.#incarnation = createIncarnation(clock.wallMs());
-    this.#relays = settings.relays.map((relay) => new RpcClient({ address: parseAddress(relay) }));
-    this.#server = createServer((request, response) => {
-      this.#handle(request, response);
+    const incarnation = createIncarnation(clock.wallMs());
+    const targetAddress = parseAddress(settings.targetAddress);
+    this.#view = new ConfigView(settings);
+    this.#gate = new AdmissionGate(incarnation, this.#view);
+    this.#forwarder = new Forwarder(targetAddress);
+    this.#target = new TargetClient(targetAddress);
+    this.#load = new LoadPoller(this.#target, settings.loadPath, clock);
+    this.#orders = new OrderDesk({
+      gate: new OrderGate(incarnation, this.#view),
+      client: this.#target,
+      path: settings.orderPath,
+      clock,
+      refuse: (response, reason) => {
+        this.#refuse(response, reason);
+      },
     });
+    this.#relays = this.#createRelayLink(incarnation);
+  }
+
+  get inFlight(): number {
+    return this.#forwarder.inFlight;
   }
 
-  async start(): Promise<void> {
+  /** Resolves with the bound port. */
+  async start(): Promise<number> {
+    const { host, port, heartbeatIntervalMs, loadIntervalMs, maxConnections, tls } = this.#settings;
+    const server = await createAgentServer(
+      { maxConnections, tls: readTlsFiles(tls) },
+      (request, response) => {
+        this.#handle(request, response);
+      },
+    );
+    this.#server = server;
     await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#settings.port, this.#settings.host, resolve);
-    });
-    void periodic(this.#settings.heartbeatIntervalMs).observe(() => {
-      this.#announce();
+      server.once("error", reject);
+      server.listen(port, host, resolve);
     });
+    const isRunning = (): boolean => !this.#stopped;
+    void periodic(heartbeatIntervalMs)
+      .takeWhile(isRunning)
+      .observe(() => {
+        void this.#relays.beat();
+      });
+    void periodic(loadIntervalMs)
+      .takeWhile(isRunning)
+      .observe(() => {
+        void this.#load.poll().then(() => {
+          this.#gate.setTargetFailed(this.#load.hasFailed);
+        });
+      });
+    const bound = server.address();
+    return typeof bound === "object" && bound !== null ? bound.port : port;
   }
 
-  #announce(): void {
-    const {
-      target,
-      host,
-      port,
-      failureDomain,
-      region,
-      kind,
-      models,
-      role,
-      service,
-      group,
-      rank,
-      checksFencing,
-    } = this.#settings;
-    const announcement: TargetAnnouncement = {
-      target,
-      incarnation: this.#incarnation,
-      address: `${host}:${port}`,
-      failureDomain,
-      region,
-      kind,
-      models,
-      adapters: [],
-      version: "",
-      role,
-      service,
-      group,
-      rank,
-      checksFencing,
-    };
-    for (const relay of this.#relays) {
-      void relay.call(MessageName.Announce, announcement, announceTimeoutMs);
+  /**
+   * Refuses new work from now on, tells the relays, and waits for the requests in flight. Resolves with
+   * whether they all ended before the deadline.
+   */
+  async leave(): Promise<boolean> {
+    this.#gate.markLeaving();
+    const deadlineMs = this.#clock.monotonicMs() + this.#settings.shutdownDeadlineMs;
+    await this.#relays.leave();
+    while (this.inFlight > 0 && this.#clock.monotonicMs() < deadlineMs) {
+      await new Promise((resolve) => setTimeout(resolve, drainCheckIntervalMs));
+    }
+    const isDone = this.inFlight === 0;
+    await this.stop();
+    return isDone;
+  }
+
+  /** Stops at once; requests in flight are cut off. */
+  async stop(): Promise<void> {
+    this.#stopped = true;
+    this.#relays.close();
+    this.#target.close();
+    const server = this.#server;
+    if (server !== null) {
+      // Closes idle connections; an answer that has just ended is still sent.
+      await new Promise<void>((resolve) => {
+        server.close(() => {
+          resolve();
+        });
+        if (this.inFlight === 0) {
+          server.closeIdleConnections();
+        }
+        setTimeout(() => {
+          server.closeAllConnections();
+        }, drainCheckIntervalMs);
+      });
     }
+    this.#forwarder.close();
+  }
+
+  #createRelayLink(incarnation: string): RelayLink {
+    const settings = this.#settings;
+    const { target, host, port, failureDomain, region, kind, role, models, adapters } = settings;
+    const { version, service, group, rank, checksFencing } = settings;
+    const address = `${host}:${port}`;
+    const identity = { target, incarnation, address, failureDomain, region };
+    return new RelayLink({
+      relays: settings.relays,
+      tls: readTlsFiles(settings.tls),
+      announcement: {
+        ...identity,
+        ...{ kind, role, models, adapters, version, service, group, rank, checksFencing },
+      },
+      clock: this.#clock,
+      random: Math.random,
+      getRevision: () => this.#view.config.revision,
+      onRenewed: (response, sentAtMs) => {
+        this.#gate.onRenewed(response, sentAtMs);
+      },
+      onSuperseded: () => {
+        this.#gate.markSuperseded();
+      },
+    });
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
-    if (request.url === "/agent/state") {
-      const state: AgentState = {
-        target: this.#settings.target,
-        stamp: this.#createStamp(),
-        accepting: true,
-        inFlight: this.#inFlight,
-      };
-      response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
+    const routes: Readonly<Record<string, () => void>> = {
+      "/agent/state": () => {
+        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(this.#getState()));
+      },
+      "/agent/metrics": () => {
+        response.writeHead(200, { "content-type": "text/plain" }).end(renderCounters(this.counters));
+      },
+      "/agent/order": () => {
+        this.#orders.handle(request, response).catch(() => response.destroy());
+      },
+    };
+    const { url = "" } = request;
+    if (url.startsWith("/agent/")) {
+      const route = Object.hasOwn(routes, url) ? routes[url] : undefined;
+      if (route === undefined) {
+        response.writeHead(404).end();
+      } else {
+        route();
+      }
       return;
     }
-    const { permitMaxAgeMs } = createDefaultConfig().defaults;
-    const stamp = parseStamp(String(request.headers[headerNames.stamp] ?? "")).extractNullable();
-    const refusal = checkStamp(stamp, this.#incarnation, this.#clock.monotonicMs(), permitMaxAgeMs);
+    this.#forward(request, response);
+  }
+
+  #forward(request: IncomingMessage, response: ServerResponse): void {
+    const { revision, repeatable } = this.#view.config;
+    if (Number(getHeader(request, headerNames.revision)) > revision) {
+      void this.#relays.renew();
+    }
+    const attemptId = getHeader(request, headerNames.attemptId);
+    const permit = { stamp: getHeader(request, headerNames.stamp), attemptId };
+    const refusal = this.#gate.admit(permit, this.#clock.monotonicMs());
+    const headers = { [headerNames.attemptId]: attemptId, [headerNames.revision]: String(revision) };
     if (refusal !== null) {
-      response.writeHead(503, {
-        "content-type": "application/json",
-        [headerNames.refusedBy]: "agent",
-        [headerNames.stamp]: this.#createStamp(),
-      });
-      response.end(JSON.stringify({ outcome: Outcome.NotRun, reason: refusal }));
+      this.#refuse(response, refusal, headers);
       return;
     }
-    this.#forward(request, response);
+    this.#forwarder.forward(request, response, {
+      repeatable,
+      headers,
+      onUnreachable: () => {
+        this.#refuse(response, AgentRefusal.TargetUnreachable, headers);
+      },
+    });
   }
 
-  #forward(request: IncomingMessage, response: ServerResponse): void {
-    this.#inFlight += 1;
-    response.once("close", () => {
-      this.#inFlight -= 1;
+  #refuse(
+    response: ServerResponse,
+    reason: AgentRefusal,
+    headers: Readonly<Record<string, string>> = {},
+  ): void {
+    this.counters.add(reason);
+    const stamp = this.#gate.createStamp(this.#clock.monotonicMs());
+    response.writeHead(503, {
+      [headerNames.revision]: String(this.#view.config.revision),
+      ...headers,
+      "content-type": "application/json",
+      [headerNames.refusedBy]: "agent",
+      [headerNames.stamp]: stamp,
     });
-    const upstream = requestHttp(
-      {
-        ...parseAddress(this.#settings.targetAddress),
-        method: request.method,
-        path: request.url,
-        headers: request.headers,
-      },
-      (answer) => {
-        response.writeHead(answer.statusCode ?? 502, answer.headers);
-        answer.pipe(response);
-        answer.once("error", () => response.destroy());
-      },
-    );
-    upstream.once("error", () => response.destroy());
-    response.once("close", () => upstream.destroy());
-    request.pipe(upstream);
+    response.end(JSON.stringify({ outcome: Outcome.NotRun, reason, stamp }));
   }
 
-  #createStamp(): string {
-    return formatStamp({ incarnation: this.#incarnation, issuedAtMs: this.#clock.monotonicMs() });
+  #getState(): AgentState {
+    const nowMs = this.#clock.monotonicMs();
+    const reason = this.#gate.getClosedReason(nowMs);
+    const { target, group, rank } = this.#settings;
+    return {
+      target,
+      stamp: this.#gate.createStamp(nowMs),
+      accepting: reason === null,
+      reason,
+      inFlight: this.inFlight,
+      load: this.#load.getLoad(),
+      revision: this.#view.config.revision,
+      group: group === "" ? null : { name: group, rank },
+    };
   }
 }
+
+function getHeader(request: IncomingMessage, name: string): string {
+  const value = request.headers[name];
+  return typeof value === "string" ? value : "";
+}
--- a/packages/agent/AgentSettings.ts
+++ b/packages/agent/AgentSettings.ts
@@ -14,13 +14,25 @@
   kind: z.enum(TargetKind),
   role: z.enum(TargetRole).default(TargetRole.Both),
   models: z.array(z.string()).default([]),
+  adapters: z.array(z.string()).default([]),
+  version: z.string().max(128).default(""),
   service: z.string().default(""),
   group: z.string().default(""),
   rank: z.number().int().min(0).max(1023).default(0),
   checksFencing: z.boolean().default(false),
   /** `host:port` of the target itself, on the same machine. */
   targetAddress: z.string(),
+  /** Path of the target's load report. A target without one is polled all the same, to see that it answers. */
+  loadPath: z.string().startsWith("/").default("/load"),
+  /** Path on which the target takes orders. */
+  orderPath: z.string().startsWith("/").default("/orders"),
+  loadIntervalMs: z.number().int().min(50).max(60_000).default(500),
   /** Frame addresses of the relays, `host:port`, nearest first. */
   relays: z.array(z.string()).min(1),
   heartbeatIntervalMs: z.number().int().min(50).max(60_000).default(1000),
+  /** After SIGTERM, time for the requests in flight to end. */
+  shutdownDeadlineMs: z.number().int().min(0).max(3_600_000).default(300_000),
+  maxConnections: z.number().int().min(1).max(65_535).default(1024),
+  /** PEM files for mutual TLS with relays and entries; without them, connections are plain. */
+  tls: z.strictObject({ keyFile: z.string(), certFile: z.string(), caFile: z.string() }).optional(),
 });
--- /dev/null
+++ b/packages/agent/ConfigView.ts
@@ -0,0 +1,77 @@
+import { TargetKind } from "@clementinemux/common/TargetKind";
+import type { ConfigChange } from "@clementinemux/fleet/ConfigChange";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import type { AgentConfig } from "./AgentConfig";
+
+interface ViewedTarget {
+  readonly target: string;
+  readonly kind: TargetKind;
+  readonly service: string;
+}
+
+/** Follows the configuration by revision, for one target. Never goes back to a lower revision. */
+export class ConfigView {
+  readonly #target: ViewedTarget;
+  #config: AgentConfig;
+
+  constructor(target: ViewedTarget) {
+    this.#target = target;
+    this.#config = this.#read(createDefaultConfig());
+  }
+
+  get config(): AgentConfig {
+    return this.#config;
+  }
+
+  /** Applies an answer to `renew`. Returns whether the view then is at the revision of the answer. */
+  apply({ revision, config, changes }: RenewResponse): boolean {
+    if (config !== null && config.revision > this.#config.revision) {
+      this.#config = this.#read(config);
+    }
+    for (const { revision: made, change } of changes) {
+      // A gap means that a change is missing; the next renewal states the revision that was reached.
+      if (made === this.#config.revision + 1) {
+        this.#config = { ...this.#change(change), revision: made };
+      }
+    }
+    return this.#config.revision === revision;
+  }
+
+  #read({ revision, defaults, drains }: FleetConfig): AgentConfig {
+    const { target } = this.#target;
+    const drain = Object.hasOwn(drains, target) ? (drains[target] ?? null) : null;
+    return { revision, drain, ...this.#readDefaults(defaults) };
+  }
+
+  #readDefaults({
+    permitMaxAgeMs,
+    orderMaxAgeMs,
+    services,
+  }: FleetDefaults): Omit<AgentConfig, "revision" | "drain"> {
+    const { kind, service } = this.#target;
+    const listed = Object.hasOwn(services, service) ? services[service] : undefined;
+    return {
+      permitMaxAgeMs,
+      orderMaxAgeMs,
+      repeatable: kind === TargetKind.Engine || listed?.repeatable === true,
+    };
+  }
+
+  #change(change: ConfigChange): AgentConfig {
+    const { target } = this.#target;
+    if (change.kind === ConfigChangeKind.SetDefaults) {
+      return { ...this.#config, ...this.#readDefaults(change.defaults) };
+    }
+    if (change.kind === ConfigChangeKind.DrainTarget && change.target === target) {
+      return { ...this.#config, drain: change.drain };
+    }
+    if (change.kind === ConfigChangeKind.UndrainTarget && change.target === target) {
+      return { ...this.#config, drain: null };
+    }
+    return this.#config;
+  }
+}
--- /dev/null
+++ b/packages/agent/LoadPoller.ts
@@ -0,0 +1,68 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { AgentLoad } from "./AgentLoad";
+import type { TargetClient } from "./TargetClient";
+import { parseEngineLoad } from "./parseEngineLoad";
+
+interface HeldLoad {
+  readonly load: Omit<AgentLoad, "ageMs">;
+  /** When the figures were true, by the agent's monotonic clock. */
+  readonly measuredAtMs: number;
+}
+
+// A single lost poll is no failure: an engine may be busy with a long step.
+const maxFailedPolls = 3;
+const pollTimeoutMs = 500;
+
+/** Polls the load of the target. */
+export class LoadPoller {
+  readonly #client: TargetClient;
+  readonly #path: string;
+  readonly #clock: Clock;
+  #held: HeldLoad | null = null;
+  #failedPollCount = 0;
+  #polling = false;
+
+  constructor(client: TargetClient, path: string, clock: Clock) {
+    this.#client = client;
+    this.#path = path;
+    this.#clock = clock;
+  }
+
+  /** Whether the target has left several polls in a row unanswered. */
+  get hasFailed(): boolean {
+    return this.#failedPollCount >= maxFailedPolls;
+  }
+
+  async poll(): Promise<void> {
+    if (this.#polling) {
+      return;
+    }
+    this.#polling = true;
+    const sentAtMs = this.#clock.monotonicMs();
+    try {
+      const { status, text } = await this.#client.send({
+        method: "GET",
+        path: this.#path,
+        timeoutMs: pollTimeoutMs,
+      });
+      this.#failedPollCount = 0;
+      const parsed = status === 200 ? parseEngineLoad(text) : null;
+      if (parsed !== null) {
+        const { lagMs, ...load } = parsed;
+        this.#held = { load, measuredAtMs: sentAtMs - lagMs };
+      }
+    } catch {
+      this.#failedPollCount += 1;
+    } finally {
+      this.#polling = false;
+    }
+  }
+
+  getLoad(): AgentLoad | null {
+    if (this.#held === null) {
+      return null;
+    }
+    const { load, measuredAtMs } = this.#held;
+    return { ...load, ageMs: Math.round(this.#clock.monotonicMs() - measuredAtMs) };
+  }
+}
--- /dev/null
+++ b/packages/agent/OrderDesk.ts
@@ -0,0 +1,60 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "@clementinemux/common/Clock";
+import { AgentRefusal } from "./AgentRefusal";
+import type { OrderGate } from "./OrderGate";
+import type { OrderRequest } from "./OrderRequest";
+import type { TargetClient } from "./TargetClient";
+import { parseOrder } from "./parseOrder";
+import { readBody } from "./readBody";
+
+interface OrderDeskOptions {
+  readonly gate: OrderGate;
+  readonly client: TargetClient;
+  /** Path on which the target takes orders. */
+  readonly path: string;
+  readonly clock: Clock;
+  readonly refuse: (response: ServerResponse, reason: AgentRefusal) => void;
+}
+
+const maxOrderBytes = 1_048_576;
+const orderTimeoutMs = 10_000;
+const fencingHeader = "clementinemux-fencing";
+
+/** Takes orders and hands them to the target one after the other, so that an older one cannot overtake. */
+export class OrderDesk {
+  readonly #options: OrderDeskOptions;
+  #last: Promise<void> = Promise.resolve();
+
+  constructor(options: OrderDeskOptions) {
+    this.#options = options;
+  }
+
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = parseOrder(await readBody(request, maxOrderBytes)).extractNullable();
+    if (order === null) {
+      this.#options.refuse(response, AgentRefusal.OrderMalformed);
+      return;
+    }
+    const turn = this.#last.then(() => this.#forward(order, response));
+    this.#last = turn.catch(() => undefined);
+    await turn;
+  }
+
+  async #forward(order: OrderRequest, response: ServerResponse): Promise<void> {
+    const { gate, client, path, clock, refuse } = this.#options;
+    // Judged here and not on arrival: the order may have waited for its turn or for its own body.
+    const refusal = gate.admit(order, clock.monotonicMs());
+    if (refusal !== null) {
+      refuse(response, refusal);
+      return;
+    }
+    const { status, text } = await client.send({
+      method: "POST",
+      path,
+      body: JSON.stringify(order.order),
+      headers: { "content-type": "application/json", [fencingHeader]: String(order.epoch) },
+      timeoutMs: orderTimeoutMs,
+    });
+    response.writeHead(status, { "content-type": "application/json" }).end(text);
+  }
+}
--- /dev/null
+++ b/packages/agent/RelayChoice.ts
@@ -0,0 +1,56 @@
+import type { Random } from "@clementinemux/common/Random";
+
+interface RelayState {
+  failureCount: number;
+  retryAtMs: number;
+}
+
+const activeCount = 2;
+const firstBackoffMs = 1000;
+const maxBackoffMs = 30_000;
+
+/**
+ * Chooses the relays that an agent announces to: the nearest two that are not in their backoff. Without I/O.
+ * A nearer relay is used again after its backoff, which is jittered so that the agents of a relay that
+ * returns do not all come back at once.
+ */
+export class RelayChoice {
+  readonly #states: readonly RelayState[];
+  readonly #random: Random;
+
+  constructor(relayCount: number, random: Random) {
+    this.#states = Array.from({ length: relayCount }, () => ({ failureCount: 0, retryAtMs: -Infinity }));
+    this.#random = random;
+  }
+
+  /** Indexes of the relays to use now, nearest first. When all are in their backoff, the soonest. */
+  choose(nowMs: number): number[] {
+    const indexes = [...this.#states.keys()];
+    const ready = indexes.filter((index) => this.#getRetryAtMs(index) <= nowMs);
+    if (ready.length > 0) {
+      return ready.slice(0, activeCount);
+    }
+    return indexes.sort((left, right) => this.#getRetryAtMs(left) - this.#getRetryAtMs(right)).slice(0, 1);
+  }
+
+  onSuccess(index: number): void {
+    const state = this.#states[index];
+    if (state !== undefined) {
+      state.failureCount = 0;
+      state.retryAtMs = -Infinity;
+    }
+  }
+
+  onFailure(index: number, nowMs: number): void {
+    const state = this.#states[index];
+    if (state !== undefined) {
+      const backoffMs = Math.min(firstBackoffMs * 2 ** state.failureCount, maxBackoffMs);
+      state.failureCount += 1;
+      state.retryAtMs = nowMs + backoffMs * (0.5 + this.#random());
+    }
+  }
+
+  #getRetryAtMs(index: number): number {
+    return this.#states[index]?.retryAtMs ?? Infinity;
+  }
+}
--- /dev/null
+++ b/packages/agent/RelayLink.ts
@@ -0,0 +1,133 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { AnnounceResult } from "@clementinemux/membership/AnnounceResult";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+import { RelayChoice } from "./RelayChoice";
+
+interface RelayLinkOptions {
+  readonly relays: readonly string[];
+  readonly tls: TlsFiles | undefined;
+  readonly announcement: TargetAnnouncement;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly getRevision: () => number;
+  readonly onRenewed: (response: RenewResponse, sentAtMs: number) => void;
+  readonly onSuperseded: () => void;
+}
+
+const callTimeoutMs = 800;
+// A burst of requests that carry a newer revision asks for it once.
+const minRefreshIntervalMs = 50;
+
+/** Announces the target to its relays and renews the serving lease through them. */
+export class RelayLink {
+  readonly #options: RelayLinkOptions;
+  readonly #clients: readonly RpcClient[];
+  readonly #choice: RelayChoice;
+  /** Relays that hold the announcement, as far as this agent knows. */
+  readonly #announced = new Set<number>();
+  readonly #calling = new Set<number>();
+  #renewing = false;
+  #renewedAtMs = -Infinity;
+
+  constructor(options: RelayLinkOptions) {
+    this.#options = options;
+    this.#clients = options.relays.map(
+      (relay) => new RpcClient({ address: parseAddress(relay), tls: options.tls }),
+    );
+    this.#choice = new RelayChoice(options.relays.length, options.random);
+  }
+
+  /** One heartbeat interval: tells the chosen relays that the target is here, and renews the lease. */
+  async beat(): Promise<void> {
+    const chosen = this.#choice.choose(this.#options.clock.monotonicMs());
+    for (const index of this.#announced) {
+      if (!chosen.includes(index)) {
+        this.#announced.delete(index);
+      }
+    }
+    await Promise.all([this.renew(), ...chosen.map((index) => this.#tell(index))]);
+  }
+
+  /** Renews the lease through the first relay that gives a confirmed answer. */
+  async renew(): Promise<void> {
+    const { clock, announcement, getRevision, onRenewed } = this.#options;
+    if (this.#renewing || clock.monotonicMs() - this.#renewedAtMs < minRefreshIntervalMs) {
+      return;
+    }
+    this.#renewing = true;
+    try {
+      for (const index of this.#choice.choose(clock.monotonicMs())) {
+        const sentAtMs = clock.monotonicMs();
+        const request: RenewRequest = {
+          holder: announcement.target,
+          incarnation: announcement.incarnation,
+          kind: LeaseholderKind.Agent,
+          failureDomain: announcement.failureDomain,
+          region: announcement.region,
+          appliedRevision: getRevision(),
+        };
+        const answer = await this.#clients[index]?.call(MessageName.Renew, request, callTimeoutMs);
+        const response = answer?.toMaybe().extractNullable() as RenewResponse | null | undefined;
+        if (response !== null && response !== undefined) {
+          onRenewed(response, sentAtMs);
+          if (response.confirmed) {
+            return;
+          }
+        }
+      }
+    } finally {
+      this.#renewing = false;
+      this.#renewedAtMs = clock.monotonicMs();
+    }
+  }
+
+  /** Tells the relays that the target accepts no more work. */
+  async leave(): Promise<void> {
+    const body = { ...this.#options.announcement, leaving: true };
+    const told = this.#clients.filter((_, index) => this.#announced.has(index));
+    await Promise.all(told.map((client) => client.call(MessageName.Announce, body, callTimeoutMs)));
+  }
+
+  close(): void {
+    for (const client of this.#clients) {
+      client.close();
+    }
+  }
+
+  async #tell(index: number): Promise<void> {
+    const { announcement, clock, onSuperseded } = this.#options;
+    const client = this.#clients[index];
+    if (client === undefined || this.#calling.has(index)) {
+      return;
+    }
+    this.#calling.add(index);
+    const { target, incarnation } = announcement;
+    const answer = this.#announced.has(index)
+      ? await client.call(MessageName.Heartbeat, { target, incarnation }, callTimeoutMs)
+      : await client.call(MessageName.Announce, announcement, callTimeoutMs);
+    this.#calling.delete(index);
+    const result = answer.toMaybe().extractNullable() as AnnounceResult | null;
+    if (result === null) {
+      this.#announced.delete(index);
+      this.#choice.onFailure(index, clock.monotonicMs());
+      return;
+    }
+    this.#choice.onSuccess(index);
+    if (result.superseded) {
+      onSuperseded();
+    } else if (result.accepted) {
+      this.#announced.add(index);
+    } else {
+      // The relay has restarted or has removed the record; the next heartbeat announces again.
+      this.#announced.delete(index);
+    }
+  }
+}
--- /dev/null
+++ b/packages/agent/TargetClient.ts
@@ -0,0 +1,65 @@
+import { Agent as HttpAgent, request as requestHttp } from "node:http";
+import type { ClientRequest } from "node:http";
+import type { Address } from "@clementinemux/wire/Address";
+
+interface TargetRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly timeoutMs: number;
+}
+
+interface TargetAnswer {
+  readonly status: number;
+  readonly text: string;
+}
+
+const maxAnswerBytes = 1_048_576;
+
+/** Makes the agent's own small requests to its target: load polls and orders. */
+export class TargetClient {
+  readonly #address: Address;
+  readonly #http = new HttpAgent({ keepAlive: true, maxSockets: 2 });
+
+  constructor(address: Address) {
+    this.#address = address;
+  }
+
+  /** Rejects when the target does not answer in time; its connection is then closed. */
+  send({ method, path, body, headers, timeoutMs }: TargetRequest): Promise<TargetAnswer> {
+    return new Promise((resolve, reject) => {
+      const fail = (error: Error): void => {
+        clearTimeout(timer);
+        reject(error);
+      };
+      const outgoing: ClientRequest = requestHttp(
+        { ...this.#address, method, path, agent: this.#http, headers: { ...headers } },
+        (answer) => {
+          let text = "";
+          answer.setEncoding("utf8");
+          answer.on("data", (chunk: string) => {
+            text += chunk;
+            if (text.length > maxAnswerBytes) {
+              outgoing.destroy(new Error("answer of the target is too long"));
+            }
+          });
+          answer.on("error", fail);
+          answer.on("end", () => {
+            clearTimeout(timer);
+            resolve({ status: answer.statusCode ?? 0, text });
+          });
+        },
+      );
+      const timer = setTimeout(() => {
+        outgoing.destroy(new Error(`target did not answer within ${timeoutMs} ms`));
+      }, timeoutMs);
+      outgoing.on("error", fail);
+      outgoing.end(body);
+    });
+  }
+
+  close(): void {
+    this.#http.destroy();
+  }
+}
--- a/packages/agent/checkStamp.ts
+++ b/packages/agent/checkStamp.ts
@@ -1,5 +1,5 @@
 import type { Stamp } from "./Stamp";
-import { StampRefusal } from "./StampRefusal";
+import { AgentRefusal } from "./AgentRefusal";
 
 /** Judges an echoed stamp by the agent's own clock. Returns null when it is good. */
 export function checkStamp(
@@ -7,12 +7,12 @@
   incarnation: string,
   nowMs: number,
   maxAgeMs: number,
-): StampRefusal | null {
+): AgentRefusal | null {
   if (stamp === null) {
-    return StampRefusal.Missing;
+    return AgentRefusal.StampMissing;
   }
   if (stamp.incarnation !== incarnation) {
-    return StampRefusal.OtherIncarnation;
+    return AgentRefusal.StampOfOtherIncarnation;
   }
-  return nowMs - stamp.issuedAtMs > maxAgeMs ? StampRefusal.TooOld : null;
+  return nowMs - stamp.issuedAtMs > maxAgeMs ? AgentRefusal.StampTooOld : null;
 }
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,6 +1,7 @@
 import type * as z from "zod";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import { RelayService } from "@clementinemux/membership/RelayService";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import type { ControlSettings } from "./ControlSettings";
@@ -17,6 +18,14 @@
       handlers: {
         ...this.#relay.handlers,
         [MessageName.FetchConfig]: () => createDefaultConfig(),
+        [MessageName.Renew]: (): RenewResponse => ({
+          epoch: 0,
+          revision: 0,
+          confirmed: true,
+          leaseMs: createDefaultConfig().defaults.servingLeaseMs,
+          changes: [],
+          config: null,
+        }),
       },
     });
   }
