--- /dev/null
+++ b/packages/agent/test/agent.test.ts
@@ -0,0 +1,265 @@
+import { connect } from "node:net";
+import { request as requestHttp } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { AgentRefusal } from "@clementinemux/agent/AgentRefusal";
+import { headerNames } from "@clementinemux/common/headerNames";
+import { createAgentFleet } from "./helpers/createAgentFleet";
+
+const loadReport = { lagMs: 400, runningCount: 3, queuedCount: 1, kvFreeShare: 0.5 };
+
+function answerAll(request: IncomingMessage, response: ServerResponse): void {
+  request.resume();
+  response.end(request.url === "/load" ? JSON.stringify(loadReport) : `ran ${request.url ?? ""}`);
+}
+
+// Guards against entries that route by load of unknown age, or that cannot tell the agent's answers apart.
+t.test("state, echo and refusals", async (t) => {
+  const fleet = await createAgentFleet(answerAll, { group: "g-1", rank: 3 });
+  await fleet.waitUntilAccepting();
+  while ((await fleet.fetchState()).load === null) {
+    await delay(10);
+  }
+  const state = await fleet.fetchState();
+  t.match(state, { revision: 0, reason: null, group: { name: "g-1", rank: 3 }, load: { runningCount: 3 } });
+  t.ok((state.load?.ageMs ?? 0) >= 400);
+  const good = await fleet.send("/v1/x", { [headerNames.attemptId]: "a-1" });
+  t.match(good, { status: 200, text: "ran /v1/x", headers: { [headerNames.attemptId]: "a-1" } });
+  t.equal(good.headers[headerNames.revision], "0");
+  t.equal(good.headers[headerNames.refusedBy], undefined);
+  const repeated = await fleet.send("/v1/x", { [headerNames.attemptId]: "a-1" });
+  t.match(repeated, { status: 503, headers: { [headerNames.refusedBy]: "agent" } });
+  t.match(JSON.parse(repeated.text), { outcome: "not_run", reason: AgentRefusal.AttemptRepeated });
+  t.ok(repeated.headers[headerNames.stamp]);
+  t.equal(fleet.agent.counters.get(AgentRefusal.AttemptRepeated), 1);
+  await fleet.close();
+});
+
+// Guards against a drained target that takes work, with the drain learnt from an entry's newer revision.
+t.test("drained agent refuses", async (t) => {
+  const fleet = await createAgentFleet(answerAll);
+  const { stamp } = await fleet.waitUntilAccepting();
+  fleet.control.revision = 1;
+  while ((await fleet.fetchState()).accepting) {
+    await fleet.send("/v1/x", { [headerNames.revision]: "1" });
+  }
+  const refused = await fleet.send("/v1/x", { [headerNames.stamp]: stamp });
+  t.match(JSON.parse(refused.text), { outcome: "not_run", reason: AgentRefusal.TargetDrained });
+  t.equal(refused.headers[headerNames.revision], "1");
+  await fleet.close();
+});
+
+// Guards against two processes of one name that both take work.
+t.test("older process of a name refuses", async (t) => {
+  const fleet = await createAgentFleet(answerAll);
+  await fleet.waitUntilAccepting();
+  const [announced] = fleet.relay.directory.targets();
+  fleet.relay.directory.announceTarget({ ...announced!, incarnation: "99999999999999-aa" }, false, 0);
+  while ((await fleet.fetchState()).accepting) {
+    await delay(10);
+  }
+  t.equal((await fleet.fetchState()).reason, AgentRefusal.Superseded);
+  await fleet.close();
+});
+
+// Guards against a call of a non-repeatable service that is sent again after its connection broke (I4).
+t.test("non-repeatable call is sent once", async (t) => {
+  let runCount = 0;
+  const fleet = await createAgentFleet(
+    (request, response) => {
+      if (request.url === "/load") {
+        response.writeHead(404).end();
+        return;
+      }
+      runCount += 1;
+      request.resume();
+      // Cuts the connection after the call was read, without an answer.
+      request.on("end", () => request.socket.destroy());
+    },
+    { kind: "service", service: "pay" },
+  );
+  await fleet.waitUntilAccepting();
+  for (let turn = 1; turn <= 3; turn += 1) {
+    const answer = await fleet.send("/pay");
+    t.match(JSON.parse(answer.text), { outcome: "unknown" });
+    t.equal(answer.headers[headerNames.refusedBy], undefined);
+    t.equal(runCount, turn);
+  }
+  await fleet.close();
+});
+
+// Guards against a dead target whose requests are reported as unknown, so that they could not be repeated.
+t.test("dead target is a proof of not run", async (t) => {
+  const fleet = await createAgentFleet(answerAll);
+  await fleet.waitUntilAccepting();
+  fleet.target.closeAllConnections();
+  fleet.target.close();
+  const answer = await fleet.send("/v1/x");
+  t.match(JSON.parse(answer.text), { outcome: "not_run", reason: AgentRefusal.TargetUnreachable });
+  while ((await fleet.fetchState()).accepting) {
+    await delay(10);
+  }
+  t.equal((await fleet.fetchState()).reason, AgentRefusal.TargetUnreachable);
+  await fleet.close();
+});
+
+// Guards against an engine that goes on for a caller that has gone, and against unbounded buffers for one that
+// does not read.
+t.test("slow reader and disconnect reach the engine", async (t) => {
+  const chunk = Buffer.alloc(65_536, "x");
+  const maxBytes = 64 * 1_048_576;
+  let written = 0;
+  const engine = { closed: false };
+  const fleet = await createAgentFleet((request, response) => {
+    request.resume();
+    if (request.url === "/load") {
+      response.end("{}");
+      return;
+    }
+    response.on("close", () => (engine.closed = true));
+    const fill = (): void => {
+      while (written < maxBytes && !response.destroyed) {
+        written += chunk.length;
+        if (!response.write(chunk)) {
+          response.once("drain", fill);
+          return;
+        }
+      }
+    };
+    fill();
+  });
+  const { stamp } = await fleet.waitUntilAccepting();
+  const headers = { [headerNames.stamp]: stamp, [headerNames.attemptId]: "slow" };
+  const caller = requestHttp({ host: "127.0.0.1", port: fleet.port, method: "POST", path: "/v1/x", headers });
+  caller.on("error", () => undefined);
+  const answer = await new Promise<IncomingMessage>((resolve) => {
+    caller.on("response", resolve);
+    caller.end();
+  });
+  answer.on("error", () => undefined);
+  for (let before = -1; before !== written;) {
+    before = written;
+    await delay(200);
+  }
+  t.ok(written < maxBytes, `${written} bytes were taken from the engine`);
+  t.equal(fleet.agent.inFlight, 1);
+  caller.destroy();
+  while (!engine.closed || fleet.agent.inFlight > 0) {
+    await delay(10);
+  }
+  await fleet.close();
+});
+
+// Guards against a shutdown that cuts off a request in flight (I6) or lets new ones in.
+t.test("leaving finishes what is in flight", async (t) => {
+  let finish = (): void => undefined;
+  const fleet = await createAgentFleet((request, response) => {
+    request.resume();
+    if (request.url === "/load") {
+      response.end("{}");
+      return;
+    }
+    response.write("first ");
+    finish = () => response.end("last");
+  });
+  await fleet.waitUntilAccepting();
+  const running = fleet.send("/v1/x");
+  while (fleet.agent.inFlight === 0) {
+    await delay(5);
+  }
+  const left = fleet.agent.leave();
+  const refused = await fleet.send("/v1/x");
+  t.match(JSON.parse(refused.text), { outcome: "not_run", reason: AgentRefusal.TargetLeaving });
+  while (fleet.relay.directory.targets().length > 0) {
+    await delay(5);
+  }
+  finish();
+  t.match(await running, { status: 200, text: "first last" });
+  t.equal(await left, true);
+  await fleet.close();
+});
+
+// Guards against a shutdown that never ends because of one request.
+t.test("leaving ends at its deadline", async (t) => {
+  const fleet = await createAgentFleet(
+    (request, response) => {
+      if (request.url === "/load") {
+        response.end("{}");
+      }
+      request.resume();
+    },
+    { shutdownDeadlineMs: 100 },
+  );
+  await fleet.waitUntilAccepting();
+  const running = fleet.send("/v1/x").catch(() => null);
+  while (fleet.agent.inFlight === 0) {
+    await delay(5);
+  }
+  t.equal(await fleet.agent.leave(), false);
+  t.equal(await running, null);
+  await fleet.close();
+});
+
+// Guards against orders that reach an engine without their fencing number, or after a refusal.
+t.test("orders are fenced and forwarded", async (t) => {
+  const orders: unknown[] = [];
+  const fleet = await createAgentFleet((request, response) => {
+    let text = "";
+    request.on("data", (chunk: Buffer) => (text += chunk.toString()));
+    request.on("end", () => {
+      if (request.url === "/orders") {
+        orders.push([request.headers["clementinemux-fencing"], JSON.parse(text)]);
+      }
+      response.end("{}");
+    });
+  });
+  const { stamp } = await fleet.fetchState();
+  const give = (body: unknown) => fleet.send("/agent/order", {}, JSON.stringify(body));
+  t.equal((await give({ epoch: 5, stamp, order: { load: "m" } })).status, 200);
+  t.match(JSON.parse((await give({ epoch: 4, stamp, order: {} })).text), {
+    reason: AgentRefusal.EpochTooOld,
+  });
+  t.match(JSON.parse((await give({ epoch: "5" })).text), { reason: AgentRefusal.OrderMalformed });
+  t.same(orders, [["5", { load: "m" }]]);
+  await fleet.close();
+});
+
+// Guards against one peer with endless or slow headers that takes the agent from the others.
+t.test("slow loris and long headers hurt nobody else", async (t) => {
+  const fleet = await createAgentFleet(answerAll, { maxConnections: 64 });
+  await fleet.waitUntilAccepting();
+  const slow = Array.from({ length: 20 }, () => connect(fleet.port, "127.0.0.1"));
+  for (const socket of slow) {
+    socket.on("error", () => undefined);
+    socket.write("POST / HTTP/1.1\r\nx: ");
+  }
+  const long = await fleet.send("/v1/x", { x: "y".repeat(20_000) });
+  t.equal(long.status, 431);
+  t.equal((await fleet.send("/v1/x")).status, 200);
+  for (const socket of slow) {
+    socket.destroy();
+  }
+  await fleet.close();
+});
+
+// Guards against a non-repeatable call on a kept connection that the target has just closed: whether the call
+// was read could not be told.
+t.test("non-repeatable call has its own connection", async (t) => {
+  const sockets = new Set<unknown>();
+  const fleet = await createAgentFleet(
+    (request, response) => {
+      if (request.url !== "/load") {
+        sockets.add(request.socket);
+      }
+      answerAll(request, response);
+    },
+    { kind: "service", service: "pay" },
+  );
+  await fleet.waitUntilAccepting();
+  for (let turn = 1; turn <= 3; turn += 1) {
+    t.equal((await fleet.send("/pay")).status, 200);
+    t.equal(sockets.size, turn);
+  }
+  await fleet.close();
+});
--- /dev/null
+++ b/packages/agent/test/helpers/createRenewal.ts
@@ -0,0 +1,25 @@
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+
+const drain = { reason: "disk errors", author: "op", sinceMs: 0 };
+const leaseMs = 4000;
+
+/** Creates control's answer to a renewal: at revision 1 runner-1 is drained, at revision 2 it is not. */
+export function createRenewal(appliedRevision: number, revision: number, asWhole = false): RenewResponse {
+  const all = [
+    { revision: 1, change: { kind: ConfigChangeKind.DrainTarget, target: "runner-1", drain } as const },
+    { revision: 2, change: { kind: ConfigChangeKind.UndrainTarget, target: "runner-1" } as const },
+  ];
+  const drains = revision === 1 ? { "runner-1": drain } : {};
+  return {
+    epoch: 1,
+    revision,
+    confirmed: true,
+    leaseMs,
+    changes: asWhole
+      ? []
+      : all.filter((made) => made.revision > appliedRevision && made.revision <= revision),
+    config: asWhole ? { ...createDefaultConfig(), revision, drains } : null,
+  };
+}
--- /dev/null
+++ b/packages/agent/test/orderGate.test.ts
@@ -0,0 +1,88 @@
+import fc from "fast-check";
+import t from "tap";
+import { TargetKind } from "@clementinemux/common/TargetKind";
+import { AgentRefusal } from "@clementinemux/agent/AgentRefusal";
+import { ConfigView } from "@clementinemux/agent/ConfigView";
+import { OrderGate } from "@clementinemux/agent/OrderGate";
+import { formatStamp } from "@clementinemux/agent/formatStamp";
+
+const orderMaxAgeMs = 2000;
+
+function createGate(incarnation: string): OrderGate {
+  return new OrderGate(
+    incarnation,
+    new ConfigView({ target: "runner-1", kind: TargetKind.Engine, service: "" }),
+  );
+}
+
+function createOrder(epoch: number, incarnation: string, issuedAtMs: number) {
+  return { epoch, stamp: formatStamp({ incarnation, issuedAtMs }), order: { load: "m" } };
+}
+
+// Guards against a leader that was replaced and whose order arrives after the new leader's.
+t.test("old epoch is refused", (t) => {
+  const gate = createGate("1");
+  t.equal(gate.admit(createOrder(7, "1", 0), 1), null);
+  t.equal(gate.admit(createOrder(6, "1", 1), 2), AgentRefusal.EpochTooOld);
+  t.equal(gate.admit(createOrder(7, "1", 1), 2), null);
+  t.end();
+});
+
+// Guards against a refused order that raises the epoch and shuts the real leader out.
+t.test("refused order leaves the epoch", (t) => {
+  const gate = createGate("1");
+  t.equal(gate.admit(createOrder(99, "0", 0), 1), AgentRefusal.StampOfOtherIncarnation);
+  t.equal(gate.highestEpoch, -1);
+  t.equal(gate.admit(createOrder(7, "1", 0), 1), null);
+  t.end();
+});
+
+// Guards against an agent that has restarted, knows no epoch, and would obey an old leader.
+t.test("restarted agent refuses the old leader", (t) => {
+  const gate = createGate("2");
+  t.equal(gate.admit(createOrder(6, "1", 0), 1), AgentRefusal.StampOfOtherIncarnation);
+  t.equal(gate.admit(createOrder(6, "2", 0), orderMaxAgeMs + 1), AgentRefusal.StampTooOld);
+  t.equal(gate.admit({ epoch: 6, stamp: "", order: {} }, 1), AgentRefusal.StampMissing);
+  t.end();
+});
+
+// Guards against a leader that was frozen and wakes: once its successor gave its first order, after waiting
+// orderMaxAgeMs, no order of the old one may reach an engine that ignores fencing, also across restarts of the
+// agent.
+t.test("woken leader does no harm on any schedule", (t) => {
+  const step = fc.record({
+    gapMs: fc.integer({ min: 0, max: 1500 }),
+    kind: fc.constantFrom("restart", "old", "new"),
+    stampAgeMs: fc.integer({ min: 0, max: 6000 }),
+  });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 40 }), fc.integer({ min: 0, max: 4000 }), (steps, frozenAtMs) => {
+      let nowMs = 10_000;
+      let incarnation = 1;
+      let startedAtMs = 0;
+      let gate = createGate("1");
+      // The old leader gathered stamps until it froze; the new one is elected then and waits.
+      const lastOldStampMs = nowMs + frozenAtMs;
+      const firstNewOrderMs = lastOldStampMs + orderMaxAgeMs;
+      let newOrderGiven = false;
+      for (const { gapMs, kind, stampAgeMs } of steps) {
+        nowMs += gapMs;
+        if (kind === "restart") {
+          incarnation += 1;
+          startedAtMs = nowMs;
+          gate = createGate(String(incarnation));
+        } else if (kind === "new" && nowMs > firstNewOrderMs) {
+          newOrderGiven = true;
+          gate.admit(createOrder(2, String(incarnation), nowMs), nowMs);
+        } else if (kind === "old") {
+          const issuedAtMs = Math.min(nowMs - stampAgeMs, lastOldStampMs);
+          const holds = issuedAtMs >= startedAtMs ? incarnation : incarnation - 1;
+          const refusal = gate.admit(createOrder(1, String(holds), issuedAtMs), nowMs);
+          t.ok(refusal !== null || !newOrderGiven, "order of the old leader reached the engine");
+        }
+      }
+    }),
+    { seed: 3, numRuns: 500 },
+  );
+  t.end();
+});
--- /dev/null
+++ b/packages/agent/test/relayChoice.test.ts
@@ -0,0 +1,32 @@
+import t from "tap";
+import { RelayChoice } from "@clementinemux/agent/RelayChoice";
+
+// Guards against an agent that stays without a relay, or for ever with a far one, after its relays failed.
+t.test("nearest live relays are used", (t) => {
+  const choice = new RelayChoice(4, () => 0.5);
+  t.same(choice.choose(0), [0, 1]);
+  choice.onFailure(0, 0);
+  t.same(choice.choose(1), [1, 2]);
+  choice.onFailure(1, 1);
+  choice.onFailure(2, 1);
+  choice.onFailure(3, 1);
+  t.same(choice.choose(2), [0]);
+  t.same(choice.choose(1001), [0, 1]);
+  t.end();
+});
+
+// Guards against agents that all return to a restarted relay in the same instant.
+t.test("return is jittered and backs off", (t) => {
+  const early = new RelayChoice(3, () => 0);
+  const late = new RelayChoice(3, () => 0.999);
+  for (const choice of [early, late]) {
+    choice.onFailure(0, 0);
+  }
+  t.same(early.choose(600), [0, 1]);
+  t.same(late.choose(600), [1, 2]);
+  early.onFailure(0, 600);
+  t.same(early.choose(1500), [1, 2]);
+  early.onSuccess(0);
+  t.same(early.choose(1500), [0, 1]);
+  t.end();
+});
