Add admission, fair queueing, limits, routing score, ejection and retry budget to the policy

Change: each part is a module without I/O; EntryPolicy ties them together. Baselines for target choice stand in a registry beside the full score.

--- /dev/null
+++ b/packages/policy/AttemptState.ts
@@ -0,0 +1,13 @@
+import type { TargetState } from "./TargetState";
+
+/** One attempt of a request that has not ended. */
+export interface AttemptState {
+  readonly attemptId: string;
+  readonly target: TargetState;
+  readonly sentAtMs: number;
+  readonly predictedFirstTokenMs: number;
+  readonly predictedUncachedTokenCount: number;
+  readonly isHedge: boolean;
+  firstTokenAtMs: number | null;
+  tokenCount: number;
+}
--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -1,118 +1,366 @@
 import { Outcome } from "@clementinemux/common/Outcome";
+import type { Random } from "@clementinemux/common/Random";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
-import { TargetKind } from "@clementinemux/common/TargetKind";
+import { RetryReason } from "@clementinemux/common/RetryReason";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { AttemptEndKind } from "./AttemptEndKind";
+import type { AttemptState } from "./AttemptState";
+import type { ExplainRecord } from "./ExplainRecord";
 import type { Policy } from "./Policy";
 import type { PolicyAction } from "./PolicyAction";
 import { PolicyActionKind } from "./PolicyActionKind";
+import { PolicyCounters } from "./PolicyCounters";
+import { PolicyEvent } from "./PolicyEvent";
 import type { PolicyOptions } from "./PolicyOptions";
 import type { PolicyRequest } from "./PolicyRequest";
+import { PolicyState } from "./PolicyState";
+import type { RequestState } from "./RequestState";
 import type { TargetView } from "./TargetView";
+import type { LimitShare } from "./admission/LimitShare";
+import { computeRetryAfterMs } from "./admission/computeRetryAfterMs";
+import { attemptEnds } from "./health/attemptEnds";
+import { planRetry } from "./health/planRetry";
+import type { Candidate } from "./routing/Candidate";
+import { findVictim } from "./admission/findVictim";
 
-interface Attempt {
-  readonly request: PolicyRequest;
-  readonly attemptId: string;
-  readonly target: string;
-}
+type Actions = PolicyAction[];
 
-/** Policy of one entry: the least-loaded target takes the request; nothing is queued or retried. */
+/** Policy of one entry; see `Policy`. Ties admission, queue, routing, retry, hedge and preemption together. */
 export class EntryPolicy implements Policy {
+  readonly counters = new PolicyCounters();
+  readonly #state: PolicyState;
+  readonly #random: Random;
   readonly #entryId: string;
-  #config: FleetConfig;
-  #targets: readonly TargetView[] = [];
-  readonly #attempts = new Map<string, Attempt>();
   #attemptNumber = 0;
 
   constructor(options: PolicyOptions) {
     this.#entryId = options.entryId;
-    this.#config = options.config;
+    this.#random = options.random;
+    this.#state = new PolicyState(options, this.counters.events);
   }
 
   applyConfig(config: FleetConfig): readonly PolicyAction[] {
-    this.#config = config;
+    this.#state.setConfig(config);
     return [];
   }
 
-  applyTargets(targets: readonly TargetView[]): readonly PolicyAction[] {
-    this.#targets = targets;
-    return [];
+  applyTargets(targets: readonly TargetView[], nowMs: number): readonly PolicyAction[] {
+    this.#state.book.applyViews(targets, nowMs);
+    return this.#pumpAll(nowMs);
   }
 
-  submit(request: PolicyRequest): readonly PolicyAction[] {
-    const target = this.#findTarget(request);
-    if (target === undefined) {
-      return [this.#refuse(request, RefusalReason.NoTarget, Outcome.NotRun)];
+  /** Takes renewed shares of team limits. */
+  applyLimitShares(shares: readonly LimitShare[]): void {
+    this.#state.admission.limits.applyShares(shares);
+  }
+
+  /** Number of entries that divide a team's limit until leased shares arrive. */
+  setLiveEntryCount(count: number): void {
+    this.#state.admission.limits.setLiveEntryCount(count);
+  }
+
+  /** Takes a cache event of a target; see `PrefixIndex`. */
+  onCacheEvent(
+    target: string,
+    sequence: number,
+    stored: readonly number[],
+    evicted: readonly number[],
+  ): void {
+    this.#state.prefixes.onCacheEvent(target, sequence, stored, evicted);
+  }
+
+  /** Takes the number of leading prompt blocks that the answer of an attempt reports as cached. */
+  onPrefixAnswer(attemptId: string, cachedBlockCount: number): void {
+    const found = this.#state.findAttempt(attemptId);
+    if (found !== null) {
+      const { request } = found.state;
+      this.#state.prefixes.onAnswer(found.attempt.target.name, request.prefixHashes, cachedBlockCount);
     }
-    this.#attemptNumber += 1;
-    const attemptId = `${this.#entryId}-${this.#attemptNumber}`;
-    this.#attempts.set(attemptId, { request, attemptId, target });
-    return [
-      {
-        kind: PolicyActionKind.Dispatch,
-        requestId: request.requestId,
-        attemptId,
-        target,
-        enginePriority: this.#config.defaults.classes[request.requestClass].enginePriority,
-        retryReason: null,
-        resume: false,
-      },
-    ];
   }
 
-  onTokens(): readonly PolicyAction[] {
-    return [];
+  explain(requestId: string): readonly ExplainRecord[] {
+    return this.#state.explainLog.get(requestId);
+  }
+
+  submit(request: PolicyRequest, nowMs: number): readonly PolicyAction[] {
+    const state = this.#state.createRequest(request);
+    const queue = this.#state.getQueue(state);
+    const refusal = this.#state.admission.check(state, queue, nowMs);
+    if (refusal !== null) {
+      return [this.#refuse(state, refusal.reason, Outcome.NotRun, nowMs, refusal.waitMs)];
+    }
+    this.#state.requests.set(request.requestId, state);
+    this.#state.budget.addRequest(request.team, nowMs);
+    this.#enqueue(state, false);
+    const actions = this.#pump(state, nowMs);
+    if (state.isQueued) {
+      this.counters.events.add(PolicyEvent.Queued);
+    }
+    return actions;
   }
 
-  onAttemptEnded(attemptId: string, end: AttemptEndKind): readonly PolicyAction[] {
-    const attempt = this.#attempts.get(attemptId);
-    this.#attempts.delete(attemptId);
-    if (attempt === undefined || end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled) {
+  onTokens(attemptId: string, tokenCount: number, nowMs: number): readonly PolicyAction[] {
+    const found = this.#state.findAttempt(attemptId);
+    if (found === null) {
       return [];
     }
-    return [this.#refuse(attempt.request, RefusalReason.TargetsFailed, Outcome.Unknown)];
+    const { state, attempt } = found;
+    attempt.tokenCount = tokenCount;
+    if (attempt.firstTokenAtMs !== null || tokenCount === 0) {
+      return [];
+    }
+    this.#state.onFirstToken(state, attempt, nowMs);
+    if (attempt.isHedge) {
+      this.counters.events.add(PolicyEvent.HedgeWon);
+    }
+    // The first attempt that answers wins; the others would only repeat its work.
+    const losers = state.attempts.filter((other) => other !== attempt);
+    return losers.map((loser) => this.#cancel(state, loser, RetryReason.Hedge, nowMs));
+  }
+
+  onAttemptEnded(attemptId: string, end: AttemptEndKind, nowMs: number): readonly PolicyAction[] {
+    const found = this.#state.findAttempt(attemptId);
+    if (found === null) {
+      return [];
+    }
+    const { state, attempt } = found;
+    const { isProvedNotRun } = attemptEnds[end];
+    this.#state.endAttempt(state, attempt, end, nowMs);
+    state.mayHaveRun ||= !isProvedNotRun;
+    if (!this.#state.requests.has(state.request.requestId)) {
+      return this.#pump(state, nowMs);
+    }
+    const losers = end === AttemptEndKind.Completed ? [...state.attempts] : [];
+    const actions: Actions = losers.map((loser) => this.#cancel(state, loser, RetryReason.Hedge, nowMs));
+    if (end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled) {
+      this.#state.forget(state, nowMs);
+    } else if (state.attempts.length === 0) {
+      actions.push(...this.#retryOrRefuse(state, attempt, end, nowMs));
+    }
+    this.#state.book.ejectOutliers(this.#state.config.defaults.maxEjectedShare, nowMs);
+    actions.push(...this.#pump(state, nowMs));
+    return actions;
   }
 
-  onCallerGone(requestId: string): readonly PolicyAction[] {
-    const attempt = [...this.#attempts.values()].find(({ request }) => request.requestId === requestId);
-    if (attempt?.request.repeatable !== true) {
+  onCallerGone(requestId: string, nowMs: number): readonly PolicyAction[] {
+    const state = this.#state.requests.get(requestId);
+    if (state === undefined) {
       return [];
     }
-    this.#attempts.delete(attempt.attemptId);
-    const { CancelAttempt } = PolicyActionKind;
+    this.counters.refusals.add(RefusalReason.CallerGone);
+    this.#state.dropFromQueue(state);
+    if (!state.request.repeatable && state.attempts.length > 0) {
+      // Design section 8: the answer of a non-repeatable request is recorded although its caller left.
+      return [];
+    }
+    this.#state.forget(state, nowMs);
+    const actions = [...state.attempts].map((attempt) =>
+      this.#cancel(state, attempt, RefusalReason.CallerGone, nowMs),
+    );
+    return [...actions, ...this.#pump(state, nowMs)];
+  }
+
+  onTick(nowMs: number): readonly PolicyAction[] {
+    const actions: Actions = [];
+    for (const state of [...this.#state.requests.values()]) {
+      if (state.request.deadlineAtMs <= nowMs) {
+        actions.push(...this.#giveUp(state, RefusalReason.DeadlinePassed, nowMs));
+      } else if (!state.isQueued) {
+        actions.push(...this.#hedge(state, nowMs));
+      }
+    }
+    for (const { state, waitMs } of this.#state.findUnreachable(nowMs)) {
+      actions.push(...this.#giveUp(state, RefusalReason.DeadlineUnreachable, nowMs, waitMs));
+    }
+    return [...actions, ...this.#pumpAll(nowMs)];
+  }
+
+  #retryOrRefuse(state: RequestState, attempt: AttemptState, end: AttemptEndKind, nowMs: number): Actions {
+    const { admission, router, config, budget } = this.#state;
+    state.triedTargets.add(attempt.target.name);
+    state.triedDomains.add(attempt.target.view.announcement.failureDomain);
+    const plan = planRetry(state, end, {
+      maxAttempts: config.defaults.maxAttempts,
+      serviceMs: this.#state.getRemainingMs(state),
+      hasServingTarget: router.findServing(state).length > 0,
+      nowMs,
+      tryTakeBudget: () => budget.tryTake(state.team, nowMs),
+    });
+    if ("refusal" in plan) {
+      this.#state.forget(state, nowMs);
+      const waitMs = admission.predictWaitMs(state, this.#state.getQueue(state), nowMs);
+      return [this.#refuse(state, plan.refusal, plan.outcome, nowMs, waitMs)];
+    }
+    state.retryReason = plan.retryReason;
+    this.counters.retries.add(plan.retryReason);
+    this.#enqueue(state, true);
+    return [];
+  }
+
+  #giveUp(state: RequestState, reason: RefusalReason, nowMs: number, waitMs = 0): Actions {
+    const wasSent = state.attempts.length > 0 || state.mayHaveRun;
+    this.#state.dropFromQueue(state);
+    this.#state.forget(state, nowMs);
+    // A non-repeatable request that was sent runs on: its answer is recorded under its key.
+    const cancelled = state.request.repeatable ? [...state.attempts] : [];
+    const actions = cancelled.map((attempt) => this.#cancel(state, attempt, reason, nowMs));
     return [
-      { kind: CancelAttempt, requestId, attemptId: attempt.attemptId, reason: RefusalReason.CallerGone },
+      ...actions,
+      this.#refuse(state, reason, wasSent ? Outcome.Unknown : Outcome.NotRun, nowMs, waitMs),
     ];
   }
 
-  onTick(): readonly PolicyAction[] {
-    return [];
+  #hedge(state: RequestState, nowMs: number): Actions {
+    const { config, budget, router, admission } = this.#state;
+    const attempt = state.attempts[0];
+    const { classDefaults } = state.settings;
+    if (!classDefaults.mayHedge || !state.request.repeatable || state.isHedged || attempt === undefined) {
+      return [];
+    }
+    const delayMs = Math.max(classDefaults.firstTokenMs / 2, 3 * attempt.predictedFirstTokenMs);
+    const isLate = attempt.firstTokenAtMs === null && nowMs - attempt.sentAtMs > delayMs;
+    const isInTime = nowMs + admission.getServiceMs(state) <= state.request.deadlineAtMs;
+    if (!isLate || !isInTime || state.attemptCount >= config.defaults.maxAttempts) {
+      return [];
+    }
+    state.triedTargets.add(attempt.target.name);
+    state.triedDomains.add(attempt.target.view.announcement.failureDomain);
+    const candidates = router.findCandidates(state, nowMs).filter(({ target }) => target !== attempt.target);
+    const chosen = router.choose(candidates);
+    if (chosen === null || !budget.tryTake(state.team, nowMs)) {
+      return [];
+    }
+    state.isHedged = true;
+    state.retryReason = RetryReason.Hedge;
+    this.counters.events.add(PolicyEvent.Hedged);
+    this.counters.retries.add(RetryReason.Hedge);
+    return [this.#dispatch(state, chosen, candidates, nowMs)];
+  }
+
+  #enqueue(state: RequestState, front: boolean): void {
+    state.isQueued = true;
+    state.costMs = this.#state.getRemainingMs(state);
+    this.#state.getQueue(state).push(state, front);
   }
 
-  #findTarget(request: PolicyRequest): string | undefined {
-    const inFlight = new Map<string, number>();
-    for (const { target } of this.#attempts.values()) {
-      inFlight.set(target, (inFlight.get(target) ?? 0) + 1);
+  #pumpAll(nowMs: number): Actions {
+    return this.#state.getQueuedHeads().flatMap((state) => this.#pump(state, nowMs));
+  }
+
+  /** Dispatches from the queue of the given request's model as long as there is room. */
+  #pump(member: RequestState, nowMs: number): Actions {
+    const { router } = this.#state;
+    const queue = this.#state.getQueue(member);
+    const actions: Actions = [];
+    for (;;) {
+      const choice = { candidates: [] as readonly Candidate[], chosen: null as Candidate | null };
+      const state = queue.pop((item) => {
+        choice.candidates = router.findCandidates(item, nowMs);
+        choice.chosen = router.choose(choice.candidates);
+        return choice.chosen !== null;
+      });
+      if (state === null || choice.chosen === null) {
+        break;
+      }
+      actions.push(this.#dispatch(state, choice.chosen, choice.candidates, nowMs));
     }
-    return this.#targets
-      .filter((view) => view.accepting && isServedBy(request, view))
-      .map((view) => view.announcement.target)
-      .sort((left, right) => (inFlight.get(left) ?? 0) - (inFlight.get(right) ?? 0))[0];
+    for (const head of queue.getHeads()) {
+      actions.push(...this.#preemptFor(head, nowMs));
+    }
+    return actions;
   }
 
-  #refuse(request: PolicyRequest, reason: RefusalReason, outcome: Outcome): PolicyAction {
+  /** Makes room for a waiting request of a class that is not itself preemptible; once per request. */
+  #preemptFor(head: RequestState, nowMs: number): Actions {
+    if (head.settings.classDefaults.preemptible || head.hasPreempted) {
+      return [];
+    }
+    const victim = findVictim(head, this.#state.requests.values(), this.#state.router.findServing(head));
+    if (victim === null) {
+      return [];
+    }
+    head.hasPreempted = true;
+    this.counters.events.add(PolicyEvent.Preempted);
+    const { state, attempt } = victim;
+    const actions: Actions = [this.#cancel(state, attempt, RefusalReason.Preempted, nowMs)];
+    state.mayHaveRun = true;
+    state.retryReason = null;
+    this.#enqueue(state, true);
+    this.#state.dropFromQueue(head);
+    const candidate = this.#state.router.score(attempt.target, head, nowMs);
+    actions.push(this.#dispatch(head, candidate, [candidate], nowMs));
+    return actions;
+  }
+
+  #dispatch(
+    state: RequestState,
+    chosen: Candidate,
+    candidates: readonly Candidate[],
+    nowMs: number,
+  ): PolicyAction {
+    this.#attemptNumber += 1;
+    const attemptId = `${this.#entryId}-${this.#attemptNumber}`;
+    this.#state.startAttempt(state, attemptId, chosen, nowMs);
+    const resume = state.sentTokenCount > 0;
+    if (resume) {
+      this.counters.events.add(PolicyEvent.Resumed);
+    }
+    this.#explain(state, `dispatch:${state.retryReason ?? "first"}`, chosen.target.name, candidates, nowMs);
+    return {
+      kind: PolicyActionKind.Dispatch,
+      requestId: state.request.requestId,
+      attemptId,
+      target: chosen.target.name,
+      enginePriority: state.settings.classDefaults.enginePriority,
+      retryReason: state.retryReason,
+      resume,
+    };
+  }
+
+  #cancel(
+    state: RequestState,
+    attempt: AttemptState,
+    reason: RefusalReason | RetryReason,
+    nowMs: number,
+  ): PolicyAction {
+    this.#state.endAttempt(state, attempt, AttemptEndKind.Cancelled, nowMs);
+    this.#explain(state, `cancel:${reason}`, attempt.target.name, [], nowMs);
+    const { requestId } = state.request;
+    return { kind: PolicyActionKind.CancelAttempt, requestId, attemptId: attempt.attemptId, reason };
+  }
+
+  #refuse(
+    state: RequestState,
+    reason: RefusalReason,
+    outcome: Outcome,
+    nowMs: number,
+    waitMs: number,
+  ): PolicyAction {
+    this.counters.refusals.add(reason);
+    this.#explain(state, `refuse:${reason}`, null, [], nowMs, waitMs);
+    const retryAfterMs = computeRetryAfterMs(waitMs, this.#random);
     return {
       kind: PolicyActionKind.Refuse,
-      requestId: request.requestId,
+      requestId: state.request.requestId,
       reason,
       outcome,
-      retryAfterMs: 1000,
+      retryAfterMs,
     };
   }
-}
 
-function isServedBy(request: PolicyRequest, { announcement }: TargetView): boolean {
-  return request.kind === TargetKind.Engine
-    ? announcement.models.includes(request.model)
-    : announcement.service === request.model;
+  #explain(
+    { request: { requestId } }: RequestState,
+    decision: string,
+    target: string | null,
+    candidates: readonly Candidate[],
+    atMs: number,
+    predictedWaitMs = 0,
+  ): void {
+    const scores = candidates.map((candidate) => ({
+      target: candidate.target.name,
+      scoreMs: candidate.scoreMs,
+      parts: candidate.parts,
+    }));
+    this.#state.explainLog.add({ atMs, requestId, decision, target, predictedWaitMs, candidates: scores });
+  }
 }
--- /dev/null
+++ b/packages/policy/PolicyEvent.ts
@@ -0,0 +1,11 @@
+/** Decisions of the policy that are counted beside refusals and retries. */
+export enum PolicyEvent {
+  Queued = "queued",
+  Preempted = "preempted",
+  Resumed = "resumed",
+  Hedged = "hedged",
+  HedgeWon = "hedge_won",
+  Ejected = "ejected",
+  Readmitted = "readmitted",
+  EjectionWithheld = "ejection_withheld",
+}
--- a/packages/policy/PolicyOptions.ts
+++ b/packages/policy/PolicyOptions.ts
@@ -10,6 +10,8 @@
   readonly failureDomain: string;
   readonly region: string;
   readonly random: Random;
+  /** Monotonic time of the entry's start; 0 by default. */
+  readonly startedAtMs?: number;
   /** Defaults to the full score. */
   readonly routing?: RoutingKind;
   /** Turned off only to measure what the retry budget prevents. */
--- /dev/null
+++ b/packages/policy/TargetBook.ts
@@ -0,0 +1,107 @@
+import type { Counters } from "@clementinemux/metrics/Counters";
+import { PolicyEvent } from "./PolicyEvent";
+import type { TargetView } from "./TargetView";
+import { TargetState } from "./TargetState";
+import type { PrefixIndex } from "./routing/PrefixIndex";
+
+/** A group whose slowest rank takes this many times the mean is slow because of that rank, not failed. */
+const slowGroupSkew = 1.2;
+/** With fewer targets, ejecting one would take more than a third of the capacity. */
+const minFleetToEject = 3;
+
+/** All targets that this entry knows, with restarts, ejection and the health of groups. */
+export class TargetBook {
+  readonly #targets = new Map<string, TargetState>();
+  readonly #prefixes: PrefixIndex;
+  readonly #events: Counters<PolicyEvent>;
+  readonly #groupErrorRates = new Map<string, number>();
+  #isFirstView = true;
+
+  constructor(prefixes: PrefixIndex, events: Counters<PolicyEvent>) {
+    this.#prefixes = prefixes;
+    this.#events = events;
+  }
+
+  get all(): IterableIterator<TargetState> {
+    return this.#targets.values();
+  }
+
+  applyViews(views: readonly TargetView[], nowMs: number): void {
+    const names = new Set(views.map(({ announcement }) => announcement.target));
+    for (const name of this.#targets.keys()) {
+      if (!names.has(name)) {
+        this.#targets.delete(name);
+        this.#prefixes.clear(name);
+      }
+    }
+    for (const view of views) {
+      this.#applyView(view, nowMs);
+    }
+    this.#isFirstView = false;
+    this.#updateGroups();
+  }
+
+  /** Error rate of the target's group, which shares its fate in lock-step; 0 for a target that runs alone. */
+  getGroupErrorRate(target: TargetState): number {
+    return this.#groupErrorRates.get(target.view.announcement.group) ?? 0;
+  }
+
+  /** Ejects targets that fail or lag against their peers, at most the given share of them. */
+  ejectOutliers(maxEjectedShare: number, nowMs: number): void {
+    const targets = [...this.#targets.values()];
+    const outliers = this.#findOutliers(targets);
+    if (outliers.length === 0) {
+      return;
+    }
+    const maxCount =
+      targets.length < minFleetToEject ? 0 : Math.max(1, Math.floor(targets.length * maxEjectedShare));
+    let ejectedCount = targets.filter(({ health }) => health.isEjected).length;
+    for (const target of outliers) {
+      if (ejectedCount >= maxCount) {
+        this.#events.add(PolicyEvent.EjectionWithheld);
+        return;
+      }
+      target.health.eject(nowMs);
+      ejectedCount += 1;
+      this.#events.add(PolicyEvent.Ejected);
+    }
+  }
+
+  #findOutliers(targets: readonly TargetState[]): readonly TargetState[] {
+    const ratios = targets.map(({ health }) => health.latencyRatio).sort((left, right) => left - right);
+    const median = ratios[Math.floor(ratios.length / 2)] ?? 1;
+    return targets
+      .filter(({ health, view }) => {
+        const isSlowGroup = (view.load?.groupSkew ?? 1) > slowGroupSkew;
+        return health.shouldEject(isSlowGroup ? Number.POSITIVE_INFINITY : median);
+      })
+      .sort((left, right) => right.health.errorRate - left.health.errorRate);
+  }
+
+  #applyView(view: TargetView, nowMs: number): void {
+    const { target, incarnation } = view.announcement;
+    const known = this.#targets.get(target);
+    if (known?.view.announcement.incarnation === incarnation) {
+      known.setView(view, nowMs);
+      return;
+    }
+    // Targets known from this entry's start on are taken as warm: the entry restarted, not they.
+    const warmFromMs = this.#isFirstView ? Number.NEGATIVE_INFINITY : nowMs;
+    this.#prefixes.clear(target);
+    this.#targets.set(target, new TargetState(view, warmFromMs));
+  }
+
+  #updateGroups(): void {
+    const rates = new Map<string, number[]>();
+    for (const { view, health } of this.#targets.values()) {
+      const { group } = view.announcement;
+      if (group !== "") {
+        rates.set(group, [...(rates.get(group) ?? []), health.errorRate]);
+      }
+    }
+    this.#groupErrorRates.clear();
+    for (const [group, values] of rates) {
+      this.#groupErrorRates.set(group, values.reduce((sum, value) => sum + value, 0) / values.length);
+    }
+  }
+}
--- /dev/null
+++ b/packages/policy/admission/FairQueue.ts
@@ -0,0 +1,184 @@
+import type { RequestClass } from "@clementinemux/common/RequestClass";
+import type { FairQueueItem } from "./FairQueueItem";
+
+interface Flow<Item> {
+  readonly items: Item[];
+  weight: number;
+  /** Virtual start of the flow's next item. */
+  startTag: number;
+  costMs: number;
+}
+
+interface ClassFlow<Item> extends Flow<Item> {
+  readonly teams: Map<string, Flow<Item>>;
+  virtualTime: number;
+}
+
+/**
+ * Start-time fair queueing in two levels: among classes by class weight, within a class among teams by team
+ * weight. Cost is predicted service time, so a team cannot gain by sending longer requests. A flow that
+ * was idle starts at the current virtual time: it neither saves up service nor owes any.
+ */
+export class FairQueue<Item extends FairQueueItem> {
+  readonly #classes = new Map<RequestClass, ClassFlow<Item>>();
+  #virtualTime = 0;
+  #size = 0;
+  #costMs = 0;
+
+  get size(): number {
+    return this.#size;
+  }
+
+  get costMs(): number {
+    return this.#costMs;
+  }
+
+  push(item: Item, front = false): void {
+    const classFlow = this.#getClass(item);
+    const team = getTeam(classFlow, item);
+    if (classFlow.costMs === 0) {
+      classFlow.startTag = Math.max(classFlow.startTag, this.#virtualTime);
+    }
+    if (team.items.length === 0) {
+      team.startTag = Math.max(team.startTag, classFlow.virtualTime);
+    }
+    team.items.splice(front ? 0 : team.items.length, 0, item);
+    team.costMs += item.costMs;
+    classFlow.costMs += item.costMs;
+    this.#costMs += item.costMs;
+    this.#size += 1;
+  }
+
+  /** Removes and returns the next item that can run; of each class only the fair next one is asked. */
+  pop(canRun: (item: Item) => boolean): Item | null {
+    const classes = [...this.#classes.values()].filter(({ costMs }) => costMs > 0).sort(compareTags);
+    for (const classFlow of classes) {
+      const team = findFirst(classFlow.teams.values());
+      const item = team?.items[0];
+      if (team === null || item === undefined || !canRun(item)) {
+        continue;
+      }
+      this.#virtualTime = Math.max(this.#virtualTime, classFlow.startTag);
+      classFlow.virtualTime = Math.max(classFlow.virtualTime, team.startTag);
+      classFlow.startTag += item.costMs / classFlow.weight;
+      team.startTag += item.costMs / team.weight;
+      this.remove(item);
+      return item;
+    }
+    return null;
+  }
+
+  remove(item: Item): boolean {
+    const classFlow = this.#classes.get(item.requestClass);
+    const team = classFlow?.teams.get(item.team);
+    const index = team?.items.indexOf(item) ?? -1;
+    if (classFlow === undefined || team === undefined || index < 0) {
+      return false;
+    }
+    team.items.splice(index, 1);
+    team.costMs = team.items.length === 0 ? 0 : team.costMs - item.costMs;
+    this.#size -= 1;
+    this.#costMs = this.#size === 0 ? 0 : this.#costMs - item.costMs;
+    const isClassEmpty = [...classFlow.teams.values()].every(({ items }) => items.length === 0);
+    classFlow.costMs = isClassEmpty ? 0 : classFlow.costMs - item.costMs;
+    // An idle team whose tag has been overtaken carries no state worth its memory.
+    if (team.items.length === 0 && team.startTag <= classFlow.virtualTime) {
+      classFlow.teams.delete(item.team);
+    }
+    return true;
+  }
+
+  /** First item of each class in fair order, the class with the highest weight first. */
+  getHeads(): readonly Item[] {
+    return [...this.#classes.values()]
+      .sort((left, right) => right.weight - left.weight)
+      .flatMap((classFlow) => findFirst(classFlow.teams.values())?.items.slice(0, 1) ?? []);
+  }
+
+  /** Visits each queued item with the time until its turn if `slotCount` items are served at once. */
+  forEachWait(slotCount: number, visit: (item: Item, waitMs: number) => void): void {
+    for (const classFlow of this.#classes.values()) {
+      for (const team of classFlow.teams.values()) {
+        let aheadMs = 0;
+        for (const item of [...team.items]) {
+          visit(item, this.#getWaitMs(classFlow, team, aheadMs, 0, slotCount));
+          aheadMs += item.costMs;
+        }
+      }
+    }
+  }
+
+  /** Time until a new item would have its turn. */
+  predictWaitMs(item: FairQueueItem, slotCount: number): number {
+    const classFlow = this.#classes.get(item.requestClass);
+    if (classFlow === undefined) {
+      return this.#getWaitMs(null, null, 0, item.classWeight, slotCount);
+    }
+    const team = classFlow.teams.get(item.team) ?? null;
+    const addedWeight = classFlow.costMs === 0 ? item.classWeight : 0;
+    return this.#getWaitMs(classFlow, team, team?.costMs ?? 0, addedWeight, slotCount, item.teamWeight);
+  }
+
+  /**
+   * The wait is the work of the same team ahead, served at the team's share of the slots, but never more than
+   * all queued work served by all slots.
+   */
+  #getWaitMs(
+    classFlow: ClassFlow<Item> | null,
+    team: Flow<Item> | null,
+    aheadMs: number,
+    addedClassWeight: number,
+    slotCount: number,
+    newTeamWeight = 1,
+  ): number {
+    const slots = Math.max(slotCount, 1);
+    const active = [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
+    const ownClassWeight = classFlow?.weight ?? addedClassWeight;
+    const classShare = ownClassWeight / (sumWeights(active) + addedClassWeight);
+    const teams = [...(classFlow?.teams.values() ?? [])].filter(({ items }) => items.length > 0);
+    const isTeamActive = team !== null && team.items.length > 0;
+    const ownWeight = team?.weight ?? newTeamWeight;
+    const teamShare = ownWeight / (sumWeights(teams) + (isTeamActive ? 0 : ownWeight));
+    // Service is handed out item by item, so a new flow waits for about one item of the others.
+    const meanCostMs = this.#size === 0 ? 0 : this.#costMs / this.#size;
+    return Math.min(this.#costMs / slots, (aheadMs / (classShare * teamShare) + meanCostMs) / slots);
+  }
+
+  #getClass(item: Item): ClassFlow<Item> {
+    let flow = this.#classes.get(item.requestClass);
+    if (flow === undefined) {
+      flow = { items: [], teams: new Map(), weight: 1, startTag: 0, virtualTime: 0, costMs: 0 };
+      this.#classes.set(item.requestClass, flow);
+    }
+    flow.weight = item.classWeight;
+    return flow;
+  }
+}
+
+function getTeam<Item extends FairQueueItem>(classFlow: ClassFlow<Item>, item: Item): Flow<Item> {
+  let team = classFlow.teams.get(item.team);
+  if (team === undefined) {
+    team = { items: [], weight: 1, startTag: 0, costMs: 0 };
+    classFlow.teams.set(item.team, team);
+  }
+  team.weight = item.teamWeight;
+  return team;
+}
+
+function findFirst<Item>(teams: Iterable<Flow<Item>>): Flow<Item> | null {
+  let first: Flow<Item> | null = null;
+  for (const team of teams) {
+    if (team.items.length > 0 && (first === null || team.startTag < first.startTag)) {
+      first = team;
+    }
+  }
+  return first;
+}
+
+function compareTags(left: { startTag: number }, right: { startTag: number }): number {
+  return left.startTag - right.startTag;
+}
+
+function sumWeights(flows: readonly { weight: number }[]): number {
+  return flows.reduce((sum, { weight }) => sum + weight, 0);
+}
--- /dev/null
+++ b/packages/policy/routing/Router.ts
@@ -0,0 +1,105 @@
+import type { Random } from "@clementinemux/common/Random";
+import { RequestClass } from "@clementinemux/common/RequestClass";
+import type { RequestState } from "../RequestState";
+import type { TargetBook } from "../TargetBook";
+import type { TargetState } from "../TargetState";
+import type { ServiceTimes } from "../admission/ServiceTimes";
+import type { Candidate } from "./Candidate";
+import type { PrefixIndex } from "./PrefixIndex";
+import type { RoutingKind } from "./RoutingKind";
+import type { RoutingStrategy } from "./RoutingStrategy";
+import { createRouting } from "./createRouting";
+import { isServing } from "./isServing";
+import { scoreTarget } from "./scoreTarget";
+
+interface RouterOptions {
+  readonly routing: RoutingKind;
+  readonly random: Random;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly book: TargetBook;
+  readonly times: ServiceTimes;
+  readonly prefixes: PrefixIndex;
+}
+
+/** Share of a target's batch that a class may fill by this entry's knowledge. The rest keeps room for higher classes. */
+const batchShares: Readonly<Record<RequestClass, number>> = {
+  [RequestClass.Important]: 1.25,
+  [RequestClass.Standard]: 1,
+  [RequestClass.Bulk]: 0.9,
+};
+
+/** Finds the targets that may take a request, scores them and chooses one. */
+export class Router {
+  readonly #options: RouterOptions;
+  readonly #strategy: RoutingStrategy;
+
+  constructor(options: RouterOptions) {
+    this.#options = options;
+    this.#strategy = createRouting(options.routing, options.random);
+  }
+
+  /** Targets that serve the request and take work, whether or not they have room now. */
+  findServing(state: RequestState): readonly TargetState[] {
+    const serving = [...this.#options.book.all].filter(
+      ({ view }) => view.accepting && isServing(state.request, view),
+    );
+    // Other weights would continue a started answer differently.
+    return state.sentByVersion === null
+      ? serving
+      : serving.filter(({ view }) => view.announcement.version === state.sentByVersion);
+  }
+
+  hasRoom(state: RequestState, nowMs: number): boolean {
+    return this.findServing(state).some((target) => this.#hasRoom(target, state, nowMs));
+  }
+
+  /** Candidates with room, best score first. */
+  findCandidates(state: RequestState, nowMs: number): readonly Candidate[] {
+    const untried = findUntried(this.findServing(state), state);
+    const open = untried.filter((target) => this.#hasRoom(target, state, nowMs));
+    return preferOtherDomains(open, state)
+      .map((target) => this.score(target, state, nowMs))
+      .sort((left, right) => left.scoreMs - right.scoreMs);
+  }
+
+  choose(candidates: readonly Candidate[]): Candidate | null {
+    return this.#strategy.choose(candidates);
+  }
+
+  score(target: TargetState, state: RequestState, nowMs: number): Candidate {
+    const { failureDomain, region, times, prefixes, book } = this.#options;
+    return scoreTarget(target, {
+      request: state.request,
+      model: state.model,
+      failureDomain,
+      region,
+      times,
+      prefixes,
+      groupErrorRate: book.getGroupErrorRate(target),
+      nowMs,
+    });
+  }
+
+  #hasRoom(target: TargetState, { requestClass }: RequestState, nowMs: number): boolean {
+    if (!target.health.maySend(nowMs) || target.inFlightCount >= Math.floor(target.limit.limit)) {
+      return false;
+    }
+    return (
+      !this.#strategy.usesReports ||
+      target.getLoadCount() < target.batchLimitCount * batchShares[requestClass]
+    );
+  }
+}
+
+/** Leaves out targets that were tried, as long as others serve the request. */
+function findUntried(targets: readonly TargetState[], state: RequestState): readonly TargetState[] {
+  const untried = targets.filter(({ name }) => !state.triedTargets.has(name));
+  return untried.length === 0 ? targets : untried;
+}
+
+/** Leaves out failure domains that were tried, as long as others have room. */
+function preferOtherDomains(targets: readonly TargetState[], state: RequestState): readonly TargetState[] {
+  const others = targets.filter(({ view }) => !state.triedDomains.has(view.announcement.failureDomain));
+  return others.length === 0 ? targets : others;
+}
--- /dev/null
+++ b/packages/policy/routing/chooseCloseScore.ts
@@ -0,0 +1,13 @@
+import type { Random } from "@clementinemux/common/Random";
+import type { Candidate } from "./Candidate";
+
+/** Scores within this share of the best are equal as far as late reports can tell. */
+const closeShare = 0.1;
+const closeMs = 2;
+
+/** Chooses at random among the candidates whose scores are close to the best. */
+export function chooseCloseScore(candidates: readonly Candidate[], random: Random): Candidate | null {
+  const bestMs = candidates.reduce((best, { scoreMs }) => Math.min(best, scoreMs), Number.POSITIVE_INFINITY);
+  const close = candidates.filter(({ scoreMs }) => scoreMs <= bestMs * (1 + closeShare) + closeMs);
+  return close[Math.floor(random() * close.length)] ?? null;
+}
--- /dev/null
+++ b/packages/policy/routing/createRouting.ts
@@ -0,0 +1,53 @@
+import type { Random } from "@clementinemux/common/Random";
+import type { Candidate } from "./Candidate";
+import { RoutingKind } from "./RoutingKind";
+import type { RoutingStrategy } from "./RoutingStrategy";
+import { chooseCloseScore } from "./chooseCloseScore";
+
+const creators: Readonly<Record<RoutingKind, (random: Random) => RoutingStrategy>> = {
+  [RoutingKind.Random]: (random) => ({
+    usesReports: false,
+    choose: (candidates) => pick(candidates, random),
+  }),
+  [RoutingKind.RoundRobin]: () => {
+    let turn = -1;
+    return {
+      usesReports: false,
+      choose: (candidates) => {
+        turn += 1;
+        return candidates[turn % Math.max(1, candidates.length)] ?? null;
+      },
+    };
+  },
+  [RoutingKind.LeastRequests]: () => ({ usesReports: false, choose: findLeastRequests }),
+  [RoutingKind.TwoChoices]: (random) => ({
+    usesReports: false,
+    choose: (candidates) =>
+      findLeastRequests(
+        [pick(candidates, random), pick(candidates, random)].filter((candidate) => candidate !== null),
+      ),
+  }),
+  [RoutingKind.Full]: (random) => ({
+    usesReports: true,
+    choose: (candidates) => chooseCloseScore(candidates, random),
+  }),
+};
+
+/** Creates the way to choose a target. */
+export function createRouting(kind: RoutingKind, random: Random): RoutingStrategy {
+  return creators[kind](random);
+}
+
+function pick(candidates: readonly Candidate[], random: Random): Candidate | null {
+  return candidates[Math.floor(random() * candidates.length)] ?? null;
+}
+
+function findLeastRequests(candidates: readonly Candidate[]): Candidate | null {
+  let least: Candidate | null = null;
+  for (const candidate of candidates) {
+    if (least === null || candidate.target.inFlightCount < least.target.inFlightCount) {
+      least = candidate;
+    }
+  }
+  return least;
+}
--- /dev/null
+++ b/packages/policy/routing/scoreTarget.ts
@@ -0,0 +1,69 @@
+import type { PolicyRequest } from "../PolicyRequest";
+import type { TargetState } from "../TargetState";
+import type { ServiceTimes } from "../admission/ServiceTimes";
+import type { Candidate } from "./Candidate";
+import type { PrefixIndex } from "./PrefixIndex";
+
+interface ScoreContext {
+  readonly request: PolicyRequest;
+  readonly model: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly times: ServiceTimes;
+  readonly prefixes: PrefixIndex;
+  readonly groupErrorRate: number;
+  readonly nowMs: number;
+}
+
+const otherDomainMs = 2;
+const otherRegionMs = 60;
+/** A cold target takes about this many times as long. */
+const coldFactor = 1;
+/** Time a failed attempt costs beyond its own work: detection, queueing again, budget. */
+const failureMs = 500;
+
+/**
+ * Predicted time of a request on a target, in milliseconds: waiting, prefill of the tokens not in the cache, and
+ * decoding at the target's own step time. A group whose step is slowed by one rank has a long step and so
+ * counts as slow, not as failed. Error rate, suspicion and warm-up raise the time.
+ */
+export function scoreTarget(target: TargetState, context: ScoreContext): Candidate {
+  const { request, model, times, prefixes, nowMs } = context;
+  const { health, view } = target;
+  const loadCount = target.getLoadCount() + 1;
+  const stepMs = target.getStepMs(loadCount, times.getTokenGapMs(model));
+  const meanGapMs = times.getTokenGapMs(model);
+  const speed = Math.max(0.2, target.getStepMs(target.batchLimitCount / 2, meanGapMs) / meanGapMs);
+  const waitingCount = Math.max(0, loadCount - target.batchLimitCount);
+  const blockCount = request.prefixHashes.length;
+  const cachedShare =
+    blockCount === 0 ? 0 : prefixes.getExpectedBlockCount(target.name, request.prefixHashes) / blockCount;
+  const uncachedTokenCount = request.promptTokenCount * (1 - cachedShare);
+  const serviceMs = times.getServiceMs(model, request);
+  const queueMs = (waitingCount * serviceMs * speed) / target.batchLimitCount;
+  const prefillMs = times.getPrefillMs(model, uncachedTokenCount) * speed;
+  const decodeMs =
+    request.maxTokenCount === 0
+      ? serviceMs * (1 + loadCount / target.batchLimitCount)
+      : times.getOutputTokenCount(model, request.maxTokenCount) * stepMs;
+  const distanceMs = getDistanceMs(target, context);
+  const baseMs = queueMs + prefillMs + decodeMs + distanceMs;
+  const errorRate = Math.max(health.errorRate, context.groupErrorRate);
+  const warmUpMs = baseMs * coldFactor * health.getColdShare(nowMs);
+  const errorMs = ((baseMs + failureMs) * errorRate) / Math.max(0.05, 1 - errorRate);
+  const suspectMs = baseMs * (1 / Math.max(0.05, view.membershipWeight) - 1);
+  return {
+    target,
+    scoreMs: baseMs + warmUpMs + errorMs + suspectMs,
+    firstTokenMs: queueMs + prefillMs + stepMs + distanceMs,
+    parts: { queueMs, prefillMs, decodeMs, distanceMs, warmUpMs, errorMs, suspectMs },
+  };
+}
+
+function getDistanceMs(target: TargetState, { failureDomain, region }: ScoreContext): number {
+  const { announcement } = target.view;
+  if (announcement.region !== region) {
+    return otherRegionMs;
+  }
+  return announcement.failureDomain === failureDomain ? 0 : otherDomainMs;
+}
