--- /dev/null
+++ b/packages/bench/policy/ModelEngine.ts
@@ -0,0 +1,176 @@
+import type { LoadReport } from "@clementinemux/policy/LoadReport";
+import type { EngineJob } from "./EngineJob";
+import type { EventQueue } from "./EventQueue";
+import { engineModel } from "./engineModel";
+
+interface RunningJob {
+  readonly job: EngineJob;
+  prefillLeft: number;
+  position: number;
+}
+
+interface CacheEvent {
+  readonly sequence: number;
+  readonly stored: readonly number[];
+  readonly evicted: readonly number[];
+}
+
+/** Batching engine on the virtual clock with priorities, chunked prefill and a prefix cache. */
+export class ModelEngine {
+  /** 1 is normal speed, 3 takes three times as long for everything. */
+  slowdown = 1;
+  /** Share of jobs that fail shortly after they arrive. */
+  errorShare = 0;
+  /** Share of jobs that fail halfway through their answer. */
+  halfwayErrorShare = 0;
+  workTokenCount = 0;
+  readonly cacheEvents: CacheEvent[] = [];
+  readonly #events: EventQueue;
+  readonly #random: () => number;
+  readonly #waiting: EngineJob[] = [];
+  #running: RunningJob[] = [];
+  readonly #cache = new Map<number, null>();
+  readonly #failAt = new Map<string, number>();
+  #isStepping = false;
+  #lastStepMs: number = engineModel.stepMs;
+  #sequence = 0;
+
+  constructor(events: EventQueue, random: () => number) {
+    this.#events = events;
+    this.#random = random;
+  }
+
+  submit(job: EngineJob): void {
+    if (this.#random() < this.errorShare) {
+      this.#events.schedule(engineModel.failAfterMs, () => {
+        job.onEnd("error");
+      });
+      return;
+    }
+    if (this.#waiting.length >= engineModel.queueLimitCount) {
+      job.onEnd("overloaded");
+      return;
+    }
+    if (this.#random() < this.halfwayErrorShare) {
+      this.#failAt.set(job.attemptId, job.firstPosition + (job.answerTokenCount - job.firstPosition) / 2);
+    }
+    const index = this.#waiting.findIndex(({ priority }) => priority < job.priority);
+    this.#waiting.splice(index < 0 ? this.#waiting.length : index, 0, job);
+    this.#startStep();
+  }
+
+  cancel(attemptId: string): void {
+    const index = this.#waiting.findIndex((job) => job.attemptId === attemptId);
+    if (index >= 0) {
+      this.#waiting.splice(index, 1);
+    }
+    this.#running = this.#running.filter(({ job }) => job.attemptId !== attemptId);
+  }
+
+  getReport(): Omit<LoadReport, "measuredAtMs"> {
+    return {
+      runningCount: this.#running.length,
+      queuedCount: this.#waiting.length,
+      runningTokenCount: this.#running.reduce((sum, { position }) => sum + position, 0),
+      batchLimitCount: engineModel.batchLimitCount,
+      stepMs: this.#lastStepMs,
+      kvFreeShare: 1 - this.#running.length / engineModel.batchLimitCount,
+      groupSkew: 1,
+    };
+  }
+
+  #startStep(): void {
+    if (this.#isStepping) {
+      return;
+    }
+    this.#admit();
+    if (this.#running.length === 0) {
+      return;
+    }
+    this.#isStepping = true;
+    let budget: number = engineModel.prefillChunkTokens;
+    for (const running of this.#running) {
+      const chunk = Math.min(budget, running.prefillLeft);
+      running.prefillLeft -= chunk;
+      budget -= chunk;
+    }
+    const prefillTokens = engineModel.prefillChunkTokens - budget;
+    const decodeMs = engineModel.stepMs * (1 + this.#running.length / engineModel.batchLimitCount);
+    this.#lastStepMs = decodeMs * this.slowdown;
+    this.workTokenCount += prefillTokens;
+    const stepMs = (decodeMs + prefillTokens * engineModel.prefillMsPerToken) * this.slowdown;
+    this.#events.schedule(stepMs, () => {
+      this.#endStep();
+    });
+  }
+
+  #endStep(): void {
+    this.#isStepping = false;
+    const kept: RunningJob[] = [];
+    const batch = this.#running;
+    for (const running of batch) {
+      if (running.prefillLeft > 0) {
+        kept.push(running);
+        continue;
+      }
+      running.position += 1;
+      this.workTokenCount += 1;
+      running.job.onPosition(running.position);
+      if (!this.#endJob(running)) {
+        kept.push(running);
+      }
+    }
+    this.#running = kept;
+    this.#startStep();
+  }
+
+  #endJob({ job, position }: RunningJob): boolean {
+    if (position >= (this.#failAt.get(job.attemptId) ?? Number.POSITIVE_INFINITY)) {
+      this.#failAt.delete(job.attemptId);
+      job.onEnd("error");
+      return true;
+    }
+    if (position >= job.answerTokenCount) {
+      job.onEnd("completed");
+      return true;
+    }
+    return false;
+  }
+
+  #admit(): void {
+    while (this.#running.length < engineModel.batchLimitCount) {
+      const job = this.#waiting.shift();
+      if (job === undefined) {
+        return;
+      }
+      const cachedCount = this.#useCache(job.prefixHashes);
+      job.onAdmitted(cachedCount);
+      const cachedTokens = cachedCount * engineModel.blockTokens;
+      const prefillLeft = Math.max(1, job.promptTokenCount + job.firstPosition - cachedTokens);
+      this.#running.push({ job, prefillLeft, position: job.firstPosition });
+    }
+  }
+
+  /** Returns the number of leading blocks found and puts the whole prompt into the cache. */
+  #useCache(hashes: readonly number[]): number {
+    let cachedCount = 0;
+    while (cachedCount < hashes.length && this.#cache.has(hashes[cachedCount] ?? 0)) {
+      cachedCount += 1;
+    }
+    for (const hash of [...hashes].reverse()) {
+      this.#cache.delete(hash);
+      this.#cache.set(hash, null);
+    }
+    const evicted: number[] = [];
+    for (const hash of this.#cache.keys()) {
+      if (this.#cache.size <= engineModel.cacheBlockCount) {
+        break;
+      }
+      this.#cache.delete(hash);
+      evicted.push(hash);
+    }
+    this.#sequence += 1;
+    this.cacheEvents.push({ sequence: this.#sequence, stored: hashes.slice(cachedCount), evicted });
+    return cachedCount;
+  }
+}
--- /dev/null
+++ b/packages/bench/policy/engineModel.ts
@@ -0,0 +1,15 @@
+/**
+ * Constants of the engine model. A step of an almost empty batch takes `stepMs`, of a full batch twice as long;
+ * prefill runs in chunks inside the steps.
+ */
+export const engineModel = {
+  batchLimitCount: 32,
+  stepMs: 12,
+  prefillMsPerToken: 0.05,
+  prefillChunkTokens: 512,
+  blockTokens: 64,
+  /** Blocks in the prefix cache: 64 prompts of 16 blocks. */
+  cacheBlockCount: 1024,
+  queueLimitCount: 64,
+  failAfterMs: 5,
+} as const;
--- /dev/null
+++ b/packages/bench/policy/summarizeRun.ts
@@ -0,0 +1,68 @@
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RequestClass } from "@clementinemux/common/RequestClass";
+import type { RequestRecord } from "./RequestRecord";
+
+interface RunSummary {
+  readonly requests: number;
+  readonly importantOnTime: number;
+  readonly otherOnTime: number;
+  /** Of all classes, and of the important class alone; answered requests only. */
+  readonly firstTokenP95Ms: number;
+  readonly importantFirstTokenP95Ms: number;
+  readonly wastedTokensShare: number;
+  readonly refusedThenRun: number;
+  readonly wrongAnswer: number;
+  readonly truncatedSilently: number;
+}
+
+/**
+ * Computes the figures of one run. `workTokenCount` is what the engines computed, prefill included; wasted is
+ * what is not part of a whole answer on time, such as repeated prefill and cancelled attempts.
+ */
+export function summarizeRun(records: readonly RequestRecord[], workTokenCount: number): RunSummary {
+  const measured = records.filter(({ isMeasured }) => isMeasured);
+  const important = measured.filter(({ request }) => request.requestClass === RequestClass.Important);
+  const others = measured.filter(({ request }) => request.requestClass !== RequestClass.Important);
+  const usefulTokens = records
+    .filter((record) => isOnTime(record))
+    .reduce((sum, record) => sum + record.answerTokenCount + (record.firstPrefillCount ?? 0), 0);
+  return {
+    requests: measured.length,
+    importantOnTime: getOnTimeShare(important),
+    otherOnTime: getOnTimeShare(others),
+    firstTokenP95Ms: getFirstTokenP95(measured),
+    importantFirstTokenP95Ms: getFirstTokenP95(important),
+    wastedTokensShare: round(1 - usefulTokens / Math.max(1, workTokenCount)),
+    refusedThenRun: records.filter(
+      ({ refusedOutcome, hasRun }) => refusedOutcome === Outcome.NotRun && hasRun,
+    ).length,
+    wrongAnswer: records.filter(({ isWrong }) => isWrong).length,
+    truncatedSilently: records.filter(
+      ({ completedAtMs, deliveredCount, answerTokenCount }) =>
+        completedAtMs !== null && deliveredCount !== answerTokenCount,
+    ).length,
+  };
+}
+
+function isOnTime({ completedAtMs, request, deliveredCount, answerTokenCount }: RequestRecord): boolean {
+  return (
+    completedAtMs !== null && completedAtMs <= request.deadlineAtMs && deliveredCount === answerTokenCount
+  );
+}
+
+function getOnTimeShare(records: readonly RequestRecord[]): number {
+  return round(records.filter((record) => isOnTime(record)).length / Math.max(1, records.length));
+}
+
+function getFirstTokenP95(records: readonly RequestRecord[]): number {
+  const times = records
+    .flatMap(({ firstTokenAtMs, request }) =>
+      firstTokenAtMs === null ? [] : [firstTokenAtMs - request.arrivedAtMs],
+    )
+    .sort((left, right) => left - right);
+  return Math.round(times[Math.floor(times.length * 0.95)] ?? 0);
+}
+
+function round(value: number): number {
+  return Math.round(value * 10_000) / 10_000;
+}
