Scale the correction of late reports by the load of the other entries

Cause: 16 entries see the same late reports and prefer the same targets; the correction counted only the own requests sent since, so a target looked free to all of them until the next report. Change: own changes since the report count times the square root of reported over own load.

--- a/packages/policy/TargetBook.ts
+++ b/packages/policy/TargetBook.ts
@@ -9,6 +9,9 @@
 /** With fewer targets, ejecting one would take more than a third of the capacity. */
 const minFleetToEject = 3;
 
+/** Without own requests the ratio says little; larger fleets than this use subsets. */
+const maxHerdRatio = 64;
+
 /** All targets that this entry knows, with restarts, ejection and the health of groups. */
 export class TargetBook {
   readonly #targets = new Map<string, TargetState>();
@@ -16,6 +19,7 @@
   readonly #events: Counters<PolicyEvent>;
   readonly #groupErrorRates = new Map<string, number>();
   #isFirstView = true;
+  #herdFactor = 1;
 
   constructor(prefixes: PrefixIndex, events: Counters<PolicyEvent>) {
     this.#prefixes = prefixes;
@@ -26,6 +30,11 @@
     return this.#targets.values();
   }
 
+  /** How many requests of all entries a request of this entry stands for; see `TargetState.getLoadCount`. */
+  get herdFactor(): number {
+    return this.#herdFactor;
+  }
+
   applyViews(views: readonly TargetView[], nowMs: number): void {
     const names = new Set(views.map(({ announcement }) => announcement.target));
     for (const name of this.#targets.keys()) {
@@ -39,6 +48,7 @@
     }
     this.#isFirstView = false;
     this.#updateGroups();
+    this.#updateHerdFactor();
   }
 
   /** Error rate of the target's group, which shares its fate in lock-step; 0 for a target that runs alone. */
@@ -91,6 +101,20 @@
     this.#targets.set(target, new TargetState(view, warmFromMs));
   }
 
+  /**
+   * The reported load over this entry's own says how many entries there are to each own request. Its square root
+   * is taken: with independent choices the factor would be 1, with equal ones the whole ratio.
+   */
+  #updateHerdFactor(): void {
+    let reportedCount = 0;
+    let ownCount = 0;
+    for (const { view, inFlightCount } of this.#targets.values()) {
+      reportedCount += view.load === null ? 0 : view.load.runningCount + view.load.queuedCount;
+      ownCount += inFlightCount;
+    }
+    this.#herdFactor = Math.sqrt(Math.min(maxHerdRatio, Math.max(1, reportedCount / Math.max(1, ownCount))));
+  }
+
   #updateGroups(): void {
     const rates = new Map<string, number[]>();
     for (const { view, health } of this.#targets.values()) {
--- a/packages/policy/TargetState.ts
+++ b/packages/policy/TargetState.ts
@@ -53,8 +53,11 @@
     this.#changes.push({ atMs: nowMs, change: -1 });
   }
 
-  /** Requests at the target now: the reported ones and what this entry has changed since the report. */
-  getLoadCount(): number {
+  /**
+   * Requests at the target now: the reported ones and what has changed since the report. The entries see the
+   * same late report and choose alike, so this entry's own changes stand for `herdFactor` times as many.
+   */
+  getLoadCount(herdFactor: number): number {
     const { load } = this.#view;
     if (load === null) {
       return this.#inFlightCount;
@@ -63,7 +66,7 @@
       (sum, { atMs, change }) => (atMs > load.measuredAtMs ? sum + change : sum),
       0,
     );
-    return Math.max(this.#inFlightCount, load.runningCount + load.queuedCount + changed);
+    return Math.max(this.#inFlightCount, load.runningCount + load.queuedCount + changed * herdFactor);
   }
 
   /** Decoding step expected with `loadCount` requests; steps lengthen with the batch. */
--- a/packages/policy/routing/Router.ts
+++ b/packages/policy/routing/Router.ts
@@ -76,6 +76,7 @@
       region,
       times,
       prefixes,
+      herdFactor: book.herdFactor,
       groupErrorRate: book.getGroupErrorRate(target),
       nowMs,
     });
@@ -87,7 +88,7 @@
     }
     return (
       !this.#strategy.usesReports ||
-      target.getLoadCount() < target.batchLimitCount * batchShares[requestClass]
+      target.getLoadCount(this.#options.book.herdFactor) < target.batchLimitCount * batchShares[requestClass]
     );
   }
 }
--- a/packages/policy/routing/scoreTarget.ts
+++ b/packages/policy/routing/scoreTarget.ts
@@ -12,6 +12,7 @@
   readonly times: ServiceTimes;
   readonly prefixes: PrefixIndex;
   readonly groupErrorRate: number;
+  readonly herdFactor: number;
   readonly nowMs: number;
 }
 
@@ -30,7 +31,7 @@
 export function scoreTarget(target: TargetState, context: ScoreContext): Candidate {
   const { request, model, times, prefixes, nowMs } = context;
   const { health, view } = target;
-  const loadCount = target.getLoadCount() + 1;
+  const loadCount = target.getLoadCount(context.herdFactor) + 1;
   const stepMs = target.getStepMs(loadCount, times.getTokenGapMs(model));
   const meanGapMs = times.getTokenGapMs(model);
   const speed = Math.max(0.2, target.getStepMs(target.batchLimitCount / 2, meanGapMs) / meanGapMs);
