Leave a margin for long answers when judging whether a deadline can be met

Change: the deadline check uses the mean output share plus two mean deviations, at most the permitted output.

--- a/packages/policy/PolicyState.ts
+++ b/packages/policy/PolicyState.ts
@@ -120,7 +120,7 @@
         continue;
       }
       queue.forEachWait(this.admission.getSlotCount(head), (state, waitMs) => {
-        if (nowMs + waitMs + state.costMs > state.request.deadlineAtMs) {
+        if (nowMs + waitMs + this.getSafeRemainingMs(state) > state.request.deadlineAtMs) {
           unreachable.push({ state, waitMs });
         }
       });
@@ -220,6 +220,13 @@
     return Math.max(1, this.#times.getPrefillMs(state.model, promptTokenCount) + remainingCount * gapMs);
   }
 
+  /** The remaining time with a margin for long answers. */
+  getSafeRemainingMs(state: RequestState): number {
+    const marginMs =
+      this.admission.getServiceMs(state) - this.#times.getServiceMs(state.model, state.request);
+    return this.getRemainingMs(state) + marginMs;
+  }
+
   /** Forgets a request that has ended and corrects what was charged for its tokens. */
   forget(state: RequestState, nowMs: number): void {
     const { request, chargedTokenCount, sentTokenCount, attempts } = state;
--- a/packages/policy/admission/Admission.ts
+++ b/packages/policy/admission/Admission.ts
@@ -58,8 +58,8 @@
     return this.#router.findServing(state).reduce((sum, { inFlightCount }) => sum + inFlightCount, 0);
   }
 
-  /** Predicted time from dispatch to the end, without waiting. */
+  /** Predicted time from dispatch to the end, without waiting, with a margin for long answers. */
   getServiceMs(state: RequestState): number {
-    return this.#times.getServiceMs(state.model, state.request);
+    return this.#times.getSafeServiceMs(state.model, state.request);
   }
 }
--- a/packages/policy/admission/ServiceTimes.ts
+++ b/packages/policy/admission/ServiceTimes.ts
@@ -2,6 +2,8 @@
   prefillMsPerToken: number;
   tokenGapMs: number;
   outputShare: number;
+  /** Mean absolute deviation of `outputShare`. */
+  outputDeviation: number;
   baseMs: number;
 }
 
@@ -14,7 +16,15 @@
 const gain = 0.05;
 /** A first token includes waiting at the engine, so samples above the estimate count less than those below. */
 const upwardPrefillGain = 0.005;
-const firstEstimate: ModelTimes = { prefillMsPerToken: 0.1, tokenGapMs: 20, outputShare: 0.7, baseMs: 50 };
+/** Answers longer than the mean by this many mean deviations still count as expected. */
+const safeDeviations = 2;
+const firstEstimate: ModelTimes = {
+  prefillMsPerToken: 0.1,
+  tokenGapMs: 20,
+  outputShare: 0.7,
+  outputDeviation: 0.1,
+  baseMs: 50,
+};
 
 /**
  * Measured service times per model (or service). The estimate of a request is
@@ -41,7 +51,9 @@
   addAnswer(model: string, tokenCount: number, maxTokenCount: number, decodeMs: number): void {
     const times = this.#get(model);
     if (maxTokenCount > 0) {
-      times.outputShare += gain * (Math.min(1, tokenCount / maxTokenCount) - times.outputShare);
+      const error = Math.min(1, tokenCount / maxTokenCount) - times.outputShare;
+      times.outputShare += gain * error;
+      times.outputDeviation += gain * (Math.abs(error) - times.outputDeviation);
     }
     if (tokenCount > 1) {
       times.tokenGapMs += gain * (decodeMs / (tokenCount - 1) - times.tokenGapMs);
@@ -77,6 +89,13 @@
     );
   }
 
+  /** Predicted service time that most answers keep: with a longer output than the mean, at most the permitted one. */
+  getSafeServiceMs(model: string, size: ServiceSize): number {
+    const { outputShare, outputDeviation, tokenGapMs } = this.#get(model);
+    const safeShare = Math.min(1, outputShare + safeDeviations * outputDeviation);
+    return this.getServiceMs(model, size) + (safeShare - outputShare) * size.maxTokenCount * tokenGapMs;
+  }
+
   #get(model: string): ModelTimes {
     let times = this.#models.get(model);
     if (times === undefined) {
