--- a/bin/bench-policy.ts
+++ b/bin/bench-policy.ts
@@ -1,4 +1,6 @@
 import { runPolicyBench } from "@clementinemux/bench/policy/runPolicyBench";
+import { runSubsetBench } from "@clementinemux/bench/policy/runSubsetBench";
 
 const only = process.argv.slice(2).filter((argument) => !argument.startsWith("--"));
-console.log(JSON.stringify(runPolicyBench({ only }), null, 2));
+const result = only.includes("subset") ? { subset: runSubsetBench() } : runPolicyBench({ only });
+console.log(JSON.stringify(result, null, 2));
--- /dev/null
+++ b/packages/policy/subset/SubsetUnit.ts
@@ -0,0 +1,6 @@
+/** Unit in which targets are assigned to entries: a group, or a target that runs alone. */
+export interface SubsetUnit {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly region: string;
+}
