--- a/packages/bench/policy/FleetModel.ts
+++ b/packages/bench/policy/FleetModel.ts
@@ -19,6 +19,8 @@
   readonly routing: RoutingKind;
   readonly seed: number;
   readonly retryBudgetEnabled: boolean;
+  /** Attempts per request; the default configuration's when absent. */
+  readonly maxAttempts?: number;
 }
 
 const reportIntervalMs = 200;
@@ -128,9 +130,11 @@
 
   #createEntry(index: number): ModelEntry {
     const { deployment, routing, seed, retryBudgetEnabled } = this.#options;
+    const { config } = this.#workload;
+    const maxAttempts = this.#options.maxAttempts ?? config.defaults.maxAttempts;
     const domain = index % deployment.failureDomainCount;
     const policy = createPolicy({
-      config: this.#workload.config,
+      config: { ...config, defaults: { ...config.defaults, maxAttempts } },
       entryId: `entry-${index}`,
       failureDomain: `domain-${domain}`,
       region: "r",
--- a/packages/bench/policy/ModelEngine.ts
+++ b/packages/bench/policy/ModelEngine.ts
@@ -21,8 +21,8 @@
   slowdown = 1;
   /** Share of jobs that fail shortly after they arrive. */
   errorShare = 0;
-  /** Share of jobs that fail halfway through their answer. */
-  halfwayErrorShare = 0;
+  /** Share of jobs that fail after their whole prefill and before their first token. */
+  prefillErrorShare = 0;
   workTokenCount = 0;
   readonly cacheEvents: CacheEvent[] = [];
   readonly #events: EventQueue;
@@ -30,7 +30,7 @@
   readonly #waiting: EngineJob[] = [];
   #running: RunningJob[] = [];
   readonly #cache = new Map<number, null>();
-  readonly #failAt = new Map<string, number>();
+  readonly #failing = new Set<string>();
   #isStepping = false;
   #lastStepMs: number = engineModel.stepMs;
   #sequence = 0;
@@ -51,8 +51,8 @@
       job.onEnd("overloaded");
       return;
     }
-    if (this.#random() < this.halfwayErrorShare) {
-      this.#failAt.set(job.attemptId, job.firstPosition + (job.answerTokenCount - job.firstPosition) / 2);
+    if (this.#random() < this.prefillErrorShare) {
+      this.#failing.add(job.attemptId);
     }
     const index = this.#waiting.findIndex(({ priority }) => priority < job.priority);
     this.#waiting.splice(index < 0 ? this.#waiting.length : index, 0, job);
@@ -113,6 +113,10 @@
         kept.push(running);
         continue;
       }
+      if (this.#failing.delete(running.job.attemptId)) {
+        running.job.onEnd("error");
+        continue;
+      }
       running.position += 1;
       this.workTokenCount += 1;
       running.job.onPosition(running.position);
@@ -125,11 +129,6 @@
   }
 
   #endJob({ job, position }: RunningJob): boolean {
-    if (position >= (this.#failAt.get(job.attemptId) ?? Number.POSITIVE_INFINITY)) {
-      this.#failAt.delete(job.attemptId);
-      job.onEnd("error");
-      return true;
-    }
     if (position >= job.answerTokenCount) {
       job.onEnd("completed");
       return true;
