--- /dev/null
+++ b/packages/experts/LayerMap.ts
@@ -0,0 +1,7 @@
+/** Placement of one layer's experts. Both arrays are indexed by expert and have equal inner lengths. */
+export interface LayerMap {
+  /** Ranks that hold the expert, without repetition. */
+  readonly hosts: readonly (readonly number[])[];
+  /** Share of the expert's traffic that each of these ranks gets; sums to 1 per expert. */
+  readonly shares: readonly (readonly number[])[];
+}
