Size a new replica by times instead of loads when ranks differ in speed

The part that a new replica takes over was computed from loads, so that no part was moved off a slow rank with an average load.

--- a/packages/experts/planner/findBestChange.ts
+++ b/packages/experts/planner/findBestChange.ts
@@ -38,7 +38,7 @@
   );
 }
 
-/** Part of the expert's load that a new replica would take over to even out both ranks. */
+/** Part of the expert's load that a new replica would take over to give both ranks equal times. */
 function getReplicaPart(
   state: LayerState,
   part: number,
@@ -48,7 +48,9 @@
 ): number {
   const hot = state.rankLoads[hotRank] ?? 0;
   const cold = (state.rankLoads[coldRank] ?? 0) - freed;
-  return Math.max(0, Math.min(part, (hot - cold) / 2));
+  const hotSpeed = state.speeds[hotRank] ?? 1;
+  const coldSpeed = state.speeds[coldRank] ?? 1;
+  return Math.max(0, Math.min(part, (hot * coldSpeed - cold * hotSpeed) / (hotSpeed + coldSpeed)));
 }
 
 /** Extra potential on the ranks that take over the part of a removed replica, in proportion to their parts. */
