--- /dev/null
+++ b/packages/experts/loads/RankJudge.ts
@@ -0,0 +1,105 @@
+import type { RankAdvice } from "./RankAdvice";
+import { RankVerdict } from "./RankVerdict";
+
+// A rank's compute time varies by a few percent between windows on healthy hardware.
+const slowExcess = 1.15;
+const recoveredExcess = 1.05;
+// One long pause must not name a rank for replacement.
+const judgementsToConfirm = 5;
+const loadedRatio = 1.1;
+// A group at half speed, or with this share of slow ranks, wastes more than it serves.
+const drainExcess = 2;
+const drainShare = 0.25;
+
+interface RankHistory {
+  incarnation: string;
+  slowCount: number;
+  healthyCount: number;
+  isSlow: boolean;
+  excess: number;
+}
+
+interface RankSample {
+  readonly incarnation: string;
+  readonly stepMs: number;
+  /** Load summed over the layers, under the map in force. */
+  readonly load: number;
+}
+
+function getMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
+/**
+ * Tells a rank that is slow because of its experts from one that is slow in itself. A compute time that the
+ * rank's load explains, if all of the time grew with load, is put down to the load.
+ */
+export class RankJudge {
+  readonly #histories = new Map<number, RankHistory>();
+  readonly #rankCount: number;
+
+  constructor(rankCount: number) {
+    this.#rankCount = rankCount;
+  }
+
+  /** Judges one window. Ranks without a sample keep their last judgement. */
+  judge(samples: ReadonlyMap<number, RankSample>): RankAdvice {
+    const medianMs = getMedian([...samples.values()].map(({ stepMs }) => stepMs));
+    const medianLoad = getMedian([...samples.values()].map(({ load }) => load));
+    const verdicts = new Array<RankVerdict>(this.#rankCount).fill(RankVerdict.Healthy);
+    const reportForReplacement: number[] = [];
+    for (const [rank, sample] of samples) {
+      const history = this.#getHistory(rank, sample.incarnation);
+      const timeRatio = medianMs > 0 ? sample.stepMs / medianMs : 1;
+      const loadRatio = medianLoad > 0 ? sample.load / medianLoad : 1;
+      const wasSlow = history.isSlow;
+      this.#addExcess(history, timeRatio / Math.max(1, loadRatio));
+      if (history.isSlow && !wasSlow) {
+        reportForReplacement.push(rank);
+      }
+      if (!history.isSlow && timeRatio > loadedRatio && loadRatio > loadedRatio) {
+        verdicts[rank] = RankVerdict.ExpertLoad;
+      }
+    }
+    return this.#advise(verdicts, reportForReplacement);
+  }
+
+  #getHistory(rank: number, incarnation: string): RankHistory {
+    const known = this.#histories.get(rank);
+    if (known?.incarnation === incarnation) {
+      return known;
+    }
+    const created = { incarnation, slowCount: 0, healthyCount: 0, isSlow: false, excess: 1 };
+    this.#histories.set(rank, created);
+    return created;
+  }
+
+  #addExcess(history: RankHistory, excess: number): void {
+    history.excess += (excess - history.excess) / judgementsToConfirm;
+    history.slowCount = excess >= slowExcess ? history.slowCount + 1 : 0;
+    history.healthyCount = excess <= recoveredExcess ? history.healthyCount + 1 : 0;
+    if (history.slowCount >= judgementsToConfirm) {
+      history.isSlow = true;
+    }
+    if (history.healthyCount >= judgementsToConfirm) {
+      history.isSlow = false;
+    }
+  }
+
+  #advise(verdicts: RankVerdict[], reportForReplacement: readonly number[]): RankAdvice {
+    const rankSpeeds = new Float64Array(this.#rankCount).fill(1);
+    const slowRanks = new Set<number>();
+    let worstExcess = 1;
+    for (const [rank, history] of this.#histories) {
+      if (history.isSlow) {
+        verdicts[rank] = RankVerdict.SlowRank;
+        rankSpeeds[rank] = 1 / Math.max(1, history.excess);
+        slowRanks.add(rank);
+        worstExcess = Math.max(worstExcess, history.excess);
+      }
+    }
+    const suggestDrain = worstExcess >= drainExcess || slowRanks.size >= this.#rankCount * drainShare;
+    return { verdicts, rankSpeeds, slowRanks, reportForReplacement, suggestDrain };
+  }
+}
