Add the activation protocol of expert maps, lead and rank sides

The lead compares the ranks' statuses with its goal and sends what is due, so that loss, delay and repetition need no handling of their own. A status carries incarnation, epoch, prepared and armed version and serves as every confirmation. A new lead reads or aborts each undecided version that it learns of, and never uses its number again. A started rank runs no step until it gets the schedule of a rank that has heard every decision.

--- /dev/null
+++ b/packages/experts/activation/LeadActivation.ts
@@ -0,0 +1,276 @@
+import { MapDecision } from "@clementinemux/messages/MapDecision";
+import type { ExpertMap } from "../ExpertMap";
+import { findMapFault } from "../findMapFault";
+import type { LeadAction } from "./LeadAction";
+import { LeadActionKind } from "./LeadActionKind";
+import { LeadPhase } from "./LeadPhase";
+import type { LeadSettings } from "./LeadSettings";
+import type { Proposal } from "./Proposal";
+import type { RankOrder } from "./RankOrder";
+import { RankOrderKind } from "./RankOrderKind";
+import type { RankStatus } from "./RankStatus";
+
+// Map that every engine knows from its settings; decided versions start at 1.
+const startMapVersion = 0;
+
+type WithoutHeader<T> = T extends RankOrder ? Omit<T, "epoch" | "rank" | "stamp"> : never;
+
+/**
+ * Lead side of the activation of maps, without I/O. `step` compares the statuses of the ranks with the goal and
+ * returns the orders that are due, so that lost, late and repeated messages need no handling of their own.
+ */
+export class LeadActivation {
+  readonly #settings: LeadSettings;
+  readonly #statuses = new Map<number, RankStatus>();
+  readonly #decisions = new Map<number, MapDecision>();
+  #leaseEndsAtMs: number;
+  #proposal: Proposal | null = null;
+  #lastVersion: number;
+
+  constructor(settings: LeadSettings, leaseEndsAtMs: number) {
+    this.#settings = settings;
+    this.#leaseEndsAtMs = leaseEndsAtMs;
+    this.#lastVersion = settings.decidedVersion + 1;
+  }
+
+  get phase(): LeadPhase {
+    if (this.#findUndecidedVersion() !== null) {
+      return LeadPhase.TakingOver;
+    }
+    if (this.#proposal === null) {
+      return this.#isSettled() ? LeadPhase.Idle : LeadPhase.Settling;
+    }
+    if (this.#proposal.committing !== null) {
+      return LeadPhase.Deciding;
+    }
+    return this.#proposal.beforeStep === null ? LeadPhase.Preparing : LeadPhase.Arming;
+  }
+
+  /** Version that a new map must have. Versions of earlier leads are decided before and never used again. */
+  get nextVersion(): number {
+    return this.#lastVersion + 1;
+  }
+
+  renewLease(leaseEndsAtMs: number): void {
+    this.#leaseEndsAtMs = leaseEndsAtMs;
+  }
+
+  /** Starts the activation of a map. Returns false when the lead is not idle or the map is not valid. */
+  propose(map: ExpertMap, nowMs: number): boolean {
+    const isValid = map.version === this.nextVersion && findMapFault(this.#settings.shape, map) === null;
+    if (this.phase !== LeadPhase.Idle || !isValid || !this.#holdsLease(nowMs)) {
+      return false;
+    }
+    this.#lastVersion = map.version;
+    this.#proposal = {
+      map,
+      startedAtMs: nowMs,
+      confirmations: new Map(),
+      incarnations: new Map([...this.#statuses].map(([rank, { stamp }]) => [rank, stamp.incarnation])),
+      beforeStep: null,
+      committing: null,
+    };
+    return true;
+  }
+
+  handleStatus(status: RankStatus): void {
+    const known = this.#statuses.get(status.rank);
+    if (known !== undefined && !isNewer(status, known)) {
+      return;
+    }
+    this.#statuses.set(status.rank, status);
+    const proposal = this.#proposal;
+    if (proposal !== null && this.#isArmedFor(status, proposal)) {
+      proposal.confirmations.set(status.rank, status.stamp.incarnation);
+    }
+  }
+
+  /** The control log's answer: the decision that stands for the version. */
+  handleDecision(version: number, decision: MapDecision): void {
+    this.#decisions.set(version, decision);
+    this.#lastVersion = Math.max(this.#lastVersion, version);
+    if (this.#proposal?.map.version === version) {
+      this.#proposal = null;
+    }
+  }
+
+  /** Returns what is due now. Call after every event and on a timer. */
+  step(nowMs: number): LeadAction[] {
+    if (!this.#holdsLease(nowMs)) {
+      return [];
+    }
+    const undecided = this.#findUndecidedVersion();
+    if (undecided !== null) {
+      // The first decision stands, so that an abort reads the decision of an earlier lead if there is one.
+      return [this.#commit(undecided, MapDecision.Abort)];
+    }
+    const proposal = this.#proposal;
+    if (proposal !== null) {
+      return this.#advance(proposal, nowMs);
+    }
+    return [...this.#createQueries(), ...this.#createTells(), ...this.#createJoins()];
+  }
+
+  #holdsLease(nowMs: number): boolean {
+    return nowMs >= this.#settings.startAtMs && nowMs < this.#leaseEndsAtMs;
+  }
+
+  /** Version left over from an earlier lead, whose decision this lead has not read yet. */
+  #findUndecidedVersion(): number | null {
+    const { decidedVersion } = this.#settings;
+    const held = [...this.#statuses.values()].flatMap(({ armed, prepared }) => [
+      armed?.version,
+      prepared?.version,
+    ]);
+    const undecided = [decidedVersion, decidedVersion + 1, ...held].find(
+      (version) =>
+        version !== undefined &&
+        version > 0 &&
+        version !== this.#proposal?.map.version &&
+        !this.#decisions.has(version),
+    );
+    return undecided ?? null;
+  }
+
+  /** Whether the rank has heard this lead, and therefore refuses orders of earlier ones. */
+  #isFresh(status: RankStatus | undefined): status is RankStatus {
+    return status?.epochSeen === this.#settings.epoch;
+  }
+
+  #isSettled(): boolean {
+    return this.#listRanks().every((rank) => {
+      const status = this.#statuses.get(rank);
+      return this.#isFresh(status) && status.isJoined && isClean(status);
+    });
+  }
+
+  #listRanks(): number[] {
+    return Array.from({ length: this.#settings.shape.rankCount }, (_, rank) => rank);
+  }
+
+  #isArmedFor(status: RankStatus, { map, beforeStep }: Proposal): boolean {
+    const { armed } = status;
+    return (
+      armed?.version === map.version &&
+      armed.epoch === this.#settings.epoch &&
+      armed.beforeStep === beforeStep
+    );
+  }
+
+  #isConfirmed(rank: number, proposal: Proposal): boolean {
+    const incarnation = this.#statuses.get(rank)?.stamp.incarnation;
+    return incarnation !== undefined && proposal.confirmations.get(rank) === incarnation;
+  }
+
+  #advance(proposal: Proposal, nowMs: number): LeadAction[] {
+    const { version } = proposal.map;
+    proposal.committing ??= this.#chooseDecision(proposal, nowMs);
+    if (proposal.committing !== null) {
+      return [this.#commit(version, proposal.committing)];
+    }
+    if (proposal.beforeStep === null && this.#isPrepared(version)) {
+      const latestStep = Math.max(...[...this.#statuses.values()].map(({ nextStep }) => nextStep));
+      proposal.beforeStep = latestStep + this.#settings.armMarginSteps;
+    }
+    const { beforeStep } = proposal;
+    if (beforeStep === null) {
+      const unprepared = this.#listRanks().filter(
+        (rank) => this.#statuses.get(rank)?.prepared?.version !== version,
+      );
+      return unprepared.flatMap((rank) =>
+        this.#send(rank, { kind: RankOrderKind.Prepare, map: proposal.map }),
+      );
+    }
+    return this.#listRanks()
+      .filter((rank) => !this.#isConfirmed(rank, proposal))
+      .flatMap((rank) => this.#send(rank, { kind: RankOrderKind.Arm, version, beforeStep }));
+  }
+
+  #isPrepared(version: number): boolean {
+    return this.#listRanks().every((rank) => {
+      const prepared = this.#statuses.get(rank)?.prepared;
+      return prepared?.version === version && prepared.epoch === this.#settings.epoch;
+    });
+  }
+
+  #chooseDecision(proposal: Proposal, nowMs: number): MapDecision | null {
+    if (this.#listRanks().every((rank) => this.#isConfirmed(rank, proposal))) {
+      return MapDecision.Activate;
+    }
+    const isLate = nowMs - proposal.startedAtMs >= this.#settings.activationTimeoutMs;
+    const mustAbort = [...this.#statuses.values()].some(
+      (status) => this.#hasRestarted(status, proposal) || this.#hasPassed(status, proposal),
+    );
+    return isLate || mustAbort ? MapDecision.Abort : null;
+  }
+
+  #hasRestarted({ rank, stamp }: RankStatus, { incarnations }: Proposal): boolean {
+    return incarnations.get(rank) !== stamp.incarnation;
+  }
+
+  /** The rank has started the step before which it should have been armed. */
+  #hasPassed(status: RankStatus, { beforeStep }: Proposal): boolean {
+    return beforeStep !== null && status.armed === null && status.nextStep > beforeStep;
+  }
+
+  #createQueries(): LeadAction[] {
+    return this.#listRanks()
+      .filter((rank) => !this.#isFresh(this.#statuses.get(rank)))
+      .flatMap((rank) => this.#send(rank, { kind: RankOrderKind.Query }));
+  }
+
+  #createTells(): LeadAction[] {
+    return [...this.#statuses.values()].flatMap(({ rank, armed, prepared }) => {
+      const version = armed?.version ?? prepared?.version;
+      const decision = version === undefined ? undefined : this.#decisions.get(version);
+      return version === undefined || decision === undefined
+        ? []
+        : this.#send(rank, { kind: RankOrderKind.Tell, version, decision });
+    });
+  }
+
+  /**
+   * Started ranks get the schedule of a rank that has heard every decision. Only when all ranks have started
+   * anew, which this lead knows from each of them, does the group begin with the map of its settings.
+   */
+  #createJoins(): LeadAction[] {
+    const statuses = this.#listRanks().map((rank) => this.#statuses.get(rank));
+    const fresh = statuses.filter((status) => this.#isFresh(status));
+    const joining = fresh.filter(({ isJoined }) => !isJoined);
+    const source = fresh.find((status) => status.isJoined && isClean(status));
+    if (source !== undefined) {
+      const { schedule } = source;
+      return joining.flatMap(({ rank }) => this.#send(rank, { kind: RankOrderKind.Join, schedule }));
+    }
+    if (joining.length < this.#settings.shape.rankCount) {
+      return [];
+    }
+    const schedule = [{ version: startMapVersion, fromStep: 0 }];
+    return joining.flatMap(({ rank }) => this.#send(rank, { kind: RankOrderKind.Join, schedule }));
+  }
+
+  #commit(version: number, decision: MapDecision): LeadAction {
+    return { kind: LeadActionKind.CommitDecision, version, epoch: this.#settings.epoch, decision };
+  }
+
+  #send(rank: number, body: WithoutHeader<RankOrder>): LeadAction[] {
+    const status = this.#statuses.get(rank);
+    if (status === undefined) {
+      return [];
+    }
+    const order: RankOrder = { ...body, epoch: this.#settings.epoch, rank, stamp: status.stamp };
+    return [{ kind: LeadActionKind.SendOrder, order }];
+  }
+}
+
+function isNewer(status: RankStatus, known: RankStatus): boolean {
+  if (status.stamp.incarnation === known.stamp.incarnation) {
+    return status.sequence > known.sequence;
+  }
+  return status.stamp.incarnation > known.stamp.incarnation;
+}
+
+/** Whether the rank has heard the decision on every version that it knows. */
+function isClean({ armed, prepared }: RankStatus): boolean {
+  return armed === null && prepared === null;
+}
--- /dev/null
+++ b/packages/experts/test/ActivationWorld.ts
@@ -0,0 +1,345 @@
+import type { Random } from "@clementinemux/common/Random";
+import type { GroupShape } from "@clementinemux/experts/GroupShape";
+import { LeadActivation } from "@clementinemux/experts/activation/LeadActivation";
+import { LeadActionKind } from "@clementinemux/experts/activation/LeadActionKind";
+import { RankActivation } from "@clementinemux/experts/activation/RankActivation";
+import type { RankOrder } from "@clementinemux/experts/activation/RankOrder";
+import type { RankStatus } from "@clementinemux/experts/activation/RankStatus";
+import { MapDecision } from "@clementinemux/messages/MapDecision";
+
+type Message = () => void;
+
+interface WorldRank {
+  activation: RankActivation;
+  /** Loaded map by version; a joined rank copies its first one from the others. */
+  contents: Map<number, string>;
+  incarnation: string;
+  isFrozen: boolean;
+}
+
+interface WorldLead {
+  readonly activation: LeadActivation;
+  readonly epoch: number;
+  isFrozen: boolean;
+  /** Newest incarnation of each rank that the lead has heard. */
+  readonly heard: Map<number, string>;
+  /** Arms that the lead has heard of, as "rank incarnation version". */
+  readonly heardArms: Set<string>;
+  readonly sentDecisions: Set<number>;
+}
+
+const leaseMs = 600;
+const orderMaxAgeMs = 200;
+const shape: GroupShape = {
+  rankCount: 3,
+  layerCount: 1,
+  expertCount: 3,
+  slotsPerRank: 2,
+  expertBytes: 1,
+  failureDomains: ["a", "b", "c"],
+};
+
+/** Ranks, leads, control log and network in memory. Every fault is an explicit call; time moves only by `advance`. */
+export class ActivationWorld {
+  nowMs = 0;
+  activatedCount = 0;
+  completedSteps = 0;
+  readonly violations: string[] = [];
+  readonly #ranks: WorldRank[] = [];
+  readonly #random: Random;
+  /** Leads that never notice the end of their lease, to test the epoch alone. */
+  readonly #ignoreLeases: boolean;
+  readonly #decisions = new Map<number, MapDecision>();
+  #messages: Message[] = [];
+  #leads: WorldLead[] = [];
+  #epoch = 0;
+  #leaseEndsAtMs = 0;
+  #startCount = 0;
+  #started = new Map<number, string>();
+
+  constructor(random: Random, ignoreLeases: boolean) {
+    this.#random = random;
+    this.#ignoreLeases = ignoreLeases;
+    for (let rank = 0; rank < shape.rankCount; rank += 1) {
+      this.#ranks.push(this.#startRank(rank));
+    }
+  }
+
+  advance(ms: number): void {
+    this.nowMs += ms;
+  }
+
+  deliver(mode: "keep" | "drop" | "once"): void {
+    const index = this.#pick(this.#messages.length);
+    const message = this.#messages[index];
+    if (mode !== "keep") {
+      this.#messages.splice(index, 1);
+    }
+    if (mode !== "drop") {
+      message?.();
+    }
+  }
+
+  deliverAll(): void {
+    const messages = this.#messages;
+    this.#messages = [];
+    for (const message of messages) {
+      message();
+    }
+  }
+
+  sendStatuses(): void {
+    for (const [rank, { activation, isFrozen }] of this.#ranks.entries()) {
+      if (!isFrozen) {
+        this.#sendStatus(rank, activation);
+      }
+    }
+  }
+
+  /** The weight store answers; a lost answer is a call that is not made. */
+  finishLoads(rank: number): void {
+    const { activation } = this.#ranks[rank]!;
+    if (activation.mapToLoad !== null) {
+      this.#ranks[rank]!.contents.set(activation.mapToLoad.version, JSON.stringify(activation.mapToLoad));
+      activation.setLoaded(activation.mapToLoad.version);
+    }
+  }
+
+  /** Every rank that may starts the group's step; the step ends when all ranks have started it. */
+  runStep(): void {
+    for (const [rank, { activation, isFrozen }] of this.#ranks.entries()) {
+      const version = isFrozen || this.#started.has(rank) ? null : activation.getNextVersion();
+      if (version !== null) {
+        activation.startStep();
+        this.#started.set(rank, this.#getContent(rank, version));
+      }
+    }
+    if (new Set(this.#started.values()).size > 1) {
+      this.violations.push(`step ${this.completedSteps}: maps ${[...this.#started.values()].join(" ")}`);
+    }
+    if (this.#started.size === shape.rankCount) {
+      this.completedSteps += 1;
+      this.#started = new Map();
+    }
+  }
+
+  crashRank(rank: number): void {
+    this.#ranks[rank] = this.#startRank(rank);
+    this.#started = new Map();
+    for (const { activation } of this.#ranks) {
+      activation.setStep(this.completedSteps);
+    }
+  }
+
+  toggleRank(rank: number): void {
+    const target = this.#ranks[rank]!;
+    target.isFrozen = !target.isFrozen;
+  }
+
+  stepLeads(): void {
+    for (const lead of this.#leads.filter(({ isFrozen }) => !isFrozen)) {
+      for (const action of lead.activation.step(this.nowMs)) {
+        if (action.kind === LeadActionKind.SendOrder) {
+          this.#sendOrder(lead, action.order);
+        } else {
+          this.#sendDecision(lead, action.version, action.decision);
+        }
+      }
+    }
+  }
+
+  /** Renews the present lead's lease, or elects a new lead when it has ended. */
+  renewOrElect(): void {
+    const present = this.#leads.find(({ epoch }) => epoch === this.#epoch);
+    const hasEnded = this.#ignoreLeases ? this.#random() < 0.3 : this.nowMs >= this.#leaseEndsAtMs;
+    if (!hasEnded && present !== undefined && !present.isFrozen) {
+      this.#leaseEndsAtMs = this.nowMs + leaseMs;
+      present.activation.renewLease(this.#getLeaseEnd());
+    } else if (hasEnded) {
+      this.#elect();
+    }
+  }
+
+  crashLead(): void {
+    this.#leads.splice(this.#pick(this.#leads.length), 1);
+  }
+
+  toggleLead(): void {
+    const lead = this.#leads[this.#pick(this.#leads.length)];
+    if (lead !== undefined) {
+      lead.isFrozen = !lead.isFrozen;
+    }
+  }
+
+  propose(): void {
+    for (const { activation, epoch } of this.#leads.filter(({ isFrozen }) => !isFrozen)) {
+      // Maps of different leads differ, so that one version with two contents shows.
+      const first = { hosts: [[epoch % shape.rankCount], [1], [2]], shares: [[1], [1], [1]] };
+      activation.propose({ version: activation.nextVersion, layers: [first] }, this.nowMs);
+    }
+  }
+
+  thaw(): void {
+    for (const target of [...this.#ranks, ...this.#leads]) {
+      target.isFrozen = false;
+    }
+  }
+
+  /** A round in which a quarter of the messages is lost and another quarter stays on its way. */
+  runLossyRound(): void {
+    this.advance(40);
+    this.sendStatuses();
+    this.stepLeads();
+    const messages = this.#messages;
+    this.#messages = [];
+    for (const message of messages) {
+      const fate = this.#random();
+      if (fate < 0.5) {
+        message();
+      } else if (fate < 0.75) {
+        this.#messages.push(message);
+      }
+    }
+    this.runStep();
+  }
+
+  /** One exchange without loss; without such rounds, random events rarely reach an activation. */
+  runRound(): void {
+    this.advance(40);
+    if (!this.#ignoreLeases) {
+      this.renewOrElect();
+    }
+    this.sendStatuses();
+    this.deliverAll();
+    this.stepLeads();
+    this.deliverAll();
+    this.propose();
+    for (const rank of this.#ranks.keys()) {
+      this.finishLoads(rank);
+    }
+    this.runStep();
+  }
+
+  /** Ends all faults and checks that the group still activates a new map and runs steps. */
+  recovers(): boolean {
+    this.thaw();
+    if (this.#ignoreLeases) {
+      this.#leads = [];
+      this.#elect();
+    }
+    const before = { activated: this.activatedCount, steps: this.completedSteps };
+    for (let round = 0; round < 400; round += 1) {
+      this.runRound();
+      if (this.activatedCount > before.activated + 1 && this.completedSteps > before.steps + 5) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #getContent(rank: number, version: number): string {
+    const own = this.#ranks[rank]?.contents;
+    const others = this.#ranks.map(({ contents }) => contents.get(version));
+    const content = own?.get(version) ?? others.find((other) => other !== undefined) ?? "";
+    own?.set(version, content);
+    return `${version} ${content}`;
+  }
+
+  #pick(count: number): number {
+    return Math.floor(this.#random() * count);
+  }
+
+  #startRank(rank: number): WorldRank {
+    this.#startCount += 1;
+    const incarnation = String(this.#startCount).padStart(6, "0");
+    const activation = new RankActivation({ rank, incarnation, shape, orderMaxAgeMs });
+    activation.setStep(this.completedSteps);
+    return { activation, incarnation, isFrozen: false, contents: new Map() };
+  }
+
+  #getLeaseEnd(): number {
+    return this.#ignoreLeases ? Number.POSITIVE_INFINITY : this.#leaseEndsAtMs;
+  }
+
+  #elect(): void {
+    this.#epoch += 1;
+    this.#leaseEndsAtMs = this.nowMs + leaseMs;
+    const settings = {
+      shape,
+      epoch: this.#epoch,
+      decidedVersion: Math.max(0, ...this.#decisions.keys()),
+      startAtMs: this.nowMs + orderMaxAgeMs,
+      activationTimeoutMs: 1500,
+      armMarginSteps: 2,
+    };
+    const activation = new LeadActivation(settings, this.#getLeaseEnd());
+    const lead = {
+      activation,
+      epoch: this.#epoch,
+      isFrozen: false,
+      heard: new Map(),
+      heardArms: new Set<string>(),
+      sentDecisions: new Set<number>(),
+    };
+    this.#leads.push(lead);
+  }
+
+  #sendStatus(rank: number, activation: RankActivation): void {
+    const status = activation.getStatus(this.nowMs);
+    for (const lead of this.#leads) {
+      this.#messages.push(() => {
+        this.#hearStatus(lead, rank, status);
+      });
+    }
+  }
+
+  #hearStatus(lead: WorldLead, rank: number, status: RankStatus): void {
+    const { incarnation } = status.stamp;
+    if (incarnation >= (lead.heard.get(rank) ?? "")) {
+      lead.heard.set(rank, incarnation);
+    }
+    if (status.armed !== null) {
+      lead.heardArms.add(`${rank} ${incarnation} ${status.armed.version}`);
+    }
+    lead.activation.handleStatus(status);
+  }
+
+  #sendOrder(lead: WorldLead, order: RankOrder): void {
+    this.#messages.push(() => {
+      const { activation, isFrozen } = this.#ranks[order.rank]!;
+      if (!isFrozen) {
+        activation.handle(order, this.nowMs);
+        this.#sendStatus(order.rank, activation);
+      }
+    });
+  }
+
+  #sendDecision(lead: WorldLead, version: number, decision: MapDecision): void {
+    // Only the first sending is checked: a decision on its way is repeated unchanged whatever happens later.
+    const isRepeated = lead.sentDecisions.has(version);
+    lead.sentDecisions.add(version);
+    const isConfirmed = [...this.#ranks.keys()].every((rank) =>
+      lead.heardArms.has(`${rank} ${lead.heard.get(rank)} ${version}`),
+    );
+    if (decision === MapDecision.Activate && !isRepeated && !isConfirmed) {
+      this.violations.push(`version ${version}: activated without the arm of the last incarnation heard`);
+    }
+    this.#messages.push(() => {
+      this.#decide(lead, version, decision);
+    });
+  }
+
+  #decide(lead: WorldLead, version: number, decision: MapDecision): void {
+    if (lead.epoch < this.#epoch) {
+      return;
+    }
+    if (!this.#decisions.has(version)) {
+      this.#decisions.set(version, decision);
+      this.activatedCount += decision === MapDecision.Activate ? 1 : 0;
+    }
+    const standing = this.#decisions.get(version)!;
+    this.#messages.push(() => {
+      lead.activation.handleDecision(version, standing);
+    });
+  }
+}
