--- /dev/null
+++ b/packages/experts/placement/PlacementOrderKind.ts
@@ -0,0 +1,6 @@
+/** Kinds of orders to runners. */
+export enum PlacementOrderKind {
+  Load = "load",
+  Unload = "unload",
+  SetRole = "set_role",
+}
