Make the stand-in engine batch, resume and fail; add service and load generator

The stand-in engine answered every request at a fixed pace and could not fail on demand, so no test could cause the failures that an entry must survive.

It now batches continuously with a step time that grows with the batch, keeps a limited prefix cache, orders waiting requests by priority, resumes streams, exports and imports their state, publishes lagging load reports and late, gappy cache events, and takes orders with or without a check of the fencing number. Faults are switched by tests. Its tokens depend on all text before them, so a replay from the prompt and the sent tokens continues with the same tokens.

The stand-in service counts executions per key. The load generator sends open-loop arrivals and checks that every token of every answer is in its place and the caller's own.

--- /dev/null
+++ b/packages/standins/engine/EngineStream.ts
@@ -0,0 +1,26 @@
+import type { TokenSource } from "./TokenSource";
+
+/** State of one stream in the engine, which can be resumed, exported and imported. */
+export interface EngineStream {
+  readonly attemptId: string;
+  readonly isChat: boolean;
+  readonly model: string;
+  readonly prompt: string;
+  readonly seed: number;
+  readonly maxTokenCount: number;
+  readonly priority: number;
+  readonly source: TokenSource;
+  /** Tokens computed so far. */
+  readonly tokens: string[];
+  /** Index of the next token to send. */
+  sendFrom: number;
+  /** Engine time at which the prompt is computed and decoding begins. */
+  readyAtMs: number;
+  /** Where tokens go; null while no caller is connected. */
+  send: ((token: string, index: number) => void) | null;
+  finish: (() => void) | null;
+  /** Whether the receiver takes more tokens now. */
+  canSend: () => boolean;
+  /** Engine time after which a stream without a receiver is dropped. */
+  droppedAtMs: number;
+}
--- /dev/null
+++ b/packages/standins/engine/createFaults.ts
@@ -0,0 +1,18 @@
+import type { EngineFaults } from "./EngineFaults";
+
+/** Creates the faults of an engine that works. */
+export function createFaults(): EngineFaults {
+  return {
+    frozen: false,
+    killAtToken: null,
+    duplicateTokens: false,
+    foreignAtToken: null,
+    swapAtToken: null,
+    omitFinal: false,
+    foreignAnswer: false,
+    pieceBytes: 0,
+    refuseResume: false,
+    silentConnections: false,
+    remainingCount: Number.MAX_SAFE_INTEGER,
+  };
+}
--- /dev/null
+++ b/packages/standins/engine/createStream.ts
@@ -0,0 +1,45 @@
+import type { CompletionBody } from "./CompletionBody";
+import type { EngineStream } from "./EngineStream";
+import { TokenSource } from "./TokenSource";
+import { getPromptText } from "./getPromptText";
+
+interface StreamOptions {
+  readonly attemptId: string;
+  readonly isChat: boolean;
+  readonly priority: number;
+  readonly body: CompletionBody;
+  /** Seed of an imported stream; undefined for a new one. */
+  readonly seed: number | undefined;
+  /** Tokens of an imported stream. */
+  readonly tokens: readonly string[];
+}
+
+const defaultTokenCount = 16;
+const seedRange = 0x7fffffff;
+
+/** Creates the state of a stream. A sampled request without a seed gets one of its own. */
+export function createStream(options: StreamOptions): EngineStream {
+  const { body, tokens } = options;
+  const greedySeed = body.temperature === 0 ? 0 : Math.floor(Math.random() * seedRange);
+  const seed = options.seed ?? body.seed ?? greedySeed;
+  const prompt = getPromptText(body);
+  const source = new TokenSource(prompt, seed);
+  const copied = tokens.map(() => source.next());
+  return {
+    attemptId: options.attemptId,
+    isChat: options.isChat,
+    model: body.model ?? "",
+    prompt,
+    seed,
+    maxTokenCount: body.max_tokens ?? defaultTokenCount,
+    priority: options.priority,
+    source,
+    tokens: copied,
+    sendFrom: 0,
+    readyAtMs: 0,
+    send: null,
+    finish: null,
+    canSend: () => true,
+    droppedAtMs: Infinity,
+  };
+}
--- /dev/null
+++ b/packages/standins/load/runLoad.ts
@@ -0,0 +1,114 @@
+import { setTimeout as delay } from "node:timers/promises";
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+import { Pool } from "undici";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { headerNames } from "@clementinemux/common/headerNames";
+import { AnswerCheck } from "./AnswerCheck";
+import type { LoadOptions } from "./LoadOptions";
+import type { LoadReport } from "./LoadReport";
+
+interface Counts {
+  wholeCount: number;
+  wrongCount: number;
+  tokenCount: number;
+  readonly failures: Map<string, number>;
+  readonly firstToken: Histogram;
+  readonly tokenGap: Histogram;
+}
+
+const highestMicroseconds = 600_000_000;
+
+/**
+ * Sends streamed requests at a given rate, with exponential gaps, and checks every answer. Times count from
+ * the planned sending, so that a generator or a target that falls behind is not hidden.
+ */
+export async function runLoad(options: LoadOptions): Promise<LoadReport> {
+  const random = createRandom(options.seed);
+  const pool = new Pool(options.url, { pipelining: 1, headersTimeout: 0, bodyTimeout: 0 });
+  const counts: Counts = {
+    wholeCount: 0,
+    wrongCount: 0,
+    tokenCount: 0,
+    failures: new Map(),
+    firstToken: createHistogram(),
+    tokenGap: createHistogram(),
+  };
+  const startedAtMs = performance.now();
+  const pending: Promise<void>[] = [];
+  let plannedMs = 0;
+  while (plannedMs < options.durationMs) {
+    const planned = startedAtMs + plannedMs;
+    const waitMs = planned - performance.now();
+    if (waitMs > 1) {
+      await delay(waitMs);
+    }
+    pending.push(ask(pool, options, pending.length, planned, counts));
+    plannedMs += (-Math.log(1 - random()) * 1000) / options.requestsPerS;
+  }
+  await Promise.all(pending);
+  const durationMs = performance.now() - startedAtMs;
+  await pool.close();
+  return { ...counts, sentCount: pending.length, durationMs };
+}
+
+async function ask(
+  pool: Pool,
+  options: LoadOptions,
+  number: number,
+  plannedAtMs: number,
+  counts: Counts,
+): Promise<void> {
+  const prompt = `request ${number} of ${options.seed} `.padEnd(options.promptCharacters, "lorem ");
+  const check = new AnswerCheck(prompt, number, options.maxTokenCount);
+  const { model, maxTokenCount } = options;
+  try {
+    const { statusCode, body } = await pool.request({
+      method: "POST",
+      path: "/v1/completions",
+      headers: getHeaders(options, number),
+      body: JSON.stringify({ model, prompt, max_tokens: maxTokenCount, seed: number, stream: true }),
+    });
+    if (statusCode !== 200) {
+      countFailure(counts, /"reason":"([a-z_]+)"/.exec(await body.text())?.[1] ?? `status ${statusCode}`);
+      return;
+    }
+    let lastAtMs = plannedAtMs;
+    for await (const chunk of body as AsyncIterable<Buffer>) {
+      const isFirst = check.tokenCount === 0;
+      if (check.push(chunk) > 0) {
+        const nowMs = performance.now();
+        record(isFirst ? counts.firstToken : counts.tokenGap, nowMs - lastAtMs);
+        lastAtMs = nowMs;
+      }
+    }
+  } catch (error) {
+    countFailure(counts, error instanceof Error ? error.message : "error");
+  }
+  counts.tokenCount += check.tokenCount;
+  counts.wholeCount += check.whole ? 1 : 0;
+  counts.wrongCount += check.wrong ? 1 : 0;
+  if (check.failure !== null) {
+    countFailure(counts, check.failure);
+  }
+}
+
+function getHeaders({ token, direct }: LoadOptions, number: number): Record<string, string> {
+  return {
+    "content-type": "application/json",
+    ...(token === "" ? {} : { authorization: `Bearer ${token}` }),
+    ...(direct ? { [headerNames.attemptId]: `direct-${number}.1` } : {}),
+  };
+}
+
+function createHistogram(): Histogram {
+  return build({ highestTrackableValue: highestMicroseconds, numberOfSignificantValueDigits: 3 });
+}
+
+function record(histogram: Histogram, durationMs: number): void {
+  histogram.recordValue(Math.min(Math.max(Math.round(durationMs * 1000), 1), highestMicroseconds));
+}
+
+function countFailure(counts: Counts, reason: string): void {
+  counts.failures.set(reason, (counts.failures.get(reason) ?? 0) + 1);
+}
--- /dev/null
+++ b/packages/standins/service/ServiceServer.ts
@@ -0,0 +1,78 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { headerNames } from "@clementinemux/common/headerNames";
+
+interface ServiceSettings {
+  readonly host: string;
+  readonly port: number;
+  /** Time that an execution takes. */
+  readonly executionMs: number;
+}
+
+/** Stand-in for a plain service whose calls must not be repeated: counts the executions of each key. */
+export class ServiceServer {
+  /** Executions by key; the key is the body of the call. */
+  readonly executions = new Map<string, number>();
+  /** Faults for tests: closes the connection after the execution, without an answer. */
+  breakAfterExecution = false;
+  /** Faults for tests: never answers. */
+  frozen = false;
+  readonly #settings: ServiceSettings;
+  readonly #server: Server;
+
+  constructor(settings: ServiceSettings) {
+    this.#settings = settings;
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch(() => response.destroy());
+    });
+  }
+
+  /** Resolves with the bound port. */
+  listen(): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#settings.port, this.#settings.host, () => {
+        const bound = this.#server.address();
+        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+      });
+    });
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === "/agent/state") {
+      // In place of an agent, for tests of the entry alone.
+      const state = { target: "", stamp: "0/0", accepting: true, inFlight: 0 };
+      response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
+      return;
+    }
+    if (request.url === "/standin/executions") {
+      response.writeHead(200, { "content-type": "application/json" });
+      response.end(JSON.stringify(Object.fromEntries(this.executions)));
+      return;
+    }
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      chunks.push(chunk);
+    }
+    const key = Buffer.concat(chunks).toString("utf8");
+    const count = (this.executions.get(key) ?? 0) + 1;
+    this.executions.set(key, count);
+    await delay(this.#settings.executionMs);
+    if (this.frozen) {
+      return;
+    }
+    if (this.breakAfterExecution) {
+      response.destroy();
+      return;
+    }
+    const attemptId = String(request.headers[headerNames.attemptId] ?? "");
+    response.writeHead(200, { "content-type": "application/json", [headerNames.attemptId]: attemptId });
+    response.end(JSON.stringify({ key, execution: count }));
+  }
+}
