Let the stand-in engine end a stream early in good order and lie in its header only

Two checks of the entry were covered only together with others: the echoed attempt in the header, and a stream that ends without its final event. The two faults separate them.

--- a/packages/standins/engine/EngineFaults.ts
+++ b/packages/standins/engine/EngineFaults.ts
@@ -12,8 +12,12 @@
   swapAtToken: number | null;
   /** Ends streams without the final event. */
   omitFinal: boolean;
-  /** Answers with the id of another attempt. */
+  /** Ends a stream in good order, but without the final event, after so many tokens; null for never. */
+  endAtToken: number | null;
+  /** Answers with the id of another attempt, in the header and in every event. */
   foreignAnswer: boolean;
+  /** Answers with the id of another attempt in the header only. */
+  foreignHeader: boolean;
   /** Writes each event in pieces of so many bytes; 0 for whole events. */
   pieceBytes: number;
   /** Refuses to resume streams and to export KV cache. */
--- a/packages/standins/engine/EngineServer.ts
+++ b/packages/standins/engine/EngineServer.ts
@@ -174,7 +174,8 @@
       writer.finish();
       this.#streams.remove(stream.attemptId);
     };
-    response.writeHead(200, { "content-type": "text/event-stream", [headerNames.attemptId]: echoedId });
+    const headerId = this.faults.foreignHeader ? "another-request.1" : echoedId;
+    response.writeHead(200, { "content-type": "text/event-stream", [headerNames.attemptId]: headerId });
     response.flushHeaders();
     response.once("close", () => {
       this.#onClosed(stream, response);
--- a/packages/standins/engine/StreamWriter.ts
+++ b/packages/standins/engine/StreamWriter.ts
@@ -48,7 +48,10 @@
     if (this.#faults.duplicateTokens) {
       this.#write(event);
     }
-    const { killAtToken } = this.#faults;
+    const { killAtToken, endAtToken } = this.#faults;
+    if (this.#isFaulty && endAtToken !== null && index + 1 >= endAtToken) {
+      this.#response.end();
+    }
     if (this.#isFaulty && killAtToken !== null && index + 1 >= killAtToken) {
       // Lets the written tokens leave before the connection is cut.
       setImmediate(() => this.#response.socket?.destroySoon());
