--- a/packages/demo/createDemoFleet.ts
+++ b/packages/demo/createDemoFleet.ts
@@ -35,6 +35,7 @@
     failureDomain: "fd-1",
     region: "local",
     relays,
+    anonymousTeam: "demo",
   };
   return {
     processes: [
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -1,114 +1,274 @@
+import { readFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { randomUUID } from "node:crypto";
-import { pipeline } from "node:stream/promises";
+import { createServer as createTlsServer } from "node:https";
 import { periodic } from "most";
-import { Pool, request as requestHttp } from "undici";
 import type * as z from "zod";
-import type { AgentState } from "@clementinemux/agent/AgentState";
-import { Outcome } from "@clementinemux/common/Outcome";
+import { createIncarnation } from "@clementinemux/agent/createIncarnation";
+import type { Clock } from "@clementinemux/common/Clock";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
-import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
-import { headerNames } from "@clementinemux/common/headerNames";
-import { MessageName } from "@clementinemux/wire/MessageName";
-import { RpcClient } from "@clementinemux/wire/RpcClient";
-import { parseAddress } from "@clementinemux/wire/parseAddress";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { Policy } from "@clementinemux/policy/Policy";
+import { CallerTable } from "./CallerTable";
+import type { ClaimClient } from "./ClaimClient";
+import { Dispatcher } from "./Dispatcher";
+import { EntryMetrics } from "./EntryMetrics";
 import type { EntrySettings } from "./EntrySettings";
+import { ExplainLog } from "./ExplainLog";
+import { FleetView } from "./FleetView";
+import { HttpApi } from "./HttpApi";
+import type { LeaseClient } from "./LeaseClient";
+import { RelayCaller } from "./RelayCaller";
+import { RequestIntake } from "./RequestIntake";
+import { RpcClaimClient } from "./RpcClaimClient";
+import { RpcLeaseClient } from "./RpcLeaseClient";
+import { ServingLease } from "./ServingLease";
+import type { SessionContext } from "./SessionContext";
+import { Shutdown } from "./Shutdown";
+import { SimplePolicy } from "./SimplePolicy";
+import { orderAddresses } from "./orderAddresses";
 
-interface KnownTarget {
-  readonly announcement: TargetAnnouncement;
-  readonly pool: Pool;
-  state: AgentState | null;
+interface EntryServerOptions {
+  readonly clock?: Clock;
+  readonly policy?: Policy;
+  readonly leases?: LeaseClient;
+  readonly claims?: ClaimClient;
 }
 
-const relayTimeoutMs = 1000;
+// The policy wants a tick at least every 50 ms; timeouts are checked as finely.
+const tickIntervalMs = 25;
+// Four renewals within a lease survive the loss of three.
+const renewalsPerLease = 4;
+// Every request has been answered by then; a connection that is not idle has asked for status only.
+const closeGraceMs = 1000;
+const headersTimeoutMs = 10_000;
+const bodyTimeoutMs = 60_000;
+const keepAliveTimeoutMs = 60_000;
 
 /** Entry process: takes callers' requests and sends each to a target. */
 export class EntryServer {
   readonly #settings: z.output<typeof EntrySettings>;
-  readonly #relays: readonly RpcClient[];
-  readonly #targets = new Map<string, KnownTarget>();
+  readonly #clock: Clock;
+  readonly #incarnation: string;
+  readonly #relays: RelayCaller;
+  readonly #leases: LeaseClient;
+  readonly #lease = new ServingLease(createDefaultConfig());
+  readonly #fleet: FleetView;
+  readonly #dispatcher: Dispatcher;
+  readonly #api: HttpApi;
   readonly #server: Server;
+  readonly #shutdown: Shutdown;
+  #url: string;
+  #running = true;
+  #refreshing = false;
 
-  constructor(settings: z.output<typeof EntrySettings>) {
+  constructor(settings: z.output<typeof EntrySettings>, options: EntryServerOptions = {}) {
     this.#settings = settings;
-    this.#relays = settings.relays.map((relay) => new RpcClient({ address: parseAddress(relay) }));
-    this.#server = createServer((request, response) => {
-      this.#handle(request, response).catch(() => response.destroy());
+    this.#url = settings.url;
+    this.#clock = options.clock ?? new SystemClock();
+    this.#incarnation = createIncarnation(this.#clock.wallMs());
+    this.#relays = new RelayCaller(settings.relays, undefined);
+    this.#leases = options.leases ?? new RpcLeaseClient(this.#relays, settings.claimTimeoutMs);
+    this.#fleet = new FleetView(this.#relays, this.#clock);
+    this.#dispatcher = new Dispatcher(options.policy ?? new SimplePolicy(), this.#clock);
+    this.#api = this.#createApi(options.claims ?? new RpcClaimClient(this.#relays, settings.claimTimeoutMs));
+    this.#server = this.#createHttpServer();
+    this.#shutdown = new Shutdown({
+      clock: this.#clock,
+      shutdownDeadlineMs: settings.shutdownDeadlineMs,
+      addressSettleMs: settings.addressSettleMs,
+      getAddressTtlMs: () => this.#lease.config.defaults.addressTtlMs,
+      getWorkInFlight: () => this.#api.workInFlight,
+      announceLeaving: () => this.#fleet.announce(this.#getAnnouncement()),
+      endRequests: () => {
+        for (const session of [...this.#dispatcher.sessions]) {
+          session.endNow(RefusalReason.ShutdownDeadline);
+        }
+      },
     });
   }
 
-  async start(): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
+  /** Resolves with the bound port. */
+  async start(): Promise<number> {
+    const { host, tls } = this.#settings;
+    const port = await new Promise<number>((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(this.#settings.port, this.#settings.host, resolve);
+      this.#server.listen(this.#settings.port, host, () => {
+        const bound = this.#server.address();
+        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+      });
     });
-    void periodic(this.#settings.pollIntervalMs).observe(() => {
-      void this.#refresh();
+    this.#url ||= `${tls === undefined ? "http" : "https"}://${host}:${port}`;
+    this.#every(tickIntervalMs, () => {
+      this.#tick();
     });
+    this.#every(this.#settings.pollIntervalMs, () => this.#refresh());
+    this.#every(createDefaultConfig().defaults.servingLeaseMs / renewalsPerLease, () => this.#renew());
+    return port;
   }
 
-  async #refresh(): Promise<void> {
-    for (const relay of this.#relays) {
-      const answer = await relay.call(MessageName.FetchTargets, {}, relayTimeoutMs);
-      if (answer.isRight()) {
-        for (const announcement of answer.extract() as TargetAnnouncement[]) {
-          this.#learn(announcement);
-        }
-        break;
+  /**
+   * Shuts down: leaves the address list, keeps serving until no caller uses this address any more and the last
+   * request has ended. A second call ends the remaining requests with an error. Resolves when all has ended.
+   */
+  async shutDown(): Promise<void> {
+    await this.#shutdown.begin();
+    const closed = new Promise((resolve) => this.#server.close(resolve));
+    const timer = setTimeout(() => {
+      this.#server.closeAllConnections();
+    }, closeGraceMs);
+    await closed;
+    clearTimeout(timer);
+    await this.#stop();
+  }
+
+  /** Stops at once, as a killed process does; for tests. */
+  async kill(): Promise<void> {
+    this.#server.closeAllConnections();
+    this.#server.close();
+    await this.#stop();
+  }
+
+  async #stop(): Promise<void> {
+    this.#running = false;
+    await this.#fleet.close();
+    this.#relays.close();
+  }
+
+  #createApi(claims: ClaimClient): HttpApi {
+    const settings = this.#settings;
+    const logger = createLogger("clementinemux-entry", { entry: settings.name });
+    const context: SessionContext = {
+      dispatcher: this.#dispatcher,
+      fleet: this.#fleet,
+      metrics: new EntryMetrics(),
+      explain: new ExplainLog(settings.explainedRequests),
+      clock: this.#clock,
+      random: Math.random,
+      getConfig: () => this.#lease.config,
+      log: (event, fields) => {
+        logger.info({ ...fields }, event);
+      },
+    };
+    const claimant = { entry: settings.name, incarnation: this.#incarnation };
+    return new HttpApi({
+      context,
+      intake: new RequestIntake({ settings, context, claims, claimant }),
+      callers: new CallerTable(settings.callers),
+      anonymousTeam: settings.anonymousTeam,
+      maxRequestsInFlight: settings.maxRequestsInFlight,
+      getRefusal: () => this.#getRefusal(),
+      isReady: () => this.#isServing() && !this.#shutdown.leaving,
+      getAddresses: (team, caller) =>
+        orderAddresses(this.#getEntries(), team, caller, this.#settings.region).slice(),
+    });
+  }
+
+  #createHttpServer(): Server {
+    const { tls, maxHeaderBytes, maxConnections } = this.#settings;
+    const options = {
+      maxHeaderSize: maxHeaderBytes,
+      headersTimeout: headersTimeoutMs,
+      requestTimeout: bodyTimeoutMs,
+      keepAliveTimeout: keepAliveTimeoutMs,
+      noDelay: true,
+    };
+    const handle = (request: IncomingMessage, response: ServerResponse): void => {
+      if (this.#shutdown.leaving) {
+        // The caller's next request finds another entry.
+        response.setHeader("connection", "close");
       }
-    }
-    await Promise.all([...this.#targets.values()].map((target) => this.#poll(target)));
+      this.#api.handle(request, response).catch(() => response.destroy());
+    };
+    const server =
+      tls === undefined
+        ? createServer(options, handle)
+        : createTlsServer(
+            { ...options, key: readFileSync(tls.keyFile), cert: readFileSync(tls.certFile) },
+            handle,
+          );
+    server.maxConnections = maxConnections;
+    return server;
   }
 
-  #learn(announcement: TargetAnnouncement): void {
-    const known = this.#targets.get(announcement.target);
-    if (known?.announcement.incarnation === announcement.incarnation) {
-      return;
+  #isServing(): boolean {
+    return this.#lease.isServing(this.#clock.monotonicMs(), this.#settings.region);
+  }
+
+  #getRefusal(): RefusalReason | null {
+    if (!this.#shutdown.acceptsWork) {
+      return RefusalReason.EntryLeaving;
     }
-    this.#targets.set(announcement.target, {
-      announcement,
-      pool: new Pool(`http://${announcement.address}`, { pipelining: 1 }),
-      state: null,
-    });
+    return this.#isServing() ? null : RefusalReason.ControlLost;
   }
 
-  async #poll(target: KnownTarget): Promise<void> {
-    try {
-      const { body } = await requestHttp(`http://${target.announcement.address}/agent/state`, {
-        headersTimeout: relayTimeoutMs,
-      });
-      target.state = (await body.json()) as AgentState;
-    } catch {
-      target.state = null;
+  #getAnnouncement(): EntryAnnouncement {
+    const { name, failureDomain, region } = this.#settings;
+    const { leaving } = this.#shutdown;
+    return { entry: name, incarnation: this.#incarnation, url: this.#url, failureDomain, region, leaving };
+  }
+
+  /** All known entries. This one is listed by its own knowledge, which is newer than the relay's. */
+  #getEntries(): EntryAnnouncement[] {
+    const others = this.#fleet.entries.filter(({ entry }) => entry !== this.#settings.name);
+    const canServe = this.#isServing();
+    return canServe ? [this.#getAnnouncement(), ...others] : others;
+  }
+
+  #tick(): void {
+    this.#dispatcher.tick(this.#lease.config);
+    this.#shutdown.tick();
+  }
+
+  async #renew(): Promise<void> {
+    const sentAtMs = this.#clock.monotonicMs();
+    const { name, failureDomain, region } = this.#settings;
+    const response = await this.#leases.renew({
+      holder: name,
+      incarnation: this.#incarnation,
+      kind: LeaseholderKind.Entry,
+      failureDomain,
+      region,
+      appliedRevision: this.#lease.config.revision,
+    });
+    if (response !== null && this.#lease.onRenewed(response, sentAtMs)) {
+      this.#dispatcher.applyConfig(this.#lease.config);
     }
   }
 
-  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const requestId = randomUUID();
-    const candidates = [...this.#targets.values()].filter(({ state }) => state?.accepting === true);
-    const target = candidates[Math.floor(Math.random() * candidates.length)];
-    if (request.method !== "POST" || target?.state === undefined || target.state === null) {
-      const problem = { outcome: Outcome.NotRun, reason: RefusalReason.NoTarget, requestId };
-      response.writeHead(503, { "content-type": "application/problem+json" }).end(JSON.stringify(problem));
+  async #refresh(): Promise<void> {
+    if (this.#refreshing) {
       return;
     }
-    const answer = await target.pool.request({
-      method: "POST",
-      path: request.url ?? "/",
-      headers: {
-        "content-type": "application/json",
-        [headerNames.requestId]: requestId,
-        [headerNames.attemptId]: `${requestId}.1`,
-        [headerNames.stamp]: target.state.stamp,
-      },
-      body: request,
-    });
-    response.writeHead(answer.statusCode, {
-      "content-type": String(answer.headers["content-type"] ?? "application/json"),
-      [headerNames.requestId]: requestId,
-      "clementinemux-target": target.announcement.target,
-    });
-    await pipeline(answer.body, response);
+    this.#refreshing = true;
+    try {
+      const { defaults } = this.#lease.config;
+      await this.#fleet.refreshDirectory(this.#getAnnouncement(), defaults);
+      await this.#fleet.pollTargets(defaults);
+    } finally {
+      this.#refreshing = false;
+    }
+    this.#dispatcher.applyTargets(this.#fleet.getTargets(this.#lease.config.defaults.permitMaxAgeMs));
+  }
+
+  /** Runs a task periodically. An exception would end the event stream, so it is caught and logged. */
+  #every(intervalMs: number, task: () => Promise<void> | void): void {
+    const logger = createLogger("clementinemux-entry", { entry: this.#settings.name });
+    const run = async (): Promise<void> => {
+      try {
+        await task();
+      } catch (error) {
+        logger.error({ error: String(error) }, "periodic task failed");
+      }
+    };
+    void periodic(intervalMs)
+      .takeWhile(() => this.#running)
+      .observe(() => {
+        void run();
+      });
   }
 }
--- a/packages/entry/EntrySettings.ts
+++ b/packages/entry/EntrySettings.ts
@@ -1,15 +1,48 @@
 import * as z from "zod";
 
-const port = z.number().int().min(1).max(65_535);
+const port = z.number().int().min(0).max(65_535);
+
+const caller = z.strictObject({
+  team: z.string().min(1).max(128),
+  /** Bearer token. Several tokens of a team allow to change one without an interruption. */
+  token: z.string().min(8).max(512),
+});
+
+const tlsFiles = z.strictObject({
+  /** PEM file with the private key. */
+  keyFile: z.string(),
+  /** PEM file with the certificate chain. */
+  certFile: z.string(),
+});
 
 /** Settings of `clementinemux-entry`. */
 export const EntrySettings = z.strictObject({
   name: z.string().min(1).max(128),
   host: z.string().default("127.0.0.1"),
   port,
+  /** URL that callers connect to; empty for `http(s)://host:port`. */
+  url: z.string().default(""),
   failureDomain: z.string().min(1),
   region: z.string().min(1),
   /** Frame addresses of the relays, `host:port`, nearest first. */
   relays: z.array(z.string()).min(1),
+  callers: z.array(caller).default([]),
+  /** Team of callers without a token; they are refused when it is empty. */
+  anonymousTeam: z.string().max(128).default(""),
+  /** TLS toward callers; plain HTTP when absent. */
+  tls: tlsFiles.optional(),
   pollIntervalMs: z.number().int().min(50).max(10_000).default(500),
+  /** Bounds that keep callers from exhausting the process. */
+  maxBodyBytes: z.number().int().min(1024).max(67_108_864).default(4_194_304),
+  maxHeaderBytes: z.number().int().min(1024).max(65_536).default(16_384),
+  maxConnections: z.number().int().min(1).max(65_536).default(8192),
+  maxRequestsInFlight: z.number().int().min(1).max(65_536).default(4096),
+  /** Largest answer that is recorded for resends; a frame holds at most 1 MiB. */
+  maxRecordedBytes: z.number().int().min(0).max(1_000_000).default(524_288),
+  claimTimeoutMs: z.number().int().min(10).max(60_000).default(1000),
+  explainedRequests: z.number().int().min(0).max(100_000).default(2000),
+  /** Time until every other entry has dropped a leaving entry from its answers. */
+  addressSettleMs: z.number().int().min(0).max(60_000).default(2000),
+  /** Time after the start of a shutdown at which the remaining requests are ended with an error. */
+  shutdownDeadlineMs: z.number().int().min(0).max(3_600_000).default(300_000),
 });
--- /dev/null
+++ b/packages/entry/HttpApi.ts
@@ -0,0 +1,222 @@
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import { TargetKind } from "@clementinemux/common/TargetKind";
+import type { Arrival } from "./Arrival";
+import type { CallerTable } from "./CallerTable";
+import type { RequestIntake } from "./RequestIntake";
+import type { SessionContext } from "./SessionContext";
+import { createProblem } from "./createProblem";
+import { sendProblem } from "./sendProblem";
+
+interface HttpApiOptions {
+  readonly context: SessionContext;
+  readonly intake: RequestIntake;
+  readonly callers: CallerTable;
+  /** Team of callers without a token; empty when they are refused. */
+  readonly anonymousTeam: string;
+  readonly maxRequestsInFlight: number;
+  /** Why new work is refused now, or null. */
+  readonly getRefusal: () => RefusalReason | null;
+  readonly isReady: () => boolean;
+  readonly getAddresses: (team: string, caller: string) => readonly string[];
+}
+
+interface Route {
+  readonly method: string | null;
+  readonly matches: (path: string) => boolean;
+  readonly handle: (arrival: Arrival) => Promise<void> | void;
+}
+
+const explainPrefix = "/v1/explain/";
+
+/** HTTP API of an entry. */
+export class HttpApi {
+  readonly #options: HttpApiOptions;
+  readonly #routes: readonly Route[];
+  #workInFlight = 0;
+
+  constructor(options: HttpApiOptions) {
+    this.#options = options;
+    const { intake } = options;
+    this.#routes = [
+      this.#createWorkRoute("POST", ["/v1/chat/completions", "/v1/completions"], (arrival) =>
+        intake.takeModelRequest(arrival),
+      ),
+      {
+        method: null,
+        matches: (path) => path.startsWith("/services/"),
+        handle: (arrival) => this.#takeWork(arrival, () => intake.takeServiceRequest(arrival)),
+      },
+      {
+        method: "GET",
+        matches: (path) => path === "/v1/models",
+        handle: (arrival) => {
+          this.#sendModels(arrival);
+        },
+      },
+      {
+        method: "GET",
+        matches: (path) => path === "/v1/addresses",
+        handle: (arrival) => {
+          this.#sendAddresses(arrival);
+        },
+      },
+      {
+        method: "GET",
+        matches: (path) => path.startsWith(explainPrefix),
+        handle: (arrival) => {
+          this.#sendExplanation(arrival);
+        },
+      },
+    ];
+  }
+
+  /** Requests of callers that are being read, claimed, queued or answered. */
+  get workInFlight(): number {
+    return this.#workInFlight;
+  }
+
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const [path = "/"] = (request.url ?? "/").split("?", 1);
+    if (request.method === "GET" && this.#sendStatus(path, response)) {
+      return;
+    }
+    const requestId = randomUUID();
+    const { callers, anonymousTeam, context } = this.#options;
+    const { authorization } = request.headers;
+    const team =
+      authorization === undefined && anonymousTeam !== "" ? anonymousTeam : callers.findTeam(authorization);
+    if (team === null) {
+      this.#refuse(requestId, response, RefusalReason.CallerUnknown);
+      return;
+    }
+    const arrivedAtMs = context.clock.monotonicMs();
+    const route = this.#routes.find(({ matches }) => matches(path));
+    if (route === undefined || (route.method !== null && route.method !== request.method)) {
+      this.#refuse(requestId, response, RefusalReason.BadRequest);
+      return;
+    }
+    const url = route.method === null ? (request.url ?? "/") : path;
+    await route.handle({ requestId, team, path: url, arrivedAtMs, request, response });
+  }
+
+  #createWorkRoute(
+    method: string,
+    paths: readonly string[],
+    handle: (arrival: Arrival) => Promise<void>,
+  ): Route {
+    return {
+      method,
+      matches: (path) => paths.includes(path),
+      handle: (arrival) => this.#takeWork(arrival, () => handle(arrival)),
+    };
+  }
+
+  async #takeWork(arrival: Arrival, take: () => Promise<void>): Promise<void> {
+    const { getRefusal, getAddresses, maxRequestsInFlight } = this.#options;
+    const overload = this.#workInFlight >= maxRequestsInFlight ? RefusalReason.EntryOverloaded : null;
+    const refusal = getRefusal() ?? overload;
+    if (refusal !== null) {
+      const addresses = getAddresses(arrival.team, getCaller(arrival));
+      this.#refuse(arrival.requestId, arrival.response, refusal, addresses);
+      return;
+    }
+    this.#workInFlight += 1;
+    try {
+      await take();
+      await waitUntilSent(arrival.response);
+    } finally {
+      this.#workInFlight -= 1;
+    }
+  }
+
+  #sendStatus(path: string, response: ServerResponse): boolean {
+    const { isReady, context } = this.#options;
+    if (path === "/healthz") {
+      response.writeHead(200, { "content-type": "text/plain" }).end("alive\n");
+      return true;
+    }
+    if (path === "/readyz") {
+      const ready = isReady();
+      response.writeHead(ready ? 200 : 503, { "content-type": "text/plain" });
+      response.end(ready ? "ready\n" : "not ready\n");
+      return true;
+    }
+    if (path === "/metrics") {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(context.metrics.render(this.#workInFlight));
+      return true;
+    }
+    return false;
+  }
+
+  #sendModels({ response }: Arrival): void {
+    const { fleet, getConfig } = this.#options.context;
+    const models = new Set(
+      fleet
+        .getTargets(getConfig().defaults.permitMaxAgeMs)
+        .filter(({ announcement }) => announcement.kind === TargetKind.Engine)
+        .flatMap(({ announcement }) => announcement.models),
+    );
+    sendJson(response, { object: "list", data: [...models].sort().map((id) => ({ id, object: "model" })) });
+  }
+
+  #sendAddresses(arrival: Arrival): void {
+    const { getAddresses, context } = this.#options;
+    sendJson(arrival.response, {
+      addresses: getAddresses(arrival.team, getCaller(arrival)),
+      validForMs: context.getConfig().defaults.addressTtlMs,
+    });
+  }
+
+  #sendExplanation({ path, team, requestId, response }: Arrival): void {
+    const explanation = this.#options.context.explain.find(path.slice(explainPrefix.length), team);
+    if (explanation === null) {
+      response.writeHead(404, { "content-type": "application/problem+json" });
+      response.end(
+        JSON.stringify({ type: "about:blank", title: "request not known here", status: 404, requestId }),
+      );
+      return;
+    }
+    sendJson(response, explanation);
+  }
+
+  #refuse(
+    requestId: string,
+    response: ServerResponse,
+    reason: RefusalReason,
+    addresses?: readonly string[],
+  ): void {
+    const { context } = this.#options;
+    context.metrics.refusals.add(reason);
+    context.log("request refused", { requestId, reason });
+    const refusal = { requestId, reason, outcome: Outcome.NotRun };
+    sendProblem(
+      response,
+      createProblem(addresses === undefined ? refusal : { ...refusal, addresses }, context.random),
+    );
+  }
+}
+
+/** Names the caller for the order of its addresses; callers on one machine may share an order. */
+function getCaller({ request }: Arrival): string {
+  return request.socket.remoteAddress ?? "";
+}
+
+/** Resolves when the answer has been handed to the operating system or the caller has left. */
+function waitUntilSent(response: ServerResponse): Promise<void> {
+  return new Promise((resolve) => {
+    if (response.writableFinished || response.destroyed) {
+      resolve();
+      return;
+    }
+    response.once("finish", resolve);
+    response.once("close", resolve);
+  });
+}
+
+function sendJson(response: ServerResponse, body: unknown): void {
+  response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/entry/ModelAttempt.ts
@@ -0,0 +1,291 @@
+import type { IncomingHttpHeaders } from "node:http";
+import { headerNames } from "@clementinemux/common/headerNames";
+import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import type { ModelAttemptListener } from "./ModelAttemptListener";
+import { ResumeMode } from "./ResumeMode";
+import { SseParser } from "./SseParser";
+import type { StreamEvent } from "./StreamEvent";
+import { StreamEventKind } from "./StreamEventKind";
+import { StreamFault } from "./StreamFault";
+import type { TargetLink } from "./TargetLink";
+import { UpstreamCall } from "./UpstreamCall";
+import type { UpstreamListener } from "./UpstreamListener";
+import { getEventData } from "./getEventData";
+import { parseStreamEvent } from "./parseStreamEvent";
+
+interface ModelAttemptOptions {
+  readonly attemptId: string;
+  readonly link: TargetLink;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  /** Ways to start, tried in order while the engine answers that it cannot. */
+  readonly modes: readonly ResumeMode[];
+  /** Tokens already sent to the caller. */
+  readonly sentTokenCount: number;
+  /** Header that names the stream to continue; empty for a fresh start. */
+  readonly resumeHeaders: Readonly<Record<string, string>>;
+  readonly kvHeaders: Readonly<Record<string, string>>;
+  readonly createBody: (mode: ResumeMode) => string;
+  readonly repeatable: boolean;
+  readonly mayWrite: () => boolean;
+  readonly readNowMs: () => number;
+}
+
+// A token event takes about 200 bytes; an event of this size is not from an engine that works.
+const maxEventBytes = 262_144;
+const otherModeTimeShare = 0.5;
+const cannotResumeStatus = 409;
+
+/** One attempt of a model request: reads the stream of one engine and checks that it is the attempt's own. */
+export class ModelAttempt implements UpstreamListener {
+  readonly #options: ModelAttemptOptions;
+  readonly #listener: ModelAttemptListener;
+  readonly #modes: ResumeMode[];
+  #mode = ResumeMode.Fresh;
+  #call: UpstreamCall | null = null;
+  #parser = new SseParser(maxEventBytes);
+  #headAccepted = false;
+  #refusal: AttemptEndKind | null = null;
+  #rejected = false;
+  #tryNextMode = false;
+  #finish: { readonly reason: string; readonly tokenCount: number | null } | null = null;
+  #progressAtMs: number;
+  #gotToken = false;
+  #paused = false;
+  #ended = false;
+
+  constructor(options: ModelAttemptOptions, listener: ModelAttemptListener) {
+    this.#options = options;
+    this.#listener = listener;
+    this.#modes = [...options.modes];
+    this.#progressAtMs = options.readNowMs();
+  }
+
+  get attemptId(): string {
+    return this.#options.attemptId;
+  }
+
+  get link(): TargetLink {
+    return this.#options.link;
+  }
+
+  /** Tokens that the caller had when this attempt began. */
+  get sentTokenCount(): number {
+    return this.#options.sentTokenCount;
+  }
+
+  get written(): boolean {
+    return this.#call?.written ?? false;
+  }
+
+  start(): void {
+    const mode = this.#modes.shift();
+    if (mode === undefined) {
+      this.#ended = true;
+      this.#listener.onNotResumable(this);
+      return;
+    }
+    const { link, path, headers, resumeHeaders, kvHeaders, repeatable, mayWrite, createBody } = this.#options;
+    this.#mode = mode;
+    this.#parser = new SseParser(maxEventBytes);
+    this.#call = new UpstreamCall(
+      {
+        link,
+        method: "POST",
+        path,
+        headers: {
+          ...headers,
+          ...(mode === ResumeMode.Engine || mode === ResumeMode.KvImport ? resumeHeaders : {}),
+          ...(mode === ResumeMode.KvImport ? kvHeaders : {}),
+          [headerNames.stamp]: link.stamp ?? "",
+        },
+        body: createBody(mode),
+        repeatable,
+        mayWrite,
+      },
+      this,
+    );
+  }
+
+  /** Stops reading until `resume`; no progress timeout runs meanwhile. */
+  pause(): void {
+    this.#paused = true;
+    this.#call?.pause();
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#progressAtMs = this.#options.readNowMs();
+    this.#call?.resume();
+  }
+
+  abort(): void {
+    this.#ended = true;
+    this.#call?.abort();
+  }
+
+  /**
+   * Returns how the attempt timed out, or null while it makes progress in time. A resumption that depends on the
+   * engine that failed gets half of the time, so that a replay still has its chance.
+   */
+  checkProgress(nowMs: number, defaults: FleetDefaults): AttemptEndKind | null {
+    if (this.#ended || this.#paused) {
+      return null;
+    }
+    const waitedMs = nowMs - this.#progressAtMs;
+    if (this.#gotToken) {
+      return waitedMs > defaults.tokenGapTimeoutMs ? AttemptEndKind.TokenGapTimeout : null;
+    }
+    if (this.#modes.length > 0 && waitedMs > defaults.firstTokenTimeoutMs * otherModeTimeShare) {
+      this.#call?.abort();
+      this.#progressAtMs = nowMs;
+      this.start();
+      return null;
+    }
+    return waitedMs > defaults.firstTokenTimeoutMs ? AttemptEndKind.FirstTokenTimeout : null;
+  }
+
+  onHead(status: number, headers: IncomingHttpHeaders): void {
+    const { link, attemptId, readNowMs } = this.#options;
+    if (headers[headerNames.refusedBy] === "agent") {
+      const stamp = headers[headerNames.stamp];
+      if (typeof stamp === "string") {
+        link.takeStamp(stamp, readNowMs());
+      }
+      this.#refusal = AttemptEndKind.AgentRefused;
+      return;
+    }
+    if (status === 200) {
+      this.#headAccepted = headers[headerNames.attemptId] === attemptId;
+      if (!this.#headAccepted) {
+        this.#fault(StreamFault.ForeignAnswer);
+      }
+      return;
+    }
+    if (status === cannotResumeStatus && this.#mode !== ResumeMode.Fresh) {
+      this.#tryNextMode = true;
+      return;
+    }
+    if (status === 429 || status === 503) {
+      this.#refusal = AttemptEndKind.TargetOverloaded;
+      return;
+    }
+    this.#rejected = status >= 400 && status < 500;
+    this.#refusal = AttemptEndKind.TargetError;
+  }
+
+  onData(chunk: Buffer): void {
+    if (!this.#headAccepted) {
+      return;
+    }
+    let events: string[];
+    try {
+      events = this.#parser.push(chunk);
+    } catch {
+      this.#fault(StreamFault.EventTooLarge);
+      return;
+    }
+    for (const event of events) {
+      const data = getEventData(event);
+      if (data !== null) {
+        this.#onEvent(parseStreamEvent(data, this.attemptId));
+      }
+      if (this.#ended) {
+        return;
+      }
+    }
+    this.#listener.onChunkEnd(this);
+  }
+
+  onEnd(): void {
+    if (this.#ended) {
+      return;
+    }
+    if (this.#tryNextMode) {
+      this.#tryNextMode = false;
+      this.start();
+      return;
+    }
+    this.#ended = true;
+    if (this.#rejected) {
+      this.#listener.onRejected(this);
+      return;
+    }
+    if (this.#refusal === null) {
+      this.#listener.onFault(this, StreamFault.MissingFinalEvent);
+    }
+    this.#listener.onEnded(this, this.#refusal ?? AttemptEndKind.StreamBroken);
+  }
+
+  onError(written: boolean): void {
+    if (this.#ended) {
+      return;
+    }
+    this.#ended = true;
+    this.#listener.onEnded(this, written ? AttemptEndKind.StreamBroken : AttemptEndKind.ConnectFailed);
+  }
+
+  #onEvent(event: StreamEvent): void {
+    switch (event.kind) {
+      case StreamEventKind.Token:
+        this.#onToken(event.tokenIndex, event.tail, event.finishReason);
+        return;
+      case StreamEventKind.Final:
+        this.#finish = { reason: event.finishReason, tokenCount: event.tokenCount };
+        return;
+      case StreamEventKind.Done:
+        this.#onDone();
+        return;
+      case StreamEventKind.Error:
+        this.#end(AttemptEndKind.TargetError);
+        return;
+      case StreamEventKind.Foreign:
+        // The event is dropped. If it stands in the place of an own token, the gap ends the attempt.
+        this.#listener.onFault(this, StreamFault.ForeignEvent);
+        return;
+      case StreamEventKind.Malformed:
+        this.#fault(StreamFault.MalformedEvent);
+        return;
+      case StreamEventKind.Empty:
+    }
+  }
+
+  #onToken(tokenIndex: number, tail: string, finishReason: string | null): void {
+    this.#gotToken = true;
+    this.#progressAtMs = this.#options.readNowMs();
+    const base = this.#mode === ResumeMode.Replay ? this.#options.sentTokenCount : 0;
+    if (!this.#listener.onToken(this, base + tokenIndex, tail)) {
+      this.#end(AttemptEndKind.StreamBroken);
+      return;
+    }
+    if (finishReason !== null) {
+      this.#finish = { reason: finishReason, tokenCount: null };
+    }
+  }
+
+  #onDone(): void {
+    if (this.#finish === null) {
+      this.#fault(StreamFault.MissingFinalEvent);
+      return;
+    }
+    const { reason, tokenCount } = this.#finish;
+    const base = this.#mode === ResumeMode.Replay ? this.#options.sentTokenCount : 0;
+    this.#ended = true;
+    this.#listener.onCompleted(this, reason, tokenCount === null ? null : tokenCount + base);
+  }
+
+  #fault(fault: StreamFault): void {
+    this.#listener.onFault(this, fault);
+    this.#end(AttemptEndKind.StreamBroken);
+  }
+
+  #end(end: AttemptEndKind): void {
+    if (this.#ended) {
+      return;
+    }
+    this.#listener.onChunkEnd(this);
+    this.abort();
+    this.#listener.onEnded(this, end);
+  }
+}
--- /dev/null
+++ b/packages/entry/ModelSession.ts
@@ -0,0 +1,291 @@
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import type { PolicyAction } from "@clementinemux/policy/PolicyAction";
+import type { PolicyActionKind } from "@clementinemux/policy/PolicyActionKind";
+import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import type { AnswerSink } from "./AnswerSink";
+import type { ClaimGuard } from "./ClaimGuard";
+import { ModelAttempt } from "./ModelAttempt";
+import type { ModelAttemptListener } from "./ModelAttemptListener";
+import type { ModelRequest } from "./ModelRequest";
+import type { Problem } from "./Problem";
+import { RequestSession } from "./RequestSession";
+import { ResumeMode } from "./ResumeMode";
+import type { SessionContext } from "./SessionContext";
+import { StreamCursor } from "./StreamCursor";
+import { StreamFault } from "./StreamFault";
+import type { TargetLink } from "./TargetLink";
+import { TokenVerdict } from "./TokenVerdict";
+import { createUpstreamBody } from "./createUpstreamBody";
+import { getTailText } from "./getTailText";
+import { resumeHeaderNames } from "@clementinemux/common/resumeHeaderNames";
+
+interface ModelSessionOptions {
+  readonly request: PolicyRequest;
+  readonly model: ModelRequest;
+  readonly sink: AnswerSink;
+  readonly claim: ClaimGuard | null;
+  readonly traceparent: string | null;
+  readonly onOver: () => void;
+}
+
+const timeouts: ReadonlySet<AttemptEndKind> = new Set([
+  AttemptEndKind.FirstTokenTimeout,
+  AttemptEndKind.TokenGapTimeout,
+]);
+const provedNotRun: ReadonlySet<AttemptEndKind> = new Set([
+  AttemptEndKind.AgentRefused,
+  AttemptEndKind.TargetOverloaded,
+  AttemptEndKind.ConnectFailed,
+]);
+const probeTimeoutMs = 500;
+
+/** A model request: passes every token of its answer to the caller exactly once, over all attempts. */
+export class ModelSession extends RequestSession implements ModelAttemptListener {
+  readonly #options: ModelSessionOptions;
+  readonly #cursor = new StreamCursor();
+  readonly #attempts = new Map<string, ModelAttempt>();
+  /** Tails of the sent tokens, for a replay; kept only when a replay is possible. */
+  readonly #sentTails: string[] = [];
+  /** The attempt whose tokens reach the caller. */
+  #current: ModelAttempt | null = null;
+  /** The last attempt that yielded tokens; its engine may still hold the stream. */
+  #lastStreamed: ModelAttempt | null = null;
+  #lastChunkAtMs = 0;
+  #hasUnprovedAttempt = false;
+
+  constructor(options: ModelSessionOptions, context: SessionContext) {
+    super(options.request, context, options.claim, options.onOver);
+    this.#options = options;
+  }
+
+  tick(nowMs: number, defaults: FleetDefaults): void {
+    for (const attempt of [...this.#attempts.values()]) {
+      const timeout = attempt.checkProgress(nowMs, defaults);
+      if (timeout !== null) {
+        attempt.abort();
+        this.onEnded(attempt, timeout);
+      }
+    }
+  }
+
+  onToken(attempt: ModelAttempt, tokenIndex: number, tail: string): boolean {
+    if (!this.#takesFrom(attempt)) {
+      return false;
+    }
+    this.#current = attempt;
+    const verdict = this.#cursor.advance(tokenIndex);
+    if (verdict === TokenVerdict.Gap) {
+      this.onFault(attempt, StreamFault.MissingToken);
+      return false;
+    }
+    if (verdict === TokenVerdict.Duplicate) {
+      this.onFault(attempt, StreamFault.DuplicateToken);
+      return true;
+    }
+    this.#options.sink.addToken(tokenIndex, tail);
+    if (this.#options.model.deterministic) {
+      this.#sentTails.push(tail);
+    }
+    return true;
+  }
+
+  onChunkEnd(attempt: ModelAttempt): void {
+    if (this.#current !== attempt || this.over) {
+      return;
+    }
+    this.#recordTiming();
+    this.#lastStreamed = attempt;
+    if (!this.#options.sink.flush(attempt.link.announcement.target)) {
+      attempt.pause();
+      this.#options.sink.onDrain(() => {
+        attempt.resume();
+      });
+    }
+    this.context.dispatcher.onTokens(attempt.attemptId, this.#cursor.nextIndex);
+  }
+
+  onFault(attempt: ModelAttempt, fault: StreamFault): void {
+    this.context.metrics.streamFaults.add(fault);
+    const { requestId, team } = this.request;
+    const { target } = attempt.link.announcement;
+    this.context.log("stream fault", { requestId, team, target, attemptId: attempt.attemptId, fault });
+  }
+
+  onCompleted(attempt: ModelAttempt, finishReason: string, tokenCount: number | null): void {
+    this.#current ??= attempt;
+    if (this.#current !== attempt) {
+      this.onEnded(attempt, AttemptEndKind.Cancelled);
+      return;
+    }
+    const { nextIndex } = this.#cursor;
+    if (tokenCount !== null && tokenCount !== nextIndex) {
+      this.onFault(attempt, StreamFault.TokenCountMismatch);
+      this.onEnded(attempt, AttemptEndKind.StreamBroken);
+      return;
+    }
+    const { target } = attempt.link.announcement;
+    this.#attempts.delete(attempt.attemptId);
+    this.#options.sink.finish(target, finishReason, nextIndex);
+    this.#addTokens();
+    this.reportEnd(attempt.attemptId, AttemptEndKind.Completed);
+    this.succeed(this.#options.sink.getRecord(), target);
+  }
+
+  onEnded(attempt: ModelAttempt, end: AttemptEndKind): void {
+    this.#attempts.delete(attempt.attemptId);
+    if (this.#current === attempt) {
+      this.#current = null;
+    }
+    this.#hasUnprovedAttempt ||= !provedNotRun.has(end) && end !== AttemptEndKind.Cancelled;
+    if (timeouts.has(end)) {
+      void attempt.link.condemnPool(probeTimeoutMs, () => this.context.clock.monotonicMs());
+    }
+    this.reportEnd(attempt.attemptId, end);
+  }
+
+  onRejected(attempt: ModelAttempt): void {
+    this.#giveUp(attempt, RefusalReason.BadRequest, Outcome.RunFailed);
+  }
+
+  onNotResumable(attempt: ModelAttempt): void {
+    this.#giveUp(attempt, RefusalReason.StreamNotResumable, Outcome.RunFailed);
+  }
+
+  protected launch(
+    action: Extract<PolicyAction, { readonly kind: PolicyActionKind.Dispatch }>,
+    link: TargetLink,
+  ): void {
+    const { model, traceparent } = this.#options;
+    const sentTokenCount = this.#cursor.nextIndex;
+    const last = this.#lastStreamed;
+    const attempt: ModelAttempt = new ModelAttempt(
+      {
+        attemptId: action.attemptId,
+        link,
+        path: model.path,
+        headers: {
+          "content-type": "application/json",
+          ...this.getUpstreamHeaders(action),
+          ...(traceparent === null ? {} : { traceparent }),
+        },
+        modes: this.#getModes(link),
+        sentTokenCount,
+        resumeHeaders: {
+          [resumeHeaderNames.attempt]: last?.attemptId ?? "",
+          [resumeHeaderNames.fromToken]: String(sentTokenCount),
+        },
+        kvHeaders: {
+          [resumeHeaderNames.kvSource]: last?.link.announcement.address ?? "",
+          [resumeHeaderNames.kvStamp]: last?.link.stamp ?? "",
+        },
+        createBody: (mode) => this.#createBody(mode),
+        repeatable: this.request.repeatable,
+        mayWrite: () => this.mayWrite(),
+        readNowMs: () => this.context.clock.monotonicMs(),
+      },
+      this,
+    );
+    this.#attempts.set(action.attemptId, attempt);
+    attempt.start();
+  }
+
+  protected cancelRunning(attemptId: string): void {
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt === undefined) {
+      return;
+    }
+    this.#hasUnprovedAttempt ||= attempt.written;
+    attempt.abort();
+    this.#attempts.delete(attemptId);
+    if (this.#current === attempt) {
+      this.#current = null;
+    }
+  }
+
+  protected abortAll(): void {
+    for (const attempt of this.#attempts.values()) {
+      this.#hasUnprovedAttempt ||= attempt.written;
+      attempt.abort();
+    }
+    this.#attempts.clear();
+  }
+
+  protected sendFailure(problem: Problem): void {
+    this.#options.sink.fail(problem);
+  }
+
+  protected detachCaller(): void {
+    this.#options.sink.detach();
+    // A paused attempt would otherwise wait for a caller that has left.
+    this.#current?.resume();
+  }
+
+  protected mayHaveRun(): boolean {
+    return this.#hasUnprovedAttempt || this.hasRunningAttempt();
+  }
+
+  protected hasRunningAttempt(): boolean {
+    return [...this.#attempts.values()].some(({ written }) => written);
+  }
+
+  /**
+   * Whether tokens of the attempt continue the answer. Two attempts from the first token on (a hedge) give
+   * different answers unless the request is deterministic, so only the first to yield a token is heard.
+   */
+  #takesFrom(attempt: ModelAttempt): boolean {
+    if (this.#current !== null) {
+      return this.#current === attempt;
+    }
+    const continues = attempt.sentTokenCount === this.#cursor.nextIndex;
+    return continues || this.#options.model.deterministic;
+  }
+
+  #getModes(link: TargetLink): ResumeMode[] {
+    const last = this.#lastStreamed;
+    if (this.#cursor.nextIndex === 0 || last === null) {
+      return [ResumeMode.Fresh];
+    }
+    const isSameTarget = last.link.announcement.target === link.announcement.target;
+    return [
+      isSameTarget ? ResumeMode.Engine : ResumeMode.KvImport,
+      ...(this.#options.model.deterministic ? [ResumeMode.Replay] : []),
+    ];
+  }
+
+  #createBody(mode: ResumeMode): string {
+    if (mode !== ResumeMode.Replay) {
+      return createUpstreamBody(this.#options.model, "", 0);
+    }
+    const sentText = this.#sentTails.map(getTailText).join("");
+    return createUpstreamBody(this.#options.model, sentText, this.#sentTails.length);
+  }
+
+  #giveUp(attempt: ModelAttempt, reason: RefusalReason, outcome: Outcome): void {
+    this.#attempts.delete(attempt.attemptId);
+    this.reportEnd(attempt.attemptId, AttemptEndKind.Cancelled);
+    this.context.dispatcher.onCallerGone(this.request.requestId);
+    void this.fail(reason, outcome, 0);
+  }
+
+  #recordTiming(): void {
+    const { metrics, clock } = this.context;
+    const nowMs = clock.monotonicMs();
+    if (this.#lastChunkAtMs === 0) {
+      metrics.recordMs("first_token", this.request.requestClass, nowMs - this.request.arrivedAtMs);
+    } else {
+      metrics.recordMs("token_gap", this.request.requestClass, nowMs - this.#lastChunkAtMs);
+    }
+    this.#lastChunkAtMs = nowMs;
+  }
+
+  #addTokens(): void {
+    this.context.metrics.addTokens(this.#cursor.nextIndex);
+    const explained = this.context.explain.get(this.request.requestId);
+    if (explained !== null) {
+      explained.tokenCount = this.#cursor.nextIndex;
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/Problem.ts
@@ -0,0 +1,15 @@
+import type { Outcome } from "@clementinemux/common/Outcome";
+import type { RefusalReason } from "@clementinemux/common/RefusalReason";
+
+/** Error as a caller gets it: the body of `application/problem+json` or of an error event. */
+export interface Problem {
+  readonly type: "about:blank";
+  readonly title: string;
+  readonly status: number;
+  readonly outcome: Outcome;
+  readonly reason: RefusalReason;
+  readonly requestId: string;
+  readonly retryAfterMs: number;
+  /** Entries to use instead, when this one cannot take the request. */
+  readonly addresses?: readonly string[];
+}
--- /dev/null
+++ b/packages/entry/RelayCaller.ts
@@ -0,0 +1,44 @@
+import type { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+
+interface RelayAnswer {
+  readonly body: unknown;
+}
+
+/** Calls the first relay that answers, beginning with the one that answered last. */
+export class RelayCaller {
+  readonly #clients: readonly RpcClient[];
+  #preferred = 0;
+
+  constructor(addresses: readonly string[], tls: TlsFiles | undefined) {
+    this.#clients = addresses.map((address) => new RpcClient({ address: parseAddress(address), tls }));
+  }
+
+  /**
+   * Resolves with null when no relay answered with success. `timeoutMs` is the time for each relay.
+   */
+  async call(name: MessageName, body: unknown, timeoutMs: number): Promise<RelayAnswer | null> {
+    for (let tried = 0; tried < this.#clients.length; tried += 1) {
+      const index = (this.#preferred + tried) % this.#clients.length;
+      const answer = await this.#clients[index]?.call(name, body, timeoutMs);
+      if (answer?.isRight() === true) {
+        this.#preferred = index;
+        return { body: answer.extract() };
+      }
+      const error = answer?.extract();
+      if (error instanceof Error && "code" in error && error.code === WireErrorCode.UnknownMessage) {
+        return null;
+      }
+    }
+    return null;
+  }
+
+  close(): void {
+    for (const client of this.#clients) {
+      client.close();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/RequestSession.ts
@@ -0,0 +1,273 @@
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import type { RetryReason } from "@clementinemux/common/RetryReason";
+import { headerNames } from "@clementinemux/common/headerNames";
+import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import type { RecordedAnswer } from "@clementinemux/messages/RecordedAnswer";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import type { PolicyAction } from "@clementinemux/policy/PolicyAction";
+import type { PolicyActionKind } from "@clementinemux/policy/PolicyActionKind";
+import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import type { ClaimGuard } from "./ClaimGuard";
+import type { Problem } from "./Problem";
+import type { Session } from "./Session";
+import type { SessionContext } from "./SessionContext";
+import type { TargetLink } from "./TargetLink";
+import { createProblem } from "./createProblem";
+
+type DispatchAction = Extract<PolicyAction, { readonly kind: PolicyActionKind.Dispatch }>;
+type RefuseAction = Extract<PolicyAction, { readonly kind: PolicyActionKind.Refuse }>;
+
+interface RefusalFields {
+  readonly requestId: string;
+  readonly reason: RefusalReason;
+  readonly outcome: Outcome;
+  readonly retryAfterMs: number;
+}
+
+/** Part of a session that is the same for models and services: claims, refusals, records and logs. */
+export abstract class RequestSession implements Session {
+  readonly request: PolicyRequest;
+  protected readonly context: SessionContext;
+  protected callerGone = false;
+  readonly #claim: ClaimGuard | null;
+  readonly #onOver: () => void;
+  #over = false;
+  #firstDispatch = true;
+  /** The policy has given the request up, while the answer of its claimed dispatch is still awaited. */
+  #releasedByPolicy = false;
+  /** Attempts whose claim is being renewed; a cancelled one is taken out and not launched. */
+  readonly #preparing = new Set<string>();
+
+  constructor(request: PolicyRequest, context: SessionContext, claim: ClaimGuard | null, onOver: () => void) {
+    this.request = request;
+    this.context = context;
+    this.#claim = claim;
+    this.#onOver = onOver;
+  }
+
+  get over(): boolean {
+    return this.#over;
+  }
+
+  dispatch(action: DispatchAction): void {
+    if (this.#over) {
+      return;
+    }
+    this.#noteDispatch(action);
+    if (this.#claim === null) {
+      this.#launch(action);
+      return;
+    }
+    void this.#dispatchClaimed(action, this.#claim);
+  }
+
+  refuse({ reason, outcome, retryAfterMs }: RefuseAction): void {
+    if (this.#claim !== null && outcome === Outcome.Unknown && this.hasRunningAttempt()) {
+      // The caller is told now; the answer is still awaited, so that a resend gets it.
+      this.#releasedByPolicy = true;
+      this.#tellCaller(createProblem(this.#getRefusal(reason, outcome, retryAfterMs), this.context.random));
+      this.context.metrics.refusals.add(reason);
+      return;
+    }
+    void this.fail(reason, outcome, retryAfterMs);
+  }
+
+  cancelAttempt(attemptId: string, reason: RefusalReason | RetryReason): void {
+    if (!this.request.repeatable && this.hasRunningAttempt()) {
+      // A cancelled attempt could have run all the same; its answer is worth more than its time.
+      return;
+    }
+    this.#preparing.delete(attemptId);
+    this.cancelRunning(attemptId, reason);
+    this.reportEnd(attemptId, AttemptEndKind.Cancelled);
+  }
+
+  endNow(reason: RefusalReason): void {
+    const outcome = this.mayHaveRun() ? Outcome.Unknown : Outcome.NotRun;
+    this.context.dispatcher.onCallerGone(this.request.requestId);
+    this.abortAll();
+    void this.fail(reason, outcome, 0);
+  }
+
+  /** The caller's connection has closed before the answer was whole. */
+  onCallerGone(): void {
+    if (this.#over || this.callerGone) {
+      return;
+    }
+    this.callerGone = true;
+    this.detachCaller();
+    if (!this.request.repeatable && this.hasRunningAttempt()) {
+      // The target may be running it: the answer is awaited and recorded for a resend.
+      return;
+    }
+    const outcome = this.mayHaveRun() ? Outcome.Unknown : Outcome.NotRun;
+    this.context.dispatcher.onCallerGone(this.request.requestId);
+    this.abortAll();
+    void this.fail(RefusalReason.CallerGone, outcome, 0);
+  }
+
+  abstract tick(nowMs: number, defaults: FleetDefaults): void;
+
+  protected abstract launch(action: DispatchAction, link: TargetLink): void;
+  protected abstract cancelRunning(attemptId: string, reason: RefusalReason | RetryReason): void;
+  protected abstract abortAll(): void;
+  protected abstract sendFailure(problem: Problem): void;
+  protected abstract detachCaller(): void;
+  /** Whether a byte of an attempt that is not proved not run has been written. */
+  protected abstract mayHaveRun(): boolean;
+  /** Whether an attempt that has been written is still awaited. */
+  protected abstract hasRunningAttempt(): boolean;
+
+  /** Checked directly before the first byte is written. */
+  protected mayWrite(): boolean {
+    return !this.#over && this.context.clock.monotonicMs() < this.request.deadlineAtMs;
+  }
+
+  protected reportEnd(attemptId: string, end: AttemptEndKind): void {
+    const explained = this.context.explain.get(this.request.requestId);
+    const attempt = explained?.attempts.find((each) => each.attemptId === attemptId);
+    if (attempt !== undefined) {
+      attempt.end = end;
+      attempt.endedAfterMs = this.#getAgeMs();
+    }
+    const { dispatcher, clock } = this.context;
+    if (end === AttemptEndKind.ConnectFailed && clock.monotonicMs() >= this.request.deadlineAtMs) {
+      // The deadline passed before the first byte; another target could not be in time either.
+      dispatcher.onAttemptEnded(attemptId, AttemptEndKind.Cancelled);
+      dispatcher.onCallerGone(this.request.requestId);
+      void this.fail(RefusalReason.DeadlinePassed, Outcome.NotRun, 0);
+      return;
+    }
+    dispatcher.onAttemptEnded(attemptId, end);
+    if (this.#releasedByPolicy && end !== AttemptEndKind.Completed) {
+      void this.fail(RefusalReason.TargetsFailed, Outcome.Unknown, 0);
+    }
+  }
+
+  protected getUpstreamHeaders(action: DispatchAction): Record<string, string> {
+    const remainingMs = this.request.deadlineAtMs - this.context.clock.monotonicMs();
+    return {
+      [headerNames.requestId]: this.request.requestId,
+      [headerNames.attemptId]: action.attemptId,
+      [headerNames.revision]: String(this.context.getConfig().revision),
+      [headerNames.team]: this.request.team,
+      [headerNames.priority]: String(action.enginePriority),
+      [headerNames.deadlineMs]: String(Math.max(0, Math.floor(remainingMs))),
+    };
+  }
+
+  /** The whole answer has been handed to the caller. */
+  protected succeed(record: RecordedAnswer | null, target: string): void {
+    if (this.#over) {
+      return;
+    }
+    void this.#claim?.complete(record);
+    this.#close("completed", target);
+  }
+
+  /** Ends the request with an error. `not_run` for a claimed request waits for the committed cancellation. */
+  protected async fail(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): Promise<void> {
+    if (this.#over) {
+      return;
+    }
+    this.#over = true;
+    this.context.metrics.refusals.add(reason);
+    // A byte of the request may be with a target, whatever the policy has concluded.
+    let provedOutcome = outcome === Outcome.NotRun && this.mayHaveRun() ? Outcome.Unknown : outcome;
+    if (provedOutcome === Outcome.NotRun && this.#claim !== null && !(await this.#claim.cancel())) {
+      provedOutcome = Outcome.Unknown;
+    }
+    const refusal = this.#getRefusal(reason, provedOutcome, retryAfterMs);
+    const problem = createProblem(refusal, this.context.random);
+    if (provedOutcome !== Outcome.NotRun) {
+      void this.#claim?.complete(provedOutcome === Outcome.RunFailed ? createRecord(problem) : null);
+    }
+    this.#tellCaller(problem);
+    this.#close(reason, "");
+  }
+
+  async #dispatchClaimed(action: DispatchAction, claim: ClaimGuard): Promise<void> {
+    this.#preparing.add(action.attemptId);
+    const mayDispatch = await claim.takeDispatch();
+    if (!this.#preparing.delete(action.attemptId) || this.#over) {
+      return;
+    }
+    if (!mayDispatch) {
+      this.context.dispatcher.onCallerGone(this.request.requestId);
+      await this.fail(RefusalReason.ClaimUnavailable, Outcome.Unknown, 0);
+      return;
+    }
+    this.#launch(action);
+  }
+
+  #launch(action: DispatchAction): void {
+    const link = this.context.fleet.getLink(action.target);
+    if (link === null) {
+      this.reportEnd(action.attemptId, AttemptEndKind.ConnectFailed);
+      return;
+    }
+    this.launch(action, link);
+  }
+
+  #noteDispatch(action: DispatchAction): void {
+    const { metrics, explain } = this.context;
+    const { requestId, requestClass, team } = this.request;
+    const ageMs = this.#getAgeMs();
+    if (action.retryReason !== null) {
+      metrics.retries.add(action.retryReason);
+      const { attemptId, target, retryReason } = action;
+      this.context.log("attempt started again", { requestId, team, attemptId, target, reason: retryReason });
+    } else if (this.#firstDispatch) {
+      metrics.recordMs("queueing", requestClass, ageMs);
+    }
+    this.#firstDispatch = false;
+    explain.get(requestId)?.attempts.push({
+      attemptId: action.attemptId,
+      target: action.target,
+      startedAfterMs: ageMs,
+      retryReason: action.retryReason,
+      endedAfterMs: null,
+      end: null,
+    });
+  }
+
+  #tellCaller(problem: Problem): void {
+    if (!this.callerGone) {
+      this.callerGone = true;
+      this.sendFailure(problem);
+      this.detachCaller();
+    }
+  }
+
+  #getRefusal(reason: RefusalReason, outcome: Outcome, retryAfterMs: number): RefusalFields {
+    return { requestId: this.request.requestId, reason, outcome, retryAfterMs };
+  }
+
+  #close(result: string, target: string): void {
+    this.#over = true;
+    this.abortAll();
+    const { requestId, team } = this.request;
+    this.context.dispatcher.remove(requestId);
+    const explained = this.context.explain.get(requestId);
+    if (explained !== null) {
+      explained.result = result;
+    }
+    const revision = this.context.getConfig().revision;
+    const durationMs = this.#getAgeMs();
+    this.context.log("request ended", { requestId, team, target, revision, result, durationMs });
+    this.#onOver();
+  }
+
+  #getAgeMs(): number {
+    return Math.round((this.context.clock.monotonicMs() - this.request.arrivedAtMs) * 100) / 100;
+  }
+}
+
+function createRecord(problem: Problem): RecordedAnswer {
+  return {
+    status: problem.status,
+    contentType: "application/problem+json",
+    body: Buffer.from(JSON.stringify(problem)),
+  };
+}
--- /dev/null
+++ b/packages/entry/ServiceSession.ts
@@ -0,0 +1,229 @@
+import type { IncomingHttpHeaders, ServerResponse } from "node:http";
+import { headerNames } from "@clementinemux/common/headerNames";
+import type { RecordedAnswer } from "@clementinemux/messages/RecordedAnswer";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import type { PolicyAction } from "@clementinemux/policy/PolicyAction";
+import type { PolicyActionKind } from "@clementinemux/policy/PolicyActionKind";
+import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import type { Dispatcher as UndiciDispatcher } from "undici";
+import type { ClaimGuard } from "./ClaimGuard";
+import type { Problem } from "./Problem";
+import { RequestSession } from "./RequestSession";
+import type { SessionContext } from "./SessionContext";
+import type { TargetLink } from "./TargetLink";
+import { UpstreamCall } from "./UpstreamCall";
+import type { UpstreamListener } from "./UpstreamListener";
+import { sendProblem } from "./sendProblem";
+
+interface ServiceSessionOptions {
+  readonly request: PolicyRequest;
+  readonly method: UndiciDispatcher.HttpMethod;
+  readonly path: string;
+  readonly contentType: string;
+  readonly body: Buffer;
+  readonly response: ServerResponse;
+  readonly claim: ClaimGuard | null;
+  /** Bytes of the answer kept for the record; 0 when it is not recorded. */
+  readonly recordLimitBytes: number;
+  readonly timeoutMs: number;
+  readonly traceparent: string | null;
+  readonly onOver: () => void;
+}
+
+interface Running {
+  readonly attemptId: string;
+  readonly link: TargetLink;
+  readonly call: UpstreamCall;
+  readonly startedAtMs: number;
+}
+
+/** A call to a plain service. The answer of the service, whatever its status, is the answer to the caller. */
+export class ServiceSession extends RequestSession implements UpstreamListener {
+  readonly #options: ServiceSessionOptions;
+  #running: Running | null = null;
+  #response: ServerResponse | null;
+  #refusal: AttemptEndKind | null = null;
+  #status = 0;
+  #contentType = "";
+  #recorded: Buffer[] | null = [];
+  #recordedBytes = 0;
+  #hasUnprovedAttempt = false;
+
+  constructor(options: ServiceSessionOptions, context: SessionContext) {
+    super(options.request, context, options.claim, options.onOver);
+    this.#options = options;
+    this.#response = options.response;
+  }
+
+  tick(nowMs: number): void {
+    const running = this.#running;
+    if (running !== null && nowMs - running.startedAtMs > this.#options.timeoutMs) {
+      running.call.abort();
+      void running.link.condemnPool(this.#options.timeoutMs, () => this.context.clock.monotonicMs());
+      this.#end(AttemptEndKind.FirstTokenTimeout);
+    }
+  }
+
+  onHead(status: number, headers: IncomingHttpHeaders): void {
+    const running = this.#running;
+    if (running === null) {
+      return;
+    }
+    if (headers[headerNames.refusedBy] === "agent") {
+      const stamp = headers[headerNames.stamp];
+      if (typeof stamp === "string") {
+        running.link.takeStamp(stamp, this.context.clock.monotonicMs());
+      }
+      this.#refusal = AttemptEndKind.AgentRefused;
+      return;
+    }
+    const echoed = headers[headerNames.attemptId];
+    if (echoed !== undefined && echoed !== running.attemptId) {
+      running.call.abort();
+      this.#end(AttemptEndKind.StreamBroken);
+      return;
+    }
+    this.#status = status;
+    this.#contentType = headers["content-type"] ?? "application/octet-stream";
+    this.#response?.writeHead(status, {
+      "content-type": this.#contentType,
+      [headerNames.requestId]: this.request.requestId,
+      "clementinemux-target": running.link.announcement.target,
+    });
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.#refusal !== null || this.#running === null) {
+      return;
+    }
+    this.#record(chunk);
+    const { call } = this.#running;
+    if (this.#response?.write(chunk) === false) {
+      call.pause();
+      this.#response.once("drain", () => {
+        call.resume();
+      });
+    }
+  }
+
+  onEnd(): void {
+    const running = this.#running;
+    if (running === null) {
+      return;
+    }
+    if (this.#refusal !== null) {
+      this.#end(this.#refusal);
+      return;
+    }
+    this.#running = null;
+    this.#response?.end();
+    this.reportEnd(running.attemptId, AttemptEndKind.Completed);
+    this.succeed(this.#getRecord(), running.link.announcement.target);
+  }
+
+  onError(written: boolean): void {
+    this.#end(written ? AttemptEndKind.StreamBroken : AttemptEndKind.ConnectFailed);
+  }
+
+  protected launch(
+    action: Extract<PolicyAction, { readonly kind: PolicyActionKind.Dispatch }>,
+    link: TargetLink,
+  ): void {
+    const { method, path, contentType, body, traceparent } = this.#options;
+    this.#refusal = null;
+    const call = new UpstreamCall(
+      {
+        link,
+        method,
+        path,
+        headers: {
+          ...(contentType === "" ? {} : { "content-type": contentType }),
+          ...this.getUpstreamHeaders(action),
+          [headerNames.stamp]: link.stamp ?? "",
+          ...(traceparent === null ? {} : { traceparent }),
+        },
+        body: body.length > 0 ? body : null,
+        repeatable: this.request.repeatable,
+        mayWrite: () => this.mayWrite(),
+      },
+      this,
+    );
+    this.#running = {
+      attemptId: action.attemptId,
+      link,
+      call,
+      startedAtMs: this.context.clock.monotonicMs(),
+    };
+  }
+
+  protected cancelRunning(attemptId: string): void {
+    if (this.#running?.attemptId === attemptId) {
+      this.abortAll();
+    }
+  }
+
+  protected abortAll(): void {
+    this.#hasUnprovedAttempt ||= this.hasRunningAttempt();
+    this.#running?.call.abort();
+    this.#running = null;
+  }
+
+  protected sendFailure(problem: Problem): void {
+    if (this.#response?.headersSent === true) {
+      // The answer has begun with the service's own status; a cut connection is the only error left.
+      this.#response.destroy();
+      return;
+    }
+    if (this.#response !== null) {
+      sendProblem(this.#response, problem);
+    }
+  }
+
+  protected detachCaller(): void {
+    this.#response = null;
+    this.#running?.call.resume();
+  }
+
+  protected mayHaveRun(): boolean {
+    return this.#hasUnprovedAttempt || this.hasRunningAttempt();
+  }
+
+  protected hasRunningAttempt(): boolean {
+    return this.#running?.call.written === true;
+  }
+
+  #end(end: AttemptEndKind): void {
+    const running = this.#running;
+    if (running === null) {
+      return;
+    }
+    this.#running = null;
+    const isProvedNotRun = end === AttemptEndKind.AgentRefused || end === AttemptEndKind.ConnectFailed;
+    this.#hasUnprovedAttempt ||= !isProvedNotRun;
+    if (this.#response?.headersSent === true) {
+      // A second attempt cannot continue an answer that has begun.
+      this.#response.destroy();
+      this.onCallerGone();
+      this.context.dispatcher.onCallerGone(this.request.requestId);
+    }
+    this.reportEnd(running.attemptId, end);
+  }
+
+  #record(chunk: Buffer): void {
+    if (this.#recorded === null) {
+      return;
+    }
+    this.#recordedBytes += chunk.length;
+    if (this.#recordedBytes > this.#options.recordLimitBytes) {
+      this.#recorded = null;
+      return;
+    }
+    this.#recorded.push(chunk);
+  }
+
+  #getRecord(): RecordedAnswer | null {
+    return this.#recorded === null
+      ? null
+      : { status: this.#status, contentType: this.#contentType, body: Buffer.concat(this.#recorded) };
+  }
+}
--- /dev/null
+++ b/packages/entry/ServingLease.ts
@@ -0,0 +1,67 @@
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { applyRevisionChange } from "./applyRevisionChange";
+
+/**
+ * Permission of an entry to take new work, and the configuration that it applies. Has no clock: times are
+ * monotonic milliseconds of this process.
+ */
+export class ServingLease {
+  #config: FleetConfig;
+  #epoch = 0;
+  #validUntilMs = -Infinity;
+  #confirmedOnce = false;
+
+  constructor(initial: FleetConfig) {
+    this.#config = initial;
+  }
+
+  get config(): FleetConfig {
+    return this.#config;
+  }
+
+  /**
+   * Takes the answer to a renewal that was sent at `sentAtMs`. The lease counts from the sending, because the
+   * time between sending and answer is already part of the lease at the leader. Returns whether the
+   * configuration changed.
+   */
+  onRenewed(response: RenewResponse, sentAtMs: number): boolean {
+    if (response.epoch < this.#epoch || response.revision < this.#config.revision) {
+      // Control that has seen less than this entry cannot confirm anything to it.
+      return false;
+    }
+    const before = this.#config;
+    this.#config = getNext(before, response);
+    if (!response.confirmed || this.#config.revision !== response.revision) {
+      return this.#config !== before;
+    }
+    this.#epoch = response.epoch;
+    this.#confirmedOnce = true;
+    this.#validUntilMs = Math.max(this.#validUntilMs, sentAtMs + response.leaseMs);
+    return this.#config !== before;
+  }
+
+  /** Whether new work may be taken. `region` is that of this entry, for a listed `serveWithoutControl`. */
+  isServing(nowMs: number, region: string): boolean {
+    return this.#confirmedOnce && (nowMs < this.#validUntilMs || this.#mayServeWithoutControl(region));
+  }
+
+  #mayServeWithoutControl(region: string): boolean {
+    return this.#config.exceptions.some(
+      ({ selector, override }) => override.serveWithoutControl === true && selector.region === region,
+    );
+  }
+}
+
+function getNext(current: FleetConfig, { config, changes }: RenewResponse): FleetConfig {
+  if (config !== null) {
+    return config.revision > current.revision ? config : current;
+  }
+  let next = current;
+  for (const change of changes) {
+    if (change.revision === next.revision + 1) {
+      next = applyRevisionChange(next, change);
+    }
+  }
+  return next;
+}
--- /dev/null
+++ b/packages/entry/SessionContext.ts
@@ -0,0 +1,20 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { Dispatcher } from "./Dispatcher";
+import type { EntryMetrics } from "./EntryMetrics";
+import type { ExplainLog } from "./ExplainLog";
+import type { FleetView } from "./FleetView";
+
+/** What the sessions of one entry share. */
+export interface SessionContext {
+  readonly dispatcher: Dispatcher;
+  readonly fleet: FleetView;
+  readonly metrics: EntryMetrics;
+  readonly explain: ExplainLog;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly getConfig: () => FleetConfig;
+  /** Writes one log line of a request. */
+  readonly log: (event: string, fields: Readonly<Record<string, string | number>>) => void;
+}
--- /dev/null
+++ b/packages/entry/Shutdown.ts
@@ -0,0 +1,82 @@
+import type { Clock } from "@clementinemux/common/Clock";
+
+interface ShutdownOptions {
+  readonly clock: Clock;
+  /** Time after the start at which the remaining requests are ended. */
+  readonly shutdownDeadlineMs: number;
+  /** Time until every other entry has dropped this one from its address answers. */
+  readonly addressSettleMs: number;
+  readonly getAddressTtlMs: () => number;
+  readonly getWorkInFlight: () => number;
+  readonly announceLeaving: () => Promise<boolean>;
+  /** Ends the remaining requests with explicit errors. */
+  readonly endRequests: () => void;
+}
+
+// Time for the last error events to reach their callers.
+const endedGraceMs = 1000;
+
+/**
+ * Course of a shutdown. Callers use an address for as long as the answer that named it is valid, so the entry
+ * takes work until the last such answer has expired, and only then refuses it.
+ */
+export class Shutdown {
+  readonly #options: ShutdownOptions;
+  #leavingSinceMs: number | null = null;
+  #addressesExpireAtMs = Infinity;
+  #requestsEndedAtMs = Infinity;
+  #resolveDone: () => void = () => undefined;
+  readonly #done: Promise<void>;
+
+  constructor(options: ShutdownOptions) {
+    this.#options = options;
+    this.#done = new Promise((resolve) => {
+      this.#resolveDone = resolve;
+    });
+  }
+
+  get leaving(): boolean {
+    return this.#leavingSinceMs !== null;
+  }
+
+  get acceptsWork(): boolean {
+    return (
+      this.#requestsEndedAtMs === Infinity && this.#options.clock.monotonicMs() < this.#addressesExpireAtMs
+    );
+  }
+
+  /** Begins the shutdown, or ends the remaining requests when it has begun. Resolves when none is left. */
+  begin(): Promise<void> {
+    if (this.leaving) {
+      this.#endRequests();
+      return this.#done;
+    }
+    const { clock, announceLeaving, addressSettleMs, getAddressTtlMs } = this.#options;
+    this.#leavingSinceMs = clock.monotonicMs();
+    this.#addressesExpireAtMs = this.#leavingSinceMs + addressSettleMs + getAddressTtlMs();
+    void announceLeaving();
+    return this.#done;
+  }
+
+  tick(): void {
+    if (this.#leavingSinceMs === null) {
+      return;
+    }
+    const nowMs = this.#options.clock.monotonicMs();
+    if (nowMs >= this.#leavingSinceMs + this.#options.shutdownDeadlineMs) {
+      this.#endRequests();
+    }
+    const mayEnd = nowMs >= this.#addressesExpireAtMs || this.#requestsEndedAtMs !== Infinity;
+    const graceIsOver = nowMs >= this.#requestsEndedAtMs + endedGraceMs;
+    if (graceIsOver || (mayEnd && this.#options.getWorkInFlight() === 0)) {
+      this.#resolveDone();
+    }
+  }
+
+  #endRequests(): void {
+    if (this.#requestsEndedAtMs === Infinity) {
+      this.#requestsEndedAtMs = this.#options.clock.monotonicMs();
+      this.#options.endRequests();
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/SseParser.ts
@@ -0,0 +1,34 @@
+/**
+ * Splits the bytes of a server-sent event stream into events. Bytes are carried as latin1 text, which keeps
+ * every byte, so that a UTF-8 sequence or an event broken across chunks is put together unchanged.
+ */
+export class SseParser {
+  readonly #maxEventBytes: number;
+  #rest = "";
+
+  constructor(maxEventBytes: number) {
+    this.#maxEventBytes = maxEventBytes;
+  }
+
+  /** Returns the events completed by a chunk, without their blank line. Throws a RangeError on a huge one. */
+  push(chunk: Buffer): string[] {
+    let text = this.#rest + chunk.toString("latin1");
+    let heldBack = "";
+    if (text.includes("\r")) {
+      // The line feed of a trailing carriage return may be in the next chunk.
+      heldBack = text.endsWith("\r") ? "\r" : "";
+      text = text.slice(0, text.length - heldBack.length).replaceAll(/\r\n?/g, "\n");
+    }
+    const events: string[] = [];
+    let start = 0;
+    for (let end = text.indexOf("\n\n"); end !== -1; end = text.indexOf("\n\n", start)) {
+      events.push(text.slice(start, end));
+      start = end + 2;
+    }
+    this.#rest = (start === 0 ? text : text.slice(start)) + heldBack;
+    if (this.#rest.length > this.#maxEventBytes) {
+      throw new RangeError(`event is larger than ${this.#maxEventBytes} bytes`);
+    }
+    return events;
+  }
+}
--- /dev/null
+++ b/packages/entry/StreamFault.ts
@@ -0,0 +1,11 @@
+/** Faults of engines' streams that were kept from the caller. Each has a counter. */
+export enum StreamFault {
+  ForeignAnswer = "foreign_answer",
+  ForeignEvent = "foreign_event",
+  DuplicateToken = "duplicate_token",
+  MissingToken = "missing_token",
+  MalformedEvent = "malformed_event",
+  EventTooLarge = "event_too_large",
+  MissingFinalEvent = "missing_final_event",
+  TokenCountMismatch = "token_count_mismatch",
+}
--- /dev/null
+++ b/packages/entry/TargetLink.ts
@@ -0,0 +1,153 @@
+import { Client, Pool, request as requestHttp } from "undici";
+import type { Dispatcher } from "undici";
+import type { AgentState } from "@clementinemux/agent/AgentState";
+import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { LoadReport } from "@clementinemux/policy/LoadReport";
+import type { TargetView } from "@clementinemux/policy/TargetView";
+
+interface LoadFields extends Omit<LoadReport, "measuredAtMs"> {
+  readonly lagMs: number;
+}
+
+interface PolledState extends AgentState {
+  readonly load?: LoadFields | null;
+}
+
+// Part of the permitted age after which a stamp is no longer sent: the rest is left for the way to the agent.
+const stampUseShare = 0.8;
+const poolOptions = {
+  pipelining: 1,
+  // Phases are timed by the entry, which knows what it waits for.
+  headersTimeout: 0,
+  bodyTimeout: 0,
+} as const;
+
+/** Connections of the entry to one agent, and what is known of its target. */
+export class TargetLink {
+  readonly announcement: TargetAnnouncement;
+  readonly #origin: string;
+  readonly #connectTimeoutMs: number;
+  #pool: Pool;
+  #pollClient: Client;
+  #stamp: string | null = null;
+  #stampAtMs = -Infinity;
+  #accepting = false;
+  #load: LoadReport | null = null;
+  #pooledUsable = true;
+
+  constructor(announcement: TargetAnnouncement, connectTimeoutMs: number) {
+    this.announcement = announcement;
+    this.#origin = `http://${announcement.address}`;
+    this.#connectTimeoutMs = connectTimeoutMs;
+    this.#pool = this.#createPool();
+    this.#pollClient = this.createFreshClient();
+  }
+
+  get stamp(): string | null {
+    return this.#stamp;
+  }
+
+  /** Connections for repeatable requests. */
+  get pool(): Dispatcher {
+    return this.#pool;
+  }
+
+  /** Creates a client with no connection yet, for one request that must not meet a dead connection. */
+  createFreshClient(): Client {
+    return new Client(this.#origin, { ...poolOptions, connect: { timeout: this.#connectTimeoutMs } });
+  }
+
+  getView(nowMs: number, permitMaxAgeMs: number): TargetView {
+    const stampIsFresh = nowMs - this.#stampAtMs <= permitMaxAgeMs * stampUseShare;
+    return {
+      announcement: this.announcement,
+      accepting: this.#accepting && stampIsFresh,
+      membershipWeight: 1,
+      load: this.#load,
+    };
+  }
+
+  /** Takes the fresh stamp that an agent's refusal carries. */
+  takeStamp(stamp: string, nowMs: number): void {
+    this.#stamp = stamp;
+    this.#stampAtMs = nowMs;
+  }
+
+  /** The agent refused a request with a fresh stamp of its own; it accepts again when a poll says so. */
+  stopUsing(): void {
+    this.#accepting = false;
+  }
+
+  /**
+   * A connection of the pool went silent: no new request uses the pool's other connections, which share its
+   * path. Requests in flight on them keep their own timeouts. The target is judged by a new connection.
+   */
+  async condemnPool(timeoutMs: number, readNowMs: () => number): Promise<void> {
+    if (!this.#pooledUsable) {
+      return;
+    }
+    this.#pooledUsable = false;
+    const condemned = this.#pool;
+    this.#pool = this.#createPool();
+    condemned.close().catch(() => undefined);
+    this.#replacePollClient();
+    await this.poll(timeoutMs, readNowMs);
+    this.#pooledUsable = true;
+  }
+
+  /** Asks the agent for its state; when its connection is silent, once more on a new one. */
+  async poll(timeoutMs: number, readNowMs: () => number): Promise<void> {
+    if (await this.#pollOnce(timeoutMs, readNowMs)) {
+      return;
+    }
+    this.#replacePollClient();
+    if (!(await this.#pollOnce(timeoutMs, readNowMs))) {
+      this.#accepting = false;
+      this.#replacePollClient();
+    }
+  }
+
+  close(): void {
+    this.#pool.close().catch(() => undefined);
+    this.#pollClient.destroy().catch(() => undefined);
+  }
+
+  async destroy(): Promise<void> {
+    await Promise.all([this.#pool.destroy(), this.#pollClient.destroy()]);
+  }
+
+  #createPool(): Pool {
+    return new Pool(this.#origin, { ...poolOptions, connect: { timeout: this.#connectTimeoutMs } });
+  }
+
+  #replacePollClient(): void {
+    this.#pollClient.destroy().catch(() => undefined);
+    this.#pollClient = this.createFreshClient();
+  }
+
+  async #pollOnce(timeoutMs: number, readNowMs: () => number): Promise<boolean> {
+    const sentAtMs = readNowMs();
+    try {
+      const { statusCode, body } = await requestHttp(`${this.#origin}/agent/state`, {
+        dispatcher: this.#pollClient,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      if (statusCode !== 200) {
+        await body.dump();
+        return false;
+      }
+      const state = (await body.json()) as PolledState;
+      this.#stamp = state.stamp;
+      // The stamp may be as old as the sending of the question.
+      this.#stampAtMs = sentAtMs;
+      this.#accepting = state.accepting;
+      if (state.load !== undefined && state.load !== null) {
+        const { lagMs, ...load } = state.load;
+        this.#load = { ...load, measuredAtMs: readNowMs() - lagMs };
+      }
+      return true;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/UpstreamCall.ts
@@ -0,0 +1,120 @@
+import type { Client, Dispatcher } from "undici";
+import type { TargetLink } from "./TargetLink";
+import type { UpstreamListener } from "./UpstreamListener";
+
+interface UpstreamCallOptions {
+  readonly link: TargetLink;
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer | string | null;
+  /** Whether the request may run twice. If not, it is written on a connection of its own. */
+  readonly repeatable: boolean;
+  /** Asked directly before the first byte is written; the request is not written when it returns false. */
+  readonly mayWrite: () => boolean;
+}
+
+/**
+ * One HTTP exchange with an agent. The HTTP library never repeats it: what was not written failed with
+ * `written` false, everything else with `written` true.
+ */
+export class UpstreamCall {
+  readonly #listener: UpstreamListener;
+  #freshClient: Client | null = null;
+  #controller: Dispatcher.DispatchController | null = null;
+  #written = false;
+  #closed = false;
+
+  constructor(options: UpstreamCallOptions, listener: UpstreamListener) {
+    this.#listener = listener;
+    const { link, method, path, headers, body, repeatable } = options;
+    if (!repeatable) {
+      this.#freshClient = link.createFreshClient();
+    }
+    const dispatcher = this.#freshClient ?? link.pool;
+    try {
+      dispatcher.dispatch(
+        { method, path, headers, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 },
+        this.#createHandler(options.mayWrite),
+      );
+    } catch (error) {
+      queueMicrotask(() => {
+        this.#fail(error);
+      });
+    }
+  }
+
+  get written(): boolean {
+    return this.#written;
+  }
+
+  pause(): void {
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#controller?.resume();
+  }
+
+  /** Ends the exchange and closes its connection. The listener hears nothing more. */
+  abort(): void {
+    if (this.#closed) {
+      return;
+    }
+    this.#closed = true;
+    this.#controller?.abort(new Error("aborted by the entry"));
+    this.#closeClient();
+  }
+
+  #createHandler(mayWrite: () => boolean): Dispatcher.DispatchHandler {
+    return {
+      onRequestStart: (controller) => {
+        this.#controller = controller;
+        if (this.#closed || !mayWrite()) {
+          controller.abort(new Error("not written"));
+          return;
+        }
+        this.#written = true;
+      },
+      onResponseStart: (_controller, status, headers) => {
+        this.#guard(() => {
+          this.#listener.onHead(status, headers);
+        });
+      },
+      onResponseData: (_controller, chunk) => {
+        this.#guard(() => {
+          this.#listener.onData(chunk);
+        });
+      },
+      onResponseEnd: () => {
+        this.#guard(() => {
+          this.#closed = true;
+          this.#closeClient();
+          this.#listener.onEnd();
+        });
+      },
+      onResponseError: (_controller, error) => {
+        this.#fail(error);
+      },
+    };
+  }
+
+  #guard(notify: () => void): void {
+    if (!this.#closed) {
+      notify();
+    }
+  }
+
+  #fail(error: unknown): void {
+    this.#guard(() => {
+      this.#closed = true;
+      this.#closeClient();
+      this.#listener.onError(this.#written, error instanceof Error ? error : new Error(String(error)));
+    });
+  }
+
+  #closeClient(): void {
+    this.#freshClient?.destroy().catch(() => undefined);
+    this.#freshClient = null;
+  }
+}
--- /dev/null
+++ b/packages/entry/WholeSink.ts
@@ -0,0 +1,90 @@
+import type { ServerResponse } from "node:http";
+import { headerNames } from "@clementinemux/common/headerNames";
+import type { RecordedAnswer } from "@clementinemux/messages/RecordedAnswer";
+import type { AnswerSink } from "./AnswerSink";
+import type { Problem } from "./Problem";
+import { getTailText } from "./getTailText";
+import { sendProblem } from "./sendProblem";
+
+interface WholeSinkOptions {
+  readonly response: ServerResponse;
+  readonly requestId: string;
+  readonly isChat: boolean;
+  readonly model: string;
+  readonly promptTokenCount: number;
+  /** Bytes kept for the record; 0 when the answer is not recorded. */
+  readonly recordLimitBytes: number;
+}
+
+const contentType = "application/json";
+
+/** Assembles an answer and sends it as one JSON document when it is whole. */
+export class WholeSink implements AnswerSink {
+  readonly started = false;
+  readonly #options: WholeSinkOptions;
+  #response: ServerResponse | null;
+  #text = "";
+  #document: Buffer | null = null;
+
+  constructor(options: WholeSinkOptions) {
+    this.#options = options;
+    this.#response = options.response;
+  }
+
+  addToken(_tokenIndex: number, tail: string): void {
+    this.#text += getTailText(tail);
+  }
+
+  flush(): boolean {
+    return true;
+  }
+
+  onDrain(): void {
+    // Nothing is written before the end, so nothing waits.
+  }
+
+  finish(target: string, finishReason: string, tokenCount: number): void {
+    const { requestId, isChat, model, promptTokenCount } = this.#options;
+    const content = isChat ? { message: { role: "assistant", content: this.#text } } : { text: this.#text };
+    this.#document = Buffer.from(
+      JSON.stringify({
+        id: requestId,
+        object: isChat ? "chat.completion" : "text_completion",
+        model,
+        choices: [{ index: 0, ...content, finish_reason: finishReason }],
+        usage: {
+          prompt_tokens: promptTokenCount,
+          completion_tokens: tokenCount,
+          total_tokens: promptTokenCount + tokenCount,
+        },
+      }),
+    );
+    if (this.#response === null || this.#response.destroyed) {
+      return;
+    }
+    this.#response.writeHead(200, {
+      "content-type": contentType,
+      "content-length": this.#document.length,
+      [headerNames.requestId]: requestId,
+      "clementinemux-target": target,
+    });
+    this.#response.end(this.#document);
+  }
+
+  fail(problem: Problem): void {
+    if (this.#response !== null) {
+      sendProblem(this.#response, problem);
+    }
+  }
+
+  detach(): void {
+    this.#response = null;
+  }
+
+  getRecord(): RecordedAnswer | null {
+    const body = this.#document;
+    return body !== null && body.length <= this.#options.recordLimitBytes
+      ? { status: 200, contentType, body }
+      : null;
+  }
+}
--- /dev/null
+++ b/packages/entry/orderAddresses.ts
@@ -0,0 +1,80 @@
+import { createRandom } from "@clementinemux/common/createRandom";
+import { hashString } from "@clementinemux/common/hashString";
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
+
+/**
+ * Orders the entry addresses for a caller. The first is stable for the team (rendezvous hash). The others are
+ * shuffled for each caller, so that the callers of a lost entry spread over all others, and alternate
+ * between failure domains, so that the second choice is not lost together with the first. Entries of other
+ * regions come last; leaving entries are left out.
+ */
+export function orderAddresses(
+  entries: readonly EntryAnnouncement[],
+  team: string,
+  caller: string,
+  region: string,
+): string[] {
+  const present = entries.filter(({ leaving }) => !leaving);
+  const near = present.filter((entry) => entry.region === region);
+  const first = pickForTeam(near.length > 0 ? near : present, team);
+  if (first === null) {
+    return [];
+  }
+  const random = createRandom(hashString(`${team}|${caller}`));
+  const others = shuffle(
+    present.filter(({ entry }) => entry !== first.entry),
+    random,
+  );
+  const ordered = [
+    ...alternateDomains(
+      others.filter((entry) => entry.region === first.region),
+      first.failureDomain,
+    ),
+    ...alternateDomains(
+      others.filter((entry) => entry.region !== first.region),
+      "",
+    ),
+  ];
+  return [first, ...ordered].map(({ url }) => url);
+}
+
+function pickForTeam(entries: readonly EntryAnnouncement[], team: string): EntryAnnouncement | null {
+  let best: EntryAnnouncement | null = null;
+  let bestScore = -1;
+  for (const entry of entries) {
+    const score = hashString(`${team}|${entry.entry}`);
+    if (score > bestScore) {
+      best = entry;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+function shuffle(entries: readonly EntryAnnouncement[], random: () => number): EntryAnnouncement[] {
+  return entries
+    .map((entry) => ({ entry, key: random() }))
+    .sort((left, right) => left.key - right.key)
+    .map(({ entry }) => entry);
+}
+
+/** Takes one entry of each failure domain in turn; the domain of the first address comes last in each turn. */
+function alternateDomains(entries: readonly EntryAnnouncement[], lastDomain: string): EntryAnnouncement[] {
+  const domains = new Map<string, EntryAnnouncement[]>();
+  for (const entry of entries) {
+    domains.set(entry.failureDomain, [...(domains.get(entry.failureDomain) ?? []), entry]);
+  }
+  const queues = [...domains].sort(
+    ([left], [right]) => Number(left === lastDomain) - Number(right === lastDomain),
+  );
+  const ordered: EntryAnnouncement[] = [];
+  while (ordered.length < entries.length) {
+    for (const [, queue] of queues) {
+      const next = queue.shift();
+      if (next !== undefined) {
+        ordered.push(next);
+      }
+    }
+  }
+  return ordered;
+}
--- /dev/null
+++ b/packages/entry/parseModelRequest.ts
@@ -0,0 +1,73 @@
+import { Left, Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import * as z from "zod";
+import { hashString } from "@clementinemux/common/hashString";
+import type { ModelRequest } from "./ModelRequest";
+
+const defaultMaxTokenCount = 256;
+const charactersPerToken = 4;
+const prefixBlockCharacters = 256;
+// Blocks after these are not used for affinity; long prompts share their system part at the start.
+const maxPrefixBlocks = 32;
+
+const message = z.looseObject({ role: z.string(), content: z.string() });
+
+const schema = z.looseObject({
+  model: z.string().min(1).max(256),
+  adapter: z.string().max(256).optional(),
+  messages: z.array(message).min(1).optional(),
+  prompt: z.string().optional(),
+  max_tokens: z.number().int().min(1).max(1_000_000).optional(),
+  temperature: z.number().min(0).max(10).optional(),
+  seed: z.number().int().optional(),
+  stream: z.boolean().optional(),
+  // One choice only: the positions of a stream count the tokens of one choice.
+  n: z.literal(1).optional(),
+});
+
+/** Reads the body of a model request. The error is a sentence for the caller. */
+export function parseModelRequest(path: string, text: string): Either<string, ModelRequest> {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch {
+    return Left("the body is not JSON");
+  }
+  const checked = schema.safeParse(json);
+  if (!checked.success) {
+    const [issue] = checked.error.issues;
+    return Left(`${issue?.path.join(".") ?? "body"}: ${issue?.message ?? "not valid"}`);
+  }
+  const body = checked.data;
+  const isChat = path === "/v1/chat/completions";
+  if (isChat ? body.messages === undefined : body.prompt === undefined) {
+    return Left(isChat ? "messages: missing" : "prompt: missing");
+  }
+  const prompt = isChat
+    ? (body.messages ?? []).map(({ role, content }) => `${role}\n${content}`).join("\n")
+    : (body.prompt ?? "");
+  return Right({
+    path,
+    isChat,
+    model: body.model,
+    adapter: body.adapter ?? "",
+    stream: body.stream ?? false,
+    maxTokenCount: body.max_tokens ?? defaultMaxTokenCount,
+    promptTokenCount: Math.ceil(prompt.length / charactersPerToken),
+    prefixHashes: getPrefixHashes(prompt),
+    deterministic: body.temperature === 0 || body.seed !== undefined,
+    body,
+  });
+}
+
+function getPrefixHashes(prompt: string): number[] {
+  const hashes: number[] = [];
+  let previous = 0;
+  const blockCount = Math.min(Math.floor(prompt.length / prefixBlockCharacters), maxPrefixBlocks);
+  for (let block = 0; block < blockCount; block += 1) {
+    const start = block * prefixBlockCharacters;
+    previous = hashString(`${previous}|${prompt.slice(start, start + prefixBlockCharacters)}`);
+    hashes.push(previous);
+  }
+  return hashes;
+}
--- /dev/null
+++ b/packages/entry/refuseClaim.ts
@@ -0,0 +1,23 @@
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+
+interface ClaimRefusal {
+  readonly reason: RefusalReason;
+  readonly outcome: Outcome;
+}
+
+const refusals: Readonly<Record<ClaimState, ClaimRefusal | null>> = {
+  [ClaimState.Granted]: null,
+  [ClaimState.Recorded]: null,
+  [ClaimState.InProgress]: { reason: RefusalReason.ClaimInProgress, outcome: Outcome.Unknown },
+  [ClaimState.OutcomeUnknown]: { reason: RefusalReason.ClaimOutcomeUnknown, outcome: Outcome.Unknown },
+  [ClaimState.KeyReused]: { reason: RefusalReason.KeyReused, outcome: Outcome.NotRun },
+  // The first request of the key may have run; this resend was not run.
+  [ClaimState.KeyExpired]: { reason: RefusalReason.KeyExpired, outcome: Outcome.NotRun },
+};
+
+/** Returns how a request is refused for the state of its claim; null when it is not refused. */
+export function refuseClaim(state: ClaimState): ClaimRefusal | null {
+  return refusals[state];
+}
--- /dev/null
+++ b/packages/entry/test/atMostOnce.test.ts
@@ -0,0 +1,132 @@
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { request as requestHttp } from "undici";
+import { startFleet } from "./startFleet";
+
+interface Reply {
+  readonly status: number;
+  readonly recorded: boolean;
+  readonly body: { readonly reason?: string; readonly outcome?: string; readonly execution?: number };
+}
+
+async function order(url: string, body: string, headers: Record<string, string> = {}): Promise<Reply> {
+  const reply = await requestHttp(`${url}/services/orders/place`, { method: "POST", headers, body });
+  return {
+    status: reply.statusCode,
+    recorded: reply.headers["clementinemux-recorded"] === "true",
+    body: (await reply.body.json()) as Reply["body"],
+  };
+}
+
+const once = (key: string): Record<string, string> => ({
+  "idempotency-key": key,
+  "idempotency-mode": "once",
+});
+
+// Guards against a second execution when a caller resends through another entry.
+t.test("request sent twice through two entries runs once", async (t) => {
+  const fleet = await startFleet({ entryCount: 2, serviceCount: 2, executionMs: 100 });
+  const replies = await Promise.all(fleet.urls.map((url) => order(url, "lot 1", once("k1"))));
+  const runs = fleet.services.map(({ executions }) => executions.get("lot 1") ?? 0);
+  t.equal(
+    runs.reduce((sum, count) => sum + count, 0),
+    1,
+  );
+  t.same(replies.map(({ status }) => status).sort(), [200, 409]);
+  t.match(
+    replies.find(({ status }) => status === 409),
+    { body: { reason: "claim_in_progress", outcome: "unknown" } },
+  );
+  const resent = await order(fleet.urls[1]!, "lot 1", once("k1"));
+  t.match(resent, { status: 200, recorded: true, body: { execution: 1 } });
+  await fleet.stop();
+});
+
+// Guards against a key that is accepted with another body.
+t.test("key with another body is refused", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  await order(fleet.urls[0]!, "lot 2", once("k2"));
+  t.match(await order(fleet.urls[0]!, "lot 3", once("k2")), {
+    status: 422,
+    body: { reason: "key_reused", outcome: "not_run" },
+  });
+  t.notOk(fleet.services[0]!.executions.has("lot 3"));
+  await fleet.stop();
+});
+
+// Guards against a repetition after a connection that broke when the service had run the call.
+t.test("broken connection after the write is unknown and never repeated", async (t) => {
+  const fleet = await startFleet({ serviceCount: 2 });
+  for (const service of fleet.services) {
+    service.breakAfterExecution = true;
+  }
+  const first = await order(fleet.urls[0]!, "lot 4", once("k4"));
+  t.match(first, { status: 502, body: { outcome: "unknown" } });
+  const unmarked = await order(fleet.urls[0]!, "lot 5");
+  t.match(unmarked, { status: 502, body: { outcome: "unknown" } });
+  const resent = await order(fleet.urls[0]!, "lot 4", once("k4"));
+  t.match(resent, { status: 409, body: { reason: "claim_outcome_unknown", outcome: "unknown" } });
+  const runs = fleet.services.flatMap(({ executions }) => [...executions.values()]);
+  t.same(runs, [1, 1]);
+  await fleet.stop();
+});
+
+// Guards against a dispatch without a committed claim.
+t.test("without a claim shard nothing is run", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  fleet.claims.available = false;
+  t.match(await order(fleet.urls[0]!, "lot 6", once("k6")), {
+    status: 503,
+    body: { reason: "claim_unavailable", outcome: "not_run" },
+  });
+  t.equal(fleet.services[0]!.executions.size, 0);
+  await fleet.stop();
+});
+
+// Guards against a lost answer when the caller leaves while the service runs its call.
+t.test("answer is recorded although the caller has left", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1, executionMs: 150 });
+  const leaving = requestHttp(`${fleet.urls[0]!}/services/orders/place`, {
+    method: "POST",
+    headers: once("k7"),
+    body: "lot 7",
+    signal: AbortSignal.timeout(80),
+  });
+  await t.rejects(leaving);
+  await delay(200);
+  t.match(await order(fleet.urls[0]!, "lot 7", once("k7")), { recorded: true, body: { execution: 1 } });
+  t.equal(fleet.services[0]!.executions.get("lot 7"), 1);
+  await fleet.stop();
+});
+
+// Guards against a target that is called after the caller's deadline.
+t.test("passed deadline is checked before the write", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  const headers = { ...once("k8"), "clementinemux-deadline-ms": "0" };
+  const reply = await order(fleet.urls[0]!, "lot 8", headers);
+  t.match(reply, { status: 504, body: { reason: "deadline_passed", outcome: "not_run" } });
+  t.equal(fleet.services[0]!.executions.size, 0);
+  await fleet.stop();
+});
+
+// Guards against `not_run` when the cancellation of the claim is not known to be committed.
+t.test("lost cancellation is unknown", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  fleet.claims.losesCancelAnswers = true;
+  const headers = { ...once("k9"), "clementinemux-deadline-ms": "0" };
+  t.equal((await order(fleet.urls[0]!, "lot 9", headers)).body.outcome, "unknown");
+  const noTarget = await requestHttp(`${fleet.urls[0]!}/services/none/`, { headers: once("k11") });
+  t.match(await noTarget.body.json(), { reason: "no_target", outcome: "unknown" });
+  t.equal(fleet.services[0]!.executions.size, 0);
+  await fleet.stop();
+});
+
+// Guards against a service call that blocks for ever, and its repetition.
+t.test("service without an answer is unknown after its timeout", async (t) => {
+  const services = { orders: { repeatable: false, timeoutMs: 100 } };
+  const fleet = await startFleet({ serviceCount: 1, defaults: { services } });
+  fleet.services[0]!.frozen = true;
+  t.match(await order(fleet.urls[0]!, "lot 10", once("k10")), { status: 502, body: { outcome: "unknown" } });
+  t.equal(fleet.services[0]!.executions.get("lot 10"), 1);
+  await fleet.stop();
+});
