Add the entry bench

There was no figure for what the entry costs. The bench runs one entry, four stand-in engines with agents and the generator in processes of their own and compares with a direct connection to an engine in the same run.

--- /dev/null
+++ b/packages/bench/entry/BenchFleet.ts
@@ -0,0 +1,170 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import { request as requestHttp } from "undici";
+
+interface BenchFleetOptions {
+  readonly engineCount: number;
+  readonly tokenIntervalMs: number;
+  readonly firstTokenMs: number;
+}
+
+const host = "127.0.0.1";
+const readyDeadlineMs = 15_000;
+const clockTicksPerS = 100;
+
+/** Processes of the bench: control, engines with their agents, and one entry. */
+export class BenchFleet {
+  readonly entryUrl: string;
+  readonly engineUrls: readonly string[];
+  readonly #folder: string;
+  readonly #children: readonly ChildProcess[];
+  readonly #entry: ChildProcess;
+
+  private constructor(
+    entryUrl: string,
+    engineUrls: readonly string[],
+    folder: string,
+    children: readonly ChildProcess[],
+    entry: ChildProcess,
+  ) {
+    this.entryUrl = entryUrl;
+    this.engineUrls = engineUrls;
+    this.#folder = folder;
+    this.#children = children;
+    this.#entry = entry;
+  }
+
+  static async start(options: BenchFleetOptions): Promise<BenchFleet> {
+    const folder = mkdtempSync(join(tmpdir(), "clementinemux-bench-"));
+    const ports = await findFreePorts(options.engineCount * 2 + 2);
+    const takePort = (): number => ports.pop() ?? 0;
+    const children: ChildProcess[] = [];
+    const run = (
+      program: string,
+      name: string,
+      settings: Readonly<Record<string, unknown>>,
+    ): ChildProcess => {
+      const file = join(folder, `${name}.jsonc`);
+      writeFileSync(file, JSON.stringify(settings));
+      const programs = new URL(".", import.meta.url).pathname.replace(/chunks\/$/, "");
+      const child = spawn(
+        process.execPath,
+        ["--expose-gc", join(programs, `${program}.mjs`), "--settings", file],
+        {
+          stdio: ["ignore", "ignore", "inherit", "ipc"],
+        },
+      );
+      children.push(child);
+      return child;
+    };
+    const place = { host, failureDomain: "fd-1", region: "local" };
+    const control = { ...place, name: "control-1", port: takePort() };
+    const relays = [`${host}:${control.port}`];
+    run("clementinemux-control", "control-1", control);
+    const engineUrls: string[] = [];
+    for (let index = 0; index < options.engineCount; index += 1) {
+      const { tokenIntervalMs, firstTokenMs } = options;
+      const enginePort = takePort();
+      const batchLimitCount = 4096;
+      const engine = {
+        host,
+        port: enginePort,
+        models: ["demo"],
+        tokenIntervalMs,
+        firstTokenMs,
+        batchLimitCount,
+      };
+      run("standin-engine", `engine-${index}`, engine);
+      engineUrls.push(`http://${host}:${enginePort}`);
+      run("clementinemux-agent", `agent-${index}`, {
+        ...place,
+        target: `runner-${index}`,
+        port: takePort(),
+        kind: "engine",
+        models: ["demo"],
+        targetAddress: `${host}:${enginePort}`,
+        relays,
+      });
+    }
+    const port = takePort();
+    const entry = run("bench-entry-process", "entry-1", {
+      ...place,
+      name: "entry-1",
+      port,
+      relays,
+      anonymousTeam: "bench",
+    });
+    const fleet = new BenchFleet(`http://${host}:${port}`, engineUrls, folder, children, entry);
+    await fleet.#waitUntilReady();
+    return fleet;
+  }
+
+  /** Processor time that the entry has used, in milliseconds. */
+  getEntryCpuMs(): number {
+    const text = readFileSync(`/proc/${this.#entry.pid ?? 0}/stat`, "utf8");
+    const fields = text.slice(text.lastIndexOf(")") + 2).split(" ");
+    return ((Number(fields[11]) + Number(fields[12])) * 1000) / clockTicksPerS;
+  }
+
+  /** Memory in use by the entry after a full collection: its heap and its buffers. */
+  async collectEntryGarbage(): Promise<number> {
+    return new Promise((resolve) => {
+      this.#entry.once("message", (bytes) => {
+        resolve(Number(bytes));
+      });
+      this.#entry.send("collect");
+    });
+  }
+
+  stop(): void {
+    for (const child of this.#children) {
+      child.kill("SIGKILL");
+    }
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
+  async #waitUntilReady(): Promise<void> {
+    const givenUpAtMs = Date.now() + readyDeadlineMs;
+    const body = JSON.stringify({ model: "demo", prompt: "ready", max_tokens: 1, seed: 1 });
+    for (;;) {
+      try {
+        const answer = await requestHttp(`${this.entryUrl}/v1/completions`, { method: "POST", body });
+        await answer.body.dump();
+        if (answer.statusCode === 200) {
+          // The other agents are polled within the next interval.
+          await delay(1500);
+          return;
+        }
+      } catch {
+        // Not listening yet.
+      }
+      if (Date.now() > givenUpAtMs) {
+        this.stop();
+        throw new Error("the fleet of the bench did not get ready");
+      }
+      await delay(100);
+    }
+  }
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, host, () => {
+            const bound = server.address();
+            resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+          });
+        }),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
