--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,7 +1,7 @@
 import type * as z from "zod";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
-import { RelayService } from "@clementinemux/membership/RelayService";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { RelayService } from "@clementinemux/membership/RelayService";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import type { ControlSettings } from "./ControlSettings";
@@ -18,18 +18,18 @@
       handlers: {
         ...this.#relay.handlers,
         [MessageName.FetchConfig]: () => createDefaultConfig(),
-        [MessageName.Renew]: (): RenewResponse => ({
-          epoch: 0,
-          revision: 0,
-          confirmed: true,
-          leaseMs: createDefaultConfig().defaults.servingLeaseMs,
-          changes: [],
-          config: null,
-        }),
+        [MessageName.Renew]: () => this.#confirm(),
       },
     });
   }
 
+  /** Confirms the only revision that there is. */
+  #confirm(): RenewResponse {
+    const { revision, defaults } = createDefaultConfig();
+    const { servingLeaseMs: leaseMs } = defaults;
+    return { epoch: 1, revision, confirmed: true, leaseMs, changes: [], config: null };
+  }
+
   async start(): Promise<void> {
     await this.#server.listen(this.#settings.host, this.#settings.port);
   }
