--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -5,14 +5,6 @@
 import type { LoadReport } from "@clementinemux/policy/LoadReport";
 import type { TargetView } from "@clementinemux/policy/TargetView";
 
-interface LoadFields extends Omit<LoadReport, "measuredAtMs"> {
-  readonly lagMs: number;
-}
-
-interface PolledState extends AgentState {
-  readonly load?: LoadFields | null;
-}
-
 // Part of the permitted age after which a stamp is no longer sent: the rest is left for the way to the agent.
 const stampUseShare = 0.8;
 const poolOptions = {
@@ -136,14 +128,14 @@
         await body.dump();
         return false;
       }
-      const state = (await body.json()) as PolledState;
+      const state = (await body.json()) as AgentState;
       this.#stamp = state.stamp;
       // The stamp may be as old as the sending of the question.
       this.#stampAtMs = sentAtMs;
       this.#accepting = state.accepting;
-      if (state.load !== undefined && state.load !== null) {
-        const { lagMs, ...load } = state.load;
-        this.#load = { ...load, measuredAtMs: readNowMs() - lagMs };
+      if (state.load !== null) {
+        const { ageMs, ...load } = state.load;
+        this.#load = { ...load, measuredAtMs: readNowMs() - ageMs };
       }
       return true;
     } catch {
