--- a/packages/membership/Directory.ts
+++ b/packages/membership/Directory.ts
@@ -6,6 +6,7 @@
 import type { DirectorySyncResponse } from "./DirectorySyncResponse";
 import type { OriginState } from "./OriginState";
 import { RecordKind } from "./RecordKind";
+import { RecordInterner } from "./RecordInterner";
 import { isNewerRecord } from "./isNewerRecord";
 import { isSameAnnouncement } from "./isSameAnnouncement";
 
@@ -45,6 +46,7 @@
   readonly #options: Required<DirectoryOptions>;
   readonly #held = new Map<string, HeldRecord>();
   readonly #origins = new Map<string, HeldOrigin>();
+  readonly #interner = new RecordInterner();
   #version = 0;
   /** Versions at or below this one may have lost their tombstones. */
   #oldestVersion = 0;
@@ -256,7 +258,11 @@
 
   #hold(record: DirectoryRecord, nowMs: number): void {
     this.#version += 1;
-    this.#held.set(getKey(record.kind, record.name), { record, version: this.#version, changedAtMs: nowMs });
+    this.#held.set(getKey(record.kind, record.name), {
+      record: this.#interner.intern(record),
+      version: this.#version,
+      changedAtMs: nowMs,
+    });
   }
 
   #originOf(name: string, nowMs: number): HeldOrigin {
--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -14,6 +14,7 @@
 import type { DirectorySyncResponse } from "./DirectorySyncResponse";
 import { EntryWatch } from "./EntryWatch";
 import type { FetchTargetsRequest } from "./FetchTargetsRequest";
+import type { FleetCounts } from "./FleetCounts";
 import type { HeartbeatRequest } from "./HeartbeatRequest";
 import type { ProbeRequest } from "./ProbeRequest";
 import type { ProbeResponse } from "./ProbeResponse";
@@ -36,6 +37,8 @@
 const probeTimeoutMs = 500;
 const incarnationDigits = 14;
 const orphanTimeoutCount = 2;
+// Walks over the whole directory, which need not happen at every tick.
+const maintenanceIntervalMs = 2000;
 
 /** Membership part of a control process: keeps the directory of announced targets and entries. */
 export class RelayService {
@@ -52,6 +55,9 @@
   readonly #entryWatch = new EntryWatch();
   readonly #peers: readonly Peer[];
   readonly #syncing = new Set<Peer>();
+  #counts: FleetCounts = { fleetCount: 0, countByDomain: new Map() };
+  #countsVersion = -1;
+  #maintainedAtMs = -Infinity;
   #dueMs = 0;
   #nextPeer = 0;
   #stopped = false;
@@ -148,18 +154,16 @@
   tick(dueMs: number): void {
     const nowMs = this.#options.clock.monotonicMs();
     this.#directory.beat(nowMs);
-    this.#adoptOrphans(nowMs);
-    const targets = this.#directory.targets();
-    const countByDomain = new Map<string, number>();
-    for (const { failureDomain } of targets) {
-      countByDomain.set(failureDomain, (countByDomain.get(failureDomain) ?? 0) + 1);
-    }
-    const counts = { fleetCount: targets.length, countByDomain };
+    const counts = this.#getCounts();
     this.#run(this.#suspicion.tick(nowMs, dueMs, counts));
     for (const { entry, incarnation } of this.#entryWatch.expire(this.#directory.entries(), nowMs)) {
       this.#directory.remove(RecordKind.Entry, entry, incarnation, nowMs);
     }
-    this.#directory.collect(nowMs);
+    if (nowMs - this.#maintainedAtMs >= maintenanceIntervalMs) {
+      this.#maintainedAtMs = nowMs;
+      this.#adoptOrphans(nowMs);
+      this.#directory.collect(nowMs);
+    }
   }
 
   /** Fetches changes from the next peer in turn. */
@@ -220,6 +224,20 @@
     return result;
   }
 
+  /** Counts the targets again only after a change, since a tick comes several times a second. */
+  #getCounts(): FleetCounts {
+    if (this.#countsVersion !== this.#directory.version) {
+      const countByDomain = new Map<string, number>();
+      const targets = this.#directory.targets();
+      for (const { failureDomain } of targets) {
+        countByDomain.set(failureDomain, (countByDomain.get(failureDomain) ?? 0) + 1);
+      }
+      this.#counts = { fleetCount: targets.length, countByDomain };
+      this.#countsVersion = this.#directory.version;
+    }
+    return this.#counts;
+  }
+
   async #onProbe(request: ProbeRequest): Promise<ProbeResponse> {
     const reached = await this.#options.probe(request, probeTimeoutMs);
     return { reached, failureDomain: this.#options.failureDomain };
