--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -22,6 +22,9 @@
 import { createIncarnation } from "./createIncarnation";
 import { readTlsFiles } from "./readTlsFiles";
 
+/** Told when the agent starts or stops accepting work. */
+type LogState = (reason: AgentRefusal | null, revision: number) => void;
+
 const drainCheckIntervalMs = 50;
 
 /** Stands beside one target: announces it and is the only way to it. */
@@ -41,11 +44,14 @@
   readonly #load: LoadPoller;
   readonly #orders: OrderDesk;
   readonly #relays: RelayLink;
+  readonly #logState: LogState;
+  #loggedReason: AgentRefusal | null = AgentRefusal.LeaseExpired;
   #server: Server | null = null;
   #stopped = false;
 
-  constructor(settings: z.output<typeof AgentSettings>, clock: Clock) {
+  constructor(settings: z.output<typeof AgentSettings>, clock: Clock, logState: LogState = () => undefined) {
     this.#settings = settings;
+    this.#logState = logState;
     this.#clock = clock;
     const incarnation = createIncarnation(clock.wallMs());
     const targetAddress = parseAddress(settings.targetAddress);
@@ -88,7 +94,9 @@
     void periodic(heartbeatIntervalMs)
       .takeWhile(isRunning)
       .observe(() => {
-        void this.#relays.beat();
+        void this.#relays.beat().then(() => {
+          this.#logChange();
+        });
       });
     void periodic(loadIntervalMs)
       .takeWhile(isRunning)
@@ -107,6 +115,7 @@
    */
   async leave(): Promise<boolean> {
     this.#gate.markLeaving();
+    this.#logChange();
     const deadlineMs = this.#clock.monotonicMs() + this.#settings.shutdownDeadlineMs;
     await this.#relays.leave();
     while (this.inFlight > 0 && this.#clock.monotonicMs() < deadlineMs) {
@@ -140,6 +149,14 @@
     this.#forwarder.close();
   }
 
+  #logChange(): void {
+    const reason = this.#gate.getClosedReason(this.#clock.monotonicMs());
+    if (reason !== this.#loggedReason) {
+      this.#loggedReason = reason;
+      this.#logState(reason, this.#view.config.revision);
+    }
+  }
+
   #createRelayLink(incarnation: string): RelayLink {
     const settings = this.#settings;
     const { target, host, port, failureDomain, region, kind, role, models, adapters } = settings;
--- a/packages/agent/runAgent.ts
+++ b/packages/agent/runAgent.ts
@@ -1,5 +1,6 @@
 import type * as z from "zod";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createLogger } from "@clementinemux/logging/createLogger";
 import { Agent } from "./Agent";
 import type { AgentSettings } from "./AgentSettings";
 
@@ -10,7 +11,14 @@
  * 1 when the deadline cut some off. A second signal ends it at once, with 1.
  */
 export async function runAgent(settings: z.output<typeof AgentSettings>): Promise<void> {
-  const agent = new Agent(settings, new SystemClock());
+  const logger = createLogger("clementinemux-agent", { target: settings.target });
+  const agent = new Agent(settings, new SystemClock(), (reason, revision) => {
+    if (reason === null) {
+      logger.info({ revision }, "accepting work");
+    } else {
+      logger.warn({ revision, reason }, "refusing new work");
+    }
+  });
   let leaving = false;
   const onSignal = (): void => {
     if (leaving) {
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -5,7 +5,11 @@
 import t from "tap";
 import { AgentRefusal } from "@clementinemux/agent/AgentRefusal";
 import { headerNames } from "@clementinemux/common/headerNames";
+import { RelayService } from "@clementinemux/membership/RelayService";
+import { FaultyProxy } from "@clementinemux/wire/test/helpers/FaultyProxy";
+import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { createAgentFleet } from "./helpers/createAgentFleet";
+import { createRenewal } from "./helpers/createRenewal";
 
 const loadReport = { lagMs: 400, runningCount: 3, queuedCount: 1, kvFreeShare: 0.5 };
 
@@ -263,3 +267,33 @@
   }
   await fleet.close();
 });
+
+// Guards against an agent that stays with relays that are gone or silent and loses its lease with them.
+t.test("agent moves to other relays", async (t) => {
+  const services = [new RelayService(), new RelayService(), new RelayService()];
+  const servers = services.map(
+    ({ handlers }) => new RpcServer({ handlers: { ...handlers, renew: () => createRenewal(0, 0) } }),
+  );
+  const proxies: FaultyProxy[] = [];
+  const relays: string[] = [];
+  for (const server of servers) {
+    const proxy = new FaultyProxy(await server.listen("127.0.0.1", 0));
+    proxies.push(proxy);
+    relays.push(`127.0.0.1:${await proxy.listen()}`);
+  }
+  const fleet = await createAgentFleet(answerAll, { relays });
+  const isListed = (index: number): boolean => services[index]!.directory.targets().length > 0;
+  while (!isListed(0) || !isListed(1)) {
+    await delay(10);
+  }
+  t.equal(isListed(2), false);
+  proxies[0]!.silenceAll();
+  proxies[1]!.cutAll();
+  while (!isListed(2)) {
+    await delay(10);
+  }
+  await fleet.waitUntilAccepting();
+  t.equal((await fleet.send("/v1/x")).status, 200);
+  await fleet.close();
+  await Promise.all([...proxies.map((proxy) => proxy.close()), ...servers.map((server) => server.close())]);
+});
