Keep a subset assignment until its entries or units change

Cause: each change of the directory, such as a restart, made the next fetch assign the subsets of all entries again.

Change: the assignment is kept until the set of entries or of units changes. heartbeatIntervalMs is at most 1000, since a relay suspects a target after 1.5 s and the serving lease is renewed with the heartbeat.

With the comparison of the inputs disabled, the new test fails.

Conclusion: only a new or lost group or entry costs an assignment.

--- a/packages/agent/AgentSettings.ts
+++ b/packages/agent/AgentSettings.ts
@@ -29,7 +29,8 @@
   loadIntervalMs: z.number().int().min(50).max(60_000).default(500),
   /** Frame addresses of the relays, `host:port`, nearest first. */
   relays: z.array(z.string()).min(1),
-  heartbeatIntervalMs: z.number().int().min(50).max(60_000).default(1000),
+  /** At most a quarter of the serving lease, and less than a relay waits before it suspects a target. */
+  heartbeatIntervalMs: z.number().int().min(50).max(1000).default(1000),
   /** After SIGTERM, time for the requests in flight to end. */
   shutdownDeadlineMs: z.number().int().min(0).max(3_600_000).default(300_000),
   maxConnections: z.number().int().min(1).max(65_535).default(1024),
--- a/packages/membership/TargetQuery.ts
+++ b/packages/membership/TargetQuery.ts
@@ -8,8 +8,14 @@
 import { RecordKind } from "./RecordKind";
 import { assignSubset } from "./assignSubset";
 
+/** Failure domains of units, by model and unit name. */
+type UnitsByModel = Map<string, Map<string, string>>;
+
 interface SubsetPlan {
-  readonly version: number;
+  /** Version of the directory at which the inputs were last compared. */
+  version: number;
+  /** Entries and units that the assignment was made from. */
+  readonly inputs: string;
   readonly unitsByEntry: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
@@ -64,36 +70,74 @@
     if (subset === undefined) {
       return null;
     }
-    let plan = this.#plans.get(subset.groupCount);
-    if (plan?.version !== this.#directory.version) {
-      plan = { version: this.#directory.version, unitsByEntry: this.#assign(subset.groupCount) };
-      this.#plans.clear();
-      this.#plans.set(subset.groupCount, plan);
-    }
+    const plan = this.#getPlan(subset.groupCount);
     // An entry that has not announced itself yet gets everything; its list is replaced once it has.
     return plan.unitsByEntry.get(subset.entry) ?? null;
   }
 
-  #assign(groupCount: number): Map<string, ReadonlySet<string>> {
+  /** Most changes, such as restarts, leave the entries and units as they are; the assignment then stands. */
+  #getPlan(groupCount: number): SubsetPlan {
+    const { version } = this.#directory;
+    const held = this.#plans.get(groupCount);
+    if (held?.version === version) {
+      return held;
+    }
     const entries = this.#directory.entries().map(({ entry }) => entry);
-    const unitsByModel = new Map<string, Map<string, string>>();
+    const unitsByModel = this.#collectUnits();
+    const inputs = describeInputs(entries, unitsByModel);
+    if (held?.inputs === inputs) {
+      held.version = version;
+      return held;
+    }
+    const plan = { version, inputs, unitsByEntry: assignAll(entries, unitsByModel, groupCount) };
+    this.#plans.clear();
+    this.#plans.set(groupCount, plan);
+    return plan;
+  }
+
+  /** Units of each model or service, with the failure domain of one of their targets. */
+  #collectUnits(): UnitsByModel {
+    const unitsByModel: UnitsByModel = new Map();
     for (const announcement of this.#directory.targets()) {
       for (const model of getServed(announcement)) {
         const units = unitsByModel.get(model) ?? new Map<string, string>();
-        unitsByModel.set(model, units.set(getUnit(announcement), announcement.failureDomain));
+        const unit = getUnit(announcement);
+        const known = units.get(unit);
+        // The smallest name, so that the order of announcements has no influence.
+        if (known === undefined || announcement.failureDomain < known) {
+          units.set(unit, announcement.failureDomain);
+        }
+        unitsByModel.set(model, units);
       }
     }
-    const merged = new Map<string, Set<string>>(entries.map((entry) => [entry, new Set<string>()]));
-    for (const units of unitsByModel.values()) {
-      const list = [...units].map(([name, failureDomain]) => ({ name, failureDomain }));
-      for (const [entry, names] of assignSubset(entries, list, groupCount)) {
-        for (const name of names) {
-          merged.get(entry)?.add(name);
-        }
+    return unitsByModel;
+  }
+}
+
+function describeInputs(entries: readonly string[], unitsByModel: UnitsByModel): string {
+  const models = [...unitsByModel].map(([model, units]) => [model, [...units].sort(compareFirst)] as const);
+  return JSON.stringify([[...entries].sort(), models.sort(compareFirst)]);
+}
+
+function compareFirst([left]: readonly [string, unknown], [right]: readonly [string, unknown]): number {
+  return left < right ? -1 : 1;
+}
+
+function assignAll(
+  entries: readonly string[],
+  unitsByModel: UnitsByModel,
+  groupCount: number,
+): Map<string, ReadonlySet<string>> {
+  const merged = new Map<string, Set<string>>(entries.map((entry) => [entry, new Set<string>()]));
+  for (const units of unitsByModel.values()) {
+    const list = [...units].map(([name, failureDomain]) => ({ name, failureDomain }));
+    for (const [entry, names] of assignSubset(entries, list, groupCount)) {
+      for (const name of names) {
+        merged.get(entry)?.add(name);
       }
     }
-    return merged;
   }
+  return merged;
 }
 
 function matches(
--- a/packages/membership/test/targetQuery.test.ts
+++ b/packages/membership/test/targetQuery.test.ts
@@ -82,3 +82,25 @@
   t.same(assignSubset([...entries].reverse(), [...units].reverse(), 3), assigned);
   t.end();
 });
+
+// Guards against a subset that stands after its group has gone, or that changes with every restart of a target.
+t.test("subset follows the fleet", (t) => {
+  const { directory, query } = createFleet();
+  for (let index = 0; index < 6; index += 1) {
+    const place = { url: "http://entry", failureDomain: "fd-1", region: "local", leaving: false };
+    directory.announceEntry({ ...place, entry: `entry-${index}`, incarnation: "1" }, 0);
+  }
+  const subset = { entry: "entry-1", groupCount: 2 };
+  const first = query.fetch({ since: null, subset });
+  t.equal(first.targets.length, 4);
+  const [gone] = first.targets;
+  directory.announceTarget({ ...gone!, incarnation: "2" }, false, 1);
+  const second = query.fetch({ since: first, subset });
+  t.match(second, { full: false, subset: first.subset, targets: [{ incarnation: "2" }] });
+  directory.announceTarget({ ...gone!, incarnation: "2" }, true, 2);
+  const third = query.fetch({ since: second, subset });
+  t.equal(third.full, true);
+  t.equal(third.targets.length, 4);
+  t.notOk(third.targets.some(({ target }) => target === gone!.target));
+  t.end();
+});
