Let a non-repeatable call end after its caller has gone

Cause: when the caller left before the target answered, the answer was piped into a closed response and never read: the target could not finish, and the agent counted the request as in flight for ever.

Change: such an answer is read to its end. A fault in a relay's round of judging no longer ends the rounds.

The new test of the agent did not end before the change and passes after it.

--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -61,6 +61,12 @@
         agent: repeatable ? this.#http : false,
       },
       (answer) => {
+        if (response.destroyed) {
+          // The caller has gone; the answer is read to its end, so that the target can finish it.
+          answer.on("error", () => undefined);
+          answer.resume();
+          return;
+        }
         response.writeHead(answer.statusCode ?? 502, { ...copyHeaders(answer.headers), ...headers });
         // Sends the headers now; the first token may be seconds away.
         response.flushHeaders();
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -297,3 +297,44 @@
   await fleet.close();
   await Promise.all([...proxies.map((proxy) => proxy.close()), ...servers.map((server) => server.close())]);
 });
+
+// Guards against a non-repeatable call that is cut off, or an agent that ends, because the caller has gone before
+// the answer came.
+t.test("non-repeatable call outlives its caller", async (t) => {
+  let finish = (): void => undefined;
+  let ended = false;
+  const fleet = await createAgentFleet(
+    (request, response) => {
+      request.resume();
+      if (request.url === "/load") {
+        response.end("{}");
+        return;
+      }
+      response.on("finish", () => (ended = true));
+      finish = () => {
+        response.write("first ");
+        response.end(Buffer.alloc(1_048_576));
+      };
+    },
+    { kind: "service", service: "pay" },
+  );
+  const { stamp } = await fleet.waitUntilAccepting();
+  const headers = { [headerNames.stamp]: stamp, [headerNames.attemptId]: "gone" };
+  const caller = requestHttp({ host: "127.0.0.1", port: fleet.port, method: "POST", path: "/pay", headers });
+  caller.on("error", () => undefined);
+  caller.end("{}");
+  while (fleet.agent.inFlight === 0) {
+    await delay(5);
+  }
+  await delay(50);
+  caller.destroy();
+  await delay(50);
+  t.equal(fleet.agent.inFlight, 1);
+  finish();
+  while (fleet.agent.inFlight > 0) {
+    await delay(5);
+  }
+  t.equal(ended, true);
+  t.equal((await fleet.fetchState()).accepting, true);
+  await fleet.close();
+});
--- a/packages/membership/RelayOptions.ts
+++ b/packages/membership/RelayOptions.ts
@@ -20,6 +20,8 @@
   readonly rpcTimeoutMs: number;
   /** Weight of a target that is suspect but kept. */
   readonly suspectWeight: number;
+  /** Told of a fault in a round of judging; the next round comes all the same. */
+  readonly onError: (error: unknown) => void;
   /** Reaches a target's agent on a new connection. */
   readonly probe: (request: ProbeRequest, timeoutMs: number) => Promise<boolean>;
 }
--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -77,6 +77,11 @@
       syncIntervalMs: 500,
       rpcTimeoutMs: 1000,
       suspectWeight: 0.1,
+      onError: (error) => {
+        process.stderr.write(
+          `relay: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`,
+        );
+      },
       probe: (request, timeoutMs) => probeAgent(request, timeoutMs, tls),
       ...options,
     };
@@ -127,7 +132,12 @@
     void periodic(tickIntervalMs)
       .takeWhile(() => !this.#stopped)
       .observe(() => {
-        this.tick(this.#dueMs);
+        try {
+          this.tick(this.#dueMs);
+        } catch (error) {
+          // An exception would end the stream, and with it all judging.
+          this.#options.onError(error);
+        }
         this.#dueMs = clock.monotonicMs() + tickIntervalMs;
       });
     const schedule = (): void => {
