--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -126,13 +126,14 @@
     const { state, attempt } = found;
     const { isProvedNotRun } = attemptEnds[end];
     this.#state.endAttempt(state, attempt, end, nowMs);
-    state.mayHaveRun ||= !isProvedNotRun;
+    state.mayHaveRun ||= !isProvedNotRun || attempt.tokenCount > 0;
     if (!this.#state.requests.has(state.request.requestId)) {
       return this.#pump(state, nowMs);
     }
-    const losers = end === AttemptEndKind.Completed ? [...state.attempts] : [];
+    const isOver = end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled;
+    const losers = isOver ? [...state.attempts] : [];
     const actions: Actions = losers.map((loser) => this.#cancel(state, loser, RetryReason.Hedge, nowMs));
-    if (end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled) {
+    if (isOver) {
       this.#state.forget(state, nowMs);
     } else if (state.attempts.length === 0) {
       actions.push(...this.#retryOrRefuse(state, attempt, end, nowMs));
@@ -149,14 +150,10 @@
     }
     this.counters.refusals.add(RefusalReason.CallerGone);
     this.#state.dropFromQueue(state);
-    if (!state.request.repeatable && state.attempts.length > 0) {
-      // Design section 8: the answer of a non-repeatable request is recorded although its caller left.
-      return [];
-    }
     this.#state.forget(state, nowMs);
-    const actions = [...state.attempts].map((attempt) =>
-      this.#cancel(state, attempt, RefusalReason.CallerGone, nowMs),
-    );
+    // Design section 8: the answer of a non-repeatable request is recorded although its caller left.
+    const cancelled = state.request.repeatable ? [...state.attempts] : [];
+    const actions = cancelled.map((attempt) => this.#cancel(state, attempt, RefusalReason.CallerGone, nowMs));
     return [...actions, ...this.#pump(state, nowMs)];
   }
 
@@ -283,7 +280,6 @@
     this.counters.events.add(PolicyEvent.Preempted);
     const { state, attempt } = victim;
     const actions: Actions = [this.#cancel(state, attempt, RefusalReason.Preempted, nowMs)];
-    state.mayHaveRun = true;
     state.retryReason = null;
     this.#enqueue(state, true);
     this.#state.dropFromQueue(head);
@@ -324,6 +320,8 @@
     nowMs: number,
   ): PolicyAction {
     this.#state.endAttempt(state, attempt, AttemptEndKind.Cancelled, nowMs);
+    // The cancellation may reach the target after it has started.
+    state.mayHaveRun = true;
     this.#explain(state, `cancel:${reason}`, attempt.target.name, [], nowMs);
     const { requestId } = state.request;
     return { kind: PolicyActionKind.CancelAttempt, requestId, attemptId: attempt.attemptId, reason };
--- a/packages/policy/PolicyState.ts
+++ b/packages/policy/PolicyState.ts
@@ -186,9 +186,9 @@
     target.onEnded(nowMs);
     const wasEjected = target.health.isEjected;
     if (isTargetFault) {
-      target.health.addError();
+      target.health.addError(nowMs);
     } else if (isCompleted) {
-      target.health.addSuccess();
+      target.health.addSuccess(nowMs);
     } else if (end === AttemptEndKind.TargetOverloaded) {
       target.limit.onOverload(nowMs);
     }
--- a/packages/policy/TargetBook.ts
+++ b/packages/policy/TargetBook.ts
@@ -47,7 +47,7 @@
       this.#applyView(view, nowMs);
     }
     this.#isFirstView = false;
-    this.#updateGroups();
+    this.#updateGroups(nowMs);
     this.#updateHerdFactor();
   }
 
@@ -59,7 +59,7 @@
   /** Ejects targets that fail or lag against their peers, at most the given share of them. */
   ejectOutliers(maxEjectedShare: number, nowMs: number): void {
     const targets = [...this.#targets.values()];
-    const outliers = this.#findOutliers(targets);
+    const outliers = this.#findOutliers(targets, nowMs);
     if (outliers.length === 0) {
       return;
     }
@@ -77,15 +77,15 @@
     }
   }
 
-  #findOutliers(targets: readonly TargetState[]): readonly TargetState[] {
+  #findOutliers(targets: readonly TargetState[], nowMs: number): readonly TargetState[] {
     const ratios = targets.map(({ health }) => health.latencyRatio).sort((left, right) => left - right);
     const median = ratios[Math.floor(ratios.length / 2)] ?? 1;
     return targets
       .filter(({ health, view }) => {
         const isSlowGroup = (view.load?.groupSkew ?? 1) > slowGroupSkew;
-        return health.shouldEject(isSlowGroup ? Number.POSITIVE_INFINITY : median);
+        return health.shouldEject(isSlowGroup ? Number.POSITIVE_INFINITY : median, nowMs);
       })
-      .sort((left, right) => right.health.errorRate - left.health.errorRate);
+      .sort((left, right) => right.health.getErrorRate(nowMs) - left.health.getErrorRate(nowMs));
   }
 
   #applyView(view: TargetView, nowMs: number): void {
@@ -115,12 +115,12 @@
     this.#herdFactor = Math.sqrt(Math.min(maxHerdRatio, Math.max(1, reportedCount / Math.max(1, ownCount))));
   }
 
-  #updateGroups(): void {
+  #updateGroups(nowMs: number): void {
     const rates = new Map<string, number[]>();
     for (const { view, health } of this.#targets.values()) {
       const { group } = view.announcement;
       if (group !== "") {
-        rates.set(group, [...(rates.get(group) ?? []), health.errorRate]);
+        rates.set(group, [...(rates.get(group) ?? []), health.getErrorRate(nowMs)]);
       }
     }
     this.#groupErrorRates.clear();
--- a/packages/policy/admission/Admission.ts
+++ b/packages/policy/admission/Admission.ts
@@ -50,7 +50,9 @@
     if (queue.size === 0 && this.#router.hasRoom(state, nowMs)) {
       return 0;
     }
-    return queue.predictWaitMs(state, this.getSlotCount(state));
+    // Beside the queue there is the work that holds the slots: the next one ends after about a share of a service time.
+    const slotCount = Math.max(1, this.getSlotCount(state));
+    return queue.predictWaitMs(state, slotCount) + state.costMs / slotCount;
   }
 
   /** Requests of this entry that run at once on the targets of the request: what a backlog drains with. */
--- a/packages/policy/admission/TeamLimits.ts
+++ b/packages/policy/admission/TeamLimits.ts
@@ -67,8 +67,8 @@
   #getBuckets(team: string, fleetRates: TeamRates, nowMs: number): TeamBuckets {
     const share = this.#shares.get(team);
     const rates = this.#getRates(share, fleetRates, nowMs);
-    const requestCapacity = rates.requestsPerS === 0 ? 0.5 : Math.max(1, rates.requestsPerS * burstS);
-    const tokenCapacity = Math.max(1, rates.tokensPerS * burstS);
+    const requestCapacity = rates.requestsPerS === 0 ? 0 : Math.max(1, rates.requestsPerS * burstS);
+    const tokenCapacity = rates.tokensPerS * burstS;
     let buckets = this.#buckets.get(team);
     if (buckets === undefined) {
       const startMs = share?.leaseStartMs ?? this.#startedAtMs;
--- a/packages/policy/admission/TokenBucket.ts
+++ b/packages/policy/admission/TokenBucket.ts
@@ -1,6 +1,6 @@
 /**
- * Rate limit on a virtual clock. The level may become negative: a charge is permitted while the level is above
- * 0 (or covers the charge, see `canTake`), and later charges wait until the debt is paid.
+ * Rate limit on a virtual clock. A charge is permitted when the level covers it or is full; the level
+ * may become negative, and later charges then wait until the debt is paid. At rate 0 nothing is permitted.
  */
 export class TokenBucket {
   #ratePerS: number;
@@ -26,7 +26,7 @@
 
   canTake(amount: number, nowMs: number): boolean {
     this.#refill(nowMs);
-    return this.#level >= Math.min(amount, this.#capacity);
+    return this.#ratePerS > 0 && this.#level >= Math.min(amount, this.#capacity);
   }
 
   take(amount: number, nowMs: number): void {
@@ -37,6 +37,9 @@
   /** Time until `canTake(amount)` holds; infinite at rate 0. */
   getWaitMs(amount: number, nowMs: number): number {
     this.#refill(nowMs);
+    if (this.#ratePerS <= 0) {
+      return Number.POSITIVE_INFINITY;
+    }
     const missing = Math.min(amount, this.#capacity) - this.#level;
     return missing <= 0 ? 0 : (missing / this.#ratePerS) * 1000;
   }
--- a/packages/policy/health/TargetHealth.ts
+++ b/packages/policy/health/TargetHealth.ts
@@ -6,12 +6,15 @@
 const ejectLatencyRatio = 4;
 const firstEjectionMs = 5000;
 const maxEjectionMs = 60_000;
+/** Long against the pause of an ejection, short against an operator's reaction. */
+const errorHalfLifeMs = 10_000;
 /** A restarted engine has cold caches and kernels for about this long. */
 const warmUpMs = 10_000;
 
 /** Error rate, latency against prediction, ejection and warm-up of one target. */
 export class TargetHealth {
   #errorRate = 0;
+  #errorAtMs = 0;
   #latencyRatio = 1;
   #sampleCount = 0;
   #ejectedUntilMs: number | null = null;
@@ -23,8 +26,9 @@
     this.#warmFromMs = warmFromMs;
   }
 
-  get errorRate(): number {
-    return this.#errorRate;
+  /** Errors fade with time too: a target that gets no requests for its errors has no other way back. */
+  getErrorRate(nowMs: number): number {
+    return this.#errorRate * 0.5 ** ((nowMs - this.#errorAtMs) / errorHalfLifeMs);
   }
 
   get latencyRatio(): number {
@@ -40,13 +44,13 @@
     return Math.max(0, 1 - (nowMs - this.#warmFromMs) / warmUpMs);
   }
 
-  addError(): void {
-    this.#sampleCount += 1;
+  addError(nowMs: number): void {
+    this.#fadeErrors(nowMs);
     this.#errorRate += gain * 2 * (1 - this.#errorRate);
   }
 
-  addSuccess(): void {
-    this.#sampleCount += 1;
+  addSuccess(nowMs: number): void {
+    this.#fadeErrors(nowMs);
     this.#errorRate -= gain * this.#errorRate;
   }
 
@@ -54,12 +58,12 @@
     this.#latencyRatio += gain * (Math.min(ratio, 20) - this.#latencyRatio);
   }
 
-  shouldEject(peerMedianRatio: number): boolean {
+  shouldEject(peerMedianRatio: number, nowMs: number): boolean {
     if (this.isEjected || this.#sampleCount < minSampleCount) {
       return false;
     }
     const latencyBound = ejectLatencyRatio * Math.max(1, peerMedianRatio);
-    return this.#errorRate > ejectErrorRate || this.#latencyRatio > latencyBound;
+    return this.getErrorRate(nowMs) > ejectErrorRate || this.#latencyRatio > latencyBound;
   }
 
   eject(nowMs: number): void {
@@ -96,4 +100,10 @@
       this.#warmFromMs = nowMs;
     }
   }
+
+  #fadeErrors(nowMs: number): void {
+    this.#sampleCount += 1;
+    this.#errorRate = this.getErrorRate(nowMs);
+    this.#errorAtMs = nowMs;
+  }
 }
--- a/packages/policy/routing/scoreTarget.ts
+++ b/packages/policy/routing/scoreTarget.ts
@@ -49,7 +49,7 @@
       : times.getOutputTokenCount(model, request.maxTokenCount) * stepMs;
   const distanceMs = getDistanceMs(target, context);
   const baseMs = queueMs + prefillMs + decodeMs + distanceMs;
-  const errorRate = Math.max(health.errorRate, context.groupErrorRate);
+  const errorRate = Math.max(health.getErrorRate(nowMs), context.groupErrorRate);
   const warmUpMs = baseMs * coldFactor * health.getColdShare(nowMs);
   const errorMs = ((baseMs + failureMs) * errorRate) / Math.max(0.05, 1 - errorRate);
   const suspectMs = baseMs * (1 / Math.max(0.05, view.membershipWeight) - 1);
--- /dev/null
+++ b/packages/policy/test/health.test.ts
@@ -0,0 +1,164 @@
+import t from "tap";
+import { Outcome } from "@clementinemux/common/Outcome";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import { PolicyEvent } from "@clementinemux/policy/PolicyEvent";
+import { TargetBook } from "@clementinemux/policy/TargetBook";
+import { ConcurrencyLimit } from "@clementinemux/policy/health/ConcurrencyLimit";
+import { RetryBudget } from "@clementinemux/policy/health/RetryBudget";
+import { TargetHealth } from "@clementinemux/policy/health/TargetHealth";
+import { PrefixIndex } from "@clementinemux/policy/routing/PrefixIndex";
+import { createTestPolicy } from "./createTestPolicy";
+import { createTestRequest } from "./createTestRequest";
+import { createTestView } from "./createTestView";
+
+function createBook(count: number, groupSkew = 1): TargetBook {
+  const events = new Counters<PolicyEvent>("events", "event", Object.values(PolicyEvent));
+  const book = new TargetBook(new PrefixIndex(10), events);
+  const names = Array.from({ length: count }, (_, index) => `t${index}`);
+  book.applyViews(
+    names.map((name) => createTestView({ name, group: "g", load: { groupSkew } })),
+    0,
+  );
+  return book;
+}
+
+function countEjected(book: TargetBook): number {
+  return [...book.all].filter(({ health }) => health.isEjected).length;
+}
+
+// Guards against ejecting most of a fleet when the fault is not the targets'.
+t.test("ejected share is bounded", (t) => {
+  const book = createBook(10);
+  for (const { health } of book.all) {
+    for (let count = 0; count < 20; count += 1) {
+      health.addError(0);
+    }
+  }
+  book.ejectOutliers(0.2, 0);
+  book.ejectOutliers(0.2, 100);
+  t.equal(countEjected(book), 2);
+  t.end();
+});
+
+// Guards against taking a group slowed by one rank for a failed one, and against keeping a lagging target.
+t.test("late target is ejected unless its group is slow", (t) => {
+  for (const { skew, expected } of [
+    { skew: 1, expected: 1 },
+    { skew: 2, expected: 0 },
+  ]) {
+    const book = createBook(10, skew);
+    const [first] = book.all;
+    for (let count = 0; count < 40; count += 1) {
+      first?.health.addLatencyRatio(10);
+      first?.health.addSuccess(0);
+    }
+    book.ejectOutliers(0.2, 0);
+    t.equal(countEjected(book), expected);
+  }
+  t.end();
+});
+
+// Guards against a full load on a target that may still fail: one trial, re-entry only by its success.
+t.test("re-entry takes one successful trial", (t) => {
+  const health = new TargetHealth(0);
+  health.eject(0);
+  t.notOk(health.maySend(4999));
+  t.ok(health.maySend(5000));
+  health.onDispatch("a");
+  t.notOk(health.maySend(5001), "one trial at a time");
+  health.onEnd("a", false, 6000);
+  t.notOk(health.maySend(15_999), "the pause doubles");
+  t.ok(health.maySend(16_000));
+  health.onDispatch("b");
+  health.onEnd("b", true, 17_000);
+  t.notOk(health.isEjected);
+  t.equal(health.getColdShare(17_000), 1, "warms up after re-entry");
+  t.end();
+});
+
+// Guards against a target that is avoided for ever after errors that are long past.
+t.test("error rate fades with time", (t) => {
+  const health = new TargetHealth(0);
+  for (let count = 0; count < 4; count += 1) {
+    health.addError(1000);
+  }
+  t.ok(health.getErrorRate(1000) > 0.4);
+  t.ok(health.getErrorRate(61_000) < 0.05);
+  t.end();
+});
+
+// Guards against retries that multiply the load: at most a tenth of the requests, and a few for a quiet team.
+t.test("retries stay within the share", (t) => {
+  const budget = new RetryBudget(0.1, 0);
+  let retries = 0;
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+    budget.addRequest("a", nowMs);
+    retries += budget.tryTake("a", nowMs) ? 1 : 0;
+  }
+  t.ok(retries <= 600 + 5, `${retries} retries of 6000 requests`);
+  t.ok(retries >= 500, `${retries} retries of 6000 requests`);
+  t.end();
+});
+
+// Guards against one failing team that uses up the retries of the others.
+t.test("budget is per team", (t) => {
+  const budget = new RetryBudget(0.1, 0);
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+    budget.addRequest("a", nowMs);
+    budget.addRequest("b", nowMs);
+    budget.tryTake("a", nowMs);
+  }
+  t.ok(budget.tryTake("b", 10_000));
+  t.end();
+});
+
+// Guards against a limit that collapses on one burst of late answers, or does not react.
+t.test("limit falls once per congestion", (t) => {
+  const limit = new ConcurrencyLimit();
+  const startLimit = limit.limit;
+  limit.onOverload(1000);
+  limit.onOverload(1001);
+  t.equal(limit.limit, startLimit * 0.8);
+  t.end();
+});
+
+// Guards against running a non-repeatable request twice (I4), and against a refusal without proof as not_run (I3).
+t.test("non-repeatable request is retried only with proof", (t) => {
+  for (const { end, outcome } of [
+    { end: AttemptEndKind.StreamBroken, outcome: Outcome.Unknown },
+    { end: AttemptEndKind.FirstTokenTimeout, outcome: Outcome.Unknown },
+    { end: AttemptEndKind.TargetError, outcome: Outcome.RunFailed },
+    { end: AttemptEndKind.AgentRefused, outcome: null },
+  ]) {
+    const policy = createTestPolicy();
+    policy.applyTargets([createTestView({ name: "a" }), createTestView({ name: "b", domain: "d2" })], 0);
+    const [first] = policy.submit(createTestRequest({ repeatable: false }), 0);
+    const attemptId = first !== undefined && "attemptId" in first ? first.attemptId : "";
+    const [next] = policy.onAttemptEnded(attemptId, end, 100);
+    if (outcome === null) {
+      t.match(next, { kind: "dispatch", retryReason: "agent_refused" });
+    } else {
+      t.match(next, { kind: "refuse", outcome, reason: RefusalReason.TargetsFailed });
+    }
+  }
+  t.end();
+});
+
+// Guards against retrying into the same failing domain, and past the deadline.
+t.test("retry goes to another domain and in time", (t) => {
+  const views = ["a", "b", "c"].map((name) => createTestView({ name, domain: name === "c" ? "d2" : "d1" }));
+  for (const { nowMs, expected } of [
+    { nowMs: 100, expected: { kind: "dispatch", target: "c" } },
+    { nowMs: 59_900, expected: { kind: "refuse", reason: "deadline_unreachable" } },
+  ]) {
+    const policy = createTestPolicy();
+    policy.applyTargets(views, 0);
+    const [first] = policy.submit(createTestRequest({}), 0);
+    t.match(first, { kind: "dispatch" });
+    const attemptId = first !== undefined && "attemptId" in first ? first.attemptId : "";
+    t.match(policy.onAttemptEnded(attemptId, AttemptEndKind.ConnectFailed, nowMs)[0], expected);
+  }
+  t.end();
+});
--- /dev/null
+++ b/packages/policy/test/prefixIndex.test.ts
@@ -0,0 +1,47 @@
+import t from "tap";
+import { PrefixIndex } from "@clementinemux/policy/routing/PrefixIndex";
+
+// Guards against a late event that brings back blocks evicted since.
+t.test("event out of order is dropped", (t) => {
+  const index = new PrefixIndex(100);
+  index.onCacheEvent("t", 1, [1, 2], []);
+  index.onCacheEvent("t", 2, [], [1, 2]);
+  index.onCacheEvent("t", 1, [1, 2], []);
+  t.equal(index.getExpectedBlockCount("t", [1, 2]), 0);
+  t.end();
+});
+
+// Guards against full trust in an index that has missed evictions, and against distrust that never heals.
+t.test("gap lowers trust and answers restore it", (t) => {
+  const index = new PrefixIndex(100);
+  index.onCacheEvent("t", 1, [1, 2, 3, 4], []);
+  index.onCacheEvent("t", 3, [], []);
+  const doubted = index.getExpectedBlockCount("t", [1, 2, 3, 4]);
+  t.equal(doubted, 2);
+  for (let count = 0; count < 30; count += 1) {
+    index.onAnswer("t", [1, 2, 3, 4], 4);
+  }
+  t.ok(index.getExpectedBlockCount("t", [1, 2, 3, 4]) > 3.8);
+  t.end();
+});
+
+// Guards against an index that keeps sending to a target whose cache does not hold the prefix.
+t.test("missed prefixes lower trust", (t) => {
+  const index = new PrefixIndex(100);
+  index.onCacheEvent("t", 1, [1, 2], []);
+  for (let count = 0; count < 30; count += 1) {
+    index.onAnswer("t", [1, 2], 0);
+  }
+  t.ok(index.getExpectedBlockCount("t", [1, 2]) < 0.2);
+  t.end();
+});
+
+// Guards against memory that grows with the number of prompts.
+t.test("blocks per target are bounded", (t) => {
+  const index = new PrefixIndex(50);
+  for (let hash = 0; hash < 1000; hash += 1) {
+    index.onDispatch("t", [hash]);
+  }
+  t.equal(index.getBlockCount("t"), 50);
+  t.end();
+});
--- /dev/null
+++ b/packages/policy/test/teamLimits.test.ts
@@ -0,0 +1,97 @@
+import fc from "fast-check";
+import t from "tap";
+import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import { LimitLedger } from "@clementinemux/policy/admission/LimitLedger";
+import { TeamLimits } from "@clementinemux/policy/admission/TeamLimits";
+
+const leaseMs = 4000;
+const limitPerS = 40;
+
+// Guards against shares that sum to more than the limit when entries die, restart or change their demand.
+t.test("shares never exceed the limit", (t) => {
+  const step = fc.record({
+    holder: fc.integer({ min: 0, max: 5 }),
+    demand: fc.integer({ min: 0, max: 200 }),
+    waitMs: fc.integer({ min: 0, max: 3000 }),
+    restarts: fc.boolean(),
+  });
+  const property = fc.property(fc.array(step, { maxLength: 80 }), (steps) => {
+    const ledger = new LimitLedger(limitPerS, leaseMs);
+    const starts = new Map<number, number>();
+    // Kept by the test: what each holder may believe to hold, until its lease ends.
+    const believed: { share: number; endMs: number; id: string }[] = [];
+    let nowMs = 0;
+    for (const { holder, demand, waitMs, restarts } of steps) {
+      nowMs += waitMs;
+      const start = (starts.get(holder) ?? 0) + (restarts ? 1 : 0);
+      starts.set(holder, start);
+      const id = `${holder}.${start}`;
+      const share = ledger.renew(id, demand, nowMs);
+      const earlier = believed.findIndex((grant) => grant.id === id);
+      believed.splice(earlier < 0 ? believed.length : earlier, 1, { share, endMs: nowMs + leaseMs, id });
+      const sum = believed.reduce((total, grant) => (grant.endMs > nowMs ? total + grant.share : total), 0);
+      if (sum > limitPerS + 1e-9) {
+        return false;
+      }
+    }
+    return true;
+  });
+  fc.assert(property, { seed: 5, numRuns: 300 });
+  t.end();
+});
+
+// Guards against shares that stay where the traffic was.
+t.test("shares follow the demand", (t) => {
+  const ledger = new LimitLedger(limitPerS, leaseMs);
+  let busy = 0;
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 1000) {
+    ledger.renew("idle", 0, nowMs);
+    busy = ledger.renew("busy", 100, nowMs);
+  }
+  t.ok(busy >= 0.85 * limitPerS, `${busy} of ${limitPerS}`);
+  t.end();
+});
+
+// Guards against an entry whose lease has ended and that goes on admitting.
+t.test("lease end stops admission", (t) => {
+  const limits = new TeamLimits(0);
+  limits.applyShares([{ team: "a", requestsPerS: 100, tokensPerS: 1e6, leaseStartMs: 0, leaseEndMs: 4000 }]);
+  const rates = { requestsPerS: 100, tokensPerS: 1e6 };
+  t.equal(limits.take("a", rates, 10, 3900), null);
+  t.equal(limits.take("a", rates, 10, 4000)?.reason, RefusalReason.TeamRequestLimit);
+  t.end();
+});
+
+// Guards against over-counting beyond the stated bound: limit * (T + 2 s) and one request per entry.
+t.test("fleet admits at most the stated bound", (t) => {
+  const ledger = new LimitLedger(limitPerS, leaseMs);
+  const rates = { requestsPerS: limitPerS, tokensPerS: 1e9 };
+  const admittedAtMs: number[] = [];
+  let entries = [0, 1, 2, 3].map((index) => ({ id: `${index}`, limits: new TeamLimits(0) }));
+  for (let nowMs = 0; nowMs <= 20_000; nowMs += 10) {
+    if (nowMs % 5000 === 2500) {
+      // One entry dies and restarts with empty memory, as a new holder.
+      const restarted = { id: `${nowMs}`, limits: new TeamLimits(nowMs) };
+      entries = [...entries.slice(1), restarted];
+    }
+    for (const { id, limits } of entries) {
+      if (nowMs % 1000 === 0 || id === `${nowMs}`) {
+        const requestsPerS = ledger.renew(id, 1 + (nowMs % 7), nowMs);
+        const leaseEndMs = nowMs + leaseMs;
+        limits.applyShares([{ team: "a", requestsPerS, tokensPerS: 1e9, leaseStartMs: nowMs, leaseEndMs }]);
+      }
+      while (limits.take("a", rates, 1, nowMs) === null) {
+        admittedAtMs.push(nowMs);
+      }
+    }
+  }
+  for (let fromMs = 0; fromMs < 20_000; fromMs += 500) {
+    for (const windowMs of [1000, 5000]) {
+      const count = admittedAtMs.filter((atMs) => atMs >= fromMs && atMs < fromMs + windowMs).length;
+      const bound = limitPerS * (windowMs / 1000 + 2) + 5;
+      t.ok(count <= bound, `${count} from ${fromMs} in ${windowMs} ms, bound ${bound}`);
+    }
+  }
+  t.ok(admittedAtMs.length > 0.6 * limitPerS * 20, `${admittedAtMs.length} admitted`);
+  t.end();
+});
