Hedge later: at the first-token target of the class

Cause: hedges started at half the first-token target (170 ms) and two of three lost; their prefill was most of the wasted work below capacity. Change: a hedge starts at the class's first-token target or three times the predicted first token.

--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -214,7 +214,7 @@
     if (!classDefaults.mayHedge || !state.request.repeatable || state.isHedged || attempt === undefined) {
       return [];
     }
-    const delayMs = Math.max(classDefaults.firstTokenMs / 2, 3 * attempt.predictedFirstTokenMs);
+    const delayMs = Math.max(classDefaults.firstTokenMs, 3 * attempt.predictedFirstTokenMs);
     const isLate = attempt.firstTokenAtMs === null && nowMs - attempt.sentAtMs > delayMs;
     const isInTime = nowMs + admission.getServiceMs(state) <= state.request.deadlineAtMs;
     if (!isLate || !isInTime || state.attemptCount >= config.defaults.maxAttempts) {
