Move an important stream that would miss its deadline

Cause: at the slow target, important requests that were streaming when it became slow missed their deadline; a hedge covers only the time before the first token. Ruled out: the hedge delay (both delays miss). Change: after 16 tokens, a stream of a class that may hedge, twice slower than the mean and predicted to miss the deadline, is cancelled and resumed elsewhere at the exact token, from the retry budget. Test shown red with the check and with the class condition disabled.

--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -163,7 +163,7 @@
       if (state.request.deadlineAtMs <= nowMs) {
         actions.push(...this.#giveUp(state, RefusalReason.DeadlinePassed, nowMs));
       } else if (!state.isQueued) {
-        actions.push(...this.#hedge(state, nowMs));
+        actions.push(...this.#hedge(state, nowMs), ...this.#moveLateStream(state, nowMs));
       }
     }
     for (const { state, waitMs } of this.#state.findUnreachable(nowMs)) {
@@ -234,6 +234,27 @@
     return [this.#dispatch(state, chosen, candidates, nowMs)];
   }
 
+  /** Moves an important stream that would miss its deadline; it resumes at the exact token, from the retry budget. */
+  #moveLateStream(state: RequestState, nowMs: number): Actions {
+    const [attempt, ...others] = state.attempts;
+    const { config, budget } = this.#state;
+    const mayMove = state.settings.classDefaults.mayHedge && state.request.repeatable;
+    if (attempt === undefined || others.length > 0 || !mayMove) {
+      return [];
+    }
+    const hasAttempts = state.attemptCount < config.defaults.maxAttempts;
+    if (!hasAttempts || !this.#state.isLate(state, attempt, nowMs) || !budget.tryTake(state.team, nowMs)) {
+      return [];
+    }
+    state.triedTargets.add(attempt.target.name);
+    const cancel = this.#cancel(state, attempt, RetryReason.TokenGapTimeout, nowMs);
+    state.retryReason = RetryReason.TokenGapTimeout;
+    this.counters.events.add(PolicyEvent.StreamMoved);
+    this.counters.retries.add(RetryReason.TokenGapTimeout);
+    this.#enqueue(state, true);
+    return [cancel, ...this.#pump(state, nowMs)];
+  }
+
   #enqueue(state: RequestState, front: boolean): void {
     state.isQueued = true;
     state.costMs = this.#state.getRemainingMs(state);
--- a/packages/policy/PolicyEvent.ts
+++ b/packages/policy/PolicyEvent.ts
@@ -5,6 +5,7 @@
   Resumed = "resumed",
   Hedged = "hedged",
   HedgeWon = "hedge_won",
+  StreamMoved = "stream_moved",
   Ejected = "ejected",
   Readmitted = "readmitted",
   EjectionWithheld = "ejection_withheld",
--- a/packages/policy/PolicyState.ts
+++ b/packages/policy/PolicyState.ts
@@ -16,6 +16,7 @@
 import { getTeamSettings } from "./getTeamSettings";
 import { RetryBudget } from "./health/RetryBudget";
 import { attemptEnds } from "./health/attemptEnds";
+import { isStreamLate } from "./health/isStreamLate";
 import type { Candidate } from "./routing/Candidate";
 import { PrefixIndex } from "./routing/PrefixIndex";
 import { Router } from "./routing/Router";
@@ -227,6 +228,18 @@
     return this.getRemainingMs(state) + marginMs;
   }
 
+  /** Whether the only attempt of a request streams too slowly for the deadline; see `isStreamLate`. */
+  isLate(state: RequestState, attempt: AttemptState, nowMs: number): boolean {
+    const { maxTokenCount, deadlineAtMs } = state.request;
+    const outputCount = this.#times.getSafeOutputTokenCount(state.model, maxTokenCount);
+    return isStreamLate(attempt, {
+      remainingTokenCount: Math.max(1, outputCount - state.sentTokenCount - attempt.tokenCount),
+      meanGapMs: this.#times.getTokenGapMs(state.model),
+      deadlineAtMs,
+      nowMs,
+    });
+  }
+
   /** Forgets a request that has ended and corrects what was charged for its tokens. */
   forget(state: RequestState, nowMs: number): void {
     const { request, chargedTokenCount, sentTokenCount, attempts } = state;
--- a/packages/policy/admission/ServiceTimes.ts
+++ b/packages/policy/admission/ServiceTimes.ts
@@ -89,11 +89,18 @@
     );
   }
 
-  /** Predicted service time that most answers keep: with a longer output than the mean, at most the permitted one. */
+  /** Output that most answers keep within: more than the mean, at most the permitted number. */
+  getSafeOutputTokenCount(model: string, maxTokenCount: number): number {
+    const { outputShare, outputDeviation } = this.#get(model);
+    return Math.min(1, outputShare + safeDeviations * outputDeviation) * maxTokenCount;
+  }
+
+  /** Predicted service time of an answer with that output. */
   getSafeServiceMs(model: string, size: ServiceSize): number {
-    const { outputShare, outputDeviation, tokenGapMs } = this.#get(model);
-    const safeShare = Math.min(1, outputShare + safeDeviations * outputDeviation);
-    return this.getServiceMs(model, size) + (safeShare - outputShare) * size.maxTokenCount * tokenGapMs;
+    const { maxTokenCount } = size;
+    const addedCount =
+      this.getSafeOutputTokenCount(model, maxTokenCount) - this.getOutputTokenCount(model, maxTokenCount);
+    return this.getServiceMs(model, size) + addedCount * this.getTokenGapMs(model);
   }
 
   #get(model: string): ModelTimes {
--- a/packages/policy/test/entryPolicy.test.ts
+++ b/packages/policy/test/entryPolicy.test.ts
@@ -148,6 +148,29 @@
   t.end();
 });
 
+// Guards against an important stream left on a slow target until its deadline, and against moving other classes.
+t.test("late important stream moves", (t) => {
+  for (const requestClass of classes) {
+    const policy = createTestPolicy();
+    const views = ["a", "b"].map((name) => createTestView({ name, domain: name }));
+    policy.applyTargets(views, 0);
+    const request = createTestRequest({ requestClass, maxTokenCount: 200, deadlineAtMs: 8000 });
+    const [first] = policy.submit(request, 0);
+    policy.onTokens(getAttemptId(first), 1, 100);
+    policy.onTokens(getAttemptId(first), 20, 2000);
+    const moved = policy.onTick(2000);
+    if (requestClass !== RequestClass.Important) {
+      t.same(moved, []);
+      continue;
+    }
+    t.match(moved, [
+      { kind: "cancel_attempt", attemptId: getAttemptId(first) },
+      { kind: "dispatch", resume: true, retryReason: "token_gap_timeout" },
+    ]);
+  }
+  t.end();
+});
+
 // Guards against a stream continued by other weights.
 t.test("stream resumes on its version only", (t) => {
   const policy = createTestPolicy();
