--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -126,13 +126,14 @@
     const { state, attempt } = found;
     const { isProvedNotRun } = attemptEnds[end];
     this.#state.endAttempt(state, attempt, end, nowMs);
-    state.mayHaveRun ||= !isProvedNotRun;
+    state.mayHaveRun ||= !isProvedNotRun || attempt.tokenCount > 0;
     if (!this.#state.requests.has(state.request.requestId)) {
       return this.#pump(state, nowMs);
     }
-    const losers = end === AttemptEndKind.Completed ? [...state.attempts] : [];
+    const isOver = end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled;
+    const losers = isOver ? [...state.attempts] : [];
     const actions: Actions = losers.map((loser) => this.#cancel(state, loser, RetryReason.Hedge, nowMs));
-    if (end === AttemptEndKind.Completed || end === AttemptEndKind.Cancelled) {
+    if (isOver) {
       this.#state.forget(state, nowMs);
     } else if (state.attempts.length === 0) {
       actions.push(...this.#retryOrRefuse(state, attempt, end, nowMs));
@@ -149,14 +150,10 @@
     }
     this.counters.refusals.add(RefusalReason.CallerGone);
     this.#state.dropFromQueue(state);
-    if (!state.request.repeatable && state.attempts.length > 0) {
-      // Design section 8: the answer of a non-repeatable request is recorded although its caller left.
-      return [];
-    }
     this.#state.forget(state, nowMs);
-    const actions = [...state.attempts].map((attempt) =>
-      this.#cancel(state, attempt, RefusalReason.CallerGone, nowMs),
-    );
+    // Design section 8: the answer of a non-repeatable request is recorded although its caller left.
+    const cancelled = state.request.repeatable ? [...state.attempts] : [];
+    const actions = cancelled.map((attempt) => this.#cancel(state, attempt, RefusalReason.CallerGone, nowMs));
     return [...actions, ...this.#pump(state, nowMs)];
   }
 
@@ -166,7 +163,7 @@
       if (state.request.deadlineAtMs <= nowMs) {
         actions.push(...this.#giveUp(state, RefusalReason.DeadlinePassed, nowMs));
       } else if (!state.isQueued) {
-        actions.push(...this.#hedge(state, nowMs));
+        actions.push(...this.#hedge(state, nowMs), ...this.#moveLateStream(state, nowMs));
       }
     }
     for (const { state, waitMs } of this.#state.findUnreachable(nowMs)) {
@@ -217,7 +214,7 @@
     if (!classDefaults.mayHedge || !state.request.repeatable || state.isHedged || attempt === undefined) {
       return [];
     }
-    const delayMs = Math.max(classDefaults.firstTokenMs / 2, 3 * attempt.predictedFirstTokenMs);
+    const delayMs = Math.max(classDefaults.firstTokenMs, 3 * attempt.predictedFirstTokenMs);
     const isLate = attempt.firstTokenAtMs === null && nowMs - attempt.sentAtMs > delayMs;
     const isInTime = nowMs + admission.getServiceMs(state) <= state.request.deadlineAtMs;
     if (!isLate || !isInTime || state.attemptCount >= config.defaults.maxAttempts) {
@@ -237,6 +234,27 @@
     return [this.#dispatch(state, chosen, candidates, nowMs)];
   }
 
+  /** Moves an important stream that would miss its deadline; it resumes at the exact token, from the retry budget. */
+  #moveLateStream(state: RequestState, nowMs: number): Actions {
+    const [attempt, ...others] = state.attempts;
+    const { config, budget } = this.#state;
+    const mayMove = state.settings.classDefaults.mayHedge && state.request.repeatable;
+    if (attempt === undefined || others.length > 0 || !mayMove) {
+      return [];
+    }
+    const hasAttempts = state.attemptCount < config.defaults.maxAttempts;
+    if (!hasAttempts || !this.#state.isLate(state, attempt, nowMs) || !budget.tryTake(state.team, nowMs)) {
+      return [];
+    }
+    state.triedTargets.add(attempt.target.name);
+    const cancel = this.#cancel(state, attempt, RetryReason.TokenGapTimeout, nowMs);
+    state.retryReason = RetryReason.TokenGapTimeout;
+    this.counters.events.add(PolicyEvent.StreamMoved);
+    this.counters.retries.add(RetryReason.TokenGapTimeout);
+    this.#enqueue(state, true);
+    return [cancel, ...this.#pump(state, nowMs)];
+  }
+
   #enqueue(state: RequestState, front: boolean): void {
     state.isQueued = true;
     state.costMs = this.#state.getRemainingMs(state);
@@ -283,7 +301,6 @@
     this.counters.events.add(PolicyEvent.Preempted);
     const { state, attempt } = victim;
     const actions: Actions = [this.#cancel(state, attempt, RefusalReason.Preempted, nowMs)];
-    state.mayHaveRun = true;
     state.retryReason = null;
     this.#enqueue(state, true);
     this.#state.dropFromQueue(head);
@@ -324,6 +341,8 @@
     nowMs: number,
   ): PolicyAction {
     this.#state.endAttempt(state, attempt, AttemptEndKind.Cancelled, nowMs);
+    // The cancellation may reach the target after it has started.
+    state.mayHaveRun = true;
     this.#explain(state, `cancel:${reason}`, attempt.target.name, [], nowMs);
     const { requestId } = state.request;
     return { kind: PolicyActionKind.CancelAttempt, requestId, attemptId: attempt.attemptId, reason };
