Make three placement tests fail when their rule is removed

The generator now makes tight runners, and two cases state the failure domains explicitly; each of the three now fails without its rule.

--- a/packages/experts/test/placement.test.ts
+++ b/packages/experts/test/placement.test.ts
@@ -24,8 +24,9 @@
       items: fc.subarray(["m0", "m1", "m2"], { maxLength: 2 }),
       role: fc.constantFrom(TargetRole.Both, TargetRole.Prefill, TargetRole.Decode),
       isLeaving: fc.boolean(),
+      capacityBytes: fc.constantFrom(50, 100),
     }),
-    { minLength: 3, maxLength: 12 },
+    { minLength: 2, maxLength: 9 },
   )
   .map((runners) =>
     runners.map((runner, index): RunnerState => ({
@@ -56,8 +57,9 @@
     const set = held.get(order.target)!;
     if (order.kind === PlacementOrderKind.Load) {
       set.add(order.item);
+      const { capacityBytes } = runners.find(({ target }) => target === order.target)!;
       const used = [...set].reduce((sum, name) => sum + (sizes.get(name) ?? 0), 0);
-      if (used > 100 || (order.item === "a0" && !set.has("m0"))) {
+      if (used > capacityBytes || (order.item === "a0" && !set.has("m0"))) {
         return `load of ${order.item} on ${order.target}`;
       }
     } else if (order.kind === PlacementOrderKind.Unload) {
@@ -99,15 +101,17 @@
 // Guards against a model that the loss of one failure domain leaves without a copy although there is room.
 t.test("loss of a domain leaves each model served", (t) => {
   const items = ["m0", "m1", "m2"].map((name) => ({ name, sizeBytes: 40, demandRunners: 1, base: null }));
+  // Runners of the first domain have the most free memory, so that memory alone would choose them.
   const runners = Array.from({ length: 9 }, (_, index) => ({
     target: `r${index}`,
     failureDomain: `fd${Math.floor(index / 3)}`,
-    capacityBytes: 50,
-    items: index < 3 ? [`m${index}`] : [],
+    capacityBytes: index < 3 ? 1000 : 45,
+    items: index < 3 ? [`m${index}`] : ["idle"],
     role: TargetRole.Both,
     isLeaving: false,
   }));
-  const orders = planPlacement({ items, runners, prefillShare: 0.5, maxBytes: 1e9 });
+  const idle = { name: "idle", sizeBytes: 5, demandRunners: 0, base: null };
+  const orders = planPlacement({ items: [...items, idle], runners, prefillShare: 0.5, maxBytes: 1e9 });
   for (const { name } of items) {
     const targets = orders.flatMap((order) =>
       order.kind === PlacementOrderKind.Load && order.item === name ? [order.target] : [],
@@ -118,6 +122,28 @@
   t.end();
 });
 
+// Guards against an unload that leaves copies in one failure domain only.
+t.test("surplus copy in the second domain stays", (t) => {
+  const items = [
+    { name: "m0", sizeBytes: 40, demandRunners: 1, base: null },
+    { name: "m1", sizeBytes: 40, demandRunners: 1, base: null },
+  ];
+  const runners = ["fd1", "fd0", "fd0"].map((failureDomain, index) => ({
+    target: `r${index}`,
+    failureDomain,
+    capacityBytes: 50,
+    items: ["m0"],
+    role: TargetRole.Both,
+    isLeaving: false,
+  }));
+  const orders = planPlacement({ items, runners, prefillShare: 0.5, maxBytes: 1e9 });
+  t.same(orders, [
+    { kind: PlacementOrderKind.Unload, target: "r1", item: "m0" },
+    { kind: PlacementOrderKind.Load, target: "r1", item: "m1", sizeBytes: 40 },
+  ]);
+  t.end();
+});
+
 // Guards against more than one change of role per plan, and against a role that no copy of a model serves.
 t.test("roles follow the demand one by one", (t) => {
   const items = [{ name: "m0", sizeBytes: 40, demandRunners: 1, base: null }];
