--- /dev/null
+++ b/packages/experts/baselines/mapPolicies.ts
@@ -0,0 +1,33 @@
+import type { ExpertMap } from "../ExpertMap";
+import type { PlanInput } from "../planner/PlanInput";
+import { planMap } from "../planner/planMap";
+import { MapPolicyName } from "./MapPolicyName";
+import { createContiguousMap } from "./createContiguousMap";
+import { createGreedyMap } from "./createGreedyMap";
+
+interface MapPolicy {
+  /** Time between two plans. */
+  readonly intervalMs: number;
+  /** Next map; the present object when nothing changes. */
+  readonly getNextMap: (input: PlanInput) => ExpertMap;
+}
+
+const minuteMs = 60_000;
+
+/** Registry of the policies. */
+export const mapPolicies: Readonly<Record<MapPolicyName, MapPolicy>> = {
+  [MapPolicyName.None]: { intervalMs: Number.POSITIVE_INFINITY, getNextMap: ({ present }) => present },
+  [MapPolicyName.Contiguous]: {
+    intervalMs: Number.POSITIVE_INFINITY,
+    getNextMap: ({ shape, present }) => createContiguousMap(shape, present.version + 1),
+  },
+  [MapPolicyName.Greedy]: {
+    intervalMs: 10 * minuteMs,
+    getNextMap: ({ shape, loads, present }) => createGreedyMap(shape, loads, present.version + 1),
+  },
+  [MapPolicyName.Planner]: { intervalMs: 2 * minuteMs, getNextMap: (input) => planMap(input).map },
+  [MapPolicyName.SplitOnly]: {
+    intervalMs: 2 * minuteMs,
+    getNextMap: (input) => planMap({ ...input, maxBytes: 0 }).map,
+  },
+};
