--- a/packages/bench/experts/ExpertsScenario.ts
+++ b/packages/bench/experts/ExpertsScenario.ts
@@ -7,7 +7,7 @@
   readonly name: string;
   readonly shape: GroupShape;
   readonly weights: PlanWeights;
-  readonly demand: DemandSettings;
+  readonly demand: Omit<DemandSettings, "seed">;
   /** Hours of the day without moves of weights, each as [first, end). */
   readonly busyHours: readonly (readonly [number, number])[];
   /** Token assignments to experts per step and layer, over all ranks. */
--- a/packages/bench/experts/createScenarios.ts
+++ b/packages/bench/experts/createScenarios.ts
@@ -25,7 +25,7 @@
       failureDomains,
     },
     weights: { skewWeight: 4, costWeight: 1, horizonMs: 600_000 },
-    demand: { layerCount, expertCount, exponent: 0.9, driftAmplitude: 0.8, seed: 77, flash },
+    demand: { layerCount, expertCount, exponent: 0.9, driftAmplitude: 0.8, flash },
     busyHours: [],
     tokensPerStep: rankCount * tokensPerRank * topK,
     storeBytesPerS: 200e6,
--- a/packages/bench/experts/runScenario.ts
+++ b/packages/bench/experts/runScenario.ts
@@ -21,10 +21,10 @@
 const lostReportShare = 0.1;
 
 /** Runs every policy through the same day. Reports are one tick old, and one in ten is lost. */
-export function runScenario(scenario: ExpertsScenario): ScenarioResult {
+export function runScenario(scenario: ExpertsScenario, seed: number): ScenarioResult {
   const { shape, tokensPerStep } = scenario;
-  const demand = new ExpertDemand(scenario.demand);
-  const random = createRandom(scenario.demand.seed + 1);
+  const demand = new ExpertDemand({ ...scenario.demand, seed });
+  const random = createRandom(seed + 1);
   const layers = Array.from({ length: shape.layerCount }, (_, layer) => layer);
   const startShares = layers.map((layer) => demand.getShares(layer, 0));
   const startMap = createGreedyMap(shape, startShares, 0);
