Let plans shortly before busy hours pay off until their end

No weights move in busy hours, so a map made before them serves through them, while its saving was counted over the usual horizon only.

--- a/packages/bench/experts/PolicyRun.ts
+++ b/packages/bench/experts/PolicyRun.ts
@@ -9,6 +9,7 @@
 import type { RankAdvice } from "@clementinemux/experts/loads/RankAdvice";
 import { RankJudge } from "@clementinemux/experts/loads/RankJudge";
 import { listMoves } from "@clementinemux/experts/planner/listMoves";
+import { getPlanHorizon } from "@clementinemux/experts/planner/getPlanHorizon";
 import { moveCosts } from "@clementinemux/experts/planner/moveCosts";
 import { RankGroup } from "@clementinemux/standins/group/RankGroup";
 import { WeightStore } from "@clementinemux/standins/weightStore/WeightStore";
@@ -135,7 +136,7 @@
       errorShare: forecast.errorShare,
       rankSpeeds: this.#advice?.rankSpeeds ?? createUniformSpeeds(shape.rankCount),
       fixedRanks: this.#advice?.slowRanks ?? new Set<number>(),
-      weights,
+      weights: { ...weights, horizonMs: getPlanHorizon(nowMs, weights.horizonMs, busyHours) },
       storeBytesPerS,
       maxBytes: (storeBytesPerS * policy.intervalMs) / 1000,
       isBusy: busyHours.some(([first, end]) => hour >= first && hour < end),
--- a/packages/experts/test/planMap.test.ts
+++ b/packages/experts/test/planMap.test.ts
@@ -10,6 +10,7 @@
 import { findMapFault } from "@clementinemux/experts/findMapFault";
 import type { PlanInput } from "@clementinemux/experts/planner/PlanInput";
 import { PlanReason } from "@clementinemux/experts/planner/PlanReason";
+import { getPlanHorizon } from "@clementinemux/experts/planner/getPlanHorizon";
 import { planMap } from "@clementinemux/experts/planner/planMap";
 
 function createShape(rankCount: number, perRank: number, layerCount: number): GroupShape {
@@ -146,3 +147,13 @@
   t.equal(plan.bytes, 0);
   t.end();
 });
+
+// Guards against plans before busy hours that ignore that no weights move until their end.
+t.test("horizon reaches over busy hours ahead", (t) => {
+  const hourMs = 3_600_000;
+  const busyHours = [[18, 20]] as const;
+  t.equal(getPlanHorizon(12 * hourMs, 600_000, busyHours), 600_000);
+  t.equal(getPlanHorizon(18 * hourMs - 300_000, 600_000, busyHours), 2 * hourMs + 300_000);
+  t.equal(getPlanHorizon(19 * hourMs, 600_000, busyHours), 600_000);
+  t.end();
+});
