--- a/packages/entry/ModelSession.ts
+++ b/packages/entry/ModelSession.ts
@@ -115,8 +115,7 @@
   }
 
   onCompleted(attempt: ModelAttempt, finishReason: string, tokenCount: number | null): void {
-    this.#current ??= attempt;
-    if (this.#current !== attempt) {
+    if (!this.#takesFrom(attempt)) {
       this.onEnded(attempt, AttemptEndKind.Cancelled);
       return;
     }
@@ -143,7 +142,9 @@
     if (timeouts.has(end)) {
       void attempt.link.condemnPool(probeTimeoutMs, () => this.context.clock.monotonicMs());
     }
-    this.reportEnd(attempt.attemptId, end);
+    // An attempt that lost against a faster one has not failed.
+    const hasLost = this.#current !== null && end === AttemptEndKind.StreamBroken;
+    this.reportEnd(attempt.attemptId, hasLost ? AttemptEndKind.Cancelled : end);
   }
 
   onRejected(attempt: ModelAttempt): void {
--- a/packages/entry/test/startFleet.ts
+++ b/packages/entry/test/startFleet.ts
@@ -10,6 +10,7 @@
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import type { Policy } from "@clementinemux/policy/Policy";
 import { EngineServer } from "@clementinemux/standins/engine/EngineServer";
 import type { EngineSettings } from "@clementinemux/standins/engine/EngineSettings";
 import { ServiceServer } from "@clementinemux/standins/service/ServiceServer";
@@ -23,6 +24,9 @@
   readonly entryCount?: number;
   readonly executionMs?: number;
   readonly engine?: Partial<EngineSettings>;
+  /** Settings of single engines, by position. */
+  readonly engineOverrides?: readonly Partial<EngineSettings>[];
+  readonly policy?: Policy;
   readonly defaults?: Partial<FleetDefaults>;
   readonly settings?: Readonly<Record<string, unknown>>;
 }
@@ -72,7 +76,7 @@
   const services: ServiceServer[] = [];
   for (let index = 0; index < (options.engineCount ?? 1); index += 1) {
     const settings = { host, port: 0, models: ["demo"], tokenIntervalMs: 2, firstTokenMs: 2 };
-    const engine = new EngineServer({ ...settings, ...options.engine });
+    const engine = new EngineServer({ ...settings, ...options.engine, ...options.engineOverrides?.[index] });
     targets.push(announce(index, await engine.listen(), TargetKind.Engine));
     engines.push(engine);
   }
@@ -115,7 +119,11 @@
       const answer = { epoch: 1, revision, confirmed: true, leaseMs, changes: [], config: control.config };
       return Promise.resolve(control.reachable ? answer : null);
     };
-    const entry = new EntryServer(settings, { leases: { renew }, claims });
+    const entry = new EntryServer(settings, {
+      leases: { renew },
+      claims,
+      ...(options.policy === undefined ? {} : { policy: options.policy }),
+    });
     urls.push(`http://${host}:${await entry.start()}`);
     entries.push(entry);
   }
