--- /dev/null
+++ b/packages/storage/replaceFile.ts
@@ -0,0 +1,23 @@
+import { open, rename } from "node:fs/promises";
+import { dirname } from "node:path";
+import type { DiskOperations } from "./DiskOperations";
+
+/** Replaces a file so that after a crash either the old or the new content is there in full. */
+export async function replaceFile(path: string, bytes: Buffer, disk: DiskOperations): Promise<void> {
+  const temporary = `${path}.tmp`;
+  const file = await open(temporary, "w");
+  try {
+    await disk.write(file, bytes, 0);
+    await disk.sync(file);
+  } finally {
+    await file.close();
+  }
+  await rename(temporary, path);
+  // The rename itself is durable only after the sync of the folder.
+  const folder = await open(dirname(path), "r");
+  try {
+    await folder.sync();
+  } finally {
+    await folder.close();
+  }
+}
