--- /dev/null
+++ b/packages/control/ClaimMachine.ts
@@ -0,0 +1,205 @@
+import { createHash } from "node:crypto";
+import { decode, encode } from "cbor-x";
+import type { CancelClaimRequest } from "@clementinemux/messages/CancelClaimRequest";
+import type { ClaimRequest } from "@clementinemux/messages/ClaimRequest";
+import type { ClaimResponse } from "@clementinemux/messages/ClaimResponse";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+import type { Claimant } from "@clementinemux/messages/Claimant";
+import type { CompleteClaimRequest } from "@clementinemux/messages/CompleteClaimRequest";
+import type { ClaimCommand } from "./ClaimCommand";
+import { ClaimCommandKind } from "./ClaimCommandKind";
+import type { ClaimRecord } from "./ClaimRecord";
+import { ClaimRecordState } from "./ClaimRecordState";
+import type { StateMachine } from "./StateMachine";
+
+// No deadline is longer than this, so a claim that is still open has lost its claimant.
+const openClaimMs = 3_600_000;
+
+const answerStates = {
+  [ClaimRecordState.Claimed]: ClaimState.InProgress,
+  [ClaimRecordState.Cancelled]: ClaimState.InProgress,
+  [ClaimRecordState.Recorded]: ClaimState.Recorded,
+  [ClaimRecordState.OutcomeUnknown]: ClaimState.OutcomeUnknown,
+} as const;
+
+/** Claims of non-repeatable requests; see design section 8. */
+export class ClaimMachine implements StateMachine {
+  /** In the order of the last change. */
+  #records = new Map<string, ClaimRecord>();
+  #tombstones = new Map<string, number>();
+  /** Newest incarnation of each entry that has claimed; earlier ones are gone. */
+  #incarnations = new Map<string, string>();
+  #nowMs = 0;
+
+  apply(command: unknown): unknown {
+    const known = command as ClaimCommand;
+    this.#advance(known);
+    switch (known.kind) {
+      case ClaimCommandKind.Claim:
+        return this.#claim(known.request, known.claimRetentionMs);
+      case ClaimCommandKind.Complete:
+        return this.#complete(known.request);
+      case ClaimCommandKind.Cancel:
+        return this.#cancel(known.request);
+    }
+  }
+
+  /** Answer for a key without claiming it; null when the key is not known. */
+  lookup(team: string, key: string): ClaimResponse | null {
+    const record = this.#records.get(getRecordKey(team, key));
+    if (record === undefined) {
+      const isExpired = this.#tombstones.has(getTombstone(team, key));
+      return isExpired ? { state: ClaimState.KeyExpired, attempt: 0, answer: null } : null;
+    }
+    return this.#answer(record, this.#getState(record));
+  }
+
+  createSnapshot(): Uint8Array {
+    return encode({
+      records: [...this.#records],
+      tombstones: [...this.#tombstones],
+      incarnations: [...this.#incarnations],
+      nowMs: this.#nowMs,
+    });
+  }
+
+  restore(snapshot: Uint8Array): void {
+    const state = decode(snapshot) as {
+      records: [string, ClaimRecord][];
+      tombstones: [string, number][];
+      incarnations: [string, string][];
+      nowMs: number;
+    };
+    this.#records = new Map(state.records);
+    this.#tombstones = new Map(state.tombstones);
+    this.#incarnations = new Map(state.incarnations);
+    this.#nowMs = state.nowMs;
+  }
+
+  #advance({ nowMs, claimRetentionMs, tombstoneRetentionMs }: ClaimCommand): void {
+    this.#nowMs = Math.max(this.#nowMs, nowMs);
+    for (const [key, { changedAtMs, state }] of this.#records) {
+      if (changedAtMs + claimRetentionMs > this.#nowMs) {
+        break;
+      }
+      this.#records.delete(key);
+      // A cancelled claim was not run, so its key may be used again.
+      if (state !== ClaimRecordState.Cancelled) {
+        this.#tombstones.set(digest(key), this.#nowMs);
+      }
+    }
+    for (const [key, atMs] of this.#tombstones) {
+      if (atMs + tombstoneRetentionMs > this.#nowMs) {
+        break;
+      }
+      this.#tombstones.delete(key);
+    }
+  }
+
+  #claim(request: ClaimRequest, retentionMs: number): ClaimResponse {
+    const { team, key, claimant, createdAtMs, bodyDigest } = request;
+    this.#noteIncarnation(claimant);
+    const isOld = createdAtMs !== null && createdAtMs + retentionMs <= this.#nowMs;
+    if (isOld || this.#tombstones.has(getTombstone(team, key))) {
+      return { state: ClaimState.KeyExpired, attempt: 0, answer: null };
+    }
+    const record = this.#records.get(getRecordKey(team, key));
+    if (record !== undefined && record.bodyDigest !== bodyDigest) {
+      return { state: ClaimState.KeyReused, attempt: record.attempt, answer: null };
+    }
+    if (record === undefined || record.state === ClaimRecordState.Cancelled) {
+      return this.#grant(request, (record?.attempt ?? 0) + 1);
+    }
+    const isSame = isSameClaimant(record.claimant, claimant) && record.requestId === request.requestId;
+    if (isSame && record.state === ClaimRecordState.Claimed) {
+      return this.#answer(record, ClaimState.Granted);
+    }
+    const state = this.#getState(record);
+    if (state === ClaimState.OutcomeUnknown && record.state === ClaimRecordState.Claimed) {
+      // What one caller was told stays true for all later ones.
+      this.#put(team, key, { ...record, state: ClaimRecordState.OutcomeUnknown });
+    }
+    return this.#answer(record, state);
+  }
+
+  #grant(request: ClaimRequest, attempt: number): ClaimResponse {
+    const { team, key, bodyDigest, claimant, requestId } = request;
+    const state = ClaimRecordState.Claimed;
+    this.#put(team, key, { bodyDigest, claimant, requestId, attempt, state, answer: null });
+    return { state: ClaimState.Granted, attempt, answer: null };
+  }
+
+  /** Returns the answer, or the text of the refusal. */
+  #complete({ team, key, claimant, attempt, answer }: CompleteClaimRequest): ClaimResponse | string {
+    const record = this.#records.get(getRecordKey(team, key));
+    if (record?.attempt !== attempt || !isSameClaimant(record.claimant, claimant)) {
+      return "only the claimant of the present attempt may complete a claim";
+    }
+    if (record.state === ClaimRecordState.Cancelled) {
+      return "the claim was cancelled";
+    }
+    if (record.state === ClaimRecordState.Recorded) {
+      return this.#answer(record, ClaimState.Recorded);
+    }
+    const state = answer === null ? ClaimRecordState.OutcomeUnknown : ClaimRecordState.Recorded;
+    const completed = this.#put(team, key, { ...record, state, answer });
+    return this.#answer(completed, answerStates[state]);
+  }
+
+  /** Returns whether the claim is cancelled, or the text of the refusal. */
+  #cancel({ team, key, claimant, attempt }: CancelClaimRequest): { readonly cancelled: boolean } | string {
+    const record = this.#records.get(getRecordKey(team, key));
+    if (record?.attempt !== attempt || !isSameClaimant(record.claimant, claimant)) {
+      return "only the claimant of the present attempt may cancel a claim";
+    }
+    if (record.state === ClaimRecordState.Claimed) {
+      this.#put(team, key, { ...record, state: ClaimRecordState.Cancelled });
+      return { cancelled: true };
+    }
+    return { cancelled: record.state === ClaimRecordState.Cancelled };
+  }
+
+  #put(team: string, key: string, record: Omit<ClaimRecord, "changedAtMs">): ClaimRecord {
+    const recordKey = getRecordKey(team, key);
+    const changed = { ...record, changedAtMs: this.#nowMs };
+    this.#records.delete(recordKey);
+    this.#records.set(recordKey, changed);
+    return changed;
+  }
+
+  #getState(record: ClaimRecord): ClaimState {
+    const { entry, incarnation } = record.claimant;
+    const isGone =
+      incarnation < (this.#incarnations.get(entry) ?? "") || record.changedAtMs + openClaimMs < this.#nowMs;
+    return record.state === ClaimRecordState.Claimed && isGone
+      ? ClaimState.OutcomeUnknown
+      : answerStates[record.state];
+  }
+
+  #answer({ attempt, answer }: ClaimRecord, state: ClaimState): ClaimResponse {
+    return { state, attempt, answer };
+  }
+
+  #noteIncarnation({ entry, incarnation }: Claimant): void {
+    if (incarnation > (this.#incarnations.get(entry) ?? "")) {
+      this.#incarnations.set(entry, incarnation);
+    }
+  }
+}
+
+function isSameClaimant(left: Claimant, right: Claimant): boolean {
+  return left.entry === right.entry && left.incarnation === right.incarnation;
+}
+
+/** Lengths keep the keys of different teams apart, whatever characters they hold. */
+function getRecordKey(team: string, key: string): string {
+  return `${team.length}:${team}${key}`;
+}
+
+function getTombstone(team: string, key: string): string {
+  return digest(getRecordKey(team, key));
+}
+
+function digest(text: string): string {
+  return createHash("sha256").update(text).digest().subarray(0, 16).toString("latin1");
+}
--- /dev/null
+++ b/packages/control/HistoryRecord.ts
@@ -0,0 +1,7 @@
+import type { RevisionChange } from "@clementinemux/messages/RevisionChange";
+
+/** An accepted change with its author and the leader's time. */
+export interface HistoryRecord extends RevisionChange {
+  readonly author: string;
+  readonly atMs: number;
+}
