--- /dev/null
+++ b/packages/consensus/test/raftRules.test.ts
@@ -0,0 +1,111 @@
+import t from "tap";
+import { RaftActionKind } from "@clementinemux/consensus/RaftActionKind";
+import { RaftCore } from "@clementinemux/consensus/RaftCore";
+import { RaftMessageKind } from "@clementinemux/consensus/RaftMessageKind";
+import { RaftRole } from "@clementinemux/consensus/RaftRole";
+
+const member = { name: "", address: "" };
+const membership = { voters: { a: member, b: member, c: member }, learners: {} };
+const options = {
+  electionTimeoutMs: 500,
+  heartbeatMs: 100,
+  maxClockDriftShare: 0.01,
+  maxBatchEntries: 10,
+  maxBatchBytes: 1000,
+  random: () => 0,
+};
+const data = Buffer.from("x");
+
+function createCore(): RaftCore {
+  const entries = [
+    { index: 1, term: 1, data: null, membership },
+    { index: 2, term: 2, data, membership: null },
+  ];
+  return new RaftCore({ replicaId: "a", term: 2, vote: null, snapshot: null, entries }, options, 0);
+}
+
+/** Completes all persists and returns the sent messages. */
+function settle(core: RaftCore, nowMs: number): { to: string; kind: RaftMessageKind }[] {
+  const sent: { to: string; kind: RaftMessageKind }[] = [];
+  for (let actions = core.takeActions(); actions.length > 0; actions = core.takeActions()) {
+    for (const action of actions) {
+      if (action.kind === RaftActionKind.Persist) {
+        core.persisted(action.id, nowMs);
+      } else if (action.kind === RaftActionKind.Send) {
+        sent.push({ to: action.to, kind: action.message.kind });
+      }
+    }
+  }
+  return sent;
+}
+
+function createLeader(): RaftCore {
+  const core = createCore();
+  core.tick(500);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 510);
+  settle(core, 510);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: 3, granted: true }, 520);
+  settle(core, 520);
+  return core;
+}
+
+function acknowledge(core: RaftCore, matchIndex: number, sentAtMs: number, nowMs: number): void {
+  const reply = { kind: RaftMessageKind.AppendReply as const, term: 3, round: 1, success: true };
+  core.receive("b", { ...reply, matchIndex, sentAtMs }, nowMs);
+}
+
+// Guards against committing an older term's entry by count alone: a later leader could still replace it.
+t.test("older term commits only through an entry of the own term", (t) => {
+  const core = createLeader();
+  t.equal(core.role, RaftRole.Leader);
+  acknowledge(core, 2, 520, 530);
+  t.equal(core.commitIndex, 0);
+  acknowledge(core, 3, 530, 540);
+  t.equal(core.commitIndex, 3);
+  t.end();
+});
+
+// Guards against a lease that outlives the followers' promise because the reply was slow.
+t.test("lease is counted from the sending", (t) => {
+  const core = createLeader();
+  acknowledge(core, 3, 520, 900);
+  t.equal(core.hasLease(1009), true);
+  t.equal(core.hasLease(1011), false);
+  t.end();
+});
+
+// Guards against a restarted replica that elects a second leader while the first one's lease runs.
+t.test("restarted replica does not vote within the election timeout", (t) => {
+  const core = createCore();
+  const request = { kind: RaftMessageKind.Vote as const, term: 9, lastIndex: 9, lastTerm: 8 };
+  core.receive("b", request, 490);
+  t.same(settle(core, 490), []);
+  core.receive("b", request, 500);
+  t.same(settle(core, 500), [{ to: "b", kind: RaftMessageKind.VoteReply }]);
+  t.end();
+});
+
+// Guards against a vote that is sent before it is stored.
+t.test("vote waits for its sync", (t) => {
+  const core = createCore();
+  core.receive("b", { kind: RaftMessageKind.Vote, term: 9, lastIndex: 9, lastTerm: 8 }, 600);
+  const actions = core.takeActions();
+  t.same(
+    actions.map(({ kind }) => kind),
+    [RaftActionKind.Persist],
+  );
+  core.persisted(1, 610);
+  t.match(core.takeActions(), [{ kind: RaftActionKind.Send, message: { granted: true } }]);
+  t.end();
+});
+
+// Guards against two overlapping membership changes, and one before the leader's own entry is committed.
+t.test("one membership change at a time", (t) => {
+  const core = createLeader();
+  const change = { kind: "remove" as never, replicaId: "c" };
+  t.equal(core.proposeMembership(change, 530).extract(), "term_not_committed");
+  acknowledge(core, 3, 530, 540);
+  t.equal(core.proposeMembership(change, 550).isRight(), true);
+  t.equal(core.proposeMembership({ ...change, replicaId: "b" }, 560).extract(), "change_pending");
+  t.end();
+});
--- /dev/null
+++ b/packages/control/ApiServer.ts
@@ -0,0 +1,114 @@
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer as createHttpServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer as createHttpsServer } from "node:https";
+
+interface ApiServerOptions {
+  /** Author by bearer token. */
+  readonly tokens: Readonly<Record<string, string>>;
+  readonly tls: { readonly key: string; readonly cert: string } | null;
+  /** Handlers by method and path, such as `GET /v1/config`. */
+  readonly routes: Readonly<Record<string, ApiRoute>>;
+  /** Metrics in Prometheus text form, served without a token. */
+  readonly renderMetrics: () => string;
+}
+
+type ApiRoute = (request: {
+  readonly author: string;
+  readonly query: URLSearchParams;
+  readonly body: unknown;
+}) => Promise<{ readonly status: number; readonly body: unknown }>;
+
+const maxBodyBytes = 1_048_576;
+
+/** Operators' HTTP(S) API. */
+export class ApiServer {
+  readonly #options: ApiServerOptions;
+  readonly #server: Server;
+  /** Digests have one length, so that the comparison takes the same time for every token. */
+  readonly #tokens: readonly { readonly digest: Buffer; readonly author: string }[];
+
+  constructor(options: ApiServerOptions) {
+    this.#options = options;
+    this.#tokens = Object.entries(options.tokens).map(([token, author]) => ({ digest: hash(token), author }));
+    const listener = (request: IncomingMessage, response: ServerResponse): void => {
+      this.#handle(request, response).catch((error: unknown) => {
+        send(response, 503, { error: error instanceof Error ? error.message : String(error) });
+      });
+    };
+    this.#server =
+      options.tls === null ? createHttpServer(listener) : createHttpsServer(options.tls, listener);
+  }
+
+  listen(host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://control");
+    const route = `${request.method ?? "GET"} ${url.pathname}`;
+    if (route === "GET /metrics") {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(this.#options.renderMetrics());
+      return;
+    }
+    const author = this.#getAuthor(request.headers.authorization ?? "");
+    if (author === null) {
+      send(response, 401, { error: "a valid bearer token is required" });
+      return;
+    }
+    const handler = this.#options.routes[route];
+    if (handler === undefined) {
+      send(response, 404, { error: `there is no ${route}` });
+      return;
+    }
+    const text = await readBody(request);
+    let body: unknown = null;
+    try {
+      body = text === "" ? null : JSON.parse(text);
+    } catch {
+      send(response, 400, { error: "the body is not JSON" });
+      return;
+    }
+    const answer = await handler({ author, query: url.searchParams, body });
+    send(response, answer.status, answer.body);
+  }
+
+  #getAuthor(authorization: string): string | null {
+    const digest = hash(authorization.replace(/^Bearer /, ""));
+    let author: string | null = null;
+    for (const token of this.#tokens) {
+      if (timingSafeEqual(token.digest, digest)) {
+        ({ author } = token);
+      }
+    }
+    return author;
+  }
+}
+
+function hash(text: string): Buffer {
+  return createHash("sha256").update(text).digest();
+}
+
+function send(response: ServerResponse, status: number, body: unknown): void {
+  if (!response.headersSent) {
+    response.writeHead(status, { "content-type": "application/json" });
+  }
+  response.end(JSON.stringify(body));
+}
+
+async function readBody(request: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of request) {
+    sizeBytes += (chunk as Buffer).length;
+    if (sizeBytes > maxBodyBytes) {
+      throw new Error(`the body is larger than ${maxBodyBytes} bytes`);
+    }
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/packages/control/ConfigView.ts
@@ -0,0 +1,59 @@
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import { applyConfigChange } from "@clementinemux/fleet/applyConfigChange";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import type { RevisionChange } from "@clementinemux/messages/RevisionChange";
+
+const maxHeldChanges = 1000;
+// Longer lists are sent as a whole configuration, which keeps a frame below its limit.
+const maxSentBytes = 400_000;
+
+/** Copy of the configuration that follows the leader by revision and never goes back. */
+export class ConfigView {
+  #config = createDefaultConfig();
+  #changes: RevisionChange[] = [];
+
+  get config(): FleetConfig {
+    return this.#config;
+  }
+
+  /** Takes over a renewal's answer. Returns whether the view now holds the answer's revision or a later one. */
+  update({ changes, config, revision }: Pick<RenewResponse, "changes" | "config" | "revision">): boolean {
+    if (config !== null && config.revision > this.#config.revision) {
+      this.#config = config;
+      this.#changes = [];
+    }
+    for (const item of changes) {
+      if (item.revision === this.#config.revision + 1) {
+        applyConfigChange(this.#config, item.change).ifRight((next) => {
+          this.#config = next;
+          this.#changes.push(item);
+        });
+      }
+    }
+    this.#changes = this.#changes.slice(-maxHeldChanges);
+    return this.#config.revision >= revision;
+  }
+
+  /** What a holder of `appliedRevision` lacks: the changes, or everything when they are no longer held. */
+  getMissing(appliedRevision: number): Pick<RenewResponse, "changes" | "config"> {
+    return ConfigView.selectMissing(this.#config, this.#changes, appliedRevision);
+  }
+
+  static selectMissing(
+    config: FleetConfig,
+    held: readonly RevisionChange[],
+    appliedRevision: number,
+  ): Pick<RenewResponse, "changes" | "config"> {
+    if (appliedRevision >= config.revision) {
+      return { changes: [], config: null };
+    }
+    const changes = held
+      .filter(({ revision }) => revision > appliedRevision)
+      .map(({ revision, change }) => ({ revision, change }));
+    const isComplete = changes[0]?.revision === appliedRevision + 1;
+    return isComplete && JSON.stringify(changes).length <= maxSentBytes
+      ? { changes, config: null }
+      : { changes: [], config };
+  }
+}
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,27 +1,304 @@
+import { readFileSync } from "node:fs";
+import { periodic } from "most";
+import type { Logger } from "roarr";
 import type * as z from "zod";
-import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { Clock } from "@clementinemux/common/Clock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
+import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
+import { createLogger } from "@clementinemux/logging/createLogger";
 import { RelayService } from "@clementinemux/membership/RelayService";
+import type { ChangeMemberRequest } from "@clementinemux/messages/ChangeMemberRequest";
+import type { DecideMapRequest } from "@clementinemux/messages/DecideMapRequest";
+import type { GroupLeaseRequest } from "@clementinemux/messages/GroupLeaseRequest";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { ApiServer } from "./ApiServer";
+import { ClaimCommandKind } from "./ClaimCommandKind";
+import { ClaimMachine } from "./ClaimMachine";
+import { ClaimService } from "./ClaimService";
+import { ConfigMachine } from "./ConfigMachine";
+import { ConfigService } from "./ConfigService";
+import { ControlClient } from "./ControlClient";
+import { ControlError } from "./ControlError";
+import { ControlErrorCode } from "./ControlErrorCode";
 import type { ControlSettings } from "./ControlSettings";
+import { GroupHost } from "./GroupHost";
+import { PeerLinks } from "./PeerLinks";
+import { ServingRelay } from "./ServingRelay";
+import { createApiRoutes } from "./createApiRoutes";
 
-/** Control process: configuration, and directory of announced targets. */
+const tickIntervalMs = 10;
+const stallMs = 200;
+const expiryIntervalMs = 500;
+const bootstrapIntervalMs = 300;
+const fatalExitCode = 74;
+
+/** Control process: replicas of log groups, serving leases, and directory of announced targets. */
 export class ControlServer {
   readonly #settings: z.output<typeof ControlSettings>;
-  readonly #relay = new RelayService();
+  readonly #clock: Clock;
+  readonly #logger: Logger;
+  readonly #directory = new RelayService();
+  readonly #host: GroupHost;
+  readonly #client: ControlClient;
+  readonly #relay: ServingRelay;
+  readonly #configMachine = new ConfigMachine();
+  readonly #claimMachines = new Map<string, ClaimMachine>();
+  readonly #config: ConfigService;
+  readonly #claims: ClaimService;
   readonly #server: RpcServer;
+  readonly #refusals = new Counters(
+    "clementinemux_control_refusals",
+    "reason",
+    Object.values(ControlErrorCode),
+  );
+  #tickedAtMs = 0;
 
-  constructor(settings: z.output<typeof ControlSettings>) {
+  constructor(settings: z.output<typeof ControlSettings>, clock: Clock) {
+    const { name, failureDomain, region, maxClockDriftShare, claimGroups } = settings;
     this.#settings = settings;
-    this.#server = new RpcServer({
-      handlers: {
-        ...this.#relay.handlers,
-        [MessageName.FetchConfig]: () => createDefaultConfig(),
-      },
+    this.#clock = clock;
+    this.#logger = createLogger("clementinemux-control", { name });
+    const tls = readTls(settings);
+    const random = createRandom((Date.now() ^ (process.pid << 8)) >>> 0);
+    const links = new PeerLinks(tls);
+    const onFatal = (error: Error): void => {
+      this.#logger.fatal({ error: error.message }, "storage failed");
+      process.exit(fatalExitCode);
+    };
+    this.#host = new GroupHost({ settings, links, clock, random, logger: this.#logger, onFatal });
+    this.#client = new ControlClient({ addresses: settings.replicas, claimGroups, clock, random, tls });
+    const incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
+    this.#relay = new ServingRelay({
+      name,
+      incarnation,
+      failureDomain,
+      region,
+      client: this.#client,
+      clock,
+      maxClockDriftShare,
+    });
+    this.#config = new ConfigService({
+      group: () => this.#host.get("config"),
+      machine: this.#configMachine,
+      clock,
+      logger: this.#logger,
+      maxClockDriftShare,
+    });
+    this.#claims = new ClaimService({
+      find: (groupName) => ({
+        group: this.#host.get(groupName),
+        machine: this.#claimMachines.get(groupName) ?? new ClaimMachine(),
+      }),
+      claimGroups,
+      clock,
+      getDefaults: () => this.#relay.view.config.defaults,
     });
+    this.#server = new RpcServer({ handlers: this.#createHandlers(), tls });
   }
 
   async start(): Promise<void> {
-    await this.#server.listen(this.#settings.host, this.#settings.port);
+    const settings = this.#settings;
+    for (const name of settings.dataFolder === undefined ? [] : settings.groups) {
+      if (name === "config") {
+        await this.#host.open(name, this.#configMachine, () => {
+          this.#config.onLead();
+        });
+      } else {
+        const machine = new ClaimMachine();
+        this.#claimMachines.set(name, machine);
+        await this.#host.open(name, machine, () => undefined);
+      }
+    }
+    await this.#server.listen(settings.host, settings.port);
+    await this.#startApi();
+    this.#tickedAtMs = this.#clock.monotonicMs();
+    void periodic(tickIntervalMs).observe(() => {
+      this.#tick();
+    });
+    void periodic(settings.relayRenewIntervalMs).observe(() => {
+      this.#run("renewal", () => this.#relay.renew());
+    });
+    if (this.#host.find("config") !== null) {
+      void periodic(expiryIntervalMs).observe(() => {
+        this.#run("expiry", () => this.#config.expireExceptions());
+      });
+    }
+    if (settings.bootstrap) {
+      void periodic(bootstrapIntervalMs).observe(() => {
+        this.#run("bootstrap", () => this.#host.bootstrap());
+      });
+    }
+    this.#logger.info({ port: settings.port, groups: this.#host.groups.map(({ name }) => name) }, "started");
+  }
+
+  /** After a stall of its own the process first reads what has arrived, and only then judges the others. */
+  #tick(): void {
+    const nowMs = this.#clock.monotonicMs();
+    const isLate = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
+    this.#tickedAtMs = nowMs;
+    if (!isLate) {
+      this.#run("tick", () => {
+        this.#host.tick();
+        return Promise.resolve();
+      });
+    }
+  }
+
+  /** An exception inside an observer would end its stream. */
+  #run(what: string, action: () => Promise<void>): void {
+    Promise.resolve()
+      .then(action)
+      .catch((error: unknown) => {
+        this.#logger.error({ error: error instanceof Error ? (error.stack ?? "") : String(error) }, what);
+      });
   }
+
+  async #startApi(): Promise<void> {
+    const { apiPort, tokensFile, apiTls, host } = this.#settings;
+    if (apiPort === undefined || tokensFile === undefined) {
+      return;
+    }
+    const tls =
+      apiTls === undefined
+        ? null
+        : { key: readFileSync(apiTls.keyFile, "utf8"), cert: readFileSync(apiTls.certFile, "utf8") };
+    const api = new ApiServer({
+      tokens: JSON.parse(readFileSync(tokensFile, "utf8")) as Record<string, string>,
+      tls,
+      routes: createApiRoutes({
+        client: this.#client,
+        relay: this.#relay,
+        clock: this.#clock,
+        getStatus: () => this.#getStatus(),
+        getTargets: () => this.#directory.handlers[MessageName.FetchTargets]?.({}, "api"),
+      }),
+      renderMetrics: () => [this.#refusals, this.#host.dropped].map(renderCounters).join(""),
+    });
+    await api.listen(host, apiPort);
+  }
+
+  #createHandlers(): Record<string, MessageHandler> {
+    const handlers: Record<string, MessageHandler> = {
+      [MessageName.Raft]: (body) => {
+        this.#host.onRaft(body);
+      },
+      [MessageName.ReplicaInfo]: (body) => this.#host.getInfo((body as { group: string }).group),
+      [MessageName.ChangeMember]: (body) => this.#changeMember(body as ChangeMemberRequest),
+      [MessageName.FetchConfig]: () => this.#relay.view.config,
+      [MessageName.Propose]: (body) => this.#config.propose(body),
+      [MessageName.Renew]: (body) => {
+        const request = body as RenewRequest;
+        return request.kind === LeaseholderKind.Relay
+          ? this.#config.renew(request)
+          : this.#relay.grant(request);
+      },
+      [MessageName.InForce]: (body) => this.#config.getInForce((body as { revision: number }).revision),
+      [MessageName.FetchHistory]: (body) => this.#config.getHistory((body as { after: number }).after),
+      [MessageName.GroupLease]: (body) => this.#config.leaseGroup(body as GroupLeaseRequest),
+      [MessageName.DecideMap]: (body) => this.#config.decideMap(body as DecideMapRequest),
+      [MessageName.Claim]: (body) => this.#claims.run(ClaimCommandKind.Claim, body),
+      [MessageName.CompleteClaim]: (body) => this.#claims.run(ClaimCommandKind.Complete, body),
+      [MessageName.CancelClaim]: (body) => this.#claims.run(ClaimCommandKind.Cancel, body),
+      [MessageName.LookupClaim]: (body) => this.#claims.lookup(body),
+    };
+    const counted = Object.entries(handlers).map(([name, handler]): [string, MessageHandler] => [
+      name,
+      async (body, peer) => {
+        try {
+          return await handler(body, peer);
+        } catch (error) {
+          if (error instanceof ControlError) {
+            this.#refusals.add(error.code);
+          }
+          throw error;
+        }
+      },
+    ]);
+    return { ...this.#directory.handlers, ...Object.fromEntries(counted) };
+  }
+
+  async #changeMember(request: ChangeMemberRequest): Promise<unknown> {
+    const group = this.#host.get(request.group);
+    if (!group.isLeader) {
+      throw group.createNotLeaderError();
+    }
+    const change = await this.#createMembershipChange(request);
+    const result = await group.changeMembership(change);
+    result.ifLeft((error) => {
+      throw error;
+    });
+    const { action, replicaId = "", address = "" } = request;
+    this.#logger.info({ group: group.name, action, replicaId, address }, "membership changed");
+    return group.membership;
+  }
+
+  async #createMembershipChange({
+    group,
+    action,
+    address,
+    replicaId,
+  }: ChangeMemberRequest): Promise<MembershipChange> {
+    if (action === "add_learner" && address !== undefined) {
+      const info = await this.#host.fetchInfo(address, group);
+      if (info?.replicaId === undefined || info.replicaId === null) {
+        throw new ControlError(ControlErrorCode.Refused, `${address} holds no replica of group "${group}"`);
+      }
+      const { name, replicaId: newId } = info;
+      return { kind: MembershipChangeKind.AddLearner, replicaId: newId, member: { name, address } };
+    }
+    if (replicaId === undefined || action === "add_learner") {
+      throw new ControlError(
+        ControlErrorCode.Invalid,
+        "add_learner needs address; promote and remove need replicaId",
+      );
+    }
+    const kind = action === "promote" ? MembershipChangeKind.Promote : MembershipChangeKind.Remove;
+    return { kind, replicaId };
+  }
+
+  #getStatus(): unknown {
+    return {
+      name: this.#settings.name,
+      confirmed: this.#relay.isConfirmed,
+      revision: this.#relay.view.config.revision,
+      leaseholders: this.#relay.leaseholders,
+      groups: this.#host.groups.map(({ name, core, hasLease, membership, isStorageFull }) => ({
+        name,
+        replicaId: core.id,
+        role: core.role,
+        term: core.term,
+        leader: core.leader,
+        hasLease,
+        commitIndex: core.commitIndex,
+        appliedIndex: core.appliedIndex,
+        lastIndex: core.lastIndex,
+        isStorageFull,
+        membership,
+        matchIndexes: Object.fromEntries(
+          Object.keys({ ...membership.voters, ...membership.learners }).map((id) => [
+            id,
+            core.getMatchIndex(id),
+          ]),
+        ),
+      })),
+    };
+  }
+}
+
+function readTls({ tls }: z.output<typeof ControlSettings>): TlsFiles | undefined {
+  return tls === undefined
+    ? undefined
+    : {
+        key: readFileSync(tls.keyFile, "utf8"),
+        cert: readFileSync(tls.certFile, "utf8"),
+        ca: readFileSync(tls.caFile, "utf8"),
+      };
 }
--- /dev/null
+++ b/packages/control/GroupHost.ts
@@ -0,0 +1,155 @@
+import { mkdir } from "node:fs/promises";
+import { join } from "node:path";
+import type { Logger } from "roarr";
+import type * as z from "zod";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { Member } from "@clementinemux/consensus/Member";
+import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
+import { Counters } from "@clementinemux/metrics/Counters";
+import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
+import { GroupStorage } from "@clementinemux/storage/GroupStorage";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { ControlError } from "./ControlError";
+import { ControlErrorCode } from "./ControlErrorCode";
+import type { ControlSettings } from "./ControlSettings";
+import type { PeerLinks } from "./PeerLinks";
+import { ReplicatedGroup } from "./ReplicatedGroup";
+import type { StateMachine } from "./StateMachine";
+
+interface GroupHostOptions {
+  readonly settings: z.output<typeof ControlSettings>;
+  readonly links: PeerLinks;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly onFatal: (error: Error) => void;
+}
+
+interface RaftEnvelope {
+  readonly group: string;
+  readonly from: string;
+  readonly to: string;
+  readonly message: RaftMessage;
+}
+
+enum DropReason {
+  UnknownGroup = "unknown_group",
+  WrongReplica = "wrong_replica",
+}
+
+const infoTimeoutMs = 1000;
+const maxBatchEntries = 512;
+// Half a frame, so that a batch with its envelope always fits.
+const maxBatchBytes = 524_288;
+
+/** Log groups of this process and their traffic with the other replicas. */
+export class GroupHost {
+  readonly dropped = new Counters("clementinemux_control_raft_dropped", "reason", Object.values(DropReason));
+  readonly #options: GroupHostOptions;
+  readonly #groups = new Map<string, ReplicatedGroup>();
+
+  constructor(options: GroupHostOptions) {
+    this.#options = options;
+  }
+
+  get groups(): readonly ReplicatedGroup[] {
+    return [...this.#groups.values()];
+  }
+
+  /** Opens the files of a group in its subfolder of the data folder. */
+  async open(name: string, machine: StateMachine, onLead: () => void): Promise<ReplicatedGroup> {
+    const { settings, clock, random, logger, links, onFatal } = this.#options;
+    const { electionTimeoutMs, heartbeatMs, maxClockDriftShare, snapshotEntries } = settings;
+    const dataFolder = settings.dataFolder ?? "";
+    await mkdir(dataFolder, { recursive: true });
+    const storage = await GroupStorage.open(join(dataFolder, name), onFatal);
+    const { replicaId } = storage.state;
+    const group = new ReplicatedGroup({
+      name,
+      storage,
+      machine,
+      raft: { electionTimeoutMs, heartbeatMs, maxClockDriftShare, maxBatchEntries, maxBatchBytes, random },
+      clock,
+      logger,
+      snapshotEntries,
+      send: ({ address }: Member, to, message) => {
+        const envelope: RaftEnvelope = { group: name, from: replicaId, to, message };
+        links.notify(address, MessageName.Raft, envelope);
+      },
+      onLead,
+    });
+    this.#groups.set(name, group);
+    return group;
+  }
+
+  find(name: string): ReplicatedGroup | null {
+    return this.#groups.get(name) ?? null;
+  }
+
+  /** The group, or an error that makes the client try another replica. */
+  get(name: string): ReplicatedGroup {
+    const group = this.#groups.get(name);
+    if (group === undefined) {
+      throw new ControlError(ControlErrorCode.UnknownGroup, `no replica of group "${name}" here`);
+    }
+    return group;
+  }
+
+  onRaft(body: unknown): void {
+    const { group: name, from, to, message } = body as RaftEnvelope;
+    const group = this.#groups.get(name);
+    if (group?.core.id !== to) {
+      // A message to the identity of a lost disk must not reach the new replica at the same address.
+      this.dropped.add(group === undefined ? DropReason.UnknownGroup : DropReason.WrongReplica);
+      return;
+    }
+    group.receive(from, message);
+  }
+
+  getInfo(name: string): ReplicaInfo {
+    const core = this.#groups.get(name)?.core;
+    return {
+      name: this.#options.settings.name,
+      replicaId: core?.id ?? null,
+      isUnused: core?.isUnused ?? true,
+    };
+  }
+
+  async fetchInfo(address: string, group: string): Promise<ReplicaInfo | null> {
+    const answer = await this.#options.links.call(address, MessageName.ReplicaInfo, { group }, infoTimeoutMs);
+    return answer.toMaybe().extractNullable() as ReplicaInfo | null;
+  }
+
+  tick(): void {
+    for (const group of this.#groups.values()) {
+      group.tick();
+    }
+  }
+
+  /**
+   * Creates the groups that do not exist yet. Only the first listed replica of a group creates it, and only
+   * when every listed process answers and none has ever voted or stored an entry. A replica that lost its disk
+   * therefore cannot create a second group beside the first.
+   */
+  async bootstrap(): Promise<void> {
+    const { replicas } = this.#options.settings;
+    for (const group of this.#groups.values()) {
+      if (!group.core.isUnused) {
+        continue;
+      }
+      const infos = await Promise.all(replicas.map((address) => this.fetchInfo(address, group.name)));
+      const members = infos.flatMap((info, index) => {
+        const address = replicas[index] ?? "";
+        const id = info?.replicaId ?? null;
+        return info === null || id === null ? [] : [{ id, member: { name: info.name, address } }];
+      });
+      const isReady = infos.every((info) => info?.isUnused === true);
+      if (isReady && members[0]?.id === group.core.id) {
+        const voters = Object.fromEntries(members.map(({ id, member }) => [id, member]));
+        this.#options.logger.info({ group: group.name, voters }, "group created");
+        group.bootstrap({ voters, learners: {} });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/PeerLinks.ts
@@ -0,0 +1,39 @@
+import type { Either } from "purify-ts/Either";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import type { WireError } from "@clementinemux/wire/WireError";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+
+/** Connections to other control processes, one for each address. */
+export class PeerLinks {
+  readonly #tls: TlsFiles | undefined;
+  readonly #clients = new Map<string, RpcClient>();
+
+  constructor(tls: TlsFiles | undefined) {
+    this.#tls = tls;
+  }
+
+  notify(address: string, name: string, body: unknown): void {
+    this.#getClient(address).notify(name, body);
+  }
+
+  call(address: string, name: string, body: unknown, timeoutMs: number): Promise<Either<WireError, unknown>> {
+    return this.#getClient(address).call(name, body, timeoutMs);
+  }
+
+  close(): void {
+    for (const client of this.#clients.values()) {
+      client.close();
+    }
+  }
+
+  #getClient(address: string): RpcClient {
+    const known = this.#clients.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const client = new RpcClient({ address: parseAddress(address), tls: this.#tls });
+    this.#clients.set(address, client);
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/control/ReplicatedGroup.ts
@@ -0,0 +1,231 @@
+import { decode, encode } from "cbor-x";
+import { Left, Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { LogEntry } from "@clementinemux/consensus/LogEntry";
+import type { Member } from "@clementinemux/consensus/Member";
+import type { Membership } from "@clementinemux/consensus/Membership";
+import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
+import { ProposeRefusal } from "@clementinemux/consensus/ProposeRefusal";
+import type { RaftAction } from "@clementinemux/consensus/RaftAction";
+import { RaftActionKind } from "@clementinemux/consensus/RaftActionKind";
+import { RaftCore } from "@clementinemux/consensus/RaftCore";
+import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
+import type { RaftOptions } from "@clementinemux/consensus/RaftOptions";
+import { RaftRole } from "@clementinemux/consensus/RaftRole";
+import type { GroupStorage } from "@clementinemux/storage/GroupStorage";
+import { ControlError } from "./ControlError";
+import { ControlErrorCode } from "./ControlErrorCode";
+import type { StateMachine } from "./StateMachine";
+
+interface ReplicatedGroupOptions {
+  readonly name: string;
+  readonly storage: GroupStorage;
+  readonly machine: StateMachine;
+  readonly raft: RaftOptions;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly snapshotEntries: number;
+  readonly send: (member: Member, to: string, message: RaftMessage) => void;
+  /** Called when this replica has become the leader, before it answers anything. */
+  readonly onLead: () => void;
+}
+
+interface Waiter {
+  readonly term: number;
+  readonly resolve: (result: Either<ControlError, unknown>) => void;
+  readonly timer: NodeJS.Timeout;
+}
+
+const commitTimeoutMs = 3000;
+
+/** One log group in this process: log core, files and state machine. */
+export class ReplicatedGroup {
+  readonly name: string;
+  readonly #options: ReplicatedGroupOptions;
+  readonly #core: RaftCore;
+  readonly #waiters = new Map<number, Waiter>();
+  #snapshotIndex: number;
+  #isScheduled = false;
+
+  constructor(options: ReplicatedGroupOptions) {
+    this.name = options.name;
+    this.#options = options;
+    this.#core = new RaftCore(options.storage.state, options.raft, options.clock.monotonicMs());
+    this.#snapshotIndex = options.storage.state.snapshot?.index ?? 0;
+    this.#flush();
+  }
+
+  get core(): RaftCore {
+    return this.#core;
+  }
+
+  get isLeader(): boolean {
+    return this.#core.role === RaftRole.Leader;
+  }
+
+  /** Whether this replica may answer reads: it leads, its lease runs, and it has applied all that is committed. */
+  get hasLease(): boolean {
+    const isApplied = this.#core.appliedIndex === this.#core.commitIndex;
+    return isApplied && this.#core.hasLease(this.#now());
+  }
+
+  /** Whether the disk has no room, so that nothing new is acknowledged. */
+  get isStorageFull(): boolean {
+    return this.#options.storage.isFull;
+  }
+
+  get membership(): Membership {
+    return this.#core.membership;
+  }
+
+  getLeaderAddress(): string | null {
+    const { leader, membership } = this.#core;
+    return leader === null ? null : (membership.voters[leader]?.address ?? null);
+  }
+
+  tick(): void {
+    this.#core.tick(this.#now());
+    this.#flush();
+  }
+
+  receive(from: string, message: RaftMessage): void {
+    this.#core.receive(from, message, this.#now());
+    this.#schedule();
+  }
+
+  bootstrap(membership: Membership): void {
+    this.#core.bootstrap(membership, this.#now());
+    this.#flush();
+  }
+
+  /** Commits a command and returns the state machine's answer. A timeout means that the outcome is unknown. */
+  propose(command: unknown): Promise<Either<ControlError, unknown>> {
+    if (this.#options.storage.isFull) {
+      const error = new ControlError(ControlErrorCode.StorageFull, "the disk of the leader is full");
+      return Promise.resolve(Left(error));
+    }
+    return this.#commit((nowMs) => this.#core.propose(encode(command), nowMs));
+  }
+
+  changeMembership(change: MembershipChange): Promise<Either<ControlError, unknown>> {
+    return this.#commit((nowMs) => this.#core.proposeMembership(change, nowMs));
+  }
+
+  /** Error for a request that only the leader may answer. */
+  createNotLeaderError(): ControlError {
+    const leader = this.getLeaderAddress();
+    const text = `this replica does not lead group "${this.name}"`;
+    return new ControlError(ControlErrorCode.NotLeader, text, { leader });
+  }
+
+  #commit(
+    propose: (nowMs: number) => Either<ProposeRefusal, { index: number; term: number }>,
+  ): Promise<Either<ControlError, unknown>> {
+    const proposed = propose(this.#now());
+    this.#schedule();
+    return proposed.caseOf({
+      Left: (refusal) =>
+        Promise.resolve(
+          Left(
+            refusal === ProposeRefusal.NotLeader
+              ? this.createNotLeaderError()
+              : new ControlError(ControlErrorCode.Refused, `change refused: ${refusal}`),
+          ),
+        ),
+      Right: ({ index, term }) =>
+        new Promise((resolve) => {
+          const timer = setTimeout(() => {
+            this.#finish(index, Left(createUnknownError()));
+          }, commitTimeoutMs);
+          this.#waiters.set(index, { term, resolve, timer });
+        }),
+    });
+  }
+
+  #finish(index: number, result: Either<ControlError, unknown>): void {
+    const waiter = this.#waiters.get(index);
+    if (waiter !== undefined) {
+      clearTimeout(waiter.timer);
+      this.#waiters.delete(index);
+      waiter.resolve(result);
+    }
+  }
+
+  /** Carries out the actions after the present round of events, so that its proposals share one sync. */
+  #schedule(): void {
+    if (!this.#isScheduled) {
+      this.#isScheduled = true;
+      setImmediate(() => {
+        this.#isScheduled = false;
+        this.#flush();
+      });
+    }
+  }
+
+  #flush(): void {
+    for (const action of this.#core.takeActions()) {
+      this.#carryOut(action);
+    }
+    const { appliedIndex } = this.#core;
+    if (appliedIndex - this.#snapshotIndex >= this.#options.snapshotEntries) {
+      this.#snapshotIndex = appliedIndex;
+      this.#core.compact(appliedIndex, this.#options.machine.createSnapshot());
+      this.#schedule();
+    }
+  }
+
+  #carryOut(action: RaftAction): void {
+    const { storage, machine, logger } = this.#options;
+    switch (action.kind) {
+      case RaftActionKind.Persist:
+        storage.persist(action, () => {
+          this.#core.persisted(action.id, this.#now());
+          this.#flush();
+        });
+        break;
+      case RaftActionKind.Send: {
+        const { voters, learners } = this.#core.membership;
+        const member = voters[action.to] ?? learners[action.to];
+        if (member !== undefined) {
+          this.#options.send(member, action.to, action.message);
+        }
+        break;
+      }
+      case RaftActionKind.Apply:
+        action.entries.forEach((entry) => {
+          this.#apply(entry);
+        });
+        break;
+      case RaftActionKind.Restore:
+        machine.restore(action.snapshot.data);
+        this.#snapshotIndex = action.snapshot.index;
+        break;
+      case RaftActionKind.Role:
+        logger.info({ group: this.name, role: action.role, term: action.term }, "role changed");
+        if (action.role === RaftRole.Leader) {
+          this.#options.onLead();
+        }
+        break;
+    }
+  }
+
+  #apply(entry: LogEntry): void {
+    const answer = entry.data === null ? null : this.#options.machine.apply(decode(entry.data));
+    const waiter = this.#waiters.get(entry.index);
+    if (waiter !== undefined) {
+      this.#finish(entry.index, waiter.term === entry.term ? Right(answer) : Left(createUnknownError()));
+    }
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonicMs();
+  }
+}
+
+function createUnknownError(): ControlError {
+  const text =
+    "the leader changed or lost its majority before the command was committed; its outcome is unknown";
+  return new ControlError(ControlErrorCode.OutcomeUnknown, text);
+}
--- /dev/null
+++ b/packages/control/ServingRelay.ts
@@ -0,0 +1,103 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { ConfigView } from "./ConfigView";
+import type { ControlClient } from "./ControlClient";
+import { LeaseLedger } from "./LeaseLedger";
+
+interface ServingRelayOptions {
+  readonly name: string;
+  readonly incarnation: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  readonly client: ControlClient;
+  readonly clock: Clock;
+  readonly maxClockDriftShare: number;
+}
+
+interface Confirmation {
+  /** Sending time of the confirmed renewal, by this process's clock. */
+  readonly sentAtMs: number;
+  readonly epoch: number;
+  readonly revision: number;
+  readonly leaseMs: number;
+}
+
+const renewDeadlineMs = 1500;
+
+/**
+ * Grants serving leases to entries and agents. Every lease ends at the latest one lease length after the
+ * sending of this relay's own confirmed renewal, so the leader needs to know only its relays.
+ */
+export class ServingRelay {
+  readonly view = new ConfigView();
+  readonly #options: ServingRelayOptions;
+  readonly #ledger = new LeaseLedger();
+  #confirmation: Confirmation | null = null;
+  #isRenewing = false;
+
+  constructor(options: ServingRelayOptions) {
+    this.#options = options;
+  }
+
+  get isConfirmed(): boolean {
+    return this.#getLeftMs() > 0;
+  }
+
+  get leaseholders(): number {
+    return this.#ledger.getCount(this.#options.clock.monotonicMs());
+  }
+
+  /** Renews at the leader unless a renewal is under way. */
+  async renew(): Promise<void> {
+    if (this.#isRenewing) {
+      return;
+    }
+    this.#isRenewing = true;
+    const { name, incarnation, failureDomain, region, client, clock } = this.#options;
+    const sentAtMs = clock.monotonicMs();
+    const request: RenewRequest = {
+      holder: name,
+      incarnation,
+      kind: LeaseholderKind.Relay,
+      failureDomain,
+      region,
+      appliedRevision: this.#ledger.getLowest(sentAtMs, this.view.config.revision),
+      viewRevision: this.view.config.revision,
+    };
+    const answer = await client.call<RenewResponse>("config", MessageName.Renew, request, renewDeadlineMs);
+    answer.ifRight((response) => {
+      if (this.view.update(response) && response.confirmed) {
+        const { epoch, revision, leaseMs } = response;
+        this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
+      }
+    });
+    this.#isRenewing = false;
+  }
+
+  /** Answers an entry or agent. */
+  grant({ holder, incarnation, region, appliedRevision }: RenewRequest): RenewResponse {
+    const nowMs = this.#options.clock.monotonicMs();
+    const leaseMs = Math.floor(this.#getLeftMs());
+    const isConfirmed = leaseMs > 0;
+    const { revision } = this.view.config;
+    if (isConfirmed) {
+      const longestMs = leaseMs * (1 + 2 * this.#options.maxClockDriftShare);
+      this.#ledger.note(holder, incarnation, region, appliedRevision, nowMs + longestMs);
+    }
+    return {
+      epoch: this.#confirmation?.epoch ?? 0,
+      revision,
+      confirmed: isConfirmed,
+      leaseMs: isConfirmed ? leaseMs : 0,
+      ...this.view.getMissing(appliedRevision),
+    };
+  }
+
+  #getLeftMs(): number {
+    const { sentAtMs, leaseMs } = this.#confirmation ?? { sentAtMs: 0, leaseMs: 0 };
+    return this.#confirmation === null ? 0 : sentAtMs + leaseMs - this.#options.clock.monotonicMs();
+  }
+}
--- /dev/null
+++ b/packages/control/test/machines.test.ts
@@ -0,0 +1,229 @@
+import fc from "fast-check";
+import t from "tap";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { ClaimResponse } from "@clementinemux/messages/ClaimResponse";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+import { MapDecision } from "@clementinemux/messages/MapDecision";
+import { ProposeOutcome } from "@clementinemux/messages/ProposeOutcome";
+import type { ProposeResponse } from "@clementinemux/messages/ProposeResponse";
+import { ClaimCommandKind } from "@clementinemux/control/ClaimCommandKind";
+import { ClaimMachine } from "@clementinemux/control/ClaimMachine";
+import { ConfigCommandKind } from "@clementinemux/control/ConfigCommandKind";
+import { ConfigMachine } from "@clementinemux/control/ConfigMachine";
+import { ProposeSchema } from "@clementinemux/control/ProposeSchema";
+
+const drain = { reason: "disk swap", author: "ann", sinceMs: 1 };
+const createChange = (target: string) => ({ kind: ConfigChangeKind.DrainTarget as const, target, drain });
+
+function propose(
+  machine: ConfigMachine,
+  parts: { author?: string; requestId?: string; baseRevision?: number; change?: object; nowMs?: number },
+): ProposeResponse {
+  const { nowMs = 1, ...given } = parts;
+  const request = { author: "ann", requestId: "r1", baseRevision: 0, change: createChange("t1"), ...given };
+  return machine.apply({ kind: ConfigCommandKind.Propose, nowMs, request }) as ProposeResponse;
+}
+
+function copy(machine: ConfigMachine): ConfigMachine {
+  const other = new ConfigMachine();
+  other.restore(machine.createSnapshot());
+  return other;
+}
+
+// Guards against a resend that is applied twice, also after a snapshot or a new leader.
+t.test("resend gets the first answer", (t) => {
+  const machine = new ConfigMachine();
+  const first = propose(machine, {});
+  t.equal(first.outcome, ProposeOutcome.Accepted);
+  t.same(propose(machine, { nowMs: 50 }), first);
+  t.same(propose(copy(machine), {}), first);
+  t.equal(machine.config.revision, 1);
+  t.end();
+});
+
+// Guards against two operators who race with equal revisions and overwrite each other by resending.
+t.test("loser of a race sees the winner, also when resending", (t) => {
+  const machine = new ConfigMachine();
+  propose(machine, {});
+  const lost = propose(machine, { author: "bob", requestId: "r2", change: createChange("t2") });
+  t.match(lost, { outcome: ProposeOutcome.Conflict, winnerAuthor: "ann", winner: { revision: 1 } });
+  propose(machine, { requestId: "r3", baseRevision: 1, change: createChange("t3") });
+  t.same(propose(machine, { author: "bob", requestId: "r2", change: createChange("t2") }), lost);
+  t.same(Object.keys(machine.config.drains), ["t1", "t3"]);
+  t.end();
+});
+
+// Guards against a request id that lets another author or content get the first answer.
+t.test("reused request id is refused", (t) => {
+  const machine = new ConfigMachine();
+  propose(machine, {});
+  for (const parts of [{ author: "bob" }, { change: createChange("t2") }, { baseRevision: 1 }]) {
+    t.equal(propose(machine, parts).outcome, ProposeOutcome.RequestIdReused);
+  }
+  t.equal(machine.config.revision, 1);
+  t.end();
+});
+
+// Guards against changes without a reason, with unknown fields, or with values out of range.
+t.test("invalid changes are refused", (t) => {
+  const { defaults } = createDefaultConfig();
+  const changes = [
+    { ...createChange("t1"), drain: { ...drain, reason: " " } },
+    { ...createChange("t1"), extra: 1 },
+    createChange("__proto__"),
+    { kind: ConfigChangeKind.SetDefaults, defaults: { ...defaults, servingLeaseMs: 6000 } },
+    { kind: "other" },
+  ];
+  for (const change of changes) {
+    const request = { author: "ann", requestId: "r", baseRevision: 0, change };
+    t.equal(ProposeSchema.safeParse(request).success, false);
+  }
+  const machine = new ConfigMachine();
+  const unknown = { kind: ConfigChangeKind.RemoveException, exceptionId: "x", reason: "done" };
+  t.equal(propose(machine, { change: unknown }).outcome, ProposeOutcome.Invalid);
+  t.equal(propose(machine, { baseRevision: 9 }).outcome, ProposeOutcome.Invalid);
+  t.equal(machine.config.revision, 0);
+  t.end();
+});
+
+// Guards against an expiry that removes a later exception of the same id, or one that has not expired.
+t.test("expiry removes exactly the expired exception", (t) => {
+  const machine = new ConfigMachine();
+  const exception = { id: "e", reason: "r", author: "ann", createdAtMs: 0, expiresAtMs: 100, selector: {} };
+  const change = {
+    kind: ConfigChangeKind.AddException,
+    exception: { ...exception, override: { weight: 2 } },
+  };
+  propose(machine, { change });
+  const expire = (nowMs: number, expiresAtMs: number): unknown =>
+    machine.apply({ kind: ConfigCommandKind.ExpireException, nowMs, exceptionId: "e", expiresAtMs });
+  t.equal(expire(99, 100), false);
+  t.equal(expire(100, 90), false);
+  t.equal(expire(100, 100), true);
+  t.equal(machine.config.exceptions.length, 0);
+  t.equal(machine.config.revision, 2);
+  t.end();
+});
+
+// Guards against a deposed group lead that decides a map, and against a decision that changes.
+t.test("first map decision stands and old epochs are refused", (t) => {
+  const machine = new ConfigMachine();
+  const lease = (holder: string, endedEpoch: number | null): unknown =>
+    machine.apply({ kind: "group_lease", request: { group: "g", holder, incarnation: "1" }, endedEpoch });
+  const decide = (epoch: number, version: number, decision: MapDecision): unknown =>
+    machine.apply({ kind: "decide_map", request: { group: "g", version, epoch, decision } });
+  t.match(lease("a", null), { holder: "a", epoch: 1 });
+  t.match(lease("b", null), { holder: "a", epoch: 1 });
+  t.match(decide(1, 1, MapDecision.Activate), { decision: MapDecision.Activate });
+  t.match(lease("b", 1), { holder: "b", epoch: 2, mapVersion: 1 });
+  t.match(lease("c", 1), { holder: "b", epoch: 2 });
+  t.type(decide(1, 2, MapDecision.Activate), "string");
+  t.match(decide(2, 1, MapDecision.Abort), { decision: MapDecision.Activate });
+  t.match(decide(2, 2, MapDecision.Abort), { decision: MapDecision.Abort });
+  t.end();
+});
+
+const timing = { claimRetentionMs: 1000, tombstoneRetentionMs: 5000 };
+const one = { entry: "e1", incarnation: "1" };
+const two = { entry: "e2", incarnation: "1" };
+const answer = { status: 200, contentType: "text/plain", body: Buffer.from("ok") };
+
+function claim(machine: ClaimMachine, nowMs: number, parts: object = {}): ClaimResponse {
+  const place = { team: "t", key: "k", bodyDigest: "d", claimant: one, requestId: "r", createdAtMs: null };
+  const request = { ...place, ...parts };
+  return machine.apply({ kind: ClaimCommandKind.Claim, request, nowMs, ...timing }) as ClaimResponse;
+}
+
+function finish(machine: ClaimMachine, kind: ClaimCommandKind, nowMs: number, parts: object = {}): unknown {
+  const request = { team: "t", key: "k", claimant: one, attempt: 1, answer, ...parts };
+  return machine.apply({ kind, request, nowMs, ...timing });
+}
+
+// Guards against a second dispatch of a claimed key, by the same or another entry.
+t.test("one claimant per attempt", (t) => {
+  const machine = new ClaimMachine();
+  t.match(claim(machine, 1), { state: ClaimState.Granted, attempt: 1 });
+  t.match(claim(machine, 2), { state: ClaimState.Granted, attempt: 1 });
+  t.equal(claim(machine, 3, { requestId: "r2" }).state, ClaimState.InProgress);
+  t.equal(claim(machine, 4, { claimant: two }).state, ClaimState.InProgress);
+  t.equal(claim(machine, 5, { bodyDigest: "x" }).state, ClaimState.KeyReused);
+  t.equal(claim(machine, 6, { team: "t2" }).state, ClaimState.Granted);
+  t.equal(claim(machine, 7, { team: "", key: "tk" }).state, ClaimState.Granted);
+  t.end();
+});
+
+// Guards against a key that runs again after its claimant restarted with the outcome unknown.
+t.test("claim of a restarted entry stays unknown", (t) => {
+  const machine = new ClaimMachine();
+  claim(machine, 1);
+  claim(machine, 2, { key: "other", claimant: { ...one, incarnation: "2" } });
+  t.equal(claim(machine, 3, { claimant: two }).state, ClaimState.OutcomeUnknown);
+  t.same(finish(machine, ClaimCommandKind.Cancel, 4), { cancelled: false });
+  t.equal(claim(machine, 5).state, ClaimState.OutcomeUnknown);
+  t.end();
+});
+
+// Guards against a cancellation by anyone but the claimant, and one after the completion.
+t.test("only the claimant cancels, and the attempt rises", (t) => {
+  const machine = new ClaimMachine();
+  claim(machine, 1);
+  t.type(finish(machine, ClaimCommandKind.Cancel, 2, { claimant: two }), "string");
+  t.same(finish(machine, ClaimCommandKind.Cancel, 3), { cancelled: true });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 4), { cancelled: true });
+  t.match(claim(machine, 5, { claimant: two }), { state: ClaimState.Granted, attempt: 2 });
+  t.type(finish(machine, ClaimCommandKind.Complete, 6), "string");
+  finish(machine, ClaimCommandKind.Complete, 7, { claimant: two, attempt: 2 });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 8, { claimant: two, attempt: 2 }), { cancelled: false });
+  t.match(claim(machine, 9), { state: ClaimState.Recorded, answer: { status: 200 } });
+  t.end();
+});
+
+// Guards against running a key again once its recorded response has been dropped.
+t.test("tombstones refuse late resends, also after a snapshot", (t) => {
+  const machine = new ClaimMachine();
+  claim(machine, 1);
+  finish(machine, ClaimCommandKind.Complete, 2);
+  t.equal(claim(machine, 1001).state, ClaimState.Recorded);
+  t.equal(claim(machine, 1002).state, ClaimState.KeyExpired);
+  const other = new ClaimMachine();
+  other.restore(machine.createSnapshot());
+  t.equal(claim(other, 1003).state, ClaimState.KeyExpired);
+  t.equal(claim(other, 1004, { key: "old", createdAtMs: 4 }).state, ClaimState.KeyExpired);
+  t.equal(other.lookup("t", "k")?.state, ClaimState.KeyExpired);
+  t.equal(claim(other, 7000).state, ClaimState.Granted);
+  t.end();
+});
+
+// Guards against a second grant of one attempt under any order of commands, with a snapshot in between.
+t.test("an attempt is granted to one request only", (t) => {
+  const claimant = fc.constantFrom(one, two, { ...one, incarnation: "2" });
+  const step = fc.record({ kind: fc.constantFrom("claim", "complete", "cancel"), claimant, at: fc.nat(3) });
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: 40 }), (steps) => {
+      let machine = new ClaimMachine();
+      const granted = new Map<number, string>();
+      steps.forEach(({ kind, claimant: by, at }, index) => {
+        const requestId = `${by.entry}/${by.incarnation}/${at}`;
+        if (kind === "claim") {
+          const { state, attempt } = claim(machine, index, { claimant: by, requestId });
+          const holder = granted.get(attempt) ?? requestId;
+          if (state === ClaimState.Granted) {
+            t.equal(holder, requestId);
+            granted.set(attempt, requestId);
+          }
+        } else {
+          finish(machine, kind === "cancel" ? ClaimCommandKind.Cancel : ClaimCommandKind.Complete, index, {
+            claimant: by,
+            attempt: granted.size || 1,
+          });
+        }
+        const next = new ClaimMachine();
+        next.restore(machine.createSnapshot());
+        machine = next;
+      });
+    }),
+    { seed: 9, numRuns: 200 },
+  );
+  t.end();
+});
--- /dev/null
+++ b/packages/control/test/processes.test.ts
@@ -0,0 +1,220 @@
+import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import type { Test } from "tap";
+import { ControlFleet } from "@clementinemux/bench/control/ControlFleet";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import { ProposeOutcome } from "@clementinemux/messages/ProposeOutcome";
+import type { ProposeRequest } from "@clementinemux/messages/ProposeRequest";
+import type { ProposeResponse } from "@clementinemux/messages/ProposeResponse";
+import type { RevisionChange } from "@clementinemux/messages/RevisionChange";
+
+const programs = join(process.cwd(), "dist");
+
+function createRequest(name: string, baseRevision: number, author = "ann"): ProposeRequest {
+  const drain = { reason: "test", author, sinceMs: 1 };
+  const change = { kind: ConfigChangeKind.DrainTarget as const, target: name, drain };
+  return { author, requestId: `request-${name}`, baseRevision, change };
+}
+
+/** Writes one change after the other until told to stop; keeps what was accepted. */
+class Writer {
+  readonly accepted = new Map<number, string>();
+  readonly #fleet: ControlFleet;
+  readonly #prefix: string;
+  readonly #running: Promise<void>;
+  #isStopped = false;
+
+  constructor(fleet: ControlFleet, prefix: string) {
+    this.#fleet = fleet;
+    this.#prefix = prefix;
+    this.#running = this.#run();
+  }
+
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    await this.#running;
+  }
+
+  async waitForMore(count: number): Promise<void> {
+    const goal = this.accepted.size + count;
+    await this.#fleet.waitFor(`${count} accepted changes`, () =>
+      Promise.resolve(this.accepted.size >= goal ? true : null),
+    );
+  }
+
+  async #run(): Promise<void> {
+    const client = this.#fleet.createClient();
+    let revision = 0;
+    for (let index = 0; !this.#isStopped; index += 1) {
+      const name = `${this.#prefix}-${index}`;
+      const answer = await client.propose(createRequest(name, revision), 15_000);
+      answer.ifRight((response) => {
+        ({ revision } = response);
+        if (response.outcome === ProposeOutcome.Accepted) {
+          this.accepted.set(revision, name);
+        }
+      });
+    }
+    client.close();
+  }
+}
+
+async function readHistory(fleet: ControlFleet): Promise<Map<number, string>> {
+  const index = await fleet.waitForLeader("config");
+  const found = new Map<number, string>();
+  for (let after = 0; ;) {
+    const { body } = await fleet.callApi(index, "GET", "/v1/status", null);
+    const total = (body as { revision: number }).revision;
+    const page = await fleet.callApi(index, "GET", `/v1/config/history?after=0`, null);
+    for (const { revision, change } of (page.body as { history: RevisionChange[] }).history) {
+      found.set(revision, change.kind === ConfigChangeKind.DrainTarget ? change.target : "?");
+      after = Math.max(after, revision);
+    }
+    if (after >= total) {
+      return found;
+    }
+    await delay(50);
+  }
+}
+
+/** Every accepted change has to be in the configuration of every running replica. */
+async function checkNothingLost(t: Test, fleet: ControlFleet, writer: Writer): Promise<void> {
+  const newest = Math.max(...writer.accepted.keys());
+  for (const [index, { child }] of fleet.replicas.entries()) {
+    if (child === null) {
+      continue;
+    }
+    const config = await fleet.waitFor(`revision ${newest} at replica ${index}`, async () => {
+      const { body } = await fleet.callApi(index, "GET", "/v1/config", null);
+      const answer = body as { config: FleetConfig };
+      return answer.config.revision >= newest ? answer.config : null;
+    });
+    const lost = [...writer.accepted.values()].filter((name) => !(name in config.drains));
+    t.same(lost, [], `replica ${index} holds all ${writer.accepted.size} accepted changes`);
+  }
+  const history = await readHistory(fleet);
+  const moved = [...writer.accepted].filter(
+    ([revision, name]) => history.has(revision) && history.get(revision) !== name,
+  );
+  t.same(moved, []);
+}
+
+// Guards against acknowledged changes lost by a killed leader, or a write that never ends.
+t.test("leader killed during writes", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 3 }, programs);
+  t.teardown(() => fleet.stop());
+  const writer = new Writer(fleet, "kill");
+  for (let round = 0; round < 3; round += 1) {
+    await writer.waitForMore(20);
+    const leader = await fleet.waitForLeader("config");
+    await fleet.kill(leader);
+    await writer.waitForMore(20);
+    fleet.spawn(leader);
+  }
+  await writer.stop();
+  await checkNothingLost(t, fleet, writer);
+});
+
+// Guards against a frozen leader that answers from an old state, or commits, after its lease has ended.
+t.test("leader stopped for longer than its lease", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 3 }, programs);
+  t.teardown(() => fleet.stop());
+  const writer = new Writer(fleet, "stop");
+  await writer.waitForMore(10);
+  const old = await fleet.waitForLeader("config");
+  fleet.signal(old, "SIGSTOP");
+  await writer.waitForMore(20);
+  fleet.signal(old, "SIGCONT");
+  const stale = await fleet.getStatus(old);
+  t.equal(stale?.some(({ name, hasLease }) => name === "config" && hasLease) ?? false, false);
+  await writer.waitForMore(20);
+  await writer.stop();
+  await checkNothingLost(t, fleet, writer);
+});
+
+// Guards against a lost disk that starts a second group, and against losing acknowledged changes when a second
+// replica is lost right after the first is repaired.
+t.test("second replica lost right after a repair", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 5 }, programs);
+  t.teardown(() => fleet.stop());
+  const writer = new Writer(fleet, "repair");
+  await writer.waitForMore(20);
+  const leader = await fleet.waitForLeader("config");
+  const [first = 0, second = 0] = [0, 1, 2, 3, 4].filter((index) => index !== leader);
+  const address = fleet.addresses[first] ?? "";
+  const before = await fleet.getStatus(first);
+  const oldId = before?.find(({ name }) => name === "config")?.replicaId ?? "";
+  await fleet.kill(first);
+  fleet.eraseData(first);
+  fleet.spawn(first);
+  const change = (body: object): Promise<true> =>
+    fleet.waitFor("membership change", async () => {
+      const answer = await fleet.callApi(leader, "POST", "/v1/members", { group: "config", ...body });
+      return answer.status === 200 ? true : null;
+    });
+  const status = await fleet.waitFor("the new replica", () => fleet.getStatus(first));
+  const replicaId = status.find(({ name }) => name === "config")?.replicaId ?? "";
+  t.not(replicaId, oldId);
+  await change({ action: "add_learner", address });
+  await change({ action: "promote", replicaId });
+  await change({ action: "remove", replicaId: oldId });
+  await fleet.kill(second);
+  fleet.eraseData(second);
+  await writer.waitForMore(20);
+  await writer.stop();
+  await checkNothingLost(t, fleet, writer);
+  const repaired = await fleet.getStatus(first);
+  const voters = repaired?.find(({ name }) => name === "config")?.membership.voters ?? {};
+  t.equal(Object.keys(voters).length, 5);
+  t.ok(replicaId in voters && !(oldId in voters));
+});
+
+// Guards against two operators with equal revisions who both win, or whose resend reverts the other's change.
+t.test("two operators race and both resend", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 3 }, programs);
+  t.teardown(() => fleet.stop());
+  for (let round = 0; round < 5; round += 1) {
+    const send = async (author: string, index: number): Promise<ProposeResponse> => {
+      const request = createRequest(`${author}-${round}`, round, author);
+      const path = "/v1/changes";
+      const { body } = await fleet.callApi(index, "POST", path, request, 15_000, `token-${author}`);
+      return body as ProposeResponse;
+    };
+    const race = (): Promise<ProposeResponse[]> => Promise.all([send("ann", 1), send("bob", 2)]);
+    const first = await race();
+    if (round === 2) {
+      await fleet.kill(await fleet.waitForLeader("config"));
+    }
+    const resent =
+      round === 2
+        ? await Promise.all([resend(fleet, "ann", round), resend(fleet, "bob", round)])
+        : await race();
+    t.same(resent, first);
+    t.same(first.map(({ outcome }) => outcome).sort(), [ProposeOutcome.Accepted, ProposeOutcome.Conflict]);
+    const winner = first[0]?.outcome === ProposeOutcome.Accepted ? "ann" : "bob";
+    t.equal(first.find(({ outcome }) => outcome === ProposeOutcome.Conflict)?.winnerAuthor, winner);
+  }
+});
+
+async function resend(fleet: ControlFleet, author: string, round: number): Promise<unknown> {
+  const client = fleet.createClient();
+  const answer = await client.propose(createRequest(`${author}-${round}`, round, author), 15_000);
+  client.close();
+  return answer.extract();
+}
+
+// Guards against an API that answers without a token, or lets one author act as another.
+t.test("API needs a token of the author", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 1 }, programs);
+  t.teardown(() => fleet.stop());
+  const request = createRequest("t1", 0);
+  t.equal((await fleet.callApi(0, "POST", "/v1/changes", request, 5000, "wrong")).status, 401);
+  t.equal((await fleet.callApi(0, "POST", "/v1/changes", request, 5000, "token-bob")).status, 403);
+  t.equal((await fleet.callApi(0, "POST", "/v1/changes", { ...request, extra: 1 })).status, 400);
+  t.match(await fleet.callApi(0, "POST", "/v1/changes?wait=inForce", request), {
+    status: 200,
+    body: { outcome: ProposeOutcome.Accepted, revision: 1, inForce: true },
+  });
+});
--- a/packages/demo/createDemoFleet.ts
+++ b/packages/demo/createDemoFleet.ts
@@ -1,3 +1,5 @@
+import { join } from "node:path";
+
 interface DemoProcess {
   readonly program: string;
   readonly name: string;
@@ -12,10 +14,19 @@
 const host = "127.0.0.1";
 const basePort = 17_100;
 
-/** Lists the processes of the demo and their settings. */
-export function createDemoFleet(): DemoFleet {
-  const control = { name: "control-1", host, port: basePort, failureDomain: "fd-1", region: "local" };
-  const relays = [`${host}:${control.port}`];
+/** Lists the processes of the demo and their settings. Their files are created in `folder`. */
+export function createDemoFleet(folder: string): DemoFleet {
+  const relays = [0, 1, 2].map((index) => `${host}:${basePort + index}`);
+  const controls = relays.map((_, index) => ({
+    name: `control-${index + 1}`,
+    host,
+    port: basePort + index,
+    failureDomain: `fd-${index + 1}`,
+    region: "local",
+    dataFolder: join(folder, `control-${index + 1}`),
+    replicas: relays,
+    bootstrap: true,
+  }));
   const engine = { host, port: basePort + 10, models: ["demo"], tokenIntervalMs: 10, firstTokenMs: 30 };
   const agent = {
     target: "runner-1",
@@ -38,7 +49,11 @@
   };
   return {
     processes: [
-      { program: "clementinemux-control", name: "control-1", settings: control },
+      ...controls.map((settings) => ({
+        program: "clementinemux-control",
+        name: settings.name,
+        settings,
+      })),
       { program: "standin-engine", name: "engine-1", settings: engine },
       { program: "clementinemux-agent", name: "agent-1", settings: agent },
       { program: "clementinemux-entry", name: "entry-1", settings: entry },
--- a/packages/demo/runDemo.ts
+++ b/packages/demo/runDemo.ts
@@ -13,7 +13,7 @@
 export async function runDemo(once: boolean): Promise<number> {
   const folder = mkdtempSync(join(tmpdir(), "clementinemux-demo-"));
   const programs = new URL(".", import.meta.url).pathname;
-  const fleet = createDemoFleet();
+  const fleet = createDemoFleet(folder);
   const children: ChildProcess[] = [];
   const stop = (): void => {
     for (const child of children) {
--- a/packages/messages/RenewRequest.ts
+++ b/packages/messages/RenewRequest.ts
@@ -9,4 +9,6 @@
   readonly region: string;
   /** Highest revision that the holder has applied; for a relay, the lowest among its leaseholders. */
   readonly appliedRevision: number;
+  /** Only from a relay: revision of its own copy, after which it needs the changes. */
+  readonly viewRevision?: number | undefined;
 }
