--- /dev/null
+++ b/bin/bench.ts
@@ -0,0 +1,3 @@
+import { runBench } from "@clementinemux/bench/runBench";
+
+process.exitCode = await runBench(process.argv.slice(2));
--- a/packages/bench/control/ControlFleet.ts
+++ b/packages/bench/control/ControlFleet.ts
@@ -74,6 +74,12 @@
     const folder = mkdtempSync(join(tmpdir(), "clementinemux-fleet-"));
     const ports = await findFreePorts(options.replicas * 3);
     const fleet = new ControlFleet(options, folder, ports, programs);
+    // A test or bench that ends early must not leave processes behind.
+    process.once("exit", () => {
+      for (const { child } of fleet.replicas) {
+        child?.kill("SIGKILL");
+      }
+    });
     await fleet.#writeSettings(ports);
     fleet.replicas.forEach((_, index) => {
       fleet.spawn(index);
@@ -106,7 +112,10 @@
     const replica = this.#get(index);
     const log = openSync(join(this.folder, `${replica.name}.log`), "a");
     const args = [join(this.#programs, "clementinemux-control.mjs"), "--settings", replica.settingsFile];
-    replica.child = spawn(process.execPath, args, { stdio: ["ignore", log, log] });
+    replica.child = spawn(process.execPath, args, {
+      stdio: ["ignore", log, log],
+      env: { ...process.env, ROARR_LOG: "true" },
+    });
     closeSync(log);
   }
 
--- /dev/null
+++ b/packages/bench/control/runControlBench.ts
@@ -0,0 +1,244 @@
+import { performance } from "node:perf_hooks";
+import { setTimeout as delay } from "node:timers/promises";
+import type { ControlClient } from "@clementinemux/control/ControlClient";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { ClaimRequest } from "@clementinemux/messages/ClaimRequest";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+import type { InForceResponse } from "@clementinemux/messages/InForceResponse";
+import { ProposeOutcome } from "@clementinemux/messages/ProposeOutcome";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { ControlFleet } from "./ControlFleet";
+import { LeaseholderClient } from "./LeaseholderClient";
+import { getPercentile } from "./getPercentile";
+
+type Figures = Readonly<Record<string, number>>;
+
+const replicas = 5;
+const commits = 300;
+const claimConcurrency = 64;
+const claimRunMs = 3000;
+const catchUpChanges = 1000;
+const failovers = 3;
+const inForceChanges = 12;
+const deadlineMs = 15_000;
+
+/** Accepted changes by revision; what the fleet must still hold at the end. */
+type Accepted = Map<number, string>;
+
+/** Measures commits, failover, time until in force, claims and catch-up on processes of this machine. */
+export async function runControlBench(programs: string): Promise<Figures> {
+  const direct = await runOnFleet(programs, 0, async (fleet) => ({
+    ...(await measureChanges(fleet)),
+    ...(await measureClaims(fleet, "")),
+  }));
+  const near = await runOnFleet(programs, 1, (fleet) => measureClaims(fleet, "1ms"));
+  const far = await runOnFleet(programs, 1.5, (fleet) => measureClaims(fleet, "1_5ms"));
+  const sum = (name: string): number =>
+    [direct, near, far].reduce((total, run) => total + (run[name] ?? 0), 0);
+  return { ...direct, ...near, ...far, ranTwice: sum("ranTwice") };
+}
+
+async function runOnFleet(
+  programs: string,
+  delayMs: number,
+  measure: (fleet: ControlFleet) => Promise<Figures>,
+): Promise<Figures> {
+  const fleet = await ControlFleet.start({ replicas, delayMs }, programs);
+  try {
+    return await measure(fleet);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function measureChanges(fleet: ControlFleet): Promise<Figures> {
+  const client = fleet.createClient();
+  const accepted: Accepted = new Map();
+  const holders = fleet.addresses.map((address, index) => new LeaseholderClient(`entry-${index}`, address));
+  const commitMs: number[] = [];
+  for (let index = 0; index < commits; index += 1) {
+    commitMs.push(await propose(client, accepted));
+  }
+  const inForceMs: number[] = [];
+  for (let index = 0; index < inForceChanges; index += 1) {
+    inForceMs.push(await measureInForce(client, accepted, holders));
+  }
+  const failoverMs: number[] = [];
+  for (let index = 0; index < failovers; index += 1) {
+    const leader = await fleet.waitForLeader("config");
+    await fleet.kill(leader);
+    failoverMs.push(await propose(client, accepted));
+    fleet.spawn(leader);
+    await fleet.waitFor("the restarted replica", () => fleet.getStatus(leader));
+    await delay(1000);
+  }
+  const catchUpMs = await measureCatchUp(fleet, client, accepted);
+  const lost = await countLost(fleet, accepted);
+  holders.forEach((holder) => {
+    holder.close();
+  });
+  client.close();
+  return {
+    commitP50Ms: getPercentile(commitMs, 0.5),
+    commitP99Ms: getPercentile(commitMs, 0.99),
+    failoverMs: getPercentile(failoverMs, 1),
+    inForceP99Ms: getPercentile(inForceMs, 0.99),
+    catchUpMs,
+    accepted: accepted.size,
+    ...lost,
+  };
+}
+
+/** Proposes one change until it is accepted; returns the time it took. */
+async function propose(client: ControlClient, accepted: Accepted): Promise<number> {
+  const startMs = performance.now();
+  const baseRevision = Math.max(0, ...accepted.keys());
+  const target = `bench-${baseRevision % 50}`;
+  const drain = { reason: `change ${baseRevision}`, author: "ann", sinceMs: baseRevision };
+  const change = { kind: ConfigChangeKind.DrainTarget as const, target, drain };
+  const request = { author: "ann", requestId: `bench-${baseRevision}`, baseRevision, change };
+  const response = (await client.propose(request, deadlineMs)).unsafeCoerce();
+  if (response.outcome !== ProposeOutcome.Accepted) {
+    throw new Error(`change refused: ${response.outcome} ${response.message}`);
+  }
+  accepted.set(response.revision, JSON.stringify(change));
+  return performance.now() - startMs;
+}
+
+/** Time until the leader reports a change as in force; every holder that serves must then have applied it. */
+async function measureInForce(
+  client: ControlClient,
+  accepted: Accepted,
+  holders: readonly LeaseholderClient[],
+): Promise<number> {
+  const startMs = performance.now();
+  await propose(client, accepted);
+  const revision = Math.max(...accepted.keys());
+  for (;;) {
+    const answer = await client.call<InForceResponse>(
+      "config",
+      MessageName.InForce,
+      { revision },
+      deadlineMs,
+    );
+    if (answer.unsafeCoerce().inForce) {
+      break;
+    }
+    await delay(10);
+  }
+  const elapsedMs = performance.now() - startMs;
+  if (holders.some(({ isServing, view }) => isServing && view.config.revision < revision)) {
+    throw new Error(`revision ${revision} was reported in force before a serving holder applied it`);
+  }
+  return elapsedMs;
+}
+
+async function measureCatchUp(
+  fleet: ControlFleet,
+  client: ControlClient,
+  accepted: Accepted,
+): Promise<number> {
+  const leader = await fleet.waitForLeader("config");
+  const stopped = (leader + 1) % replicas;
+  await fleet.kill(stopped);
+  for (let index = 0; index < catchUpChanges; index += 1) {
+    await propose(client, accepted);
+  }
+  const goal =
+    (await fleet.getStatus(leader))?.find(({ name }) => name === "config")?.commitIndex ?? Infinity;
+  const startMs = performance.now();
+  fleet.spawn(stopped);
+  await fleet.waitFor("caught-up replica", async () => {
+    const status = await fleet.getStatus(stopped);
+    const applied = status?.find(({ name }) => name === "config")?.appliedIndex ?? 0;
+    return applied >= goal ? true : null;
+  });
+  return Math.round(performance.now() - startMs);
+}
+
+/** Compares the fleet's history and configuration with what was acknowledged. */
+async function countLost(fleet: ControlFleet, accepted: Accepted): Promise<Figures> {
+  const newest = Math.max(...accepted.keys());
+  const client = fleet.createClient();
+  const held = new Map<number, string>();
+  // The history is read in pages of 200 from the newest back, so only the last page is complete.
+  const answer = await client.call<{ revision: number; change: unknown }[]>(
+    "config",
+    MessageName.FetchHistory,
+    { after: newest - 200 },
+    deadlineMs,
+  );
+  for (const { revision, change } of answer.unsafeCoerce()) {
+    held.set(revision, JSON.stringify(change));
+  }
+  client.close();
+  const last = new Map(
+    [...accepted].map(([revision, change]) => [(JSON.parse(change) as { target: string }).target, revision]),
+  );
+  let lostAcknowledged = 0;
+  for (const index of fleet.replicas.keys()) {
+    const config = await fleet.waitFor("current configuration", async () => {
+      const { body } = await fleet.callApi(index, "GET", "/v1/config", null);
+      const known = (body as { config: FleetConfig }).config;
+      return known.revision >= newest ? known : null;
+    });
+    for (const [target, revision] of last) {
+      lostAcknowledged += config.drains[target]?.sinceMs === revision - 1 ? 0 : 1;
+    }
+  }
+  const recent = [...accepted].filter(([revision]) => revision > newest - 200);
+  const reverted = recent.filter(([revision, change]) => held.get(revision) !== change).length;
+  return { lostAcknowledged, reverted };
+}
+
+async function measureClaims(fleet: ControlFleet, suffix: string): Promise<Figures> {
+  const client = fleet.createClient();
+  let next = 0;
+  let granted = 0;
+  let ranTwice = 0;
+  const createClaim = (key: string, entry: string): ClaimRequest => ({
+    team: "bench",
+    key,
+    bodyDigest: "d",
+    claimant: { entry, incarnation: "1" },
+    requestId: `${entry}-${key}`,
+    createdAtMs: null,
+  });
+  const claimOnce = async (): Promise<number> => {
+    const key = `key-${next}`;
+    next += 1;
+    const startMs = performance.now();
+    const answer = (await client.claim(createClaim(key, "entry-1"), deadlineMs)).unsafeCoerce();
+    granted += answer.state === ClaimState.Granted ? 1 : 0;
+    return performance.now() - startMs;
+  };
+  const aloneMs: number[] = [];
+  for (let index = 0; index < 300; index += 1) {
+    aloneMs.push(await claimOnce());
+  }
+  const startMs = performance.now();
+  const startGranted = granted;
+  await Promise.all(
+    Array.from({ length: claimConcurrency }, async () => {
+      while (performance.now() - startMs < claimRunMs) {
+        await claimOnce();
+      }
+    }),
+  );
+  const claimsPerS = Math.round(((granted - startGranted) * 1000) / (performance.now() - startMs));
+  // A second entry claims keys that the first holds, across a failover; none may be granted again.
+  await fleet.kill(await fleet.waitForLeader("claims-0"));
+  for (let index = 0; index < 200; index += 1) {
+    const answer = await client.claim(createClaim(`key-${index}`, "entry-2"), deadlineMs);
+    ranTwice += answer.unsafeCoerce().state === ClaimState.Granted ? 1 : 0;
+  }
+  client.close();
+  return suffix === ""
+    ? { claimsPerS, ranTwice }
+    : {
+        [`claimAddedP99Ms_${suffix}`]: getPercentile(aloneMs, 0.99),
+        [`claimsPerS_${suffix}`]: claimsPerS,
+        ranTwice,
+      };
+}
--- a/packages/consensus/test/raftCore.test.ts
+++ b/packages/consensus/test/raftCore.test.ts
@@ -3,6 +3,9 @@
 import { RaftRole } from "@clementinemux/consensus/RaftRole";
 import { Cluster } from "./Cluster";
 
+// Only a hang reaches this; the random schedules take long on a busy machine.
+t.setTimeout(200_000);
+
 const slot = fc.integer({ min: 0, max: 4 });
 const command = fc.oneof(
   { weight: 6, arbitrary: fc.record({ kind: fc.constant("propose" as const), slot }) },
--- a/packages/control/ConfigService.ts
+++ b/packages/control/ConfigService.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
 import type { DecideMapRequest } from "@clementinemux/messages/DecideMapRequest";
 import type { DecideMapResponse } from "@clementinemux/messages/DecideMapResponse";
 import type { GroupLeaseRequest } from "@clementinemux/messages/GroupLeaseRequest";
@@ -30,6 +31,8 @@
   readonly maxClockDriftShare: number;
 }
 
+// Upper limit of `servingLeaseMs` in ProposeSchema.
+const maxServingLeaseMs = 4500;
 const groupLeaseMs = 3000;
 const maxHistoryRecords = 200;
 
@@ -96,7 +99,7 @@
     this.#getLeaseholder();
     const nowMs = this.#options.clock.monotonicMs();
     const { config } = this.#options.machine;
-    const isSettled = nowMs >= this.#leadSinceMs + this.#getLongestLeaseMs();
+    const isSettled = nowMs >= this.#leadSinceMs + this.#getLongestEarlierLeaseMs();
     const lowest = this.#ledger.getLowest(nowMs, config.revision);
     const unconfirmedRegions = config.exceptions
       .filter(({ override }) => override.serveWithoutControl === true)
@@ -171,6 +174,14 @@
     return servingLeaseMs * (1 + 2 * this.#options.maxClockDriftShare);
   }
 
+  /** Longest lease that an earlier leader can have confirmed; the length may have been reduced since. */
+  #getLongestEarlierLeaseMs(): number {
+    const { history } = this.#options.machine;
+    const hasChanged = history.some(({ change }) => change.kind === ConfigChangeKind.SetDefaults);
+    const longestMs = maxServingLeaseMs * (1 + 2 * this.#options.maxClockDriftShare);
+    return hasChanged ? longestMs : this.#getLongestLeaseMs();
+  }
+
   #getLeader(): ReplicatedGroup {
     const group = this.#options.group();
     if (!group.isLeader) {
--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -4,7 +4,6 @@
 import type * as z from "zod";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
-import type { Member } from "@clementinemux/consensus/Member";
 import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
 import { Counters } from "@clementinemux/metrics/Counters";
 import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
@@ -30,6 +29,8 @@
   readonly group: string;
   readonly from: string;
   readonly to: string;
+  /** Sender's address as its membership lists it; an unused replica has no membership to look it up. */
+  readonly replyTo: string | null;
   readonly message: RaftMessage;
 }
 
@@ -48,6 +49,7 @@
   readonly dropped = new Counters("clementinemux_control_raft_dropped", "reason", Object.values(DropReason));
   readonly #options: GroupHostOptions;
   readonly #groups = new Map<string, ReplicatedGroup>();
+  readonly #senders = new Map<string, string>();
 
   constructor(options: GroupHostOptions) {
     this.#options = options;
@@ -73,9 +75,13 @@
       clock,
       logger,
       snapshotEntries,
-      send: ({ address }: Member, to, message) => {
-        const envelope: RaftEnvelope = { group: name, from: replicaId, to, message };
-        links.notify(address, MessageName.Raft, envelope);
+      send: (known, to, message) => {
+        const address = known ?? this.#senders.get(to);
+        if (address !== undefined) {
+          const replyTo = group.getAddress(replicaId);
+          const envelope: RaftEnvelope = { group: name, from: replicaId, to, replyTo, message };
+          links.notify(address, MessageName.Raft, envelope);
+        }
       },
       onLead,
     });
@@ -97,13 +103,16 @@
   }
 
   onRaft(body: unknown): void {
-    const { group: name, from, to, message } = body as RaftEnvelope;
+    const { group: name, from, to, replyTo, message } = body as RaftEnvelope;
     const group = this.#groups.get(name);
     if (group?.core.id !== to) {
       // A message to the identity of a lost disk must not reach the new replica at the same address.
       this.dropped.add(group === undefined ? DropReason.UnknownGroup : DropReason.WrongReplica);
       return;
     }
+    if (replyTo !== null) {
+      this.#senders.set(from, replyTo);
+    }
     group.receive(from, message);
   }
 
--- a/packages/control/LeaseLedger.ts
+++ b/packages/control/LeaseLedger.ts
@@ -16,7 +16,10 @@
     appliedRevision: number,
     expiresAtMs: number,
   ): void {
-    this.#holders.set(JSON.stringify([holder, incarnation]), { appliedRevision, region, expiresAtMs });
+    const key = JSON.stringify([holder, incarnation]);
+    // A lease granted earlier may run longer than this one when the lease length was reduced in between.
+    const latestMs = Math.max(expiresAtMs, this.#holders.get(key)?.expiresAtMs ?? 0);
+    this.#holders.set(key, { appliedRevision, region, expiresAtMs: latestMs });
   }
 
   /** Lowest applied revision among the running leases; `none` when there is none. */
--- a/packages/control/ReplicatedGroup.ts
+++ b/packages/control/ReplicatedGroup.ts
@@ -4,7 +4,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { LogEntry } from "@clementinemux/consensus/LogEntry";
-import type { Member } from "@clementinemux/consensus/Member";
 import type { Membership } from "@clementinemux/consensus/Membership";
 import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
 import { ProposeRefusal } from "@clementinemux/consensus/ProposeRefusal";
@@ -27,7 +26,8 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly snapshotEntries: number;
-  readonly send: (member: Member, to: string, message: RaftMessage) => void;
+  /** The address is null when the receiver is not in this replica's membership. */
+  readonly send: (address: string | null, to: string, message: RaftMessage) => void;
   /** Called when this replica has become the leader, before it answers anything. */
   readonly onLead: () => void;
 }
@@ -85,6 +85,12 @@
     return leader === null ? null : (membership.voters[leader]?.address ?? null);
   }
 
+  /** Address of a member, as this replica knows the membership. */
+  getAddress(replicaId: string): string | null {
+    const { voters, learners } = this.#core.membership;
+    return (voters[replicaId] ?? learners[replicaId])?.address ?? null;
+  }
+
   tick(): void {
     this.#core.tick(this.#now());
     this.#flush();
@@ -185,14 +191,9 @@
           this.#flush();
         });
         break;
-      case RaftActionKind.Send: {
-        const { voters, learners } = this.#core.membership;
-        const member = voters[action.to] ?? learners[action.to];
-        if (member !== undefined) {
-          this.#options.send(member, action.to, action.message);
-        }
+      case RaftActionKind.Send:
+        this.#options.send(this.getAddress(action.to), action.to, action.message);
         break;
-      }
       case RaftActionKind.Apply:
         action.entries.forEach((entry) => {
           this.#apply(entry);
--- /dev/null
+++ b/packages/control/test/leases.test.ts
@@ -0,0 +1,86 @@
+import { Right } from "purify-ts/Either";
+import t from "tap";
+import type { ControlClient } from "@clementinemux/control/ControlClient";
+import { LeaseLedger } from "@clementinemux/control/LeaseLedger";
+import { ServingRelay } from "@clementinemux/control/ServingRelay";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
+
+const drain = { reason: "r", author: "ann", sinceMs: 1 };
+const change = { kind: ConfigChangeKind.DrainTarget as const, target: "t1", drain };
+
+function createRelay(): {
+  relay: ServingRelay;
+  sent: RenewRequest[];
+  time: { nowMs: number };
+  answer: { revision: number; confirmed: boolean };
+} {
+  const time = { nowMs: 0 };
+  const sent: RenewRequest[] = [];
+  const answer = { revision: 0, confirmed: true };
+  const call = (_group: string, _name: string, body: RenewRequest) => {
+    sent.push(body);
+    // The answer takes 100 ms; the lease has to count from the sending.
+    time.nowMs += 100;
+    const changes = answer.revision === 0 ? [] : [{ revision: 1, change }];
+    return Promise.resolve(Right({ epoch: 1, leaseMs: 4000, changes, config: null, ...answer }));
+  };
+  const relay = new ServingRelay({
+    name: "relay",
+    incarnation: "1",
+    failureDomain: "fd-1",
+    region: "local",
+    client: { call } as unknown as ControlClient,
+    clock: { monotonicMs: () => time.nowMs, wallMs: () => time.nowMs },
+    maxClockDriftShare: 0.01,
+  });
+  return { relay, sent, time, answer };
+}
+
+function createRenewal(holder: string, appliedRevision: number): RenewRequest {
+  const place = { failureDomain: "fd-1", region: "local" };
+  return { holder, incarnation: "1", kind: LeaseholderKind.Entry, ...place, appliedRevision };
+}
+
+// Guards against a lease that outlasts the leader's confirmation, or is granted without one.
+t.test("relay grants what is left of its own confirmation", async (t) => {
+  const { relay, time, answer } = createRelay();
+  t.match(relay.grant(createRenewal("e1", 0)), { confirmed: false, leaseMs: 0 });
+  await relay.renew();
+  t.match(relay.grant(createRenewal("e1", 0)), { confirmed: true, leaseMs: 3900 });
+  time.nowMs = 3500;
+  answer.confirmed = false;
+  await relay.renew();
+  t.match(relay.grant(createRenewal("e1", 0)), { confirmed: true, leaseMs: 400 });
+  time.nowMs = 4000;
+  t.match(relay.grant(createRenewal("e1", 0)), { confirmed: false, leaseMs: 0 });
+});
+
+// Guards against reporting a revision in force while a leaseholder may still serve with an older one.
+t.test("relay reports its slowest leaseholder until the lease has ended", async (t) => {
+  const { relay, sent, time, answer } = createRelay();
+  await relay.renew();
+  relay.grant(createRenewal("e1", 0));
+  answer.revision = 1;
+  await relay.renew();
+  t.match(relay.grant(createRenewal("e2", 0)), { revision: 1, changes: [{ revision: 1 }] });
+  relay.grant(createRenewal("e2", 1));
+  await relay.renew();
+  t.match(sent.at(-1), { appliedRevision: 0, viewRevision: 1 });
+  time.nowMs = 4090;
+  await relay.renew();
+  t.match(sent.at(-1), { appliedRevision: 1 });
+});
+
+// Guards against a reduced lease length that hides a longer lease still running.
+t.test("ledger keeps the latest end of a lease", (t) => {
+  const ledger = new LeaseLedger();
+  ledger.note("e1", "1", "local", 3, 4000);
+  ledger.note("e1", "1", "local", 4, 1500);
+  ledger.note("e1", "2", "local", 7, 5000);
+  t.equal(ledger.getLowest(2000, 9), 4);
+  t.equal(ledger.getLowest(4000, 9), 7);
+  t.equal(ledger.getLowest(5000, 9), 9);
+  t.end();
+});
--- a/packages/control/test/processes.test.ts
+++ b/packages/control/test/processes.test.ts
@@ -1,5 +1,8 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { generate } from "selfsigned";
 import t from "tap";
 import type { Test } from "tap";
 import { ControlFleet } from "@clementinemux/bench/control/ControlFleet";
@@ -12,6 +15,9 @@
 
 const programs = join(process.cwd(), "dist");
 
+// Real processes and elections on a busy machine; only a hang reaches this.
+t.setTimeout(200_000);
+
 function createRequest(name: string, baseRevision: number, author = "ann"): ProposeRequest {
   const drain = { reason: "test", author, sinceMs: 1 };
   const change = { kind: ConfigChangeKind.DrainTarget as const, target: name, drain };
@@ -87,9 +93,10 @@
       continue;
     }
     const config = await fleet.waitFor(`revision ${newest} at replica ${index}`, async () => {
-      const { body } = await fleet.callApi(index, "GET", "/v1/config", null);
-      const answer = body as { config: FleetConfig };
-      return answer.config.revision >= newest ? answer.config : null;
+      // The replica may have been started a moment ago and not listen yet.
+      const answer = await fleet.callApi(index, "GET", "/v1/config", null).catch(() => null);
+      const known = answer?.body as { config: FleetConfig } | undefined;
+      return known !== undefined && known.config.revision >= newest ? known.config : null;
     });
     const lost = [...writer.accepted.values()].filter((name) => !(name in config.drains));
     t.same(lost, [], `replica ${index} holds all ${writer.accepted.size} accepted changes`);
@@ -171,6 +178,37 @@
   t.ok(replicaId in voters && !(oldId in voters));
 });
 
+// Guards against a replica that lost its disk and creates a second, empty group while the others are down.
+t.test("replica without its disk creates no second group", async (t) => {
+  const fleet = await ControlFleet.start({ replicas: 3 }, programs);
+  t.teardown(() => fleet.stop());
+  const writer = new Writer(fleet, "lost");
+  await writer.waitForMore(10);
+  await writer.stop();
+  for (const index of [0, 1, 2]) {
+    await fleet.kill(index);
+  }
+  fleet.eraseData(0);
+  fleet.spawn(0);
+  fleet.spawn(1);
+  await fleet.waitFor("restarted replica", () => fleet.getStatus(0));
+  // Several bootstrap rounds and an election timeout.
+  await delay(3000);
+  const status = await fleet.getStatus(0);
+  t.same(
+    status?.map(({ commitIndex, membership }) => [commitIndex, Object.keys(membership.voters).length]),
+    [
+      [0, 0],
+      [0, 0],
+    ],
+  );
+  t.equal(await fleet.findLeader("config"), null);
+  fleet.spawn(2);
+  const leader = await fleet.waitForLeader("config");
+  t.not(leader, 0);
+  await checkNothingLost(t, fleet, writer);
+});
+
 // Guards against two operators with equal revisions who both win, or whose resend reverts the other's change.
 t.test("two operators race and both resend", async (t) => {
   const fleet = await ControlFleet.start({ replicas: 3 }, programs);
@@ -218,3 +256,23 @@
     body: { outcome: ProposeOutcome.Accepted, revision: 1, inForce: true },
   });
 });
+
+// Guards against replicas that accept frames from a peer without a certificate, or cannot reach each other with one.
+t.test("replicas elect a leader over mutual TLS and refuse plain frames", async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), "clementinemux-tls-"));
+  t.teardown(() => {
+    rmSync(folder, { recursive: true });
+  });
+  const { private: key, cert } = await generate([{ name: "commonName", value: "control" }]);
+  const [keyFile, certFile] = [join(folder, "key.pem"), join(folder, "cert.pem")];
+  writeFileSync(keyFile, key);
+  writeFileSync(certFile, cert);
+  const settings = { tls: { keyFile, certFile, caFile: certFile } };
+  const fleet = await ControlFleet.start({ replicas: 3, settings }, programs);
+  t.teardown(() => fleet.stop());
+  const answer = await fleet.callApi(0, "POST", "/v1/changes", createRequest("t1", 0));
+  t.match(answer, { status: 200, body: { outcome: ProposeOutcome.Accepted } });
+  const client = fleet.createClient();
+  t.equal((await client.propose(createRequest("t2", 1), 500)).isLeft(), true);
+  client.close();
+});
