--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -193,7 +193,8 @@
         getStatus: () => this.#getStatus(),
         getTargets: () => this.#directory.handlers[MessageName.FetchTargets]?.({}, "api"),
       }),
-      renderMetrics: () => [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
+      renderMetrics: () =>
+        [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
     });
     await api.listen(host, apiPort);
   }
