Connect the entry to the policy, to control's claims and to the directory's changes

The entry decides with the full policy, claims at the leader of the key's shard, fetches only what has changed in its subset, takes the weights of suspect targets, and uses mutual TLS toward control and agents when its settings name certificates. The entry's own copies of the class rules and of applying a change are removed. /v1/explain shows the decisions of the policy with the scores.

--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -5,16 +5,20 @@
 import { periodic } from "most";
 import type * as z from "zod";
 import { createIncarnation } from "@clementinemux/agent/createIncarnation";
+import { readTlsFiles } from "@clementinemux/agent/readTlsFiles";
 import type { Clock } from "@clementinemux/common/Clock";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { ControlClient } from "@clementinemux/control/ControlClient";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { Policy } from "@clementinemux/policy/Policy";
+import { createPolicy } from "@clementinemux/policy/createPolicy";
 import { CallerTable } from "./CallerTable";
 import type { ClaimClient } from "./ClaimClient";
+import { ControlClaimClient } from "./ControlClaimClient";
 import { Dispatcher } from "./Dispatcher";
 import { EntryMetrics } from "./EntryMetrics";
 import type { EntrySettings } from "./EntrySettings";
@@ -24,12 +28,10 @@
 import type { LeaseClient } from "./LeaseClient";
 import { RelayCaller } from "./RelayCaller";
 import { RequestIntake } from "./RequestIntake";
-import { RpcClaimClient } from "./RpcClaimClient";
 import { RpcLeaseClient } from "./RpcLeaseClient";
 import { ServingLease } from "./ServingLease";
 import type { SessionContext } from "./SessionContext";
 import { Shutdown } from "./Shutdown";
-import { SimplePolicy } from "./SimplePolicy";
 import { orderAddresses } from "./orderAddresses";
 
 interface EntryServerOptions {
@@ -58,7 +60,9 @@
   readonly #leases: LeaseClient;
   readonly #lease = new ServingLease(createDefaultConfig());
   readonly #fleet: FleetView;
+  readonly #policy: Policy;
   readonly #dispatcher: Dispatcher;
+  readonly #control: ControlClient;
   readonly #api: HttpApi;
   readonly #server: Server;
   readonly #shutdown: Shutdown;
@@ -71,11 +75,22 @@
     this.#url = settings.url;
     this.#clock = options.clock ?? new SystemClock();
     this.#incarnation = createIncarnation(this.#clock.wallMs());
-    this.#relays = new RelayCaller(settings.relays, undefined);
+    const tls = readTlsFiles(settings.peerTls);
+    this.#relays = new RelayCaller(settings.relays, tls);
     this.#leases = options.leases ?? new RpcLeaseClient(this.#relays, settings.claimTimeoutMs);
-    this.#fleet = new FleetView(this.#relays, this.#clock);
-    this.#dispatcher = new Dispatcher(options.policy ?? new SimplePolicy(), this.#clock);
-    this.#api = this.#createApi(options.claims ?? new RpcClaimClient(this.#relays, settings.claimTimeoutMs));
+    this.#fleet = new FleetView({ relays: this.#relays, clock: this.#clock, entry: settings.name, tls });
+    this.#policy = options.policy ?? this.#createPolicy();
+    this.#dispatcher = new Dispatcher(this.#policy, this.#clock);
+    this.#control = new ControlClient({
+      addresses: settings.control ?? settings.relays,
+      claimGroups: settings.claimGroups,
+      clock: this.#clock,
+      random: Math.random,
+      tls,
+    });
+    this.#api = this.#createApi(
+      options.claims ?? new ControlClaimClient(this.#control, settings.claimTimeoutMs),
+    );
     this.#server = this.#createHttpServer();
     this.#shutdown = new Shutdown({
       clock: this.#clock,
@@ -137,6 +152,19 @@
     this.#running = false;
     await this.#fleet.close();
     this.#relays.close();
+    this.#control.close();
+  }
+
+  #createPolicy(): Policy {
+    const { name, failureDomain, region } = this.#settings;
+    return createPolicy({
+      config: this.#lease.config,
+      entryId: `${name}/${this.#incarnation}`,
+      failureDomain,
+      region,
+      random: Math.random,
+      startedAtMs: this.#clock.monotonicMs(),
+    });
   }
 
   #createApi(claims: ClaimClient): HttpApi {
@@ -147,6 +175,7 @@
       fleet: this.#fleet,
       metrics: new EntryMetrics(),
       explain: new ExplainLog(settings.explainedRequests),
+      explainDecisions: (requestId) => this.#policy.explain(requestId),
       clock: this.#clock,
       random: Math.random,
       getConfig: () => this.#lease.config,
@@ -252,6 +281,7 @@
     } finally {
       this.#refreshing = false;
     }
+    this.#policy.setLiveEntryCount(this.#getEntries().filter(({ leaving }) => !leaving).length);
     this.#dispatcher.applyTargets(this.#fleet.getTargets(this.#lease.config.defaults.permitMaxAgeMs));
   }
 
--- a/packages/entry/EntrySettings.ts
+++ b/packages/entry/EntrySettings.ts
@@ -8,6 +8,8 @@
   token: z.string().min(8).max(512),
 });
 
+const address = z.string().regex(/^(?:\[[^\]]+\]|[^:]+):\d{1,5}$/, "must have the form host:port");
+
 const tlsFiles = z.strictObject({
   /** PEM file with the private key. */
   keyFile: z.string(),
@@ -25,7 +27,13 @@
   failureDomain: z.string().min(1),
   region: z.string().min(1),
   /** Frame addresses of the relays, `host:port`, nearest first. */
-  relays: z.array(z.string()).min(1),
+  relays: z.array(address).min(1),
+  /** Frame addresses of the control replicas, which hold the claims; absent: the relays. */
+  control: z.array(address).min(1).optional(),
+  /** Number of claim groups of the whole fleet, as in the settings of control. */
+  claimGroups: z.number().int().min(1).max(64).default(1),
+  /** Mutual TLS toward relays, control and agents. */
+  peerTls: z.strictObject({ keyFile: z.string(), certFile: z.string(), caFile: z.string() }).optional(),
   callers: z.array(caller).default([]),
   /** Team of callers without a token; they are refused when it is empty. */
   anonymousTeam: z.string().max(128).default(""),
--- a/packages/entry/FleetView.ts
+++ b/packages/entry/FleetView.ts
@@ -1,24 +1,33 @@
 import type { Clock } from "@clementinemux/common/Clock";
-import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import type { FetchTargetsRequest } from "@clementinemux/membership/FetchTargetsRequest";
+import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { TargetView } from "@clementinemux/policy/TargetView";
 import { MessageName } from "@clementinemux/wire/MessageName";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
 import type { RelayCaller } from "./RelayCaller";
 import { TargetLink } from "./TargetLink";
 
+interface FleetViewOptions {
+  readonly relays: RelayCaller;
+  readonly clock: Clock;
+  /** Name of this entry, by which relays assign its subset. */
+  readonly entry: string;
+  readonly tls: TlsFiles | undefined;
+}
+
 const relayTimeoutMs = 1000;
 
 /** What this entry knows of targets and other entries, refreshed from a relay and from the agents. */
 export class FleetView {
-  readonly #relays: RelayCaller;
-  readonly #clock: Clock;
+  readonly #options: FleetViewOptions;
   readonly #links = new Map<string, TargetLink>();
   #entries: readonly EntryAnnouncement[] = [];
+  #since: FetchTargetsRequest["since"] = null;
 
-  constructor(relays: RelayCaller, clock: Clock) {
-    this.#relays = relays;
-    this.#clock = clock;
+  constructor(options: FleetViewOptions) {
+    this.#options = options;
   }
 
   get entries(): readonly EntryAnnouncement[] {
@@ -30,20 +39,17 @@
   }
 
   getTargets(permitMaxAgeMs: number): readonly TargetView[] {
-    const nowMs = this.#clock.monotonicMs();
+    const nowMs = this.#options.clock.monotonicMs();
     return [...this.#links.values()].map((link) => link.getView(nowMs, permitMaxAgeMs));
   }
 
   /** Announces this entry and fetches targets and entries. Keeps the last known ones when no relay answers. */
   async refreshDirectory(self: EntryAnnouncement, defaults: FleetDefaults): Promise<void> {
-    const [targets, entries] = await Promise.all([
-      this.#relays.call(MessageName.FetchTargets, { entry: self.entry }, relayTimeoutMs),
-      this.#relays.call(MessageName.FetchEntries, {}, relayTimeoutMs),
+    const [, entries] = await Promise.all([
+      this.#refreshTargets(defaults),
+      this.#options.relays.call(MessageName.FetchEntries, {}, relayTimeoutMs),
       this.announce(self),
     ]);
-    if (targets !== null) {
-      this.#learnTargets(targets.body as readonly TargetAnnouncement[], defaults);
-    }
     if (entries !== null) {
       this.#entries = entries.body as readonly EntryAnnouncement[];
     }
@@ -51,12 +57,12 @@
 
   /** Resolves with whether a relay has taken the announcement. */
   async announce(self: EntryAnnouncement): Promise<boolean> {
-    return (await this.#relays.call(MessageName.AnnounceEntry, self, relayTimeoutMs)) !== null;
+    return (await this.#options.relays.call(MessageName.AnnounceEntry, self, relayTimeoutMs)) !== null;
   }
 
   async pollTargets(defaults: FleetDefaults): Promise<void> {
     const timeoutMs = Math.min(relayTimeoutMs, defaults.permitMaxAgeMs / 3);
-    const readNowMs = (): number => this.#clock.monotonicMs();
+    const readNowMs = (): number => this.#options.clock.monotonicMs();
     await Promise.all([...this.#links.values()].map((link) => link.poll(timeoutMs, readNowMs)));
   }
 
@@ -64,21 +70,46 @@
     await Promise.all([...this.#links.values()].map((link) => link.destroy()));
   }
 
-  #learnTargets(announcements: readonly TargetAnnouncement[], defaults: FleetDefaults): void {
-    const present = new Set(announcements.map(({ target }) => target));
-    for (const [target, link] of this.#links) {
-      if (!present.has(target)) {
-        link.close();
-        this.#links.delete(target);
+  /** Fetches what has changed since the last answer, in parts. */
+  async #refreshTargets(defaults: FleetDefaults): Promise<void> {
+    for (;;) {
+      const request: FetchTargetsRequest = {
+        since: this.#since ?? null,
+        subset: { entry: this.#options.entry, groupCount: defaults.subsetGroups },
+      };
+      const answer = await this.#options.relays.call(MessageName.FetchTargets, request, relayTimeoutMs);
+      if (answer === null) {
+        return;
+      }
+      const response = answer.body as FetchTargetsResponse;
+      this.#learnTargets(response, defaults);
+      const { directory, version, subset, more } = response;
+      this.#since = { directory, version, subset };
+      if (!more) {
+        return;
       }
     }
-    for (const announcement of announcements) {
+  }
+
+  #learnTargets(response: FetchTargetsResponse, defaults: FleetDefaults): void {
+    const { full, targets, weights, removed } = response;
+    const present = new Set(targets.map(({ target }) => target));
+    const gone = full ? [...this.#links.keys()].filter((target) => !present.has(target)) : removed;
+    for (const target of gone) {
+      this.#links.get(target)?.close();
+      this.#links.delete(target);
+    }
+    for (const announcement of targets) {
       const known = this.#links.get(announcement.target);
-      if (known !== undefined && known.announcement.incarnation >= announcement.incarnation) {
-        continue;
+      if (known === undefined || known.announcement.incarnation < announcement.incarnation) {
+        known?.close();
+        const { tls } = this.#options;
+        this.#links.set(
+          announcement.target,
+          new TargetLink(announcement, { connectTimeoutMs: defaults.connectTimeoutMs, tls }),
+        );
       }
-      known?.close();
-      this.#links.set(announcement.target, new TargetLink(announcement, defaults.connectTimeoutMs));
+      this.#links.get(announcement.target)?.setMembershipWeight(weights[announcement.target] ?? 1);
     }
   }
 }
--- a/packages/entry/HttpApi.ts
+++ b/packages/entry/HttpApi.ts
@@ -172,7 +172,8 @@
   }
 
   #sendExplanation({ path, team, requestId, response }: Arrival): void {
-    const explanation = this.#options.context.explain.find(path.slice(explainPrefix.length), team);
+    const { explain, explainDecisions } = this.#options.context;
+    const explanation = explain.find(path.slice(explainPrefix.length), team);
     if (explanation === null) {
       response.writeHead(404, { "content-type": "application/problem+json" });
       response.end(
@@ -180,7 +181,7 @@
       );
       return;
     }
-    sendJson(response, explanation);
+    sendJson(response, { ...explanation, decisions: explainDecisions(explanation.requestId) });
   }
 
   #refuse(
--- a/packages/entry/RequestIntake.ts
+++ b/packages/entry/RequestIntake.ts
@@ -9,6 +9,7 @@
 import type { Claimant } from "@clementinemux/messages/Claimant";
 import type { RecordedAnswer } from "@clementinemux/messages/RecordedAnswer";
 import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import { getTeamSettings } from "@clementinemux/policy/getTeamSettings";
 import type { Arrival } from "./Arrival";
 import type { ClaimClient } from "./ClaimClient";
 import { ClaimGuard } from "./ClaimGuard";
@@ -21,7 +22,6 @@
 import { SseSink } from "./SseSink";
 import { WholeSink } from "./WholeSink";
 import { createProblem } from "./createProblem";
-import { getTreatment } from "./getTreatment";
 import { parseModelRequest } from "./parseModelRequest";
 import { readBody } from "./readBody";
 import { refuseClaim } from "./refuseClaim";
@@ -137,8 +137,13 @@
   ): PolicyRequest {
     const { context, settings } = this.#options;
     const { requestId, team, arrivedAtMs, request } = arrival;
-    const subject = { team, kind, model, region: settings.region };
-    const { requestClass, deadlineMs } = getTreatment(context.getConfig(), subject);
+    const isService = kind === TargetKind.Service;
+    const { requestClass, deadlineMs } = getTeamSettings(context.getConfig(), {
+      team,
+      model: isService ? "" : model,
+      service: isService ? model : "",
+      region: settings.region,
+    });
     const askedMs = Number(request.headers[headerNames.deadlineMs] ?? Infinity);
     return {
       requestId,
--- a/packages/entry/ServingLease.ts
+++ b/packages/entry/ServingLease.ts
@@ -1,6 +1,6 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import { applyConfigChange } from "@clementinemux/fleet/applyConfigChange";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
-import { applyRevisionChange } from "./applyRevisionChange";
 
 /**
  * Permission of an entry to take new work, and the configuration that it applies. Has no clock: times are
@@ -58,9 +58,9 @@
     return config.revision > current.revision ? config : current;
   }
   let next = current;
-  for (const change of changes) {
-    if (change.revision === next.revision + 1) {
-      next = applyRevisionChange(next, change);
+  for (const { revision, change } of changes) {
+    if (revision === next.revision + 1) {
+      next = applyConfigChange(next, change).orDefault(next);
     }
   }
   return next;
--- a/packages/entry/SessionContext.ts
+++ b/packages/entry/SessionContext.ts
@@ -3,6 +3,7 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { Dispatcher } from "./Dispatcher";
 import type { EntryMetrics } from "./EntryMetrics";
+import type { ExplainRecord } from "@clementinemux/policy/ExplainRecord";
 import type { ExplainLog } from "./ExplainLog";
 import type { FleetView } from "./FleetView";
 
@@ -12,6 +13,8 @@
   readonly fleet: FleetView;
   readonly metrics: EntryMetrics;
   readonly explain: ExplainLog;
+  /** Decisions of the policy about a request, with the scores of the candidates. */
+  readonly explainDecisions: (requestId: string) => readonly ExplainRecord[];
   readonly clock: Clock;
   readonly random: Random;
   readonly getConfig: () => FleetConfig;
--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -4,6 +4,12 @@
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import type { LoadReport } from "@clementinemux/policy/LoadReport";
 import type { TargetView } from "@clementinemux/policy/TargetView";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+
+interface TargetLinkOptions {
+  readonly connectTimeoutMs: number;
+  readonly tls: TlsFiles | undefined;
+}
 
 // Part of the permitted age after which a stamp is no longer sent: the rest is left for the way to the agent.
 const stampUseShare = 0.8;
@@ -18,7 +24,8 @@
 export class TargetLink {
   readonly announcement: TargetAnnouncement;
   readonly #origin: string;
-  readonly #connectTimeoutMs: number;
+  readonly #options: TargetLinkOptions;
+  #membershipWeight = 1;
   #pool: Pool;
   #pollClient: Client;
   #stamp: string | null = null;
@@ -27,10 +34,10 @@
   #load: LoadReport | null = null;
   #pooledUsable = true;
 
-  constructor(announcement: TargetAnnouncement, connectTimeoutMs: number) {
+  constructor(announcement: TargetAnnouncement, options: TargetLinkOptions) {
     this.announcement = announcement;
-    this.#origin = `http://${announcement.address}`;
-    this.#connectTimeoutMs = connectTimeoutMs;
+    this.#options = options;
+    this.#origin = `${options.tls === undefined ? "http" : "https"}://${announcement.address}`;
     this.#pool = this.#createPool();
     this.#pollClient = this.createFreshClient();
   }
@@ -46,7 +53,7 @@
 
   /** Creates a client with no connection yet, for one request that must not meet a dead connection. */
   createFreshClient(): Client {
-    return new Client(this.#origin, { ...poolOptions, connect: { timeout: this.#connectTimeoutMs } });
+    return new Client(this.#origin, this.#getClientOptions());
   }
 
   getView(nowMs: number, permitMaxAgeMs: number): TargetView {
@@ -54,11 +61,16 @@
     return {
       announcement: this.announcement,
       accepting: this.#accepting && stampIsFresh,
-      membershipWeight: 1,
+      membershipWeight: this.#membershipWeight,
       load: this.#load,
     };
   }
 
+  /** Takes the weight that relays give the target: below 1 while it is suspect. */
+  setMembershipWeight(weight: number): void {
+    this.#membershipWeight = weight;
+  }
+
   /** Takes the fresh stamp that an agent's refusal carries. */
   takeStamp(stamp: string, nowMs: number): void {
     this.#stamp = stamp;
@@ -108,8 +120,15 @@
     await Promise.all([this.#pool.destroy(), this.#pollClient.destroy()]);
   }
 
+  #getClientOptions(): Client.Options {
+    const { connectTimeoutMs, tls } = this.#options;
+    // Agents are known by address; the certificate authority, which signs only our own processes, vouches for them.
+    const tlsOptions = tls === undefined ? {} : { ...tls, checkServerIdentity: (): undefined => undefined };
+    return { ...poolOptions, connect: { timeout: connectTimeoutMs, ...tlsOptions } };
+  }
+
   #createPool(): Pool {
-    return new Pool(this.#origin, { ...poolOptions, connect: { timeout: this.#connectTimeoutMs } });
+    return new Pool(this.#origin, this.#getClientOptions());
   }
 
   #replacePollClient(): void {
--- a/packages/entry/test/hedge.test.ts
+++ b/packages/entry/test/hedge.test.ts
@@ -22,6 +22,8 @@
   onAttemptEnded: nothing,
   onCallerGone: nothing,
   onTick: nothing,
+  setLiveEntryCount: () => undefined,
+  explain: () => [],
   submit: ({ requestId }) =>
     [0, 1].map((index) => ({
       kind: PolicyActionKind.Dispatch,
--- a/packages/entry/test/startFleet.ts
+++ b/packages/entry/test/startFleet.ts
@@ -8,6 +8,7 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
 import type { Policy } from "@clementinemux/policy/Policy";
@@ -88,7 +89,16 @@
   const announced = new Map<string, EntryAnnouncement>();
   const relay = new RpcServer({
     handlers: {
-      [MessageName.FetchTargets]: () => targets,
+      [MessageName.FetchTargets]: (): FetchTargetsResponse => ({
+        directory: "test",
+        version: 1,
+        subset: "",
+        full: true,
+        targets,
+        weights: {},
+        removed: [],
+        more: false,
+      }),
       [MessageName.FetchEntries]: () => [...announced.values()],
       [MessageName.AnnounceEntry]: (body) => {
         const announcement = body as EntryAnnouncement;
--- a/packages/policy/Policy.ts
+++ b/packages/policy/Policy.ts
@@ -1,5 +1,6 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { AttemptEndKind } from "./AttemptEndKind";
+import type { ExplainRecord } from "./ExplainRecord";
 import type { PolicyAction } from "./PolicyAction";
 import type { PolicyRequest } from "./PolicyRequest";
 import type { TargetView } from "./TargetView";
@@ -16,6 +17,10 @@
   onTokens(attemptId: string, tokenCount: number, nowMs: number): readonly PolicyAction[];
   onAttemptEnded(attemptId: string, end: AttemptEndKind, nowMs: number): readonly PolicyAction[];
   onCallerGone(requestId: string, nowMs: number): readonly PolicyAction[];
+  /** Number of entries that divide a team's limit until leased shares arrive. */
+  setLiveEntryCount(count: number): void;
+  /** Decisions about a recent request, oldest first. */
+  explain(requestId: string): readonly ExplainRecord[];
   /** Called at least every 50 ms. */
   onTick(nowMs: number): readonly PolicyAction[];
 }
