Cover the second dispatch of a claimed request after an agent's refusal

A second dispatch needs a new attempt of the claim: cancel, claim, dispatch. The stand-in service can now refuse as an agent does. Shown red: without the renewal of the claim, the test fails on the missing cancellation.

--- a/packages/entry/test/atMostOnce.test.ts
+++ b/packages/entry/test/atMostOnce.test.ts
@@ -121,6 +121,23 @@
   await fleet.stop();
 });
 
+// Guards against a second dispatch under the same claim, and against giving up a call that has not run.
+t.test("refusal by the agent: cancelled, claimed again, run once", async (t) => {
+  const fleet = await startFleet({ serviceCount: 2 });
+  fleet.services[0]!.agentRefusals = 1;
+  t.match(await order(fleet.urls[0]!, "lot 12", once("k12")), { status: 200, body: { execution: 1 } });
+  t.equal(fleet.claims.cancelCount, 1);
+  for (const service of fleet.services) {
+    service.agentRefusals = 10;
+  }
+  t.match(await order(fleet.urls[0]!, "lot 13", once("k13")), { body: { outcome: "not_run" } });
+  for (const service of fleet.services) {
+    service.agentRefusals = 0;
+  }
+  t.match(await order(fleet.urls[0]!, "lot 13", once("k13")), { status: 200, body: { execution: 1 } });
+  await fleet.stop();
+});
+
 // Guards against a service call that blocks for ever, and its repetition.
 t.test("service without an answer is unknown after its timeout", async (t) => {
   const services = { orders: { repeatable: false, timeoutMs: 100 } };
--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -18,6 +18,8 @@
   breakAfterExecution = false;
   /** Faults for tests: never answers. */
   frozen = false;
+  /** Refuses so many calls before they run, as an agent does. */
+  agentRefusals = 0;
   readonly #settings: ServiceSettings;
   readonly #server: Server;
 
@@ -56,6 +58,11 @@
       response.end(JSON.stringify(Object.fromEntries(this.executions)));
       return;
     }
+    if (this.agentRefusals > 0) {
+      this.agentRefusals -= 1;
+      response.writeHead(503, { [headerNames.refusedBy]: "agent", [headerNames.stamp]: "0/0" }).end();
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) {
       chunks.push(chunk);
