--- a/packages/experts/activation/LeadActivation.ts
+++ b/packages/experts/activation/LeadActivation.ts
@@ -51,6 +51,11 @@
     return this.#lastVersion + 1;
   }
 
+  /** Version at the end of the schedule of the ranks, or null while the group is not settled. */
+  get activeVersion(): number | null {
+    return this.#isSettled() ? (this.#statuses.get(0)?.schedule.at(-1)?.version ?? null) : null;
+  }
+
   renewLease(leaseEndsAtMs: number): void {
     this.#leaseEndsAtMs = leaseEndsAtMs;
   }
