--- a/packages/experts/baselines/MapPolicyName.ts
+++ b/packages/experts/baselines/MapPolicyName.ts
@@ -8,4 +8,6 @@
   Planner = "planner",
   /** Planner restricted to shifts of the split. */
   SplitOnly = "split_only",
+  /** Planner's moves with an equal split among replicas. */
+  MovesOnly = "moves_only",
 }
--- a/packages/experts/baselines/mapPolicies.ts
+++ b/packages/experts/baselines/mapPolicies.ts
@@ -14,6 +14,18 @@
 
 const minuteMs = 60_000;
 
+function planMovesOnly(input: PlanInput): ExpertMap {
+  const { map, bytes } = planMap(input);
+  if (bytes === 0) {
+    return input.present;
+  }
+  const layers = map.layers.map(({ hosts }) => ({
+    hosts,
+    shares: hosts.map((ranks) => ranks.map(() => 1 / ranks.length)),
+  }));
+  return { ...map, layers };
+}
+
 /** Registry of the policies. */
 export const mapPolicies: Readonly<Record<MapPolicyName, MapPolicy>> = {
   [MapPolicyName.None]: { intervalMs: Number.POSITIVE_INFINITY, getNextMap: ({ present }) => present },
@@ -30,4 +42,5 @@
     intervalMs: 2 * minuteMs,
     getNextMap: (input) => planMap({ ...input, maxBytes: 0 }).map,
   },
+  [MapPolicyName.MovesOnly]: { intervalMs: 2 * minuteMs, getNextMap: planMovesOnly },
 };
