--- a/packages/policy/routing/chooseCloseScore.ts
+++ b/packages/policy/routing/chooseCloseScore.ts
@@ -2,7 +2,7 @@
 import type { Candidate } from "./Candidate";
 
 /** Scores within this share of the best are equal as far as late reports can tell. */
-const closeShare = 0.1;
+const closeShare = 0.25;
 const closeMs = 2;
 
 /** Chooses at random among the candidates whose scores are close to the best. */
