Check that a new leader commits without a proposal

Cause: since recovery has several rounds of proposals, the schedules no longer notice a leader that keeps its first entry to itself until somebody proposes.

Change: a test without proposals.

--- a/packages/consensus/test/raftCore.test.ts
+++ b/packages/consensus/test/raftCore.test.ts
@@ -122,6 +122,20 @@
   t.end();
 });
 
+// Guards against a new leader that commits nothing, and so has no lease, until somebody proposes.
+t.test("new leader commits its own entry without a proposal", (t) => {
+  for (const seed of [1, 2, 3]) {
+    const cluster = new Cluster({ seed, lossShare: 0 });
+    cluster.run(4000);
+    t.ok(cluster.committed.size >= 2);
+    const before = cluster.committed.size;
+    cluster.crash(cluster.nodes.findIndex(({ core }) => core?.role === RaftRole.Leader));
+    cluster.run(4000);
+    t.ok(cluster.committed.size > before);
+  }
+  t.end();
+});
+
 // Guards against losing acknowledged entries when a second disk is lost right after a repair.
 t.test("second disk lost right after a repair", (t) => {
   const cluster = new Cluster({ seed: 3, lossShare: 0 });
