Prevent repeated split elections and restore the bound of 8 s after faults

The timeouts spread over 250 ms, but a pre-vote round with its messages and syncs takes up to 400 ms, so replicas collect pre-votes over each other and then split the votes. Other terms had a single candidate that lost one request, or asked a voter that had heard the old leader a little later and ignored it; both cost a whole timeout, since no request was repeated.

Ruled out: pre-votes that move deadlines or terms (they did neither); a fault of safety (none was reported).

Change: a replica that grants a pre-vote stands back, as follower always and as pre-candidate when the other has the newer log or the greater id. It does so once for each replica, term and leader, so one that asks but hears no answers cannot hold up the others. Unanswered vote and pre-vote requests are repeated each heartbeat.

--- a/packages/consensus/Election.ts
+++ b/packages/consensus/Election.ts
@@ -31,6 +31,9 @@
   #leaderContactMs: number;
   #deadlineMs = 0;
   #votes = new Set<string>();
+  #resendAtMs = 0;
+  /** Replicas that this one has stood back for since its term or its leader last changed. */
+  readonly #preferred = new Set<string>();
 
   constructor(state: DurableState, log: RaftLog, outbox: Outbox, options: RaftOptions, nowMs: number) {
     this.#id = state.replicaId;
@@ -67,9 +70,10 @@
     return this.#role === RaftRole.Leader || isRecent;
   }
 
-  /** Starts a round of pre-votes when no leader was heard for long enough. */
+  /** Starts a round of pre-votes when no leader was heard for long enough; repeats unanswered requests. */
   tick(nowMs: number): void {
     if (nowMs < this.#deadlineMs) {
+      this.#resend(nowMs);
       return;
     }
     this.#resetDeadline(nowMs);
@@ -79,7 +83,7 @@
     this.#leader = null;
     this.#setRole(RaftRole.PreCandidate);
     this.#votes = new Set([this.#id]);
-    this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1);
+    this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1, nowMs);
     if (this.#hasMajority()) {
       this.#startElection(nowMs);
     }
@@ -89,6 +93,7 @@
     this.#term = term;
     this.#vote = null;
     this.#leader = null;
+    this.#preferred.clear();
     this.#outbox.markVote();
     this.stepDown(nowMs);
   }
@@ -102,12 +107,17 @@
   follow(leader: string, nowMs: number): void {
     this.#leader = leader;
     this.#leaderContactMs = nowMs;
+    this.#preferred.clear();
     this.#setRole(RaftRole.Follower);
     this.#resetDeadline(nowMs);
   }
 
-  onPreVote(from: string, message: VoteRequest): void {
+  onPreVote(from: string, message: VoteRequest, nowMs: number): void {
     const granted = message.term > this.#term && this.#isUpToDate(message);
+    if (granted && this.#prefers(from, message)) {
+      this.#preferred.add(from);
+      this.stepDown(nowMs);
+    }
     const term = granted ? message.term : this.#term;
     this.#outbox.sendAfterPersist(from, { kind: RaftMessageKind.PreVoteReply, term, granted });
   }
@@ -152,16 +162,46 @@
     this.#vote = this.#id;
     this.#votes = new Set();
     this.#setRole(RaftRole.Candidate);
-    this.#sendToVoters(RaftMessageKind.Vote, this.#term);
+    this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs);
     // The own vote counts only once it is stored, like any other.
     const message: RaftMessage = { kind: RaftMessageKind.VoteReply, term: this.#term, granted: true };
     this.#outbox.sendAfterPersist(this.#id, message);
   }
 
-  #sendToVoters(kind: RaftMessageKind.PreVote | RaftMessageKind.Vote, term: number): void {
+  /**
+   * Whether to leave the election to a replica that asks for a pre-vote. Without this, replicas whose timeouts
+   * end within one round of messages and syncs of each other split the votes term after term. Of two
+   * pre-candidates the one with the newer log, then the greater id, goes on. Each replica is preferred once
+   * for each term and leader, so one that asks but hears no answers cannot hold up the others for long.
+   */
+  #prefers(from: string, { lastTerm, lastIndex }: VoteRequest): boolean {
+    if (this.#preferred.has(from)) {
+      return false;
+    }
+    if (this.#role !== RaftRole.PreCandidate) {
+      return this.#role === RaftRole.Follower;
+    }
+    const isSameLog = lastTerm === this.#log.lastTerm && lastIndex === this.#log.lastIndex;
+    return !isSameLog || from > this.#id;
+  }
+
+  /** A request may be lost, or ignored by a voter that heard the old leader a little later than this replica. */
+  #resend(nowMs: number): void {
+    if (nowMs < this.#resendAtMs) {
+      return;
+    }
+    if (this.#role === RaftRole.PreCandidate) {
+      this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1, nowMs);
+    } else if (this.#role === RaftRole.Candidate && this.#votes.has(this.#id)) {
+      this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs);
+    }
+  }
+
+  #sendToVoters(kind: RaftMessageKind.PreVote | RaftMessageKind.Vote, term: number, nowMs: number): void {
+    this.#resendAtMs = nowMs + this.#options.heartbeatMs;
     const { lastIndex, lastTerm } = this.#log;
     for (const id of Object.keys(this.#log.getMembership().membership.voters)) {
-      if (id !== this.#id) {
+      if (id !== this.#id && !this.#votes.has(id)) {
         this.#outbox.sendAfterPersist(id, { kind, term, lastIndex, lastTerm });
       }
     }
--- a/packages/consensus/RaftCore.ts
+++ b/packages/consensus/RaftCore.ts
@@ -214,7 +214,7 @@
   #dispatch(from: string, message: RaftMessage, nowMs: number): void {
     switch (message.kind) {
       case RaftMessageKind.PreVote:
-        this.#election.onPreVote(from, message);
+        this.#election.onPreVote(from, message, nowMs);
         break;
       case RaftMessageKind.PreVoteReply:
         this.#election.onPreVoteReply(from, message, nowMs);
--- a/packages/consensus/test/Cluster.ts
+++ b/packages/consensus/test/Cluster.ts
@@ -167,10 +167,7 @@
     }
   }
 
-  /**
-   * Ends all faults but message loss; then one leader must commit again. With two disks lost, every remaining
-   * voter is needed, and elections that split or lose a vote repeat, so the wait has several rounds.
-   */
+  /** Ends all faults but message loss and waits; then one leader must commit again. */
   heal(): boolean {
     this.cut([]);
     this.nodes.forEach((node, slot) => {
@@ -179,10 +176,8 @@
     });
     this.run(6000);
     const before = this.committed.size;
-    for (let round = 0; round < 10 && this.committed.size === before; round += 1) {
-      this.proposeEverywhere();
-      this.run(2000);
-    }
+    this.proposeEverywhere();
+    this.run(2000);
     return this.committed.size > before;
   }
 
--- a/packages/consensus/test/raftCore.test.ts
+++ b/packages/consensus/test/raftCore.test.ts
@@ -25,6 +25,8 @@
   size: "max",
 });
 
+const lossShares = fc.constantFrom(0, 0.05, 0.2);
+
 function play(cluster: Cluster, steps: readonly (readonly [{ kind: string; slot: number }, number])[]): void {
   const effects: Record<string, (at: number) => void> = {
     propose: () => {
@@ -70,12 +72,30 @@
   }
 }
 
+// Guards against replicas that split the votes term after term: in these schedules, found by 1,500 runs of each
+// seed, no leader was elected within 8 s after the faults ended.
+t.test("elections do not split repeatedly", (t) => {
+  for (const [seed, path] of [
+    [101, "785"],
+    [202, "1307"],
+    [404, "380"],
+  ] as const) {
+    const property = fc.property(schedule, fc.nat(), lossShares, (steps, clusterSeed, lossShare) => {
+      const cluster = new Cluster({ seed: clusterSeed, lossShare });
+      play(cluster, steps);
+      return cluster.heal();
+    });
+    t.equal(fc.check(property, { seed, path, numRuns: 1, endOnFailure: true }).failed, false, `seed ${seed}`);
+  }
+  t.end();
+});
+
 // Guards against two leaders in a term, lost or changed committed entries, overlapping leases, lost
 // acknowledged proposals, and a group that stays stuck after the faults end.
 t.test("rules hold under loss, crashes, lost disks, freezes and drift", (t) => {
   let acknowledged = 0;
   fc.assert(
-    fc.property(schedule, fc.nat(), fc.constantFrom(0, 0.05, 0.2), (steps, seed, lossShare) => {
+    fc.property(schedule, fc.nat(), lossShares, (steps, seed, lossShare) => {
       const cluster = new Cluster({ seed, lossShare });
       play(cluster, steps);
       acknowledged += cluster.acknowledged.size;
--- a/packages/consensus/test/raftRules.test.ts
+++ b/packages/consensus/test/raftRules.test.ts
@@ -16,12 +16,12 @@
 };
 const data = Buffer.from("x");
 
-function createCore(): RaftCore {
+function createCore(replicaId = "a"): RaftCore {
   const entries = [
     { index: 1, term: 1, data: null, membership },
     { index: 2, term: 2, data, membership: null },
   ];
-  return new RaftCore({ replicaId: "a", term: 2, vote: null, snapshot: null, entries }, options, 0);
+  return new RaftCore({ replicaId, term: 2, vote: null, snapshot: null, entries }, options, 0);
 }
 
 /** Completes all persists and returns the sent messages. */
@@ -109,3 +109,41 @@
   t.equal(core.proposeMembership({ ...change, replicaId: "b" }, 560).extract(), "change_pending");
   t.end();
 });
+
+// Guards against a whole timeout lost when one request is lost or ignored.
+t.test("unanswered requests are repeated to the voters that have not answered", (t) => {
+  const core = createCore();
+  core.tick(500);
+  t.equal(settle(core, 500).length, 2);
+  core.tick(590);
+  t.equal(settle(core, 590).length, 0);
+  core.tick(600);
+  t.equal(settle(core, 600).length, 2);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 610);
+  settle(core, 610);
+  core.tick(710);
+  t.same(settle(core, 710), [
+    { to: "b", kind: RaftMessageKind.Vote },
+    { to: "c", kind: RaftMessageKind.Vote },
+  ]);
+  t.end();
+});
+
+// Guards against two pre-candidates that both go on, and against one that holds up the others for ever.
+t.test("of two pre-candidates the preferred one goes on, once", (t) => {
+  const request = { kind: RaftMessageKind.PreVote as const, term: 3, lastIndex: 2, lastTerm: 2 };
+  const core = createCore();
+  core.tick(500);
+  core.receive("c", request, 510);
+  t.equal(core.role, RaftRole.Follower);
+  core.tick(1009);
+  t.equal(core.role, RaftRole.Follower);
+  core.tick(1010);
+  core.receive("c", request, 1020);
+  t.equal(core.role, RaftRole.PreCandidate);
+  const other = createCore("c");
+  other.tick(500);
+  other.receive("a", request, 510);
+  t.equal(other.role, RaftRole.PreCandidate);
+  t.end();
+});
