--- a/packages/control/ConfigMachine.ts
+++ b/packages/control/ConfigMachine.ts
@@ -5,6 +5,7 @@
 import { applyConfigChange } from "@clementinemux/fleet/applyConfigChange";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import type { DecideMapRequest } from "@clementinemux/messages/DecideMapRequest";
+import type { DecideMapResponse } from "@clementinemux/messages/DecideMapResponse";
 import type { GroupLeaseRequest } from "@clementinemux/messages/GroupLeaseRequest";
 import { ProposeOutcome } from "@clementinemux/messages/ProposeOutcome";
 import type { ProposeRequest } from "@clementinemux/messages/ProposeRequest";
@@ -14,6 +15,7 @@
 import type { GroupLeaseRecord } from "./GroupLeaseRecord";
 import type { HistoryRecord } from "./HistoryRecord";
 import type { StateMachine } from "./StateMachine";
+import { decideMap } from "./decideMap";
 import { getContentDigest } from "./getContentDigest";
 
 interface RequestRecord {
@@ -185,26 +187,25 @@
       incarnation,
       epoch: (present?.epoch ?? 0) + 1,
       mapVersion: present?.mapVersion ?? 0,
-      decision: present?.decision ?? null,
+      activated: present?.activated ?? [],
+      heldFrom: present?.heldFrom ?? 1,
     };
     this.#groups.set(group, granted);
     return granted;
   }
 
   /** Returns the decision that stands, or the text of the refusal. */
-  #decideMap({ group, version, epoch, decision }: DecideMapRequest): GroupLeaseRecord | string {
+  #decideMap(request: DecideMapRequest): DecideMapResponse | string {
+    const { group, epoch } = request;
     const present = this.#groups.get(group);
     if (present?.epoch !== epoch) {
       return `epoch ${epoch} is not the present epoch ${present?.epoch ?? 0} of group "${group}"`;
     }
-    if (version < present.mapVersion) {
-      return `map version ${version} is older than the decided version ${present.mapVersion}`;
-    }
-    if (version === present.mapVersion) {
-      return present;
-    }
-    const decided: GroupLeaseRecord = { ...present, mapVersion: version, decision };
-    this.#groups.set(group, decided);
-    return decided;
+    return decideMap(present, request)
+      .map(({ record, response }) => {
+        this.#groups.set(group, record);
+        return response;
+      })
+      .extract();
   }
 }
--- a/packages/control/ConfigService.ts
+++ b/packages/control/ConfigService.ts
@@ -132,14 +132,11 @@
 
   async decideMap(request: DecideMapRequest): Promise<DecideMapResponse> {
     const command: ConfigCommand = { kind: ConfigCommandKind.DecideMap, request };
-    const answer = (await this.#commit(this.#getLeader(), command)) as GroupLeaseRecord | string;
+    const answer = (await this.#commit(this.#getLeader(), command)) as DecideMapResponse | string;
     if (typeof answer === "string") {
       throw new ControlError(ControlErrorCode.Refused, answer);
     }
-    if (answer.decision === null) {
-      throw new ControlError(ControlErrorCode.Refused, "map versions start at 1");
-    }
-    return { version: answer.mapVersion, decision: answer.decision };
+    return answer;
   }
 
   /** Commits the removal of exceptions that have expired by the leader's clock. */
--- a/packages/control/GroupLeaseRecord.ts
+++ b/packages/control/GroupLeaseRecord.ts
@@ -1,10 +1,12 @@
-import type { MapDecision } from "@clementinemux/messages/MapDecision";
-
-/** Present lead of a rank group, and its last map decision. */
+/** Present lead of a rank group, and the decisions about its maps. */
 export interface GroupLeaseRecord {
   readonly holder: string;
   readonly incarnation: string;
   readonly epoch: number;
+  /** Highest decided map version, 0 when none. */
   readonly mapVersion: number;
-  readonly decision: MapDecision | null;
+  /** First and last of each run of activated versions, oldest first. Other versions up to the highest are aborted. */
+  readonly activated: readonly (readonly [first: number, last: number])[];
+  /** Decisions below this version are no longer held. */
+  readonly heldFrom: number;
 }
--- a/packages/control/test/machines.test.ts
+++ b/packages/control/test/machines.test.ts
@@ -124,6 +124,43 @@
   t.end();
 });
 
+// Guards against a new lead that cannot learn, or changes, what was decided about an older map version.
+t.test("older map versions keep their decision through a snapshot and a new lead", (t) => {
+  let machine = new ConfigMachine();
+  const lease = (holder: string, endedEpoch: number | null): unknown =>
+    machine.apply({ kind: "group_lease", request: { group: "g", holder, incarnation: "1" }, endedEpoch });
+  const decide = (epoch: number, version: number, decision: MapDecision): unknown =>
+    machine.apply({ kind: "decide_map", request: { group: "g", version, epoch, decision } });
+  const { Activate, Abort } = MapDecision;
+  lease("a", null);
+  for (const [version, decision] of [
+    [1, Activate],
+    [2, Activate],
+    [3, Abort],
+    [5, Activate],
+  ] as const) {
+    t.same(decide(1, version, decision), { version, decision });
+  }
+  machine = copy(machine);
+  lease("b", 1);
+  t.same(decide(2, 5, Abort), { version: 5, decision: Activate });
+  t.same(decide(2, 6, Abort), { version: 6, decision: Abort });
+  for (const [index, stands] of [Activate, Activate, Abort, Abort, Activate, Abort].entries()) {
+    const other = stands === Activate ? Abort : Activate;
+    t.same(decide(2, index + 1, other), { version: index + 1, decision: stands });
+  }
+  t.type(decide(1, 1, Abort), "string");
+  t.type(decide(2, 0, Abort), "string");
+  // Each activation followed by an abort is a run of its own; only a bounded number of runs is held.
+  for (let version = 7; version < 207; version += 1) {
+    decide(2, version, version % 2 === 0 ? Abort : Activate);
+  }
+  t.type(decide(2, 1, Abort), "string");
+  t.same(decide(2, 205, Abort), { version: 205, decision: Activate });
+  t.same(decide(2, 204, Activate), { version: 204, decision: Abort });
+  t.end();
+});
+
 const timing = { claimRetentionMs: 1000, tombstoneRetentionMs: 5000 };
 const one = { entry: "e1", incarnation: "1" };
 const two = { entry: "e2", incarnation: "1" };
