Fetch a configuration that is larger than a frame in parts

Cause: a full configuration had to fit into one frame of 1 MiB, so the limit was 900 kB; an exception for each of 4,100 teams with a reason of full length takes 5 to 7 MB.

Change: the limit is 8 MiB. A part of another revision or digest starts the fetch again, and the digest of the whole is checked at the end. The size is summed over the parts of a configuration and remembered for the unchanged ones, instead of encoding it all for each change.

Ruled out: parts chosen by the revision of the renewal. At one change a second each new revision would replace the encoding under the holders that are still reading.

Without the comparison of the revision the digest still finds the mixture. With 4,100 exceptions in running processes a restarted replica, its relay and a new holder reach the revision, and the next change gets in force.

--- a/packages/agent/RelayLink.ts
+++ b/packages/agent/RelayLink.ts
@@ -1,7 +1,9 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import { completeRenewal } from "@clementinemux/control/completeRenewal";
 import type { AnnounceResult } from "@clementinemux/membership/AnnounceResult";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
@@ -74,9 +76,12 @@
           region: announcement.region,
           appliedRevision: getRevision(),
         };
-        const answer = await this.#clients[index]?.call(MessageName.Renew, request, callTimeoutMs);
-        const response = answer?.toMaybe().extractNullable() as RenewResponse | null | undefined;
-        if (response !== null && response !== undefined) {
+        const received = (await this.#call(index, MessageName.Renew, request)) as RenewResponse | null;
+        if (received !== null) {
+          const response = await completeRenewal(
+            received,
+            async (part) => (await this.#call(index, MessageName.FetchConfig, part)) as ConfigPart | null,
+          );
           onRenewed(response, sentAtMs);
           if (response.confirmed) {
             return;
@@ -102,6 +107,11 @@
     }
   }
 
+  async #call(index: number, name: MessageName, body: unknown): Promise<unknown> {
+    const answer = await this.#clients[index]?.call(name, body, callTimeoutMs);
+    return answer?.toMaybe().extractNullable() ?? null;
+  }
+
   async #tell(index: number): Promise<void> {
     const { announcement, clock, onSuperseded } = this.#options;
     const client = this.#clients[index];
--- a/packages/bench/control/LeaseholderClient.ts
+++ b/packages/bench/control/LeaseholderClient.ts
@@ -1,5 +1,7 @@
 import { performance } from "node:perf_hooks";
 import { ConfigView } from "@clementinemux/control/ConfigView";
+import { completeRenewal } from "@clementinemux/control/completeRenewal";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -43,11 +45,15 @@
       appliedRevision: this.view.config.revision,
     };
     const answer = await this.#client.call(MessageName.Renew, request, renewTimeoutMs);
-    answer.ifRight((body) => {
-      const response = body as RenewResponse;
+    const received = answer.toMaybe().extractNullable() as RenewResponse | null;
+    if (received !== null) {
+      const response = await completeRenewal(received, async (part) => {
+        const read = await this.#client.call(MessageName.FetchConfig, part, renewTimeoutMs);
+        return read.toMaybe().extractNullable() as ConfigPart | null;
+      });
       if (this.view.update(response) && response.confirmed) {
         this.#leaseEndMs = Math.max(this.#leaseEndMs, sentAtMs + response.leaseMs);
       }
-    });
+    }
   }
 }
--- a/packages/control/ConfigMachine.ts
+++ b/packages/control/ConfigMachine.ts
@@ -16,6 +16,7 @@
 import type { HistoryRecord } from "./HistoryRecord";
 import type { StateMachine } from "./StateMachine";
 import { decideMap } from "./decideMap";
+import { getConfigSizeBytes } from "./getConfigSizeBytes";
 import { getContentDigest } from "./getContentDigest";
 
 interface RequestRecord {
@@ -27,8 +28,8 @@
 
 const maxHistory = 1000;
 const requestRetentionMs = 24 * 3_600_000;
-// A full configuration has to fit into one frame of 1 MiB with room for the rest of the message.
-const maxConfigBytes = 900_000;
+// An exception for each of 4,100 teams with a reason of full length, at 1.6 kB each, takes 6.6 MB.
+const maxConfigBytes = 8_388_608;
 
 /** Configuration, results of operators' requests, group leases and map decisions. */
 export class ConfigMachine implements StateMachine {
@@ -139,7 +140,7 @@
     return applyConfigChange(this.#config, change).caseOf({
       Left: (why) => this.#answer(ProposeOutcome.Invalid, why),
       Right: (config) => {
-        const sizeBytes = encode(config).length;
+        const sizeBytes = getConfigSizeBytes(config);
         if (sizeBytes > maxConfigBytes) {
           const why = `the configuration would have ${sizeBytes} bytes, the limit is ${maxConfigBytes}`;
           return this.#answer(ProposeOutcome.Invalid, why);
--- a/packages/control/ConfigView.ts
+++ b/packages/control/ConfigView.ts
@@ -3,10 +3,15 @@
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
 import type { RevisionChange } from "@clementinemux/messages/RevisionChange";
+import { getConfigSizeBytes } from "./getConfigSizeBytes";
 
 const maxHeldChanges = 1000;
 // Longer lists are sent as a whole configuration, which keeps a frame below its limit.
 const maxSentBytes = 400_000;
+// A larger configuration does not fit into one frame of 1 MiB with the rest of the message.
+const maxWholeBytes = 900_000;
+
+type Missing = Pick<RenewResponse, "changes" | "config" | "inParts">;
 
 /** Copy of the configuration that follows the leader by revision and never goes back. */
 export class ConfigView {
@@ -36,7 +41,7 @@
   }
 
   /** What a holder of `appliedRevision` lacks: the changes, or everything when they are no longer held. */
-  getMissing(appliedRevision: number): Pick<RenewResponse, "changes" | "config"> {
+  getMissing(appliedRevision: number): Missing {
     return ConfigView.selectMissing(this.#config, this.#changes, appliedRevision);
   }
 
@@ -44,7 +49,7 @@
     config: FleetConfig,
     held: readonly RevisionChange[],
     appliedRevision: number,
-  ): Pick<RenewResponse, "changes" | "config"> {
+  ): Missing {
     if (appliedRevision >= config.revision) {
       return { changes: [], config: null };
     }
@@ -52,8 +57,11 @@
       .filter(({ revision }) => revision > appliedRevision)
       .map(({ revision, change }) => ({ revision, change }));
     const isComplete = changes[0]?.revision === appliedRevision + 1;
-    return isComplete && JSON.stringify(changes).length <= maxSentBytes
-      ? { changes, config: null }
-      : { changes: [], config };
+    if (isComplete && JSON.stringify(changes).length <= maxSentBytes) {
+      return { changes, config: null };
+    }
+    return getConfigSizeBytes(config) <= maxWholeBytes
+      ? { changes: [], config }
+      : { changes: [], config: null, inParts: true };
   }
 }
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -7,9 +7,11 @@
 import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
 import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import type { ChangeMemberRequest } from "@clementinemux/messages/ChangeMemberRequest";
 import type { DecideMapRequest } from "@clementinemux/messages/DecideMapRequest";
+import type { FetchConfigRequest } from "@clementinemux/messages/FetchConfigRequest";
 import type { GroupLeaseRequest } from "@clementinemux/messages/GroupLeaseRequest";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
@@ -24,6 +26,7 @@
 import { ClaimMachine } from "./ClaimMachine";
 import { ClaimService } from "./ClaimService";
 import { ConfigMachine } from "./ConfigMachine";
+import { ConfigParts } from "./ConfigParts";
 import { ConfigService } from "./ConfigService";
 import { ControlClient } from "./ControlClient";
 import { ControlError } from "./ControlError";
@@ -50,6 +53,7 @@
   readonly #client: ControlClient;
   readonly #relay: ServingRelay;
   readonly #configMachine = new ConfigMachine();
+  readonly #parts = new ConfigParts();
   readonly #claimMachines = new Map<string, ClaimMachine>();
   readonly #config: ConfigService;
   readonly #claims: ClaimService;
@@ -137,6 +141,7 @@
       this.#tick();
     });
     void periodic(settings.relayRenewIntervalMs).observe(() => {
+      this.#parts.release(this.#clock.monotonicMs());
       this.#run("renewal", () => this.#relay.renew());
     });
     if (this.#host.find("config") !== null) {
@@ -206,7 +211,8 @@
       },
       [MessageName.ReplicaInfo]: (body) => this.#host.getInfo((body as { group: string }).group),
       [MessageName.ChangeMember]: (body) => this.#changeMember(body as ChangeMemberRequest),
-      [MessageName.FetchConfig]: () => this.#relay.view.config,
+      [MessageName.FetchConfig]: (body) =>
+        this.#parts.read(this.#getNewestConfig(), body as FetchConfigRequest, this.#clock.monotonicMs()),
       [MessageName.Propose]: (body) => this.#config.propose(body),
       [MessageName.Renew]: (body) => {
         const request = body as RenewRequest;
@@ -239,6 +245,13 @@
     return { ...this.#directory.handlers, ...Object.fromEntries(counted) };
   }
 
+  /** A relay of this process follows its log replica with a delay; without a replica it is all there is. */
+  #getNewestConfig(): FleetConfig {
+    const { config } = this.#configMachine;
+    const { config: viewed } = this.#relay.view;
+    return config.revision > viewed.revision ? config : viewed;
+  }
+
   async #changeMember(request: ChangeMemberRequest): Promise<unknown> {
     const group = this.#host.get(request.group);
     if (!group.isLeader) {
--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -1,4 +1,6 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
+import type { FetchConfigRequest } from "@clementinemux/messages/FetchConfigRequest";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
@@ -6,6 +8,7 @@
 import { ConfigView } from "./ConfigView";
 import type { ControlClient } from "./ControlClient";
 import { LeaseLedger } from "./LeaseLedger";
+import { completeRenewal } from "./completeRenewal";
 
 interface ServingRelayOptions {
   readonly name: string;
@@ -68,12 +71,14 @@
       viewRevision: this.view.config.revision,
     };
     const answer = await client.call<RenewResponse>("config", MessageName.Renew, request, renewDeadlineMs);
-    answer.ifRight((response) => {
+    const received = answer.toMaybe().extractNullable();
+    if (received !== null) {
+      const response = await completeRenewal(received, (part) => this.#fetchPart(part));
       if (this.view.update(response) && response.confirmed) {
         const { epoch, revision, leaseMs } = response;
         this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
       }
-    });
+    }
     this.#isRenewing = false;
   }
 
@@ -96,6 +101,12 @@
     };
   }
 
+  async #fetchPart(request: FetchConfigRequest): Promise<ConfigPart | null> {
+    const { client } = this.#options;
+    const answer = await client.call<ConfigPart>("config", MessageName.FetchConfig, request, renewDeadlineMs);
+    return answer.toMaybe().extractNullable();
+  }
+
   #getLeftMs(): number {
     const { sentAtMs, leaseMs } = this.#confirmation ?? { sentAtMs: 0, leaseMs: 0 };
     return this.#confirmation === null ? 0 : sentAtMs + leaseMs - this.#options.clock.monotonicMs();
--- /dev/null
+++ b/packages/control/completeRenewal.ts
@@ -0,0 +1,54 @@
+import { createHash } from "node:crypto";
+import { decode } from "cbor-x";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
+import type { FetchConfigRequest } from "@clementinemux/messages/FetchConfigRequest";
+import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+
+/** Asks for one part; resolves with null when no answer was received. */
+type FetchPart = (request: FetchConfigRequest) => Promise<ConfigPart | null>;
+
+// The revision that is read changes at most every few seconds, so more restarts mean a faulty peer.
+const maxTries = 4;
+// Twice the limit that control puts on a configuration.
+const maxTotalBytes = 16_777_216;
+
+/**
+ * Completes the answer to a renewal whose configuration does not fit into one frame. The result holds the whole
+ * configuration, possibly of a later or earlier revision than the answer; without it, when the fetch failed,
+ * the holder does not reach the revision of the answer and asks again with its next renewal.
+ */
+export async function completeRenewal(response: RenewResponse, fetchPart: FetchPart): Promise<RenewResponse> {
+  if (response.inParts !== true) {
+    return response;
+  }
+  for (let tried = 0; tried < maxTries; tried += 1) {
+    const first = await fetchPart({ revision: null, offset: 0 });
+    if (first === null || first.totalBytes > maxTotalBytes) {
+      return response;
+    }
+    const bytes = await readRest(first, fetchPart);
+    if (bytes !== null && createHash("sha256").update(bytes).digest("hex") === first.digest) {
+      return { ...response, config: decode(bytes) as FleetConfig };
+    }
+  }
+  return response;
+}
+
+/** Resolves with null when an answer is missing or belongs to another encoding. */
+async function readRest(first: ConfigPart, fetchPart: FetchPart): Promise<Buffer | null> {
+  const { revision, digest, totalBytes } = first;
+  const parts = [first.data];
+  for (let offset = first.data.length; offset < totalBytes;) {
+    const part = await fetchPart({ revision, offset });
+    if (part?.revision !== revision || part.digest !== digest || part.offset !== offset) {
+      return null;
+    }
+    if (part.data.length === 0) {
+      return null;
+    }
+    parts.push(part.data);
+    offset += part.data.length;
+  }
+  return Buffer.concat(parts);
+}
--- a/packages/entry/RpcLeaseClient.ts
+++ b/packages/entry/RpcLeaseClient.ts
@@ -1,3 +1,6 @@
+import { completeRenewal } from "@clementinemux/control/completeRenewal";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
+import type { FetchConfigRequest } from "@clementinemux/messages/FetchConfigRequest";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -8,6 +11,7 @@
 export class RpcLeaseClient implements LeaseClient {
   readonly #relays: RelayCaller;
   readonly #timeoutMs: number;
+  #isFetching = false;
 
   constructor(relays: RelayCaller, timeoutMs: number) {
     this.#relays = relays;
@@ -16,6 +20,24 @@
 
   async renew(request: RenewRequest): Promise<RenewResponse | null> {
     const answer = await this.#relays.call(MessageName.Renew, request, this.#timeoutMs);
-    return answer === null ? null : (answer.body as RenewResponse);
+    if (answer === null) {
+      return null;
+    }
+    const response = answer.body as RenewResponse;
+    // A fetch may outlast the interval of the renewals; a second one beside it would only slow it down.
+    if (response.inParts !== true || this.#isFetching) {
+      return response;
+    }
+    this.#isFetching = true;
+    try {
+      return await completeRenewal(response, (part) => this.#fetchPart(part));
+    } finally {
+      this.#isFetching = false;
+    }
+  }
+
+  async #fetchPart(request: FetchConfigRequest): Promise<ConfigPart | null> {
+    const answer = await this.#relays.call(MessageName.FetchConfig, request, this.#timeoutMs);
+    return answer === null ? null : (answer.body as ConfigPart);
   }
 }
--- a/packages/messages/RenewResponse.ts
+++ b/packages/messages/RenewResponse.ts
@@ -11,6 +11,8 @@
   readonly leaseMs: number;
   /** Changes after `appliedRevision`, oldest first; empty when `config` is given. */
   readonly changes: readonly RevisionChange[];
-  /** The whole configuration, when the changes are no longer held. */
+  /** The whole configuration, when the changes are no longer held and it fits into one frame. */
   readonly config: FleetConfig | null;
+  /** The holder lacks changes that do not fit: it has to fetch the configuration with `completeRenewal`. */
+  readonly inParts?: boolean;
 }
