Take an engine's report without a batch limit for none

Cause: before its first step an engine reports nothing; the agent filled in a batch limit of 0, the policy saw a full engine, and the first request waited until its deadline. Ruled out: the lease (confirmed) and the directory (the target was accepting).

Test: the report of the fake engine in agent.test.ts now has the batch limit that real reports have.

--- a/packages/agent/parseEngineLoad.ts
+++ b/packages/agent/parseEngineLoad.ts
@@ -13,7 +13,10 @@
   groupSkew: 1,
 };
 
-/** Reads an engine's load report; null when it is none. A field that is missing or no number is replaced. */
+/**
+ * Reads an engine's load report; null when it is none. Without a batch limit it is none: an engine that has not
+ * measured itself yet must not look full. Any other field that is missing or no number is replaced.
+ */
 export function parseEngineLoad(text: string): EngineLoad | null {
   let body: unknown;
   try {
@@ -25,6 +28,9 @@
     return null;
   }
   const fields = body as Record<string, unknown>;
+  if (typeof fields.batchLimitCount !== "number" || !(fields.batchLimitCount > 0)) {
+    return null;
+  }
   return Object.fromEntries(
     Object.entries(fallbacks).map(([name, fallback]) => {
       const value = fields[name];
--- a/packages/agent/test/agent.test.ts
+++ b/packages/agent/test/agent.test.ts
@@ -11,7 +11,7 @@
 import { createAgentFleet } from "./helpers/createAgentFleet";
 import { createRenewal } from "./helpers/createRenewal";
 
-const loadReport = { lagMs: 400, runningCount: 3, queuedCount: 1, kvFreeShare: 0.5 };
+const loadReport = { lagMs: 400, runningCount: 3, queuedCount: 1, kvFreeShare: 0.5, batchLimitCount: 8 };
 
 function answerAll(request: IncomingMessage, response: ServerResponse): void {
   request.resume();
--- a/packages/policy/TargetState.ts
+++ b/packages/policy/TargetState.ts
@@ -34,7 +34,9 @@
   }
 
   get batchLimitCount(): number {
-    return this.#view.load?.batchLimitCount ?? defaultBatchLimit;
+    // A report of 0 would keep every request in the queue for ever.
+    const reported = this.#view.load?.batchLimitCount ?? 0;
+    return reported > 0 ? reported : defaultBatchLimit;
   }
 
   setView(view: TargetView, nowMs: number): void {
@@ -77,7 +79,7 @@
   }
 
   #getReportedFactor(load: LoadReport | null): number {
-    return load === null ? 1 : getBatchFactor(load.runningCount, load.batchLimitCount);
+    return load === null ? 1 : getBatchFactor(load.runningCount, this.batchLimitCount);
   }
 }
 
