--- a/packages/bench/control/runControlBench.ts
+++ b/packages/bench/control/runControlBench.ts
@@ -34,9 +34,13 @@
   }));
   const near = await runOnFleet(programs, 1, (fleet) => measureClaims(fleet, "1ms"));
   const far = await runOnFleet(programs, 1.5, (fleet) => measureClaims(fleet, "1_5ms"));
+  const grouped = {
+    ...(await measureGroupClaims(programs, 1)),
+    ...(await measureGroupClaims(programs, 4)),
+  };
   const sum = (name: string): number =>
     [direct, near, far].reduce((total, run) => total + (run[name] ?? 0), 0);
-  return { ...direct, ...near, ...far, ranTwice: sum("ranTwice") };
+  return { ...direct, ...near, ...far, ...grouped, ranTwice: sum("ranTwice") };
 }
 
 async function runOnFleet(
@@ -192,19 +196,56 @@
   return { lostAcknowledged, reverted };
 }
 
-async function measureClaims(fleet: ControlFleet, suffix: string): Promise<Figures> {
+/** Rate of grants under concurrent claims. */
+async function measureRate(claimOnce: () => Promise<unknown>, getGranted: () => number): Promise<number> {
+  const startMs = performance.now();
+  const startGranted = getGranted();
+  await Promise.all(
+    Array.from({ length: claimConcurrency }, async () => {
+      while (performance.now() - startMs < claimRunMs) {
+        await claimOnce();
+      }
+    }),
+  );
+  return Math.round(((getGranted() - startGranted) * 1000) / (performance.now() - startMs));
+}
+
+/** Claims on several groups of one process, which each sync their own log. */
+async function measureGroupClaims(programs: string, claimGroups: number): Promise<Figures> {
+  const fleet = await ControlFleet.start({ replicas: 1, claimGroups }, programs);
   const client = fleet.createClient();
-  let next = 0;
   let granted = 0;
-  let ranTwice = 0;
-  const createClaim = (key: string, entry: string): ClaimRequest => ({
+  try {
+    const claimOnce = async (): Promise<void> => {
+      const answer = await client.claim(
+        createClaim(`key-${granted}-${Math.random()}`, "entry-1"),
+        deadlineMs,
+      );
+      granted += answer.unsafeCoerce().state === ClaimState.Granted ? 1 : 0;
+    };
+    return { [`claimsPerS_${claimGroups}groups`]: await measureRate(claimOnce, () => granted) };
+  } finally {
+    client.close();
+    await fleet.stop();
+  }
+}
+
+function createClaim(key: string, entry: string): ClaimRequest {
+  return {
     team: "bench",
     key,
     bodyDigest: "d",
     claimant: { entry, incarnation: "1" },
     requestId: `${entry}-${key}`,
     createdAtMs: null,
-  });
+  };
+}
+
+async function measureClaims(fleet: ControlFleet, suffix: string): Promise<Figures> {
+  const client = fleet.createClient();
+  let next = 0;
+  let granted = 0;
+  let ranTwice = 0;
   const claimOnce = async (): Promise<number> => {
     const key = `key-${next}`;
     next += 1;
@@ -217,16 +258,7 @@
   for (let index = 0; index < 300; index += 1) {
     aloneMs.push(await claimOnce());
   }
-  const startMs = performance.now();
-  const startGranted = granted;
-  await Promise.all(
-    Array.from({ length: claimConcurrency }, async () => {
-      while (performance.now() - startMs < claimRunMs) {
-        await claimOnce();
-      }
-    }),
-  );
-  const claimsPerS = Math.round(((granted - startGranted) * 1000) / (performance.now() - startMs));
+  const claimsPerS = await measureRate(claimOnce, () => granted);
   // A second entry claims keys that the first holds, across a failover; none may be granted again.
   await fleet.kill(await fleet.waitForLeader("claims-0"));
   for (let index = 0; index < 200; index += 1) {
