Cancel a claim by its request when the answer to the claim was lost

Cause: a claimant whose answer was lost did not know the attempt. It asked once more and gave up when that failed too, so the key stayed claimed and every resend of the caller was refused for an hour.

Change: `cancelClaim` and `completeClaim` name the request. A cancellation without attempt cancels what the request holds; only that request may dispatch under its claim, so this is safe. The cancelled request is remembered (the newest 16 for each open key), because a claim that is still on its way must not be granted after the cancellation. A claim that is made again after a refusal by the agent is a request of its own. The entry repeats the cancellation in the background, 30 times with jitter, until control answers.

Seen red: without the background cancellation, with one try, without the memory of cancelled requests, and with claimants that are told apart without the request.

--- a/packages/control/ClaimMachine.ts
+++ b/packages/control/ClaimMachine.ts
@@ -15,6 +15,11 @@
 // No deadline is longer than this, so a claim that is still open has lost its claimant.
 const openClaimMs = 3_600_000;
 
+// Only claims that are still on their way when their cancellation commits need to be recognised.
+const maxCancelled = 16;
+
+type Requester = Pick<ClaimRequest, "claimant" | "requestId">;
+
 const answerStates = {
   [ClaimRecordState.Claimed]: ClaimState.InProgress,
   [ClaimRecordState.Cancelled]: ClaimState.InProgress,
@@ -104,14 +109,15 @@
       return { state: ClaimState.KeyExpired, attempt: 0, answer: null };
     }
     const record = this.#records.get(getRecordKey(team, key));
-    if (record !== undefined && record.bodyDigest !== bodyDigest) {
+    if (record !== undefined && record.attempt > 0 && record.bodyDigest !== bodyDigest) {
       return { state: ClaimState.KeyReused, attempt: record.attempt, answer: null };
     }
     if (record === undefined || record.state === ClaimRecordState.Cancelled) {
-      return this.#grant(request, (record?.attempt ?? 0) + 1);
+      return record?.cancelled.includes(getRequestName(request)) === true
+        ? this.#answer(record, ClaimState.InProgress)
+        : this.#grant(request, record);
     }
-    const isSame = isSameClaimant(record.claimant, claimant) && record.requestId === request.requestId;
-    if (isSame && record.state === ClaimRecordState.Claimed) {
+    if (isHeldBy(record, request) && record.state === ClaimRecordState.Claimed) {
       return this.#answer(record, ClaimState.Granted);
     }
     const state = this.#getState(record);
@@ -122,17 +128,20 @@
     return this.#answer(record, state);
   }
 
-  #grant(request: ClaimRequest, attempt: number): ClaimResponse {
+  #grant(request: ClaimRequest, earlier: ClaimRecord | undefined): ClaimResponse {
+    const attempt = (earlier?.attempt ?? 0) + 1;
+    const cancelled = earlier?.cancelled ?? [];
     const { team, key, bodyDigest, claimant, requestId } = request;
     const state = ClaimRecordState.Claimed;
-    this.#put(team, key, { bodyDigest, claimant, requestId, attempt, state, answer: null });
+    this.#put(team, key, { bodyDigest, claimant, requestId, attempt, state, answer: null, cancelled });
     return { state: ClaimState.Granted, attempt, answer: null };
   }
 
   /** Returns the answer, or the text of the refusal. */
-  #complete({ team, key, claimant, attempt, answer }: CompleteClaimRequest): ClaimResponse | string {
+  #complete(request: CompleteClaimRequest): ClaimResponse | string {
+    const { team, key, attempt, answer } = request;
     const record = this.#records.get(getRecordKey(team, key));
-    if (record?.attempt !== attempt || !isSameClaimant(record.claimant, claimant)) {
+    if (record?.attempt !== attempt || !isHeldBy(record, request)) {
       return "only the claimant of the present attempt may complete a claim";
     }
     if (record.state === ClaimRecordState.Cancelled) {
@@ -147,18 +156,49 @@
   }
 
   /** Returns whether the claim is cancelled, or the text of the refusal. */
-  #cancel({ team, key, claimant, attempt }: CancelClaimRequest): { readonly cancelled: boolean } | string {
+  #cancel(request: CancelClaimRequest): { readonly cancelled: boolean } | string {
+    const { team, key, attempt } = request;
     const record = this.#records.get(getRecordKey(team, key));
-    if (record?.attempt !== attempt || !isSameClaimant(record.claimant, claimant)) {
+    const isHeld = record !== undefined && isHeldBy(record, request);
+    if (attempt !== null && (!isHeld || record.attempt !== attempt)) {
       return "only the claimant of the present attempt may cancel a claim";
     }
+    if (record === undefined) {
+      return { cancelled: this.#rememberCancellation(request) };
+    }
+    if (!isHeld) {
+      this.#addCancelled(record, request);
+      return { cancelled: true };
+    }
     if (record.state === ClaimRecordState.Claimed) {
-      this.#put(team, key, { ...record, state: ClaimRecordState.Cancelled });
+      this.#addCancelled({ ...record, state: ClaimRecordState.Cancelled }, request);
       return { cancelled: true };
     }
     return { cancelled: record.state === ClaimRecordState.Cancelled };
   }
 
+  /** A claim that is still on its way must not be granted after the cancellation that gave it up. */
+  #rememberCancellation(request: CancelClaimRequest): boolean {
+    const { team, key, claimant, requestId } = request;
+    if (this.#tombstones.has(getTombstone(team, key))) {
+      return false;
+    }
+    const state = ClaimRecordState.Cancelled;
+    const empty = { bodyDigest: "", claimant, requestId, attempt: 0, state, answer: null, cancelled: [] };
+    this.#addCancelled(empty, request);
+    return true;
+  }
+
+  #addCancelled(record: Omit<ClaimRecord, "changedAtMs">, request: CancelClaimRequest): void {
+    const name = getRequestName(request);
+    // A finished claim is never granted again, so late claims of its key do no harm.
+    const isOpen = record.state === ClaimRecordState.Claimed || record.state === ClaimRecordState.Cancelled;
+    if (isOpen && !record.cancelled.includes(name)) {
+      const cancelled = [...record.cancelled, name].slice(-maxCancelled);
+      this.#put(request.team, request.key, { ...record, cancelled });
+    }
+  }
+
   #put(team: string, key: string, record: Omit<ClaimRecord, "changedAtMs">): ClaimRecord {
     const recordKey = getRecordKey(team, key);
     const changed = { ...record, changedAtMs: this.#nowMs };
@@ -187,8 +227,13 @@
   }
 }
 
-function isSameClaimant(left: Claimant, right: Claimant): boolean {
-  return left.entry === right.entry && left.incarnation === right.incarnation;
+function isHeldBy(record: ClaimRecord, request: Requester): boolean {
+  return getRequestName(record) === getRequestName(request);
+}
+
+/** Lengths keep the names of different claimants apart, whatever characters they hold. */
+function getRequestName({ claimant: { entry, incarnation }, requestId }: Requester): string {
+  return `${entry.length}:${entry}${incarnation.length}:${incarnation}${requestId}`;
 }
 
 /** Lengths keep the keys of different teams apart, whatever characters they hold. */
--- a/packages/control/ClaimService.ts
+++ b/packages/control/ClaimService.ts
@@ -35,8 +35,19 @@
     requestId: text,
     createdAtMs: z.number().int().min(0).nullable(),
   }),
-  [ClaimCommandKind.Complete]: z.strictObject({ ...place, claimant, attempt, answer: answer.nullable() }),
-  [ClaimCommandKind.Cancel]: z.strictObject({ ...place, claimant, attempt }),
+  [ClaimCommandKind.Complete]: z.strictObject({
+    ...place,
+    claimant,
+    requestId: text,
+    attempt,
+    answer: answer.nullable(),
+  }),
+  [ClaimCommandKind.Cancel]: z.strictObject({
+    ...place,
+    claimant,
+    requestId: text,
+    attempt: attempt.nullable(),
+  }),
 };
 
 /** What the leaders of the claim groups answer. */
--- a/packages/control/test/machines.test.ts
+++ b/packages/control/test/machines.test.ts
@@ -173,7 +173,7 @@
 }
 
 function finish(machine: ClaimMachine, kind: ClaimCommandKind, nowMs: number, parts: object = {}): unknown {
-  const request = { team: "t", key: "k", claimant: one, attempt: 1, answer, ...parts };
+  const request = { team: "t", key: "k", claimant: one, requestId: "r", attempt: 1, answer, ...parts };
   return machine.apply({ kind, request, nowMs, ...timing });
 }
 
@@ -216,6 +216,28 @@
   t.end();
 });
 
+// Guards against a key that stays claimed by a request that gave it up without knowing its attempt.
+t.test("cancellation by request id, before and after the claim arrives", (t) => {
+  const machine = new ClaimMachine();
+  const given = { attempt: null, requestId: "lost" };
+  claim(machine, 1, { requestId: "lost" });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 2, { ...given, claimant: two }), { cancelled: true });
+  t.equal(claim(machine, 3).state, ClaimState.InProgress);
+  t.same(finish(machine, ClaimCommandKind.Cancel, 4, given), { cancelled: true });
+  t.equal(claim(machine, 5, { requestId: "lost" }).state, ClaimState.InProgress);
+  t.match(claim(machine, 6), { state: ClaimState.Granted, attempt: 2 });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 7, given), { cancelled: true });
+  t.match(claim(machine, 8), { state: ClaimState.Granted, attempt: 2 });
+  t.type(finish(machine, ClaimCommandKind.Complete, 9, { attempt: 2, requestId: "lost" }), "string");
+  const late = { key: "late", requestId: "lost" };
+  t.same(finish(machine, ClaimCommandKind.Cancel, 10, { ...given, key: "late" }), { cancelled: true });
+  t.equal(claim(machine, 11, late).state, ClaimState.InProgress);
+  t.match(claim(machine, 12, { key: "late" }), { state: ClaimState.Granted, attempt: 1 });
+  finish(machine, ClaimCommandKind.Complete, 13, { attempt: 2 });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 14, { attempt: null }), { cancelled: false });
+  t.end();
+});
+
 // Guards against running a key again once its recorded response has been dropped.
 t.test("tombstones refuse late resends, also after a snapshot", (t) => {
   const machine = new ClaimMachine();
@@ -252,6 +274,7 @@
         } else {
           finish(machine, kind === "cancel" ? ClaimCommandKind.Cancel : ClaimCommandKind.Complete, index, {
             claimant: by,
+            requestId,
             attempt: granted.size || 1,
           });
         }
--- a/packages/entry/ClaimClient.ts
+++ b/packages/entry/ClaimClient.ts
@@ -9,6 +9,6 @@
   claim(request: ClaimRequest): Promise<ClaimResponse | null>;
   /** Resolves with whether the answer is known to be recorded. */
   complete(request: CompleteClaimRequest): Promise<boolean>;
-  /** Resolves with whether the cancellation is known to be committed. */
-  cancel(request: CancelClaimRequest): Promise<boolean>;
+  /** Resolves with whether the claim is cancelled; null when no committed answer was received. */
+  cancel(request: CancelClaimRequest): Promise<boolean | null>;
 }
--- a/packages/entry/ClaimGuard.ts
+++ b/packages/entry/ClaimGuard.ts
@@ -1,27 +1,47 @@
+import type { Random } from "@clementinemux/common/Random";
+import type { CancelClaimRequest } from "@clementinemux/messages/CancelClaimRequest";
 import type { ClaimRequest } from "@clementinemux/messages/ClaimRequest";
 import type { ClaimResponse } from "@clementinemux/messages/ClaimResponse";
 import { ClaimState } from "@clementinemux/messages/ClaimState";
 import type { RecordedAnswer } from "@clementinemux/messages/RecordedAnswer";
 import type { ClaimClient } from "./ClaimClient";
 
+interface RetryTiming {
+  readonly random: Random;
+  readonly wait: (ms: number) => Promise<unknown>;
+}
+
+type CancelKey = Pick<CancelClaimRequest, "team" | "key" | "claimant" | "requestId">;
+
+// About two minutes with the client's own timeouts on top; control that is away for longer lets the claim end as
+// unknown by its age.
+const maxCancelTries = 30;
+const firstBackoffMs = 200;
+const maxBackoffMs = 5000;
+
 /** Claim of one non-repeatable request: at most one dispatch for each granted attempt. */
 export class ClaimGuard {
   readonly #client: ClaimClient;
-  readonly #request: ClaimRequest;
+  readonly #first: ClaimRequest;
+  readonly #timing: RetryTiming;
+  #request: ClaimRequest;
+  #renewals = 0;
   #attempt = 0;
   #held = false;
   #dispatched = false;
 
-  constructor(client: ClaimClient, request: ClaimRequest) {
+  constructor(client: ClaimClient, request: ClaimRequest, timing: RetryTiming) {
     this.#client = client;
+    this.#first = request;
     this.#request = request;
+    this.#timing = timing;
   }
 
   /** Resolves with null when no committed answer was received; the request must then not be dispatched. */
   async claim(): Promise<ClaimResponse | null> {
     const answer = await this.#client.claim(this.#request);
     if (answer === null) {
-      void this.#giveUpLostClaim();
+      void this.#giveUpLostClaim(this.#request);
       return null;
     }
     this.#attempt = answer.attempt;
@@ -36,8 +56,13 @@
    */
   async takeDispatch(): Promise<boolean> {
     if (this.#held && this.#dispatched) {
-      const isRenewed = (await this.cancel()) && (await this.claim())?.state === ClaimState.Granted;
-      if (!isRenewed) {
+      if (!(await this.cancel())) {
+        return false;
+      }
+      // A cancelled request is granted nothing more, so a claim that was repeated on its way does no harm.
+      this.#renewals += 1;
+      this.#request = { ...this.#first, requestId: `${this.#first.requestId}/${this.#renewals}` };
+      if ((await this.claim())?.state !== ClaimState.Granted) {
         return false;
       }
     }
@@ -54,7 +79,7 @@
       return true;
     }
     this.#held = false;
-    return this.#client.cancel({ ...this.#getKey(), attempt: this.#attempt });
+    return (await this.#client.cancel({ ...getKey(this.#request), attempt: this.#attempt })) === true;
   }
 
   /** Records the answer, or with null that the outcome is unknown. */
@@ -63,23 +88,27 @@
       return false;
     }
     this.#held = false;
-    return this.#client.complete({ ...this.#getKey(), attempt: this.#attempt, answer });
+    return this.#client.complete({ ...getKey(this.#request), attempt: this.#attempt, answer });
   }
 
   /**
-   * The claim may be committed although its answer was lost. It is asked for again to learn the attempt, and
-   * cancelled so that a resend may run. A cancellation with a guessed attempt could hit the claim of another
-   * request of this entry with the same key.
+   * The claim may be committed although its answer was lost. It is cancelled by the request's id, so that a resend
+   * by the caller may run. That is safe without the attempt: only this request may dispatch under its claim, and
+   * it does not.
    */
-  async #giveUpLostClaim(): Promise<void> {
-    const answer = await this.#client.claim(this.#request);
-    if (answer?.state === ClaimState.Granted) {
-      await this.#client.cancel({ ...this.#getKey(), attempt: answer.attempt });
+  async #giveUpLostClaim(request: ClaimRequest): Promise<void> {
+    const cancellation = { ...getKey(request), attempt: null };
+    let backoffMs = firstBackoffMs;
+    for (let tried = 0; tried < maxCancelTries; tried += 1) {
+      if ((await this.#client.cancel(cancellation)) !== null) {
+        return;
+      }
+      await this.#timing.wait(backoffMs * (0.5 + this.#timing.random()));
+      backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
     }
   }
+}
 
-  #getKey(): Pick<ClaimRequest, "team" | "key" | "claimant"> {
-    const { team, key, claimant } = this.#request;
-    return { team, key, claimant };
-  }
+function getKey({ team, key, claimant, requestId }: ClaimRequest): CancelKey {
+  return { team, key, claimant, requestId };
 }
--- a/packages/entry/ControlClaimClient.ts
+++ b/packages/entry/ControlClaimClient.ts
@@ -24,9 +24,9 @@
     return (await this.#control.completeClaim(request, this.#timeoutMs)).isRight();
   }
 
-  async cancel(request: CancelClaimRequest): Promise<boolean> {
+  async cancel(request: CancelClaimRequest): Promise<boolean | null> {
     const answer = getOrNull(await this.#control.cancelClaim(request, this.#timeoutMs));
-    return answer?.cancelled === true;
+    return answer?.cancelled ?? null;
   }
 }
 
--- a/packages/entry/RequestIntake.ts
+++ b/packages/entry/RequestIntake.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-
+import { setTimeout as delay } from "node:timers/promises";
 import type * as z from "zod";
 import { Outcome } from "@clementinemux/common/Outcome";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
@@ -179,18 +179,19 @@
       this.#refuse(arrival, RefusalReason.BadRequest, Outcome.NotRun);
       return null;
     }
-    const { claims, claimant } = this.#options;
+    const { claims, claimant, context } = this.#options;
     const bodyDigest = createHash("sha256")
       .update(`${method ?? ""} ${arrival.path}\n`)
       .update(body);
-    const claim = new ClaimGuard(claims, {
+    const request = {
       team: arrival.team,
       key,
       bodyDigest: bodyDigest.digest("hex"),
       claimant,
       requestId: arrival.requestId,
       createdAtMs: Number.isFinite(createdAtMs) ? createdAtMs : null,
-    });
+    };
+    const claim = new ClaimGuard(claims, request, { random: context.random, wait });
     const answer = await claim.claim();
     if (answer === null) {
       this.#refuse(arrival, RefusalReason.ClaimUnavailable, Outcome.NotRun);
@@ -276,6 +277,11 @@
   }
 }
 
+/** Does not keep a process alive that has nothing else to do. */
+function wait(ms: number): Promise<unknown> {
+  return delay(ms, undefined, { ref: false });
+}
+
 function isMarkedOnce(headers: IncomingHttpHeaders): boolean {
   return headers[headerNames.idempotencyMode] === "once";
 }
--- a/packages/entry/test/MemoryClaims.ts
+++ b/packages/entry/test/MemoryClaims.ts
@@ -19,6 +19,7 @@
 export class MemoryClaims implements ClaimClient {
   available = true;
   losesCancelAnswers = false;
+  losesClaimAnswers = false;
   cancelCount = 0;
   readonly #held = new Map<string, Held>();
 
@@ -36,7 +37,8 @@
       const { bodyDigest, requestId } = request;
       const state = ClaimState.InProgress;
       this.#held.set(name, { bodyDigest, requestId, attempt, state, answer: null, cancelled: false });
-      return Promise.resolve({ state: ClaimState.Granted, attempt, answer: null });
+      const granted = { state: ClaimState.Granted, attempt, answer: null };
+      return Promise.resolve(this.losesClaimAnswers ? null : granted);
     }
     const isOwn = known.requestId === request.requestId && known.state === ClaimState.InProgress;
     const state = isOwn ? ClaimState.Granted : known.state;
@@ -45,19 +47,22 @@
 
   complete(request: CompleteClaimRequest): Promise<boolean> {
     const known = this.#held.get(`${request.team}|${request.key}`);
-    if (known?.attempt === request.attempt) {
+    if (known?.requestId === request.requestId && known.attempt === request.attempt) {
       known.state = request.answer === null ? ClaimState.OutcomeUnknown : ClaimState.Recorded;
       known.answer = request.answer;
     }
     return Promise.resolve(true);
   }
 
-  cancel(request: CancelClaimRequest): Promise<boolean> {
+  cancel(request: CancelClaimRequest): Promise<boolean | null> {
+    if (!this.available) {
+      return Promise.resolve(null);
+    }
     this.cancelCount += 1;
     const known = this.#held.get(`${request.team}|${request.key}`);
-    if (known?.attempt === request.attempt) {
+    if (known?.requestId === request.requestId && known.attempt === (request.attempt ?? known.attempt)) {
       known.cancelled = true;
     }
-    return Promise.resolve(!this.losesCancelAnswers);
+    return Promise.resolve(this.losesCancelAnswers ? null : true);
   }
 }
--- a/packages/entry/test/atMostOnce.test.ts
+++ b/packages/entry/test/atMostOnce.test.ts
@@ -1,6 +1,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
 import { request as requestHttp } from "undici";
+import { ClaimGuard } from "@clementinemux/entry/ClaimGuard";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+import { MemoryClaims } from "./MemoryClaims";
 import { startFleet } from "./startFleet";
 
 interface Reply {
@@ -83,6 +86,46 @@
   await fleet.stop();
 });
 
+// Guards against a key that stays claimed, so that resends are refused, after the answer to its claim was lost.
+t.test("resend runs after a claim whose answer was lost", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  fleet.claims.losesClaimAnswers = true;
+  const lost = order(fleet.urls[0]!, "lot 14", once("k14"));
+  t.match(await lost, { status: 503, body: { reason: "claim_unavailable", outcome: "not_run" } });
+  fleet.claims.losesClaimAnswers = false;
+  let resent = await order(fleet.urls[0]!, "lot 14", once("k14"));
+  for (let round = 0; resent.status !== 200 && round < 100; round += 1) {
+    await delay(20);
+    resent = await order(fleet.urls[0]!, "lot 14", once("k14"));
+  }
+  t.match(resent, { status: 200, body: { execution: 1 } });
+  await fleet.stop();
+});
+
+// Guards against a lost claim that is given up only once, while control does not answer.
+t.test("lost claim is cancelled once control answers again", async (t) => {
+  const claims = new MemoryClaims();
+  const waits: number[] = [];
+  const wait = (ms: number): Promise<void> => {
+    waits.push(ms);
+    claims.available = waits.length >= 3;
+    return Promise.resolve();
+  };
+  const claimant = { entry: "entry-1", incarnation: "1" };
+  const request = { team: "t", key: "k", bodyDigest: "d", claimant, requestId: "r1", createdAtMs: null };
+  claims.losesClaimAnswers = true;
+  const lost = new ClaimGuard(claims, request, { random: () => 0.5, wait }).claim();
+  claims.available = false;
+  t.equal(await lost, null);
+  while (waits.length < 3) {
+    await delay(1);
+  }
+  await delay(5);
+  t.same(waits, [200, 400, 800]);
+  claims.losesClaimAnswers = false;
+  t.match(await claims.claim({ ...request, requestId: "r2" }), { state: ClaimState.Granted, attempt: 2 });
+});
+
 // Guards against a lost answer when the caller leaves while the service runs its call.
 t.test("answer is recorded although the caller has left", async (t) => {
   const fleet = await startFleet({ serviceCount: 1, executionMs: 150 });
--- a/packages/messages/CompleteClaimRequest.ts
+++ b/packages/messages/CompleteClaimRequest.ts
@@ -6,6 +6,7 @@
   readonly team: string;
   readonly key: string;
   readonly claimant: Claimant;
+  readonly requestId: string;
   readonly attempt: number;
   readonly answer: RecordedAnswer | null;
 }
