Let a service require a key for calls with a body

Cause: a call without an `Idempotency-Key` to a service that may not run twice is dispatched once, but a resend by the caller cannot be recognised and runs again.

Change: `keyRequired` (default false, optional in a proposed change) in a service's defaults. A call with a body, not repeatable and without a key is then refused as `bad_request` with `not_run`. Seen red without the check.

--- a/packages/control/ProposeSchema.ts
+++ b/packages/control/ProposeSchema.ts
@@ -50,7 +50,14 @@
   tokenGapTimeoutMs: durationMs,
   claimRetentionMs: durationMs,
   tombstoneRetentionMs: durationMs,
-  services: z.record(key, z.strictObject({ repeatable: z.boolean(), timeoutMs: durationMs })),
+  services: z.record(
+    key,
+    z.strictObject({
+      repeatable: z.boolean(),
+      timeoutMs: durationMs,
+      keyRequired: z.boolean().default(false),
+    }),
+  ),
   groups: z.strictObject({
     skewWeight: weight,
     costWeight: weight,
--- a/packages/control/test/machines.test.ts
+++ b/packages/control/test/machines.test.ts
@@ -79,6 +79,12 @@
     const request = { author: "ann", requestId: "r", baseRevision: 0, change };
     t.equal(ProposeSchema.safeParse(request).success, false);
   }
+  const services = { orders: { repeatable: false, timeoutMs: 100 } };
+  const listed = { kind: ConfigChangeKind.SetDefaults, defaults: { ...defaults, services } };
+  const request = { author: "ann", requestId: "r", baseRevision: 0, change: listed };
+  t.match(ProposeSchema.parse(request), {
+    change: { defaults: { services: { orders: { keyRequired: false } } } },
+  });
   const machine = new ConfigMachine();
   const unknown = { kind: ConfigChangeKind.RemoveException, exceptionId: "x", reason: "done" };
   t.equal(propose(machine, { change: unknown }).outcome, ProposeOutcome.Invalid);
--- a/packages/entry/RequestIntake.ts
+++ b/packages/entry/RequestIntake.ts
@@ -44,7 +44,7 @@
 const traceparent = /^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$/;
 const maxKeyLength = 256;
 // A service that is not listed gets the treatment that cannot do harm.
-const unlistedService = { repeatable: false, timeoutMs: 30_000 };
+const unlistedService = { repeatable: false, timeoutMs: 30_000, keyRequired: false };
 
 /** Turns callers' requests into sessions: reads the body, claims the key, and hands over to the policy. */
 export class RequestIntake {
@@ -91,6 +91,11 @@
     const treatment = defaults.services[service] ?? unlistedService;
     const repeatable = treatment.repeatable && !isMarkedOnce(headers);
     const hasKey = headers[headerNames.idempotencyKey] !== undefined;
+    // Without a key a resend of the call could not be recognised and would run again.
+    if (treatment.keyRequired && !repeatable && body.length > 0 && !hasKey) {
+      this.#refuse(arrival, RefusalReason.BadRequest, Outcome.NotRun);
+      return;
+    }
     const policyRequest = this.#createPolicyRequest(arrival, TargetKind.Service, service, repeatable, null);
     const admitted = await this.#admit(arrival, policyRequest, hasKey && !repeatable, body);
     if (admitted === null) {
--- a/packages/entry/test/atMostOnce.test.ts
+++ b/packages/entry/test/atMostOnce.test.ts
@@ -183,10 +183,28 @@
 
 // Guards against a service call that blocks for ever, and its repetition.
 t.test("service without an answer is unknown after its timeout", async (t) => {
-  const services = { orders: { repeatable: false, timeoutMs: 100 } };
+  const services = { orders: { repeatable: false, timeoutMs: 100, keyRequired: false } };
   const fleet = await startFleet({ serviceCount: 1, defaults: { services } });
   fleet.services[0]!.frozen = true;
   t.match(await order(fleet.urls[0]!, "lot 10", once("k10")), { status: 502, body: { outcome: "unknown" } });
   t.equal(fleet.services[0]!.executions.get("lot 10"), 1);
   await fleet.stop();
 });
+
+// Guards against a call that runs twice because the resend of a call without a key cannot be recognised.
+t.test("service that requires a key refuses a body without one", async (t) => {
+  const orders = { repeatable: false, timeoutMs: 1000, keyRequired: true };
+  const fleet = await startFleet({ serviceCount: 1, defaults: { services: { orders } } });
+  const refused = await order(fleet.urls[0]!, "lot 15");
+  t.match(refused, { status: 400, body: { reason: "bad_request", outcome: "not_run" } });
+  t.notOk(fleet.services[0]!.executions.has("lot 15"));
+  t.match(await order(fleet.urls[0]!, "lot 15", { "idempotency-key": "k15" }), { status: 200 });
+  t.match(await order(fleet.urls[0]!, ""), { status: 200 });
+  await fleet.stop();
+  const free = await startFleet({
+    serviceCount: 1,
+    defaults: { services: { orders: { ...orders, repeatable: true } } },
+  });
+  t.match(await order(free.urls[0]!, "lot 16"), { status: 200 });
+  await free.stop();
+});
