--- a/model/run.sh
+++ b/model/run.sh
@@ -6,7 +6,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 # A search that needs more than this is a fault of the bounds and must not take the machine down.
-memory_mb=6000
+memory_mb=3500
 failed=0
 
 # check SPEC VARIANT...: the specification as built, then each variant; one that starts with + is another bound
