Run the group lead in the elected agent, with a stand-in group on HTTP

An agent with rankGroup settings asks control for its group's lease and loads the planner and the clients of the other agents only when elected. Orders go through the other agents' doors: stamp first, then the own lease, then the order.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -18,6 +18,7 @@
 import { OrderGate } from "./OrderGate";
 import { RelayLink } from "./RelayLink";
 import { TargetClient } from "./TargetClient";
+import type { RankMember } from "./rank/RankMember";
 import { createAgentServer } from "./createAgentServer";
 import { createIncarnation } from "./createIncarnation";
 import { readTlsFiles } from "./readTlsFiles";
@@ -25,6 +26,9 @@
 /** Told when the agent starts or stops accepting work. */
 type LogState = (reason: AgentRefusal | null, revision: number) => void;
 
+/** Told what the agent does as the lead of its rank group. */
+type LogLead = (fields: Readonly<Record<string, string | number>>, text: string) => void;
+
 const drainCheckIntervalMs = 50;
 
 /** Stands beside one target: announces it and is the only way to it. */
@@ -45,23 +49,36 @@
   readonly #orders: OrderDesk;
   readonly #relays: RelayLink;
   readonly #logState: LogState;
+  readonly #logLead: LogLead;
+  readonly #incarnation: string;
+  readonly #orderGate: OrderGate;
+  /** Null for a target that is no rank of a group. */
+  #member: RankMember | null = null;
   #loggedReason: AgentRefusal | null = AgentRefusal.LeaseExpired;
   #server: Server | null = null;
   #stopped = false;
 
-  constructor(settings: z.output<typeof AgentSettings>, clock: Clock, logState: LogState = () => undefined) {
+  constructor(
+    settings: z.output<typeof AgentSettings>,
+    clock: Clock,
+    logState: LogState = () => undefined,
+    logLead: LogLead = () => undefined,
+  ) {
     this.#settings = settings;
     this.#logState = logState;
+    this.#logLead = logLead;
     this.#clock = clock;
     const incarnation = createIncarnation(clock.wallMs());
+    this.#incarnation = incarnation;
     const targetAddress = parseAddress(settings.targetAddress);
     this.#view = new ConfigView(settings);
     this.#gate = new AdmissionGate(incarnation, this.#view);
     this.#forwarder = new Forwarder(targetAddress);
     this.#target = new TargetClient(targetAddress);
     this.#load = new LoadPoller(this.#target, settings.loadPath, clock);
+    this.#orderGate = new OrderGate(incarnation, this.#view);
     this.#orders = new OrderDesk({
-      gate: new OrderGate(incarnation, this.#view),
+      gate: this.#orderGate,
       client: this.#target,
       path: settings.orderPath,
       clock,
@@ -90,6 +107,7 @@
       server.once("error", reject);
       server.listen(port, host, resolve);
     });
+    await this.#joinGroup();
     const isRunning = (): boolean => !this.#stopped;
     void periodic(heartbeatIntervalMs)
       .takeWhile(isRunning)
@@ -129,6 +147,7 @@
   /** Stops at once; requests in flight are cut off. */
   async stop(): Promise<void> {
     this.#stopped = true;
+    this.#member?.stop();
     this.#relays.close();
     this.#target.close();
     const server = this.#server;
@@ -149,6 +168,32 @@
     this.#forwarder.close();
   }
 
+  async #joinGroup(): Promise<void> {
+    const { rankGroup, group, target, host, port, relays, tls } = this.#settings;
+    if (rankGroup === undefined || group === "") {
+      return;
+    }
+    const { RankMember } = await import("./rank/RankMember");
+    this.#member = new RankMember({
+      group,
+      target,
+      address: `${host}:${port}`,
+      incarnation: this.#incarnation,
+      settings: rankGroup,
+      controlReplicas: rankGroup.controlReplicas ?? relays,
+      tls: readTlsFiles(tls),
+      client: this.#target,
+      clock: this.#clock,
+      createStamp: () => this.#gate.createStamp(this.#clock.monotonicMs()),
+      getEpochSeen: () => this.#orderGate.highestEpoch,
+      getGroups: () => this.#view.config.groups,
+      getOrderMaxAgeMs: () => this.#view.config.orderMaxAgeMs,
+      callRelay: (name, body) => this.#relays.call(name, body),
+      log: this.#logLead,
+    });
+    this.#member.start();
+  }
+
   #logChange(): void {
     const reason = this.#gate.getClosedReason(this.#clock.monotonicMs());
     if (reason !== this.#loggedReason) {
@@ -197,10 +242,10 @@
     const { url = "" } = request;
     if (url.startsWith("/agent/")) {
       const route = Object.hasOwn(routes, url) ? routes[url] : undefined;
-      if (route === undefined) {
-        response.writeHead(404).end();
-      } else {
+      if (route !== undefined) {
         route();
+      } else if (this.#member?.handle(request, response) !== true) {
+        response.writeHead(404).end();
       }
       return;
     }
--- a/packages/agent/AgentConfig.ts
+++ b/packages/agent/AgentConfig.ts
@@ -1,3 +1,4 @@
+import type { GroupDefaults } from "@clementinemux/fleet/GroupDefaults";
 import type { TargetDrain } from "@clementinemux/fleet/TargetDrain";
 
 /** The part of the fleet's configuration that concerns one agent; the rest is not kept. */
@@ -8,4 +9,5 @@
   readonly orderMaxAgeMs: number;
   /** Whether requests to this target may run twice. */
   readonly repeatable: boolean;
+  readonly groups: GroupDefaults;
 }
--- a/packages/agent/AgentSettings.ts
+++ b/packages/agent/AgentSettings.ts
@@ -1,6 +1,7 @@
 import * as z from "zod";
 import { TargetKind } from "@clementinemux/common/TargetKind";
 import { TargetRole } from "@clementinemux/common/TargetRole";
+import { RankGroupSettings } from "./RankGroupSettings";
 
 const port = z.number().int().min(1).max(65_535);
 
@@ -19,6 +20,8 @@
   service: z.string().default(""),
   group: z.string().default(""),
   rank: z.number().int().min(0).max(1023).default(0),
+  /** Shape of the group and intervals of its lead, equal in all agents of the group; absent: no lead is elected. */
+  rankGroup: RankGroupSettings.optional(),
   checksFencing: z.boolean().default(false),
   /** `host:port` of the target itself, on the same machine. */
   targetAddress: z.string(),
--- a/packages/agent/ConfigView.ts
+++ b/packages/agent/ConfigView.ts
@@ -51,6 +51,7 @@
     permitMaxAgeMs,
     orderMaxAgeMs,
     services,
+    groups,
   }: FleetDefaults): Omit<AgentConfig, "revision" | "drain"> {
     const { kind, service } = this.#target;
     const listed = Object.hasOwn(services, service) ? services[service] : undefined;
@@ -58,6 +59,7 @@
       permitMaxAgeMs,
       orderMaxAgeMs,
       repeatable: kind === TargetKind.Engine || listed?.repeatable === true,
+      groups,
     };
   }
 
--- a/packages/agent/RelayLink.ts
+++ b/packages/agent/RelayLink.ts
@@ -89,6 +89,18 @@
     }
   }
 
+  /** Calls the nearest relay that answers; null when none does. */
+  async call(name: MessageName, body: unknown): Promise<unknown> {
+    const { clock } = this.#options;
+    for (const index of this.#choice.choose(clock.monotonicMs())) {
+      const answer = await this.#clients[index]?.call(name, body, callTimeoutMs);
+      if (answer?.isRight() === true) {
+        return answer.extract();
+      }
+    }
+    return null;
+  }
+
   /** Tells the relays that the target accepts no more work. */
   async leave(): Promise<void> {
     const body = { ...this.#options.announcement, leaving: true };
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -15,15 +15,24 @@
   readonly text: string;
 }
 
+interface Transport {
+  readonly request: typeof requestHttp;
+  readonly agent: HttpAgent;
+}
+
 const maxAnswerBytes = 1_048_576;
 
-/** Makes the agent's own small requests to its target: load polls and orders. */
+/** Makes small requests to one address: load polls and orders to the agent's target, or to another agent. */
 export class TargetClient {
   readonly #address: Address;
-  readonly #http = new HttpAgent({ keepAlive: true, maxSockets: 2 });
+  readonly #transport: Transport;
 
-  constructor(address: Address) {
+  constructor(
+    address: Address,
+    transport: Transport = { request: requestHttp, agent: new HttpAgent({ keepAlive: true, maxSockets: 2 }) },
+  ) {
     this.#address = address;
+    this.#transport = transport;
   }
 
   /** Rejects when the target does not answer in time; its connection is then closed. */
@@ -33,8 +42,8 @@
         clearTimeout(timer);
         reject(error);
       };
-      const outgoing: ClientRequest = requestHttp(
-        { ...this.#address, method, path, agent: this.#http, headers: { ...headers } },
+      const outgoing: ClientRequest = this.#transport.request(
+        { ...this.#address, method, path, agent: this.#transport.agent, headers: { ...headers } },
         (answer) => {
           let text = "";
           answer.setEncoding("utf8");
@@ -60,6 +69,6 @@
   }
 
   close(): void {
-    this.#http.destroy();
+    this.#transport.agent.destroy();
   }
 }
--- /dev/null
+++ b/packages/agent/lead/GroupElection.ts
@@ -0,0 +1,125 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type * as z from "zod";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { ControlClient } from "@clementinemux/control/ControlClient";
+import type { GroupLeaseResponse } from "@clementinemux/messages/GroupLeaseResponse";
+import type { RankGroupSettings } from "../RankGroupSettings";
+import type { GroupAnswer } from "./GroupAnswer";
+import type { GroupLeader } from "./GroupLeader";
+import type { LeadHolder } from "./LeadHolder";
+import { formatLeadHolder } from "./formatLeadHolder";
+import { parseLeadHolder } from "./parseLeadHolder";
+
+interface LeadTerms {
+  readonly epoch: number;
+  readonly decidedVersion: number;
+  readonly leaseEndsAtMs: number;
+}
+
+interface GroupElectionOptions {
+  readonly group: string;
+  readonly self: LeadHolder;
+  readonly incarnation: string;
+  readonly settings: z.output<typeof RankGroupSettings>;
+  readonly control: ControlClient;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Loads and creates the lead; called only when elected. */
+  readonly createLeader: (terms: LeadTerms) => Promise<GroupLeader>;
+}
+
+const leaseDeadlineMs = 1000;
+
+/** Asks control for the lease of the group, and holds the lead while this agent has it. */
+export class GroupElection {
+  readonly #options: GroupElectionOptions;
+  #known: GroupLeaseResponse | null = null;
+  #leader: GroupLeader | null = null;
+  #isStopped = false;
+
+  constructor(options: GroupElectionOptions) {
+    this.#options = options;
+  }
+
+  get leader(): GroupLeader | null {
+    return this.#leader;
+  }
+
+  /** Asks until stopped. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      const isHolder = await this.#ask();
+      await delay(this.#getPauseMs(isHolder), undefined, { ref: false });
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+    this.#drop();
+  }
+
+  getAnswer(): GroupAnswer {
+    const { group } = this.#options;
+    const { target, address } = parseLeadHolder(this.#known?.holder ?? "");
+    return {
+      group,
+      lead: target,
+      leadAddress: address,
+      epoch: this.#known?.epoch ?? 0,
+      report: this.#leader?.getReport() ?? null,
+    };
+  }
+
+  /** Returns whether this agent holds the lease. */
+  async #ask(): Promise<boolean> {
+    const { group, self, incarnation, control, clock } = this.#options;
+    const sentAtMs = clock.monotonicMs();
+    const answer = await control.groupLease(
+      { group, holder: formatLeadHolder(self), incarnation },
+      leaseDeadlineMs,
+    );
+    const response = answer.toMaybe().extractNullable();
+    if (response === null || this.#isStopped) {
+      // Without an answer the lease runs out by itself, and the lead gives no orders after that.
+      return this.#leader !== null;
+    }
+    this.#known = response;
+    const { granted, epoch, leaseMs, mapVersion } = response;
+    if (!granted || this.#leader?.epoch !== epoch) {
+      this.#drop();
+    }
+    if (!granted) {
+      return false;
+    }
+    const leaseEndsAtMs = sentAtMs + leaseMs;
+    if (this.#leader === null) {
+      const leader = await this.#options.createLeader({ epoch, decidedVersion: mapVersion, leaseEndsAtMs });
+      if (this.#hasStopped()) {
+        return false;
+      }
+      this.#leader = leader;
+      leader.start();
+    } else {
+      this.#leader.renew(leaseEndsAtMs);
+    }
+    return true;
+  }
+
+  #hasStopped(): boolean {
+    return this.#isStopped;
+  }
+
+  #drop(): void {
+    this.#leader?.stop();
+    this.#leader = null;
+  }
+
+  /** Candidates ask more rarely the more of them there are, so that control's load does not grow with ranks. */
+  #getPauseMs(isHolder: boolean): number {
+    const { settings, random } = this.#options;
+    const { renewIntervalMs, candidateIntervalMs, rankCount } = settings;
+    const meanMs = isHolder ? renewIntervalMs : candidateIntervalMs * rankCount;
+    return meanMs * (0.5 + random());
+  }
+}
--- /dev/null
+++ b/packages/agent/lead/GroupPeers.ts
@@ -0,0 +1,113 @@
+import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { FetchTargetsRequest } from "@clementinemux/membership/FetchTargetsRequest";
+import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import type { TargetClient } from "../TargetClient";
+import { createPeerClient } from "./createPeerClient";
+
+interface Peer {
+  readonly announcement: TargetAnnouncement;
+  readonly client: TargetClient;
+}
+
+interface GroupPeersOptions {
+  readonly group: string;
+  readonly tls: TlsFiles | undefined;
+  /** Calls a relay; null when none answers. */
+  readonly call: (name: MessageName, body: unknown) => Promise<unknown>;
+}
+
+const pageLimit = 500;
+
+/** Agents of the lead's group, from the directory, and the number of groups that share the weight store. */
+export class GroupPeers {
+  readonly #options: GroupPeersOptions;
+  readonly #peers = new Map<number, Peer>();
+  /** Group of every announced rank of the fleet. */
+  readonly #groups = new Map<string, string>();
+  #since: FetchTargetsRequest["since"] = null;
+  #isRefreshing = false;
+  #groupCount = 1;
+
+  constructor(options: GroupPeersOptions) {
+    this.#options = options;
+  }
+
+  get groupCount(): number {
+    return this.#groupCount;
+  }
+
+  get ranks(): number[] {
+    return [...this.#peers.keys()];
+  }
+
+  getClient(rank: number): TargetClient | null {
+    return this.#peers.get(rank)?.client ?? null;
+  }
+
+  getFailureDomain(rank: number): string {
+    return this.#peers.get(rank)?.announcement.failureDomain ?? "";
+  }
+
+  /** Fetches what has changed in the directory. Keeps what is known when no relay answers. */
+  async refresh(): Promise<void> {
+    if (this.#isRefreshing) {
+      return;
+    }
+    this.#isRefreshing = true;
+    try {
+      let hasMore = true;
+      while (hasMore) {
+        const request: FetchTargetsRequest = { since: this.#since ?? null, limit: pageLimit };
+        const response = (await this.#options.call(
+          MessageName.FetchTargets,
+          request,
+        )) as FetchTargetsResponse | null;
+        hasMore = response?.more ?? false;
+        if (response !== null) {
+          this.#learn(response);
+        }
+      }
+    } finally {
+      this.#isRefreshing = false;
+      this.#groupCount = Math.max(1, new Set(this.#groups.values()).size);
+    }
+  }
+
+  close(): void {
+    for (const { client } of this.#peers.values()) {
+      client.close();
+    }
+    this.#peers.clear();
+  }
+
+  #learn({ full, targets, removed, directory, version, subset }: FetchTargetsResponse): void {
+    this.#since = { directory, version, subset };
+    if (full) {
+      this.#groups.clear();
+    }
+    for (const target of removed) {
+      this.#groups.delete(target);
+    }
+    for (const announcement of targets) {
+      if (announcement.group !== "") {
+        this.#groups.set(announcement.target, announcement.group);
+      }
+      if (announcement.group === this.#options.group) {
+        this.#learnPeer(announcement);
+      }
+    }
+  }
+
+  /** A rank that has left the directory stays a peer: it may be armed, and only an answer of it can tell. */
+  #learnPeer(announcement: TargetAnnouncement): void {
+    const known = this.#peers.get(announcement.rank);
+    if (known !== undefined && known.announcement.incarnation >= announcement.incarnation) {
+      return;
+    }
+    known?.client.close();
+    const client = createPeerClient(announcement.address, this.#options.tls);
+    this.#peers.set(announcement.rank, { announcement, client });
+  }
+}
--- /dev/null
+++ b/packages/agent/lead/parseLeadHolder.ts
@@ -0,0 +1,9 @@
+import type { LeadHolder } from "./LeadHolder";
+
+/** Reads the holder of a group lease; the address is empty when the name has none. */
+export function parseLeadHolder(holder: string): LeadHolder {
+  const at = holder.lastIndexOf("@");
+  return at < 0
+    ? { target: holder, address: "" }
+    : { target: holder.slice(0, at), address: holder.slice(at + 1) };
+}
--- /dev/null
+++ b/packages/agent/rank/RankMember.ts
@@ -0,0 +1,148 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type * as z from "zod";
+import type { Clock } from "@clementinemux/common/Clock";
+import { ControlClient } from "@clementinemux/control/ControlClient";
+import type { GroupDefaults } from "@clementinemux/fleet/GroupDefaults";
+import type { MessageName } from "@clementinemux/wire/MessageName";
+import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import type { RankGroupSettings } from "../RankGroupSettings";
+import type { TargetClient } from "../TargetClient";
+import { GroupElection } from "../lead/GroupElection";
+import type { RebalanceAnswer } from "../lead/RebalanceAnswer";
+import { RankDoor } from "./RankDoor";
+
+interface RankMemberOptions {
+  readonly group: string;
+  readonly target: string;
+  /** `host:port` of this agent. */
+  readonly address: string;
+  readonly incarnation: string;
+  readonly settings: z.output<typeof RankGroupSettings>;
+  readonly controlReplicas: readonly string[];
+  readonly tls: TlsFiles | undefined;
+  readonly client: TargetClient;
+  readonly clock: Clock;
+  readonly createStamp: () => string;
+  readonly getEpochSeen: () => number;
+  readonly getGroups: () => GroupDefaults;
+  readonly getOrderMaxAgeMs: () => number;
+  readonly callRelay: (name: MessageName, body: unknown) => Promise<unknown>;
+  readonly log: (fields: Readonly<Record<string, string | number>>, text: string) => void;
+}
+
+const notTheLead = 421;
+
+/** What an agent does for its rank group. Loaded only by agents whose target is a rank of a group. */
+export class RankMember {
+  readonly #options: RankMemberOptions;
+  readonly #door: RankDoor;
+  readonly #control: ControlClient;
+  readonly #election: GroupElection;
+
+  constructor(options: RankMemberOptions) {
+    this.#options = options;
+    const { client, settings, createStamp, getEpochSeen, clock, tls } = options;
+    const { statusPath, mapPath } = settings;
+    this.#door = new RankDoor({ client, statusPath, mapPath, createStamp, getEpochSeen });
+    const random = Math.random;
+    const addresses = options.controlReplicas;
+    this.#control = new ControlClient({ addresses, claimGroups: 1, clock, random, tls });
+    const { group, target, address, incarnation } = options;
+    this.#election = new GroupElection({
+      group,
+      self: { target, address },
+      incarnation,
+      settings,
+      control: this.#control,
+      clock,
+      random,
+      createLeader: (terms) => this.#createLeader(terms),
+    });
+  }
+
+  start(): void {
+    void this.#election.run();
+  }
+
+  stop(): void {
+    this.#election.stop();
+    this.#control.close();
+  }
+
+  /** Answers a request below `/agent/rank` or `/agent/group`. Returns false when there is no such route. */
+  handle(request: IncomingMessage, response: ServerResponse): boolean {
+    const { pathname, searchParams } = new URL(request.url ?? "", "http://agent");
+    const routes: Readonly<Record<string, () => void>> = {
+      "GET /agent/rank": () => {
+        const look = this.#door.look(searchParams.has("report"));
+        this.#answerLater(response, look.then(JSON.stringify));
+      },
+      "GET /agent/rank/map": () => {
+        this.#answerLater(response, this.#door.getMap(Number(searchParams.get("version"))));
+      },
+      "GET /agent/group": () => {
+        sendJson(response, 200, JSON.stringify(this.#election.getAnswer()));
+      },
+      "POST /agent/group/rebalance": () => {
+        this.#rebalance(response, searchParams.has("dryRun"));
+      },
+    };
+    const key = `${request.method ?? ""} ${pathname}`;
+    if (!Object.hasOwn(routes, key)) {
+      return false;
+    }
+    routes[key]?.();
+    return true;
+  }
+
+  #answerLater(response: ServerResponse, text: Promise<string>): void {
+    text.then(
+      (body) => {
+        sendJson(response, 200, body);
+      },
+      (error: unknown) => {
+        const message = error instanceof Error ? error.message : String(error);
+        sendJson(response, 502, JSON.stringify({ error: message }));
+      },
+    );
+  }
+
+  #rebalance(response: ServerResponse, isDryRun: boolean): void {
+    const { leader } = this.#election;
+    if (leader === null) {
+      sendJson(response, notTheLead, JSON.stringify(this.#election.getAnswer()));
+      return;
+    }
+    const answer: RebalanceAnswer = leader.rebalance(isDryRun);
+    sendJson(response, answer.refusal === "" ? 200 : 409, JSON.stringify(answer));
+  }
+
+  async #createLeader(terms: {
+    readonly epoch: number;
+    readonly decidedVersion: number;
+    readonly leaseEndsAtMs: number;
+  }) {
+    // The planner and the clients of the other agents take memory only in the agent that leads.
+    const [{ GroupLeader }, { GroupPeers }] = await Promise.all([
+      import("../lead/GroupLeader"),
+      import("../lead/GroupPeers"),
+    ]);
+    const { group, settings, clock, getGroups, getOrderMaxAgeMs, callRelay, tls, log } = this.#options;
+    return new GroupLeader({
+      ...terms,
+      group,
+      settings,
+      // Orders of the earlier lead with a stamp from before the grant have become too old by then.
+      startAtMs: clock.monotonicMs() + getOrderMaxAgeMs(),
+      clock,
+      getGroups,
+      control: this.#control,
+      peers: new GroupPeers({ group, tls, call: callRelay }),
+      log,
+    });
+  }
+}
+
+function sendJson(response: ServerResponse, status: number, body: string): void {
+  response.writeHead(status, { "content-type": "application/json" }).end(body);
+}
--- a/packages/agent/runAgent.ts
+++ b/packages/agent/runAgent.ts
@@ -12,13 +12,20 @@
  */
 export async function runAgent(settings: z.output<typeof AgentSettings>): Promise<void> {
   const logger = createLogger("clementinemux-agent", { target: settings.target });
-  const agent = new Agent(settings, new SystemClock(), (reason, revision) => {
-    if (reason === null) {
-      logger.info({ revision }, "accepting work");
-    } else {
-      logger.warn({ revision, reason }, "refusing new work");
-    }
-  });
+  const agent = new Agent(
+    settings,
+    new SystemClock(),
+    (reason, revision) => {
+      if (reason === null) {
+        logger.info({ revision }, "accepting work");
+      } else {
+        logger.warn({ revision, reason }, "refusing new work");
+      }
+    },
+    (fields, text) => {
+      logger.info({ ...fields }, text);
+    },
+  );
   let leaving = false;
   const onSignal = (): void => {
     if (leaving) {
--- a/packages/experts/GroupLead.ts
+++ b/packages/experts/GroupLead.ts
@@ -6,6 +6,10 @@
 import { LeadPhase } from "./activation/LeadPhase";
 import type { RankStatus } from "./activation/RankStatus";
 import { computeRankLoads } from "./computeRankLoads";
+import { computeSkew } from "./computeSkew";
+import { createUniformSpeeds } from "./createUniformSpeeds";
+import { findMapFault } from "./findMapFault";
+import type { Forecast } from "./loads/Forecast";
 import { LoadModel } from "./loads/LoadModel";
 import type { RankAdvice } from "./loads/RankAdvice";
 import { RankJudge } from "./loads/RankJudge";
@@ -60,6 +64,58 @@
     return this.#map;
   }
 
+  get phase(): LeadPhase {
+    return this.#activation.phase;
+  }
+
+  /** Version in force whose map this lead does not hold, after it has told a decision of an earlier lead. */
+  get missingVersion(): number | null {
+    const { activeVersion } = this.#activation;
+    const isOwn = activeVersion === this.#proposed?.version || activeVersion === this.#map.version;
+    return isOwn ? null : activeVersion;
+  }
+
+  /** Load reports dropped so far, by reason. */
+  get droppedReports(): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.#model.faultCounts);
+  }
+
+  /** Takes the map of `missingVersion` as the ranks hold it. */
+  adoptMap(map: ExpertMap): void {
+    if (map.version === this.missingVersion && findMapFault(this.#settings.shape, map) === null) {
+      this.#map = map;
+      this.#model.setMapVersion(map.version);
+    }
+  }
+
+  /** Plans with the present loads without proposing the result. */
+  preview({ nowMs, timeOfDayMs }: LeadTime): Plan {
+    this.#adoptSettledMap();
+    this.#model.update(nowMs);
+    const forecast = this.#model.predict(nowMs, nowMs + this.#settings.weights.horizonMs / 2);
+    return this.#planWith(forecast, this.#lastAdvice, timeOfDayMs);
+  }
+
+  /** Lets the next `step` plan. Returns false while the lead activates a map or lacks the one in force. */
+  requestPlan(nowMs: number): boolean {
+    this.#adoptSettledMap();
+    if (!this.#canPlan()) {
+      return false;
+    }
+    this.#nextPlanAtMs = nowMs;
+    return true;
+  }
+
+  /** Present load of each rank under the map in force, in tokens per second over all layers, and the skew. */
+  getLoadView(nowMs: number): { readonly rankLoads: readonly number[]; readonly skew: number } {
+    const { loads } = this.#model.predict(nowMs, nowMs);
+    const speeds = this.#lastAdvice?.rankSpeeds ?? null;
+    return {
+      rankLoads: Array.from(this.#sumRankLoads(loads)),
+      skew: computeSkew(this.#map, loads, this.#settings.shape.rankCount, speeds),
+    };
+  }
+
   renewLease(leaseEndsAtMs: number): void {
     this.#activation.renewLease(leaseEndsAtMs);
   }
@@ -81,13 +137,17 @@
   /** Returns what is due. Call after every event and on a timer. */
   step(time: LeadTime): LeadAction[] {
     this.#adoptSettledMap();
-    if (this.#activation.phase === LeadPhase.Idle && time.nowMs >= this.#nextPlanAtMs) {
+    if (this.#canPlan() && time.nowMs >= this.#nextPlanAtMs) {
       this.#nextPlanAtMs = time.nowMs + this.#settings.planIntervalMs;
       this.#plan(time);
     }
     return this.#activation.step(time.nowMs);
   }
 
+  #canPlan(): boolean {
+    return this.#activation.phase === LeadPhase.Idle && this.missingVersion === null;
+  }
+
   /** A proposed map is in force once the lead is idle again and the ranks' schedules end with it. */
   #adoptSettledMap(): void {
     const proposed = this.#proposed;
@@ -102,32 +162,36 @@
   }
 
   #plan({ nowMs, timeOfDayMs }: LeadTime): void {
-    const { shape, weights, busyHours, storeBytesPerS, planIntervalMs } = this.#settings;
     this.#model.update(nowMs);
-    const { loads, errorShare } = this.#model.forecast(nowMs, nowMs + weights.horizonMs / 2);
-    const advice = this.#judge.judge(this.#createSamples(loads));
+    const forecast = this.#model.forecast(nowMs, nowMs + this.#settings.weights.horizonMs / 2);
+    const advice = this.#judge.judge(this.#createSamples(this.#sumRankLoads(forecast.loads)));
+    const plan = this.#planWith(forecast, advice, timeOfDayMs);
+    this.#lastPlan = plan;
+    this.#lastAdvice = advice;
+    const map = { ...plan.map, version: this.#activation.nextVersion };
+    if (plan.isChanged && this.#activation.propose(map, nowMs)) {
+      this.#proposed = map;
+    }
+  }
+
+  #planWith({ loads, errorShare }: Forecast, advice: RankAdvice | null, timeOfDayMs: number): Plan {
+    const { shape, weights, busyHours, storeBytesPerS, planIntervalMs } = this.#settings;
     const hour = timeOfDayMs / 3_600_000;
-    const plan = planMap({
+    return planMap({
       shape,
       present: this.#map,
       loads,
       errorShare,
-      rankSpeeds: advice.rankSpeeds,
-      fixedRanks: advice.slowRanks,
+      rankSpeeds: advice?.rankSpeeds ?? createUniformSpeeds(shape.rankCount),
+      fixedRanks: advice?.slowRanks ?? new Set(),
       weights: { ...weights, horizonMs: getPlanHorizon(timeOfDayMs, weights.horizonMs, busyHours) },
       storeBytesPerS,
       maxBytes: (storeBytesPerS * planIntervalMs) / 1000,
       isBusy: busyHours.some(([first, end]) => hour >= first && hour < end),
     });
-    this.#lastPlan = plan;
-    this.#lastAdvice = advice;
-    const map = { ...plan.map, version: this.#activation.nextVersion };
-    if (plan.isChanged && this.#activation.propose(map, nowMs)) {
-      this.#proposed = map;
-    }
   }
 
-  #createSamples(loads: readonly Float64Array[]) {
+  #sumRankLoads(loads: readonly Float64Array[]): Float64Array {
     const { rankCount } = this.#settings.shape;
     const rankLoads = new Float64Array(rankCount);
     for (const [index, layer] of this.#map.layers.entries()) {
@@ -135,6 +199,10 @@
         rankLoads[rank] = (rankLoads[rank] ?? 0) + load;
       }
     }
+    return rankLoads;
+  }
+
+  #createSamples(rankLoads: Float64Array) {
     return new Map(
       [...this.#model.stepMsByRank].map(([rank, stepMs]) => [
         rank,
--- a/packages/experts/activation/RankActivation.ts
+++ b/packages/experts/activation/RankActivation.ts
@@ -15,6 +15,8 @@
   readonly incarnation: string;
   readonly shape: GroupShape;
   readonly orderMaxAgeMs: number;
+  /** Whether this engine judges the epoch and the age of an order; the agent before it always does. Default true. */
+  readonly checksFencing?: boolean;
 }
 
 interface Loading {
@@ -90,8 +92,11 @@
 
   /** Takes an order, or refuses it and returns the reason. */
   handle(order: RankOrder, nowMs: number): OrderFault | null {
-    const { incarnation, orderMaxAgeMs } = this.#settings;
-    const fault = findOrderFault({ incarnation, orderMaxAgeMs, epochSeen: this.#epochSeen }, order, nowMs);
+    const { incarnation, checksFencing = true } = this.#settings;
+    // An engine without fencing still refuses what was meant for an earlier start: that state is gone.
+    const orderMaxAgeMs = checksFencing ? this.#settings.orderMaxAgeMs : Number.POSITIVE_INFINITY;
+    const epochSeen = checksFencing ? this.#epochSeen : 0;
+    const fault = findOrderFault({ incarnation, orderMaxAgeMs, epochSeen }, order, nowMs);
     if (fault !== null) {
       return fault;
     }
--- a/packages/experts/loads/LoadModel.ts
+++ b/packages/experts/loads/LoadModel.ts
@@ -94,9 +94,13 @@
 
   /** Load expected at a time. The forecast is remembered and compared with what is observed then. */
   forecast(nowMs: number, forAtMs: number): Forecast {
-    const leadMs = Math.max(0, forAtMs - (this.#updatedAtMs ?? nowMs));
-    const shares = this.#series.map((series) => series.forecast(leadMs));
-    this.#pending.push({ forAtMs, shares });
+    this.#pending.push({ forAtMs, shares: this.#forecastShares(nowMs, forAtMs) });
+    return this.predict(nowMs, forAtMs);
+  }
+
+  /** Load expected at a time, for display; it does not count in the error of the forecasts. */
+  predict(nowMs: number, forAtMs: number): Forecast {
+    const shares = this.#forecastShares(nowMs, forAtMs);
     return {
       loads: shares.map((layer) => layer.map((share) => share * this.#tokensPerS)),
       errorShare: this.#errorShare,
@@ -104,6 +108,11 @@
     };
   }
 
+  #forecastShares(nowMs: number, forAtMs: number): Float64Array[] {
+    const leadMs = Math.max(0, forAtMs - (this.#updatedAtMs ?? nowMs));
+    return this.#series.map((series) => series.forecast(leadMs));
+  }
+
   #findOrderFault(report: RankReport, nowMs: number): ReportFault | null {
     const latest = this.#latest.get(report.rank);
     if (nowMs - report.measuredAtMs > this.#settings.maxAgeMs) {
--- a/packages/experts/preview/formatPlan.ts
+++ b/packages/experts/preview/formatPlan.ts
@@ -13,7 +13,7 @@
 };
 
 /** Text of `group rebalance --dry-run`. */
-export function formatPlan(group: string, plan: Plan): string {
+export function formatPlan(group: string, plan: Omit<Plan, "map">): string {
   const lines = [
     `group ${group}: ${plan.isChanged ? "change" : "no change"}`,
     `reason: ${explanations[plan.reason]}`,
--- a/packages/standins/group/RankGroup.ts
+++ b/packages/standins/group/RankGroup.ts
@@ -4,6 +4,8 @@
 import { computeRankLoads } from "@clementinemux/experts/computeRankLoads";
 
 interface StepResult {
+  /** Map version that the ranks used; of rank 0 when they differed. */
+  readonly version: number;
   /** Time of the step: the sum over layers of the slowest rank. */
   readonly stepMs: number;
   /** Compute time of each rank without waiting. */
@@ -18,11 +20,15 @@
   /** Work per unit of time of each rank; below 1 for a slow rank. */
   readonly rankSpeeds: Float64Array;
   readonly orderMaxAgeMs: number;
+  /** Whether the engines judge epochs and stamps themselves. Default true. */
+  readonly checksFencing?: boolean;
+  /** Incarnation of the first start. Default "1". */
+  readonly incarnation?: string;
 }
 
 /** Stand-in for a rank group: engines that run steps in lock-step, with a barrier after every layer. */
 export class RankGroup {
-  readonly ranks: readonly RankActivation[];
+  readonly #ranks: RankActivation[];
   mixedSteps = 0;
   stepCount = 0;
   readonly #settings: RankGroupSettings;
@@ -31,20 +37,38 @@
   constructor(settings: RankGroupSettings) {
     this.#settings = settings;
     this.#maps.set(settings.startMap.version, settings.startMap);
-    const { shape, orderMaxAgeMs } = settings;
-    this.ranks = Array.from(
-      { length: shape.rankCount },
-      (_, rank) => new RankActivation({ rank, incarnation: "1", shape, orderMaxAgeMs }),
-    );
+    const { shape, incarnation = "1" } = settings;
+    this.#ranks = Array.from({ length: shape.rankCount }, (_, rank) => this.#createRank(rank, incarnation));
+  }
+
+  get ranks(): readonly RankActivation[] {
+    return this.#ranks;
+  }
+
+  /** Map of a version that a rank has loaded. */
+  getMap(version: number): ExpertMap | null {
+    return this.#maps.get(version) ?? null;
+  }
+
+  /** The rank loses its state. The others have formed the collective operation anew and wait for it. */
+  restartRank(rank: number, incarnation: string): void {
+    const others = this.#ranks.filter((_, index) => index !== rank);
+    const started = this.#createRank(rank, incarnation);
+    started.setStep(Math.max(0, ...others.map((other) => other.getStatus(0).nextStep)));
+    this.#ranks[rank] = started;
+  }
+
+  /** The rank has the weights of a version. */
+  finishLoad(rank: number, map: ExpertMap): void {
+    this.#maps.set(map.version, map);
+    this.#ranks[rank]?.setLoaded(map.version);
   }
 
   /** All ranks have the weights that they were asked for. */
   finishLoads(): void {
-    for (const rank of this.ranks) {
-      const map = rank.mapToLoad;
-      if (map !== null) {
-        this.#maps.set(map.version, map);
-        rank.setLoaded(map.version);
+    for (const [rank, { mapToLoad }] of this.#ranks.entries()) {
+      if (mapToLoad !== null) {
+        this.finishLoad(rank, mapToLoad);
       }
     }
   }
@@ -62,10 +86,15 @@
     for (const rank of this.ranks) {
       rank.startStep();
     }
-    return { ...this.#computeTimes(version, tokens), isMixed };
+    return { version, ...this.#computeTimes(version, tokens), isMixed };
+  }
+
+  #createRank(rank: number, incarnation: string): RankActivation {
+    const { shape, orderMaxAgeMs, checksFencing = true } = this.#settings;
+    return new RankActivation({ rank, incarnation, shape, orderMaxAgeMs, checksFencing });
   }
 
-  #computeTimes(version: number, tokens: readonly Float64Array[]): Omit<StepResult, "isMixed"> {
+  #computeTimes(version: number, tokens: readonly Float64Array[]): Pick<StepResult, "stepMs" | "rankMs"> {
     const { shape, msPerToken, rankSpeeds, startMap } = this.#settings;
     const map = this.#maps.get(version) ?? startMap;
     const rankMs = new Float64Array(shape.rankCount);
--- /dev/null
+++ b/packages/standins/weightStore/WeightStoreServer.ts
@@ -0,0 +1,74 @@
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { readJsonBody } from "../engine/readJsonBody";
+import { WeightStore } from "./WeightStore";
+
+/** Stand-in for the weight store on HTTP: answers `POST /transfers {sizeBytes}` when the transfer is complete. */
+export class WeightStoreServer {
+  /** Number of transfers whose replies get lost from now on. */
+  lostReplyCount = 0;
+  /** Holds the replies that are due until `release`, to stop a group in the middle of its preparation. */
+  isHeld = false;
+  /** Counts for tests. */
+  readonly counts = { transfers: 0, lost: 0 };
+  readonly #store: WeightStore;
+  readonly #server: Server;
+  #held: ServerResponse[] = [];
+
+  constructor(bytesPerS: number) {
+    this.#store = new WeightStore(bytesPerS);
+    this.#server = createServer((request, response) => {
+      this.#transfer(request, response).catch(() => response.destroy());
+    });
+  }
+
+  get heldCount(): number {
+    return this.#held.length;
+  }
+
+  /** Resolves with the bound port. */
+  listen(host: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, () => {
+        const bound = this.#server.address();
+        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+      });
+    });
+  }
+
+  release(): void {
+    this.isHeld = false;
+    for (const response of this.#held) {
+      response.end("{}");
+    }
+    this.#held = [];
+  }
+
+  close(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  async #transfer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { sizeBytes } = (await readJsonBody(request)) as { readonly sizeBytes: number };
+    const nowMs = performance.now();
+    const endMs = this.#store.request(sizeBytes, nowMs);
+    this.counts.transfers += 1;
+    setTimeout(() => {
+      this.#reply(response);
+    }, endMs - nowMs);
+  }
+
+  #reply(response: ServerResponse): void {
+    if (this.lostReplyCount > 0) {
+      this.lostReplyCount -= 1;
+      this.counts.lost += 1;
+      response.destroy();
+    } else if (this.isHeld) {
+      this.#held.push(response);
+    } else {
+      response.end("{}");
+    }
+  }
+}
