--- /dev/null
+++ b/packages/agent/test/groupLead.test.ts
@@ -0,0 +1,117 @@
+import { join } from "node:path";
+import t from "tap";
+import type { Test } from "tap";
+import { LeadPhase } from "@clementinemux/experts/activation/LeadPhase";
+import { GroupFleet } from "./helpers/GroupFleet";
+
+const programs = join(process.cwd(), "dist");
+// Bound on the skew for the weights of deployment B, which are nearer to the default weights than A's.
+const goodSkew = 1.15;
+
+// Real processes on a busy machine; only a hang reaches this.
+t.setTimeout(240_000);
+
+async function waitForBalance(t: Test, fleet: GroupFleet): Promise<void> {
+  const counts = await fleet.waitFor("an activated map with a lower skew", async () => {
+    const { mapVersion, skew } = await fleet.getCounts();
+    return (mapVersion ?? 0) > 0 && skew !== null && skew < goodSkew ? { mapVersion, skew } : null;
+  });
+  t.ok(counts.skew < goodSkew, `skew ${counts.skew}`);
+  const { stepCount } = await fleet.getCounts();
+  const last = await fleet.waitFor("more steps", async () => {
+    const present = await fleet.getCounts();
+    return present.stepCount > stepCount + 20 ? present : null;
+  });
+  t.equal(last.mixedSteps, 0, "steps in which ranks used different maps");
+  t.equal(last.staleOrders, 0, "orders of a replaced lead that reached an engine");
+}
+
+// Guards against a lead that is elected but whose plan never reaches the engines, through all real processes.
+t.test("skewed load leads to an activated map", async (t) => {
+  const fleet = await GroupFleet.start(programs, 3, (store) => (store.isHeld = true));
+  t.teardown(() => fleet.stop());
+  const first = await fleet.waitFor("load before the first map", async () => (await fleet.getCounts()).skew);
+  t.ok(first > goodSkew, `skew ${first} at the start`);
+  fleet.store.release();
+  await waitForBalance(t, fleet);
+  const { agent, answer } = await fleet.waitForLead();
+  t.equal(answer.report?.rankLoads.length, 4);
+  t.type(answer.report?.lastPlan?.predictedSkew, "number");
+  const other = fleet.agents.find(({ name }) => name !== agent.name)!;
+  const elsewhere = await fleet.waitFor("the lead's name at another agent", async () => {
+    const known = await fleet.getAnswer(other);
+    return known.lead === agent.name ? known : null;
+  });
+  t.match(elsewhere, { leadAddress: `127.0.0.1:${agent.port}`, report: null });
+});
+
+// Guards against an activation that counts the preparation of a rank which has restarted since.
+t.test("rank restarted between prepare and activate", async (t) => {
+  const fleet = await GroupFleet.start(programs, 1, (store) => (store.isHeld = true));
+  t.teardown(() => fleet.stop());
+  await fleet.waitFor("a group in preparation", async () => {
+    const { answer } = await fleet.waitForLead();
+    return answer.report?.phase === LeadPhase.Preparing && fleet.store.heldCount > 0 ? true : null;
+  });
+  await fleet.restartRank(1);
+  const restarted = await fleet.waitFor("an abort and a join", async () => {
+    const { status } = await fleet.look(1);
+    return status.isJoined && status.prepared === null ? status : null;
+  });
+  t.equal(restarted.schedule.at(-1)?.version, 0, "no map is in force that the rank has not prepared");
+  fleet.store.release();
+  await waitForBalance(t, fleet);
+});
+
+// Guards against a frozen lead that wakes after its lease and whose orders reach engines without fencing.
+t.test("lead stopped for longer than its lease", async (t) => {
+  const fleet = await GroupFleet.start(programs, 3, (store) => (store.isHeld = true));
+  t.teardown(() => fleet.stop());
+  const old = await fleet.waitFor("a lead that prepares a map", async () => {
+    const lead = await fleet.waitForLead();
+    return lead.answer.report?.phase === LeadPhase.Preparing && fleet.store.heldCount > 0 ? lead : null;
+  });
+  const rank = fleet.agents.findIndex(({ name }) => name !== old.agent.name);
+  const { stamp: oldStamp, status } = await fleet.look(rank);
+  old.agent.child.kill("SIGSTOP");
+  const next = await fleet.waitForLead(old.answer.epoch);
+  const lateOrder = {
+    kind: "arm",
+    version: 1,
+    beforeStep: 0,
+    epoch: old.answer.epoch,
+    rank,
+    stamp: status.stamp,
+  };
+  const order = { epoch: old.answer.epoch, order: lateOrder };
+  await fleet.waitFor("the first order of the new lead", async () => {
+    const { status: present } = await fleet.look(rank);
+    return present.epochSeen === next.answer.epoch ? true : null;
+  });
+  t.match(await fleet.sendOrder(rank, { ...order, stamp: oldStamp }), {
+    status: 503,
+    body: { reason: "stamp_too_old" },
+  });
+  const { stamp } = await fleet.look(rank);
+  t.match(await fleet.sendOrder(rank, { ...order, stamp }), {
+    status: 503,
+    body: { reason: "epoch_too_old" },
+  });
+  old.agent.child.kill("SIGCONT");
+  const woken = await fleet.waitFor("the old lead to step down", async () => {
+    const answer = await fleet.getAnswer(old.agent);
+    return answer.report === null && answer.epoch > old.answer.epoch ? answer : null;
+  });
+  t.not(woken.lead, "");
+  fleet.store.release();
+  await waitForBalance(t, fleet);
+});
+
+// Guards against a rank that waits forever for weights whose reply was lost, and against a half-prepared map in
+// force.
+t.test("lost weight-store replies", async (t) => {
+  const fleet = await GroupFleet.start(programs, 1, (store) => (store.lostReplyCount = 3));
+  t.teardown(() => fleet.stop());
+  await waitForBalance(t, fleet);
+  t.equal(fleet.store.counts.lost, 3);
+});
--- /dev/null
+++ b/packages/agent/test/helpers/GroupFleet.ts
@@ -0,0 +1,196 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { closeSync, openSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { join } from "node:path";
+import type { GroupAnswer } from "@clementinemux/agent/lead/GroupAnswer";
+import type { RankLook } from "@clementinemux/agent/rank/RankLook";
+import { ControlFleet } from "@clementinemux/bench/control/ControlFleet";
+import { WeightStoreServer } from "@clementinemux/standins/weightStore/WeightStoreServer";
+
+interface GroupCounts {
+  readonly stepCount: number;
+  readonly mixedSteps: number;
+  readonly staleOrders: number;
+  readonly skew: number | null;
+  readonly mapVersion: number | null;
+}
+
+interface AgentProcess {
+  readonly name: string;
+  readonly port: number;
+  readonly child: ChildProcess;
+}
+
+const host = "127.0.0.1";
+const rankCount = 4;
+const shape = { layerCount: 1, expertCount: 16, slotsPerRank: 6, expertBytes: 1_000_000 };
+const storeBytesPerS = 100_000_000;
+const intervals = {
+  candidateIntervalMs: 100,
+  renewIntervalMs: 400,
+  stepIntervalMs: 30,
+  statusIntervalMs: 100,
+  reportIntervalMs: 200,
+  directoryIntervalMs: 300,
+  planIntervalMs: 1000,
+  activationTimeoutMs: 60_000,
+  armMarginSteps: 30,
+  smoothingMs: 1000,
+  trendMs: 60_000,
+};
+
+/** Control, a stand-in group of four ranks, its weight store and the ranks' agents, for tests with processes. */
+export class GroupFleet {
+  readonly control: ControlFleet;
+  readonly store: WeightStoreServer;
+  readonly agents: readonly AgentProcess[];
+  readonly #group: ChildProcess;
+  readonly #enginePorts: readonly number[];
+
+  private constructor(
+    control: ControlFleet,
+    store: WeightStoreServer,
+    agents: readonly AgentProcess[],
+    group: ChildProcess,
+    enginePorts: readonly number[],
+  ) {
+    this.control = control;
+    this.store = store;
+    this.agents = agents;
+    this.#group = group;
+    this.#enginePorts = enginePorts;
+  }
+
+  static async start(
+    programs: string,
+    replicas: number,
+    prepareStore: (store: WeightStoreServer) => void = () => undefined,
+  ): Promise<GroupFleet> {
+    const control = await ControlFleet.start({ replicas }, programs);
+    const store = new WeightStoreServer(storeBytesPerS);
+    prepareStore(store);
+    const storePort = await store.listen(host, 0);
+    const ports = await findFreePorts(rankCount * 2);
+    const enginePorts = ports.slice(0, rankCount);
+    const children: ChildProcess[] = [];
+    // A test that ends early must not leave processes behind.
+    process.once("exit", () => {
+      for (const child of children) {
+        child.kill("SIGKILL");
+      }
+    });
+    const run = (program: string, name: string, settings: object): ChildProcess => {
+      const file = join(control.folder, `${name}.jsonc`);
+      writeFileSync(file, JSON.stringify(settings));
+      const log = openSync(join(control.folder, `${name}.log`), "a");
+      const child = spawn(process.execPath, [join(programs, `${program}.mjs`), "--settings", file], {
+        stdio: ["ignore", log, log],
+        env: { ...process.env, ROARR_LOG: "true" },
+      });
+      closeSync(log);
+      children.push(child);
+      return child;
+    };
+    const weightStoreUrl = `http://${host}:${storePort}`;
+    const demand = { popularityExponent: 1.2, tokensPerStep: 4096, seed: 5 };
+    const group = run("standin-group", "group-1", {
+      ...{ ports: enginePorts, ...shape, ...demand, weightStoreUrl, loadTimeoutMs: 500 },
+    });
+    const agents = enginePorts.map((enginePort, rank) => {
+      const name = `runner-${rank}`;
+      const port = ports[rankCount + rank] ?? 0;
+      const place = { host, port, failureDomain: `fd-${rank % 2}`, region: "local", kind: "engine" };
+      const engine = { targetAddress: `${host}:${enginePort}`, loadPath: "/engine/load" };
+      const child = run("clementinemux-agent", name, {
+        ...{ target: name, ...place, ...engine, orderPath: "/engine/orders", models: ["m"] },
+        ...{ relays: control.addresses, heartbeatIntervalMs: 200, group: "group-1", rank },
+        rankGroup: { rankCount, ...shape, ...intervals },
+      });
+      return { name, port, child };
+    });
+    return new GroupFleet(control, store, agents, group, enginePorts);
+  }
+
+  /** Repeats a look until it gives a value; only a hang reaches the limit. */
+  waitFor<Value>(what: string, look: () => Promise<Value | null>): Promise<Value> {
+    return this.control.waitFor(what, () => look().catch(() => null));
+  }
+
+  async getCounts(): Promise<GroupCounts> {
+    return (await getJson(this.#enginePorts[0] ?? 0, "/standin/counts")) as GroupCounts;
+  }
+
+  async getAnswer(agent: AgentProcess): Promise<GroupAnswer> {
+    return (await getJson(agent.port, "/agent/group")) as GroupAnswer;
+  }
+
+  async look(rank: number): Promise<RankLook> {
+    return (await getJson(this.agents[rank]?.port ?? 0, "/agent/rank")) as RankLook;
+  }
+
+  /** Waits for an agent that leads with an epoch above the given one. */
+  waitForLead(aboveEpoch = 0): Promise<{ readonly agent: AgentProcess; readonly answer: GroupAnswer }> {
+    return this.waitFor(`a lead above epoch ${aboveEpoch}`, async () => {
+      for (const agent of this.agents) {
+        const answer = await this.getAnswer(agent).catch(() => null);
+        const phase = answer?.report?.phase ?? null;
+        if (answer !== null && phase !== null && answer.epoch > aboveEpoch) {
+          return { agent, answer };
+        }
+      }
+      return null;
+    });
+  }
+
+  async restartRank(rank: number): Promise<void> {
+    await postJson(this.#enginePorts[rank] ?? 0, "/standin/restart", {});
+  }
+
+  sendOrder(rank: number, body: unknown): Promise<{ readonly status: number; readonly body: unknown }> {
+    return postJson(this.agents[rank]?.port ?? 0, "/agent/order", body);
+  }
+
+  async stop(): Promise<void> {
+    for (const child of [this.#group, ...this.agents.map((agent) => agent.child)]) {
+      child.kill("SIGKILL");
+    }
+    this.store.close();
+    await this.control.stop();
+  }
+}
+
+async function getJson(port: number, path: string): Promise<unknown> {
+  const response = await fetch(`http://${host}:${port}${path}`, { signal: AbortSignal.timeout(1500) });
+  return response.json();
+}
+
+async function postJson(
+  port: number,
+  path: string,
+  body: unknown,
+): Promise<{ readonly status: number; readonly body: unknown }> {
+  const response = await fetch(`http://${host}:${port}${path}`, {
+    method: "POST",
+    body: JSON.stringify(body),
+    signal: AbortSignal.timeout(5000),
+  });
+  return { status: response.status, body: await response.json() };
+}
+
+async function findFreePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, host, () => {
+            const bound = server.address();
+            resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
+          });
+        }),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
