--- a/packages/agent/test/groupLead.test.ts
+++ b/packages/agent/test/groupLead.test.ts
@@ -1,3 +1,5 @@
+import { execFile } from "node:child_process";
+import { writeFileSync } from "node:fs";
 import { join } from "node:path";
 import t from "tap";
 import type { Test } from "tap";
@@ -28,7 +30,7 @@
 
 // Guards against a lead that is elected but whose plan never reaches the engines, through all real processes.
 t.test("skewed load leads to an activated map", async (t) => {
-  const fleet = await GroupFleet.start(programs, 3, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start(programs, 3, {}, (store) => (store.isHeld = true));
   t.teardown(() => fleet.stop());
   const first = await fleet.waitFor("load before the first map", async () => (await fleet.getCounts()).skew);
   t.ok(first > goodSkew, `skew ${first} at the start`);
@@ -47,7 +49,7 @@
 
 // Guards against an activation that counts the preparation of a rank which has restarted since.
 t.test("rank restarted between prepare and activate", async (t) => {
-  const fleet = await GroupFleet.start(programs, 1, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start(programs, 1, {}, (store) => (store.isHeld = true));
   t.teardown(() => fleet.stop());
   await fleet.waitFor("a group in preparation", async () => {
     const { answer } = await fleet.waitForLead();
@@ -65,7 +67,7 @@
 
 // Guards against a frozen lead that wakes after its lease and whose orders reach engines without fencing.
 t.test("lead stopped for longer than its lease", async (t) => {
-  const fleet = await GroupFleet.start(programs, 3, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start(programs, 3, {}, (store) => (store.isHeld = true));
   t.teardown(() => fleet.stop());
   const old = await fleet.waitFor("a lead that prepares a map", async () => {
     const lead = await fleet.waitForLead();
@@ -110,8 +112,61 @@
 // Guards against a rank that waits forever for weights whose reply was lost, and against a half-prepared map in
 // force.
 t.test("lost weight-store replies", async (t) => {
-  const fleet = await GroupFleet.start(programs, 1, (store) => (store.lostReplyCount = 3));
+  const fleet = await GroupFleet.start(programs, 1, {}, (store) => (store.lostReplyCount = 3));
   t.teardown(() => fleet.stop());
   await waitForBalance(t, fleet);
   t.equal(fleet.store.counts.lost, 3);
 });
+
+interface CliResult {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+function runCli(fleet: GroupFleet, args: readonly string[]): Promise<CliResult> {
+  const tokenFile = join(fleet.control.folder, "token");
+  writeFileSync(tokenFile, "token-ann");
+  const control = `http://127.0.0.1:${fleet.control.replicas[0]?.apiPort ?? 0}`;
+  const options = ["--control", control, "--token-file", tokenFile];
+  const program = join(programs, "clementinemux.mjs");
+  return new Promise((resolve) => {
+    execFile(process.execPath, [program, ...args, ...options], (error, stdout, stderr) => {
+      resolve({ exitCode: error === null ? 0 : Number(error.code), stdout, stderr });
+    });
+  });
+}
+
+// Guards against commands that ask an agent which does not lead, a dry run that changes the map, and exit codes
+// that scripts cannot rely on.
+t.test("command line shows and rebalances a group", async (t) => {
+  const fleet = await GroupFleet.start(programs, 1, { planIntervalMs: 3_600_000 });
+  t.teardown(() => fleet.stop());
+  const dry = await fleet.waitFor("a dry run with moves", async () => {
+    const result = await runCli(fleet, ["group", "rebalance", "group-1", "--dry-run", "--json"]);
+    return result.exitCode === 0 && result.stdout.includes('"isChanged": true') ? result.stdout : null;
+  });
+  t.match(JSON.parse(dry), { started: false, plan: { reason: /moves|split_only/, bytes: Number } });
+  const text = await runCli(fleet, ["group", "rebalance", "group-1", "--dry-run"]);
+  t.match(
+    text.stdout,
+    /reason: .*\nskew now .* predicted .*\nmoves: .* GB, .*\nstep time saved .* work delayed/,
+  );
+  t.equal((await fleet.getCounts()).mapVersion, 0, "a dry run changes nothing");
+  const started = await fleet.waitFor("a started rebalance", async () => {
+    const result = await runCli(fleet, ["group", "rebalance", "group-1"]);
+    return result.exitCode === 0 ? result.stdout : null;
+  });
+  t.match(started, "the lead activates the map");
+  await waitForBalance(t, fleet);
+  const shown = await fleet.waitFor("the new map in the report", async () => {
+    const result = await runCli(fleet, ["group", "show", "group-1"]);
+    return result.exitCode === 0 && /map version [1-9]/.test(result.stdout) ? result.stdout : null;
+  });
+  t.match(shown, /group group-1: lead runner-\d at .*epoch 1\n.*skew \d.*\nrank 0 #+/);
+  t.match(shown, "no slow ranks");
+  const missing = await runCli(fleet, ["group", "show", "group-2"]);
+  t.match(missing, { exitCode: 4, stderr: /no target of group "group-2"/ });
+  const help = await runCli(fleet, ["group", "rebalance", "--help"]);
+  t.match(help.stdout, /--dry-run/);
+});
--- a/packages/agent/test/helpers/GroupFleet.ts
+++ b/packages/agent/test/helpers/GroupFleet.ts
@@ -65,6 +65,7 @@
   static async start(
     programs: string,
     replicas: number,
+    rankGroup: Readonly<Record<string, unknown>> = {},
     prepareStore: (store: WeightStoreServer) => void = () => undefined,
   ): Promise<GroupFleet> {
     const control = await ControlFleet.start({ replicas }, programs);
@@ -105,7 +106,7 @@
       const child = run("clementinemux-agent", name, {
         ...{ target: name, ...place, ...engine, orderPath: "/engine/orders", models: ["m"] },
         ...{ relays: control.addresses, heartbeatIntervalMs: 200, group: "group-1", rank },
-        rankGroup: { rankCount, ...shape, ...intervals },
+        rankGroup: { rankCount, ...shape, ...intervals, ...rankGroup },
       });
       return { name, port, child };
     });
--- /dev/null
+++ b/packages/cli/commands/GroupRebalanceCommand.ts
@@ -0,0 +1,47 @@
+import { Command, Option } from "clipanion";
+import type { RebalanceAnswer } from "@clementinemux/agent/lead/RebalanceAnswer";
+import { formatPlan } from "@clementinemux/experts/preview/formatPlan";
+import { CliError } from "../CliError";
+import { ExitCode } from "../ExitCode";
+import type { OperatorClient } from "../OperatorClient";
+import { GroupCommand } from "./GroupCommand";
+
+/** `group rebalance`. */
+export class GroupRebalanceCommand extends GroupCommand {
+  static override paths = [["group", "rebalance"]];
+  static override usage = Command.Usage({
+    category: "Groups",
+    description: "let the lead of a group plan now, or show what it would do",
+    details:
+      "The plan names the skew now and predicted, the moves with their bytes and time, the work they delay, and the reason. Exit code 4: the lead is busy with another map, or there is no such group.",
+    examples: [
+      ["Show what a plan would do", "$0 group rebalance large-1 --dry-run"],
+      ["Plan now, and activate the map if it is worth its cost", "$0 group rebalance large-1"],
+      ["Read the predicted skew", "$0 group rebalance large-1 --dry-run --json | jq .plan.predictedSkew"],
+    ],
+  });
+
+  dryRun = Option.Boolean("--dry-run", false, { description: "change nothing" });
+
+  protected override async run(client: OperatorClient): Promise<ExitCode> {
+    const lead = await this.findLead(client);
+    const path = this.dryRun ? "/agent/group/rebalance?dryRun=1" : "/agent/group/rebalance";
+    const { status, body } = await this.askLead("POST", lead, path);
+    const { plan, started, refusal } = body as Partial<RebalanceAnswer>;
+    if (status !== 200 || plan === undefined || plan === null) {
+      const isReplaced = status === 421;
+      const reason = isReplaced ? "it no longer leads; try again" : (refusal ?? `status ${status}`);
+      throw new CliError(
+        isReplaced ? ExitCode.Unreachable : ExitCode.Refused,
+        `${lead.target} did not plan for group "${this.group}": ${reason}`,
+      );
+    }
+    const outcome = this.dryRun
+      ? "dry run"
+      : started === true
+        ? "the lead activates the map"
+        : "nothing to do";
+    this.print(body, () => `${formatPlan(this.group, plan)}\n${outcome}`);
+    return ExitCode.Done;
+  }
+}
--- a/packages/cli/createCli.ts
+++ b/packages/cli/createCli.ts
@@ -8,6 +8,8 @@
 import { ExceptionListCommand } from "./commands/ExceptionListCommand";
 import { ExceptionRemoveCommand } from "./commands/ExceptionRemoveCommand";
 import { ExplainCommand } from "./commands/ExplainCommand";
+import { GroupRebalanceCommand } from "./commands/GroupRebalanceCommand";
+import { GroupShowCommand } from "./commands/GroupShowCommand";
 import { StatusCommand } from "./commands/StatusCommand";
 import { TargetDrainCommand } from "./commands/TargetDrainCommand";
 import { TargetListCommand } from "./commands/TargetListCommand";
@@ -25,6 +27,8 @@
   ExceptionListCommand,
   ExceptionRemoveCommand,
   ExplainCommand,
+  GroupRebalanceCommand,
+  GroupShowCommand,
   StatusCommand,
   TargetDrainCommand,
   TargetListCommand,
