Measure the steering of streams between groups in the experts bench

Four groups of B-16's shape and weights, eight streams with a home group each. Before, steering had no measurement.

--- a/bin/bench-experts.ts
+++ b/bin/bench-experts.ts
@@ -23,5 +23,6 @@
     console.log(`${scenario}: lower bound ${lowerBoundSkew.toFixed(4)}`);
     console.table(policies.map(({ skewSeries, ...rest }) => ({ ...rest, points: skewSeries.length })));
   }
+  console.table(result.steering);
   console.table(result.plannerCost);
 }
--- a/packages/bench/experts/runExpertsBench.ts
+++ b/packages/bench/experts/runExpertsBench.ts
@@ -1,9 +1,12 @@
 import { createScenarios } from "./createScenarios";
 import { measurePlannerCost } from "./measurePlannerCost";
 import { runScenario } from "./runScenario";
+import { runSteering } from "./runSteering";
 
 interface ExpertsBenchResult {
   readonly scenarios: readonly ReturnType<typeof runScenario>[];
+  /** Steering of streams among four groups and planning, each lever alone and together, in the first scenario. */
+  readonly steering: ReturnType<typeof runSteering>;
   readonly plannerCost: ReturnType<typeof measurePlannerCost>;
 }
 
@@ -12,6 +15,7 @@
   const scenarios = createScenarios().filter(({ name }) => name.includes(filter));
   return {
     scenarios: scenarios.map((scenario) => runScenario(scenario, seed)),
+    steering: scenarios.slice(0, 1).flatMap((scenario) => runSteering(scenario, seed)),
     plannerCost: measurePlannerCost(),
   };
 }
