Add the capacity bench: slopes of each role

Measures memory, processor time and bytes of relays, voters, entries, agents, group leads and the configuration at four or more sizes each, and fits a line.

--- a/packages/bench/agent/runAgentStreamBench.ts
+++ b/packages/bench/agent/runAgentStreamBench.ts
@@ -63,7 +63,8 @@
     file,
     JSON.stringify({ ...place, target: "runner-1", kind: "engine", targetAddress, relays }),
   );
-  const program = new URL("clementinemux-agent.mjs", import.meta.url).pathname;
+  const programs = new URL(".", import.meta.url).pathname.replace(/chunks\/$/, "");
+  const program = join(programs, "clementinemux-agent.mjs");
   const child = spawn(process.execPath, [...options.flags, program, "--settings", file], {
     stdio: "inherit",
   });
--- /dev/null
+++ b/packages/bench/capacity/measureRelay.ts
@@ -0,0 +1,206 @@
+import { decode } from "cbor-x";
+import { Right } from "purify-ts/Either";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import type { ControlClient } from "@clementinemux/control/ControlClient";
+import { LeaseLedger } from "@clementinemux/control/LeaseLedger";
+import { ServingRelay } from "@clementinemux/control/ServingRelay";
+import { RelayService } from "@clementinemux/membership/RelayService";
+import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
+import { FrameKind } from "@clementinemux/wire/FrameKind";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { encodeFrame } from "@clementinemux/wire/encodeFrame";
+import { runMembershipBench } from "../membership/runMembershipBench";
+import { fitLine } from "../fitLine";
+import type { Slope } from "./Slope";
+import { createAnnouncement } from "./createAnnouncement";
+import { createSlope } from "./createSlope";
+import { measureCpuMs } from "./measureCpuMs";
+import { measureHeldBytes } from "./measureHeldBytes";
+
+const sizes = [400, 800, 1600, 3200] as const;
+const directorySizes = [1500, 3000, 6000, 12_000] as const;
+const entryCounts = [50, 100, 200, 350] as const;
+const headerBytes = 4;
+
+/** Slopes of a membership relay. CPU times hold decoding and encoding of the frames, not the sockets. */
+export async function measureRelay(): Promise<Slope[]> {
+  const serving = await createServingRelay();
+  const announcements = Array.from({ length: 12_000 }, (_, index) => createAnnouncement(index));
+  const createRelay = (count: number): RelayService => {
+    const relay = new RelayService({
+      name: "relay-1",
+      failureDomain: "fd-0",
+      probe: () => Promise.resolve(true),
+    });
+    for (const announcement of announcements.slice(0, count)) {
+      void relay.handlers[MessageName.Announce]?.(announcement, "bench");
+    }
+    return relay;
+  };
+  const announceEntries = (relay: RelayService, count: number): void => {
+    for (let index = 0; index < count; index += 1) {
+      void relay.handlers[MessageName.AnnounceEntry]?.(createEntry(index), "bench");
+    }
+  };
+  const subset = { entry: "entry-1", groupCount: 3 };
+  return [
+    ...measureMembership(),
+    createSlope("relay.heartbeatCpuMs", "ms/heartbeat", sizes, (count) => {
+      const frames = announcements
+        .slice(0, count)
+        .map(({ target, incarnation }) => createRequest(MessageName.Heartbeat, { target, incarnation }));
+      return measureCpuMs(
+        () => createRelay(count),
+        (relay) => {
+          answerAll(frames, (body) => relay.handlers[MessageName.Heartbeat]?.(body, "bench"));
+        },
+      );
+    }),
+    createSlope("relay.renewalCpuMs", "ms/renewal", sizes, (count) => {
+      const frames = announcements
+        .slice(0, count)
+        .map(({ target }) => createRequest(MessageName.Renew, createRenewal(target)));
+      return measureCpuMs(
+        () => undefined,
+        () => {
+          answerAll(frames, (body) => serving.grant(body as RenewRequest));
+        },
+      );
+    }),
+    createSlope("relay.lowestRevisionCpuMs", "ms/holder", sizes, (count) => {
+      const ledger = new LeaseLedger();
+      for (let index = 0; index < count; index += 1) {
+        ledger.note(`holder-${index}`, "1", "r", index, 1e12);
+      }
+      return (
+        measureCpuMs(
+          () => undefined,
+          () => {
+            for (let round = 0; round < 10; round += 1) {
+              ledger.getLowest(0, Infinity);
+            }
+          },
+        ) / 10
+      );
+    }),
+    createSlope("relay.tickCpuMs", "ms/watched target", sizes, (count) => {
+      const relay = createRelay(count);
+      return (
+        measureCpuMs(
+          () => undefined,
+          () => {
+            for (let round = 0; round < 10; round += 1) {
+              relay.tick(performance.now());
+            }
+          },
+        ) / 10
+      );
+    }),
+    createSlope("relay.watchedTargetBytes", "B/watched target", directorySizes, (count) =>
+      measureHeldBytes(() => createRelay(count)),
+    ),
+    createSlope("relay.reassignCpuMs", "ms/target at 350 entries", directorySizes, (count) =>
+      measureCpuMs(
+        () => {
+          const relay = createRelay(count);
+          announceEntries(relay, 350);
+          return relay;
+        },
+        (relay) => void relay.handlers[MessageName.FetchTargets]?.({ since: null, subset }, "bench"),
+      ),
+    ),
+    createSlope("relay.reassignCpuMsByEntry", "ms/entry at 12,000 targets", entryCounts, (count) =>
+      measureCpuMs(
+        () => {
+          const relay = createRelay(12_000);
+          announceEntries(relay, count);
+          return relay;
+        },
+        (relay) => void relay.handlers[MessageName.FetchTargets]?.({ since: null, subset }, "bench"),
+      ),
+    ),
+    createSlope("entry.fetchWholeListBytes", "B/target", sizes, (count) =>
+      measureAnswer(MessageName.FetchTargets, createRelay(count).directory.targets()),
+    ),
+    createSlope("entry.fetchEntriesBytes", "B/entry", entryCounts, (count) => {
+      const relay = createRelay(0);
+      announceEntries(relay, count);
+      return measureAnswer(MessageName.FetchEntries, relay.entries());
+    }),
+    createSlope("agent.renewalBytes", "B/renewal", [1, 2, 4, 8], (count) => {
+      const request = createRequest(MessageName.Renew, createRenewal("runner-1234"));
+      const answer = measureAnswer(MessageName.Renew, serving.grant(createRenewal("runner-1234")));
+      return count * (request.length + answer);
+    }),
+  ];
+}
+
+function measureMembership(): Slope[] {
+  const { points } = runMembershipBench();
+  const quantities = [
+    ["directoryBytes", "relay.directoryBytes", "B/target"],
+    ["relayBytesPerS", "relay.membershipBytesPerS", "B/s/target of the fleet"],
+    ["relayMessagesPerS", "relay.membershipMessagesPerS", "messages/s/target of the fleet"],
+    ["agentBytesPerS", "agent.heartbeatBytesPerS", "B/s/target of the fleet"],
+    ["entryBytesPerS", "entry.fetchDeltaBytesPerS", "B/s/target of the fleet"],
+  ] as const;
+  return quantities.map(([quantity, name, unit]) => {
+    const xy = points.map((point) => ({ x: point.targetCount, y: point[quantity] }));
+    return { name, unit, points: xy, ...fitLine(xy) };
+  });
+}
+
+function createRenewal(holder: string): RenewRequest {
+  return {
+    holder,
+    incarnation: "01764800000000-1a2b3c4d",
+    kind: LeaseholderKind.Agent,
+    failureDomain: "fd-1",
+    region: "region-1",
+    appliedRevision: 0,
+  };
+}
+
+function createEntry(index: number): object {
+  return {
+    entry: `entry-${index}`,
+    incarnation: "01764800000000-1a2b3c4d",
+    url: `https://10.1.${index >> 8}.${index & 255}:8443`,
+    failureDomain: `fd-${index % 15}`,
+    region: `region-${index % 5}`,
+    leaving: false,
+  };
+}
+
+async function createServingRelay(): Promise<ServingRelay> {
+  const answer = { epoch: 1, revision: 0, confirmed: true, leaseMs: 4_000_000, changes: [], config: null };
+  const client = { call: () => Promise.resolve(Right(answer)) } as unknown as ControlClient;
+  const place = { failureDomain: "fd-1", region: "region-1" };
+  const clock = new SystemClock();
+  const relay = new ServingRelay({
+    name: "relay-1",
+    incarnation: "1",
+    ...place,
+    client,
+    clock,
+    maxClockDriftShare: 0.01,
+  });
+  await relay.renew();
+  return relay;
+}
+
+function createRequest(name: MessageName, body: unknown): Buffer {
+  return encodeFrame({ kind: FrameKind.Request, id: 12_345, name, body });
+}
+
+function measureAnswer(name: MessageName, body: unknown): number {
+  return encodeFrame({ kind: FrameKind.Response, id: 12_345, name, body }).length;
+}
+
+function answerAll(frames: readonly Buffer[], answer: (body: unknown) => unknown): void {
+  for (const frame of frames) {
+    const [, , name, body] = decode(frame.subarray(headerBytes)) as [number, number, MessageName, unknown];
+    measureAnswer(name, answer(body));
+  }
+}
--- /dev/null
+++ b/packages/bench/capacity/runCapacityBench.ts
@@ -0,0 +1,37 @@
+import type { Slope } from "./Slope";
+import { measureAgent } from "./measureAgent";
+import { measureConfig } from "./measureConfig";
+import { measureEntry } from "./measureEntry";
+import { measureLead } from "./measureLead";
+import { measurePolicy } from "./measurePolicy";
+import { measureRelay } from "./measureRelay";
+import { measureRpc } from "./measureRpc";
+import { measureVoter } from "./measureVoter";
+
+type Part = (programs: string) => Promise<readonly Slope[]> | readonly Slope[];
+
+const parts: Readonly<Record<string, Part>> = {
+  relay: measureRelay,
+  rpc: measureRpc,
+  voter: measureVoter,
+  config: measureConfig,
+  policy: measurePolicy,
+  lead: measureLead,
+  entry: measureEntry,
+  agent: measureAgent,
+};
+
+/** Measures the slopes; `--part=NAME` measures one part only. */
+export async function runCapacityBench(
+  programs: string,
+  options: readonly string[],
+): Promise<Readonly<Record<string, unknown>>> {
+  const only = options.find((option) => option.startsWith("--part="))?.slice("--part=".length);
+  const slopes: Slope[] = [];
+  for (const [name, measure] of Object.entries(parts)) {
+    if (only === undefined || only === name) {
+      slopes.push(...(await measure(programs)));
+    }
+  }
+  return { slopes };
+}
--- a/packages/bench/membership/runMembershipBench.ts
+++ b/packages/bench/membership/runMembershipBench.ts
@@ -7,6 +7,8 @@
 import type { FetchTargetsRequest } from "@clementinemux/membership/FetchTargetsRequest";
 import { RecordKind } from "@clementinemux/membership/RecordKind";
 import { TargetQuery } from "@clementinemux/membership/TargetQuery";
+import { fitLine } from "../fitLine";
+import { getUsedHeapBytes } from "../getUsedHeapBytes";
 
 interface MembershipPoint {
   readonly targetCount: number;
@@ -194,12 +196,6 @@
   return copies.every(({ size }) => size === source?.size) ? bytes / copyCount : 0;
 }
 
-function getUsedHeapBytes(): number {
-  // Needs --expose-gc for a stable figure.
-  globalThis.gc?.();
-  return process.memoryUsage().heapUsed;
-}
-
 function getRelays(relays: readonly Directory[], { failureDomain }: TargetAnnouncement): Directory[] {
   const domain = Number(failureDomain.slice("fd-".length));
   return relays.slice(domain * 2, domain * 2 + 2);
@@ -230,18 +226,5 @@
   quantity: Exclude<keyof MembershipPoint, "targetCount" | "relayCount">,
   points: readonly MembershipPoint[],
 ): MembershipFit {
-  const meanX = mean(points.map(({ targetCount }) => targetCount));
-  const meanY = mean(points.map((point) => point[quantity]));
-  const spread = mean(points.map(({ targetCount }) => (targetCount - meanX) ** 2));
-  const joint = mean(points.map((point) => (point.targetCount - meanX) * (point[quantity] - meanY)));
-  const slope = spread === 0 ? 0 : joint / spread;
-  const intercept = meanY - slope * meanX;
-  const residual = Math.sqrt(
-    mean(points.map((point) => (point[quantity] - intercept - slope * point.targetCount) ** 2)),
-  );
-  return { quantity, slope, intercept, residual };
-}
-
-function mean(values: readonly number[]): number {
-  return values.reduce((total, value) => total + value, 0) / values.length;
+  return { quantity, ...fitLine(points.map((point) => ({ x: point.targetCount, y: point[quantity] }))) };
 }
