--- a/packages/bench/capacity/runCapacityBench.ts
+++ b/packages/bench/capacity/runCapacityBench.ts
@@ -2,6 +2,7 @@
 import { measureAgent } from "./measureAgent";
 import { measureConfig } from "./measureConfig";
 import { measureEntry } from "./measureEntry";
+import { measureFleet } from "./measureFleet";
 import { measureLead } from "./measureLead";
 import { measurePolicy } from "./measurePolicy";
 import { measureRelay } from "./measureRelay";
@@ -21,11 +22,14 @@
   agent: measureAgent,
 };
 
-/** Measures the slopes; `--part=NAME` measures one part only. */
+/** Measures the slopes; `--part=NAME` measures one part only, `--fleet` today's deployment as processes instead. */
 export async function runCapacityBench(
   programs: string,
   options: readonly string[],
 ): Promise<Readonly<Record<string, unknown>>> {
+  if (options.includes("--fleet")) {
+    return measureFleet(programs);
+  }
   const only = options.find((option) => option.startsWith("--part="))?.slice("--part=".length);
   const slopes: Slope[] = [];
   for (const [name, measure] of Object.entries(parts)) {
