--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
+import type { AgentState } from "@clementinemux/agent/AgentState";
 import { headerNames } from "@clementinemux/common/headerNames";
 
 interface ServiceSettings {
@@ -18,6 +19,8 @@
   breakAfterExecution = false;
   /** Faults for tests: never answers. */
   frozen = false;
+  /** Refuses so many calls before they run, as an agent does. */
+  agentRefusals = 0;
   readonly #settings: ServiceSettings;
   readonly #server: Server;
 
@@ -47,7 +50,16 @@
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === "/agent/state") {
       // In place of an agent, for tests of the entry alone.
-      const state = { target: "", stamp: "0/0", accepting: true, inFlight: 0 };
+      const state: AgentState = {
+        target: "",
+        stamp: "0/0",
+        accepting: true,
+        reason: null,
+        inFlight: 0,
+        load: null,
+        revision: 0,
+        group: null,
+      };
       response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
       return;
     }
@@ -56,6 +68,11 @@
       response.end(JSON.stringify(Object.fromEntries(this.executions)));
       return;
     }
+    if (this.agentRefusals > 0) {
+      this.agentRefusals -= 1;
+      response.writeHead(503, { [headerNames.refusedBy]: "agent", [headerNames.stamp]: "0/0" }).end();
+      return;
+    }
     const chunks: Buffer[] = [];
     for await (const chunk of request as AsyncIterable<Buffer>) {
       chunks.push(chunk);
