Measure the entry of the capacity bench against a subset at design scale

The stub relay now serves a configuration with wide team limits, since the entry applies the full policy, and announces 1,500 to 12,000 targets of 7 models for the entry that polls its subset. Attempt ids of the agent's requests are unique: repeated ones were refused, so the earlier request slope had measured refusals.

--- a/packages/bench/capacity/FleetStub.ts
+++ b/packages/bench/capacity/FleetStub.ts
@@ -2,7 +2,9 @@
 import type { Server, ServerResponse } from "node:http";
 import { headerNames } from "@clementinemux/common/headerNames";
 import { RelayService } from "@clementinemux/membership/RelayService";
+import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { createAnnouncement } from "./createAnnouncement";
@@ -14,19 +16,14 @@
 }
 
 const host = "127.0.0.1";
-const renewal: RenewResponse = {
-  epoch: 1,
-  revision: 0,
-  confirmed: true,
-  leaseMs: 4000,
-  changes: [],
-  config: null,
-};
+const base = createDefaultConfig();
+// No limit of a team cuts the load short.
+const defaults = { ...base.defaults, teamRequestsPerS: 1e6, teamTokensPerS: 1e9 };
 const load = {
   runningCount: 3,
   queuedCount: 0,
   runningTokenCount: 1200,
-  batchLimitCount: 64,
+  batchLimitCount: 4096,
   stepMs: 19.5,
   kvFreeShare: 0.8,
   groupSkew: 1.02,
@@ -44,8 +41,18 @@
   readonly #rpc: RpcServer;
   readonly #agents: Server;
 
-  constructor() {
-    this.#rpc = new RpcServer({ handlers: { ...this.relay.handlers, [MessageName.Renew]: () => renewal } });
+  /** `subsetGroups` is the number of groups that each entry gets for each model. */
+  constructor(subsetGroups = 1000) {
+    const config = { ...base, revision: 1, defaults: { ...defaults, subsetGroups } };
+    const renew = ({ appliedRevision }: RenewRequest): RenewResponse => ({
+      ...{ epoch: 1, revision: 1, confirmed: true, leaseMs: 4000, changes: [] },
+      config: appliedRevision < 1 ? config : null,
+    });
+    const handlers = {
+      ...this.relay.handlers,
+      [MessageName.Renew]: (body: unknown) => renew(body as RenewRequest),
+    };
+    this.#rpc = new RpcServer({ handlers });
     this.#agents = createServer((request, response) => {
       if (request.method === "GET") {
         const state = {
@@ -84,9 +91,11 @@
     this.agentPort = typeof bound === "object" && bound !== null ? bound.port : 0;
   }
 
-  announce(targetCount: number, entryCount: number): void {
+  /** `models` replaces those of the announcements. */
+  announce(targetCount: number, entryCount: number, models?: readonly string[]): void {
     for (let index = 0; index < targetCount; index += 1) {
-      const announcement = { ...createAnnouncement(index, `${host}:${this.agentPort}`), models: ["model-0"] };
+      const announced = createAnnouncement(index, `${host}:${this.agentPort}`);
+      const announcement = { ...announced, models: models ?? announced.models };
       void this.relay.handlers[MessageName.Announce]?.(announcement, "bench");
     }
     for (let index = 0; index < entryCount; index += 1) {
--- a/packages/bench/capacity/measureAgent.ts
+++ b/packages/bench/capacity/measureAgent.ts
@@ -76,9 +76,11 @@
           ({ stamp } = state as { stamp: string });
         });
     }, 500);
+    let attempts = 0;
     for (const x of requestRates) {
       const use = await runAtRate(x, agent, () => {
-        const headers = { "clementinemux-stamp": stamp, "clementinemux-attempt": "a.1" };
+        const headers = { "clementinemux-stamp": stamp, "clementinemux-attempt": `attempt.${attempts}` };
+        attempts += 1;
         call(port, pool, "POST", "/v1/completions", headers);
       });
       requests.push({ x, y: use.coreShare });
--- a/packages/bench/capacity/measureConfig.ts
+++ b/packages/bench/capacity/measureConfig.ts
@@ -1,7 +1,7 @@
 import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import { applyConfigChange } from "@clementinemux/fleet/applyConfigChange";
 import { ServingLease } from "@clementinemux/entry/ServingLease";
-import { applyRevisionChange } from "@clementinemux/entry/applyRevisionChange";
 import type { RevisionChange } from "@clementinemux/messages/RevisionChange";
 import { ConfigView } from "@clementinemux/control/ConfigView";
 import { FrameKind } from "@clementinemux/wire/FrameKind";
@@ -43,11 +43,11 @@
           () => config,
           (start) => {
             let next: FleetConfig = start;
-            for (let revision = 1; revision <= 100 && first !== undefined; revision += 1) {
-              next = applyRevisionChange(next, {
-                revision,
-                change: { kind: ConfigChangeKind.AddException, exception: first },
-              });
+            for (let index = 0; index < 100 && first !== undefined; index += 1) {
+              const exception = { ...first, id: `added-${index}` };
+              next = applyConfigChange(next, { kind: ConfigChangeKind.AddException, exception }).orDefault(
+                next,
+              );
             }
           },
         ) / 100
--- a/packages/bench/capacity/measureEntry.ts
+++ b/packages/bench/capacity/measureEntry.ts
@@ -9,11 +9,21 @@
 
 type Points = { x: number; y: number }[];
 
+interface EntryRun {
+  readonly programs: string;
+  readonly targetCount: number;
+  readonly entryCount: number;
+  /** Groups of each model that the entry gets; all when absent. */
+  readonly subsetGroups?: number | undefined;
+}
+
 const targetCounts = [50, 200, 400, 800] as const;
 const entryCounts = [50, 100, 200, 350] as const;
 const streamCounts = [100, 200, 400, 800] as const;
 const tokenRates = [1000, 2000, 4000, 8000] as const;
 const requestRates = [50, 100, 200, 400] as const;
+const fleetTargetCounts = [1500, 3000, 6000, 12_000] as const;
+const designEntryCount = 350;
 const tokenIntervalMs = 20;
 const settleMs = 4000;
 const measureMs = 6000;
@@ -23,6 +33,13 @@
   return [
     ...(await measureAtRest(programs, "target", targetCounts, (count) => [count, 1])),
     ...(await measureAtRest(programs, "entry", entryCounts, (count) => [10, count])),
+    ...(await measureAtRest(
+      programs,
+      "fleetTarget",
+      fleetTargetCounts,
+      (count) => [count, designEntryCount],
+      3,
+    )),
     ...(await measureWork(programs)),
   ];
 }
@@ -33,13 +50,14 @@
   item: string,
   sizes: readonly number[],
   getCounts: (size: number) => readonly [number, number],
+  subsetGroups?: number,
 ): Promise<Slope[]> {
   const cores: Points = [];
   const bytes: Points = [];
   const resident: Points = [];
   for (const x of sizes) {
     const [targetCount, entryCount] = getCounts(x);
-    await runEntry(programs, targetCount, entryCount, async (entry) => {
+    await runEntry({ programs, targetCount, entryCount, subsetGroups }, async (entry) => {
       const use = await entry.measureUse(measureMs);
       cores.push({ x, y: use.coreShare });
       bytes.push({ x, y: use.readBytesPerS + use.writtenBytesPerS });
@@ -57,7 +75,7 @@
   const heap: Points = [];
   const tokens: Points = [];
   const requests: Points = [];
-  await runEntry(programs, 10, 1, async (entry, fleet, port) => {
+  await runEntry({ programs, targetCount: 10, entryCount: 1 }, async (entry, fleet, port) => {
     const callers = new Agent({ keepAlive: true });
     const open = (): ClientRequest => openStream(port, callers);
     const close = async (streams: readonly ClientRequest[]): Promise<void> => {
@@ -107,14 +125,13 @@
 }
 
 async function runEntry(
-  programs: string,
-  targetCount: number,
-  entryCount: number,
+  { programs, targetCount, entryCount, subsetGroups }: EntryRun,
   run: (entry: DaemonProcess, fleet: FleetStub, port: number) => Promise<void>,
 ): Promise<void> {
-  const fleet = new FleetStub();
+  const fleet = new FleetStub(subsetGroups);
   await fleet.start();
-  fleet.announce(targetCount, entryCount);
+  // Without a subset all targets serve the model that the callers ask for.
+  fleet.announce(targetCount, entryCount, subsetGroups === undefined ? ["model-0"] : undefined);
   const port = await findFreePort();
   const place = { failureDomain: "fd-1", region: "region-1", relays: [`127.0.0.1:${fleet.relayPort}`] };
   const settings = { ...place, name: "entry-1", port, anonymousTeam: "bench" };
