List a fleet of at most 64 targets whole to every entry

Cause: an entry asks for its subset of 3 groups for each model, and a target that runs alone counts as a group, so that in a deployment of 16 single engines each entry saw 3 of them. Ruled out: asking without a subset first and with it afterwards, which would send a large fleet's whole list at every start. Change: the request carries allUpTo, and the relay, which knows the size of the fleet, applies the subset only above it. The count is kept with the plan, so a fetch costs no more. Shown red: with the limit ignored, the new test got 3 targets in place of 16. Before 3, after 16 targets of 16 for each entry.

--- a/packages/entry/FleetView.ts
+++ b/packages/entry/FleetView.ts
@@ -18,6 +18,8 @@
 }
 
 const relayTimeoutMs = 1000;
+// A fleet of this size is polled whole: a subset of single targets would leave too few to choose from.
+const allUpTo = 64;
 
 /** What this entry knows of targets and other entries, refreshed from a relay and from the agents. */
 export class FleetView {
@@ -75,7 +77,7 @@
     for (;;) {
       const request: FetchTargetsRequest = {
         since: this.#since ?? null,
-        subset: { entry: this.#options.entry, groupCount: defaults.subsetGroups },
+        subset: { entry: this.#options.entry, groupCount: defaults.subsetGroups, allUpTo },
       };
       const answer = await this.#options.relays.call(MessageName.FetchTargets, request, relayTimeoutMs);
       if (answer === null) {
--- a/packages/membership/FetchTargetsRequest.ts
+++ b/packages/membership/FetchTargetsRequest.ts
@@ -8,8 +8,11 @@
   } | null;
   /** Only engines that serve one of these models, and services. */
   readonly models?: readonly string[];
-  /** Only the groups and single targets assigned to this entry, at least `groupCount` for each model. */
-  readonly subset?: { readonly entry: string; readonly groupCount: number };
+  /**
+   * Only the groups and single targets assigned to this entry, at least `groupCount` for each model. In a fleet of
+   * at most `allUpTo` targets every entry gets all of them.
+   */
+  readonly subset?: { readonly entry: string; readonly groupCount: number; readonly allUpTo?: number };
   /** Most targets in one answer. */
   readonly limit?: number;
 }
--- a/packages/membership/TargetQuery.ts
+++ b/packages/membership/TargetQuery.ts
@@ -16,6 +16,7 @@
   version: number;
   /** Entries and units that the assignment was made from. */
   readonly inputs: string;
+  targetCount: number;
   readonly unitsByEntry: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
@@ -71,6 +72,9 @@
       return null;
     }
     const plan = this.#getPlan(subset.groupCount);
+    if (plan.targetCount <= (subset.allUpTo ?? 0)) {
+      return null;
+    }
     // An entry that has not announced itself yet gets everything; its list is replaced once it has.
     return plan.unitsByEntry.get(subset.entry) ?? null;
   }
@@ -83,35 +87,38 @@
       return held;
     }
     const entries = this.#directory.entries().map(({ entry }) => entry);
-    const unitsByModel = this.#collectUnits();
+    const targets = this.#directory.targets();
+    const unitsByModel = collectUnits(targets);
     const inputs = describeInputs(entries, unitsByModel);
     if (held?.inputs === inputs) {
       held.version = version;
+      held.targetCount = targets.length;
       return held;
     }
-    const plan = { version, inputs, unitsByEntry: assignAll(entries, unitsByModel, groupCount) };
+    const unitsByEntry = assignAll(entries, unitsByModel, groupCount);
+    const plan = { version, inputs, targetCount: targets.length, unitsByEntry };
     this.#plans.clear();
     this.#plans.set(groupCount, plan);
     return plan;
   }
+}
 
-  /** Units of each model or service, with the failure domain of one of their targets. */
-  #collectUnits(): UnitsByModel {
-    const unitsByModel: UnitsByModel = new Map();
-    for (const announcement of this.#directory.targets()) {
-      for (const model of getServed(announcement)) {
-        const units = unitsByModel.get(model) ?? new Map<string, string>();
-        const unit = getUnit(announcement);
-        const known = units.get(unit);
-        // The smallest name, so that the order of announcements has no influence.
-        if (known === undefined || announcement.failureDomain < known) {
-          units.set(unit, announcement.failureDomain);
-        }
-        unitsByModel.set(model, units);
+/** Units of each model or service, with the failure domain of one of their targets. */
+function collectUnits(targets: readonly TargetAnnouncement[]): UnitsByModel {
+  const unitsByModel: UnitsByModel = new Map();
+  for (const announcement of targets) {
+    for (const model of getServed(announcement)) {
+      const units = unitsByModel.get(model) ?? new Map<string, string>();
+      const unit = getUnit(announcement);
+      const known = units.get(unit);
+      // The smallest name, so that the order of announcements has no influence.
+      if (known === undefined || announcement.failureDomain < known) {
+        units.set(unit, announcement.failureDomain);
       }
+      unitsByModel.set(model, units);
     }
-    return unitsByModel;
   }
+  return unitsByModel;
 }
 
 function describeInputs(entries: readonly string[], unitsByModel: UnitsByModel): string {
--- a/packages/membership/test/targetQuery.test.ts
+++ b/packages/membership/test/targetQuery.test.ts
@@ -104,3 +104,19 @@
   t.notOk(third.targets.some(({ target }) => target === gone!.target));
   t.end();
 });
+
+// Guards against a small fleet of single targets of which each entry would see only a few.
+t.test("small fleet is listed whole", (t) => {
+  const directory = new Directory({ origin: "relay/1" });
+  const place = { url: "", failureDomain: "fd-1", region: "r", leaving: false };
+  directory.announceEntry({ entry: "entry-1", incarnation: "1", ...place }, 0);
+  for (let index = 0; index < 16; index += 1) {
+    directory.announceTarget(createAnnouncement(`r-${index}`, "1", { models: ["demo"] }), false, 0);
+  }
+  const query = new TargetQuery(directory);
+  const subset = { entry: "entry-1", groupCount: 3, allUpTo: 16 };
+  t.equal(query.fetch({ since: null, subset }).targets.length, 16);
+  directory.announceTarget(createAnnouncement("r-16", "1", { models: ["demo"] }), false, 1);
+  t.equal(query.fetch({ since: null, subset }).targets.length, 3);
+  t.end();
+});
