--- a/packages/agent/test/groupLead.test.ts
+++ b/packages/agent/test/groupLead.test.ts
@@ -3,8 +3,9 @@
 import { join } from "node:path";
 import t from "tap";
 import type { Test } from "tap";
+import { GroupFleet } from "@clementinemux/bench/experts/GroupFleet";
 import { LeadPhase } from "@clementinemux/experts/activation/LeadPhase";
-import { GroupFleet } from "./helpers/GroupFleet";
+import type { WeightStoreServer } from "@clementinemux/standins/weightStore/WeightStoreServer";
 
 const programs = join(process.cwd(), "dist");
 // Bound on the skew for the weights of deployment B, which are nearer to the default weights than A's.
@@ -13,6 +14,10 @@
 // Real processes on a busy machine; only a hang reaches this.
 t.setTimeout(240_000);
 
+function holdReplies(store: WeightStoreServer): void {
+  store.isHeld = true;
+}
+
 async function waitForBalance(t: Test, fleet: GroupFleet): Promise<void> {
   const counts = await fleet.waitFor("an activated map with a lower skew", async () => {
     const { mapVersion, skew } = await fleet.getCounts();
@@ -30,7 +35,7 @@
 
 // Guards against a lead that is elected but whose plan never reaches the engines, through all real processes.
 t.test("skewed load leads to an activated map", async (t) => {
-  const fleet = await GroupFleet.start(programs, 3, {}, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start({ programs, replicas: 3, prepareStore: holdReplies });
   t.teardown(() => fleet.stop());
   const first = await fleet.waitFor("load before the first map", async () => (await fleet.getCounts()).skew);
   t.ok(first > goodSkew, `skew ${first} at the start`);
@@ -49,7 +54,7 @@
 
 // Guards against an activation that counts the preparation of a rank which has restarted since.
 t.test("rank restarted between prepare and activate", async (t) => {
-  const fleet = await GroupFleet.start(programs, 1, {}, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start({ programs, replicas: 1, prepareStore: holdReplies });
   t.teardown(() => fleet.stop());
   await fleet.waitFor("a group in preparation", async () => {
     const { answer } = await fleet.waitForLead();
@@ -67,7 +72,7 @@
 
 // Guards against a frozen lead that wakes after its lease and whose orders reach engines without fencing.
 t.test("lead stopped for longer than its lease", async (t) => {
-  const fleet = await GroupFleet.start(programs, 3, {}, (store) => (store.isHeld = true));
+  const fleet = await GroupFleet.start({ programs, replicas: 3, prepareStore: holdReplies });
   t.teardown(() => fleet.stop());
   const old = await fleet.waitFor("a lead that prepares a map", async () => {
     const lead = await fleet.waitForLead();
@@ -112,7 +117,11 @@
 // Guards against a rank that waits forever for weights whose reply was lost, and against a half-prepared map in
 // force.
 t.test("lost weight-store replies", async (t) => {
-  const fleet = await GroupFleet.start(programs, 1, {}, (store) => (store.lostReplyCount = 3));
+  const fleet = await GroupFleet.start({
+    programs,
+    replicas: 1,
+    prepareStore: (store) => (store.lostReplyCount = 3),
+  });
   t.teardown(() => fleet.stop());
   await waitForBalance(t, fleet);
   t.equal(fleet.store.counts.lost, 3);
@@ -140,7 +149,7 @@
 // Guards against commands that ask an agent which does not lead, a dry run that changes the map, and exit codes
 // that scripts cannot rely on.
 t.test("command line shows and rebalances a group", async (t) => {
-  const fleet = await GroupFleet.start(programs, 1, { planIntervalMs: 3_600_000 });
+  const fleet = await GroupFleet.start({ programs, replicas: 1, rankGroup: { planIntervalMs: 3_600_000 } });
   t.teardown(() => fleet.stop());
   const dry = await fleet.waitFor("a dry run with moves", async () => {
     const result = await runCli(fleet, ["group", "rebalance", "group-1", "--dry-run", "--json"]);
--- a/packages/agent/test/helpers/GroupFleet.ts
+++ b/packages/bench/experts/GroupFleet.ts
@@ -5,8 +5,8 @@
 import { join } from "node:path";
 import type { GroupAnswer } from "@clementinemux/agent/lead/GroupAnswer";
 import type { RankLook } from "@clementinemux/agent/rank/RankLook";
-import { ControlFleet } from "@clementinemux/bench/control/ControlFleet";
 import { WeightStoreServer } from "@clementinemux/standins/weightStore/WeightStoreServer";
+import { ControlFleet } from "../control/ControlFleet";
 
 interface GroupCounts {
   readonly stepCount: number;
@@ -16,6 +16,21 @@
   readonly mapVersion: number | null;
 }
 
+interface GroupFleetOptions {
+  readonly programs: string;
+  /** Control replicas. */
+  readonly replicas: number;
+  /** Default 4. */
+  readonly rankCount?: number;
+  /** Default: one layer of 16 experts. */
+  readonly shape?: typeof smallShape;
+  /** Settings of the agents that replace the short intervals. */
+  readonly rankGroup?: Readonly<Record<string, unknown>>;
+  readonly prepareStore?: (store: WeightStoreServer) => void;
+  /** V8 flags of the agents. */
+  readonly agentFlags?: readonly string[];
+}
+
 interface AgentProcess {
   readonly name: string;
   readonly port: number;
@@ -23,10 +38,10 @@
 }
 
 const host = "127.0.0.1";
-const rankCount = 4;
-const shape = { layerCount: 1, expertCount: 16, slotsPerRank: 6, expertBytes: 1_000_000 };
+const smallShape = { layerCount: 1, expertCount: 16, slotsPerRank: 6, expertBytes: 1_000_000 };
 const storeBytesPerS = 100_000_000;
-const intervals = {
+// Shorter than the defaults, so that a test sees elections, plans and activations within seconds.
+const shortIntervals = {
   candidateIntervalMs: 100,
   renewIntervalMs: 400,
   stepIntervalMs: 30,
@@ -40,7 +55,7 @@
   trendMs: 60_000,
 };
 
-/** Control, a stand-in group of four ranks, its weight store and the ranks' agents, for tests with processes. */
+/** Control, a stand-in group, its weight store and the ranks' agents, as processes for tests and benchmarks. */
 export class GroupFleet {
   readonly control: ControlFleet;
   readonly store: WeightStoreServer;
@@ -62,15 +77,19 @@
     this.#enginePorts = enginePorts;
   }
 
-  static async start(
-    programs: string,
-    replicas: number,
-    rankGroup: Readonly<Record<string, unknown>> = {},
-    prepareStore: (store: WeightStoreServer) => void = () => undefined,
-  ): Promise<GroupFleet> {
+  static async start(options: GroupFleetOptions): Promise<GroupFleet> {
+    const {
+      programs,
+      replicas,
+      rankCount = 4,
+      shape = smallShape,
+      rankGroup,
+      prepareStore,
+      agentFlags = [],
+    } = options;
     const control = await ControlFleet.start({ replicas }, programs);
     const store = new WeightStoreServer(storeBytesPerS);
-    prepareStore(store);
+    prepareStore?.(store);
     const storePort = await store.listen(host, 0);
     const ports = await findFreePorts(rankCount * 2);
     const enginePorts = ports.slice(0, rankCount);
@@ -85,7 +104,9 @@
       const file = join(control.folder, `${name}.jsonc`);
       writeFileSync(file, JSON.stringify(settings));
       const log = openSync(join(control.folder, `${name}.log`), "a");
-      const child = spawn(process.execPath, [join(programs, `${program}.mjs`), "--settings", file], {
+      const flags = program === "clementinemux-agent" ? agentFlags : [];
+      const args = [...flags, join(programs, `${program}.mjs`), "--settings", file];
+      const child = spawn(process.execPath, args, {
         stdio: ["ignore", log, log],
         env: { ...process.env, ROARR_LOG: "true" },
       });
@@ -106,7 +127,7 @@
       const child = run("clementinemux-agent", name, {
         ...{ target: name, ...place, ...engine, orderPath: "/engine/orders", models: ["m"] },
         ...{ relays: control.addresses, heartbeatIntervalMs: 200, group: "group-1", rank },
-        rankGroup: { rankCount, ...shape, ...intervals, ...rankGroup },
+        rankGroup: { rankCount, ...shape, ...shortIntervals, ...rankGroup },
       });
       return { name, port, child };
     });
--- /dev/null
+++ b/packages/bench/experts/measureLeadMemory.ts
@@ -0,0 +1,68 @@
+import { readFileSync } from "node:fs";
+import { setTimeout as delay } from "node:timers/promises";
+import { GroupFleet } from "./GroupFleet";
+
+interface LeadMemory {
+  readonly agentFlags: readonly string[];
+  readonly rankCount: number;
+  readonly expertCount: number;
+  readonly layerCount: number;
+  /** Highest resident memory of the lead's agent since its start. */
+  readonly leadPeakBytes: number;
+  readonly leadResidentBytes: number;
+  /** Highest and mean resident memory of the agents that do not lead. */
+  readonly otherPeakBytes: number;
+  readonly otherResidentBytes: number;
+  /** Map version in force at the end; above 0 when the lead has activated maps meanwhile. */
+  readonly mapVersion: number;
+  readonly mixedSteps: number;
+}
+
+const rankCount = 32;
+const shape = { layerCount: 4, expertCount: 256, slotsPerRank: 10, expertBytes: 10_000 };
+const rankGroup = {
+  planIntervalMs: 2000,
+  reportIntervalMs: 1000,
+  statusIntervalMs: 500,
+  armMarginSteps: 200,
+};
+const runMs = 30_000;
+const bytesPerKib = 1024;
+
+/**
+ * Measures the agent that leads a group of 32 ranks with 256 experts and 4 layers, through several plans, next to
+ * the agents that do not lead. Plans and reports are more frequent than by default.
+ */
+export async function measureLeadMemory(
+  programs: string,
+  agentFlags: readonly string[],
+): Promise<LeadMemory> {
+  const fleet = await GroupFleet.start({ programs, replicas: 1, rankCount, shape, rankGroup, agentFlags });
+  try {
+    await fleet.waitFor("a map in force", async () => ((await fleet.getCounts()).mapVersion ?? 0) || null);
+    await delay(runMs);
+    const { agent: lead } = await fleet.waitForLead();
+    const { mapVersion, mixedSteps } = await fleet.getCounts();
+    const others = fleet.agents.filter(({ name }) => name !== lead.name);
+    const otherBytes = others.map(({ child }) => readStatus(child.pid, "VmRSS"));
+    return {
+      agentFlags,
+      ...{ rankCount, expertCount: shape.expertCount, layerCount: shape.layerCount },
+      leadPeakBytes: readStatus(lead.child.pid, "VmHWM"),
+      leadResidentBytes: readStatus(lead.child.pid, "VmRSS"),
+      otherPeakBytes: Math.max(...others.map(({ child }) => readStatus(child.pid, "VmHWM"))),
+      otherResidentBytes: otherBytes.reduce((sum, bytes) => sum + bytes, 0) / otherBytes.length,
+      mapVersion: mapVersion ?? 0,
+      mixedSteps,
+    };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function readStatus(pid: number | undefined, field: string): number {
+  const match = new RegExp(`^${field}:\\s+(\\d+) kB$`, "m").exec(
+    readFileSync(`/proc/${pid ?? "self"}/status`, "utf8"),
+  );
+  return Number(match?.[1] ?? 0) * bytesPerKib;
+}
--- a/packages/bench/runBench.ts
+++ b/packages/bench/runBench.ts
@@ -1,23 +1,33 @@
 import { benches } from "./benches";
 
-/** Runs `bench NAME [--json]` and prints the figures. Returns the exit code. */
+const usageExitCode = 64;
+
+/** Runs `bench NAME [ARGS] [--OPTION=VALUE] [--json]` and prints the figures. Returns the exit code. */
 export async function runBench(args: readonly string[]): Promise<number> {
-  const [name = ""] = args.filter((arg) => !arg.startsWith("--"));
-  const load = benches[name];
+  const [name = "", ...rest] = args.filter((arg) => !arg.startsWith("--"));
+  const load = Object.hasOwn(benches, name) ? benches[name] : undefined;
   if (load === undefined) {
-    process.stderr.write(
-      `usage: bench NAME [--json], with NAME one of: ${Object.keys(benches).join(", ")}\n`,
-    );
-    return 64;
+    const names = Object.keys(benches).join(", ");
+    process.stderr.write(`usage: bench NAME [ARGS] [--OPTION=VALUE] [--json], with NAME one of: ${names}\n`);
+    return usageExitCode;
   }
   const run = await load();
-  const figures = await run(new URL(".", import.meta.url).pathname);
+  const programs = new URL(".", import.meta.url).pathname;
+  const figures = await run({ programs, args: rest, options: readOptions(args) });
   if (args.includes("--json")) {
     process.stdout.write(`${JSON.stringify({ bench: name, ...figures })}\n`);
     return 0;
   }
   for (const [key, value] of Object.entries(figures)) {
-    process.stdout.write(`${key}: ${value}\n`);
+    const text = typeof value === "object" ? JSON.stringify(value, null, 2) : String(value);
+    process.stdout.write(`${key}: ${text}\n`);
   }
   return 0;
 }
+
+function readOptions(args: readonly string[]): Readonly<Record<string, string>> {
+  const pairs = args
+    .map((arg) => /^--([^=]+)=(.*)$/.exec(arg))
+    .flatMap((match) => (match === null ? [] : [[match[1] ?? "", match[2] ?? ""] as const]));
+  return Object.fromEntries(pairs);
+}
