--- a/bin/bench.ts
+++ b/bin/bench.ts
@@ -1,3 +1,4 @@
 import { runBench } from "@clementinemux/bench/runBench";
 
-process.exitCode = await runBench(process.argv.slice(2));
+// Benches may leave idle connections behind, which would keep the process alive.
+process.exit(await runBench(process.argv.slice(2)));
--- a/packages/agent/lead/GroupPeers.ts
+++ b/packages/agent/lead/GroupPeers.ts
@@ -66,7 +66,7 @@
         )) as FetchTargetsResponse | null;
         hasMore = response?.more ?? false;
         if (response !== null) {
-          this.#learn(response);
+          await this.#learn(response);
         }
       }
     } finally {
@@ -82,7 +82,7 @@
     this.#peers.clear();
   }
 
-  #learn({ full, targets, removed, directory, version, subset }: FetchTargetsResponse): void {
+  async #learn({ full, targets, removed, directory, version, subset }: FetchTargetsResponse): Promise<void> {
     this.#since = { directory, version, subset };
     if (full) {
       this.#groups.clear();
@@ -95,19 +95,19 @@
         this.#groups.set(announcement.target, announcement.group);
       }
       if (announcement.group === this.#options.group) {
-        this.#learnPeer(announcement);
+        await this.#learnPeer(announcement);
       }
     }
   }
 
   /** A rank that has left the directory stays a peer: it may be armed, and only an answer of it can tell. */
-  #learnPeer(announcement: TargetAnnouncement): void {
+  async #learnPeer(announcement: TargetAnnouncement): Promise<void> {
     const known = this.#peers.get(announcement.rank);
     if (known !== undefined && known.announcement.incarnation >= announcement.incarnation) {
       return;
     }
     known?.client.close();
-    const client = createPeerClient(announcement.address, this.#options.tls);
+    const client = await createPeerClient(announcement.address, this.#options.tls);
     this.#peers.set(announcement.rank, { announcement, client });
   }
 }
--- a/packages/agent/lead/ZoneClock.ts
+++ b/packages/agent/lead/ZoneClock.ts
@@ -8,6 +8,9 @@
   #offsetMs = 0;
 
   getTimeOfDayMs(wallMs: number, zone: string): number {
+    if (zone === "UTC") {
+      return wallMs % dayMs;
+    }
     const minute = Math.floor(wallMs / minuteMs);
     if (zone !== this.#zone || minute !== this.#minute) {
       this.#zone = zone;
--- a/packages/agent/lead/createPeerClient.ts
+++ b/packages/agent/lead/createPeerClient.ts
@@ -1,16 +1,22 @@
 import { Agent as HttpAgent, request as requestHttp } from "node:http";
-import { Agent as HttpsAgent, request as requestHttps } from "node:https";
 import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { TargetClient } from "../TargetClient";
 
-/** Creates the client of another agent's HTTP listener. */
-export function createPeerClient(address: string, tls: TlsFiles | undefined): TargetClient {
-  const options = { keepAlive: true, maxSockets: 2 };
-  return new TargetClient(
-    parseAddress(address),
-    tls === undefined
-      ? { request: requestHttp, agent: new HttpAgent(options) }
-      : { request: requestHttps, agent: new HttpsAgent({ ...options, ...tls }) },
-  );
+// The lead has one exchange with a rank at a time; more connections would only hold memory.
+const agentOptions = { keepAlive: true, maxSockets: 1 };
+
+/** Creates the client of another agent's HTTP listener. Without TLS, its module is not loaded, for memory. */
+export async function createPeerClient(address: string, tls: TlsFiles | undefined): Promise<TargetClient> {
+  if (tls === undefined) {
+    return new TargetClient(parseAddress(address), {
+      request: requestHttp,
+      agent: new HttpAgent(agentOptions),
+    });
+  }
+  const { Agent: HttpsAgent, request } = await import("node:https");
+  return new TargetClient(parseAddress(address), {
+    request,
+    agent: new HttpsAgent({ ...agentOptions, ...tls }),
+  });
 }
--- a/packages/bench/agent/runAgentStreamBench.ts
+++ b/packages/bench/agent/runAgentStreamBench.ts
@@ -16,6 +16,8 @@
   /** All streams send at the same moment, as with one engine that batches them; else spread evenly. */
   readonly aligned: boolean;
   readonly flags: readonly string[];
+  /** Folder of the bundled programs. */
+  readonly programs: string;
 }
 
 interface AgentStreamResult {
@@ -63,7 +65,7 @@
     file,
     JSON.stringify({ ...place, target: "runner-1", kind: "engine", targetAddress, relays }),
   );
-  const program = new URL("clementinemux-agent.mjs", import.meta.url).pathname;
+  const program = join(options.programs, "clementinemux-agent.mjs");
   const child = spawn(process.execPath, [...options.flags, program, "--settings", file], {
     stdio: "inherit",
   });
--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -1,13 +1,42 @@
 import type { BenchContext } from "./BenchContext";
 
+// The share of one entry at design scale is 25 requests/s and 10,300 tokens/s.
+const designRequestsPerS = 25;
+const defaultDesignFactor = 10;
+
 /** Loads each bench by its name. A bench returns its figures as a JSON object. */
 export const benches: Readonly<
   Record<string, () => Promise<(context: BenchContext) => Promise<object> | object>>
 > = {
+  /** `--seconds=N --aligned=true --flags="V8 FLAGS"`. */
+  agent: async () => {
+    const { runAgentStreamBench } = await import("./agent/runAgentStreamBench");
+    return ({ programs, options }) =>
+      runAgentStreamBench({
+        programs,
+        eventsPerS: 300,
+        streamCount: 10,
+        durationMs: Number(options.seconds ?? 10) * 1000,
+        aligned: options.aligned === "true",
+        flags: readFlags(options.flags),
+      });
+  },
   control: async () => {
     const { runControlBench } = await import("./control/runControlBench");
     return ({ programs }) => runControlBench(programs);
   },
+  /** `[FACTOR]` times the share of one entry at design scale. */
+  entry: async () => {
+    const { runEntryBench } = await import("./entry/runEntryBench");
+    return ({ args }) =>
+      runEntryBench({
+        latencySeconds: 6,
+        requestSeconds: 6,
+        tokenSeconds: 10,
+        tokenRequestsPerS: designRequestsPerS * Number(args[0] ?? defaultDesignFactor),
+      });
+  },
+  /** `[SCENARIO] --seed=N --out=FOLDER`. */
   experts: async () => {
     const { runExpertsBench } = await import("./experts/runExpertsBench");
     const { writeSkewCharts } = await import("./experts/writeSkewCharts");
@@ -17,9 +46,31 @@
       return result;
     };
   },
+  /** `--flags="V8 FLAGS"` of the agents. */
   "lead-memory": async () => {
     const { measureLeadMemory } = await import("./experts/measureLeadMemory");
-    return ({ programs, options }) =>
-      measureLeadMemory(programs, options.flags === undefined ? [] : options.flags.split(" "));
+    return ({ programs, options }) => measureLeadMemory(programs, readFlags(options.flags));
+  },
+  membership: async () => {
+    const { runMembershipBench } = await import("./membership/runMembershipBench");
+    return () => runMembershipBench();
+  },
+  /** `[A|B] [SCENARIO] [POLICY] --seed=N`; or `subset`, or `storm --seed=N`. */
+  policy: async () => {
+    const { runPolicyBench } = await import("./policy/runPolicyBench");
+    const { runRetryStorm } = await import("./policy/runRetryStorm");
+    const { runSubsetBench } = await import("./policy/runSubsetBench");
+    return ({ args, options }) => {
+      const seed = Number(options.seed ?? 1);
+      const parts: Readonly<Record<string, () => object>> = {
+        subset: () => ({ results: runSubsetBench() }),
+        storm: () => ({ results: runRetryStorm(seed) }),
+      };
+      return parts[args[0] ?? ""]?.() ?? runPolicyBench({ seed, only: args });
+    };
   },
 };
+
+function readFlags(flags: string | undefined): string[] {
+  return flags === undefined ? [] : flags.split(" ");
+}
--- a/packages/bench/runBench.ts
+++ b/packages/bench/runBench.ts
@@ -14,15 +14,17 @@
   const run = await load();
   const programs = new URL(".", import.meta.url).pathname;
   const figures = await run({ programs, args: rest, options: readOptions(args) });
+  // A bench that counts wrong answers fails when there are any.
+  const exitCode = "wrongCount" in figures && figures.wrongCount !== 0 ? 1 : 0;
   if (args.includes("--json")) {
     process.stdout.write(`${JSON.stringify({ bench: name, ...figures })}\n`);
-    return 0;
+    return exitCode;
   }
   for (const [key, value] of Object.entries(figures)) {
     const text = typeof value === "object" ? JSON.stringify(value, null, 2) : String(value);
     process.stdout.write(`${key}: ${text}\n`);
   }
-  return 0;
+  return exitCode;
 }
 
 function readOptions(args: readonly string[]): Readonly<Record<string, string>> {
