--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -1,7 +1,81 @@
-type Bench = (programs: string, options: readonly string[]) => Promise<Readonly<Record<string, unknown>>>;
+import type { BenchContext } from "./BenchContext";
 
-/** Loads each bench by its name. A bench gets the folder of the programs and its options, and returns its figures. */
-export const benches: Readonly<Record<string, () => Promise<Bench>>> = {
-  control: async () => (await import("./control/runControlBench")).runControlBench,
-  capacity: async () => (await import("./capacity/runCapacityBench")).runCapacityBench,
+// The share of one entry at design scale is 25 requests/s and 10,300 tokens/s.
+const designRequestsPerS = 25;
+const defaultDesignFactor = 10;
+
+/** Loads each bench by its name. A bench returns its figures as a JSON object. */
+export const benches: Readonly<
+  Record<string, () => Promise<(context: BenchContext) => Promise<object> | object>>
+> = {
+  /** `--seconds=N --aligned=true --flags="V8 FLAGS"`. */
+  agent: async () => {
+    const { runAgentStreamBench } = await import("./agent/runAgentStreamBench");
+    return ({ programs, options }) =>
+      runAgentStreamBench({
+        programs,
+        eventsPerS: 300,
+        streamCount: 10,
+        durationMs: Number(options.seconds ?? 10) * 1000,
+        aligned: options.aligned === "true",
+        flags: readFlags(options.flags),
+      });
+  },
+  /** `--part=NAME` measures one part only; `--fleet=true` today's deployment as processes instead. */
+  capacity: async () => {
+    const { runCapacityBench } = await import("./capacity/runCapacityBench");
+    return ({ programs, options }) => runCapacityBench(programs, options);
+  },
+  control: async () => {
+    const { runControlBench } = await import("./control/runControlBench");
+    return ({ programs }) => runControlBench(programs);
+  },
+  /** `[FACTOR]` times the share of one entry at design scale. */
+  entry: async () => {
+    const { runEntryBench } = await import("./entry/runEntryBench");
+    return ({ args }) =>
+      runEntryBench({
+        latencySeconds: 6,
+        requestSeconds: 6,
+        tokenSeconds: 10,
+        tokenRequestsPerS: designRequestsPerS * Number(args[0] ?? defaultDesignFactor),
+      });
+  },
+  /** `[SCENARIO] --seed=N --out=FOLDER`. */
+  experts: async () => {
+    const { runExpertsBench } = await import("./experts/runExpertsBench");
+    const { writeSkewCharts } = await import("./experts/writeSkewCharts");
+    return ({ args, options }) => {
+      const result = runExpertsBench(args[0], Number(options.seed ?? 77));
+      writeSkewCharts(result.scenarios, options.out);
+      return result;
+    };
+  },
+  /** `--flags="V8 FLAGS"` of the agents. */
+  "lead-memory": async () => {
+    const { measureLeadMemory } = await import("./experts/measureLeadMemory");
+    return ({ programs, options }) => measureLeadMemory(programs, readFlags(options.flags));
+  },
+  membership: async () => {
+    const { runMembershipBench } = await import("./membership/runMembershipBench");
+    return () => runMembershipBench();
+  },
+  /** `[A|B] [SCENARIO] [POLICY] --seed=N`; or `subset`, or `storm --seed=N`. */
+  policy: async () => {
+    const { runPolicyBench } = await import("./policy/runPolicyBench");
+    const { runRetryStorm } = await import("./policy/runRetryStorm");
+    const { runSubsetBench } = await import("./policy/runSubsetBench");
+    return ({ args, options }) => {
+      const seed = Number(options.seed ?? 1);
+      const parts: Readonly<Record<string, () => object>> = {
+        subset: () => ({ results: runSubsetBench() }),
+        storm: () => ({ results: runRetryStorm(seed) }),
+      };
+      return parts[args[0] ?? ""]?.() ?? runPolicyBench({ seed, only: args });
+    };
+  },
 };
+
+function readFlags(flags: string | undefined): string[] {
+  return flags === undefined ? [] : flags.split(" ");
+}
