Send entries only the changes of the entry list

Cause: each entry fetched the announcements of all entries twice a second; a list of 350 has 44 kB, so that an entry without requests read and wrote 101 kB/s, of which 250 B/s for each entry known, against a budget of 11 kB/s. Ruled out: a longer interval, since a leaving entry has to be dropped within addressSettleMs (2 s). Change: fetchEntries names the directory and version of the previous answer and gets what has changed since, as fetchTargets does. Without them the answer is the plain list, as before. Shown red: with the version ignored, the new test got all entries in the second answer.

--- a/packages/entry/FleetView.ts
+++ b/packages/entry/FleetView.ts
@@ -1,5 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
+import type { FetchEntriesRequest } from "@clementinemux/membership/FetchEntriesRequest";
+import type { FetchEntriesResponse } from "@clementinemux/membership/FetchEntriesResponse";
 import type { FetchTargetsRequest } from "@clementinemux/membership/FetchTargetsRequest";
 import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
@@ -25,7 +27,8 @@
 export class FleetView {
   readonly #options: FleetViewOptions;
   readonly #links = new Map<string, TargetLink>();
-  #entries: readonly EntryAnnouncement[] = [];
+  readonly #entries = new Map<string, EntryAnnouncement>();
+  #entriesSince: FetchEntriesRequest["since"] = null;
   #since: FetchTargetsRequest["since"] = null;
 
   constructor(options: FleetViewOptions) {
@@ -33,7 +36,7 @@
   }
 
   get entries(): readonly EntryAnnouncement[] {
-    return this.#entries;
+    return [...this.#entries.values()];
   }
 
   getLink(target: string): TargetLink | null {
@@ -47,14 +50,7 @@
 
   /** Announces this entry and fetches targets and entries. Keeps the last known ones when no relay answers. */
   async refreshDirectory(self: EntryAnnouncement, defaults: FleetDefaults): Promise<void> {
-    const [, entries] = await Promise.all([
-      this.#refreshTargets(defaults),
-      this.#options.relays.call(MessageName.FetchEntries, {}, relayTimeoutMs),
-      this.announce(self),
-    ]);
-    if (entries !== null) {
-      this.#entries = entries.body as readonly EntryAnnouncement[];
-    }
+    await Promise.all([this.#refreshTargets(defaults), this.#refreshEntries(), this.announce(self)]);
   }
 
   /** Resolves with whether a relay has taken the announcement. */
@@ -72,6 +68,26 @@
     await Promise.all([...this.#links.values()].map((link) => link.destroy()));
   }
 
+  /** Fetches only what has changed: the whole list of a large fleet is several times the budget of an entry. */
+  async #refreshEntries(): Promise<void> {
+    const request: FetchEntriesRequest = { since: this.#entriesSince ?? null };
+    const answer = await this.#options.relays.call(MessageName.FetchEntries, request, relayTimeoutMs);
+    if (answer === null) {
+      return;
+    }
+    const { directory, version, full, entries, removed } = answer.body as FetchEntriesResponse;
+    if (full) {
+      this.#entries.clear();
+    }
+    for (const name of removed) {
+      this.#entries.delete(name);
+    }
+    for (const announcement of entries) {
+      this.#entries.set(announcement.entry, announcement);
+    }
+    this.#entriesSince = { directory, version };
+  }
+
   /** Fetches what has changed since the last answer, in parts. */
   async #refreshTargets(defaults: FleetDefaults): Promise<void> {
     for (;;) {
--- a/packages/entry/test/startFleet.ts
+++ b/packages/entry/test/startFleet.ts
@@ -8,6 +8,7 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import type { FetchEntriesResponse } from "@clementinemux/membership/FetchEntriesResponse";
 import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
@@ -101,7 +102,13 @@
         removed: [],
         more: false,
       }),
-      [MessageName.FetchEntries]: () => [...announced.values()],
+      [MessageName.FetchEntries]: (): FetchEntriesResponse => ({
+        directory: "test",
+        version: 1,
+        full: true,
+        entries: [...announced.values()],
+        removed: [],
+      }),
       [MessageName.AnnounceEntry]: (body) => {
         const announcement = body as EntryAnnouncement;
         announced.set(announcement.entry, announcement);
--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -13,6 +13,7 @@
 import type { DirectorySyncRequest } from "./DirectorySyncRequest";
 import type { DirectorySyncResponse } from "./DirectorySyncResponse";
 import { EntryWatch } from "./EntryWatch";
+import type { FetchEntriesRequest } from "./FetchEntriesRequest";
 import type { FetchTargetsRequest } from "./FetchTargetsRequest";
 import type { FleetCounts } from "./FleetCounts";
 import type { HeartbeatRequest } from "./HeartbeatRequest";
@@ -107,7 +108,10 @@
     [MessageName.Announce]: (body) => this.#onAnnounce(body as AnnounceRequest),
     [MessageName.Heartbeat]: (body) => this.#onHeartbeat(body as HeartbeatRequest),
     [MessageName.AnnounceEntry]: (body) => this.#onAnnounceEntry(body as EntryAnnouncement),
-    [MessageName.FetchEntries]: () => this.entries(),
+    [MessageName.FetchEntries]: (body) => {
+      const request = (body ?? {}) as FetchEntriesRequest;
+      return request.since === undefined ? this.entries() : this.#query.fetchEntries(request);
+    },
     [MessageName.FetchTargets]: (body) => {
       const request = (body ?? {}) as FetchTargetsRequest;
       return request.since === undefined ? this.#directory.targets() : this.#query.fetch(request);
--- a/packages/membership/TargetQuery.ts
+++ b/packages/membership/TargetQuery.ts
@@ -1,8 +1,11 @@
 import { hashString } from "@clementinemux/common/hashString";
 import { TargetKind } from "@clementinemux/common/TargetKind";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { Directory } from "./Directory";
 import type { DirectoryRecord } from "./DirectoryRecord";
+import type { FetchEntriesRequest } from "./FetchEntriesRequest";
+import type { FetchEntriesResponse } from "./FetchEntriesResponse";
 import type { FetchTargetsRequest } from "./FetchTargetsRequest";
 import type { FetchTargetsResponse } from "./FetchTargetsResponse";
 import { RecordKind } from "./RecordKind";
@@ -24,7 +27,7 @@
 const defaultLimit = 1000;
 const maxLimit = 2000;
 
-/** Answers `fetchTargets` from a directory. Without I/O. */
+/** Answers `fetchTargets` and `fetchEntries` from a directory. Without I/O. */
 export class TargetQuery {
   readonly #directory: Directory;
   /** Assignments by group count; made again when the directory has changed. */
@@ -66,6 +69,27 @@
     };
   }
 
+  /** Answers with the entries changed since the asker's version, or with all of them. */
+  fetchEntries({ since = null }: FetchEntriesRequest): FetchEntriesResponse {
+    const directory = this.#directory;
+    const isDelta =
+      since?.directory === directory.origin &&
+      since.version >= directory.oldestVersion &&
+      since.version <= directory.version;
+    const records = directory
+      .changedSince(isDelta ? since.version : 0, RecordKind.Entry)
+      .map(({ record }) => record);
+    return {
+      directory: directory.origin,
+      version: directory.version,
+      full: !isDelta,
+      entries: records.flatMap(({ announcement }) =>
+        announcement === null ? [] : [announcement as EntryAnnouncement],
+      ),
+      removed: records.flatMap(({ announcement, name }) => (announcement === null ? [name] : [])),
+    };
+  }
+
   #getUnits(request: FetchTargetsRequest): ReadonlySet<string> | null {
     const { subset } = request;
     if (subset === undefined) {
--- a/packages/membership/test/targetQuery.test.ts
+++ b/packages/membership/test/targetQuery.test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { Directory } from "@clementinemux/membership/Directory";
+import { RecordKind } from "@clementinemux/membership/RecordKind";
 import { TargetQuery } from "@clementinemux/membership/TargetQuery";
 import { assignSubset } from "@clementinemux/membership/assignSubset";
 import { createAnnouncement } from "./createAnnouncement";
@@ -120,3 +121,26 @@
   t.equal(query.fetch({ since: null, subset }).targets.length, 3);
   t.end();
 });
+
+// Guards against the whole list of entries in every answer, and against lost changes and removals.
+t.test("only changed entries are sent", (t) => {
+  const directory = new Directory({ origin: "relay/1" });
+  const query = new TargetQuery(directory);
+  const announcement = { incarnation: "1", url: "", failureDomain: "fd-1", region: "r", leaving: false };
+  for (const entry of ["e-1", "e-2", "e-3"]) {
+    directory.announceEntry({ entry, ...announcement }, 0);
+  }
+  const first = query.fetchEntries({ since: null });
+  t.match(first, { full: true, removed: [] });
+  t.equal(first.entries.length, 3);
+  directory.announceEntry({ entry: "e-1", ...announcement }, 1);
+  const second = query.fetchEntries({ since: first });
+  t.match(second, { full: false, entries: [], removed: [] });
+  directory.announceEntry({ entry: "e-2", ...announcement, leaving: true }, 2);
+  directory.remove(RecordKind.Entry, "e-3", "1", 2);
+  const third = query.fetchEntries({ since: second });
+  t.match(third, { full: false, entries: [{ entry: "e-2", leaving: true }], removed: ["e-3"] });
+  t.equal(third.entries.length, 1);
+  t.equal(query.fetchEntries({ since: { ...third, directory: "relay/2" } }).full, true);
+  t.end();
+});
