Send an agent only its part of a whole configuration

Cause: an agent that starts, or that missed more than 1,000 changes, got every exception and every drain, of which it applies its own drain only. With 4,100 exceptions that is 928,163 B and 3.3 ms of encoding for each agent at its relay. When a failure domain restarts or a partition heals, a relay is asked by about 400 agents within a second; the answers take longer than the agents wait (800 ms), and they ask again. Ruled out: keeping the encoded configuration at the relay, which saves the time and not the bytes. Change: the relay leaves exceptions and the drains of other targets out for agents. Entries get all, as before. Shown red: without the change the new test gets the whole configuration for an agent.

--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
@@ -78,7 +79,7 @@
   }
 
   /** Answers an entry or agent. */
-  grant({ holder, incarnation, region, appliedRevision }: RenewRequest): RenewResponse {
+  grant({ holder, incarnation, kind, region, appliedRevision }: RenewRequest): RenewResponse {
     const nowMs = this.#options.clock.monotonicMs();
     const leaseMs = Math.floor(this.#getLeftMs());
     const isConfirmed = leaseMs > 0;
@@ -87,12 +88,15 @@
       const longestMs = leaseMs * (1 + 2 * this.#options.maxClockDriftShare);
       this.#ledger.note(holder, incarnation, region, appliedRevision, nowMs + longestMs);
     }
+    const { changes, config } = this.view.getMissing(appliedRevision);
+    const isAgent = kind === LeaseholderKind.Agent;
     return {
       epoch: this.#confirmation?.epoch ?? 0,
       revision,
       confirmed: isConfirmed,
       leaseMs: isConfirmed ? leaseMs : 0,
-      ...this.view.getMissing(appliedRevision),
+      changes,
+      config: isAgent && config !== null ? selectForAgent(config, holder) : config,
     };
   }
 
@@ -101,3 +105,13 @@
     return this.#confirmation === null ? 0 : sentAtMs + leaseMs - this.#options.clock.monotonicMs();
   }
 }
+
+/**
+ * What an agent applies of a whole configuration. When a failure domain restarts or a partition heals, hundreds
+ * of agents ask a relay for it within a second, and encoding all exceptions for each would take the relay longer
+ * than they wait.
+ */
+function selectForAgent(config: FleetConfig, target: string): FleetConfig {
+  const drain = Object.hasOwn(config.drains, target) ? config.drains[target] : undefined;
+  return { ...config, exceptions: [], drains: drain === undefined ? {} : { [target]: drain } };
+}
--- a/packages/control/test/leases.test.ts
+++ b/packages/control/test/leases.test.ts
@@ -4,6 +4,7 @@
 import { LeaseLedger } from "@clementinemux/control/LeaseLedger";
 import { ServingRelay } from "@clementinemux/control/ServingRelay";
 import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 
@@ -84,3 +85,25 @@
   t.equal(ledger.getLowest(5000, 9), 9);
   t.end();
 });
+
+// Guards against a relay that encodes all exceptions for each of hundreds of agents that start together, and
+// against an agent that misses its own drain or an entry that misses exceptions.
+t.test("agent gets its part of a whole configuration", async (t) => {
+  const { relay } = createRelay();
+  const exception = {
+    ...{ id: "x", reason: "r", author: "ann", createdAtMs: 1, expiresAtMs: null },
+    ...{ selector: { team: "a" }, override: { weight: 2 } },
+  };
+  const config = {
+    ...createDefaultConfig(),
+    revision: 5,
+    exceptions: [exception],
+    drains: { t1: drain, t2: drain },
+  };
+  relay.view.update({ revision: 5, changes: [], config });
+  await relay.renew();
+  const agent = { ...createRenewal("t1", 0), kind: LeaseholderKind.Agent };
+  t.same(relay.grant(agent).config, { ...config, exceptions: [], drains: { t1: drain } });
+  t.same(relay.grant({ ...agent, holder: "t9" }).config?.drains, {});
+  t.same(relay.grant(createRenewal("e1", 0)).config, config);
+});
