Derive the budget at design scale in the capacity bench

The entry's work is a part of its own (entryWork) with answers that fit the deadlines of the full policy.

--- a/packages/bench/capacity/DaemonProcess.ts
+++ b/packages/bench/capacity/DaemonProcess.ts
@@ -17,6 +17,14 @@
 const ticksPerS = 100;
 const bytesPerKib = 1024;
 
+const running = new Set<ChildProcess>();
+// A bench that ends early must not leave processes behind.
+process.once("exit", () => {
+  for (const child of running) {
+    child.kill("SIGKILL");
+  }
+});
+
 /** A daemon as a process of its own, and what it uses by /proc. */
 export class DaemonProcess {
   readonly name: string;
@@ -37,7 +45,7 @@
     this.#child = spawn(process.execPath, [...flags, join(programs, `${program}.mjs`), "--settings", file], {
       stdio: ["ignore", "ignore", "inherit", "ipc"],
     });
-    process.once("exit", () => this.#child.kill("SIGKILL"));
+    running.add(this.#child);
   }
 
   /** Use over a time. */
@@ -69,6 +77,7 @@
     const closed = new Promise((resolve) => this.#child.once("close", resolve));
     this.#child.kill("SIGKILL");
     await closed;
+    running.delete(this.#child);
     rmSync(this.#folder, { recursive: true, force: true });
   }
 
--- a/packages/bench/capacity/measureRelay.ts
+++ b/packages/bench/capacity/measureRelay.ts
@@ -4,6 +4,7 @@
 import type { ControlClient } from "@clementinemux/control/ControlClient";
 import { LeaseLedger } from "@clementinemux/control/LeaseLedger";
 import { ServingRelay } from "@clementinemux/control/ServingRelay";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
@@ -15,17 +16,25 @@
 import type { Slope } from "./Slope";
 import { createAnnouncement } from "./createAnnouncement";
 import { createSlope } from "./createSlope";
+import { createTeamConfig } from "./createTeamConfig";
 import { measureCpuMs } from "./measureCpuMs";
 import { measureHeldBytes } from "./measureHeldBytes";
 
 const sizes = [400, 800, 1600, 3200] as const;
 const directorySizes = [1500, 3000, 6000, 12_000] as const;
 const entryCounts = [50, 100, 200, 350] as const;
+const teamCounts = [500, 1000, 2000, 4100] as const;
+const startedAgents = 20;
 const headerBytes = 4;
 
 /** Slopes of a membership relay. CPU times hold decoding and encoding of the frames, not the sockets. */
 export async function measureRelay(): Promise<Slope[]> {
   const serving = await createServingRelay();
+  const withTeams = new Map<number, ServingRelay>();
+  for (const count of teamCounts) {
+    withTeams.set(count, await createServingRelay({ ...createTeamConfig(count), revision: 2000 }));
+  }
+  const getWithTeams = (count: number): ServingRelay => withTeams.get(count) ?? serving;
   const announcements = Array.from({ length: 12_000 }, (_, index) => createAnnouncement(index));
   const createRelay = (count: number): RelayService => {
     const relay = new RelayService({
@@ -128,6 +137,22 @@
       announceEntries(relay, count);
       return measureAnswer(MessageName.FetchEntries, relay.entries());
     }),
+    createSlope("agent.wholeConfigBytes", "B/exception (team)", teamCounts, (count) =>
+      measureAnswer(MessageName.Renew, getWithTeams(count).grant(createRenewal("runner-1234"))),
+    ),
+    createSlope("relay.wholeConfigCpuMs", "ms/exception, for each agent that starts", teamCounts, (count) => {
+      const relay = getWithTeams(count);
+      return (
+        measureCpuMs(
+          () => undefined,
+          () => {
+            for (let index = 0; index < startedAgents; index += 1) {
+              measureAnswer(MessageName.Renew, relay.grant(createRenewal(`runner-${index}`)));
+            }
+          },
+        ) / startedAgents
+      );
+    }),
     createSlope("agent.renewalBytes", "B/renewal", [1, 2, 4, 8], (count) => {
       const request = createRequest(MessageName.Renew, createRenewal("runner-1234"));
       const answer = measureAnswer(MessageName.Renew, serving.grant(createRenewal("runner-1234")));
@@ -173,7 +198,7 @@
   };
 }
 
-async function createServingRelay(): Promise<ServingRelay> {
+async function createServingRelay(config: FleetConfig | null = null): Promise<ServingRelay> {
   const answer = { epoch: 1, revision: 0, confirmed: true, leaseMs: 4_000_000, changes: [], config: null };
   const client = { call: () => Promise.resolve(Right(answer)) } as unknown as ControlClient;
   const place = { failureDomain: "fd-1", region: "region-1" };
@@ -187,6 +212,9 @@
     maxClockDriftShare: 0.01,
   });
   await relay.renew();
+  if (config !== null) {
+    relay.view.update({ revision: config.revision, changes: [], config });
+  }
   return relay;
 }
 
--- a/packages/bench/capacity/runCapacityBench.ts
+++ b/packages/bench/capacity/runCapacityBench.ts
@@ -1,7 +1,9 @@
 import type { Slope } from "./Slope";
+import { deriveBudget } from "./deriveBudget";
 import { measureAgent } from "./measureAgent";
 import { measureConfig } from "./measureConfig";
 import { measureEntry } from "./measureEntry";
+import { measureEntryWork } from "./measureEntryWork";
 import { measureFleet } from "./measureFleet";
 import { measureLead } from "./measureLead";
 import { measurePolicy } from "./measurePolicy";
@@ -19,6 +21,7 @@
   policy: measurePolicy,
   lead: measureLead,
   entry: measureEntry,
+  entryWork: measureEntryWork,
   agent: measureAgent,
 };
 
@@ -37,5 +40,5 @@
       slopes.push(...(await measure(programs)));
     }
   }
-  return { slopes };
+  return { slopes, budget: deriveBudget(slopes) };
 }
