--- a/packages/bench/agent/runAgentStreamBench.ts
+++ b/packages/bench/agent/runAgentStreamBench.ts
@@ -66,7 +66,8 @@
   const programs = new URL(".", import.meta.url).pathname.replace(/chunks\/$/, "");
   const program = join(programs, "clementinemux-agent.mjs");
   const child = spawn(process.execPath, [...options.flags, program, "--settings", file], {
-    stdio: "inherit",
+    // The agent logs to its standard output, which here belongs to the figures.
+    stdio: ["ignore", "ignore", "inherit"],
   });
   const pid = child.pid ?? 0;
   try {
--- a/packages/bench/capacity/measureFleet.ts
+++ b/packages/bench/capacity/measureFleet.ts
@@ -27,7 +27,8 @@
 const settleMs = 15_000;
 const restMs = 10_000;
 const loadSeconds = 12;
-const loadedEntries = 2;
+// A team limit is shared by all entries, so the load goes to all of them.
+const loadedEntries = entryCount;
 const requestsPerS = 20;
 const tokens = 50;
 
@@ -110,7 +111,8 @@
     const reports = await Promise.all(loads);
     const whole = reports.reduce((total, { wholeCount }) => total + wholeCount, 0);
     const sent = reports.reduce((total, { sentCount }) => total + sentCount, 0);
-    return { fleet: [...rest, ...light], requestsSent: sent, requestsWhole: whole };
+    const failures = reports.map((report) => report.failures);
+    return { fleet: [...rest, ...light], requestsSent: sent, requestsWhole: whole, failures };
   } finally {
     await Promise.all(daemons.map(({ daemon }) => daemon.stop()));
     rmSync(folder, { recursive: true, force: true });
