--- a/packages/bench/capacity/measureAgent.ts
+++ b/packages/bench/capacity/measureAgent.ts
@@ -21,7 +21,7 @@
   const aligned: Points = [];
   const resident: Points = [];
   for (const eventsPerS of eventRates) {
-    const options = { eventsPerS, streamCount: 10, durationMs: measureMs, flags: [] };
+    const options = { programs, eventsPerS, streamCount: 10, durationMs: measureMs, flags: [] };
     const even = await runAgentStreamBench({ ...options, aligned: false });
     events.push({ x: even.eventsPerS, y: even.coreShare });
     resident.push({ x: even.eventsPerS, y: even.residentBytes });
