Let a relay renew again after a malformed part

Cause: an exception while the configuration is fetched in parts left the mark of a running renewal set, so the relay never renewed again. Change: the mark is cleared in any case. Seen red without that.

--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -59,27 +59,11 @@
       return;
     }
     this.#isRenewing = true;
-    const { name, incarnation, failureDomain, region, client, clock } = this.#options;
-    const sentAtMs = clock.monotonicMs();
-    const request: RenewRequest = {
-      holder: name,
-      incarnation,
-      kind: LeaseholderKind.Relay,
-      failureDomain,
-      region,
-      appliedRevision: this.#ledger.getLowest(sentAtMs, this.view.config.revision),
-      viewRevision: this.view.config.revision,
-    };
-    const answer = await client.call<RenewResponse>("config", MessageName.Renew, request, renewDeadlineMs);
-    const received = answer.toMaybe().extractNullable();
-    if (received !== null) {
-      const response = await completeRenewal(received, (part) => this.#fetchPart(part));
-      if (this.view.update(response) && response.confirmed) {
-        const { epoch, revision, leaseMs } = response;
-        this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
-      }
+    try {
+      await this.#renewAtLeader();
+    } finally {
+      this.#isRenewing = false;
     }
-    this.#isRenewing = false;
   }
 
   /** Answers an entry or agent. */
@@ -101,6 +85,29 @@
     };
   }
 
+  async #renewAtLeader(): Promise<void> {
+    const { name, incarnation, failureDomain, region, client, clock } = this.#options;
+    const sentAtMs = clock.monotonicMs();
+    const request: RenewRequest = {
+      holder: name,
+      incarnation,
+      kind: LeaseholderKind.Relay,
+      failureDomain,
+      region,
+      appliedRevision: this.#ledger.getLowest(sentAtMs, this.view.config.revision),
+      viewRevision: this.view.config.revision,
+    };
+    const answer = await client.call<RenewResponse>("config", MessageName.Renew, request, renewDeadlineMs);
+    const received = answer.toMaybe().extractNullable();
+    if (received !== null) {
+      const response = await completeRenewal(received, (part) => this.#fetchPart(part));
+      if (this.view.update(response) && response.confirmed) {
+        const { epoch, revision, leaseMs } = response;
+        this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
+      }
+    }
+  }
+
   async #fetchPart(request: FetchConfigRequest): Promise<ConfigPart | null> {
     const { client } = this.#options;
     const answer = await client.call<ConfigPart>("config", MessageName.FetchConfig, request, renewDeadlineMs);
--- a/packages/control/test/leases.test.ts
+++ b/packages/control/test/leases.test.ts
@@ -73,6 +73,17 @@
   t.match(sent.at(-1), { appliedRevision: 1 });
 });
 
+// Guards against a relay that never renews again after one malformed answer.
+t.test("relay renews again after a malformed part", async (t) => {
+  const { relay, answer } = createRelay();
+  Object.assign(answer, { inParts: true });
+  await t.rejects(relay.renew());
+  t.equal(relay.isConfirmed, false);
+  Object.assign(answer, { inParts: false });
+  await relay.renew();
+  t.equal(relay.isConfirmed, true);
+});
+
 // Guards against a reduced lease length that hides a longer lease still running.
 t.test("ledger keeps the latest end of a lease", (t) => {
   const ledger = new LeaseLedger();
