Answer agents with their part also when the configuration comes in parts

Cause: two changes to the relay's answer met in a merge, and the one for agents dropped the flag that tells a holder to fetch a large configuration in parts; entries below a relay never reached it. Seen by configParts "large configuration reaches relays and holders of running processes", red before and green after.

--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -77,15 +77,16 @@
       const longestMs = leaseMs * (1 + 2 * this.#options.maxClockDriftShare);
       this.#ledger.note(holder, incarnation, region, appliedRevision, nowMs + longestMs);
     }
-    const { changes, config } = this.view.getMissing(appliedRevision);
-    const isAgent = kind === LeaseholderKind.Agent;
+    const missing = this.view.getMissing(appliedRevision);
+    const isWhole = missing.config !== null || missing.inParts === true;
     return {
       epoch: this.#confirmation?.epoch ?? 0,
       revision,
       confirmed: isConfirmed,
       leaseMs: isConfirmed ? leaseMs : 0,
-      changes,
-      config: isAgent && config !== null ? selectForAgent(config, holder) : config,
+      ...(isWhole && kind === LeaseholderKind.Agent
+        ? { changes: [], config: selectForAgent(this.view.config, holder) }
+        : missing),
     };
   }
 
