--- a/packages/bench/agent/runAgentStreamBench.ts
+++ b/packages/bench/agent/runAgentStreamBench.ts
@@ -16,6 +16,8 @@
   /** All streams send at the same moment, as with one engine that batches them; else spread evenly. */
   readonly aligned: boolean;
   readonly flags: readonly string[];
+  /** Folder of the bundled programs. */
+  readonly programs: string;
 }
 
 interface AgentStreamResult {
@@ -63,8 +65,7 @@
     file,
     JSON.stringify({ ...place, target: "runner-1", kind: "engine", targetAddress, relays }),
   );
-  const programs = new URL(".", import.meta.url).pathname.replace(/chunks\/$/, "");
-  const program = join(programs, "clementinemux-agent.mjs");
+  const program = join(options.programs, "clementinemux-agent.mjs");
   const child = spawn(process.execPath, [...options.flags, program, "--settings", file], {
     // The agent logs to its standard output, which here belongs to the figures.
     stdio: ["ignore", "ignore", "inherit"],
--- a/packages/bench/capacity/runCapacityBench.ts
+++ b/packages/bench/capacity/runCapacityBench.ts
@@ -25,15 +25,15 @@
   agent: measureAgent,
 };
 
-/** Measures the slopes; `--part=NAME` measures one part only, `--fleet` today's deployment as processes instead. */
+/** Measures the slopes; `--part=NAME` measures one part only, `--fleet=true` today's deployment as processes instead. */
 export async function runCapacityBench(
   programs: string,
-  options: readonly string[],
+  options: Readonly<Record<string, string>>,
 ): Promise<Readonly<Record<string, unknown>>> {
-  if (options.includes("--fleet")) {
+  if (options.fleet === "true") {
     return measureFleet(programs);
   }
-  const only = options.find((option) => option.startsWith("--part="))?.slice("--part=".length);
+  const only = options.part;
   const slopes: Slope[] = [];
   for (const [name, measure] of Object.entries(parts)) {
     if (only === undefined || only === name) {
--- a/packages/entry/RequestIntake.ts
+++ b/packages/entry/RequestIntake.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders, ServerResponse } from "node:http";
-
+import { setTimeout as delay } from "node:timers/promises";
 import type * as z from "zod";
 import { Outcome } from "@clementinemux/common/Outcome";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
@@ -44,7 +44,7 @@
 const traceparent = /^[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}$/;
 const maxKeyLength = 256;
 // A service that is not listed gets the treatment that cannot do harm.
-const unlistedService = { repeatable: false, timeoutMs: 30_000 };
+const unlistedService = { repeatable: false, timeoutMs: 30_000, keyRequired: false };
 
 /** Turns callers' requests into sessions: reads the body, claims the key, and hands over to the policy. */
 export class RequestIntake {
@@ -91,6 +91,11 @@
     const treatment = defaults.services[service] ?? unlistedService;
     const repeatable = treatment.repeatable && !isMarkedOnce(headers);
     const hasKey = headers[headerNames.idempotencyKey] !== undefined;
+    // Without a key a resend of the call could not be recognised and would run again.
+    if (treatment.keyRequired && !repeatable && body.length > 0 && !hasKey) {
+      this.#refuse(arrival, RefusalReason.BadRequest, Outcome.NotRun);
+      return;
+    }
     const policyRequest = this.#createPolicyRequest(arrival, TargetKind.Service, service, repeatable, null);
     const admitted = await this.#admit(arrival, policyRequest, hasKey && !repeatable, body);
     if (admitted === null) {
@@ -179,18 +184,19 @@
       this.#refuse(arrival, RefusalReason.BadRequest, Outcome.NotRun);
       return null;
     }
-    const { claims, claimant } = this.#options;
+    const { claims, claimant, context } = this.#options;
     const bodyDigest = createHash("sha256")
       .update(`${method ?? ""} ${arrival.path}\n`)
       .update(body);
-    const claim = new ClaimGuard(claims, {
+    const request = {
       team: arrival.team,
       key,
       bodyDigest: bodyDigest.digest("hex"),
       claimant,
       requestId: arrival.requestId,
       createdAtMs: Number.isFinite(createdAtMs) ? createdAtMs : null,
-    });
+    };
+    const claim = new ClaimGuard(claims, request, { random: context.random, wait });
     const answer = await claim.claim();
     if (answer === null) {
       this.#refuse(arrival, RefusalReason.ClaimUnavailable, Outcome.NotRun);
@@ -276,6 +282,11 @@
   }
 }
 
+/** Does not keep a process alive that has nothing else to do. */
+function wait(ms: number): Promise<unknown> {
+  return delay(ms, undefined, { ref: false });
+}
+
 function isMarkedOnce(headers: IncomingHttpHeaders): boolean {
   return headers[headerNames.idempotencyMode] === "once";
 }
--- a/packages/entry/test/atMostOnce.test.ts
+++ b/packages/entry/test/atMostOnce.test.ts
@@ -1,6 +1,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
 import { request as requestHttp } from "undici";
+import { ClaimGuard } from "@clementinemux/entry/ClaimGuard";
+import { ClaimState } from "@clementinemux/messages/ClaimState";
+import { MemoryClaims } from "./MemoryClaims";
 import { startFleet } from "./startFleet";
 
 interface Reply {
@@ -83,6 +86,46 @@
   await fleet.stop();
 });
 
+// Guards against a key that stays claimed, so that resends are refused, after the answer to its claim was lost.
+t.test("resend runs after a claim whose answer was lost", async (t) => {
+  const fleet = await startFleet({ serviceCount: 1 });
+  fleet.claims.losesClaimAnswers = true;
+  const lost = order(fleet.urls[0]!, "lot 14", once("k14"));
+  t.match(await lost, { status: 503, body: { reason: "claim_unavailable", outcome: "not_run" } });
+  fleet.claims.losesClaimAnswers = false;
+  let resent = await order(fleet.urls[0]!, "lot 14", once("k14"));
+  for (let round = 0; resent.status !== 200 && round < 100; round += 1) {
+    await delay(20);
+    resent = await order(fleet.urls[0]!, "lot 14", once("k14"));
+  }
+  t.match(resent, { status: 200, body: { execution: 1 } });
+  await fleet.stop();
+});
+
+// Guards against a lost claim that is given up only once, while control does not answer.
+t.test("lost claim is cancelled once control answers again", async (t) => {
+  const claims = new MemoryClaims();
+  const waits: number[] = [];
+  const wait = (ms: number): Promise<void> => {
+    waits.push(ms);
+    claims.available = waits.length >= 3;
+    return Promise.resolve();
+  };
+  const claimant = { entry: "entry-1", incarnation: "1" };
+  const request = { team: "t", key: "k", bodyDigest: "d", claimant, requestId: "r1", createdAtMs: null };
+  claims.losesClaimAnswers = true;
+  const lost = new ClaimGuard(claims, request, { random: () => 0.5, wait }).claim();
+  claims.available = false;
+  t.equal(await lost, null);
+  while (waits.length < 3) {
+    await delay(1);
+  }
+  await delay(5);
+  t.same(waits, [200, 400, 800]);
+  claims.losesClaimAnswers = false;
+  t.match(await claims.claim({ ...request, requestId: "r2" }), { state: ClaimState.Granted, attempt: 2 });
+});
+
 // Guards against a lost answer when the caller leaves while the service runs its call.
 t.test("answer is recorded although the caller has left", async (t) => {
   const fleet = await startFleet({ serviceCount: 1, executionMs: 150 });
@@ -125,7 +168,12 @@
 t.test("refusal by the agent: cancelled, claimed again, run once", async (t) => {
   const fleet = await startFleet({ serviceCount: 2 });
   fleet.services[0]!.agentRefusals = 1;
-  t.match(await order(fleet.urls[0]!, "lot 12", once("k12")), { status: 200, body: { execution: 1 } });
+  // The entry chooses among equal services at random, so calls go on until one has met the refusal.
+  for (let call = 0; fleet.services[0]!.agentRefusals > 0 && call < 50; call += 1) {
+    const reply = await order(fleet.urls[0]!, `lot 12-${call}`, once(`k12-${call}`));
+    t.match(reply, { status: 200, body: { execution: 1 } });
+  }
+  t.equal(fleet.services[0]!.agentRefusals, 0);
   t.equal(fleet.claims.cancelCount, 1);
   for (const service of fleet.services) {
     service.agentRefusals = 10;
@@ -140,10 +188,28 @@
 
 // Guards against a service call that blocks for ever, and its repetition.
 t.test("service without an answer is unknown after its timeout", async (t) => {
-  const services = { orders: { repeatable: false, timeoutMs: 100 } };
+  const services = { orders: { repeatable: false, timeoutMs: 100, keyRequired: false } };
   const fleet = await startFleet({ serviceCount: 1, defaults: { services } });
   fleet.services[0]!.frozen = true;
   t.match(await order(fleet.urls[0]!, "lot 10", once("k10")), { status: 502, body: { outcome: "unknown" } });
   t.equal(fleet.services[0]!.executions.get("lot 10"), 1);
   await fleet.stop();
 });
+
+// Guards against a call that runs twice because the resend of a call without a key cannot be recognised.
+t.test("service that requires a key refuses a body without one", async (t) => {
+  const orders = { repeatable: false, timeoutMs: 1000, keyRequired: true };
+  const fleet = await startFleet({ serviceCount: 1, defaults: { services: { orders } } });
+  const refused = await order(fleet.urls[0]!, "lot 15");
+  t.match(refused, { status: 400, body: { reason: "bad_request", outcome: "not_run" } });
+  t.notOk(fleet.services[0]!.executions.has("lot 15"));
+  t.match(await order(fleet.urls[0]!, "lot 15", { "idempotency-key": "k15" }), { status: 200 });
+  t.match(await order(fleet.urls[0]!, ""), { status: 200 });
+  await fleet.stop();
+  const free = await startFleet({
+    serviceCount: 1,
+    defaults: { services: { orders: { ...orders, repeatable: true } } },
+  });
+  t.match(await order(free.urls[0]!, "lot 16"), { status: 200 });
+  await free.stop();
+});
