Show routing, at-most-once and a configuration change in the demo; add a launcher of real processes

The demo used fixed ports, one agent and one entry, and ended its processes without waiting. It now takes free ports, starts fifteen processes with commented settings, and fails with exit code 1 and a message when the answer, its explanation, the single execution or the exception in force is missing. The command line read another shape of control's configuration and history answers (found by reading, not run before the change): it now reads {config} and {history}.

--- a/packages/cli/OperatorClient.ts
+++ b/packages/cli/OperatorClient.ts
@@ -41,7 +41,7 @@
   }
 
   async getConfig(): Promise<FleetConfig> {
-    return (await this.get("/v1/config")) as FleetConfig;
+    return ((await this.get("/v1/config")) as { readonly config: FleetConfig }).config;
   }
 
   /** Sends a body and returns whatever control answers. Throws a CliError when none does. */
--- a/packages/cli/commands/ConfigHistoryCommand.ts
+++ b/packages/cli/commands/ConfigHistoryCommand.ts
@@ -1,16 +1,10 @@
 import { Command } from "clipanion";
+import type { HistoryRecord } from "@clementinemux/control/HistoryRecord";
 import { ControlCommand } from "../ControlCommand";
 import { ExitCode } from "../ExitCode";
 import type { OperatorClient } from "../OperatorClient";
 import { formatTable } from "../formatTable";
 
-interface HistoryRecord {
-  readonly revision: number;
-  readonly author?: string;
-  readonly acceptedAtMs?: number;
-  readonly change: { readonly kind: string };
-}
-
 /** `config history`. */
 export class ConfigHistoryCommand extends ControlCommand {
   static override paths = [["config", "history"]];
@@ -20,14 +14,14 @@
   });
 
   protected override async run(client: OperatorClient): Promise<ExitCode> {
-    const records = (await client.get("/v1/config/history")) as readonly HistoryRecord[];
-    this.print(records, () =>
+    const answer = (await client.get("/v1/config/history")) as { readonly history: readonly HistoryRecord[] };
+    this.print(answer.history, () =>
       formatTable(
         ["REVISION", "ACCEPTED", "AUTHOR", "CHANGE"],
-        records.map(({ revision, author, acceptedAtMs, change }) => [
+        answer.history.map(({ revision, author, atMs, change }) => [
           String(revision),
-          acceptedAtMs === undefined ? "?" : new Date(acceptedAtMs).toISOString(),
-          author ?? "?",
+          new Date(atMs).toISOString(),
+          author,
           change.kind,
         ]),
       ),
--- a/packages/cli/commands/TargetListCommand.ts
+++ b/packages/cli/commands/TargetListCommand.ts
@@ -11,7 +11,7 @@
   static override usage = Command.Usage({ category: "Targets", description: "list the announced targets" });
 
   protected override async run(client: OperatorClient): Promise<ExitCode> {
-    const targets = (await client.get("/v1/targets")) as readonly (TargetAnnouncement & { state?: string })[];
+    const targets = (await client.get("/v1/targets")) as readonly TargetAnnouncement[];
     const { drains } = await client.getConfig();
     this.print(targets, () =>
       formatTable(
@@ -23,7 +23,7 @@
           target.failureDomain,
           target.group === "" ? "-" : target.group,
           target.group === "" ? "-" : String(target.rank),
-          target.target in drains ? "drained" : (target.state ?? "announced"),
+          target.target in drains ? "drained" : "announced",
         ]),
       ),
     );
--- a/packages/demo/createDemoFleet.ts
+++ b/packages/demo/createDemoFleet.ts
@@ -8,57 +8,75 @@
 
 interface DemoFleet {
   readonly processes: readonly DemoProcess[];
-  readonly entryUrl: string;
+  readonly entryUrls: readonly string[];
+  /** URLs of the operators' API. */
+  readonly controlUrls: readonly string[];
+  readonly serviceUrl: string;
 }
 
 const host = "127.0.0.1";
-const basePort = 17_100;
+const region = "local";
+const controlCount = 3;
+const engineCount = 4;
+const entryCount = 2;
 
-/** Lists the processes of the demo and their settings. Their files are created in `folder`. */
-export function createDemoFleet(folder: string): DemoFleet {
-  const relays = [0, 1, 2].map((index) => `${host}:${basePort + index}`);
-  const controls = relays.map((_, index) => ({
+/** Lists the processes of the demo and their settings. Their files are in `folder`; ports are taken in order. */
+export function createDemoFleet(folder: string, tokensFile: string, ports: readonly number[]): DemoFleet {
+  let used = 0;
+  const takePort = (): number => {
+    used += 1;
+    return ports[used - 1] ?? 0;
+  };
+  const controls = Array.from({ length: controlCount }, (_, index) => ({
     name: `control-${index + 1}`,
-    host,
-    port: basePort + index,
+    port: takePort(),
+    apiPort: takePort(),
     failureDomain: `fd-${index + 1}`,
-    region: "local",
-    dataFolder: join(folder, `control-${index + 1}`),
-    replicas: relays,
-    bootstrap: true,
   }));
-  const engine = { host, port: basePort + 10, models: ["demo"], tokenIntervalMs: 10, firstTokenMs: 30 };
-  const agent = {
-    target: "runner-1",
-    host,
-    port: basePort + 20,
-    failureDomain: "fd-1",
-    region: "local",
-    kind: "engine",
-    models: ["demo"],
-    targetAddress: `${host}:${engine.port}`,
-    relays,
-  };
-  const entry = {
-    name: "entry-1",
-    host,
-    port: basePort + 30,
-    failureDomain: "fd-1",
-    region: "local",
-    relays,
-    anonymousTeam: "demo",
+  const relays = controls.map(({ port }) => `${host}:${port}`);
+  const entries = Array.from({ length: entryCount }, (_, index) => ({
+    name: `entry-${index + 1}`,
+    ...{ host, port: takePort(), failureDomain: `fd-${index + 1}`, region, relays, anonymousTeam: "demo" },
+  }));
+  const engines = Array.from({ length: engineCount }, (_, index) => ({
+    name: `engine-${index + 1}`,
+    settings: { host, port: takePort(), models: ["demo"], tokenIntervalMs: 10, firstTokenMs: 30 },
+    agent: {
+      ...{ target: `runner-${index + 1}`, host, port: takePort(), failureDomain: `fd-${(index % 2) + 1}` },
+      ...{ region, kind: "engine", models: ["demo"], relays },
+    },
+  }));
+  const servicePort = takePort();
+  const serviceAgent = {
+    ...{ target: "orders-1", host, port: takePort(), failureDomain: "fd-1", region, relays },
+    ...{ kind: "service", service: "orders", targetAddress: `${host}:${servicePort}` },
   };
   return {
     processes: [
-      ...controls.map((settings) => ({
+      ...controls.map(({ name, ...rest }) => ({
         program: "clementinemux-control",
-        name: settings.name,
-        settings,
+        name,
+        settings: {
+          ...{ name, host, ...rest, region, dataFolder: join(folder, name) },
+          ...{ replicas: relays, bootstrap: true, tokensFile },
+        },
+      })),
+      ...engines.map(({ name, settings }) => ({ program: "standin-engine", name, settings })),
+      {
+        program: "standin-service",
+        name: "service-1",
+        settings: { host, port: servicePort, executionMs: 20 },
+      },
+      ...engines.map(({ settings, agent }) => ({
+        program: "clementinemux-agent",
+        name: `agent-${agent.target}`,
+        settings: { ...agent, targetAddress: `${host}:${settings.port}` },
       })),
-      { program: "standin-engine", name: "engine-1", settings: engine },
-      { program: "clementinemux-agent", name: "agent-1", settings: agent },
-      { program: "clementinemux-entry", name: "entry-1", settings: entry },
+      { program: "clementinemux-agent", name: "agent-orders-1", settings: serviceAgent },
+      ...entries.map((settings) => ({ program: "clementinemux-entry", name: settings.name, settings })),
     ],
-    entryUrl: `http://${host}:${entry.port}`,
+    entryUrls: entries.map(({ port }) => `http://${host}:${port}`),
+    controlUrls: controls.map(({ apiPort }) => `http://${host}:${apiPort}`),
+    serviceUrl: `http://${host}:${servicePort}`,
   };
 }
--- /dev/null
+++ b/packages/demo/fieldComments.ts
@@ -0,0 +1,23 @@
+/** What each field in the demo's settings files means. */
+export const fieldComments: Readonly<Record<string, string>> = {
+  name: "Name of this process; unique in the fleet.",
+  target: "Name of the target; drains are kept by it.",
+  host: "Address on which this process listens.",
+  port: "Port for frames, callers or entries, according to the program.",
+  apiPort: "Port of the operators' HTTP API.",
+  failureDomain: "Failure domain: what is lost together.",
+  region: "Region of the failure domain.",
+  dataFolder: "Folder of all durable state of this replica.",
+  replicas: "Frame addresses of all control replicas.",
+  relays: "Frame addresses of the membership relays, nearest first; here the control replicas.",
+  bootstrap: "Creates new log groups once all listed replicas answer with empty folders.",
+  tokensFile: "JSON file of the operators' bearer tokens: author by token.",
+  anonymousTeam: "Team of callers without a token.",
+  kind: "engine or service.",
+  models: "Models that the engine serves.",
+  service: "Name under which callers reach the plain service: /services/NAME/...",
+  targetAddress: "Address of the target itself, on the same machine.",
+  tokenIntervalMs: "Time between two tokens, in ms.",
+  firstTokenMs: "Time to the first token, in ms.",
+  executionMs: "Time that one call takes, in ms.",
+};
--- /dev/null
+++ b/packages/demo/runCommand.ts
@@ -0,0 +1,24 @@
+import { spawn } from "node:child_process";
+
+interface CommandResult {
+  readonly code: number | null;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+/** Runs a bundled program to its end and returns what it printed. */
+export function runCommand(file: string, args: readonly string[]): Promise<CommandResult> {
+  return new Promise((resolve, reject) => {
+    const child = spawn(process.execPath, [file, ...args], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, ROARR_LOG: "false" },
+    });
+    const output = { stdout: "", stderr: "" };
+    child.stdout.on("data", (chunk: Buffer) => (output.stdout += chunk.toString("utf8")));
+    child.stderr.on("data", (chunk: Buffer) => (output.stderr += chunk.toString("utf8")));
+    child.once("error", reject);
+    child.once("close", (code) => {
+      resolve({ code, ...output });
+    });
+  });
+}
--- a/packages/demo/runDemo.ts
+++ b/packages/demo/runDemo.ts
@@ -1,71 +1,98 @@
-import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
-import { mkdirSync, mkdtempSync, openSync, writeFileSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { setTimeout as delay } from "node:timers/promises";
+import { DaemonProcess } from "@clementinemux/system/DaemonProcess";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { createDemoFleet } from "./createDemoFleet";
+import { formatSettings } from "./formatSettings";
+import { showAtMostOnce } from "./showAtMostOnce";
+import { showChange } from "./showChange";
+import { showRouting } from "./showRouting";
 
-const startDeadlineMs = 15_000;
-const retryIntervalMs = 200;
+// Three control replicas with two ports each, two entries, and four engines and one service with their agents.
+const portCount = 18;
+const shownLogBytes = 2000;
 
-/** Starts a small fleet on loopback, streams one answer through it, and keeps it running unless `once`. */
+/**
+ * Starts a fleet on loopback and shows routing, a request that runs once, and a configuration change. Keeps it
+ * running unless `once`. Resolves with the exit code: 1 when something did not hold.
+ */
 export async function runDemo(once: boolean): Promise<number> {
   const folder = mkdtempSync(join(tmpdir(), "clementinemux-demo-"));
   const programs = new URL(".", import.meta.url).pathname;
-  const fleet = createDemoFleet(folder);
-  const children: ChildProcess[] = [];
-  const stop = (): void => {
-    for (const child of children) {
-      child.kill("SIGKILL");
-    }
+  const daemons: DaemonProcess[] = [];
+  const killAll = (): void => {
+    daemons.forEach((daemon) => {
+      daemon.signal("SIGKILL");
+    });
   };
-  try {
-    mkdirSync(folder, { recursive: true });
-    for (const { program, name, settings } of fleet.processes) {
-      const file = join(folder, `${name}.jsonc`);
-      const log = openSync(join(folder, `${name}.log`), "a");
-      writeFileSync(file, JSON.stringify(settings, null, 2));
-      children.push(
-        spawn(process.execPath, [join(programs, `${program}.mjs`), "--settings", file], {
-          stdio: ["ignore", log, log],
-        }),
-      );
+  process.once("exit", killAll);
+  const stopped = new Promise<"stopped">((resolve) => {
+    for (const signal of ["SIGINT", "SIGTERM"] as const) {
+      process.once(signal, () => {
+        resolve("stopped");
+      });
     }
-    const answer = await askUntilAnswered(`${fleet.entryUrl}/v1/chat/completions`);
-    process.stdout.write(`answer from ${answer.target}: ${answer.text}\n`);
-    if (!once) {
-      process.stdout.write(`running at ${fleet.entryUrl}; press Ctrl-C to stop\n`);
-      await new Promise((resolve) => process.once("SIGINT", resolve));
+  });
+  try {
+    const shown = show(folder, programs, daemons);
+    // A failure after Ctrl-C is of no interest.
+    shown.catch(() => undefined);
+    const hasStopped = (await Promise.race([shown, stopped])) === "stopped";
+    if (!once && !hasStopped) {
+      print("\nrunning; press Ctrl-C to stop");
+      await stopped;
     }
     return 0;
+  } catch (error) {
+    process.stderr.write(`demo failed: ${error instanceof Error ? error.message : String(error)}\n`);
+    printLogs(daemons);
+    process.stderr.write(`settings and logs: ${folder}\n`);
+    return 1;
   } finally {
-    stop();
+    await Promise.all(daemons.map((daemon) => daemon.kill()));
+    process.removeListener("exit", killAll);
   }
 }
 
-async function askUntilAnswered(url: string): Promise<{ target: string; text: string }> {
-  const givenUpAtMs = Date.now() + startDeadlineMs;
-  for (;;) {
-    try {
-      const response = await fetch(url, {
-        method: "POST",
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify({
-          model: "demo",
-          messages: [{ role: "user", content: "Grade lot 7." }],
-          stream: true,
-        }),
-      });
-      if (response.ok) {
-        return { target: response.headers.get("clementinemux-target") ?? "?", text: await response.text() };
-      }
-    } catch {
-      // The entry is not listening yet.
-    }
-    if (Date.now() > givenUpAtMs) {
-      throw new Error(`no answer from ${url} within ${startDeadlineMs} ms`);
+async function show(folder: string, programs: string, daemons: DaemonProcess[]): Promise<void> {
+  const tokensFile = join(folder, "tokens.json");
+  const tokenFile = join(folder, "token");
+  const token = "demo-operator-token";
+  writeFileSync(tokensFile, JSON.stringify({ [token]: "demo" }));
+  writeFileSync(tokenFile, token, { mode: 0o600 });
+  const fleet = createDemoFleet(folder, tokensFile, await findFreePorts(portCount));
+  for (const { program, name, settings } of fleet.processes) {
+    const text = formatSettings(`${name} (${program})`, settings);
+    const daemon = new DaemonProcess({ program, name, settings: text, folder, programs });
+    daemons.push(daemon);
+    daemon.start();
+  }
+  const options = ["--control", fleet.controlUrls.join(","), "--token-file", tokenFile, "--author", "demo"];
+  print(`${daemons.length} processes started; settings and logs: ${folder}`);
+  print(`entries: ${fleet.entryUrls.join(" ")}`);
+  print(`command line: clementinemux status ${options.join(" ")}`);
+  print("\n1. A streamed answer and how it was routed");
+  await showRouting(fleet.entryUrls[0] ?? "", print);
+  print("\n2. A request that must not be repeated, sent through two entries");
+  await showAtMostOnce(fleet.entryUrls, fleet.serviceUrl, print);
+  print("\n3. A configuration change by the command line");
+  await showChange(join(programs, "clementinemux.mjs"), options, print);
+  const ended = daemons.filter(({ isRunning }) => !isRunning);
+  if (ended.length > 0) {
+    throw new Error(`ended by itself: ${ended.map(({ name }) => name).join(", ")}`);
+  }
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+/** Prints the last lines of the logs of processes that have ended. */
+function printLogs(daemons: readonly DaemonProcess[]): void {
+  for (const { name, logFile, isRunning } of daemons) {
+    if (!isRunning && existsSync(logFile)) {
+      process.stderr.write(`${name} has ended: ${readFileSync(logFile, "utf8").slice(-shownLogBytes)}\n`);
     }
-    await delay(retryIntervalMs);
   }
 }
--- /dev/null
+++ b/packages/system/DaemonProcess.ts
@@ -0,0 +1,79 @@
+import { spawn } from "node:child_process";
+import type { ChildProcess } from "node:child_process";
+import { closeSync, openSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+
+interface DaemonOptions {
+  /** Name of the bundle in `programs`, without extension. */
+  readonly program: string;
+  readonly name: string;
+  /** Text of the settings file. */
+  readonly settings: string;
+  /** Folder of the settings file and the log. */
+  readonly folder: string;
+  /** Folder of the bundles. */
+  readonly programs: string;
+}
+
+interface ExitStatus {
+  readonly code: number | null;
+  readonly signal: NodeJS.Signals | null;
+}
+
+/** One process of a fleet, with its settings and its log in files. Can be started again after it has ended. */
+export class DaemonProcess {
+  readonly name: string;
+  readonly logFile: string;
+  readonly settingsFile: string;
+  readonly #options: DaemonOptions;
+  #child: ChildProcess | null = null;
+  #exited: Promise<ExitStatus> = Promise.resolve({ code: null, signal: null });
+
+  constructor(options: DaemonOptions) {
+    this.#options = options;
+    this.name = options.name;
+    this.logFile = join(options.folder, `${options.name}.log`);
+    this.settingsFile = join(options.folder, `${options.name}.jsonc`);
+    writeFileSync(this.settingsFile, options.settings);
+  }
+
+  get isRunning(): boolean {
+    return this.#child !== null;
+  }
+
+  start(): void {
+    const { programs, program } = this.#options;
+    const log = openSync(this.logFile, "a");
+    const args = [join(programs, `${program}.mjs`), "--settings", this.settingsFile];
+    const child = spawn(process.execPath, args, {
+      stdio: ["ignore", log, log],
+      env: { ...process.env, ROARR_LOG: "true" },
+    });
+    closeSync(log);
+    this.#child = child;
+    this.#exited = new Promise((resolve) => {
+      const end = (code: number | null, signal: NodeJS.Signals | null): void => {
+        this.#child = null;
+        resolve({ code, signal });
+      };
+      child.once("error", () => {
+        end(null, null);
+      });
+      child.once("exit", end);
+    });
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Resolves when the process has ended; at once when it does not run. */
+  waitForExit(): Promise<ExitStatus> {
+    return this.#exited;
+  }
+
+  async kill(): Promise<void> {
+    this.signal("SIGKILL");
+    await this.#exited;
+  }
+}
--- /dev/null
+++ b/packages/system/SystemFleet.ts
@@ -0,0 +1,245 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { ConfigChange } from "@clementinemux/fleet/ConfigChange";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { ProposeResponse } from "@clementinemux/messages/ProposeResponse";
+import { DaemonProcess } from "./DaemonProcess";
+import { findFreePorts } from "./findFreePorts";
+import { waitUntil } from "./waitUntil";
+
+interface SystemFleetOptions {
+  readonly engineCount?: number;
+  readonly entryCount?: number;
+  /** Whether a plain service "orders" runs, behind agent "orders-1". */
+  readonly hasService?: boolean;
+  readonly executionMs?: number;
+  readonly engine?: Readonly<Record<string, unknown>>;
+  readonly entry?: Readonly<Record<string, unknown>>;
+  /** Replaces the relay addresses in the settings of a process, such as by those of proxies. */
+  readonly mapRelays?: (process: string, addresses: readonly string[]) => Promise<readonly string[]>;
+  /** Mutual TLS on every connection between processes and on the callers' side. */
+  readonly tls?: { readonly keyFile: string; readonly certFile: string; readonly caFile: string };
+}
+
+interface ProposeAnswer extends ProposeResponse {
+  readonly inForce?: boolean;
+}
+
+interface ControlStatus {
+  readonly groups: readonly {
+    readonly name: string;
+    readonly role: string;
+    readonly hasLease: boolean;
+  }[];
+}
+
+const host = "127.0.0.1";
+const controlCount = 3;
+const token = "token-ann";
+const programs = join(process.cwd(), "dist");
+
+/** A whole fleet of real processes on loopback, for tests. */
+export class SystemFleet {
+  readonly folder = mkdtempSync(join(tmpdir(), "clementinemux-system-"));
+  readonly processes = new Map<string, DaemonProcess>();
+  readonly entryUrls: string[] = [];
+  readonly engineUrls: string[] = [];
+  readonly agentAddresses: string[] = [];
+  readonly relays: string[] = [];
+  readonly apiUrls: string[] = [];
+  serviceUrl = "";
+  readonly tokenFile = join(this.folder, "token");
+  readonly #options: SystemFleetOptions;
+  readonly #onExit = (): void => {
+    for (const daemon of this.processes.values()) {
+      daemon.signal("SIGKILL");
+    }
+  };
+
+  private constructor(options: SystemFleetOptions) {
+    this.#options = options;
+    // A test that ends early must not leave processes behind.
+    process.once("exit", this.#onExit);
+  }
+
+  /** Starts all processes and waits until every target can be reached through every entry. */
+  static async start(options: SystemFleetOptions = {}): Promise<SystemFleet> {
+    const fleet = new SystemFleet(options);
+    try {
+      await fleet.#start();
+    } catch (error) {
+      await fleet.stop(true);
+      throw new Error(`the fleet did not start; logs in ${fleet.folder}`, { cause: error });
+    }
+    return fleet;
+  }
+
+  get(name: string): DaemonProcess {
+    const daemon = this.processes.get(name);
+    if (daemon === undefined) {
+      throw new RangeError(`there is no process "${name}"`);
+    }
+    return daemon;
+  }
+
+  /** Index of the control replica that leads a log group. */
+  findLeader(group: string): Promise<number> {
+    return waitUntil(`leader of ${group}`, async () => {
+      for (const [index] of this.apiUrls.entries()) {
+        const status = await this.callApi(index, "GET", "/v1/status").catch(() => null);
+        const groups = (status?.body as ControlStatus | undefined)?.groups ?? [];
+        if (groups.some(({ name, role, hasLease }) => name === group && role === "leader" && hasLease)) {
+          return index;
+        }
+      }
+      return null;
+    });
+  }
+
+  async callApi(
+    index: number,
+    method: string,
+    path: string,
+    body: unknown = null,
+  ): Promise<{ readonly status: number; readonly body: unknown }> {
+    const response = await fetch(`${this.apiUrls[index] ?? ""}${path}`, {
+      method,
+      headers: { authorization: `Bearer ${token}` },
+      body: body === null ? null : JSON.stringify(body),
+      signal: AbortSignal.timeout(15_000),
+    });
+    return { status: response.status, body: await response.json() };
+  }
+
+  async getConfig(index = 0): Promise<FleetConfig> {
+    return ((await this.callApi(index, "GET", "/v1/config")).body as { config: FleetConfig }).config;
+  }
+
+  /** Proposes a change until control answers; a resend has the same request id. */
+  async propose(change: ConfigChange, waitInForce = false, indexes = [0, 1, 2]): Promise<ProposeAnswer> {
+    const requestId = `request-${Math.random()}`;
+    const { revision } = await this.getConfig(indexes[0]);
+    const request = { author: "ann", requestId, baseRevision: revision, change };
+    let round = 0;
+    return waitUntil("answer to a change", async () => {
+      const index = indexes[round % indexes.length] ?? 0;
+      round += 1;
+      const path = `/v1/changes${waitInForce ? "?wait=inForce" : ""}`;
+      const answer = await this.callApi(index, "POST", path, request);
+      return answer.status === 503 ? null : (answer.body as ProposeAnswer);
+    });
+  }
+
+  /** Ends all processes. Keeps the folder with the logs when asked to. */
+  async stop(keepFolder = false): Promise<void> {
+    process.removeListener("exit", this.#onExit);
+    await Promise.all([...this.processes.values()].map((daemon) => daemon.kill()));
+    if (!keepFolder) {
+      rmSync(this.folder, { recursive: true, force: true });
+    }
+  }
+
+  async #start(): Promise<void> {
+    const { engineCount = 2, entryCount = 2, hasService = false } = this.#options;
+    const serviceCount = hasService ? 1 : 0;
+    const ports = await findFreePorts(controlCount * 2 + entryCount + (engineCount + serviceCount) * 2);
+    const takePort = (): number => ports.pop() ?? 0;
+    writeFileSync(this.tokenFile, token);
+    this.#addControls(takePort);
+    for (let index = 1; index <= engineCount; index += 1) {
+      const port = takePort();
+      const values = { host, port, models: ["demo"], tokenIntervalMs: 20, firstTokenMs: 20 };
+      this.#add("standin-engine", `engine-${index}`, { ...values, ...this.#options.engine });
+      this.engineUrls.push(`http://${host}:${port}`);
+      const target = { kind: "engine", models: ["demo"], targetAddress: `${host}:${port}` };
+      await this.#addAgent(`runner-${index}`, index, takePort(), target);
+    }
+    if (hasService) {
+      const port = takePort();
+      const { executionMs = 0 } = this.#options;
+      this.#add("standin-service", "service-1", { host, port, executionMs });
+      this.serviceUrl = `http://${host}:${port}`;
+      const target = { kind: "service", service: "orders", targetAddress: `${host}:${port}` };
+      await this.#addAgent("orders-1", 1, takePort(), target);
+    }
+    for (let index = 1; index <= entryCount; index += 1) {
+      await this.#addEntry(index, takePort());
+    }
+    for (const daemon of this.processes.values()) {
+      daemon.start();
+    }
+    await this.#waitUntilReady(engineCount + serviceCount);
+  }
+
+  #add(program: string, name: string, values: object): void {
+    const settings = JSON.stringify(values, null, 2);
+    this.processes.set(name, new DaemonProcess({ program, name, settings, folder: this.folder, programs }));
+  }
+
+  #addControls(takePort: () => number): void {
+    const tokensFile = join(this.folder, "tokens.json");
+    writeFileSync(tokensFile, JSON.stringify({ [token]: "ann" }));
+    const { tls } = this.#options;
+    const ports = Array.from({ length: controlCount }, takePort);
+    this.relays.push(...ports.map((port) => `${host}:${port}`));
+    for (const [index, port] of ports.entries()) {
+      const name = `control-${index + 1}`;
+      const apiPort = takePort();
+      this.apiUrls.push(`http://${host}:${apiPort}`);
+      this.#add("clementinemux-control", name, {
+        ...{ name, host, port, apiPort, tokensFile, tls, region: "local", bootstrap: true },
+        failureDomain: `fd-${index + 1}`,
+        dataFolder: join(this.folder, name),
+        replicas: this.relays,
+      });
+    }
+  }
+
+  async #addAgent(target: string, domain: number, port: number, values: object): Promise<void> {
+    const relays = await this.#getRelays(`agent-${target}`);
+    const { tls } = this.#options;
+    this.agentAddresses.push(`${host}:${port}`);
+    this.#add("clementinemux-agent", `agent-${target}`, {
+      ...{ target, host, port, tls, region: "local", relays },
+      failureDomain: `fd-${domain}`,
+      ...values,
+    });
+  }
+
+  async #addEntry(index: number, port: number): Promise<void> {
+    const name = `entry-${index}`;
+    const relays = await this.#getRelays(name);
+    const { tls } = this.#options;
+    this.entryUrls.push(`${tls === undefined ? "http" : "https"}://${host}:${port}`);
+    this.#add("clementinemux-entry", name, {
+      ...{ name, host, port, region: "local", relays, anonymousTeam: "demo" },
+      failureDomain: `fd-${index}`,
+      ...(tls === undefined ? {} : { peerTls: tls, tls: { keyFile: tls.keyFile, certFile: tls.certFile } }),
+      ...this.#options.entry,
+    });
+  }
+
+  async #getRelays(name: string): Promise<readonly string[]> {
+    return (await this.#options.mapRelays?.(name, this.relays)) ?? this.relays;
+  }
+
+  async #waitUntilReady(targetCount: number): Promise<void> {
+    await this.findLeader("config");
+    await this.findLeader("claims-0");
+    await waitUntil("announced targets", async () => {
+      const { body } = await this.callApi(0, "GET", "/v1/targets");
+      return (body as readonly unknown[]).length >= targetCount ? true : null;
+    });
+    if (this.#options.tls !== undefined) {
+      return;
+    }
+    for (const url of this.entryUrls) {
+      await waitUntil(`readiness of ${url}`, async () => {
+        const ready = await fetch(`${url}/readyz`);
+        const models = await (await fetch(`${url}/v1/models`)).text();
+        return ready.ok && (models.includes("demo") || this.engineUrls.length === 0) ? true : null;
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/system/test/config.test.ts
@@ -0,0 +1,116 @@
+import t from "tap";
+import { request as requestHttp } from "undici";
+import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import type { ConfigChange } from "@clementinemux/fleet/ConfigChange";
+import { SystemFleet } from "@clementinemux/system/SystemFleet";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { RelayProxies } from "./helpers/RelayProxies";
+import { runLight } from "./helpers/runLight";
+
+// Only a hang reaches this.
+t.setTimeout(200_000);
+
+const promisedMs = 5000;
+const stepMs = 50;
+let changeCount = 0;
+
+function createChange(): ConfigChange {
+  changeCount += 1;
+  const drain = { reason: "test", author: "ann", sinceMs: 1 };
+  return { kind: ConfigChangeKind.DrainTarget, target: `absent-${changeCount}`, drain };
+}
+
+/** Revision that an entry applies to a new request; the problem when it refuses the request. */
+async function probe(url: string): Promise<{ revision: number; problem: Record<string, unknown> | null }> {
+  const answer = await requestHttp(`${url}/v1/completions`, {
+    method: "POST",
+    body: JSON.stringify({ model: "demo", prompt: "p", max_tokens: 1, stream: true }),
+  });
+  const text = await answer.body.text();
+  if (answer.statusCode !== 200) {
+    return { revision: -1, problem: JSON.parse(text) as Record<string, unknown> };
+  }
+  const id = String(answer.headers["clementinemux-request"]);
+  const explanation = await (await requestHttp(`${url}/v1/explain/${id}`)).body.json();
+  return { revision: (explanation as { revision: number }).revision, problem: null };
+}
+
+// Guards against a change lost or not in force in time because the leader died while it was proposed.
+t.test("leader killed right after a proposal", async (t) => {
+  const fleet = await SystemFleet.start({ engineCount: 1 });
+  t.teardown(() => fleet.stop());
+  const leader = await fleet.findLeader("config");
+  const others = [0, 1, 2].filter((index) => index !== leader);
+  const proposed = fleet.propose(createChange(), false, others);
+  setTimeout(() => {
+    fleet.get(`control-${leader + 1}`).signal("SIGKILL");
+  }, 5);
+  const answer = await proposed;
+  const acceptedAtMs = performance.now();
+  t.equal(answer.outcome, "accepted");
+  const times = await Promise.all(
+    fleet.entryUrls.map((url) =>
+      waitUntil("revision in force", async () => {
+        const { revision, problem } = await probe(url);
+        // An entry that refuses new work applies no older revision either.
+        const isInForce = problem === null ? revision >= answer.revision : problem.outcome === "not_run";
+        return isInForce ? performance.now() - acceptedAtMs : null;
+      }),
+    ),
+  );
+  t.comment(`in force at the entries after ${times.map(Math.round).join(" and ")} ms`);
+  t.ok(Math.max(...times) <= promisedMs + stepMs, `in force after ${times.join(", ")} ms`);
+  const config = await waitUntil("config", () => fleet.getConfig(others[0]));
+  t.ok(config.revision >= answer.revision);
+});
+
+// Guards against an entry that serves without control, cuts streams when it loses control, or reverts later.
+t.test("entry cut off from control refuses, then catches up", async (t) => {
+  const proxies = new RelayProxies(["entry-1"]);
+  const fleet = await SystemFleet.start({ engineCount: 1, mapRelays: proxies.mapRelays });
+  t.teardown(async () => {
+    await fleet.stop();
+    await proxies.close();
+  });
+  const [url = "", otherUrl = ""] = fleet.entryUrls;
+  await waitUntil("both entries in the address list", async () => {
+    const body = (await (await requestHttp(`${url}/v1/addresses`)).body.json()) as { addresses: string[] };
+    return body.addresses.includes(otherUrl) ? true : null;
+  });
+  // About 8 s of tokens, which is longer than the serving lease.
+  const stream = runLight(url, 1, 400);
+  await waitUntil("work in flight", async () => {
+    const counts = await (await fetch(`${fleet.engineUrls[0] ?? ""}/standin/counts`)).json();
+    return (counts as { tokens: number }).tokens > 20 ? true : null;
+  });
+  proxies.silence("entry-1");
+  const answer = await fleet.propose(createChange());
+  const problem = await waitUntil("refusal", async () => (await probe(url)).problem);
+  t.match(problem, { outcome: "not_run", reason: "control_lost" });
+  t.ok((problem.addresses as string[]).includes(otherUrl), "names the other entry");
+  t.match(await stream, { sentCount: 1, wholeCount: 1, wrongCount: 0 });
+  proxies.heal("entry-1");
+  const first = await waitUntil("first served request", async () => {
+    const { revision, problem } = await probe(url);
+    return problem === null ? revision : null;
+  });
+  t.ok(first >= answer.revision, `serves revision ${first}`);
+});
+
+// Guards against a restarted entry that starts from an older configuration.
+t.test("restarted entry serves no older revision", async (t) => {
+  const fleet = await SystemFleet.start({ engineCount: 1 });
+  t.teardown(() => fleet.stop());
+  const answer = await fleet.propose(createChange(), true);
+  t.equal(answer.inForce, true);
+  const entry = fleet.get("entry-1");
+  for (let round = 0; round < 2; round += 1) {
+    await entry.kill();
+    entry.start();
+    const first = await waitUntil("first served request", async () => {
+      const { revision, problem } = await probe(fleet.entryUrls[0] ?? "");
+      return problem === null ? revision : null;
+    });
+    t.ok(first >= answer.revision, `serves revision ${first}`);
+  }
+});
--- /dev/null
+++ b/packages/system/test/tls.test.ts
@@ -0,0 +1,60 @@
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { generate } from "selfsigned";
+import t from "tap";
+import { Agent, request as requestHttp } from "undici";
+import { SystemFleet } from "@clementinemux/system/SystemFleet";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+
+// Only a hang reaches this.
+t.setTimeout(100_000);
+
+// Guards against a path that does not work with certificates, or that a peer without one can use.
+t.test("mutual TLS on the whole path", async (t) => {
+  const folder = mkdtempSync(join(tmpdir(), "clementinemux-tls-"));
+  t.teardown(() => {
+    rmSync(folder, { recursive: true });
+  });
+  const { private: key, cert } = await generate([{ name: "commonName", value: "127.0.0.1" }]);
+  const [keyFile, certFile] = [join(folder, "key.pem"), join(folder, "cert.pem")];
+  writeFileSync(keyFile, key);
+  writeFileSync(certFile, cert);
+  const tls = { keyFile, certFile, caFile: certFile };
+  const fleet = await SystemFleet.start({ engineCount: 1, entryCount: 1, hasService: true, tls });
+  t.teardown(() => fleet.stop());
+  const ca = readFileSync(certFile);
+  const caller = new Agent({ connect: { ca, checkServerIdentity: (): undefined => undefined } });
+  const [url = ""] = fleet.entryUrls;
+  const text = await waitUntil("answer over TLS", async () => {
+    const body = JSON.stringify({ model: "demo", prompt: "p", max_tokens: 3, stream: true });
+    const answer = await requestHttp(`${url}/v1/completions`, { method: "POST", body, dispatcher: caller });
+    const text = await answer.body.text();
+    return answer.statusCode === 200 ? text : null;
+  });
+  t.ok(text.endsWith("data: [DONE]\n\n"));
+  // The claim of a request that runs once goes to control in frames.
+  const once = await requestHttp(`${url}/services/orders/run`, {
+    method: "POST",
+    headers: { "idempotency-key": "k", "idempotency-mode": "once" },
+    body: "k",
+    dispatcher: caller,
+  });
+  t.equal(once.statusCode, 200);
+  await once.body.dump();
+  const agentUrl = `https://${fleet.agentAddresses[0] ?? ""}/agent/state`;
+  await t.rejects(requestHttp(agentUrl, { dispatcher: caller }), "the agent wants a certificate");
+  const withCert = new Agent({ connect: { ca, key, cert, checkServerIdentity: (): undefined => undefined } });
+  t.equal((await requestHttp(agentUrl, { dispatcher: withCert })).statusCode, 200);
+  const [relay = ""] = fleet.relays;
+  const address = { host: "127.0.0.1", port: Number(relay.split(":")[1]) };
+  const plain = new RpcClient({ address });
+  t.teardown(() => {
+    plain.close();
+  });
+  const answer = await plain.call(MessageName.FetchConfig, {}, 1000);
+  t.ok(answer.isLeft(), "control wants a certificate");
+  await Promise.all([caller.destroy(), withCert.destroy()]);
+});
