Pass the engines' cache events and cached prompt counts on to the routing

Cause: the policy's prefix index only knew what its own entry had sent, because agents did not relay cache events and the entry did not call onCacheEvent or onPrefixAnswer.

The agent fetches the engine's events with each load poll and holds the newest 1024. An entry asks for them with the poll of the agent's state, at most 2000 B/s over all engines (26 B an event), shared in turns. A poll without the question gets none. The count of cached prompt tokens in the final event of a fresh attempt corrects the index. The agent takes a query on /agent/state.

The stand-in service took the agent's load polls for executions, so a service slower than 500 ms counted as unreachable; it now answers 404 on /engine/.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -3,6 +3,7 @@
 import type * as z from "zod";
 import type { Clock } from "@clementinemux/common/Clock";
 import { Outcome } from "@clementinemux/common/Outcome";
+import { TargetKind } from "@clementinemux/common/TargetKind";
 import { headerNames } from "@clementinemux/common/headerNames";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
@@ -11,6 +12,7 @@
 import { AgentRefusal } from "./AgentRefusal";
 import type { AgentSettings } from "./AgentSettings";
 import type { AgentState } from "./AgentState";
+import { CacheEventFeed } from "./CacheEventFeed";
 import { ConfigView } from "./ConfigView";
 import { Forwarder } from "./Forwarder";
 import { LoadPoller } from "./LoadPoller";
@@ -42,6 +44,7 @@
   readonly #forwarder: Forwarder;
   readonly #target: TargetClient;
   readonly #load: LoadPoller;
+  readonly #cacheEvents: CacheEventFeed | null;
   readonly #orders: OrderDesk;
   readonly #relays: RelayLink;
   readonly #logState: LogState;
@@ -60,6 +63,8 @@
     this.#forwarder = new Forwarder(targetAddress);
     this.#target = new TargetClient(targetAddress);
     this.#load = new LoadPoller(this.#target, settings.loadPath, clock);
+    this.#cacheEvents =
+      settings.kind === TargetKind.Engine ? new CacheEventFeed(this.#target, settings.cacheEventsPath) : null;
     this.#orders = new OrderDesk({
       gate: new OrderGate(incarnation, this.#view),
       client: this.#target,
@@ -104,6 +109,7 @@
         void this.#load.poll().then(() => {
           this.#gate.setTargetFailed(this.#load.hasFailed);
         });
+        void this.#cacheEvents?.poll();
       });
     const bound = server.address();
     return typeof bound === "object" && bound !== null ? bound.port : port;
@@ -183,9 +189,12 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    const [url = "", query = ""] = (request.url ?? "").split("?", 2);
     const routes: Readonly<Record<string, () => void>> = {
       "/agent/state": () => {
-        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(this.#getState()));
+        response
+          .writeHead(200, { "content-type": "application/json" })
+          .end(JSON.stringify(this.#getState(query)));
       },
       "/agent/metrics": () => {
         response.writeHead(200, { "content-type": "text/plain" }).end(renderCounters(this.counters));
@@ -194,7 +203,6 @@
         this.#orders.handle(request, response).catch(() => response.destroy());
       },
     };
-    const { url = "" } = request;
     if (url.startsWith("/agent/")) {
       const route = Object.hasOwn(routes, url) ? routes[url] : undefined;
       if (route === undefined) {
@@ -246,7 +254,8 @@
     response.end(JSON.stringify({ outcome: Outcome.NotRun, reason, stamp }));
   }
 
-  #getState(): AgentState {
+  #getState(query: string): AgentState {
+    const params = new URLSearchParams(query);
     const nowMs = this.#clock.monotonicMs();
     const reason = this.#gate.getClosedReason(nowMs);
     const { target, group, rank } = this.#settings;
@@ -258,6 +267,11 @@
       inFlight: this.inFlight,
       load: this.#load.getLoad(),
       revision: this.#view.config.revision,
+      cacheEvents:
+        this.#cacheEvents?.getAfter(
+          Number(params.get("cacheAfter") ?? 0),
+          Number(params.get("cacheLimit") ?? 0),
+        ) ?? [],
       group: group === "" ? null : { name: group, rank },
     };
   }
--- a/packages/agent/AgentSettings.ts
+++ b/packages/agent/AgentSettings.ts
@@ -24,6 +24,8 @@
   targetAddress: z.string(),
   /** Path of the target's load report. A target without one is polled all the same, to see that it answers. */
   loadPath: z.string().startsWith("/").default("/engine/load"),
+  /** Path of the engine's cache events; asked with `?after=SEQUENCE`. */
+  cacheEventsPath: z.string().startsWith("/").default("/engine/cache-events"),
   /** Path on which the target takes orders. */
   orderPath: z.string().startsWith("/").default("/engine/orders"),
   loadIntervalMs: z.number().int().min(50).max(60_000).default(500),
--- a/packages/agent/AgentState.ts
+++ b/packages/agent/AgentState.ts
@@ -1,4 +1,5 @@
 import type { AgentLoad } from "./AgentLoad";
+import type { CacheEvent } from "./CacheEvent";
 import type { AgentRefusal } from "./AgentRefusal";
 
 /** Answer of an agent's `GET /agent/state`, polled by the entries. */
@@ -13,6 +14,8 @@
   readonly load: AgentLoad | null;
   /** Highest configuration revision that the agent has applied. */
   readonly revision: number;
+  /** Cache events of the engine, when the question asks for them with `cacheAfter` and `cacheLimit`. */
+  readonly cacheEvents?: readonly CacheEvent[];
   /** Rank group; null for a target that runs alone. */
   readonly group: { readonly name: string; readonly rank: number } | null;
 }
--- /dev/null
+++ b/packages/agent/CacheEventFeed.ts
@@ -0,0 +1,58 @@
+import type { CacheEvent } from "./CacheEvent";
+import type { TargetClient } from "./TargetClient";
+
+const pollTimeoutMs = 500;
+/** Events held for entries that ask; an entry that falls further behind sees a gap in the sequence. */
+const maxHeldCount = 1024;
+/** Events in one answer, about 20 bytes each. */
+const maxAnswerCount = 64;
+
+/** Fetches the cache events of the engine and holds the newest ones for the entries. */
+export class CacheEventFeed {
+  readonly #client: TargetClient;
+  readonly #path: string;
+  #held: CacheEvent[] = [];
+  #isPolling = false;
+
+  constructor(client: TargetClient, path: string) {
+    this.#client = client;
+    this.#path = path;
+  }
+
+  /** Fetches what the engine has published since. An engine that publishes nothing is not an error. */
+  async poll(): Promise<void> {
+    if (this.#isPolling) {
+      return;
+    }
+    this.#isPolling = true;
+    try {
+      const path = `${this.#path}?after=${this.#held.at(-1)?.[0] ?? 0}`;
+      const { status, text } = await this.#client.send({ method: "GET", path, timeoutMs: pollTimeoutMs });
+      if (status === 200) {
+        this.#held = [...this.#held, ...parseEvents(text)].slice(-maxHeldCount);
+      }
+    } catch {
+      // The load poll tells whether the engine answers; cache events only improve the routing.
+    } finally {
+      this.#isPolling = false;
+    }
+  }
+
+  /** The oldest held events after a sequence number, at most `limit`. */
+  getAfter(sequence: number, limit: number): readonly CacheEvent[] {
+    return this.#held.filter(([held]) => held > sequence).slice(0, Math.min(limit, maxAnswerCount));
+  }
+}
+
+function parseEvents(text: string): CacheEvent[] {
+  const body: unknown = JSON.parse(text);
+  if (!Array.isArray(body)) {
+    return [];
+  }
+  return (body as unknown[]).flatMap((item): CacheEvent[] => {
+    const { sequence, block, stored } = (item ?? {}) as Record<string, unknown>;
+    return Number.isSafeInteger(sequence) && Number.isSafeInteger(block) && typeof stored === "boolean"
+      ? [[sequence as number, block as number, stored ? 1 : 0]]
+      : [];
+  });
+}
--- a/packages/entry/Dispatcher.ts
+++ b/packages/entry/Dispatcher.ts
@@ -42,6 +42,11 @@
     this.#run(this.#policy.onTokens(attemptId, tokenCount, this.#clock.monotonicMs()));
   }
 
+  /** Passes on what the engine says of its cache; call it before the attempt's end is reported. */
+  onPrefixAnswer(attemptId: string, cachedBlockCount: number): void {
+    this.#policy.onPrefixAnswer(attemptId, cachedBlockCount);
+  }
+
   onAttemptEnded(attemptId: string, end: AttemptEndKind): void {
     this.#run(this.#policy.onAttemptEnded(attemptId, end, this.#clock.monotonicMs()));
   }
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -78,7 +78,15 @@
     const tls = readTlsFiles(settings.peerTls);
     this.#relays = new RelayCaller(settings.relays, tls);
     this.#leases = options.leases ?? new RpcLeaseClient(this.#relays, settings.claimTimeoutMs);
-    this.#fleet = new FleetView({ relays: this.#relays, clock: this.#clock, entry: settings.name, tls });
+    this.#fleet = new FleetView({
+      ...{ relays: this.#relays, clock: this.#clock, entry: settings.name, tls },
+      pollIntervalMs: settings.pollIntervalMs,
+      onCacheEvents: (target, events) => {
+        for (const [sequence, block, stored] of events) {
+          this.#policy.onCacheEvent(target, sequence, stored ? [block] : [], stored ? [] : [block]);
+        }
+      },
+    });
     this.#policy = options.policy ?? this.#createPolicy();
     this.#dispatcher = new Dispatcher(this.#policy, this.#clock);
     this.#control = new ControlClient({
--- a/packages/entry/FleetView.ts
+++ b/packages/entry/FleetView.ts
@@ -1,4 +1,6 @@
+import type { CacheEvent } from "@clementinemux/agent/CacheEvent";
 import type { Clock } from "@clementinemux/common/Clock";
+import { TargetKind } from "@clementinemux/common/TargetKind";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
 import type { FetchTargetsRequest } from "@clementinemux/membership/FetchTargetsRequest";
 import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
@@ -15,15 +17,22 @@
   /** Name of this entry, by which relays assign its subset. */
   readonly entry: string;
   readonly tls: TlsFiles | undefined;
+  /** Time between two polls of the targets, by which the rate of cache events is bounded. */
+  readonly pollIntervalMs: number;
+  readonly onCacheEvents: (target: string, events: readonly CacheEvent[]) => void;
 }
 
 const relayTimeoutMs = 1000;
+// 2 KB/s of the 11 KB/s that control traffic of a node may take; an event takes up to 26 bytes of JSON.
+const cacheEventBytesPerS = 2000;
+const cacheEventBytes = 26;
 
 /** What this entry knows of targets and other entries, refreshed from a relay and from the agents. */
 export class FleetView {
   readonly #options: FleetViewOptions;
   readonly #links = new Map<string, TargetLink>();
   #entries: readonly EntryAnnouncement[] = [];
+  #cacheRound = 0;
   #since: FetchTargetsRequest["since"] = null;
 
   constructor(options: FleetViewOptions) {
@@ -63,13 +72,29 @@
   async pollTargets(defaults: FleetDefaults): Promise<void> {
     const timeoutMs = Math.min(relayTimeoutMs, defaults.permitMaxAgeMs / 3);
     const readNowMs = (): number => this.#options.clock.monotonicMs();
-    await Promise.all([...this.#links.values()].map((link) => link.poll(timeoutMs, readNowMs)));
+    const links = [...this.#links.values()];
+    this.#shareCacheEvents(links.filter(({ announcement }) => announcement.kind === TargetKind.Engine));
+    await Promise.all(links.map((link) => link.poll(timeoutMs, readNowMs)));
   }
 
   async close(): Promise<void> {
     await Promise.all([...this.#links.values()].map((link) => link.destroy()));
   }
 
+  /** Divides the events of one round among the targets. When there are fewer than targets, they take turns. */
+  #shareCacheEvents(links: readonly TargetLink[]): void {
+    const roundCount = Math.floor(
+      (cacheEventBytesPerS * this.#options.pollIntervalMs) / 1000 / cacheEventBytes,
+    );
+    const each = Math.floor(roundCount / Math.max(1, links.length));
+    const rest = roundCount - each * links.length;
+    for (const [index, link] of links.entries()) {
+      const turn = (index + this.#cacheRound) % links.length;
+      link.cacheEventLimit = each + (turn < rest ? 1 : 0);
+    }
+    this.#cacheRound += Math.max(1, rest);
+  }
+
   /** Fetches what has changed since the last answer, in parts. */
   async #refreshTargets(defaults: FleetDefaults): Promise<void> {
     for (;;) {
@@ -103,10 +128,10 @@
       const known = this.#links.get(announcement.target);
       if (known === undefined || known.announcement.incarnation < announcement.incarnation) {
         known?.close();
-        const { tls } = this.#options;
+        const { tls, onCacheEvents } = this.#options;
         this.#links.set(
           announcement.target,
-          new TargetLink(announcement, { connectTimeoutMs: defaults.connectTimeoutMs, tls }),
+          new TargetLink(announcement, { connectTimeoutMs: defaults.connectTimeoutMs, tls, onCacheEvents }),
         );
       }
       this.#links.get(announcement.target)?.setMembershipWeight(weights[announcement.target] ?? 1);
--- a/packages/entry/ModelAttempt.ts
+++ b/packages/entry/ModelAttempt.ts
@@ -233,6 +233,9 @@
         return;
       case StreamEventKind.Final:
         this.#finish = { reason: event.finishReason, tokenCount: event.tokenCount };
+        if (event.cachedTokenCount !== null && this.#mode === ResumeMode.Fresh) {
+          this.#listener.onCachedTokens(this, event.cachedTokenCount);
+        }
         return;
       case StreamEventKind.Done:
         this.#onDone();
--- a/packages/entry/ModelAttemptListener.ts
+++ b/packages/entry/ModelAttemptListener.ts
@@ -11,6 +11,8 @@
   onFault(attempt: ModelAttempt, fault: StreamFault): void;
   /** `tokenCount` counts this attempt's position at its end; null when the engine states none. */
   onCompleted(attempt: ModelAttempt, finishReason: string, tokenCount: number | null): void;
+  /** The engine had so many tokens of the prompt in its cache. Heard before `onCompleted`, for a fresh start only. */
+  onCachedTokens(attempt: ModelAttempt, tokenCount: number): void;
   onEnded(attempt: ModelAttempt, end: AttemptEndKind): void;
   /** The engine has judged the request itself as wrong. */
   onRejected(attempt: ModelAttempt): void;
--- a/packages/entry/ModelSession.ts
+++ b/packages/entry/ModelSession.ts
@@ -19,6 +19,8 @@
 import type { TargetLink } from "./TargetLink";
 import { TokenVerdict } from "./TokenVerdict";
 import { createUpstreamBody } from "./createUpstreamBody";
+import { charactersPerToken } from "./charactersPerToken";
+import { prefixBlockCharacters } from "./prefixBlockCharacters";
 import { getTailText } from "./getTailText";
 import { resumeHeaderNames } from "@clementinemux/common/resumeHeaderNames";
 
@@ -133,6 +135,13 @@
     this.succeed(this.#options.sink.getRecord(), target);
   }
 
+  onCachedTokens(attempt: ModelAttempt, tokenCount: number): void {
+    this.context.dispatcher.onPrefixAnswer(
+      attempt.attemptId,
+      Math.floor((tokenCount * charactersPerToken) / prefixBlockCharacters),
+    );
+  }
+
   onEnded(attempt: ModelAttempt, end: AttemptEndKind): void {
     this.#attempts.delete(attempt.attemptId);
     if (this.#current === attempt) {
--- a/packages/entry/StreamEvent.ts
+++ b/packages/entry/StreamEvent.ts
@@ -15,6 +15,8 @@
       readonly finishReason: string;
       /** Tokens of this attempt by the engine's count; null when it states none. */
       readonly tokenCount: number | null;
+      /** Prompt tokens that the engine had in its cache; null when it states none. */
+      readonly cachedTokenCount: number | null;
     }
   | {
       readonly kind:
--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -1,5 +1,6 @@
 import { Client, Pool, request as requestHttp } from "undici";
 import type { Dispatcher } from "undici";
+import type { CacheEvent } from "@clementinemux/agent/CacheEvent";
 import type { AgentState } from "@clementinemux/agent/AgentState";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import type { LoadReport } from "@clementinemux/policy/LoadReport";
@@ -9,6 +10,7 @@
 interface TargetLinkOptions {
   readonly connectTimeoutMs: number;
   readonly tls: TlsFiles | undefined;
+  readonly onCacheEvents: (target: string, events: readonly CacheEvent[]) => void;
 }
 
 // Part of the permitted age after which a stamp is no longer sent: the rest is left for the way to the agent.
@@ -33,6 +35,10 @@
   #accepting = false;
   #load: LoadReport | null = null;
   #pooledUsable = true;
+  /** Sequence number of the last cache event received. */
+  #cacheSequence = 0;
+  /** Cache events that one poll may bring. */
+  cacheEventLimit = 0;
 
   constructor(announcement: TargetAnnouncement, options: TargetLinkOptions) {
     this.announcement = announcement;
@@ -136,10 +142,23 @@
     this.#pollClient = this.createFreshClient();
   }
 
+  #getStatePath(): string {
+    const question = `?cacheAfter=${this.#cacheSequence}&cacheLimit=${this.cacheEventLimit}`;
+    return `/agent/state${this.cacheEventLimit > 0 ? question : ""}`;
+  }
+
+  #takeCacheEvents(events: readonly CacheEvent[]): void {
+    const last = events.at(-1);
+    if (last !== undefined) {
+      this.#cacheSequence = last[0];
+      this.#options.onCacheEvents(this.announcement.target, events);
+    }
+  }
+
   async #pollOnce(timeoutMs: number, readNowMs: () => number): Promise<boolean> {
     const sentAtMs = readNowMs();
     try {
-      const { statusCode, body } = await requestHttp(`${this.#origin}/agent/state`, {
+      const { statusCode, body } = await requestHttp(`${this.#origin}${this.#getStatePath()}`, {
         dispatcher: this.#pollClient,
         signal: AbortSignal.timeout(timeoutMs),
       });
@@ -152,6 +171,7 @@
       // The stamp may be as old as the sending of the question.
       this.#stampAtMs = sentAtMs;
       this.#accepting = state.accepting;
+      this.#takeCacheEvents(state.cacheEvents ?? []);
       if (state.load !== null) {
         const { ageMs, ...load } = state.load;
         this.#load = { ...load, measuredAtMs: readNowMs() - ageMs };
--- /dev/null
+++ b/packages/entry/charactersPerToken.ts
@@ -0,0 +1,2 @@
+/** Estimate of a token's length, as the entry has no tokenizer. */
+export const charactersPerToken = 4;
--- a/packages/entry/parseModelRequest.ts
+++ b/packages/entry/parseModelRequest.ts
@@ -3,10 +3,10 @@
 import * as z from "zod";
 import { hashString } from "@clementinemux/common/hashString";
 import type { ModelRequest } from "./ModelRequest";
+import { charactersPerToken } from "./charactersPerToken";
+import { prefixBlockCharacters } from "./prefixBlockCharacters";
 
 const defaultMaxTokenCount = 256;
-const charactersPerToken = 4;
-const prefixBlockCharacters = 256;
 // Blocks after these are not used for affinity; long prompts share their system part at the start.
 const maxPrefixBlocks = 32;
 
--- a/packages/entry/parseStreamEvent.ts
+++ b/packages/entry/parseStreamEvent.ts
@@ -5,7 +5,10 @@
   readonly id?: unknown;
   readonly token_index?: unknown;
   readonly error?: unknown;
-  readonly usage?: { readonly completion_tokens?: unknown };
+  readonly usage?: {
+    readonly completion_tokens?: unknown;
+    readonly prompt_tokens_details?: { readonly cached_tokens?: unknown } | null;
+  };
   readonly choices?: readonly { readonly finish_reason?: string | null }[];
 }
 
@@ -74,9 +77,11 @@
     return { kind: StreamEventKind.Empty };
   }
   const tokenCount = chunk.usage?.completion_tokens;
+  const cachedTokenCount = chunk.usage?.prompt_tokens_details?.cached_tokens;
   return {
     kind: StreamEventKind.Final,
     finishReason,
     tokenCount: typeof tokenCount === "number" ? tokenCount : null,
+    cachedTokenCount: typeof cachedTokenCount === "number" ? cachedTokenCount : null,
   };
 }
--- /dev/null
+++ b/packages/entry/prefixBlockCharacters.ts
@@ -0,0 +1,2 @@
+/** Length of the prompt blocks by which prefixes are known. */
+export const prefixBlockCharacters = 256;
--- a/packages/entry/test/hedge.test.ts
+++ b/packages/entry/test/hedge.test.ts
@@ -23,6 +23,8 @@
   onCallerGone: nothing,
   onTick: nothing,
   setLiveEntryCount: () => undefined,
+  onCacheEvent: () => undefined,
+  onPrefixAnswer: () => undefined,
   explain: () => [],
   submit: ({ requestId }) =>
     [0, 1].map((index) => ({
--- a/packages/policy/Policy.ts
+++ b/packages/policy/Policy.ts
@@ -17,6 +17,10 @@
   onTokens(attemptId: string, tokenCount: number, nowMs: number): readonly PolicyAction[];
   onAttemptEnded(attemptId: string, end: AttemptEndKind, nowMs: number): readonly PolicyAction[];
   onCallerGone(requestId: string, nowMs: number): readonly PolicyAction[];
+  /** Takes a cache event of a target: hashes of the prompt blocks that it has stored and evicted. */
+  onCacheEvent(target: string, sequence: number, stored: readonly number[], evicted: readonly number[]): void;
+  /** Takes the number of leading prompt blocks that the answer of an attempt reports as cached. */
+  onPrefixAnswer(attemptId: string, cachedBlockCount: number): void;
   /** Number of entries that divide a team's limit until leased shares arrive. */
   setLiveEntryCount(count: number): void;
   /** Decisions about a recent request, oldest first. */
--- a/packages/standins/engine/EngineServer.ts
+++ b/packages/standins/engine/EngineServer.ts
@@ -232,6 +232,7 @@
       tokens: cache?.tokens ?? [],
     });
     const cachedCharacters = this.#prefixes.use(stream.prompt);
+    stream.cachedCharacters = cachedCharacters;
     const newTokenCount = (stream.prompt.length - cachedCharacters) / 4;
     const prefillMs = ((this.#settings.prefillPerThousandMs ?? 0) * newTokenCount) / 1000;
     stream.readyAtMs = performance.now() + this.#settings.firstTokenMs + prefillMs;
--- a/packages/standins/engine/EngineStream.ts
+++ b/packages/standins/engine/EngineStream.ts
@@ -7,6 +7,8 @@
   readonly model: string;
   readonly prompt: string;
   readonly seed: number;
+  /** Characters at the start of the prompt that were in the prefix cache. */
+  cachedCharacters: number;
   readonly maxTokenCount: number;
   readonly priority: number;
   readonly source: TokenSource;
--- a/packages/standins/engine/StreamWriter.ts
+++ b/packages/standins/engine/StreamWriter.ts
@@ -2,6 +2,8 @@
 import type { EngineFaults } from "./EngineFaults";
 import type { EngineStream } from "./EngineStream";
 
+const charactersPerToken = 4;
+
 interface WriterOptions {
   readonly echoedId: string;
   readonly paddingBytes: number;
@@ -63,10 +65,14 @@
       this.#response.end();
       return;
     }
-    const { isChat, maxTokenCount } = this.#stream;
+    const { isChat, maxTokenCount, cachedCharacters } = this.#stream;
     const last = isChat ? { delta: {} } : { text: "" };
     const choice = { index: 0, ...last, finish_reason: "length" };
-    const usage = { completion_tokens: maxTokenCount };
+    const cachedTokenCount = Math.floor(cachedCharacters / charactersPerToken);
+    const usage = {
+      completion_tokens: maxTokenCount,
+      prompt_tokens_details: { cached_tokens: cachedTokenCount },
+    };
     this.#write(`data: ${JSON.stringify({ id: this.#echoedId, choices: [choice], usage })}\n\n`);
     this.#response.end("data: [DONE]\n\n");
   }
--- a/packages/standins/engine/createStream.ts
+++ b/packages/standins/engine/createStream.ts
@@ -31,6 +31,7 @@
     model: body.model ?? "",
     prompt,
     seed,
+    cachedCharacters: 0,
     maxTokenCount: body.max_tokens ?? defaultTokenCount,
     priority: options.priority,
     source,
--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -68,6 +68,11 @@
       response.end(JSON.stringify(Object.fromEntries(this.executions)));
       return;
     }
+    if (request.url?.startsWith("/engine/") === true) {
+      // A service has no load report. The agent's polls are not executions and do not take their time.
+      response.writeHead(404).end();
+      return;
+    }
     if (this.agentRefusals > 0) {
       this.agentRefusals -= 1;
       response.writeHead(503, { [headerNames.refusedBy]: "agent", [headerNames.stamp]: "0/0" }).end();
