--- a/packages/system/test/atMostOnce.test.ts
+++ b/packages/system/test/atMostOnce.test.ts
@@ -16,6 +16,15 @@
   return (await (await fetch(`${fleet.serviceUrl}/standin/executions`)).json()) as Record<string, number>;
 }
 
+/** Highest committed index of the claims log at any replica. */
+async function getClaimCommit(fleet: SystemFleet): Promise<number> {
+  const statuses = await Promise.all([0, 1, 2].map((index) => fleet.callApi(index, "GET", "/v1/status")));
+  const groups = statuses.flatMap(
+    ({ body }) => (body as { groups: readonly { name: string; commitIndex: number }[] }).groups,
+  );
+  return Math.max(...groups.filter(({ name }) => name === "claims-0").map(({ commitIndex }) => commitIndex));
+}
+
 async function startFleet(
   t: Test,
   options: Parameters<typeof SystemFleet.start>[0] = {},
@@ -125,9 +134,12 @@
     });
   });
   const [url = "", otherUrl = ""] = fleet.entryUrls;
+  // The records of the readiness requests are committed by then.
+  await delay(delayMs * 4);
+  const before = await getClaimCommit(fleet);
   const first = askService(url, "stopped");
-  // The claim is committed after one delay; its answer reaches the entry after two.
-  await delay(delayMs * 1.5);
+  // The answer to the committed claim is still on its way to the entry, for one delay.
+  await waitUntil("committed claim", async () => ((await getClaimCommit(fleet)) > before ? true : null));
   fleet.get("entry-1").signal("SIGSTOP");
   t.match(await askService(otherUrl, "stopped"), { reason: "claim_in_progress" });
   t.equal((await getExecutions(fleet)).stopped, undefined);
