Delay the claims of the stopped entry at the leader itself

The test failed in one more run: a replica that is not the leader names the leader's own address, so the entry's claim went past the delaying proxy and had been dispatched before the stop.

--- a/packages/system/test/atMostOnce.test.ts
+++ b/packages/system/test/atMostOnce.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync, writeFileSync } from "node:fs";
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
 import type { Test } from "tap";
@@ -111,28 +112,24 @@
 
 // Guards against an entry that dispatches after a freeze, although its permit has aged or its claim was given up.
 t.test("entry stopped between claim and dispatch", async (t) => {
-  const proxies: DelayProxy[] = [];
   const delayMs = 300;
-  const control = await findFreePorts(3);
-  const fleet = await startFleet(t, {
-    entry: { claimTimeoutMs: 20_000 },
-    mapRelays: async (name, addresses) => {
-      if (name !== "entry-1") {
-        return addresses;
-      }
-      for (const [index, address] of addresses.entries()) {
-        const proxy = new DelayProxy(Number(address.split(":")[1]), delayMs);
-        await proxy.listen(control[index] ?? 0);
-        proxies.push(proxy);
-      }
-      return control.map((port) => `127.0.0.1:${port}`);
-    },
-  });
+  const fleet = await startFleet(t, { entry: { claimTimeoutMs: 20_000 } });
+  const leader = await fleet.findLeader("claims-0");
+  const proxy = new DelayProxy(Number(fleet.relays[leader]?.split(":")[1]), delayMs);
+  const [proxyPort = 0] = await findFreePorts(1);
+  await proxy.listen(proxyPort);
   t.teardown(() => {
-    proxies.forEach((proxy) => {
-      proxy.close();
-    });
+    proxy.close();
   });
+  // A replica that is not the leader would name the leader's own address, which is not delayed.
+  const entry = fleet.get("entry-1");
+  await entry.kill();
+  const settings = JSON.parse(readFileSync(entry.settingsFile, "utf8")) as object;
+  writeFileSync(entry.settingsFile, JSON.stringify({ ...settings, control: [`127.0.0.1:${proxyPort}`] }));
+  entry.start();
+  await waitUntil("service through the restarted entry", async () =>
+    (await askService(fleet.entryUrls[0] ?? "", "ready-again")).status === 200 ? true : null,
+  );
   const [url = "", otherUrl = ""] = fleet.entryUrls;
   // The records of the readiness requests are committed by then.
   await delay(delayMs * 4);
@@ -140,12 +137,12 @@
   const first = askService(url, "stopped");
   // The answer to the committed claim is still on its way to the entry, for one delay.
   await waitUntil("committed claim", async () => ((await getClaimCommit(fleet)) > before ? true : null));
-  fleet.get("entry-1").signal("SIGSTOP");
+  entry.signal("SIGSTOP");
   t.match(await askService(otherUrl, "stopped"), { reason: "claim_in_progress" });
   t.equal((await getExecutions(fleet)).stopped, undefined);
   // Longer than the age at which the agent refuses a permit.
   await delay(4000);
-  fleet.get("entry-1").signal("SIGCONT");
+  entry.signal("SIGCONT");
   const answer = await first;
   t.comment(`${answer.status} ${answer.outcome} ${answer.reason}`);
   const executions = (await getExecutions(fleet)).stopped ?? 0;
