--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { periodic } from "most";
 import type { Logger } from "roarr";
@@ -7,6 +8,7 @@
 import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
 import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { LimitService } from "@clementinemux/membership/LimitService";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import type { ChangeMemberRequest } from "@clementinemux/messages/ChangeMemberRequest";
 import type { DecideMapRequest } from "@clementinemux/messages/DecideMapRequest";
@@ -236,7 +238,8 @@
         }
       },
     ]);
-    return { ...this.#directory.handlers, ...Object.fromEntries(counted) };
+    const limits = new LimitService({ clock: this.#clock, relayStart: randomUUID() });
+    return { ...this.#directory.handlers, ...limits.handlers, ...Object.fromEntries(counted) };
   }
 
   async #changeMember(request: ChangeMemberRequest): Promise<unknown> {
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -25,6 +25,8 @@
 import { ExplainLog } from "./ExplainLog";
 import { FleetView } from "./FleetView";
 import { HttpApi } from "./HttpApi";
+import { LimitReporter } from "./LimitReporter";
+import { exchangeLimitShares } from "./exchangeLimitShares";
 import type { LeaseClient } from "./LeaseClient";
 import { RelayCaller } from "./RelayCaller";
 import { RequestIntake } from "./RequestIntake";
@@ -45,6 +47,9 @@
 const tickIntervalMs = 25;
 // Four renewals within a lease survive the loss of three.
 const renewalsPerLease = 4;
+const limitReportIntervalMs = 1000;
+// A team without a share has a small part of its limit only, so its first report does not wait for the round.
+const newTeamIntervalMs = 50;
 // Every request has been answered by then; a connection that is not idle has asked for status only.
 const closeGraceMs = 1000;
 const headersTimeoutMs = 10_000;
@@ -61,6 +66,7 @@
   readonly #lease = new ServingLease(createDefaultConfig());
   readonly #fleet: FleetView;
   readonly #policy: Policy;
+  readonly #limitReporter: LimitReporter;
   readonly #dispatcher: Dispatcher;
   readonly #control: ControlClient;
   readonly #api: HttpApi;
@@ -80,6 +86,8 @@
     this.#leases = options.leases ?? new RpcLeaseClient(this.#relays, settings.claimTimeoutMs);
     this.#fleet = new FleetView({ relays: this.#relays, clock: this.#clock, entry: settings.name, tls });
     this.#policy = options.policy ?? this.#createPolicy();
+    const holder = `${settings.name}/${this.#incarnation}`;
+    this.#limitReporter = new LimitReporter(holder, settings.relays);
     this.#dispatcher = new Dispatcher(this.#policy, this.#clock);
     this.#control = new ControlClient({
       addresses: settings.control ?? settings.relays,
@@ -122,6 +130,8 @@
       this.#tick();
     });
     this.#every(this.#settings.pollIntervalMs, () => this.#refresh());
+    this.#every(limitReportIntervalMs, () => this.#exchangeLimitShares(false));
+    this.#every(newTeamIntervalMs, () => this.#exchangeLimitShares(true));
     this.#every(createDefaultConfig().defaults.servingLeaseMs / renewalsPerLease, () => this.#renew());
     return port;
   }
@@ -269,6 +279,11 @@
     }
   }
 
+  #exchangeLimitShares(isNewOnly: boolean): Promise<void> {
+    const { limits } = this.#policy;
+    return exchangeLimitShares(this.#limitReporter, limits, this.#relays, this.#clock, isNewOnly);
+  }
+
   async #refresh(): Promise<void> {
     if (this.#refreshing) {
       return;
--- a/packages/entry/RelayCaller.ts
+++ b/packages/entry/RelayCaller.ts
@@ -10,10 +10,12 @@
 
 /** Calls the first relay that answers, beginning with the one that answered last. */
 export class RelayCaller {
+  readonly #addresses: readonly string[];
   readonly #clients: readonly RpcClient[];
   #preferred = 0;
 
   constructor(addresses: readonly string[], tls: TlsFiles | undefined) {
+    this.#addresses = addresses;
     this.#clients = addresses.map((address) => new RpcClient({ address: parseAddress(address), tls }));
   }
 
@@ -36,6 +38,23 @@
     return null;
   }
 
+  /** Calls the relay with this address only. Resolves with null when it gave no answer with success. */
+  async callAt(
+    address: string,
+    name: MessageName,
+    body: unknown,
+    timeoutMs: number,
+  ): Promise<RelayAnswer | WireErrorCode.UnknownMessage | null> {
+    const answer = await this.#clients[this.#addresses.indexOf(address)]?.call(name, body, timeoutMs);
+    if (answer?.isRight() === true) {
+      return { body: answer.extract() };
+    }
+    const error = answer?.extract();
+    const isUnknown =
+      error instanceof Error && "code" in error && error.code === WireErrorCode.UnknownMessage;
+    return isUnknown ? WireErrorCode.UnknownMessage : null;
+  }
+
   close(): void {
     for (const client of this.#clients) {
       client.close();
--- /dev/null
+++ b/packages/entry/exchangeLimitShares.ts
@@ -0,0 +1,47 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { LimitSharesResponse } from "@clementinemux/messages/LimitSharesResponse";
+import type { TeamLimits } from "@clementinemux/policy/admission/TeamLimits";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
+import type { LimitReporter } from "./LimitReporter";
+import type { RelayCaller } from "./RelayCaller";
+
+// Shorter than the report interval, so that at most one report to a relay is under way.
+const reportTimeoutMs = 900;
+
+/**
+ * Reports the demand of the active teams (or only of those that were never reported) to their relays and applies
+ * the shares that they grant.
+ */
+export async function exchangeLimitShares(
+  reporter: LimitReporter,
+  limits: TeamLimits | undefined,
+  relays: RelayCaller,
+  clock: Clock,
+  isNewOnly: boolean,
+): Promise<void> {
+  if (limits === undefined) {
+    return;
+  }
+  const nowMs = clock.monotonicMs();
+  const demands = isNewOnly ? limits.collectNewDemand() : limits.collectDemand(nowMs);
+  if (isNewOnly && demands.length === 0) {
+    return;
+  }
+  const { reports, droppedTeams } = reporter.createReports(demands, nowMs);
+  limits.dropShares(droppedTeams, nowMs);
+  limits.setLeasing(reporter.isLeasing(nowMs));
+  await Promise.all(
+    reports.map(async (report) => {
+      const { relay, request } = report;
+      const answer = await relays.callAt(relay, MessageName.LimitShares, request, reportTimeoutMs);
+      if (answer === WireErrorCode.UnknownMessage) {
+        reporter.onUnsupported(report);
+      } else {
+        const response = answer === null ? null : (answer.body as LimitSharesResponse);
+        limits.applyShares(reporter.onAnswer(report, response), clock.monotonicMs());
+      }
+      limits.setLeasing(reporter.isLeasing(clock.monotonicMs()));
+    }),
+  );
+}
--- /dev/null
+++ b/packages/membership/LimitService.ts
@@ -0,0 +1,82 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { LimitSharesRequest } from "@clementinemux/messages/LimitSharesRequest";
+import type { LimitSharesResponse } from "@clementinemux/messages/LimitSharesResponse";
+import { LimitLedger } from "@clementinemux/policy/admission/LimitLedger";
+import { unleasedPart } from "@clementinemux/policy/admission/unleasedPart";
+import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
+import { MessageName } from "@clementinemux/wire/MessageName";
+
+interface LimitServiceOptions {
+  readonly clock: Clock;
+  /** Unique for every start of this relay. */
+  readonly relayStart: string;
+}
+
+const leaseMs = 4000;
+// The ledger's leases are longer by the drift of two clocks, so that the entry's ends first.
+const ledgerLeaseMs = leaseMs * 1.02;
+const millionths = 1_000_000;
+const sweepIntervalMs = 10_000;
+
+/**
+ * Grants the entries leased shares of the limits of the teams whose relay this is. Shares are parts of a limit;
+ * each entry applies them to the limit of its configuration. Keeps nothing over a restart: for one lease after
+ * its start it only renews shares that entries report to hold from its earlier start.
+ */
+export class LimitService {
+  /** Handlers that the control process adds to its frame server. */
+  readonly handlers: Readonly<Record<string, MessageHandler>> = {
+    [MessageName.LimitShares]: (body) => this.#grant(body as LimitSharesRequest),
+  };
+
+  readonly #options: LimitServiceOptions;
+  readonly #ledgers = new Map<string, LimitLedger>();
+  readonly #fullFromMs: number;
+  #sequence = 0;
+  #sweptAtMs: number;
+
+  constructor(options: LimitServiceOptions) {
+    this.#options = options;
+    this.#sweptAtMs = options.clock.monotonicMs();
+    this.#fullFromMs = this.#sweptAtMs + ledgerLeaseMs;
+  }
+
+  #grant({ holder, relayStart, ackedSequence, teams }: LimitSharesRequest): LimitSharesResponse {
+    const nowMs = this.#options.clock.monotonicMs();
+    const isOwnStart = relayStart === this.#options.relayStart;
+    this.#sequence += 1;
+    this.#sweep(nowMs);
+    const sharesPpm = teams.map(([team, demandPpm, heldPpm, moved]) => {
+      const share = this.#getLedger(team, moved === 1, nowMs).renew(holder, demandPpm / millionths, nowMs, {
+        sequence: this.#sequence,
+        ackedSequence: isOwnStart ? ackedSequence : 0,
+        heldShare: heldPpm / millionths,
+      });
+      return Math.floor(share * millionths);
+    });
+    return { relayStart: this.#options.relayStart, sequence: this.#sequence, leaseMs, sharesPpm };
+  }
+
+  #getLedger(team: string, isMoved: boolean, nowMs: number): LimitLedger {
+    let ledger = this.#ledgers.get(team);
+    if (ledger === undefined || ledger.getHolderCount(nowMs) === 0) {
+      // Shares from the relay that the team used before may be in force for one more lease.
+      const fullFromMs = isMoved ? nowMs + ledgerLeaseMs : this.#fullFromMs;
+      ledger = new LimitLedger(1 - unleasedPart, ledgerLeaseMs, fullFromMs);
+      this.#ledgers.set(team, ledger);
+    }
+    return ledger;
+  }
+
+  #sweep(nowMs: number): void {
+    if (nowMs - this.#sweptAtMs < sweepIntervalMs) {
+      return;
+    }
+    this.#sweptAtMs = nowMs;
+    for (const [team, ledger] of this.#ledgers) {
+      if (ledger.getHolderCount(nowMs) === 0) {
+        this.#ledgers.delete(team);
+      }
+    }
+  }
+}
--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -16,7 +16,7 @@
 import { PolicyState } from "./PolicyState";
 import type { RequestState } from "./RequestState";
 import type { TargetView } from "./TargetView";
-import type { LimitShare } from "./admission/LimitShare";
+import type { TeamLimits } from "./admission/TeamLimits";
 import { computeRetryAfterMs } from "./admission/computeRetryAfterMs";
 import { attemptEnds } from "./health/attemptEnds";
 import { planRetry } from "./health/planRetry";
@@ -49,9 +49,8 @@
     return this.#pumpAll(nowMs);
   }
 
-  /** Takes renewed shares of team limits. */
-  applyLimitShares(shares: readonly LimitShare[]): void {
-    this.#state.admission.limits.applyShares(shares);
+  get limits(): TeamLimits {
+    return this.#state.admission.limits;
   }
 
   /** Number of entries that divide a team's limit until leased shares arrive. */
--- a/packages/policy/admission/LimitShare.ts
+++ b/packages/policy/admission/LimitShare.ts
@@ -1,9 +1,9 @@
-/** Part of a team's fleet-wide limits that one entry may use until the lease ends. */
+/** Leased part of a team's fleet-wide limits that one entry may use until the lease ends. */
 export interface LimitShare {
   readonly team: string;
-  readonly requestsPerS: number;
-  readonly tokensPerS: number;
-  /** Start and end of the lease in the entry's monotonic time, counted from the sending of the renewal. */
+  /** Part of the limits, 0 to 1. */
+  readonly share: number;
+  /** Start and end of the lease in the entry's monotonic time, counted from the sending of the report. */
   readonly leaseStartMs: number;
   readonly leaseEndMs: number;
 }
--- a/packages/policy/admission/TeamLimits.ts
+++ b/packages/policy/admission/TeamLimits.ts
@@ -1,10 +1,15 @@
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
+import { DemandMeter } from "./DemandMeter";
 import type { LimitShare } from "./LimitShare";
+import type { TeamDemand } from "./TeamDemand";
 import { TokenBucket } from "./TokenBucket";
+import { unleasedPart } from "./unleasedPart";
 
 interface TeamBuckets {
   readonly requests: TokenBucket;
   readonly tokens: TokenBucket;
+  /** Fleet-wide limits at the last request. */
+  fleetRates: TeamRates;
 }
 
 interface LimitRefusal {
@@ -21,33 +26,70 @@
 const burstS = 2;
 
 /**
- * Team limits of this entry. Until a first leased share arrives for a team, the fleet-wide limit is divided by
- * the number of live entries; after that only leased shares count, and a share whose lease has ended is 0.
+ * Team limits of this entry: the leased share of the fleet-wide limit plus the part that is not leased divided by
+ * the number of live entries. While no relay grants leases, the whole limit is divided by that number.
  * Tokens are charged as predicted at admission and corrected when the request ends.
  */
 export class TeamLimits {
   readonly #startedAtMs: number;
   readonly #buckets = new Map<string, TeamBuckets>();
   readonly #shares = new Map<string, LimitShare>();
+  readonly #demand: DemandMeter;
   #liveEntryCount = 1;
+  #isLeasing = false;
 
   constructor(startedAtMs: number) {
     this.#startedAtMs = startedAtMs;
+    this.#demand = new DemandMeter(startedAtMs);
   }
 
   setLiveEntryCount(count: number): void {
     this.#liveEntryCount = Math.max(1, count);
   }
 
-  applyShares(shares: readonly LimitShare[]): void {
+  /** Tells whether a relay grants leases to this entry. */
+  setLeasing(isLeasing: boolean): void {
+    this.#isLeasing = isLeasing;
+  }
+
+  applyShares(shares: readonly LimitShare[], nowMs: number): void {
     for (const share of shares) {
+      this.#settle(share.team, nowMs);
       this.#shares.set(share.team, share);
     }
   }
 
+  /** Stops to use the shares of these teams before their leases end. */
+  dropShares(teams: readonly string[], nowMs: number): void {
+    for (const team of teams) {
+      this.#settle(team, nowMs);
+      this.#shares.delete(team);
+    }
+  }
+
+  /** Demand of the active teams since the last call. */
+  collectDemand(nowMs: number): readonly TeamDemand[] {
+    return this.#demand
+      .collect(nowMs)
+      .map(({ team, demand }) => ({ team, demand, held: this.getLeasedShare(team, nowMs) }));
+  }
+
+  /** Demand of the teams that no call has named yet. */
+  collectNewDemand(): readonly TeamDemand[] {
+    return this.#demand.collectNew().map(({ team, demand }) => ({ team, demand, held: 0 }));
+  }
+
+  /** Leased part of the team's limits in force at this entry. */
+  getLeasedShare(team: string, nowMs: number): number {
+    const share = this.#shares.get(team);
+    return share !== undefined && share.leaseEndMs > nowMs ? share.share : 0;
+  }
+
   /** Charges the request, or tells why it must not be taken. */
   take(team: string, fleetRates: TeamRates, tokenCount: number, nowMs: number): LimitRefusal | null {
     const buckets = this.#getBuckets(team, fleetRates, nowMs);
+    const { requestsPerS, tokensPerS } = fleetRates;
+    this.#demand.add(team, divide(1, requestsPerS), divide(tokenCount, tokensPerS), nowMs);
     if (!buckets.requests.canTake(1, nowMs)) {
       return { reason: RefusalReason.TeamRequestLimit, waitMs: buckets.requests.getWaitMs(1, nowMs) };
     }
@@ -65,31 +107,61 @@
   }
 
   #getBuckets(team: string, fleetRates: TeamRates, nowMs: number): TeamBuckets {
-    const share = this.#shares.get(team);
-    const rates = this.#getRates(share, fleetRates, nowMs);
-    const requestCapacity = rates.requestsPerS === 0 ? 0 : Math.max(1, rates.requestsPerS * burstS);
-    const tokenCapacity = rates.tokensPerS * burstS;
     let buckets = this.#buckets.get(team);
     if (buckets === undefined) {
-      const startMs = share?.leaseStartMs ?? this.#startedAtMs;
+      const startMs = this.#shares.get(team)?.leaseStartMs ?? this.#startedAtMs;
+      const { requests, tokens } = this.#getSizes(team, fleetRates, nowMs);
+      // Without the first request of a team there is no report that could bring a share.
+      const firstRequestMs = nowMs - 1000 / Math.max(requests.ratePerS, Number.MIN_VALUE);
       buckets = {
-        requests: new TokenBucket(rates.requestsPerS, requestCapacity, startMs),
-        tokens: new TokenBucket(rates.tokensPerS, tokenCapacity, startMs),
+        requests: new TokenBucket(requests.ratePerS, requests.capacity, Math.min(startMs, firstRequestMs)),
+        tokens: new TokenBucket(tokens.ratePerS, tokens.capacity, Math.min(startMs, nowMs - burstS * 1000)),
+        fleetRates,
       };
       this.#buckets.set(team, buckets);
     }
-    buckets.requests.setRate(rates.requestsPerS, requestCapacity, nowMs);
-    buckets.tokens.setRate(rates.tokensPerS, tokenCapacity, nowMs);
+    buckets.fleetRates = fleetRates;
+    this.#settle(team, nowMs);
     return buckets;
   }
 
-  #getRates(share: LimitShare | undefined, fleetRates: TeamRates, nowMs: number): TeamRates {
-    if (share === undefined) {
-      return {
-        requestsPerS: fleetRates.requestsPerS / this.#liveEntryCount,
-        tokensPerS: fleetRates.tokensPerS / this.#liveEntryCount,
-      };
+  /** Fills the buckets by the share that was in force until now, and no longer than its lease. */
+  #settle(team: string, nowMs: number): void {
+    const buckets = this.#buckets.get(team);
+    const endMs = this.#shares.get(team)?.leaseEndMs ?? Infinity;
+    for (const atMs of endMs < nowMs ? [endMs, nowMs] : [nowMs]) {
+      if (buckets !== undefined) {
+        const { requests, tokens } = this.#getSizes(team, buckets.fleetRates, atMs);
+        buckets.requests.setRate(requests.ratePerS, requests.capacity, atMs);
+        buckets.tokens.setRate(tokens.ratePerS, tokens.capacity, atMs);
+      }
     }
-    return share.leaseEndMs > nowMs ? share : { requestsPerS: 0, tokensPerS: 0 };
   }
+
+  #getSizes(
+    team: string,
+    fleetRates: TeamRates,
+    nowMs: number,
+  ): Record<"requests" | "tokens", { ratePerS: number; capacity: number }> {
+    const part = this.#getPart(team, nowMs);
+    const requestsPerS = fleetRates.requestsPerS * part;
+    const tokensPerS = fleetRates.tokensPerS * part;
+    return {
+      requests: {
+        ratePerS: requestsPerS,
+        capacity: requestsPerS === 0 ? 0 : Math.max(1, requestsPerS * burstS),
+      },
+      tokens: { ratePerS: tokensPerS, capacity: tokensPerS * burstS },
+    };
+  }
+
+  #getPart(team: string, nowMs: number): number {
+    const divided = this.#isLeasing ? unleasedPart : 1;
+    return this.getLeasedShare(team, nowMs) + divided / this.#liveEntryCount;
+  }
+}
+
+/** A limit of 0 admits nothing, so no share of it is needed. */
+function divide(amount: number, limitPerS: number): number {
+  return limitPerS > 0 ? amount / limitPerS : 0;
 }
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -26,4 +26,5 @@
   MapDecision = "mapDecision",
   LoadReport = "loadReport",
   Order = "order",
+  LimitShares = "limitShares",
 }
