Spread the callers of a large team over several entries

The first address was the same for all callers of a team, so a large team loaded one entry with the whole of its traffic. The callers now spread by hash over one entry for each 2,500 tokens/s of the team's limit. The limit is in the configuration, so all entries give the same order without measuring; a number that follows measured traffic was ruled out for that reason.

--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -16,6 +17,7 @@
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { Policy } from "@clementinemux/policy/Policy";
 import { createPolicy } from "@clementinemux/policy/createPolicy";
+import { getTeamSettings } from "@clementinemux/policy/getTeamSettings";
 import { CallerTable } from "./CallerTable";
 import type { ClaimClient } from "./ClaimClient";
 import { ControlClaimClient } from "./ControlClaimClient";
@@ -34,6 +36,7 @@
 import { ServingLease } from "./ServingLease";
 import type { SessionContext } from "./SessionContext";
 import { Shutdown } from "./Shutdown";
+import { getSpreadCount } from "./getSpreadCount";
 import { orderAddresses } from "./orderAddresses";
 
 interface EntryServerOptions {
@@ -86,7 +89,8 @@
     this.#leases = options.leases ?? new RpcLeaseClient(this.#relays, settings.claimTimeoutMs);
     this.#fleet = new FleetView({ relays: this.#relays, clock: this.#clock, entry: settings.name, tls });
     this.#policy = options.policy ?? this.#createPolicy();
-    const holder = `${settings.name}/${this.#incarnation}`;
+    // Sent to every relay each second, so it is short; new for every start.
+    const holder = randomBytes(6).toString("hex");
     this.#limitReporter = new LimitReporter(holder, settings.relays);
     this.#dispatcher = new Dispatcher(this.#policy, this.#clock);
     this.#control = new ControlClient({
@@ -202,8 +206,7 @@
       maxRequestsInFlight: settings.maxRequestsInFlight,
       getRefusal: () => this.#getRefusal(),
       isReady: () => this.#isServing() && !this.#shutdown.leaving,
-      getAddresses: (team, caller) =>
-        orderAddresses(this.#getEntries(), team, caller, this.#settings.region).slice(),
+      getAddresses: (team, caller) => this.#getAddresses(team, caller),
     });
   }
 
@@ -258,6 +261,12 @@
     return canServe ? [this.#getAnnouncement(), ...others] : others;
   }
 
+  #getAddresses(team: string, caller: string): readonly string[] {
+    const { region } = this.#settings;
+    const { tokensPerS } = getTeamSettings(this.#lease.config, { team, model: "", service: "", region });
+    return orderAddresses(this.#getEntries(), team, caller, region, getSpreadCount(tokensPerS));
+  }
+
   #tick(): void {
     this.#dispatcher.tick(this.#lease.config);
     this.#shutdown.tick();
--- a/packages/entry/orderAddresses.ts
+++ b/packages/entry/orderAddresses.ts
@@ -3,20 +3,22 @@
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 
 /**
- * Orders the entry addresses for a caller. The first is stable for the team (rendezvous hash). The others are
- * shuffled for each caller, so that the callers of a lost entry spread over all others, and alternate
- * between failure domains, so that the second choice is not lost together with the first. Entries of other
- * regions come last; leaving entries are left out.
+ * Orders the entry addresses for a caller. The first is one of the team's `spreadCount` entries (the first of its
+ * rendezvous order), always the same for the caller. The others are shuffled for each caller, so that the callers
+ * of a lost entry spread over all others, and alternate between failure domains, so that the second choice is not
+ * lost together with the first. Entries of other regions come last; leaving entries are left out.
  */
 export function orderAddresses(
   entries: readonly EntryAnnouncement[],
   team: string,
   caller: string,
   region: string,
+  spreadCount = 1,
 ): string[] {
   const present = entries.filter(({ leaving }) => !leaving);
   const near = present.filter((entry) => entry.region === region);
-  const first = pickForTeam(near.length > 0 ? near : present, team);
+  const choices = chooseForTeam(near.length > 0 ? near : present, team, spreadCount);
+  const first = chooseForTeam(choices, `${team}|${caller}`, 1)[0] ?? null;
   if (first === null) {
     return [];
   }
@@ -38,17 +40,17 @@
   return [first, ...ordered].map(({ url }) => url);
 }
 
-function pickForTeam(entries: readonly EntryAnnouncement[], team: string): EntryAnnouncement | null {
-  let best: EntryAnnouncement | null = null;
-  let bestScore = -1;
-  for (const entry of entries) {
-    const score = hashString(`${team}|${entry.entry}`);
-    if (score > bestScore) {
-      best = entry;
-      bestScore = score;
-    }
-  }
-  return best;
+/** The entries with the highest rendezvous hashes of the key. */
+function chooseForTeam(
+  entries: readonly EntryAnnouncement[],
+  key: string,
+  count: number,
+): EntryAnnouncement[] {
+  return entries
+    .map((entry) => ({ entry, score: hashString(`${key}|${entry.entry}`) }))
+    .sort((left, right) => right.score - left.score)
+    .slice(0, count)
+    .map(({ entry }) => entry);
 }
 
 function shuffle(entries: readonly EntryAnnouncement[], random: () => number): EntryAnnouncement[] {
