Make limit reports small, and test leases over all entries

Each team has one relay, which leases nine tenths of its limit to the entries by demand; a tenth is divided by the number of live entries.

--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,4 +1,4 @@
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { periodic } from "most";
 import type { Logger } from "roarr";
@@ -238,7 +238,7 @@
         }
       },
     ]);
-    const limits = new LimitService({ clock: this.#clock, relayStart: randomUUID() });
+    const limits = new LimitService({ clock: this.#clock, relayStart: randomBytes(6).toString("hex") });
     return { ...this.#directory.handlers, ...limits.handlers, ...Object.fromEntries(counted) };
   }
 
--- a/packages/entry/LimitReporter.ts
+++ b/packages/entry/LimitReporter.ts
@@ -1,6 +1,7 @@
 import { hashString } from "@clementinemux/common/hashString";
 import type { LimitSharesRequest } from "@clementinemux/messages/LimitSharesRequest";
 import type { LimitSharesResponse } from "@clementinemux/messages/LimitSharesResponse";
+import { shareParts } from "@clementinemux/messages/shareParts";
 import type { LimitShare } from "@clementinemux/policy/admission/LimitShare";
 import type { TeamDemand } from "@clementinemux/policy/admission/TeamDemand";
 import type { LimitReport } from "./LimitReport";
@@ -29,9 +30,8 @@
 
 // As long as the leases of the relays; a relay without an answer for this long has no share in force here.
 const relayDownAfterMs = 4000;
-const millionths = 1_000_000;
 // Keeps a message small when callers ask far beyond the limit; the proportions among entries stay useful.
-const maxDemandPpm = 1000 * millionths;
+const maxDemandParts = 1000 * shareParts;
 
 /**
  * Chooses each team's relay and composes one report per relay. The relay is the first of the team's rendezvous
@@ -61,7 +61,7 @@
 
   createReports(demands: readonly TeamDemand[], nowMs: number): ReportRound {
     const droppedTeams: string[] = [];
-    const teamsByRelay = new Map<string, LimitSharesRequest["teams"][number][]>();
+    const teamsByRelay = new Map<string, LimitSharesRequest[3][number][]>();
     for (const { team, demand, held } of demands) {
       const isDropped = this.#place(team, nowMs);
       if (isDropped) {
@@ -70,8 +70,8 @@
       const { relay, movedUntilMs } = this.#teams.get(team) ?? { relay: "", movedUntilMs: 0 };
       const entry = [
         team,
-        Math.min(maxDemandPpm, Math.round(demand * millionths)),
-        isDropped ? 0 : Math.round(held * millionths),
+        Math.min(maxDemandParts, Math.round(demand * shareParts)),
+        isDropped ? 0 : Math.round(held * shareParts),
         movedUntilMs > nowMs ? 1 : 0,
       ] as const;
       teamsByRelay.set(relay, [...(teamsByRelay.get(relay) ?? []), entry]);
@@ -99,13 +99,14 @@
       return [];
     }
     relay.failingSinceMs = null;
-    relay.start = response.relayStart;
-    relay.ackedSequence = response.sequence;
-    return report.request.teams.flatMap(([team], index) => {
+    const [relayStart, sequence, leaseMs, shares] = response;
+    relay.start = relayStart;
+    relay.ackedSequence = sequence;
+    return report.request[3].flatMap(([team], index) => {
       // The team may have moved to another relay since the report was sent.
       const isCurrent = this.#teams.get(team)?.relay === report.relay;
-      const share = isCurrent ? (response.sharesPpm[index] ?? 0) / millionths : 0;
-      const leaseEndMs = report.sentAtMs + response.leaseMs;
+      const share = isCurrent ? (shares[index] ?? 0) / shareParts : 0;
+      const leaseEndMs = report.sentAtMs + leaseMs;
       return isCurrent ? [{ team, share, leaseStartMs: report.sentAtMs, leaseEndMs }] : [];
     });
   }
@@ -119,9 +120,9 @@
     }
   }
 
-  #createReport(relay: RelayState, teams: LimitSharesRequest["teams"], nowMs: number): LimitReport {
+  #createReport(relay: RelayState, teams: LimitSharesRequest[3], nowMs: number): LimitReport {
     const { start, ackedSequence, address } = relay;
-    const request = { holder: this.#holder, relayStart: start, ackedSequence, teams };
+    const request = [this.#holder, start, ackedSequence, teams] as const;
     const report: LimitReport = { relay: address, sentAtMs: nowMs, request };
     relay.pending = report;
     return report;
--- a/packages/entry/test/LimitFleet.ts
+++ b/packages/entry/test/LimitFleet.ts
@@ -157,7 +157,7 @@
       this.#send(isUp, () => {
         const handler = relay?.service.handlers[MessageName.LimitShares];
         const response = handler?.(report.request, "") as LimitSharesResponse;
-        if (relay !== undefined && response.sharesPpm.some((share) => share > 0)) {
+        if (relay !== undefined && response[3].some((share) => share > 0)) {
           relay.grantedAtMs = this.nowMs;
         }
         this.#send(isUp, () => {
--- a/packages/membership/LimitService.ts
+++ b/packages/membership/LimitService.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { LimitSharesRequest } from "@clementinemux/messages/LimitSharesRequest";
 import type { LimitSharesResponse } from "@clementinemux/messages/LimitSharesResponse";
+import { shareParts } from "@clementinemux/messages/shareParts";
 import { LimitLedger } from "@clementinemux/policy/admission/LimitLedger";
 import { unleasedPart } from "@clementinemux/policy/admission/unleasedPart";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
@@ -15,7 +16,6 @@
 const leaseMs = 4000;
 // The ledger's leases are longer by the drift of two clocks, so that the entry's ends first.
 const ledgerLeaseMs = leaseMs * 1.02;
-const millionths = 1_000_000;
 const sweepIntervalMs = 10_000;
 
 /**
@@ -41,20 +41,20 @@
     this.#fullFromMs = this.#sweptAtMs + ledgerLeaseMs;
   }
 
-  #grant({ holder, relayStart, ackedSequence, teams }: LimitSharesRequest): LimitSharesResponse {
+  #grant([holder, relayStart, ackedSequence, teams]: LimitSharesRequest): LimitSharesResponse {
     const nowMs = this.#options.clock.monotonicMs();
     const isOwnStart = relayStart === this.#options.relayStart;
     this.#sequence += 1;
     this.#sweep(nowMs);
-    const sharesPpm = teams.map(([team, demandPpm, heldPpm, moved]) => {
-      const share = this.#getLedger(team, moved === 1, nowMs).renew(holder, demandPpm / millionths, nowMs, {
+    const sharesParts = teams.map(([team, demandParts, heldParts, moved]) => {
+      const share = this.#getLedger(team, moved === 1, nowMs).renew(holder, demandParts / shareParts, nowMs, {
         sequence: this.#sequence,
         ackedSequence: isOwnStart ? ackedSequence : 0,
-        heldShare: heldPpm / millionths,
+        heldShare: heldParts / shareParts,
       });
-      return Math.floor(share * millionths);
+      return Math.floor(share * shareParts);
     });
-    return { relayStart: this.#options.relayStart, sequence: this.#sequence, leaseMs, sharesPpm };
+    return [this.#options.relayStart, this.#sequence, leaseMs, sharesParts];
   }
 
   #getLedger(team: string, isMoved: boolean, nowMs: number): LimitLedger {
--- a/packages/messages/LimitSharesRequest.ts
+++ b/packages/messages/LimitSharesRequest.ts
@@ -1,13 +1,16 @@
-/** Team, demand and held share, both in millionths of the team's limit, and 1 when the team changed its relay. */
-type TeamEntry = readonly [team: string, demandPpm: number, heldPpm: number, moved: 0 | 1];
+/** Demand and held share are in units of `shareParts`; `moved` is 1 when the team has changed its relay. */
+type TeamEntry = readonly [team: string, demandParts: number, heldParts: number, moved: 0 | 1];
 
-/** Body of `limitShares`: what an entry needs of its active teams' limits. */
-export interface LimitSharesRequest {
-  /** Entry and incarnation: a restarted entry is a new holder. */
-  readonly holder: string;
-  /** Start of the relay that `ackedSequence` and the held shares come from; empty before its first answer. */
-  readonly relayStart: string;
-  /** Latest response that the entry has applied. */
-  readonly ackedSequence: number;
-  readonly teams: readonly TeamEntry[];
-}
+/**
+ * Body of `limitShares`: what an entry needs of its active teams' limits. An array, since field names would be a
+ * third of the bytes: an entry sends one to each relay a second.
+ *
+ * `holder` is unique for a start of an entry: a restarted entry is a new holder. `relayStart` is the start of the
+ * relay that the held shares and `ackedSequence` (latest response applied) come from; empty before its answer.
+ */
+export type LimitSharesRequest = readonly [
+  holder: string,
+  relayStart: string,
+  ackedSequence: number,
+  teams: readonly TeamEntry[],
+];
--- a/packages/messages/LimitSharesResponse.ts
+++ b/packages/messages/LimitSharesResponse.ts
@@ -1,8 +1,10 @@
-/** Response to `limitShares`. The lease counts from the sending of the request. */
-export interface LimitSharesResponse {
-  readonly relayStart: string;
-  readonly sequence: number;
-  readonly leaseMs: number;
-  /** Shares in millionths of the limits, in the order of the requested teams. */
-  readonly sharesPpm: readonly number[];
-}
+/**
+ * Response to `limitShares`. Shares are in units of `shareParts`, in the order of the requested teams. The lease
+ * counts from the sending of the request.
+ */
+export type LimitSharesResponse = readonly [
+  relayStart: string,
+  sequence: number,
+  leaseMs: number,
+  sharesParts: readonly number[],
+];
