Give the important class a reserve of the retry budget

The class now has a reserve of a quarter of its own first attempts, taken when the common budget is spent.

Red first: without the reserve "important class has a reserve" fails.

--- a/packages/policy/EntryPolicy.ts
+++ b/packages/policy/EntryPolicy.ts
@@ -89,7 +89,7 @@
       return [this.#refuse(state, refusal.reason, Outcome.NotRun, nowMs, refusal.waitMs)];
     }
     this.#state.requests.set(request.requestId, state);
-    this.#state.budget.addRequest(request.team, nowMs);
+    this.#state.budget.addRequest(request.team, nowMs, request.requestClass);
     this.#enqueue(state, false);
     const actions = this.#pump(state, nowMs);
     if (state.isQueued) {
@@ -180,7 +180,7 @@
       serviceMs: this.#state.getRemainingMs(state),
       hasServingTarget: router.findServing(state).length > 0,
       nowMs,
-      tryTakeBudget: () => budget.tryTake(state.team, nowMs),
+      tryTakeBudget: () => budget.tryTake(state.team, nowMs, state.request.requestClass),
     });
     if ("refusal" in plan) {
       this.#state.forget(state, nowMs);
@@ -223,7 +223,7 @@
     state.triedDomains.add(attempt.target.view.announcement.failureDomain);
     const candidates = router.findCandidates(state, nowMs).filter(({ target }) => target !== attempt.target);
     const chosen = router.choose(candidates);
-    if (chosen === null || !budget.tryTake(state.team, nowMs)) {
+    if (chosen === null || !budget.tryTake(state.team, nowMs, state.request.requestClass)) {
       return [];
     }
     state.isHedged = true;
@@ -242,7 +242,11 @@
       return [];
     }
     const hasAttempts = state.attemptCount < config.defaults.maxAttempts;
-    if (!hasAttempts || !this.#state.isLate(state, attempt, nowMs) || !budget.tryTake(state.team, nowMs)) {
+    if (
+      !hasAttempts ||
+      !this.#state.isLate(state, attempt, nowMs) ||
+      !budget.tryTake(state.team, nowMs, state.request.requestClass)
+    ) {
       return [];
     }
     state.triedTargets.add(attempt.target.name);
--- a/packages/policy/test/health.test.ts
+++ b/packages/policy/test/health.test.ts
@@ -3,6 +3,7 @@
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import { RequestClass } from "@clementinemux/common/RequestClass";
 import { PolicyEvent } from "@clementinemux/policy/PolicyEvent";
 import { TargetBook } from "@clementinemux/policy/TargetBook";
 import { ConcurrencyLimit } from "@clementinemux/policy/health/ConcurrencyLimit";
@@ -114,6 +115,23 @@
   t.end();
 });
 
+// Guards against a spent common budget that leaves the important class no retries, and against more than its share.
+t.test("important class has a reserve", (t) => {
+  const budget = new RetryBudget(0.1, 0);
+  const counts = { [RequestClass.Important]: 0, [RequestClass.Standard]: 0 };
+  for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
+    // One request in ten is important; the others take whatever the common budget has.
+    const requestClass = nowMs % 100 === 0 ? RequestClass.Important : RequestClass.Standard;
+    budget.addRequest("a", nowMs, requestClass);
+    counts[requestClass] += budget.tryTake("a", nowMs, requestClass) ? 1 : 0;
+  }
+  const important = counts[RequestClass.Important];
+  t.ok(important >= 0.25 * 600, `${important} retries of 600 important requests`);
+  t.ok(important <= (0.25 + 0.1) * 600 + 5, `${important} retries of 600 important requests`);
+  t.ok(counts[RequestClass.Standard] <= 600 + 5, `${counts[RequestClass.Standard]} other retries`);
+  t.end();
+});
+
 // Guards against a limit that collapses on one burst of late answers, or does not react.
 t.test("limit falls once per congestion", (t) => {
   const limit = new ConcurrencyLimit();
