--- /dev/null
+++ b/packages/bench/capacity/runCapacityBench.ts
@@ -0,0 +1,44 @@
+import type { Slope } from "./Slope";
+import { deriveBudget } from "./deriveBudget";
+import { measureAgent } from "./measureAgent";
+import { measureConfig } from "./measureConfig";
+import { measureEntry } from "./measureEntry";
+import { measureEntryWork } from "./measureEntryWork";
+import { measureFleet } from "./measureFleet";
+import { measureLead } from "./measureLead";
+import { measurePolicy } from "./measurePolicy";
+import { measureRelay } from "./measureRelay";
+import { measureRpc } from "./measureRpc";
+import { measureVoter } from "./measureVoter";
+
+type Part = (programs: string) => Promise<readonly Slope[]> | readonly Slope[];
+
+const parts: Readonly<Record<string, Part>> = {
+  relay: measureRelay,
+  rpc: measureRpc,
+  voter: measureVoter,
+  config: measureConfig,
+  policy: measurePolicy,
+  lead: measureLead,
+  entry: measureEntry,
+  entryWork: measureEntryWork,
+  agent: measureAgent,
+};
+
+/** Measures the slopes; `--part=NAME` measures one part only, `--fleet=true` today's deployment as processes instead. */
+export async function runCapacityBench(
+  programs: string,
+  options: Readonly<Record<string, string>>,
+): Promise<Readonly<Record<string, unknown>>> {
+  if (options.fleet === "true") {
+    return measureFleet(programs);
+  }
+  const only = options.part;
+  const slopes: Slope[] = [];
+  for (const [name, measure] of Object.entries(parts)) {
+    if (only === undefined || only === name) {
+      slopes.push(...(await measure(programs)));
+    }
+  }
+  return { slopes, budget: deriveBudget(slopes) };
+}
--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -1,4 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { ConfigPart } from "@clementinemux/messages/ConfigPart";
+import type { FetchConfigRequest } from "@clementinemux/messages/FetchConfigRequest";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import type { RenewResponse } from "@clementinemux/messages/RenewResponse";
@@ -6,6 +9,7 @@
 import { ConfigView } from "./ConfigView";
 import type { ControlClient } from "./ControlClient";
 import { LeaseLedger } from "./LeaseLedger";
+import { completeRenewal } from "./completeRenewal";
 
 interface ServingRelayOptions {
   readonly name: string;
@@ -56,6 +60,37 @@
       return;
     }
     this.#isRenewing = true;
+    try {
+      await this.#renewAtLeader();
+    } finally {
+      this.#isRenewing = false;
+    }
+  }
+
+  /** Answers an entry or agent. */
+  grant({ holder, incarnation, kind, region, appliedRevision }: RenewRequest): RenewResponse {
+    const nowMs = this.#options.clock.monotonicMs();
+    const leaseMs = Math.floor(this.#getLeftMs());
+    const isConfirmed = leaseMs > 0;
+    const { revision } = this.view.config;
+    if (isConfirmed) {
+      const longestMs = leaseMs * (1 + 2 * this.#options.maxClockDriftShare);
+      this.#ledger.note(holder, incarnation, region, appliedRevision, nowMs + longestMs);
+    }
+    const missing = this.view.getMissing(appliedRevision);
+    const isWhole = missing.config !== null || missing.inParts === true;
+    return {
+      epoch: this.#confirmation?.epoch ?? 0,
+      revision,
+      confirmed: isConfirmed,
+      leaseMs: isConfirmed ? leaseMs : 0,
+      ...(isWhole && kind === LeaseholderKind.Agent
+        ? { changes: [], config: selectForAgent(this.view.config, holder) }
+        : missing),
+    };
+  }
+
+  async #renewAtLeader(): Promise<void> {
     const { name, incarnation, failureDomain, region, client, clock } = this.#options;
     const sentAtMs = clock.monotonicMs();
     const request: RenewRequest = {
@@ -68,32 +103,20 @@
       viewRevision: this.view.config.revision,
     };
     const answer = await client.call<RenewResponse>("config", MessageName.Renew, request, renewDeadlineMs);
-    answer.ifRight((response) => {
+    const received = answer.toMaybe().extractNullable();
+    if (received !== null) {
+      const response = await completeRenewal(received, (part) => this.#fetchPart(part));
       if (this.view.update(response) && response.confirmed) {
         const { epoch, revision, leaseMs } = response;
         this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
       }
-    });
-    this.#isRenewing = false;
+    }
   }
 
-  /** Answers an entry or agent. */
-  grant({ holder, incarnation, region, appliedRevision }: RenewRequest): RenewResponse {
-    const nowMs = this.#options.clock.monotonicMs();
-    const leaseMs = Math.floor(this.#getLeftMs());
-    const isConfirmed = leaseMs > 0;
-    const { revision } = this.view.config;
-    if (isConfirmed) {
-      const longestMs = leaseMs * (1 + 2 * this.#options.maxClockDriftShare);
-      this.#ledger.note(holder, incarnation, region, appliedRevision, nowMs + longestMs);
-    }
-    return {
-      epoch: this.#confirmation?.epoch ?? 0,
-      revision,
-      confirmed: isConfirmed,
-      leaseMs: isConfirmed ? leaseMs : 0,
-      ...this.view.getMissing(appliedRevision),
-    };
+  async #fetchPart(request: FetchConfigRequest): Promise<ConfigPart | null> {
+    const { client } = this.#options;
+    const answer = await client.call<ConfigPart>("config", MessageName.FetchConfig, request, renewDeadlineMs);
+    return answer.toMaybe().extractNullable();
   }
 
   #getLeftMs(): number {
@@ -101,3 +124,13 @@
     return this.#confirmation === null ? 0 : sentAtMs + leaseMs - this.#options.clock.monotonicMs();
   }
 }
+
+/**
+ * What an agent applies of a whole configuration. When a failure domain restarts or a partition heals, hundreds
+ * of agents ask a relay for it within a second, and encoding all exceptions for each would take the relay longer
+ * than they wait.
+ */
+function selectForAgent(config: FleetConfig, target: string): FleetConfig {
+  const drain = Object.hasOwn(config.drains, target) ? config.drains[target] : undefined;
+  return { ...config, exceptions: [], drains: drain === undefined ? {} : { [target]: drain } };
+}
--- a/packages/control/test/machines.test.ts
+++ b/packages/control/test/machines.test.ts
@@ -79,6 +79,12 @@
     const request = { author: "ann", requestId: "r", baseRevision: 0, change };
     t.equal(ProposeSchema.safeParse(request).success, false);
   }
+  const services = { orders: { repeatable: false, timeoutMs: 100 } };
+  const listed = { kind: ConfigChangeKind.SetDefaults, defaults: { ...defaults, services } };
+  const request = { author: "ann", requestId: "r", baseRevision: 0, change: listed };
+  t.match(ProposeSchema.parse(request), {
+    change: { defaults: { services: { orders: { keyRequired: false } } } },
+  });
   const machine = new ConfigMachine();
   const unknown = { kind: ConfigChangeKind.RemoveException, exceptionId: "x", reason: "done" };
   t.equal(propose(machine, { change: unknown }).outcome, ProposeOutcome.Invalid);
@@ -124,6 +130,43 @@
   t.end();
 });
 
+// Guards against a new lead that cannot learn, or changes, what was decided about an older map version.
+t.test("older map versions keep their decision through a snapshot and a new lead", (t) => {
+  let machine = new ConfigMachine();
+  const lease = (holder: string, endedEpoch: number | null): unknown =>
+    machine.apply({ kind: "group_lease", request: { group: "g", holder, incarnation: "1" }, endedEpoch });
+  const decide = (epoch: number, version: number, decision: MapDecision): unknown =>
+    machine.apply({ kind: "decide_map", request: { group: "g", version, epoch, decision } });
+  const { Activate, Abort } = MapDecision;
+  lease("a", null);
+  for (const [version, decision] of [
+    [1, Activate],
+    [2, Activate],
+    [3, Abort],
+    [5, Activate],
+  ] as const) {
+    t.same(decide(1, version, decision), { version, decision });
+  }
+  machine = copy(machine);
+  lease("b", 1);
+  t.same(decide(2, 5, Abort), { version: 5, decision: Activate });
+  t.same(decide(2, 6, Abort), { version: 6, decision: Abort });
+  for (const [index, stands] of [Activate, Activate, Abort, Abort, Activate, Abort].entries()) {
+    const other = stands === Activate ? Abort : Activate;
+    t.same(decide(2, index + 1, other), { version: index + 1, decision: stands });
+  }
+  t.type(decide(1, 1, Abort), "string");
+  t.type(decide(2, 0, Abort), "string");
+  // Each activation followed by an abort is a run of its own; only a bounded number of runs is held.
+  for (let version = 7; version < 207; version += 1) {
+    decide(2, version, version % 2 === 0 ? Abort : Activate);
+  }
+  t.type(decide(2, 1, Abort), "string");
+  t.same(decide(2, 205, Abort), { version: 205, decision: Activate });
+  t.same(decide(2, 204, Activate), { version: 204, decision: Abort });
+  t.end();
+});
+
 const timing = { claimRetentionMs: 1000, tombstoneRetentionMs: 5000 };
 const one = { entry: "e1", incarnation: "1" };
 const two = { entry: "e2", incarnation: "1" };
@@ -136,7 +179,7 @@
 }
 
 function finish(machine: ClaimMachine, kind: ClaimCommandKind, nowMs: number, parts: object = {}): unknown {
-  const request = { team: "t", key: "k", claimant: one, attempt: 1, answer, ...parts };
+  const request = { team: "t", key: "k", claimant: one, requestId: "r", attempt: 1, answer, ...parts };
   return machine.apply({ kind, request, nowMs, ...timing });
 }
 
@@ -179,6 +222,28 @@
   t.end();
 });
 
+// Guards against a key that stays claimed by a request that gave it up without knowing its attempt.
+t.test("cancellation by request id, before and after the claim arrives", (t) => {
+  const machine = new ClaimMachine();
+  const given = { attempt: null, requestId: "lost" };
+  claim(machine, 1, { requestId: "lost" });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 2, { ...given, claimant: two }), { cancelled: true });
+  t.equal(claim(machine, 3).state, ClaimState.InProgress);
+  t.same(finish(machine, ClaimCommandKind.Cancel, 4, given), { cancelled: true });
+  t.equal(claim(machine, 5, { requestId: "lost" }).state, ClaimState.InProgress);
+  t.match(claim(machine, 6), { state: ClaimState.Granted, attempt: 2 });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 7, given), { cancelled: true });
+  t.match(claim(machine, 8), { state: ClaimState.Granted, attempt: 2 });
+  t.type(finish(machine, ClaimCommandKind.Complete, 9, { attempt: 2, requestId: "lost" }), "string");
+  const late = { key: "late", requestId: "lost" };
+  t.same(finish(machine, ClaimCommandKind.Cancel, 10, { ...given, key: "late" }), { cancelled: true });
+  t.equal(claim(machine, 11, late).state, ClaimState.InProgress);
+  t.match(claim(machine, 12, { key: "late" }), { state: ClaimState.Granted, attempt: 1 });
+  finish(machine, ClaimCommandKind.Complete, 13, { attempt: 2 });
+  t.same(finish(machine, ClaimCommandKind.Cancel, 14, { attempt: null }), { cancelled: false });
+  t.end();
+});
+
 // Guards against running a key again once its recorded response has been dropped.
 t.test("tombstones refuse late resends, also after a snapshot", (t) => {
   const machine = new ClaimMachine();
@@ -215,6 +280,7 @@
         } else {
           finish(machine, kind === "cancel" ? ClaimCommandKind.Cancel : ClaimCommandKind.Complete, index, {
             claimant: by,
+            requestId,
             attempt: granted.size || 1,
           });
         }
--- a/packages/membership/TargetQuery.ts
+++ b/packages/membership/TargetQuery.ts
@@ -1,8 +1,11 @@
 import { hashString } from "@clementinemux/common/hashString";
 import { TargetKind } from "@clementinemux/common/TargetKind";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
+import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import type { Directory } from "./Directory";
 import type { DirectoryRecord } from "./DirectoryRecord";
+import type { FetchEntriesRequest } from "./FetchEntriesRequest";
+import type { FetchEntriesResponse } from "./FetchEntriesResponse";
 import type { FetchTargetsRequest } from "./FetchTargetsRequest";
 import type { FetchTargetsResponse } from "./FetchTargetsResponse";
 import { RecordKind } from "./RecordKind";
@@ -16,6 +19,7 @@
   version: number;
   /** Entries and units that the assignment was made from. */
   readonly inputs: string;
+  targetCount: number;
   readonly unitsByEntry: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
@@ -23,7 +27,7 @@
 const defaultLimit = 1000;
 const maxLimit = 2000;
 
-/** Answers `fetchTargets` from a directory. Without I/O. */
+/** Answers `fetchTargets` and `fetchEntries` from a directory. Without I/O. */
 export class TargetQuery {
   readonly #directory: Directory;
   /** Assignments by group count; made again when the directory has changed. */
@@ -65,12 +69,36 @@
     };
   }
 
+  /** Answers with the entries changed since the asker's version, or with all of them. */
+  fetchEntries({ since = null }: FetchEntriesRequest): FetchEntriesResponse {
+    const directory = this.#directory;
+    const isDelta =
+      since?.directory === directory.origin &&
+      since.version >= directory.oldestVersion &&
+      since.version <= directory.version;
+    const records = directory
+      .changedSince(isDelta ? since.version : 0, RecordKind.Entry)
+      .map(({ record }) => record);
+    return {
+      directory: directory.origin,
+      version: directory.version,
+      full: !isDelta,
+      entries: records.flatMap(({ announcement }) =>
+        announcement === null ? [] : [announcement as EntryAnnouncement],
+      ),
+      removed: records.flatMap(({ announcement, name }) => (announcement === null ? [name] : [])),
+    };
+  }
+
   #getUnits(request: FetchTargetsRequest): ReadonlySet<string> | null {
     const { subset } = request;
     if (subset === undefined) {
       return null;
     }
     const plan = this.#getPlan(subset.groupCount);
+    if (plan.targetCount <= (subset.allUpTo ?? 0)) {
+      return null;
+    }
     // An entry that has not announced itself yet gets everything; its list is replaced once it has.
     return plan.unitsByEntry.get(subset.entry) ?? null;
   }
@@ -83,35 +111,38 @@
       return held;
     }
     const entries = this.#directory.entries().map(({ entry }) => entry);
-    const unitsByModel = this.#collectUnits();
+    const targets = this.#directory.targets();
+    const unitsByModel = collectUnits(targets);
     const inputs = describeInputs(entries, unitsByModel);
     if (held?.inputs === inputs) {
       held.version = version;
+      held.targetCount = targets.length;
       return held;
     }
-    const plan = { version, inputs, unitsByEntry: assignAll(entries, unitsByModel, groupCount) };
+    const unitsByEntry = assignAll(entries, unitsByModel, groupCount);
+    const plan = { version, inputs, targetCount: targets.length, unitsByEntry };
     this.#plans.clear();
     this.#plans.set(groupCount, plan);
     return plan;
   }
+}
 
-  /** Units of each model or service, with the failure domain of one of their targets. */
-  #collectUnits(): UnitsByModel {
-    const unitsByModel: UnitsByModel = new Map();
-    for (const announcement of this.#directory.targets()) {
-      for (const model of getServed(announcement)) {
-        const units = unitsByModel.get(model) ?? new Map<string, string>();
-        const unit = getUnit(announcement);
-        const known = units.get(unit);
-        // The smallest name, so that the order of announcements has no influence.
-        if (known === undefined || announcement.failureDomain < known) {
-          units.set(unit, announcement.failureDomain);
-        }
-        unitsByModel.set(model, units);
+/** Units of each model or service, with the failure domain of one of their targets. */
+function collectUnits(targets: readonly TargetAnnouncement[]): UnitsByModel {
+  const unitsByModel: UnitsByModel = new Map();
+  for (const announcement of targets) {
+    for (const model of getServed(announcement)) {
+      const units = unitsByModel.get(model) ?? new Map<string, string>();
+      const unit = getUnit(announcement);
+      const known = units.get(unit);
+      // The smallest name, so that the order of announcements has no influence.
+      if (known === undefined || announcement.failureDomain < known) {
+        units.set(unit, announcement.failureDomain);
       }
+      unitsByModel.set(model, units);
     }
-    return unitsByModel;
   }
+  return unitsByModel;
 }
 
 function describeInputs(entries: readonly string[], unitsByModel: UnitsByModel): string {
