--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { periodic } from "most";
 import type { Logger } from "roarr";
@@ -7,6 +8,7 @@
 import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
 import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { LimitService } from "@clementinemux/membership/LimitService";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import type { ChangeMemberRequest } from "@clementinemux/messages/ChangeMemberRequest";
@@ -242,7 +244,8 @@
         }
       },
     ]);
-    return { ...this.#directory.handlers, ...Object.fromEntries(counted) };
+    const limits = new LimitService({ clock: this.#clock, relayStart: randomBytes(6).toString("hex") });
+    return { ...this.#directory.handlers, ...limits.handlers, ...Object.fromEntries(counted) };
   }
 
   /** A relay of this process follows its log replica with a delay; without a replica it is all there is. */
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -1,3 +1,4 @@
+import { randomBytes } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
@@ -16,6 +17,7 @@
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { Policy } from "@clementinemux/policy/Policy";
 import { createPolicy } from "@clementinemux/policy/createPolicy";
+import { getTeamSettings } from "@clementinemux/policy/getTeamSettings";
 import { CallerTable } from "./CallerTable";
 import type { ClaimClient } from "./ClaimClient";
 import { ControlClaimClient } from "./ControlClaimClient";
@@ -25,6 +27,8 @@
 import { ExplainLog } from "./ExplainLog";
 import { FleetView } from "./FleetView";
 import { HttpApi } from "./HttpApi";
+import { LimitReporter } from "./LimitReporter";
+import { exchangeLimitShares } from "./exchangeLimitShares";
 import type { LeaseClient } from "./LeaseClient";
 import { RelayCaller } from "./RelayCaller";
 import { RequestIntake } from "./RequestIntake";
@@ -32,6 +36,7 @@
 import { ServingLease } from "./ServingLease";
 import type { SessionContext } from "./SessionContext";
 import { Shutdown } from "./Shutdown";
+import { getSpreadCount } from "./getSpreadCount";
 import { orderAddresses } from "./orderAddresses";
 
 interface EntryServerOptions {
@@ -45,6 +50,9 @@
 const tickIntervalMs = 25;
 // Four renewals within a lease survive the loss of three.
 const renewalsPerLease = 4;
+const limitReportIntervalMs = 1000;
+// A team without a share has a small part of its limit only, so its first report does not wait for the round.
+const newTeamIntervalMs = 50;
 // Every request has been answered by then; a connection that is not idle has asked for status only.
 const closeGraceMs = 1000;
 const headersTimeoutMs = 10_000;
@@ -61,6 +69,7 @@
   readonly #lease = new ServingLease(createDefaultConfig());
   readonly #fleet: FleetView;
   readonly #policy: Policy;
+  readonly #limitReporter: LimitReporter;
   readonly #dispatcher: Dispatcher;
   readonly #control: ControlClient;
   readonly #api: HttpApi;
@@ -88,6 +97,9 @@
       },
     });
     this.#policy = options.policy ?? this.#createPolicy();
+    // Sent to every relay each second, so it is short; new for every start.
+    const holder = randomBytes(6).toString("hex");
+    this.#limitReporter = new LimitReporter(holder, settings.relays);
     this.#dispatcher = new Dispatcher(this.#policy, this.#clock);
     this.#control = new ControlClient({
       addresses: settings.control ?? settings.relays,
@@ -130,6 +142,8 @@
       this.#tick();
     });
     this.#every(this.#settings.pollIntervalMs, () => this.#refresh());
+    this.#every(limitReportIntervalMs, () => this.#exchangeLimitShares(false));
+    this.#every(newTeamIntervalMs, () => this.#exchangeLimitShares(true));
     this.#every(createDefaultConfig().defaults.servingLeaseMs / renewalsPerLease, () => this.#renew());
     return port;
   }
@@ -200,8 +214,7 @@
       maxRequestsInFlight: settings.maxRequestsInFlight,
       getRefusal: () => this.#getRefusal(),
       isReady: () => this.#isServing() && !this.#shutdown.leaving,
-      getAddresses: (team, caller) =>
-        orderAddresses(this.#getEntries(), team, caller, this.#settings.region).slice(),
+      getAddresses: (team, caller) => this.#getAddresses(team, caller),
     });
   }
 
@@ -256,6 +269,12 @@
     return canServe ? [this.#getAnnouncement(), ...others] : others;
   }
 
+  #getAddresses(team: string, caller: string): readonly string[] {
+    const { region } = this.#settings;
+    const { tokensPerS } = getTeamSettings(this.#lease.config, { team, model: "", service: "", region });
+    return orderAddresses(this.#getEntries(), team, caller, region, getSpreadCount(tokensPerS));
+  }
+
   #tick(): void {
     this.#dispatcher.tick(this.#lease.config);
     this.#shutdown.tick();
@@ -277,6 +296,11 @@
     }
   }
 
+  #exchangeLimitShares(isNewOnly: boolean): Promise<void> {
+    const { limits } = this.#policy;
+    return exchangeLimitShares(this.#limitReporter, limits, this.#relays, this.#clock, isNewOnly);
+  }
+
   async #refresh(): Promise<void> {
     if (this.#refreshing) {
       return;
