--- a/packages/bench/entry/BenchFleet.ts
+++ b/packages/bench/entry/BenchFleet.ts
@@ -63,9 +63,12 @@
       return child;
     };
     const place = { host, failureDomain: "fd-1", region: "local" };
-    const control = { ...place, name: "control-1", port: takePort() };
-    const relays = [`${host}:${control.port}`];
-    run("clementinemux-control", "control-1", control);
+    const controlPort = takePort();
+    const relays = [`${host}:${controlPort}`];
+    run("clementinemux-control", "control-1", {
+      ...{ ...place, name: "control-1", port: controlPort, replicas: relays, bootstrap: true },
+      dataFolder: join(folder, "control-1"),
+    });
     const engineUrls: string[] = [];
     for (let index = 0; index < options.engineCount; index += 1) {
       const { tokenIntervalMs, firstTokenMs } = options;
