--- a/packages/policy/Policy.ts
+++ b/packages/policy/Policy.ts
@@ -24,7 +24,6 @@
   onCacheEvent(target: string, sequence: number, stored: readonly number[], evicted: readonly number[]): void;
   /** Takes the number of leading prompt blocks that the answer of an attempt reports as cached. */
   onPrefixAnswer(attemptId: string, cachedBlockCount: number): void;
-  /** Number of entries that divide a team's limit until leased shares arrive. */
   /** Number of entries that divide the part of a team's limit that is not leased. */
   setLiveEntryCount(count: number): void;
   /** Decisions about a recent request, oldest first. */
