Take test ports below the range of outgoing connections; read the configuration as confirmed

Cause of the listed intermittent failures, found by running several fleets at once: - Ports were chosen from the range that the system also gives to outgoing connections. Between the choice and the start of the process another connection took the port (EADDRINUSE in a control log), and processes of another fleet could connect there. - A fleet counted as ready before an entry had polled an agent; the single request of a test was refused with no_target and never sent again. The launcher now waits for an answer through each entry. - GET /v1/config answered from the replica's view, which may lack a change accepted just before. It now renews at the leader first, and says whether that was confirmed. Ruled out: the entry's refresh and the suspicion of the directory.

--- a/packages/agent/test/frozenAgent.test.ts
+++ b/packages/agent/test/frozenAgent.test.ts
@@ -6,6 +6,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import t from "tap";
 import type { AgentState } from "@clementinemux/agent/AgentState";
 import { headerNames } from "@clementinemux/common/headerNames";
@@ -17,15 +18,6 @@
 const program = new URL("../../../../dist/clementinemux-agent.mjs", import.meta.url).pathname;
 const frozenMs = 3500;
 
-async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, host);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
-}
-
 // Guards against a stopped process that wakes and runs the requests that waited in its socket buffers, which
 // their senders have given up and may have sent elsewhere. A second SIGTERM must end the process too.
 t.test("woken agent refuses what waited", async (t) => {
@@ -45,7 +37,7 @@
   const handlers = { ...new RelayService().handlers, renew: () => createRenewal(0, 0) };
   const control = new RpcServer({ handlers });
   const relays = [`${host}:${await control.listen(host, 0)}`];
-  const port = await findFreePort();
+  const port = (await findFreePorts(1))[0] ?? 0;
   const folder = mkdtempSync(join(tmpdir(), "clementinemux-frozen-"));
   const file = join(folder, "agent.jsonc");
   const targetAddress = `${host}:${(target.address() as AddressInfo).port}`;
--- a/packages/bench/agent/runAgentStreamBench.ts
+++ b/packages/bench/agent/runAgentStreamBench.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { headerNames } from "@clementinemux/common/headerNames";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
@@ -56,7 +57,7 @@
     response.on("close", () => streams.delete(response));
   });
   await new Promise<void>((resolve) => engine.listen(0, host, resolve));
-  const port = await findFreePort();
+  const port = (await findFreePorts(1))[0] ?? 0;
   const file = join(folder, "agent.jsonc");
   const targetAddress = `${host}:${getPort(engine.address())}`;
   const relays = [`${host}:${relayPort}`];
@@ -145,14 +146,6 @@
   return typeof address === "object" && address !== null ? address.port : 0;
 }
 
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, host, resolve));
-  const port = getPort(server.address());
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
-
 async function fetchStamp(port: number): Promise<string> {
   const answer = await fetch(`http://${host}:${port}/agent/state`);
   return ((await answer.json()) as { stamp: string }).stamp;
--- a/packages/bench/capacity/measureAgent.ts
+++ b/packages/bench/capacity/measureAgent.ts
@@ -5,7 +5,7 @@
 import { DaemonProcess } from "./DaemonProcess";
 import { FleetStub } from "./FleetStub";
 import type { Slope } from "./Slope";
-import { findFreePort } from "./findFreePort";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 
 type Points = { x: number; y: number }[];
 
@@ -43,7 +43,7 @@
   const fleet = new FleetStub();
   await fleet.start();
   fleet.isShort = true;
-  const port = await findFreePort();
+  const port = (await findFreePorts(1))[0] ?? 0;
   const agent = new DaemonProcess(programs, "clementinemux-agent", "agent-1", {
     target: "runner-1",
     port,
--- a/packages/bench/capacity/measureFleet.ts
+++ b/packages/bench/capacity/measureFleet.ts
@@ -4,7 +4,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { runLoadProcesses } from "../entry/runLoadProcesses";
 import { DaemonProcess } from "./DaemonProcess";
-import { findFreePort } from "./findFreePort";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 
 interface RoleUse {
   readonly role: string;
@@ -149,7 +149,7 @@
 async function findPorts(count: number): Promise<number[]> {
   const ports = new Set<number>();
   while (ports.size < count) {
-    ports.add(await findFreePort());
+    ports.add((await findFreePorts(1))[0] ?? 0);
   }
   return [...ports];
 }
--- a/packages/bench/capacity/runEntry.ts
+++ b/packages/bench/capacity/runEntry.ts
@@ -1,7 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { DaemonProcess } from "./DaemonProcess";
 import { FleetStub } from "./FleetStub";
-import { findFreePort } from "./findFreePort";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 
 interface EntryRun {
   readonly programs: string;
@@ -22,7 +22,7 @@
   await fleet.start();
   // Without a subset all targets serve the model that the callers ask for.
   fleet.announce(targetCount, entryCount, subsetGroups === undefined ? ["model-0"] : undefined);
-  const port = await findFreePort();
+  const port = (await findFreePorts(1))[0] ?? 0;
   const place = { failureDomain: "fd-1", region: "region-1", relays: [`127.0.0.1:${fleet.relayPort}`] };
   const settings = { ...place, name: "entry-1", port, anonymousTeam: "bench" };
   const entry = new DaemonProcess(programs, "bench-entry-process", "entry-1", settings, ["--expose-gc"]);
--- a/packages/bench/entry/BenchFleet.ts
+++ b/packages/bench/entry/BenchFleet.ts
@@ -1,10 +1,10 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { request as requestHttp } from "undici";
 
 interface BenchFleetOptions {
@@ -154,20 +154,3 @@
     }
   }
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, host, () => {
-            const bound = server.address();
-            resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
-          });
-        }),
-    ),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
--- a/packages/bench/experts/GroupFleet.ts
+++ b/packages/bench/experts/GroupFleet.ts
@@ -1,8 +1,8 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { closeSync, openSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import type { GroupAnswer } from "@clementinemux/agent/lead/GroupAnswer";
 import type { RankLook } from "@clementinemux/agent/rank/RankLook";
 import { WeightStoreServer } from "@clementinemux/standins/weightStore/WeightStoreServer";
@@ -199,20 +199,3 @@
   });
   return { status: response.status, body: await response.json() };
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, host, () => {
-            const bound = server.address();
-            resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
-          });
-        }),
-    ),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
--- a/packages/bench/rss/measureRss.ts
+++ b/packages/bench/rss/measureRss.ts
@@ -1,9 +1,9 @@
 import { spawn } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
 
 interface RssRow {
   readonly daemon: string;
@@ -25,7 +25,7 @@
 export async function measureRss(): Promise<RssRow[]> {
   const folder = mkdtempSync(join(tmpdir(), "clementinemux-rss-"));
   try {
-    const controlPort = await findFreePort();
+    const controlPort = (await findFreePorts(1))[0] ?? 0;
     const rows: RssRow[] = [];
     for (const program of await listPrograms(controlPort)) {
       rows.push(await measure(program, folder));
@@ -48,14 +48,22 @@
     relays,
   };
   const control = { ...place, name: "control-1", port: controlPort };
-  const entry = { ...place, name: "entry-1", port: await findFreePort(), relays };
+  const entry = { ...place, name: "entry-1", port: (await findFreePorts(1))[0] ?? 0, relays };
   // Fields that these settings lack can be given by file, as {daemon: {field: value}}.
   const extra = readExtra(process.env.CLEMENTINEMUX_RSS_SETTINGS);
   const small = ["--max-semi-space-size=1", "--max-old-space-size=48"];
   return [
     { daemon: "node", flags: [], settings: null },
-    { daemon: "clementinemux-agent", flags: [], settings: { ...agent, port: await findFreePort() } },
-    { daemon: "clementinemux-agent", flags: small, settings: { ...agent, port: await findFreePort() } },
+    {
+      daemon: "clementinemux-agent",
+      flags: [],
+      settings: { ...agent, port: (await findFreePorts(1))[0] ?? 0 },
+    },
+    {
+      daemon: "clementinemux-agent",
+      flags: small,
+      settings: { ...agent, port: (await findFreePorts(1))[0] ?? 0 },
+    },
     {
       daemon: "clementinemux-control",
       flags: [],
@@ -93,16 +101,3 @@
   const match = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, "utf8"));
   return Number(match?.[1] ?? 0) * bytesPerKib;
 }
-
-function findFreePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const server = createServer();
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => {
-      const bound = server.address();
-      server.close(() => {
-        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
-      });
-    });
-  });
-}
--- a/packages/control/ServingRelay.ts
+++ b/packages/control/ServingRelay.ts
@@ -67,6 +67,16 @@
     }
   }
 
+  /**
+   * Renews now, whatever else is under way, so that the view holds every revision accepted before this call.
+   * Resolves with whether the leader confirmed it.
+   */
+  async refresh(): Promise<boolean> {
+    const startedAtMs = this.#options.clock.monotonicMs();
+    await this.#renewAtLeader();
+    return (this.#confirmation?.sentAtMs ?? -Infinity) >= startedAtMs;
+  }
+
   /** Answers an entry or agent. */
   grant({ holder, incarnation, kind, region, appliedRevision }: RenewRequest): RenewResponse {
     const nowMs = this.#options.clock.monotonicMs();
@@ -106,7 +116,8 @@
     const received = answer.toMaybe().extractNullable();
     if (received !== null) {
       const response = await completeRenewal(received, (part) => this.#fetchPart(part));
-      if (this.view.update(response) && response.confirmed) {
+      const isNewer = sentAtMs > (this.#confirmation?.sentAtMs ?? -Infinity);
+      if (this.view.update(response) && response.confirmed && isNewer) {
         const { epoch, revision, leaseMs } = response;
         this.#confirmation = { sentAtMs, epoch, revision, leaseMs };
       }
--- a/packages/control/createApiRoutes.ts
+++ b/packages/control/createApiRoutes.ts
@@ -48,7 +48,11 @@
   const { client, relay, getStatus, getTargets } = sources;
   const answer = (body: unknown): Promise<ApiAnswer> => Promise.resolve({ status: 200, body });
   return {
-    "GET /v1/config": () => answer({ confirmed: relay.isConfirmed, config: relay.view.config }),
+    "GET /v1/config": async () => {
+      // Without it an operator could read a configuration older than a change accepted before.
+      const confirmed = await relay.refresh();
+      return { status: 200, body: { confirmed, config: relay.view.config } };
+    },
     "GET /v1/status": () => answer(getStatus()),
     "GET /v1/targets": () => answer(getTargets()),
     "GET /v1/config/history": async ({ query }) => {
--- a/packages/system/SystemFleet.ts
+++ b/packages/system/SystemFleet.ts
@@ -240,6 +240,17 @@
         const models = await (await fetch(`${url}/v1/models`)).text();
         return ready.ok && (models.includes("demo") || this.engineUrls.length === 0) ? true : null;
       });
+      if (this.engineUrls.length > 0) {
+        // Models are listed when a target is announced; it takes work only after the first poll of its agent.
+        await waitUntil(`an answer through ${url}`, () => isAnswering(url));
+      }
     }
   }
 }
+
+async function isAnswering(url: string): Promise<true | null> {
+  const body = JSON.stringify({ model: "demo", prompt: "ready", max_tokens: 1 });
+  const answer = await fetch(`${url}/v1/completions`, { method: "POST", body });
+  await answer.text();
+  return answer.ok ? true : null;
+}
