--- a/packages/bench/rss/measureRss.ts
+++ b/packages/bench/rss/measureRss.ts
@@ -27,7 +27,7 @@
   try {
     const controlPort = (await findFreePorts(1))[0] ?? 0;
     const rows: RssRow[] = [];
-    for (const program of await listPrograms(controlPort)) {
+    for (const program of await listPrograms(controlPort, folder)) {
       rows.push(await measure(program, folder));
     }
     return rows;
@@ -36,7 +36,7 @@
   }
 }
 
-async function listPrograms(controlPort: number): Promise<Program[]> {
+async function listPrograms(controlPort: number, folder: string): Promise<Program[]> {
   const place = { host: "127.0.0.1", failureDomain: "fd-1", region: "local" };
   const relays = [`127.0.0.1:${controlPort}`];
   const agent = {
@@ -47,7 +47,14 @@
     targetAddress: "127.0.0.1:1",
     relays,
   };
-  const control = { ...place, name: "control-1", port: controlPort };
+  const control = {
+    ...place,
+    name: "control-1",
+    port: controlPort,
+    dataFolder: join(folder, "control-1"),
+    replicas: relays,
+    bootstrap: true,
+  };
   const entry = { ...place, name: "entry-1", port: (await findFreePorts(1))[0] ?? 0, relays };
   // Fields that these settings lack can be given by file, as {daemon: {field: value}}.
   const extra = readExtra(process.env.CLEMENTINEMUX_RSS_SETTINGS);
