--- a/packages/system/SystemFleet.ts
+++ b/packages/system/SystemFleet.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as delay } from "node:timers/promises";
 import type { ConfigChange } from "@clementinemux/fleet/ConfigChange";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { ProposeResponse } from "@clementinemux/messages/ProposeResponse";
@@ -34,6 +35,9 @@
   }[];
 }
 
+// A relay that has just started leases no team limits for 4 s, since it may have forgotten earlier ones. Until then
+// a team has a tenth of its limit, which the load of a test can exceed.
+const limitSettleMs = 6000;
 const host = "127.0.0.1";
 const controlCount = 3;
 const token = "token-ann";
@@ -225,6 +229,7 @@
   }
 
   async #waitUntilReady(targetCount: number): Promise<void> {
+    const startedAtMs = performance.now();
     await this.findLeader("config");
     await this.findLeader("claims-0");
     await waitUntil("announced targets", async () => {
@@ -245,6 +250,9 @@
         await waitUntil(`an answer through ${url}`, () => isAnswering(url));
       }
     }
+    if (this.engineUrls.length > 0) {
+      await delay(Math.max(0, limitSettleMs - (performance.now() - startedAtMs)));
+    }
   }
 }
 
