Read TLS files in one place; derive the agent's and the stand-in's load from LoadReport

The control process had its own copy of the function that reads PEM files, and the fields of a load report stood three times. The function moves to the wire package, which all daemons use. No change of behaviour; the TLS tests of agent, entry and system, the control lease and client tests pass (13 passed, 0 failed).

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -23,7 +23,7 @@
 import type { RankMember } from "./rank/RankMember";
 import { createAgentServer } from "./createAgentServer";
 import { createIncarnation } from "./createIncarnation";
-import { readTlsFiles } from "./readTlsFiles";
+import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 
 /** Told when the agent starts or stops accepting work. */
 type LogState = (reason: AgentRefusal | null, revision: number) => void;
--- a/packages/agent/AgentLoad.ts
+++ b/packages/agent/AgentLoad.ts
@@ -1,12 +1,7 @@
+import type { LoadReport } from "@clementinemux/policy/LoadReport";
+
 /** Load of a target, as its engine stated it. */
-export interface AgentLoad {
+export interface AgentLoad extends Omit<LoadReport, "measuredAtMs"> {
   /** Age of the figures when the answer was sent: lag of the engine plus time since the poll. */
   readonly ageMs: number;
-  readonly runningCount: number;
-  readonly queuedCount: number;
-  readonly runningTokenCount: number;
-  readonly batchLimitCount: number;
-  readonly stepMs: number;
-  readonly kvFreeShare: number;
-  readonly groupSkew: number;
 }
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -22,7 +22,7 @@
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
-import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 import { ApiServer } from "./ApiServer";
 import { ClaimCommandKind } from "./ClaimCommandKind";
 import { ClaimMachine } from "./ClaimMachine";
@@ -72,7 +72,7 @@
     this.#settings = settings;
     this.#clock = clock;
     this.#logger = createLogger("clementinemux-control", { name });
-    const tls = readTls(settings);
+    const tls = readTlsFiles(settings.tls);
     const random = createRandom((Date.now() ^ (process.pid << 8)) >>> 0);
     const links = new PeerLinks(tls);
     const onFatal = (error: Error): void => {
@@ -322,13 +322,3 @@
     };
   }
 }
-
-function readTls({ tls }: z.output<typeof ControlSettings>): TlsFiles | undefined {
-  return tls === undefined
-    ? undefined
-    : {
-        key: readFileSync(tls.keyFile, "utf8"),
-        cert: readFileSync(tls.certFile, "utf8"),
-        ca: readFileSync(tls.caFile, "utf8"),
-      };
-}
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -6,7 +6,7 @@
 import { periodic } from "most";
 import type * as z from "zod";
 import { createIncarnation } from "@clementinemux/agent/createIncarnation";
-import { readTlsFiles } from "@clementinemux/agent/readTlsFiles";
+import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 import type { Clock } from "@clementinemux/common/Clock";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
 import { SystemClock } from "@clementinemux/common/SystemClock";
--- a/packages/standins/engine/EngineServer.ts
+++ b/packages/standins/engine/EngineServer.ts
@@ -4,6 +4,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { AgentState } from "@clementinemux/agent/AgentState";
 import { headerNames } from "@clementinemux/common/headerNames";
+import type { LoadReport } from "@clementinemux/policy/LoadReport";
 import { resumeHeaderNames } from "@clementinemux/common/resumeHeaderNames";
 import { Batcher } from "./Batcher";
 import type { CompletionBody } from "./CompletionBody";
@@ -20,15 +21,7 @@
 import { fetchKvCache } from "./fetchKvCache";
 import { readJsonBody } from "./readJsonBody";
 
-interface LoadFigures {
-  readonly runningCount: number;
-  readonly queuedCount: number;
-  readonly runningTokenCount: number;
-  readonly batchLimitCount: number;
-  readonly stepMs: number;
-  readonly kvFreeShare: number;
-  readonly groupSkew: number;
-}
+type LoadFigures = Omit<LoadReport, "measuredAtMs">;
 
 type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
 
--- a/packages/agent/readTlsFiles.ts
+++ b/packages/wire/readTlsFiles.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from "node:fs";
-import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import type { TlsFiles } from "./TlsFiles";
 
 interface TlsFileNames {
   readonly keyFile: string;
