Move experts to where requests choose them: rankers beside the ranks, conductor at the log's leader

Cause: the busiest rank had 3.46 times the mean load, so that the group was busy 100 in 100 of its time.

--- /dev/null
+++ b/packages/control/ranks/Conductor.ts
@@ -0,0 +1,136 @@
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { RankClient } from "@clementinemux/ranker/RankClient";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
+import type { RouteTable } from "@clementinemux/routes/RouteTable";
+import { parseAddress } from "@clementinemux/wire/parseAddress";
+import type { PeerLinks } from "../PeerLinks";
+import { GroupConductor } from "./GroupConductor";
+import { RankLink } from "./RankLink";
+
+interface ConductorOptions {
+  readonly framePort: number;
+  readonly links: PeerLinks;
+  readonly getTable: () => RouteTable | null;
+  readonly listTargets: () => readonly TargetRecord[];
+  /** Term of this lead; null while it does not lead. */
+  readonly getTerm: () => number | null;
+  /** Opens the direct way to a rank at its address. */
+  readonly openRank: (address: string) => RankClient;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface InspectedTarget {
+  readonly link: RankLink;
+  readonly inspection: RankInspection;
+}
+
+/** Leads the rank groups of the fleet while this process leads the log. */
+export class Conductor {
+  readonly #options: ConductorOptions;
+  readonly #links = new Map<string, RankLink>();
+  readonly #groups = new Map<string, GroupConductor>();
+  /** Last known place of each rank, so that a silent one can be named. */
+  readonly #places = new Map<string, (RankLink | null)[]>();
+  #isBusy = false;
+  #term = 0;
+
+  constructor(options: ConductorOptions) {
+    this.#options = options;
+  }
+
+  /** Inspects all ranks and takes the next step of each group. Does nothing while another step is under way. */
+  async step(): Promise<void> {
+    const term = this.#options.getTerm();
+    const table = this.#options.getTable();
+    if (this.#isBusy || term === null || table === null) {
+      return;
+    }
+    this.#isBusy = true;
+    try {
+      if (term !== this.#term) {
+        this.#term = term;
+        this.#groups.clear();
+      }
+      await this.#stepAll(table, term);
+    } finally {
+      this.#isBusy = false;
+    }
+  }
+
+  async #stepAll(table: RouteTable, term: number): Promise<void> {
+    const ranks = this.#options.listTargets().filter(({ service }) => findFigures(table, service) !== null);
+    const inspected = await Promise.all(ranks.map((target) => this.#inspect(target, term)));
+    const groups = new Map<string, { readonly service: string; readonly members: InspectedTarget[] }>();
+    for (const [index, item] of inspected.entries()) {
+      if (item !== null) {
+        const { group } = item.inspection;
+        const service = ranks[index]?.service ?? "";
+        const entry = groups.get(group) ?? { service, members: [] };
+        entry.members.push(item);
+        groups.set(group, entry);
+      }
+    }
+    await Promise.all(
+      [...groups].map(([group, { service, members }]) => this.#stepGroup(group, service, members, table)),
+    );
+  }
+
+  async #stepGroup(
+    group: string,
+    service: string,
+    members: readonly InspectedTarget[],
+    table: RouteTable,
+  ): Promise<void> {
+    const figures = findFigures(table, service);
+    const size = members[0]?.inspection.size ?? 0;
+    if (figures === null || size === 0) {
+      return;
+    }
+    const places = this.#places.get(group) ?? [];
+    const links = Array.from({ length: size }, (_, rank) => places[rank] ?? null);
+    const inspections = Array.from({ length: size }, (): RankInspection | null => null);
+    for (const { link, inspection } of members) {
+      links[inspection.state.rank] = link;
+      inspections[inspection.state.rank] = inspection;
+    }
+    this.#places.set(group, links);
+    await this.#getGroup(group, figures).step(links, inspections);
+  }
+
+  #getGroup(group: string, figures: ExpertFigures): GroupConductor {
+    const known = this.#groups.get(group);
+    if (known !== undefined) {
+      return known;
+    }
+    const { clock, logger } = this.#options;
+    const conductor = new GroupConductor({ group, figures, getFence: () => this.#term, clock, logger });
+    this.#groups.set(group, conductor);
+    return conductor;
+  }
+
+  async #inspect(target: TargetRecord, term: number): Promise<InspectedTarget | null> {
+    const link = this.#getLink(target.address);
+    const inspection = await link.inspect(term, false);
+    return inspection === null ? null : { link, inspection };
+  }
+
+  #getLink(address: string): RankLink {
+    const known = this.#links.get(address);
+    if (known !== undefined) {
+      return known;
+    }
+    const { links, framePort, openRank } = this.#options;
+    const rankerAddress = `${parseAddress(address).host}:${framePort}`;
+    const link = new RankLink({ links, rankerAddress, direct: openRank(address) });
+    this.#links.set(address, link);
+    return link;
+  }
+}
+
+function findFigures(table: RouteTable, service: string): ExpertFigures | null {
+  return table.findService(service)?.engine?.experts ?? null;
+}
--- /dev/null
+++ b/packages/control/ranks/GroupConductor.ts
@@ -0,0 +1,175 @@
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
+import type { RankLink } from "./RankLink";
+
+interface GroupConductorOptions {
+  readonly group: string;
+  readonly figures: ExpertFigures;
+  readonly getFence: () => number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Least share of the present skew that a plan has to save. */
+const leastGain = 0.04;
+/** Choices below which the popularity is not known well enough. */
+const leastChoices = 2000;
+/** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
+const maxNewPerRank = 4;
+/** A goal that is not in force after this time is given up; a later plan takes its place. */
+const goalTimeoutMs = 6000;
+
+/** Keeps the experts of one group where its requests choose them. */
+export class GroupConductor {
+  readonly #options: GroupConductorOptions;
+  readonly #activation: GroupActivation;
+  readonly #meter: PopularityMeter;
+  #links: readonly (RankLink | null)[] = [];
+  #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
+  #aimedAtMs = 0;
+  #lastVersion = 0;
+
+  constructor(options: GroupConductorOptions) {
+    this.#options = options;
+    const { layerSets, expertsPerSet } = options.figures;
+    this.#meter = new PopularityMeter(layerSets, expertsPerSet);
+    this.#activation = new GroupActivation({
+      inspect: async (rank) => (await this.#inspect(rank, false))?.state ?? null,
+      order: (order) => this.#links[order.rank]?.order(options.getFence(), order) ?? Promise.resolve(null),
+      nowMs: () => options.clock.monotonicMs(),
+    });
+  }
+
+  /** Takes the next step from what the ranks have just reported; `links` and `inspections` are indexed by rank. */
+  async step(
+    links: readonly (RankLink | null)[],
+    inspections: readonly (RankInspection | null)[],
+  ): Promise<void> {
+    this.#links = links;
+    const known = inspections.filter((inspection) => inspection !== null);
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#meter.add(
+      known.map(({ state, counts }) => ({ rank: state.rank, epoch: state.epoch, counts })),
+      nowMs,
+    );
+    const states = await this.#completeStates(inspections);
+    if (states === null) {
+      return;
+    }
+    await this.#reviewGoal(states, nowMs);
+    if (await this.#activation.advance(states)) {
+      this.#adopt();
+    }
+  }
+
+  /** Ranks whose neighbour is silent are asked directly, but only while the group may stand still for it. */
+  async #completeStates(inspections: readonly (RankInspection | null)[]): Promise<HeldRank[] | null> {
+    const isInFlight = inspections.some(
+      (inspection) =>
+        inspection !== null && (inspection.state.armed !== null || inspection.state.heldStep !== null),
+    );
+    const completed = await Promise.all(
+      inspections.map(async (inspection, rank) =>
+        inspection === null && isInFlight ? (this.#links[rank]?.inspectDirectly() ?? null) : inspection,
+      ),
+    );
+    const states = completed.flatMap((inspection) => (inspection === null ? [] : [inspection.state]));
+    return states.length === inspections.length ? states : null;
+  }
+
+  async #reviewGoal(states: readonly HeldRank[], nowMs: number): Promise<void> {
+    const [first] = states;
+    if (first === undefined) {
+      return;
+    }
+    const { goal } = this.#activation;
+    const isVoid = goal !== null && (goal.epoch !== first.epoch || nowMs - this.#aimedAtMs > goalTimeoutMs);
+    if (isVoid) {
+      this.#options.logger.warn({ group: this.#options.group, version: goal.version }, "map abandoned");
+      this.#activation.abandon();
+    }
+    if (this.#activation.goal !== null || this.#meter.total < leastChoices) {
+      return;
+    }
+    const present = await this.#getHosting(states);
+    if (present !== null) {
+      this.#plan(states, present, nowMs);
+    }
+  }
+
+  #plan(states: readonly HeldRank[], present: RankHosting, nowMs: number): void {
+    const { group, figures, logger } = this.#options;
+    const { placements, spare } = figures;
+    const plan = planEvenMap({ present, loads: this.#meter.getLoads(), placements, spare, maxNewPerRank });
+    const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
+    if (gain < leastGain) {
+      return;
+    }
+    const version = 1 + Math.max(this.#lastVersion, ...states.map(getHighestVersion));
+    const epoch = states[0]?.epoch ?? 0;
+    this.#lastVersion = version;
+    this.#aimedAtMs = nowMs;
+    this.#activation.aim({ version, epoch, hosting: plan.hosting });
+    const { presentSkew, plannedSkew, newPerRank } = plan;
+    logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank }, "map planned");
+  }
+
+  #adopt(): void {
+    const { goal } = this.#activation;
+    if (goal !== null) {
+      const tookMs = Math.round(this.#options.clock.monotonicMs() - this.#aimedAtMs);
+      this.#options.logger.info(
+        { group: this.#options.group, version: goal.version, tookMs },
+        "map in force",
+      );
+      this.#hosting = goal;
+      this.#activation.abandon();
+    }
+  }
+
+  /** Present placement; null when it cannot be had now. */
+  async #getHosting(states: readonly HeldRank[]): Promise<RankHosting | null> {
+    const { mapVersion = 0, epoch = 0 } = states[0] ?? {};
+    if (states.some((state) => state.mapVersion !== mapVersion)) {
+      return null;
+    }
+    if (this.#hosting?.epoch === epoch && this.#hosting.version === mapVersion) {
+      return this.#hosting.hosting;
+    }
+    const { layerSets, expertsPerSet } = this.#options.figures;
+    const hosting =
+      mapVersion === 0
+        ? createTurnHosting(layerSets, expertsPerSet, states.length)
+        : await this.#fetchHosting(states.length, layerSets);
+    if (hosting !== null) {
+      this.#hosting = { epoch, version: mapVersion, hosting };
+    }
+    return hosting;
+  }
+
+  async #fetchHosting(ranks: number, layerSets: number): Promise<RankHosting | null> {
+    const inspections = await Promise.all(
+      Array.from({ length: ranks }, (_, rank) => this.#inspect(rank, true)),
+    );
+    const experts = inspections.map((inspection) => inspection?.experts ?? null);
+    return experts.includes(null)
+      ? null
+      : Array.from({ length: layerSets }, (_, set) => experts.map((held) => held?.[set] ?? []));
+  }
+
+  #inspect(rank: number, withExperts: boolean): Promise<RankInspection | null> {
+    return this.#links[rank]?.inspect(this.#options.getFence(), withExperts) ?? Promise.resolve(null);
+  }
+}
+
+function getHighestVersion({ mapVersion, preparedVersion, armed }: HeldRank): number {
+  return Math.max(mapVersion, preparedVersion ?? 0, armed?.version ?? 0);
+}
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -5,11 +5,13 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { RouteTable } from "@clementinemux/routes/RouteTable";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { ControlSettings } from "../ControlSettings";
+import { Conductor } from "../ranks/Conductor";
 import { GroupHost } from "../GroupHost";
 import { PeerLinks } from "../PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
@@ -25,6 +27,7 @@
 const tickIntervalMs = 20;
 const exchangeIntervalMs = 200;
 const bootstrapIntervalMs = 300;
+const conductIntervalMs = 250;
 /** A tick this much late means that the process itself stood still, so others are not judged by it. */
 const stallMs = 200;
 /** A coordinator that started later ago than this has heard every target that is alive. */
@@ -50,6 +53,7 @@
   #documents: DocumentService | null = null;
   #exchange: Exchange | null = null;
   #steward: Steward | null = null;
+  #table: RouteTable | null = null;
   #tickedAtMs = 0;
 
   constructor(options: CoordinatorOptions) {
@@ -103,6 +107,10 @@
     void periodic(exchangeIntervalMs).observe(() => {
       this.#run("exchange", () => this.#exchangeNews());
     });
+    const conductor = this.#createConductor(group);
+    void periodic(conductIntervalMs).observe(() => {
+      this.#run("rank groups", () => conductor.step());
+    });
     if (isBootstrap && group.core.isUnused) {
       void periodic(bootstrapIntervalMs).observe(() => {
         this.#run("bootstrap", () => this.#host.bootstrap());
@@ -171,6 +179,30 @@
     };
   }
 
+  #createConductor(group: ReplicatedGroup): Conductor {
+    const { framePort, openRank, clock, logger } = this.#options;
+    return new Conductor({
+      framePort,
+      links: this.#links,
+      getTable: () => this.#getTable(),
+      listTargets: () => this.targets.list(clock.monotonicMs()),
+      getTerm: () => (group.hasLease ? group.core.term : null),
+      openRank,
+      clock,
+      logger,
+    });
+  }
+
+  #getTable(): RouteTable | null {
+    const { version, bytes } = this.#machine;
+    if (version > 0 && this.#table?.document.version !== version) {
+      this.#options.decodeDocument(bytes).ifRight((document) => {
+        this.#table = new RouteTable(document);
+      });
+    }
+    return this.#table;
+  }
+
   #isCurrent(): boolean {
     const ageMs = this.#documents?.getAgeMs() ?? null;
     return ageMs !== null && ageMs < currentMs;
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -1,5 +1,8 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
+import type { RankClient } from "@clementinemux/ranker/RankClient";
+import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
+import type { Either } from "purify-ts/Either";
 import type { Logger } from "roarr";
 
 /** What a coordinator has to know at its start. */
@@ -16,6 +19,9 @@
   readonly seeds: readonly string[];
   /** Voters that the steward aims for; odd. */
   readonly targetVoters: number;
+  readonly decodeDocument: (bytes: Uint8Array) => Either<string, RouteDocument>;
+  /** Opens the direct way to a rank at its address. */
+  readonly openRank: (address: string) => RankClient;
   readonly clock: Clock;
   readonly random: Random;
   readonly logger: Logger;
--- /dev/null
+++ b/packages/experts/hold/EvenLayer.ts
@@ -0,0 +1,90 @@
+/** Placement of one layer set whose replicas share an expert's load evenly, for a search by single changes. */
+export class EvenLayer {
+  readonly rankLoads: Float64Array;
+  readonly #ranks: number[][];
+  readonly #hosts: number[][];
+  readonly #loads: Float64Array;
+  readonly #present: readonly ReadonlySet<number>[];
+  readonly #newCounts: number[];
+
+  constructor(present: readonly (readonly number[])[], loads: Float64Array) {
+    this.#loads = loads;
+    this.#ranks = present.map((experts) => [...experts]);
+    this.#present = present.map((experts) => new Set(experts));
+    this.#newCounts = present.map(() => 0);
+    this.#hosts = Array.from(loads, () => []);
+    this.rankLoads = new Float64Array(present.length);
+    for (const [rank, experts] of present.entries()) {
+      for (const expert of experts) {
+        this.#hosts[expert]?.push(rank);
+      }
+    }
+    for (const [expert, hosts] of this.#hosts.entries()) {
+      this.#spread(expert, hosts, 1);
+    }
+  }
+
+  get rankCount(): number {
+    return this.#ranks.length;
+  }
+
+  getExperts(rank: number): readonly number[] {
+    return this.#ranks[rank] ?? [];
+  }
+
+  getHosts(expert: number): readonly number[] {
+    return this.#hosts[expert] ?? [];
+  }
+
+  getLoad(expert: number): number {
+    return this.#loads[expert] ?? 0;
+  }
+
+  getNewCount(rank: number): number {
+    return this.#newCounts[rank] ?? 0;
+  }
+
+  /** Whether the rank would have to copy the expert. */
+  isNew(expert: number, rank: number): boolean {
+    return this.#present[rank]?.has(expert) !== true;
+  }
+
+  getPeak(): number {
+    return Math.max(...this.rankLoads);
+  }
+
+  getMean(): number {
+    return this.rankLoads.reduce((sum, load) => sum + load, 0) / this.rankLoads.length;
+  }
+
+  getHottest(): number {
+    return this.rankLoads.indexOf(this.getPeak());
+  }
+
+  add(expert: number, rank: number): void {
+    this.#spread(expert, this.getHosts(expert), -1);
+    this.#hosts[expert]?.push(rank);
+    this.#ranks[rank]?.push(expert);
+    this.#spread(expert, this.getHosts(expert), 1);
+    this.#newCounts[rank] = this.getNewCount(rank) + (this.isNew(expert, rank) ? 1 : 0);
+  }
+
+  remove(expert: number, rank: number): void {
+    this.#spread(expert, this.getHosts(expert), -1);
+    this.#hosts[expert] = this.getHosts(expert).filter((host) => host !== rank);
+    this.#ranks[rank] = this.getExperts(rank).filter((held) => held !== expert);
+    this.#spread(expert, this.getHosts(expert), 1);
+    this.#newCounts[rank] = this.getNewCount(rank) - (this.isNew(expert, rank) ? 1 : 0);
+  }
+
+  toHosting(): readonly (readonly number[])[] {
+    return this.#ranks.map((experts) => [...experts].sort((left, right) => left - right));
+  }
+
+  #spread(expert: number, hosts: readonly number[], sign: number): void {
+    const part = (sign * this.getLoad(expert)) / Math.max(1, hosts.length);
+    for (const host of hosts) {
+      this.rankLoads[host] = (this.rankLoads[host] ?? 0) + part;
+    }
+  }
+}
--- /dev/null
+++ b/packages/experts/hold/EvenPlanInput.ts
@@ -0,0 +1,14 @@
+import type { RankHosting } from "./RankHosting";
+
+/** Everything that a plan for a group with an even split depends on. */
+export interface EvenPlanInput {
+  readonly present: RankHosting;
+  /** Load by layer set and expert, in any unit. */
+  readonly loads: readonly Float64Array[];
+  /** Experts that a rank can hold in one layer set. */
+  readonly placements: number;
+  /** New experts that one plan may bring to a rank in one layer set. */
+  readonly spare: number;
+  /** New experts that one plan may bring to a rank in all layer sets together; it copies them one after the other. */
+  readonly maxNewPerRank: number;
+}
--- /dev/null
+++ b/packages/experts/hold/GroupActivation.ts
@@ -0,0 +1,86 @@
+import type { HeldRank } from "./HeldRank";
+import type { HoldOrder } from "./HoldOrder";
+import { HoldOrderKind } from "./HoldOrderKind";
+import type { MapGoal } from "./MapGoal";
+import { applyAnsweredOrder } from "./applyAnsweredOrder";
+import { chooseHoldOrders } from "./chooseHoldOrders";
+
+interface ActivationIo {
+  /** State of a rank; null when it cannot be had. */
+  readonly inspect: (rank: number) => Promise<HeldRank | null>;
+  /** Gives an order. Resolves with whether the rank has confirmed it; null when there was no answer. */
+  readonly order: (order: HoldOrder) => Promise<boolean | null>;
+  readonly nowMs: () => number;
+}
+
+/** A confirmed order to prepare is not repeated within this time, since copying takes a while. */
+const prepareMs = 3000;
+/** Rounds of orders between two inspections; an activation takes hold, arm and go. */
+const maxRounds = 4;
+
+/** Brings maps into force on one group. Inspects all ranks, gives the orders that follow, and looks again. */
+export class GroupActivation {
+  readonly #io: ActivationIo;
+  readonly #preparingSince = new Map<number, number>();
+  #goal: MapGoal | null = null;
+
+  constructor(io: ActivationIo) {
+    this.#io = io;
+  }
+
+  get goal(): MapGoal | null {
+    return this.#goal;
+  }
+
+  aim(goal: MapGoal): void {
+    this.#goal = goal;
+    this.#preparingSince.clear();
+  }
+
+  abandon(): void {
+    this.#goal = null;
+  }
+
+  /** Goes on from the present states. Resolves with whether the goal is in force on all ranks. */
+  async advance(states: readonly HeldRank[]): Promise<boolean> {
+    let ranks = states;
+    for (let round = 0; round < maxRounds; round += 1) {
+      const orders = chooseHoldOrders(ranks, this.#goal, (rank) => this.#isPreparing(rank));
+      if (orders.length === 0) {
+        break;
+      }
+      const answers = await Promise.all(orders.map((order) => this.#give(order)));
+      if (answers.includes(null) || answers.includes(false)) {
+        const fresh = await Promise.all(ranks.map(({ rank }) => this.#io.inspect(rank)));
+        const known = fresh.filter((rank) => rank !== null);
+        if (known.length < ranks.length) {
+          break;
+        }
+        ranks = known;
+      } else {
+        ranks = ranks.map((rank) => applyAll(rank, orders));
+      }
+    }
+    const goal = this.#goal;
+    return goal !== null && ranks.every(({ mapVersion }) => mapVersion >= goal.version);
+  }
+
+  async #give(order: HoldOrder): Promise<boolean | null> {
+    const answer = await this.#io.order(order);
+    if (order.kind === HoldOrderKind.Prepare && answer === true) {
+      this.#preparingSince.set(order.rank, this.#io.nowMs());
+    }
+    return answer;
+  }
+
+  #isPreparing(rank: number): boolean {
+    const sinceMs = this.#preparingSince.get(rank);
+    return sinceMs !== undefined && this.#io.nowMs() - sinceMs < prepareMs;
+  }
+}
+
+function applyAll(rank: HeldRank, orders: readonly HoldOrder[]): HeldRank {
+  return orders
+    .filter((order) => order.rank === rank.rank)
+    .reduce((state, order) => applyAnsweredOrder(state, order), rank);
+}
--- /dev/null
+++ b/packages/experts/hold/HoldOrderKind.ts
@@ -0,0 +1,8 @@
+/** Orders by which a map comes into force. */
+export enum HoldOrderKind {
+  Prepare = "prepare",
+  Hold = "hold",
+  Arm = "arm",
+  Disarm = "disarm",
+  Go = "go",
+}
--- /dev/null
+++ b/packages/experts/hold/PopularityMeter.ts
@@ -0,0 +1,54 @@
+interface RankCounts {
+  readonly epoch: number;
+  readonly counts: readonly number[];
+}
+
+/** Weight of a past choice falls to 1/e after this time; what is liked changes every few seconds. */
+const memoryMs = 700;
+
+/** Recent choices by layer set and expert, from the cumulative counts of the ranks. Has no clock. */
+export class PopularityMeter {
+  readonly #sets: number;
+  readonly #experts: number;
+  readonly #levels: Float64Array;
+  readonly #latest = new Map<number, RankCounts>();
+  #updatedAtMs: number | null = null;
+
+  constructor(sets: number, experts: number) {
+    this.#sets = sets;
+    this.#experts = experts;
+    this.#levels = new Float64Array(sets * experts);
+  }
+
+  /** Takes the counts of all ranks that answered at about the same moment. */
+  add(ranks: readonly { rank: number; epoch: number; counts: readonly number[] }[], nowMs: number): void {
+    const elapsedMs = this.#updatedAtMs === null ? 0 : nowMs - this.#updatedAtMs;
+    const decay = Math.exp(-elapsedMs / memoryMs);
+    this.#updatedAtMs = nowMs;
+    this.#levels.forEach((level, index) => {
+      this.#levels[index] = level * decay;
+    });
+    for (const { rank, epoch, counts } of ranks) {
+      const before = this.#latest.get(rank);
+      const isSameLife = before?.epoch === epoch && (before.counts[0] ?? 0) <= (counts[0] ?? 0);
+      if (before !== undefined && isSameLife) {
+        counts.forEach((count, index) => {
+          const added = Math.max(0, count - (before.counts[index] ?? 0));
+          this.#levels[index] = (this.#levels[index] ?? 0) + added;
+        });
+      }
+      this.#latest.set(rank, { epoch, counts });
+    }
+  }
+
+  /** Sum of the weighted choices; tells whether there is enough to plan by. */
+  get total(): number {
+    return this.#levels.reduce((sum, level) => sum + level, 0);
+  }
+
+  getLoads(): Float64Array[] {
+    return Array.from({ length: this.#sets }, (_, set) =>
+      this.#levels.slice(set * this.#experts, (set + 1) * this.#experts),
+    );
+  }
+}
--- /dev/null
+++ b/packages/experts/hold/applyAnsweredOrder.ts
@@ -0,0 +1,19 @@
+import type { HeldRank } from "./HeldRank";
+import type { HoldOrder } from "./HoldOrder";
+import { HoldOrderKind } from "./HoldOrderKind";
+
+/** State of a rank after it has confirmed an order, until its next report. */
+export function applyAnsweredOrder(rank: HeldRank, order: HoldOrder): HeldRank {
+  switch (order.kind) {
+    case HoldOrderKind.Hold:
+      return { ...rank, heldStep: order.step };
+    case HoldOrderKind.Go:
+      return { ...rank, heldStep: null };
+    case HoldOrderKind.Arm:
+      return { ...rank, armed: { version: order.version, step: order.step } };
+    case HoldOrderKind.Disarm:
+      return { ...rank, armed: null };
+    case HoldOrderKind.Prepare:
+      return rank;
+  }
+}
--- /dev/null
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -0,0 +1,101 @@
+import type { HeldRank } from "./HeldRank";
+import type { HoldOrder } from "./HoldOrder";
+import { HoldOrderKind } from "./HoldOrderKind";
+import type { MapGoal } from "./MapGoal";
+
+/** Passes between the last one that was begun and the one that is held: the hold has to arrive before it. */
+const leadSteps = 2;
+/** Rank that holds the group. */
+const holdingRank = 0;
+
+/**
+ * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It depends on the
+ * reports alone, so that it also completes or clears what another lead has begun. A map is armed only while the group
+ * is held before the pass from which it counts, and the group goes on only when all ranks or none are armed.
+ */
+export function chooseHoldOrders(
+  ranks: readonly HeldRank[],
+  goal: MapGoal | null,
+  isPreparing: (rank: number) => boolean,
+): HoldOrder[] {
+  const [first] = ranks;
+  const isWhole = ranks.every(({ epoch, isOpen }) => isOpen && epoch === first?.epoch);
+  if (first === undefined || !isWhole) {
+    return [];
+  }
+  const isInFlight = ranks.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
+  if (isInFlight) {
+    return settle(ranks);
+  }
+  if (goal?.epoch !== first.epoch || ranks.every(({ mapVersion }) => mapVersion >= goal.version)) {
+    return [];
+  }
+  const unprepared = ranks.filter(({ preparedVersion }) => preparedVersion !== goal.version);
+  if (unprepared.length > 0) {
+    const { version, hosting } = goal;
+    return unprepared
+      .filter(({ rank }) => !isPreparing(rank))
+      .map(({ rank, epoch }) => ({ kind: HoldOrderKind.Prepare, rank, epoch, version, hosting }));
+  }
+  const step = getStep(ranks) + leadSteps;
+  return [{ kind: HoldOrderKind.Hold, rank: holdingRank, epoch: first.epoch, step }];
+}
+
+/** Completes an activation that has begun; clears one that cannot be completed. */
+function settle(ranks: readonly HeldRank[]): HoldOrder[] {
+  const holder = ranks.find(({ heldStep }) => heldStep !== null);
+  const target = findTarget(ranks, holder?.heldStep ?? null);
+  if (target === null) {
+    return letGo(ranks);
+  }
+  const { version, step } = target;
+  const isDue = getStep(ranks) >= step;
+  const missing = ranks.filter(({ armed }) => armed?.version !== version || armed.step !== step);
+  const canComplete =
+    !isDue && missing.every((rank) => rank.armed === null && rank.preparedVersion === version);
+  if (!canComplete && missing.length > 0) {
+    const armed = ranks.filter((rank) => rank.armed !== null);
+    return armed.map(({ rank, epoch, armed: held }) => ({
+      kind: HoldOrderKind.Disarm,
+      rank,
+      epoch,
+      version: held?.version ?? version,
+    }));
+  }
+  if (missing.length === 0) {
+    return letGo(ranks);
+  }
+  if (holder === undefined) {
+    // Armed ranks and no hold: the group must not reach the pass before all are armed.
+    return [{ kind: HoldOrderKind.Hold, rank: holdingRank, epoch: ranks[0]?.epoch ?? 0, step }];
+  }
+  return missing.map(({ rank, epoch }) => ({ kind: HoldOrderKind.Arm, rank, epoch, version, step }));
+}
+
+/** Map and pass that the activation in flight is about; null when no rank can have been armed. */
+function findTarget(
+  ranks: readonly HeldRank[],
+  heldStep: number | null,
+): { readonly version: number; readonly step: number } | null {
+  const armed = ranks.find((rank) => rank.armed !== null)?.armed ?? null;
+  if (armed !== null) {
+    return armed;
+  }
+  const [first] = ranks;
+  const prepared = first?.preparedVersion ?? null;
+  // A lead arms only after all are prepared, and its orders may still be on their way: arming completes them.
+  const isPrepared =
+    prepared !== null &&
+    ranks.every(({ preparedVersion, mapVersion }) => preparedVersion === prepared && mapVersion < prepared);
+  return isPrepared && heldStep !== null ? { version: prepared, step: heldStep } : null;
+}
+
+function letGo(ranks: readonly HeldRank[]): HoldOrder[] {
+  return ranks.flatMap(({ rank, epoch, heldStep }) =>
+    heldStep === null ? [] : [{ kind: HoldOrderKind.Go as const, rank, epoch, step: heldStep }],
+  );
+}
+
+function getStep(ranks: readonly HeldRank[]): number {
+  return Math.max(...ranks.map(({ step }) => step));
+}
--- /dev/null
+++ b/packages/experts/hold/findEvenChange.ts
@@ -0,0 +1,75 @@
+import type { EvenChange } from "./EvenChange";
+import type { EvenLayer } from "./EvenLayer";
+import { applyEvenChange } from "./applyEvenChange";
+import { undoEvenChange } from "./undoEvenChange";
+
+interface ChangeLimits {
+  readonly placements: number;
+  /** Whether a rank may take one more new expert in this layer set. */
+  readonly mayTake: (rank: number) => boolean;
+}
+
+/** High powers weigh the most loaded ranks, and still tell changes apart that leave the peak as it is. */
+const normPower = 8;
+/** Coldest ranks that are considered, so that large groups are planned in bounded time. */
+const maxColdRanks = 12;
+
+/** Finds the change that relieves the hottest rank best; null when none lowers the norm of the loads. */
+export function findEvenChange(layer: EvenLayer, limits: ChangeLimits): EvenChange | null {
+  const hotRank = layer.getHottest();
+  const unit = layer.getPeak();
+  let lowest = getNorm(layer, unit) * 0.999;
+  let best: EvenChange | null = null;
+  for (const change of listChanges(layer, hotRank, limits)) {
+    applyEvenChange(layer, change);
+    const norm = getNorm(layer, unit);
+    undoEvenChange(layer, change);
+    if (norm < lowest) {
+      lowest = norm;
+      best = change;
+    }
+  }
+  return best;
+}
+
+function* listChanges(
+  layer: EvenLayer,
+  hotRank: number,
+  { placements, mayTake }: ChangeLimits,
+): Generator<EvenChange> {
+  const ranks = Array.from({ length: layer.rankCount }, (_, rank) => rank);
+  const cold = ranks
+    .filter((rank) => rank !== hotRank)
+    .sort((left, right) => (layer.rankLoads[left] ?? 0) - (layer.rankLoads[right] ?? 0))
+    .slice(0, maxColdRanks);
+  for (const expert of layer.getExperts(hotRank)) {
+    for (const coldRank of cold) {
+      const hasRoom = mayTake(coldRank) || !layer.isNew(expert, coldRank);
+      if (layer.getHosts(expert).includes(coldRank) || !hasRoom) {
+        continue;
+      }
+      if (layer.getExperts(coldRank).length < placements) {
+        yield { expert, hotRank, coldRank, displaced: null, isSwap: false };
+      }
+      for (const displaced of layer.getExperts(coldRank)) {
+        const hosts = layer.getHosts(displaced);
+        if (hosts.length > 1) {
+          yield { expert, hotRank, coldRank, displaced, isSwap: false };
+        }
+        const isSwappable =
+          !hosts.includes(hotRank) && (mayTake(hotRank) || !layer.isNew(displaced, hotRank));
+        if (isSwappable) {
+          yield { expert, hotRank, coldRank, displaced, isSwap: true };
+        }
+      }
+    }
+  }
+}
+
+function getNorm({ rankLoads }: EvenLayer, unit: number): number {
+  let sum = 0;
+  for (const load of rankLoads) {
+    sum += (load / unit) ** normPower;
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/experts/hold/planEvenMap.ts
@@ -0,0 +1,50 @@
+import { EvenLayer } from "./EvenLayer";
+import type { EvenPlan } from "./EvenPlan";
+import type { EvenPlanInput } from "./EvenPlanInput";
+import { applyEvenChange } from "./applyEvenChange";
+import { findEvenChange } from "./findEvenChange";
+
+/** Bounds the time of planning; what is left is found by the next plan. */
+const maxChanges = 200;
+/** A layer set this close to its mean is not improved further. */
+const toleranceShare = 0.03;
+
+/**
+ * Plans the next placement from the present one. The layer set with the highest peak is improved first, since the
+ * time of a pass adds up the most loaded rank of each, until the ranks may take no more new experts.
+ */
+export function planEvenMap(input: EvenPlanInput): EvenPlan {
+  const { present, loads, placements, spare, maxNewPerRank } = input;
+  const layers = present.map((ranks, set) => new EvenLayer(ranks, loads[set] ?? new Float64Array(0)));
+  const presentSkew = getMeanSkew(layers);
+  const countNew = (rank: number): number => layers.reduce((sum, layer) => sum + layer.getNewCount(rank), 0);
+  const open = new Set(layers);
+  for (let changes = 0; changes < maxChanges && open.size > 0; changes += 1) {
+    const layer = [...open].reduce((left, right) => (getSkew(left) >= getSkew(right) ? left : right));
+    const mayTake = (rank: number): boolean =>
+      layer.getNewCount(rank) < spare && countNew(rank) < maxNewPerRank;
+    const change =
+      getSkew(layer) > 1 + toleranceShare ? findEvenChange(layer, { placements, mayTake }) : null;
+    if (change === null) {
+      open.delete(layer);
+    } else {
+      applyEvenChange(layer, change);
+    }
+  }
+  const ranks = layers[0]?.rankCount ?? 0;
+  return {
+    hosting: layers.map((layer) => layer.toHosting()),
+    presentSkew,
+    plannedSkew: getMeanSkew(layers),
+    newPerRank: Math.max(0, ...Array.from({ length: ranks }, (_, rank) => countNew(rank))),
+  };
+}
+
+function getSkew(layer: EvenLayer): number {
+  const mean = layer.getMean();
+  return mean > 0 ? layer.getPeak() / mean : 1;
+}
+
+function getMeanSkew(layers: readonly EvenLayer[]): number {
+  return layers.reduce((sum, layer) => sum + getSkew(layer), 0) / Math.max(1, layers.length);
+}
--- /dev/null
+++ b/packages/experts/hold/undoEvenChange.ts
@@ -0,0 +1,15 @@
+import type { EvenChange } from "./EvenChange";
+import type { EvenLayer } from "./EvenLayer";
+
+/** Takes back a change that was carried out last. */
+export function undoEvenChange(layer: EvenLayer, change: EvenChange): void {
+  const { expert, hotRank, coldRank, displaced, isSwap } = change;
+  if (isSwap && displaced !== null) {
+    layer.remove(displaced, hotRank);
+    layer.add(expert, hotRank);
+  }
+  layer.remove(expert, coldRank);
+  if (displaced !== null) {
+    layer.add(displaced, coldRank);
+  }
+}
--- /dev/null
+++ b/packages/ranker/OrderRequest.ts
@@ -0,0 +1,7 @@
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+
+/** Order of a lead, passed on by the process beside the rank. */
+export interface OrderRequest {
+  readonly fence: number;
+  readonly order: HoldOrder;
+}
--- /dev/null
+++ b/packages/ranker/RankInspection.ts
@@ -0,0 +1,13 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+
+/** What a rank reports of itself, read at one moment. */
+export interface RankInspection {
+  readonly group: string;
+  /** Ranks of the group. */
+  readonly size: number;
+  readonly state: HeldRank;
+  /** Choices of each expert since the rank started, layer set after layer set. */
+  readonly counts: readonly number[];
+  /** Experts that the rank holds by layer set; null when they were not asked for. */
+  readonly experts: readonly (readonly number[])[] | null;
+}
--- a/packages/routes/EngineFigures.ts
+++ b/packages/routes/EngineFigures.ts
@@ -1,3 +1,5 @@
+import type { ExpertFigures } from "./ExpertFigures";
+
 /** Published performance figures of a model service, from which step times are predicted. */
 export interface EngineFigures {
   /** Requests that one engine runs at once. */
@@ -18,19 +20,3 @@
   readonly meanAnswerTokens: number;
   readonly experts: ExpertFigures | null;
 }
-
-/** Figures of services whose engines form rank groups. */
-interface ExpertFigures {
-  readonly layerSets: number;
-  readonly expertsPerSet: number;
-  /** Experts that a rank can hold in one layer set. */
-  readonly placements: number;
-  /** New experts that one order may bring to a rank in one layer set. */
-  readonly spare: number;
-  readonly expertMb: number;
-  /** Share of the work for tokens that is spent in experts. */
-  readonly expertShare: number;
-  readonly linkMbps: number;
-  /** Time in which a broken group forms again. */
-  readonly formMs: number;
-}
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -32,5 +32,6 @@
   ProposeDocument = "proposeDocument",
   ConfirmDocument = "confirmDocument",
   ReadDocument = "readDocument",
-  ReportCounts = "reportCounts",
+  InspectRank = "inspectRank",
+  OrderRank = "orderRank",
 }
