--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -19,7 +19,9 @@
 }
 
 /** Least share of the present skew that a plan has to save. */
-const leastGain = 0.04;
+const leastGain = 0.08;
+/** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
+const goalSkew = 1.2;
 /** Choices below which the popularity is not known well enough. */
 const leastChoices = 2000;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
@@ -36,6 +38,7 @@
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
   #lastVersion = 0;
+  #lastStep = 0;
 
   constructor(options: GroupConductorOptions) {
     this.#options = options;
@@ -70,19 +73,25 @@
     }
   }
 
-  /** Ranks whose neighbour is silent are asked directly, but only while the group may stand still for it. */
+  /** Ranks whose neighbour is silent are asked directly, but only while the group may be held. */
   async #completeStates(inspections: readonly (RankInspection | null)[]): Promise<HeldRank[] | null> {
-    const isInFlight = inspections.some(
-      (inspection) =>
-        inspection !== null && (inspection.state.armed !== null || inspection.state.heldStep !== null),
-    );
-    const completed = await Promise.all(
+    const known = inspections.filter((inspection) => inspection !== null).map(({ state }) => state);
+    const step = Math.max(0, ...known.map((state) => state.step));
+    const hasStopped = step === this.#lastStep;
+    this.#lastStep = step;
+    const mayBeHeld =
+      hasStopped ||
+      this.#activation.goal !== null ||
+      known.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
+    if (known.length < inspections.length && !mayBeHeld) {
+      return null;
+    }
+    const states = await Promise.all(
       inspections.map(async (inspection, rank) =>
-        inspection === null && isInFlight ? (this.#links[rank]?.inspectDirectly() ?? null) : inspection,
+        inspection === null ? (this.#links[rank]?.inspectDirectly() ?? null) : inspection.state,
       ),
     );
-    const states = completed.flatMap((inspection) => (inspection === null ? [] : [inspection.state]));
-    return states.length === inspections.length ? states : null;
+    return states.includes(null) ? null : states.filter((state) => state !== null);
   }
 
   async #reviewGoal(states: readonly HeldRank[], nowMs: number): Promise<void> {
@@ -108,7 +117,8 @@
   #plan(states: readonly HeldRank[], present: RankHosting, nowMs: number): void {
     const { group, figures, logger } = this.#options;
     const { placements, spare } = figures;
-    const plan = planEvenMap({ present, loads: this.#meter.getLoads(), placements, spare, maxNewPerRank });
+    const loads = this.#meter.getLoads();
+    const plan = planEvenMap({ present, loads, placements, spare, maxNewPerRank, goalSkew });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
     if (gain < leastGain) {
       return;
@@ -118,8 +128,8 @@
     this.#lastVersion = version;
     this.#aimedAtMs = nowMs;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
-    const { presentSkew, plannedSkew, newPerRank } = plan;
-    logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank }, "map planned");
+    const { presentSkew, plannedSkew, newPerRank, copies } = plan;
+    logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank, copies }, "map planned");
   }
 
   #adopt(): void {
--- a/packages/control/ranks/RankLink.ts
+++ b/packages/control/ranks/RankLink.ts
@@ -1,3 +1,4 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
@@ -32,8 +33,8 @@
   }
 
   /** State of the rank by its own word, for groups that stand still. */
-  inspectDirectly(): Promise<RankInspection | null> {
-    return this.#options.direct.inspect(false);
+  inspectDirectly(): Promise<HeldRank | null> {
+    return this.#options.direct.inspectState();
   }
 
   async order(fence: number, order: HoldOrder): Promise<boolean | null> {
--- /dev/null
+++ b/packages/control/test/steward.test.ts
@@ -0,0 +1,82 @@
+import t from "tap";
+import type { Membership } from "@clementinemux/consensus/Membership";
+import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
+import type { StewardInput } from "@clementinemux/control/routes/StewardInput";
+import { chooseMembershipChange } from "@clementinemux/control/routes/chooseMembershipChange";
+
+function member(address: string) {
+  return { name: address, address };
+}
+
+function input(membership: Membership, fields: Partial<StewardInput> = {}): StewardInput {
+  return {
+    membership,
+    announced: new Map(),
+    silenceMs: new Map(),
+    matchIndexes: new Map(),
+    commitIndex: 100,
+    targetVoters: 3,
+    ...fields,
+  };
+}
+
+const voters = { a: member("A"), b: member("B"), c: member("C") };
+
+t.test("a wiped replica returns as a learner and takes the place of its former self", (t) => {
+  const announced = new Map([["c2", member("C")]]);
+  const silenceMs = new Map([["c", 900]]);
+  t.match(chooseMembershipChange(input({ voters, learners: {} }, { announced, silenceMs })), {
+    kind: MembershipChangeKind.AddLearner,
+    replicaId: "c2",
+  });
+  const learners = { c2: member("C") };
+  const behind = { announced, silenceMs, matchIndexes: new Map([["c2", 5]]) };
+  t.equal(chooseMembershipChange(input({ voters, learners }, behind)), null, "not before it has caught up");
+  const ready = { announced, silenceMs, matchIndexes: new Map([["c2", 100]]) };
+  t.match(chooseMembershipChange(input({ voters, learners }, ready)), {
+    kind: MembershipChangeKind.Remove,
+    replicaId: "c",
+  });
+  const rest = { a: voters.a, b: voters.b };
+  t.match(chooseMembershipChange(input({ voters: rest, learners }, ready)), {
+    kind: MembershipChangeKind.Promote,
+    replicaId: "c2",
+  });
+  t.end();
+});
+
+t.test("a replica at a new address replaces only a voter that is silent", (t) => {
+  const learners = { d: member("D") };
+  const ready = { announced: new Map([["d", member("D")]]), matchIndexes: new Map([["d", 100]]) };
+  t.equal(chooseMembershipChange(input({ voters, learners }, ready)), null);
+  const silent = { ...ready, silenceMs: new Map([["b", 2500]]) };
+  t.match(chooseMembershipChange(input({ voters, learners }, silent)), {
+    kind: MembershipChangeKind.Remove,
+    replicaId: "b",
+  });
+  t.end();
+});
+
+t.test("no voter leaves while another one is silent too", (t) => {
+  const learners = { c2: member("C") };
+  const ready = {
+    announced: new Map([["c2", member("C")]]),
+    matchIndexes: new Map([["c2", 100]]),
+    silenceMs: new Map([
+      ["b", 2500],
+      ["c", 2500],
+    ]),
+  };
+  t.equal(
+    chooseMembershipChange(input({ voters, learners }, ready)),
+    null,
+    "guards against a group that removes itself below a majority",
+  );
+  t.end();
+});
+
+t.test("a silent voter stays when there is no replacement", (t) => {
+  const silenceMs = new Map([["c", 60_000]]);
+  t.equal(chooseMembershipChange(input({ voters, learners: {} }, { silenceMs })), null);
+  t.end();
+});
--- a/packages/experts/hold/EvenLayer.ts
+++ b/packages/experts/hold/EvenLayer.ts
@@ -44,6 +44,10 @@
     return this.#newCounts[rank] ?? 0;
   }
 
+  countNew(): number {
+    return this.#newCounts.reduce((sum, count) => sum + count, 0);
+  }
+
   /** Whether the rank would have to copy the expert. */
   isNew(expert: number, rank: number): boolean {
     return this.#present[rank]?.has(expert) !== true;
--- a/packages/experts/hold/EvenPlanInput.ts
+++ b/packages/experts/hold/EvenPlanInput.ts
@@ -11,4 +11,6 @@
   readonly spare: number;
   /** New experts that one plan may bring to a rank in all layer sets together; it copies them one after the other. */
   readonly maxNewPerRank: number;
+  /** A layer set whose most loaded rank is within this factor of the mean is left as it is; more than 1. */
+  readonly goalSkew: number;
 }
--- a/packages/experts/hold/findEvenChange.ts
+++ b/packages/experts/hold/findEvenChange.ts
@@ -13,19 +13,22 @@
 const normPower = 8;
 /** Coldest ranks that are considered, so that large groups are planned in bounded time. */
 const maxColdRanks = 12;
+const leastGainShare = 0.001;
 
-/** Finds the change that relieves the hottest rank best; null when none lowers the norm of the loads. */
+/** Finds the change that relieves the hottest rank best for each copy that it takes; null when none does. */
 export function findEvenChange(layer: EvenLayer, limits: ChangeLimits): EvenChange | null {
   const hotRank = layer.getHottest();
   const unit = layer.getPeak();
-  let lowest = getNorm(layer, unit) * 0.999;
+  const before = getNorm(layer, unit);
+  let highest = before * leastGainShare;
   let best: EvenChange | null = null;
   for (const change of listChanges(layer, hotRank, limits)) {
     applyEvenChange(layer, change);
-    const norm = getNorm(layer, unit);
+    const gain = before - getNorm(layer, unit);
     undoEvenChange(layer, change);
-    if (norm < lowest) {
-      lowest = norm;
+    const gainPerCopy = gain / Math.max(1, countCopies(layer, change));
+    if (gainPerCopy > highest) {
+      highest = gainPerCopy;
       best = change;
     }
   }
@@ -66,6 +69,11 @@
   }
 }
 
+function countCopies(layer: EvenLayer, { expert, hotRank, coldRank, displaced, isSwap }: EvenChange): number {
+  const isBack = isSwap && displaced !== null && layer.isNew(displaced, hotRank);
+  return (layer.isNew(expert, coldRank) ? 1 : 0) + (isBack ? 1 : 0);
+}
+
 function getNorm({ rankLoads }: EvenLayer, unit: number): number {
   let sum = 0;
   for (const load of rankLoads) {
--- a/packages/experts/hold/planEvenMap.ts
+++ b/packages/experts/hold/planEvenMap.ts
@@ -6,15 +6,13 @@
 
 /** Bounds the time of planning; what is left is found by the next plan. */
 const maxChanges = 200;
-/** A layer set this close to its mean is not improved further. */
-const toleranceShare = 0.03;
 
 /**
  * Plans the next placement from the present one. The layer set with the highest peak is improved first, since the
  * time of a pass adds up the most loaded rank of each, until the ranks may take no more new experts.
  */
 export function planEvenMap(input: EvenPlanInput): EvenPlan {
-  const { present, loads, placements, spare, maxNewPerRank } = input;
+  const { present, loads, placements, spare, maxNewPerRank, goalSkew } = input;
   const layers = present.map((ranks, set) => new EvenLayer(ranks, loads[set] ?? new Float64Array(0)));
   const presentSkew = getMeanSkew(layers);
   const countNew = (rank: number): number => layers.reduce((sum, layer) => sum + layer.getNewCount(rank), 0);
@@ -23,8 +21,7 @@
     const layer = [...open].reduce((left, right) => (getSkew(left) >= getSkew(right) ? left : right));
     const mayTake = (rank: number): boolean =>
       layer.getNewCount(rank) < spare && countNew(rank) < maxNewPerRank;
-    const change =
-      getSkew(layer) > 1 + toleranceShare ? findEvenChange(layer, { placements, mayTake }) : null;
+    const change = getSkew(layer) > goalSkew ? findEvenChange(layer, { placements, mayTake }) : null;
     if (change === null) {
       open.delete(layer);
     } else {
@@ -36,6 +33,7 @@
     hosting: layers.map((layer) => layer.toHosting()),
     presentSkew,
     plannedSkew: getMeanSkew(layers),
+    copies: layers.reduce((sum, layer) => sum + layer.countNew(), 0),
     newPerRank: Math.max(0, ...Array.from({ length: ranks }, (_, rank) => countNew(rank))),
   };
 }
--- a/packages/gateway/AnswerWriter.ts
+++ b/packages/gateway/AnswerWriter.ts
@@ -1,6 +1,8 @@
 import type { ServerResponse } from "node:http";
 import { selectEndToEnd } from "./selectEndToEnd";
 
+const framingNames = ["content-length", "transfer-encoding"];
+
 /** Writes one answer to a caller. An answer that cannot be completed is cut off visibly. */
 export class AnswerWriter {
   readonly #response: ServerResponse;
@@ -19,12 +21,23 @@
   /** Delivers a target's whole answer unchanged. */
   sendWhole(status: number, headers: readonly string[], body: Buffer): void {
     const list = selectEndToEnd(headers);
-    this.#writeHead(status, [...list, "Content-Length", String(body.length)]);
-    this.#response.end(body);
+    if (isFramed(headers)) {
+      this.#writeHead(status, [...list, "Content-Length", String(body.length)]);
+      this.#response.end(body);
+    } else {
+      this.begin(status, headers);
+      this.#response.write(body);
+      this.#response.end();
+    }
   }
 
   /** Begins an answer whose length is not known yet. */
   begin(status: number, headers: readonly string[]): void {
+    if (!isFramed(headers)) {
+      // The end of such an answer cannot be told from a break, and must not look more certain than it is.
+      this.#response.useChunkedEncodingByDefault = false;
+      this.#response.shouldKeepAlive = false;
+    }
     this.#writeHead(status, selectEndToEnd(headers));
     this.#response.flushHeaders();
   }
@@ -65,3 +78,8 @@
     this.#response.writeHead(status, headers);
   }
 }
+
+/** Whether an answer says where it ends, other than by the end of its connection. */
+function isFramed(headers: readonly string[]): boolean {
+  return headers.some((name, at) => at % 2 === 0 && framingNames.includes(name.toLowerCase()));
+}
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -1,7 +1,6 @@
 import { periodic } from "most";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
-import type { Random } from "@clementinemux/common/Random";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
@@ -16,7 +15,6 @@
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
-  readonly random: Random;
   readonly logger: Logger;
 }
 
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -50,7 +50,7 @@
   #isStopping = false;
 
   constructor(options: GatewayOptions) {
-    const { clock, random, logger, seeds, codec } = options;
+    const { clock, leaseClock, random, logger, seeds, codec } = options;
     this.#options = options;
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
@@ -59,8 +59,7 @@
       view: this.view,
       getEntry: () => this.#getEntry(),
       seeds,
-      clock,
-      random,
+      clock: leaseClock,
       logger,
     });
     this.#intake = new Intake(this.#createContext(), () => this.#limits.maxBodyBytes);
@@ -68,7 +67,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.#isStopping && this.view.isFresh(this.#options.clock.monotonicMs());
+    return !this.#isStopping && this.view.isFresh(this.#options.leaseClock.monotonicMs());
   }
 
   get inFlight(): number {
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -20,6 +20,8 @@
   readonly graceMs: number;
   readonly codec: WireCodec;
   readonly clock: Clock;
+  /** Clock that includes suspensions, for how long the gateway may act on what it knows. */
+  readonly leaseClock: Clock;
   readonly random: Random;
   readonly logger: Logger;
 }
--- a/packages/gateway/Intake.ts
+++ b/packages/gateway/Intake.ts
@@ -65,7 +65,7 @@
   #admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMs: number): void {
     const { options, view } = this.#context;
     const { table } = view.state;
-    if (table === null || !view.isFresh(options.clock.monotonicMs())) {
+    if (table === null || !view.isFresh(options.leaseClock.monotonicMs())) {
       this.#answer(response, RequestEnd.NotFresh, request);
       return;
     }
--- /dev/null
+++ b/packages/registry/test/registry.test.ts
@@ -0,0 +1,98 @@
+import t from "tap";
+import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+
+function target(fields: Partial<TargetRecord> = {}): TargetRecord {
+  return {
+    id: "t-1",
+    service: "app",
+    address: "10.0.0.1:80",
+    failureDomain: "a",
+    slots: 4,
+    isDraining: false,
+    isGone: false,
+    bornMs: 1000,
+    sequence: 1,
+    ...fields,
+  };
+}
+
+t.test("late heartbeats of an earlier life are dropped", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target({ bornMs: 2000, sequence: 1 }), 0);
+  t.notOk(registry.put(target({ bornMs: 1000, sequence: 99, isDraining: true }), 1));
+  t.same(
+    registry.list(1).map(({ bornMs }) => bornMs),
+    [2000],
+  );
+  t.end();
+});
+
+t.test("heartbeats that overtook each other count by their sequence", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target({ sequence: 5, isDraining: true }), 0);
+  registry.put(target({ sequence: 4 }), 1);
+  t.equal(registry.list(1)[0]?.isDraining, true, "guards against a drain that is undone by an older call");
+  t.end();
+});
+
+t.test("a target that has unregistered does not come back in the same life", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target({ sequence: 5 }), 0);
+  registry.remove("t-1", 1);
+  registry.put(target({ sequence: 6 }), 2);
+  t.same(registry.list(2), []);
+  registry.put(target({ bornMs: 3000, sequence: 1 }), 3);
+  t.equal(registry.list(3).length, 1, "a new life under the same id counts");
+  t.end();
+});
+
+t.test("an address belongs to the target that started last", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target(), 0);
+  registry.put(target({ id: "t-2", service: "other", bornMs: 2000 }), 1);
+  registry.put(target({ sequence: 2 }), 2);
+  t.same(
+    registry.list(2).map(({ id }) => id),
+    ["t-2"],
+    "guards against requests that reach another service",
+  );
+  t.end();
+});
+
+t.test("a silent target is left out, and that is a change", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target(), 0);
+  const before = registry.changes;
+  registry.expire(4400, 4300);
+  t.equal(registry.changes, before);
+  registry.expire(4600, 4400);
+  t.ok(registry.changes > before);
+  t.same(registry.list(4600), []);
+  t.end();
+});
+
+t.test("news is passed to other peers than the one that brought it", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target(), 10, "peer-a");
+  t.equal(registry.heardSince(0, "peer-a").length, 0);
+  t.equal(registry.heardSince(0, "peer-b").length, 1);
+  t.equal(registry.changedSince(0).length, 1);
+  t.end();
+});
+
+t.test("callers get the ready entries of their failure domain while enough are alive", (t) => {
+  const registry = new EntryRegistry();
+  const entry = { incarnation: "1", isReady: true, inFlight: { "t-1": 2 } };
+  registry.put({ ...entry, name: "a1", address: "a1", failureDomain: "a" }, 0, null);
+  registry.put({ ...entry, name: "a2", address: "a2", failureDomain: "a" }, 0, null);
+  registry.put({ ...entry, name: "b1", address: "b1", failureDomain: "b" }, 0, "peer");
+  t.same(registry.listAddresses("a", 2, 1), ["a1", "a2"]);
+  t.same(registry.listAddresses("b", 2, 1), ["a1", "a2", "b1"]);
+  t.same(registry.sumInFlight("a1", 1), { "t-1": 4 });
+  registry.put({ ...entry, name: "a2", address: "a2", failureDomain: "a", isReady: false }, 2, null);
+  t.same(registry.listAddresses("a", 1, 3), ["a1"], "an entry that stops is not named");
+  t.same(registry.listAddresses("a", 1, 3000), [], "a silent entry is not named");
+  t.end();
+});
--- /dev/null
+++ b/packages/routes/test/routes.test.ts
@@ -0,0 +1,45 @@
+import t from "tap";
+import { RouteTable } from "@clementinemux/routes/RouteTable";
+import { chooseService } from "@clementinemux/routes/chooseService";
+import { findDocumentFault } from "@clementinemux/routes/findDocumentFault";
+import { createDocument } from "./createDocument";
+
+t.test("the longest prefix that begins the path wins", (t) => {
+  const table = new RouteTable(
+    createDocument(1, [{ pathPrefix: "/" }, { pathPrefix: "/a/" }, { pathPrefix: "/a/b/" }]),
+  );
+  t.equal(table.findRoute("APP.test", "/a/b/c?x=/q/")?.name, "r-2");
+  t.equal(table.findRoute("app.test", "/a/bc")?.name, "r-1", "a prefix ends at a slash");
+  t.equal(table.findRoute("app.test", "/z")?.name, "r-0");
+  t.equal(table.findRoute("other.test", "/a/"), null);
+  t.equal(new RouteTable(createDocument(1, [{ pathPrefix: "/a/" }])).findRoute("app.test", "/?/a/"), null);
+  t.end();
+});
+
+t.test("a split follows the weights and leaves out services without weight", (t) => {
+  const [route] = createDocument(1, [
+    { split: [{ service: "a", weight: 0 }, { service: "b", weight: 3 }, { service: "c", weight: 1 }] },
+  ]).routes;
+  t.equal(chooseService(route!, () => 0), "b");
+  t.equal(chooseService(route!, () => 0.74), "b");
+  t.equal(chooseService(route!, () => 0.76), "c");
+  t.end();
+});
+
+t.test("documents with a fault are named", (t) => {
+  t.equal(findDocumentFault(createDocument(1)), null);
+  const faults: [Parameters<typeof createDocument>[1], RegExp][] = [
+    [[{ split: [{ service: "nowhere", weight: 1 }] }], /unknown service/],
+    [[{ split: [{ service: "app", weight: 0 }] }], /weights/],
+    [[{ timeoutMs: 0 }], /timeout/],
+    [[{ pathPrefix: "/x" }], /slash/],
+    [[{ pathPrefix: "/x/" }, { pathPrefix: "/x/", host: "APP.test" }], /share host/],
+  ];
+  for (const [routes, pattern] of faults) {
+    t.match(findDocumentFault(createDocument(1, routes)), pattern);
+  }
+  const document = createDocument(1);
+  const teams = [...(document.teams ?? []), { name: "team-b", keys: ["key-a"], priority: null }];
+  t.match(findDocumentFault({ ...document, teams }), /share a key/);
+  t.end();
+});
