--- /dev/null
+++ b/packages/experts/test/HeldGroup.ts
@@ -0,0 +1,156 @@
+import type { Random } from "@clementinemux/common/Random";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+
+interface HeldGroupOptions {
+  readonly ranks: number;
+  readonly random: Random;
+  /** Share of orders that get no answer and are carried out late, or never. */
+  readonly lateShare: number;
+}
+
+type MutableRank = { -readonly [Key in keyof HeldRank]: HeldRank[Key] } & {
+  highestVersion: number;
+  preparing: { version: number; readyAtMs: number } | null;
+};
+
+const copyMs = 200;
+const passMs = 60;
+
+/** Stand-in of a rank group with hold and go: passes go on by themselves, orders may be carried out late. */
+export class HeldGroup {
+  readonly ranks: MutableRank[];
+  /** Passes that began while the ranks had different maps. */
+  mixedPasses = 0;
+  nowMs = 0;
+  isIdle = false;
+  readonly #options: HeldGroupOptions;
+  #late: { readonly order: HoldOrder; readonly dueMs: number }[] = [];
+  #nextPassMs = passMs;
+
+  constructor(options: HeldGroupOptions) {
+    this.#options = options;
+    this.ranks = Array.from({ length: options.ranks }, (_, rank) => createRank(rank, 1));
+  }
+
+  /** Moves the time on; passes begin and late orders are carried out on the way. */
+  advance(ms: number): void {
+    const endMs = this.nowMs + ms;
+    while (this.nowMs < endMs) {
+      this.nowMs += 5;
+      for (const { order } of this.#late.filter(({ dueMs }) => dueMs <= this.nowMs)) {
+        this.#carryOut(order);
+      }
+      this.#late = this.#late.filter(({ dueMs }) => dueMs > this.nowMs);
+      this.#finishCopies();
+      if (!this.isIdle && this.nowMs >= this.#nextPassMs) {
+        this.#nextPassMs = this.nowMs + passMs;
+        this.#beginPass();
+      }
+    }
+  }
+
+  /** All ranks lose what they know, as after the loss of one of them. */
+  form(): void {
+    const epoch = (this.ranks[0]?.epoch ?? 0) + 1;
+    this.ranks.forEach((_, rank) => {
+      this.ranks[rank] = createRank(rank, epoch);
+    });
+  }
+
+  inspect(rank: number): HeldRank | null {
+    const state = this.ranks[rank];
+    return state === undefined ? null : { ...state };
+  }
+
+  /** Gives an order; null when there is no answer, whether or not it is carried out later. */
+  order(order: HoldOrder): boolean | null {
+    const { random, lateShare } = this.#options;
+    if (random() < lateShare) {
+      if (random() < 0.8) {
+        this.#late.push({ order, dueMs: this.nowMs + 2000 + random() * 10_000 });
+      }
+      return null;
+    }
+    return this.#carryOut(order);
+  }
+
+  #beginPass(): void {
+    const step = (this.ranks[0]?.step ?? 0) + 1;
+    if (this.ranks.some(({ heldStep }) => heldStep === step)) {
+      return;
+    }
+    for (const rank of this.ranks) {
+      rank.step = step;
+      if (rank.armed?.step === step) {
+        rank.mapVersion = rank.armed.version;
+        rank.armed = null;
+      }
+    }
+    if (new Set(this.ranks.map(({ mapVersion }) => mapVersion)).size > 1) {
+      this.mixedPasses += 1;
+    }
+  }
+
+  #finishCopies(): void {
+    for (const rank of this.ranks) {
+      if (rank.preparing !== null && rank.preparing.readyAtMs <= this.nowMs) {
+        rank.preparedVersion = rank.preparing.version;
+        rank.preparing = null;
+      }
+    }
+  }
+
+  #carryOut(order: HoldOrder): boolean {
+    const rank = this.ranks[order.rank];
+    if (rank?.epoch !== order.epoch) {
+      return false;
+    }
+    switch (order.kind) {
+      case HoldOrderKind.Prepare:
+        if (order.version <= rank.highestVersion || rank.armed !== null) {
+          return rank.preparing?.version === order.version || rank.preparedVersion === order.version;
+        }
+        rank.highestVersion = order.version;
+        rank.preparing = { version: order.version, readyAtMs: this.nowMs + copyMs };
+        return true;
+      case HoldOrderKind.Hold:
+        if (order.step <= rank.step || (rank.heldStep !== null && rank.heldStep !== order.step)) {
+          return false;
+        }
+        rank.heldStep = order.step;
+        return true;
+      case HoldOrderKind.Arm:
+        if (rank.preparedVersion !== order.version || order.step <= rank.step) {
+          return false;
+        }
+        rank.armed = { version: order.version, step: order.step };
+        return true;
+      case HoldOrderKind.Disarm:
+        if (rank.mapVersion === order.version) {
+          return false;
+        }
+        rank.armed = rank.armed?.version === order.version ? null : rank.armed;
+        return true;
+      case HoldOrderKind.Go:
+        rank.heldStep = rank.heldStep === order.step ? null : rank.heldStep;
+        return true;
+    }
+  }
+}
+
+function createRank(rank: number, epoch: number): MutableRank {
+  return {
+    rank,
+    epoch,
+    isOpen: true,
+    step: 0,
+    mapVersion: 0,
+    preparedVersion: null,
+    armed: null,
+    heldStep: null,
+    highestVersion: 0,
+    preparing: null,
+  };
+}
--- /dev/null
+++ b/packages/experts/test/hold.test.ts
@@ -0,0 +1,108 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+import { HeldGroup } from "./HeldGroup";
+
+const hosting = createTurnHosting(1, 4, 4);
+
+function createLead(group: HeldGroup): GroupActivation {
+  return new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order) => {
+      const answer = group.order(order);
+      group.advance(1);
+      return Promise.resolve(answer);
+    },
+    nowMs: () => group.nowMs,
+  });
+}
+
+async function step(lead: GroupActivation, group: HeldGroup): Promise<boolean> {
+  const done = await lead.advance(group.ranks.map((rank) => ({ ...rank })));
+  group.advance(250);
+  return done;
+}
+
+t.test("a map comes into force on all ranks", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const lead = createLead(group);
+  lead.aim({ version: 1, epoch: 1, hosting });
+  for (let round = 0; round < 6; round += 1) {
+    await step(lead, group);
+  }
+  t.same(
+    group.ranks.map(({ mapVersion }) => mapVersion),
+    [1, 1, 1, 1],
+  );
+  t.equal(group.mixedPasses, 0);
+  t.ok(group.ranks.every(({ heldStep }) => heldStep === null));
+});
+
+t.test("maps never mix under late orders, lead changes, idle times and re-forming", async (t) => {
+  for (let seed = 1; seed <= 60; seed += 1) {
+    const random = createRandom(seed);
+    const group = new HeldGroup({ ranks: 6, random, lateShare: 0.3 });
+    let lead = createLead(group);
+    let version = 0;
+    for (let round = 0; round < 120; round += 1) {
+      if (lead.goal === null || random() < 0.05) {
+        version = Math.max(version, ...group.ranks.map((rank) => rank.highestVersion)) + 1;
+        lead.aim({ version, epoch: group.ranks[0]?.epoch ?? 0, hosting });
+      }
+      if (await step(lead, group)) {
+        lead.abandon();
+      }
+      if (random() < 0.08) {
+        lead = createLead(group);
+      }
+      if (random() < 0.02) {
+        group.form();
+      }
+      group.isIdle = random() < 0.1;
+    }
+    t.equal(group.mixedPasses, 0, `guards against ranks with different maps in one pass, seed ${seed}`);
+  }
+});
+
+t.test("a new lead releases a hold that its predecessor left", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(2), lateShare: 0 });
+  group.ranks[0]!.heldStep = 3;
+  await step(createLead(group), group);
+  t.equal(group.ranks[0]?.heldStep, null);
+});
+
+t.test("a plan relieves the hottest rank within its limits", (t) => {
+  const present = createTurnHosting(2, 16, 4);
+  const loads = [
+    Float64Array.from({ length: 16 }, (_, expert) => (expert === 5 ? 60 : 4)),
+    new Float64Array(16).fill(1),
+  ];
+  const limits = { placements: 5, spare: 2, maxNewPerRank: 2, goalSkew: 1.1 };
+  const plan = planEvenMap({ present, loads, ...limits });
+  t.ok(plan.plannedSkew < plan.presentSkew * 0.8);
+  t.ok(plan.newPerRank <= 2, "guards against copies that take longer than they save");
+  for (const [set, ranks] of plan.hosting.entries()) {
+    t.ok(ranks.every((experts) => experts.length <= 5 && new Set(experts).size === experts.length));
+    t.equal(new Set(ranks.flat()).size, 16, `every expert of set ${set} has a host`);
+    ranks.forEach((experts, rank) => {
+      t.ok(experts.filter((expert) => present[set]?.[rank]?.includes(expert) !== true).length <= 2);
+    });
+  }
+  const balanced = planEvenMap({ present, loads: [loads[1]!, loads[1]!], ...limits });
+  t.equal(balanced.copies, 0, "guards against copies that nothing is gained by");
+  t.end();
+});
+
+t.test("the meter forgets, and starts anew with a rank", (t) => {
+  const meter = new PopularityMeter(1, 2);
+  meter.add([{ rank: 0, epoch: 1, counts: [1000, 0] }], 0);
+  t.equal(meter.total, 0, "counts before the first look say nothing of when they were made");
+  meter.add([{ rank: 0, epoch: 1, counts: [1100, 10] }], 200);
+  t.same([...meter.getLoads()[0]!], [100, 10]);
+  meter.add([{ rank: 0, epoch: 2, counts: [5, 5] }], 5000);
+  t.ok(meter.total < 1, "guards against counts of a former life taken as choices");
+  t.end();
+});
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -35,6 +35,7 @@
   #isBusy = false;
   #isAgain = false;
   #isConnected = false;
+  #isClosed = false;
   #movedAtMs = -Infinity;
 
   constructor(options: FleetSyncOptions) {
@@ -43,9 +44,16 @@
   }
 
   start(): void {
-    void periodic(intervalMs).observe(() => {
-      void this.sync();
-    });
+    void periodic(intervalMs)
+      .takeWhile(() => !this.#isClosed)
+      .observe(() => {
+        void this.sync();
+      });
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#client?.close();
   }
 
   /** Reports now; while a report is under way, once more after it. */
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -46,8 +46,10 @@
   readonly #incarnation: string;
   readonly #intake: Intake;
   #server: Server | null = null;
+  #readiness: Server | null = null;
   #limits = firstLimits;
   #isStopping = false;
+  #isClosed = false;
 
   constructor(options: GatewayOptions) {
     const { clock, leaseClock, random, logger, seeds, codec } = options;
@@ -62,7 +64,7 @@
       clock: leaseClock,
       logger,
     });
-    this.#intake = new Intake(this.#createContext(), () => this.#limits.maxBodyBytes);
+    this.#intake = new Intake(this.#createContext(), () => this.#getLimits().maxBodyBytes);
   }
 
   /** Whether callers should be sent here. */
@@ -79,14 +81,16 @@
     this.#sync.start();
     this.#server = this.#createServer();
     await listen(this.#server, callerPort, host);
-    const readiness = createServer((request, response) => {
+    this.#readiness = createServer((request, response) => {
       const isKnown = request.url?.split("?")[0] === readyPath;
       response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
     });
-    await listen(readiness, readyPort, host);
-    void periodic(housekeepingMs).observe(() => {
-      this.#keepHouse();
-    });
+    await listen(this.#readiness, readyPort, host);
+    void periodic(housekeepingMs)
+      .takeWhile(() => !this.#isClosed)
+      .observe(() => {
+        this.#keepHouse();
+      });
     logger.info({ name, address: `${host}:${callerPort}` }, "gateway started");
   }
 
@@ -113,6 +117,20 @@
     logger.info({ inFlight: this.inFlight }, "gateway stopped");
   }
 
+  /** Ends everything at once; callers see their connections close. */
+  close(): void {
+    this.#isClosed = true;
+    this.#sync.close();
+    this.#server?.close();
+    this.#readiness?.close();
+    for (const socket of this.#sockets) {
+      socket.destroy();
+    }
+    for (const agent of this.#agents.values()) {
+      agent.destroy();
+    }
+  }
+
   #createContext(): GatewayContext {
     const { repeatRatio, repeatSlack, repeatWindowMs } = this.#options;
     return {
@@ -173,7 +191,7 @@
   }
 
   #keepHouse(): void {
-    const limits = this.view.state.table?.document.limits ?? firstLimits;
+    const limits = this.#getLimits();
     if (this.#server !== null && limits !== this.#limits) {
       this.#limits = limits;
       this.#server.keepAliveTimeout = limits.idleTimeoutMs;
@@ -192,6 +210,10 @@
     this.#health.retain(new Set(targets.map(({ id }) => id)));
   }
 
+  #getLimits(): CallerLimits {
+    return this.view.state.table?.document.limits ?? firstLimits;
+  }
+
   #getEntry(): EntryRecord {
     const { name, host, callerPort, failureDomain } = this.#options;
     return {
--- /dev/null
+++ b/packages/gateway/test/TestCodec.ts
@@ -0,0 +1,53 @@
+import { decode } from "cbor-x";
+import { Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import type { CallerRequest } from "@clementinemux/gateway/CallerRequest";
+import type { SendContext } from "@clementinemux/gateway/SendContext";
+import type { TargetAnswer } from "@clementinemux/gateway/TargetAnswer";
+import type { WireCodec } from "@clementinemux/gateway/WireCodec";
+import { selectEndToEnd } from "@clementinemux/gateway/selectEndToEnd";
+import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
+
+/** Codec with plain header names and documents in CBOR. */
+export class TestCodec implements WireCodec {
+  decodeDocument(bytes: Uint8Array): Either<string, RouteDocument> {
+    return Right(decode(bytes) as RouteDocument);
+  }
+
+  readRequest(headers: readonly string[]): CallerRequest {
+    const get = (name: string): string | null => find(headers, name);
+    return {
+      requestId: get("x-id"),
+      leftMs: get("x-left") === null ? null : Number(get("x-left")),
+      key: get("x-key"),
+      promptTokens: 0,
+      maxAnswerTokens: 0,
+      resumeAfter: get("x-after"),
+    };
+  }
+
+  createTargetHeaders(headers: readonly string[], context: SendContext): string[] {
+    const passed = selectEndToEnd(headers).filter(
+      (_, at, all) => !["x-key", "x-left"].includes((all[at - (at % 2)] ?? "").toLowerCase()),
+    );
+    const { leftMs, targetId, team, resumeAfter } = context;
+    const own = ["x-left", String(Math.floor(leftMs)), "x-target", targetId, "x-team", team ?? ""];
+    return [...passed, ...own, ...(resumeAfter === null ? [] : ["x-after", resumeAfter])];
+  }
+
+  readAnswer(status: number, headers: readonly string[]): TargetAnswer {
+    return {
+      status,
+      requestId: find(headers, "x-id"),
+      isNotRun: find(headers, "x-not-run") !== null,
+      isSigned: true,
+      isMisdirected: status === 421,
+      faultyTarget: null,
+    };
+  }
+}
+
+function find(headers: readonly string[], name: string): string | null {
+  const at = headers.findIndex((item, index) => index % 2 === 0 && item.toLowerCase() === name);
+  return at < 0 ? null : (headers[at + 1] ?? "");
+}
--- /dev/null
+++ b/packages/gateway/test/TestTarget.ts
@@ -0,0 +1,68 @@
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
+
+/** A request as a target reads it. */
+interface ReadRequest {
+  readonly head: string;
+  readonly id: string;
+  readonly body: string;
+}
+
+type Script = (request: ReadRequest, socket: Socket) => void;
+
+/** Target that answers each request by a script with raw bytes. */
+export class TestTarget {
+  readonly requests: ReadRequest[] = [];
+  /** Connections that the other side has closed. */
+  closed = 0;
+  script: Script;
+  readonly #server: Server;
+  readonly #sockets = new Set<Socket>();
+
+  constructor(script: Script) {
+    this.script = script;
+    this.#server = createServer((socket) => {
+      this.#sockets.add(socket);
+      let bytes = "";
+      socket.on("error", () => undefined);
+      socket.on("close", () => {
+        this.closed += 1;
+        this.#sockets.delete(socket);
+      });
+      socket.on("data", (chunk) => {
+        bytes += chunk.toString("latin1");
+        const end = bytes.indexOf("\r\n\r\n");
+        const length = Number(/content-length: (\d+)/i.exec(bytes)?.[1] ?? 0);
+        if (end >= 0 && bytes.length >= end + 4 + length) {
+          const head = bytes.slice(0, end);
+          const request = {
+            head,
+            id: /x-id: (\S+)/i.exec(head)?.[1] ?? "",
+            body: bytes.slice(end + 4, end + 4 + length),
+          };
+          bytes = "";
+          this.requests.push(request);
+          this.script(request, socket);
+        }
+      });
+    });
+  }
+
+  get address(): string {
+    const bound = this.#server.address();
+    return `127.0.0.1:${typeof bound === "object" ? (bound?.port ?? 0) : 0}`;
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve) => {
+      this.#server.listen(0, "127.0.0.1", resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    for (const socket of this.#sockets) {
+      socket.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/cores.test.ts
@@ -0,0 +1,134 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { AttemptOutcome } from "@clementinemux/gateway/AttemptOutcome";
+import { EventSplitter } from "@clementinemux/gateway/EventSplitter";
+import { FleetView } from "@clementinemux/gateway/FleetView";
+import { NextStep } from "@clementinemux/gateway/NextStep";
+import { RepeatBudget } from "@clementinemux/gateway/RepeatBudget";
+import { TargetHealth } from "@clementinemux/gateway/TargetHealth";
+import { choosePlace } from "@clementinemux/gateway/choosePlace";
+import { decideNextStep } from "@clementinemux/gateway/decideNextStep";
+import { encode } from "cbor-x";
+import { createDocument } from "../../routes/test/createDocument";
+import { TestCodec } from "./TestCodec";
+
+t.test("all entries together stay within the ratio and the slack", (t) => {
+  const entries = 16;
+  const budgets = Array.from(
+    { length: entries },
+    () => new RepeatBudget({ ratio: 0.2, slack: 200, windowMs: 10_000 }),
+  );
+  let repeats = 0;
+  let requests = 0;
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 10) {
+    for (const budget of budgets) {
+      budget.noteRequest(nowMs);
+      requests += 1;
+      repeats += budget.take(entries, nowMs) ? 1 : 0;
+    }
+  }
+  t.ok(repeats <= requests * 0.2 + 200);
+  t.ok(repeats > requests * 0.1);
+  t.end();
+});
+
+t.test("events are cut at blank lines, whatever the chunks", (t) => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n";
+  for (let size = 1; size < text.length; size += 1) {
+    const splitter = new EventSplitter();
+    const ids: (string | null)[] = [];
+    let bytes = "";
+    for (let at = 0; at < text.length; at += size) {
+      for (const event of splitter.push(Buffer.from(text.slice(at, at + size)))) {
+        ids.push(event.id);
+        bytes += event.bytes.toString();
+      }
+    }
+    t.same(ids, ["1", "2", null]);
+    t.equal(bytes, text);
+    t.equal(splitter.pendingBytes, 0);
+  }
+  t.end();
+});
+
+t.test("what may have run is never refused as not run", (t) => {
+  const base = { attemptsLeft: 1, leftMs: 1000, isRepeatable: false, mayHaveRun: false };
+  t.equal(decideNextStep({ ...base, outcome: AttemptOutcome.NotRun }), NextStep.Repeat);
+  t.equal(decideNextStep({ ...base, outcome: AttemptOutcome.NotSent, attemptsLeft: 0 }), NextStep.Refuse);
+  const unknown = { ...base, outcome: AttemptOutcome.Unknown, mayHaveRun: true };
+  t.equal(decideNextStep(unknown), NextStep.Fail);
+  t.equal(decideNextStep({ ...unknown, isRepeatable: true }), NextStep.Repeat);
+  t.equal(
+    decideNextStep({ ...base, outcome: AttemptOutcome.NotRun, mayHaveRun: true, attemptsLeft: 0 }),
+    NextStep.Fail,
+  );
+  t.end();
+});
+
+t.test("entries that see each other late spread over the targets", (t) => {
+  const random = createRandom(7);
+  const counts = new Map<string, number>();
+  const candidates = Array.from({ length: 16 }, (_, index) => ({
+    id: `t-${index}`,
+    slots: 8,
+    load: index === 0 ? 0 : 2,
+    weight: 1,
+    isNear: false,
+  }));
+  for (let request = 0; request < 160; request += 1) {
+    const id = choosePlace(candidates, 1, random) ?? "";
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  t.ok(Math.max(...counts.values()) < 40, "guards against all entries choosing the emptiest target");
+  t.equal(
+    choosePlace(
+      candidates.map((item) => ({ ...item, load: 9 })),
+      1,
+      random,
+    ),
+    null,
+  );
+  t.end();
+});
+
+t.test("targets that fail are avoided, but never most of them", (t) => {
+  const health = new TargetHealth();
+  const targets = ["a", "b", "c", "d"].map((id) => ({ id }));
+  health.noteUnreachable("a", 0);
+  t.same(
+    health.select(targets, 100).map(({ id }) => id),
+    ["b", "c", "d"],
+  );
+  t.equal(health.select(targets, 500).length, 4, "a trial back in");
+  for (const { id } of targets.slice(0, 3)) {
+    health.noteUnreachable(id, 1000);
+  }
+  t.equal(health.select(targets, 1001).length, 4, "guards against taking out a whole service");
+  t.ok(health.getWeight("a") < health.getWeight("d"));
+  t.end();
+});
+
+t.test("a view expires with the age of its confirmation and never goes back", (t) => {
+  const view = new FleetView(new TestCodec());
+  const response = {
+    ageMs: 500 as number | null,
+    documentVersion: 3,
+    document: encode(createDocument(3)),
+    registryState: "x",
+    targets: [],
+    isComplete: true,
+    inFlight: {},
+    liveEntries: 1,
+    nearest: null,
+    coordinators: [],
+  };
+  t.notOk(view.isFresh(0));
+  t.ok(view.update(response, 1000));
+  t.ok(view.isFresh(4400));
+  t.notOk(view.isFresh(4600), "counted from the sending less the age");
+  t.notOk(view.update({ ...response, documentVersion: 2, document: encode(createDocument(2)) }, 5000));
+  t.equal(view.version, 3, "guards against an older document from a coordinator that is behind");
+  t.notOk(view.update({ ...response, ageMs: null, document: null }, 5000));
+  t.notOk(view.isFresh(5000));
+  t.end();
+});
--- /dev/null
+++ b/packages/gateway/test/forwarding.test.ts
@@ -0,0 +1,218 @@
+import { connect } from "node:net";
+import t from "tap";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { createDocument } from "../../routes/test/createDocument";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { TestTarget } from "./TestTarget";
+import { answers } from "./answers";
+import { startGateway } from "./startGateway";
+
+const unsafe = { kind: RouteKind.NonIdempotent, attempts: 2 };
+const stream = { kind: RouteKind.Streaming, canResume: true, attempts: 2 };
+
+function createTarget(text = "ok"): TestTarget {
+  return new TestTarget(({ id }, socket) => socket.write(answers.whole(id, text)));
+}
+
+t.test("method, path, query and body arrive unchanged, the key does not", async (t) => {
+  const target = createTarget();
+  const { call, stop } = await startGateway(createDocument(1), [target]);
+  const headers = { "x-other": "1", connection: "x-private", "x-private": "2", "x-team": "mine" };
+  const answer = await call({ path: "/p0/a%20b?c=d", method: "POST", headers }, "r1", "the body");
+  t.match(answer, { status: 200, body: "ok", isComplete: true });
+  const [request] = target.requests;
+  t.match(request?.head, /^POST \/p0\/a%20b\?c=d HTTP\/1\.1/);
+  t.equal(request?.body, "the body");
+  t.match(request?.head, /x-other: 1/);
+  t.match(request?.head, /x-team: team-a/);
+  t.notMatch(request?.head, /key-a|x-private/, "guards against a key that is passed on");
+  await stop();
+});
+
+t.test("unknown keys, routes and too large bodies are refused", async (t) => {
+  const target = createTarget();
+  const { call, stop } = await startGateway(createDocument(1, [{}, { isPublic: true }]), [target]);
+  t.equal((await call({ path: "/p0/", headers: { "x-key": "none" } }, "r1")).status, 401);
+  t.equal((await call({ path: "/p1/", headers: { "x-key": "none" } }, "r2")).status, 200);
+  t.equal((await call({ path: "/none/" }, "r3")).status, 404);
+  t.equal((await call({ path: "/p0/", method: "POST" }, "r4", "x".repeat(5000))).status, 413);
+  t.equal(target.requests.length, 1);
+  await stop();
+});
+
+t.test("an unsafe request whose connection breaks is not sent again", async (t) => {
+  const targets = [0, 1].map(() => new TestTarget((_, socket) => socket.resetAndDestroy()));
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), targets);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "pay");
+  t.equal(answer.status, 502, "neither 429 nor 503: it may have run");
+  t.equal(
+    targets.reduce((sum, { requests }) => sum + requests.length, 0),
+    1,
+    "guards against running twice",
+  );
+  await stop();
+});
+
+t.test("an unsafe request that a target states not to have run is sent to another", async (t) => {
+  const targets = [0, 1].map(
+    () =>
+      new TestTarget(({ id }, socket) => {
+        const isFirst = targets.reduce((sum, { requests }) => sum + requests.length, 0) === 1;
+        socket.write(isFirst ? answers.notRun(id) : answers.whole(id, "paid"));
+      }),
+  );
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), targets);
+  t.match(await call({ path: "/p0/", method: "POST" }, "r1", "pay"), { status: 200, body: "paid" });
+  await stop();
+});
+
+t.test("a request that no target has run is refused with a time to return", async (t) => {
+  const target = new TestTarget(({ id }, socket) => socket.write(answers.notRun(id)));
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), [target]);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "pay");
+  t.equal(answer.status, 503);
+  t.ok(Number(answer.headers["retry-after"]) > 0);
+  await stop();
+});
+
+t.test("an answer to another request is delivered to nobody", async (t) => {
+  const target = new TestTarget((_, socket) => socket.write(answers.whole("other", "secret")));
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), [target]);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "x");
+  t.equal(answer.status, 502);
+  t.notMatch(answer.body, /secret/);
+  await stop();
+});
+
+t.test("bytes on an idle connection end its use", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(answers.whole(id, "first"));
+    setTimeout(() => socket.write(answers.whole("r2", "stale")), 30);
+  });
+  const { call, stop } = await startGateway(createDocument(1), [target]);
+  t.equal((await call({ path: "/p0/" }, "r1")).body, "first");
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  t.equal((await call({ path: "/p0/" }, "r2")).body, "first", "guards against a late extra answer");
+  t.ok(target.closed >= 1);
+  await stop();
+});
+
+t.test("a truncated answer is not delivered as whole", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`);
+  });
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), [target]);
+  t.equal((await call({ path: "/p0/", method: "POST" }, "r1", "x")).status, 502);
+  await stop();
+});
+
+t.test("an answer without length is passed on without one", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nperhaps half`);
+  });
+  const { call, stop } = await startGateway(createDocument(1), [target]);
+  const answer = await call({ path: "/p0/" }, "r1");
+  t.equal(answer.body, "perhaps half");
+  t.equal(answer.headers["content-length"], undefined, "guards against a break that looks complete");
+  t.equal(answer.headers["transfer-encoding"], undefined);
+  await stop();
+});
+
+t.test("a target's own failure is tried elsewhere, and delivered when nothing better comes", async (t) => {
+  const targets = [0, 1].map(
+    () => new TestTarget(({ id }, socket) => socket.write(answers.whole(id, "failed", "500 Oops"))),
+  );
+  const { call, stop } = await startGateway(createDocument(1), targets);
+  t.match(await call({ path: "/p0/" }, "r1"), { status: 500, body: "failed" });
+  t.equal(
+    targets.reduce((sum, { requests }) => sum + requests.length, 0),
+    2,
+  );
+  await stop();
+});
+
+t.test("a broken stream goes on at another target, each event once", async (t) => {
+  const targets = [0, 1].map(
+    () =>
+      new TestTarget(({ id, head }, socket) => {
+        const after = /x-after: (\d+)/.exec(head)?.[1];
+        if (after === undefined) {
+          socket.write(answers.streamHead(id) + answers.chunk(answers.event(1) + answers.event(2)));
+          setTimeout(() => {
+            socket.write(answers.chunk("id: 3\ndata: half"));
+            setTimeout(() => socket.resetAndDestroy(), 20);
+          }, 20);
+        } else {
+          const events = answers.chunk(answers.event(2)) + answers.chunk(answers.event(3) + answers.event(4));
+          socket.write(answers.streamHead(id) + events + answers.streamEnd);
+        }
+      }),
+  );
+  const { call, stop } = await startGateway(createDocument(1, [stream]), targets);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "x");
+  t.equal(answer.body, [1, 2, 3, 4].map(answers.event).join(""));
+  t.ok(answer.isComplete);
+  await stop();
+});
+
+t.test("a stream that cannot be resumed ends visibly", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(answers.streamHead(id) + answers.chunk(answers.event(1)));
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  const { call, stop } = await startGateway(createDocument(1, [{ ...stream, canResume: false }]), [target]);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "x");
+  t.equal(answer.body, answers.event(1));
+  t.notOk(answer.isComplete, "guards against a break that looks like the end");
+  await stop();
+});
+
+t.test("a caller that leaves ends the work at the target", async (t) => {
+  const target = new TestTarget(({ id }, socket) =>
+    socket.write(answers.streamHead(id) + answers.chunk(answers.event(1))),
+  );
+  const { open, stop } = await startGateway(createDocument(1, [stream]), [target]);
+  const sent = open({ path: "/p0/", method: "POST" }, "r1");
+  sent.on("error", () => undefined);
+  sent.on("response", (response) => {
+    response.on("error", () => undefined);
+    response.once("data", () => sent.destroy());
+  });
+  sent.end("x");
+  await waitUntil("the target sees its connection close", () => (target.closed === 1 ? true : null), 500);
+  t.equal(target.closed, 1);
+  await stop();
+});
+
+t.test("the route's timeout ends a request that has no answer", async (t) => {
+  const target = new TestTarget(() => undefined);
+  const { call, stop } = await startGateway(createDocument(1, [{ ...unsafe, timeoutMs: 150 }]), [target]);
+  const startedMs = Date.now();
+  t.equal((await call({ path: "/p0/", method: "POST" }, "r1", "x")).status, 504);
+  t.ok(Date.now() - startedMs < 600);
+  await stop();
+});
+
+t.test("malformed requests are refused and harm nobody", async (t) => {
+  const target = createTarget();
+  const { call, callerPort, stop } = await startGateway(createDocument(1), [target]);
+  const malformed = [
+    "POST /p0/ HTTP/1.1\r\nhost: app.test\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /p0/ HTTP/1.1\r\nhost: app.test\r\ncontent-length: 3, 4\r\n\r\nabc",
+    "GET /p0/ HTTP/1.1\nhost: app.test\r\nx-key: key-a\r\n folded: 1\r\n\r\n",
+  ];
+  for (const bytes of malformed) {
+    const text = await new Promise<string>((resolve) => {
+      let received = "";
+      const socket = connect(callerPort, "127.0.0.1", () => socket.write(bytes));
+      socket.on("data", (chunk) => (received += chunk.toString()));
+      socket.on("close", () => {
+        resolve(received);
+      });
+    });
+    t.match(text, /^HTTP\/1\.1 400/, "guards against a request that is smuggled inside another");
+  }
+  t.equal(target.requests.length, 0);
+  t.equal((await call({ path: "/p0/" }, "r1")).status, 200);
+  await stop();
+});
--- /dev/null
+++ b/packages/gateway/test/startGateway.ts
@@ -0,0 +1,111 @@
+import { request } from "node:http";
+import type { IncomingHttpHeaders, RequestOptions } from "node:http";
+import { encode } from "cbor-x";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { Gateway } from "@clementinemux/gateway/Gateway";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
+import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcServer } from "@clementinemux/wire/RpcServer";
+import { TestCodec } from "./TestCodec";
+import type { TestTarget } from "./TestTarget";
+
+interface Answer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer ended as its framing says. */
+  readonly isComplete: boolean;
+}
+
+/** A gateway before scripted targets, with a stand-in of its coordinator. */
+export async function startGateway(document: RouteDocument, targets: readonly TestTarget[]) {
+  const state = { document, ageMs: 0 as number | null, isReady: true };
+  const createResponse = ({ documentVersion, entry }: SyncRequest): SyncResponse => {
+    state.isReady = entry.isReady;
+    return {
+      ageMs: state.ageMs,
+      documentVersion: state.document.version,
+      document: state.document.version > documentVersion ? encode(state.document) : null,
+      registryState: `1:${state.document.version}`,
+      targets: targets.map(({ address }, index) => ({
+        id: `t-${index}`,
+        service: "app",
+        address,
+        failureDomain: "a",
+        slots: 4,
+        isDraining: false,
+        isGone: false,
+        bornMs: 1,
+        sequence: 1,
+      })),
+      isComplete: true,
+      inFlight: {},
+      liveEntries: 1,
+      nearest: null,
+      coordinators: [],
+    };
+  };
+  const coordinator = new RpcServer({
+    handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
+  });
+  const framePort = await coordinator.listen("127.0.0.1", 0);
+  const [callerPort = 0, readyPort = 0] = await findFreePorts(2);
+  await Promise.all(targets.map((target) => target.listen()));
+  const gateway = new Gateway({
+    name: "g-1",
+    host: "127.0.0.1",
+    callerPort,
+    readyPort,
+    readyPath: "/ready",
+    failureDomain: "a",
+    seeds: [`127.0.0.1:${framePort}`],
+    repeatRatio: 0.2,
+    repeatSlack: 100,
+    repeatWindowMs: 10_000,
+    graceMs: 4000,
+    codec: new TestCodec(),
+    clock: new SystemClock(),
+    leaseClock: new SystemClock(),
+    random: createRandom(1),
+    logger: createLogger("test", {}),
+  });
+  await gateway.start();
+  await waitUntil("the gateway is ready", () => (gateway.isReady ? true : null), 3000);
+  const open = (options: RequestOptions, id: string) =>
+    request({
+      port: callerPort,
+      host: "127.0.0.1",
+      agent: false,
+      ...options,
+      headers: { host: "app.test", "x-id": id, "x-key": "key-a", ...(options.headers as object) },
+    });
+  const call = (options: RequestOptions, id: string, body = ""): Promise<Answer> =>
+    new Promise((resolve, reject) => {
+      const sent = open(options, id);
+      sent.on("error", reject);
+      sent.on("response", (response) => {
+        let text = "";
+        response.on("data", (chunk: Buffer) => (text += chunk.toString()));
+        response.on("error", () => undefined);
+        response.on("close", () => {
+          const { statusCode = 0, headers, complete } = response;
+          resolve({ status: statusCode, headers, body: text, isComplete: complete });
+        });
+      });
+      sent.end(body);
+    });
+  const stop = async (): Promise<void> => {
+    gateway.close();
+    targets.forEach((target) => {
+      target.close();
+    });
+    await coordinator.close();
+  };
+  return { gateway, state, call, open, callerPort, readyPort, stop };
+}
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -18,11 +18,26 @@
 
 t.test("a split follows the weights and leaves out services without weight", (t) => {
   const [route] = createDocument(1, [
-    { split: [{ service: "a", weight: 0 }, { service: "b", weight: 3 }, { service: "c", weight: 1 }] },
+    {
+      split: [
+        { service: "a", weight: 0 },
+        { service: "b", weight: 3 },
+        { service: "c", weight: 1 },
+      ],
+    },
   ]).routes;
-  t.equal(chooseService(route!, () => 0), "b");
-  t.equal(chooseService(route!, () => 0.74), "b");
-  t.equal(chooseService(route!, () => 0.76), "c");
+  t.equal(
+    chooseService(route!, () => 0),
+    "b",
+  );
+  t.equal(
+    chooseService(route!, () => 0.74),
+    "b",
+  );
+  t.equal(
+    chooseService(route!, () => 0.76),
+    "c",
+  );
   t.end();
 });
 
