Give hold and go directly; plan by the paces of ranks

A lead that freezes is replaced instead. A rank whose pace is above 1 slows all of them; its experts now move away.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -123,9 +123,9 @@
     if (known !== undefined) {
       return known;
     }
-    const { links, framePort, openRank } = this.#options;
+    const { links, framePort, openRank, logger } = this.#options;
     const rankerAddress = `${parseAddress(address).host}:${framePort}`;
-    const link = new RankLink({ links, rankerAddress, direct: openRank(address) });
+    const link = new RankLink({ links, rankerAddress, direct: openRank(address), logger });
     this.#links.set(address, link);
     return link;
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -39,13 +39,14 @@
   #aimedAtMs = 0;
   #lastVersion = 0;
   #lastStep = 0;
+  #paces: number[] = [];
 
   constructor(options: GroupConductorOptions) {
     this.#options = options;
     const { layerSets, expertsPerSet } = options.figures;
     this.#meter = new PopularityMeter(layerSets, expertsPerSet);
     this.#activation = new GroupActivation({
-      inspect: async (rank) => (await this.#inspect(rank, false))?.state ?? null,
+      inspect: async (rank) => (await this.#inspect(rank, false))?.state ?? this.#inspectDirectly(rank),
       order: (order) => this.#links[order.rank]?.order(options.getFence(), order) ?? Promise.resolve(null),
       nowMs: () => options.clock.monotonicMs(),
     });
@@ -63,6 +64,7 @@
       known.map(({ state, counts }) => ({ rank: state.rank, epoch: state.epoch, counts })),
       nowMs,
     );
+    this.#paces = inspections.map((inspection, rank) => inspection?.pace ?? this.#paces[rank] ?? 1);
     const states = await this.#completeStates(inspections);
     if (states === null) {
       return;
@@ -88,7 +90,7 @@
     }
     const states = await Promise.all(
       inspections.map(async (inspection, rank) =>
-        inspection === null ? (this.#links[rank]?.inspectDirectly() ?? null) : inspection.state,
+        inspection === null ? this.#inspectDirectly(rank) : inspection.state,
       ),
     );
     return states.includes(null) ? null : states.filter((state) => state !== null);
@@ -118,7 +120,8 @@
     const { group, figures, logger } = this.#options;
     const { placements, spare } = figures;
     const loads = this.#meter.getLoads();
-    const plan = planEvenMap({ present, loads, placements, spare, maxNewPerRank, goalSkew });
+    const paces = this.#paces;
+    const plan = planEvenMap({ present, loads, paces, placements, spare, maxNewPerRank, goalSkew });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
     if (gain < leastGain) {
       return;
@@ -175,6 +178,10 @@
       : Array.from({ length: layerSets }, (_, set) => experts.map((held) => held?.[set] ?? []));
   }
 
+  #inspectDirectly(rank: number): Promise<HeldRank | null> {
+    return this.#links[rank]?.inspectDirectly() ?? Promise.resolve(null);
+  }
+
   #inspect(rank: number, withExperts: boolean): Promise<RankInspection | null> {
     return this.#links[rank]?.inspect(this.#options.getFence(), withExperts) ?? Promise.resolve(null);
   }
--- a/packages/control/ranks/RankLink.ts
+++ b/packages/control/ranks/RankLink.ts
@@ -1,5 +1,7 @@
+import type { Logger } from "roarr";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -12,10 +14,11 @@
   readonly rankerAddress: string;
   /** The rank itself, used when the process beside it does not answer; that way is priced by the platform. */
   readonly direct: RankClient;
+  readonly logger: Logger;
 }
 
 const inspectTimeoutMs = 200;
-const orderTimeoutMs = 250;
+const orderTimeoutMs = 150;
 
 /** A lead's way to one rank: through the process beside it, and straight when that process is silent. */
 export class RankLink {
@@ -37,14 +40,31 @@
     return this.#options.direct.inspectState();
   }
 
+  /**
+   * Gives an order by the shorter way for its kind, and by the other one when there is no answer. Hold and go are given
+   * directly: while the machine beside a rank stands still nobody else can let its group go, whereas a lead is
+   * replaced within a second or two.
+   */
   async order(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { links, rankerAddress, direct } = this.#options;
-    const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
-    const error = answer.swap().toMaybe().extractNullable();
-    if (error === null) {
-      return answer.extract() as boolean | null;
+    const { direct } = this.#options;
+    const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
+    if (isDirect) {
+      return (await direct.order(order, fence)) ?? this.#orderByRanker(fence, order);
     }
-    // The process beside the rank has answered: it serves another lead.
-    return error.code === WireErrorCode.Remote ? false : direct.order(order, fence);
+    return (await this.#orderByRanker(fence, order)) ?? direct.order(order, fence);
+  }
+
+  async #orderByRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
+    const { links, rankerAddress, logger } = this.#options;
+    const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
+    return answer.caseOf({
+      Left: ({ code, message }) => {
+        const { kind, rank } = order;
+        logger.warn({ kind, rank, rankerAddress, why: message }, "no answer to an order");
+        // A process that has answered serves another lead.
+        return code === WireErrorCode.Remote ? false : null;
+      },
+      Right: (body) => body as boolean | null,
+    });
   }
 }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -310,8 +310,8 @@
     region: name,
     replicas: seeds.length === 0 ? [own] : seeds,
     bootstrap: isBootstrap,
-    electionTimeoutMs: 700,
-    heartbeatMs: 100,
+    electionTimeoutMs: 500,
+    heartbeatMs: 80,
     snapshotEntries: 200,
   });
 }
--- a/packages/experts/hold/EvenLayer.ts
+++ b/packages/experts/hold/EvenLayer.ts
@@ -6,9 +6,12 @@
   readonly #loads: Float64Array;
   readonly #present: readonly ReadonlySet<number>[];
   readonly #newCounts: number[];
+  readonly #paces: readonly number[];
 
-  constructor(present: readonly (readonly number[])[], loads: Float64Array) {
+  /** `paces` are the ranks' times for the same work, 1 for a healthy one; they weigh the rank loads. */
+  constructor(present: readonly (readonly number[])[], loads: Float64Array, paces: readonly number[]) {
     this.#loads = loads;
+    this.#paces = paces;
     this.#ranks = present.map((experts) => [...experts]);
     this.#present = present.map((experts) => new Set(experts));
     this.#newCounts = present.map(() => 0);
@@ -57,8 +60,9 @@
     return Math.max(...this.rankLoads);
   }
 
+  /** Load of a rank if all were healthy and loaded alike. */
   getMean(): number {
-    return this.rankLoads.reduce((sum, load) => sum + load, 0) / this.rankLoads.length;
+    return this.#loads.reduce((sum, load) => sum + load, 0) / this.rankLoads.length;
   }
 
   getHottest(): number {
@@ -88,7 +92,7 @@
   #spread(expert: number, hosts: readonly number[], sign: number): void {
     const part = (sign * this.getLoad(expert)) / Math.max(1, hosts.length);
     for (const host of hosts) {
-      this.rankLoads[host] = (this.rankLoads[host] ?? 0) + part;
+      this.rankLoads[host] = (this.rankLoads[host] ?? 0) + part * (this.#paces[host] ?? 1);
     }
   }
 }
--- a/packages/experts/hold/EvenPlanInput.ts
+++ b/packages/experts/hold/EvenPlanInput.ts
@@ -5,6 +5,8 @@
   readonly present: RankHosting;
   /** Load by layer set and expert, in any unit. */
   readonly loads: readonly Float64Array[];
+  /** Time of each rank for the same work, 1 for a healthy one. */
+  readonly paces: readonly number[];
   /** Experts that a rank can hold in one layer set. */
   readonly placements: number;
   /** New experts that one plan may bring to a rank in one layer set. */
--- a/packages/experts/hold/applyEvenChange.ts
+++ b/packages/experts/hold/applyEvenChange.ts
@@ -3,13 +3,17 @@
 
 /** Carries out a change. */
 export function applyEvenChange(layer: EvenLayer, change: EvenChange): void {
-  const { expert, hotRank, coldRank, displaced, isSwap } = change;
-  if (displaced !== null) {
-    layer.remove(displaced, coldRank);
+  const { expert, hotRank, coldRank, displaced, isLeaving, isSwap } = change;
+  if (coldRank !== null) {
+    if (displaced !== null) {
+      layer.remove(displaced, coldRank);
+    }
+    layer.add(expert, coldRank);
   }
-  layer.add(expert, coldRank);
-  if (isSwap && displaced !== null) {
+  if (isLeaving) {
     layer.remove(expert, hotRank);
+  }
+  if (isSwap && displaced !== null) {
     layer.add(displaced, hotRank);
   }
 }
--- a/packages/experts/hold/findEvenChange.ts
+++ b/packages/experts/hold/findEvenChange.ts
@@ -35,43 +35,54 @@
   return best;
 }
 
-function* listChanges(
-  layer: EvenLayer,
-  hotRank: number,
-  { placements, mayTake }: ChangeLimits,
-): Generator<EvenChange> {
+function* listChanges(layer: EvenLayer, hotRank: number, limits: ChangeLimits): Generator<EvenChange> {
   const ranks = Array.from({ length: layer.rankCount }, (_, rank) => rank);
   const cold = ranks
     .filter((rank) => rank !== hotRank)
     .sort((left, right) => (layer.rankLoads[left] ?? 0) - (layer.rankLoads[right] ?? 0))
     .slice(0, maxColdRanks);
   for (const expert of layer.getExperts(hotRank)) {
+    if (layer.getHosts(expert).length > 1) {
+      yield { expert, hotRank, coldRank: null, displaced: null, isLeaving: true, isSwap: false };
+    }
     for (const coldRank of cold) {
-      const hasRoom = mayTake(coldRank) || !layer.isNew(expert, coldRank);
-      if (layer.getHosts(expert).includes(coldRank) || !hasRoom) {
-        continue;
-      }
-      if (layer.getExperts(coldRank).length < placements) {
-        yield { expert, hotRank, coldRank, displaced: null, isSwap: false };
-      }
-      for (const displaced of layer.getExperts(coldRank)) {
-        const hosts = layer.getHosts(displaced);
-        if (hosts.length > 1) {
-          yield { expert, hotRank, coldRank, displaced, isSwap: false };
-        }
-        const isSwappable =
-          !hosts.includes(hotRank) && (mayTake(hotRank) || !layer.isNew(displaced, hotRank));
-        if (isSwappable) {
-          yield { expert, hotRank, coldRank, displaced, isSwap: true };
-        }
+      const hasRoom = limits.mayTake(coldRank) || !layer.isNew(expert, coldRank);
+      if (hasRoom && !layer.getHosts(expert).includes(coldRank)) {
+        yield* listMoves(layer, expert, hotRank, coldRank, limits);
       }
     }
   }
 }
 
+function* listMoves(
+  layer: EvenLayer,
+  expert: number,
+  hotRank: number,
+  coldRank: number,
+  { placements, mayTake }: ChangeLimits,
+): Generator<EvenChange> {
+  const base = { expert, hotRank, coldRank, isSwap: false };
+  if (layer.getExperts(coldRank).length < placements) {
+    yield { ...base, displaced: null, isLeaving: false };
+    yield { ...base, displaced: null, isLeaving: true };
+  }
+  for (const displaced of layer.getExperts(coldRank)) {
+    const hosts = layer.getHosts(displaced);
+    if (hosts.length > 1) {
+      yield { ...base, displaced, isLeaving: false };
+      yield { ...base, displaced, isLeaving: true };
+    }
+    if (!hosts.includes(hotRank) && (mayTake(hotRank) || !layer.isNew(displaced, hotRank))) {
+      yield { ...base, displaced, isLeaving: true, isSwap: true };
+    }
+  }
+}
+
+/** Copies that a change takes. Dropping a replica takes none, but gives up what was copied once. */
 function countCopies(layer: EvenLayer, { expert, hotRank, coldRank, displaced, isSwap }: EvenChange): number {
+  const isThere = coldRank !== null && layer.isNew(expert, coldRank);
   const isBack = isSwap && displaced !== null && layer.isNew(displaced, hotRank);
-  return (layer.isNew(expert, coldRank) ? 1 : 0) + (isBack ? 1 : 0);
+  return (isThere ? 1 : 0) + (isBack ? 1 : 0);
 }
 
 function getNorm({ rankLoads }: EvenLayer, unit: number): number {
--- a/packages/experts/hold/planEvenMap.ts
+++ b/packages/experts/hold/planEvenMap.ts
@@ -12,8 +12,8 @@
  * time of a pass adds up the most loaded rank of each, until the ranks may take no more new experts.
  */
 export function planEvenMap(input: EvenPlanInput): EvenPlan {
-  const { present, loads, placements, spare, maxNewPerRank, goalSkew } = input;
-  const layers = present.map((ranks, set) => new EvenLayer(ranks, loads[set] ?? new Float64Array(0)));
+  const { present, loads, paces, placements, spare, maxNewPerRank, goalSkew } = input;
+  const layers = present.map((ranks, set) => new EvenLayer(ranks, loads[set] ?? new Float64Array(0), paces));
   const presentSkew = getMeanSkew(layers);
   const countNew = (rank: number): number => layers.reduce((sum, layer) => sum + layer.getNewCount(rank), 0);
   const open = new Set(layers);
--- a/packages/experts/hold/undoEvenChange.ts
+++ b/packages/experts/hold/undoEvenChange.ts
@@ -3,13 +3,17 @@
 
 /** Takes back a change that was carried out last. */
 export function undoEvenChange(layer: EvenLayer, change: EvenChange): void {
-  const { expert, hotRank, coldRank, displaced, isSwap } = change;
+  const { expert, hotRank, coldRank, displaced, isLeaving, isSwap } = change;
   if (isSwap && displaced !== null) {
     layer.remove(displaced, hotRank);
+  }
+  if (isLeaving) {
     layer.add(expert, hotRank);
   }
-  layer.remove(expert, coldRank);
-  if (displaced !== null) {
-    layer.add(displaced, coldRank);
+  if (coldRank !== null) {
+    layer.remove(expert, coldRank);
+    if (displaced !== null) {
+      layer.add(displaced, coldRank);
+    }
   }
 }
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -80,7 +80,7 @@
     Float64Array.from({ length: 16 }, (_, expert) => (expert === 5 ? 60 : 4)),
     new Float64Array(16).fill(1),
   ];
-  const limits = { placements: 5, spare: 2, maxNewPerRank: 2, goalSkew: 1.1 };
+  const limits = { paces: [1, 1, 1, 1], placements: 5, spare: 2, maxNewPerRank: 2, goalSkew: 1.1 };
   const plan = planEvenMap({ present, loads, ...limits });
   t.ok(plan.plannedSkew < plan.presentSkew * 0.8);
   t.ok(plan.newPerRank <= 2, "guards against copies that take longer than they save");
@@ -96,6 +96,17 @@
   t.end();
 });
 
+t.test("a slow rank is relieved of its experts", (t) => {
+  const present = createTurnHosting(1, 8, 4);
+  const loads = [new Float64Array(8).fill(10)];
+  const limits = { placements: 4, spare: 2, maxNewPerRank: 4, goalSkew: 1.2 };
+  const plan = planEvenMap({ present, loads, paces: [1, 12, 1, 1], ...limits });
+  t.ok(plan.plannedSkew < plan.presentSkew / 4, "guards against a group that waits for a straggler");
+  t.equal(plan.hosting[0]?.[1]?.length, 0);
+  t.equal(new Set(plan.hosting[0]?.flat()).size, 8);
+  t.end();
+});
+
 t.test("the meter forgets, and starts anew with a rank", (t) => {
   const meter = new PopularityMeter(1, 2);
   meter.add([{ rank: 0, epoch: 1, counts: [1000, 0] }], 0);
--- a/packages/ranker/RankInspection.ts
+++ b/packages/ranker/RankInspection.ts
@@ -6,6 +6,8 @@
   /** Ranks of the group. */
   readonly size: number;
   readonly state: HeldRank;
+  /** Time for the same work, 1 for a healthy rank. */
+  readonly pace: number;
   /** Choices of each expert since the rank started, layer set after layer set. */
   readonly counts: readonly number[];
   /** Experts that the rank holds by layer set; null when they were not asked for. */
