--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -19,6 +19,7 @@
   readonly getTerm: () => number | null;
   /** Opens the direct way to a rank at its address. */
   readonly openRank: (address: string) => RankClient;
+  readonly notePace: (target: string, pace: number) => void;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -115,7 +116,11 @@
   async #inspect(target: TargetRecord, term: number): Promise<InspectedTarget | null> {
     const link = this.#getLink(target.address);
     const inspection = await link.inspect(term, false);
-    return inspection === null ? null : { link, inspection };
+    if (inspection === null) {
+      return null;
+    }
+    this.#options.notePace(target.id, inspection.pace);
+    return { link, inspection };
   }
 
   #getLink(address: string): RankLink {
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -21,7 +21,7 @@
 /** Least share of the present skew that a plan has to save. */
 const leastGain = 0.08;
 /** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
-const goalSkew = 1.2;
+const goalSkew = 1.15;
 /** Choices below which the popularity is not known well enough. */
 const leastChoices = 2000;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
@@ -132,6 +132,7 @@
     this.#aimedAtMs = nowMs;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
+    const step = Math.max(...states.map((state) => state.step));
     logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank, copies }, "map planned");
   }
 
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -2,6 +2,7 @@
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
+import { PaceBoard } from "@clementinemux/registry/PaceBoard";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
@@ -27,7 +28,7 @@
 const tickIntervalMs = 20;
 const exchangeIntervalMs = 200;
 const bootstrapIntervalMs = 300;
-const conductIntervalMs = 250;
+const conductIntervalMs = 120;
 /** A tick this much late means that the process itself stood still, so others are not judged by it. */
 const stallMs = 200;
 /** A coordinator that started later ago than this has heard every target that is alive. */
@@ -41,6 +42,7 @@
 export class Coordinator {
   readonly targets = new TargetRegistry();
   readonly entries = new EntryRegistry();
+  readonly paces = new PaceBoard();
   readonly #options: CoordinatorOptions;
   readonly #host: GroupHost;
   readonly #links = new PeerLinks(undefined);
@@ -94,6 +96,8 @@
       peers: this.#peers,
       targets: this.targets,
       entries: this.entries,
+      paces: this.paces,
+      isLeading: () => group.hasLease,
       clock,
     });
     await this.#server.listen(host, framePort);
@@ -188,6 +192,9 @@
       listTargets: () => this.targets.list(clock.monotonicMs()),
       getTerm: () => (group.hasLease ? group.core.term : null),
       openRank,
+      notePace: (id, pace) => {
+        this.paces.note(id, pace, clock.monotonicMs());
+      },
       clock,
       logger,
     });
@@ -269,6 +276,7 @@
       targets: state === registryState ? null : this.targets.list(nowMs),
       isComplete: nowMs - this.#startedAtMs > completeMs,
       inFlight: this.entries.sumInFlight(entry.name, nowMs),
+      paces: this.paces.list(nowMs),
       liveEntries: this.entries.countLive(nowMs),
       nearest:
         entry.failureDomain === this.#options.failureDomain
--- a/packages/control/routes/Exchange.ts
+++ b/packages/control/routes/Exchange.ts
@@ -2,6 +2,7 @@
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
+import type { PaceBoard } from "@clementinemux/registry/PaceBoard";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "../PeerLinks";
@@ -17,6 +18,8 @@
   readonly peers: PeerBook;
   readonly targets: TargetRegistry;
   readonly entries: EntryRegistry;
+  readonly paces: PaceBoard;
+  readonly isLeading: () => boolean;
   readonly clock: Clock;
 }
 
@@ -71,6 +74,7 @@
     for (const { item, ageMs } of request.targets) {
       targets.put(item, nowMs - ageMs, request.from);
     }
+    this.#options.paces.take(request.paces, nowMs);
     for (const { item, ageMs } of request.entries) {
       entries.put(item, nowMs - ageMs, request.from);
     }
@@ -79,7 +83,7 @@
 
   async #tell(peer: Peer): Promise<boolean> {
     const { name, address, incarnation, replicaId, failureDomain } = this.#options;
-    const { links, peers, targets, entries, clock } = this.#options;
+    const { links, peers, targets, entries, paces, isLeading, clock } = this.#options;
     const sentAtMs = clock.monotonicMs();
     const change = targets.changes;
     const changed = targets.changedSince(peer.confirmedChange);
@@ -96,6 +100,7 @@
         ageMs: sentAtMs - heardAtMs,
       })),
       entries: entries.listOwn(sentAtMs).map(({ entry, ageMs }) => ({ item: entry, ageMs })),
+      paces: isLeading() ? paces.list(sentAtMs) : {},
       coordinators: this.#listKnown(),
     };
     peer.isBusy = true;
--- a/packages/experts/hold/PopularityMeter.ts
+++ b/packages/experts/hold/PopularityMeter.ts
@@ -4,7 +4,7 @@
 }
 
 /** Weight of a past choice falls to 1/e after this time; what is liked changes every few seconds. */
-const memoryMs = 700;
+const memoryMs = 450;
 
 /** Recent choices by layer set and expert, from the cumulative counts of the ranks. Has no clock. */
 export class PopularityMeter {
--- a/packages/gateway/FleetState.ts
+++ b/packages/gateway/FleetState.ts
@@ -8,5 +8,7 @@
   readonly targets: readonly TargetRecord[];
   /** Requests in flight by target, of all other entries. */
   readonly othersInFlight: Readonly<Record<string, number>>;
+  /** Times of slow targets for the same work. */
+  readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
 }
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -15,7 +15,7 @@
 /** What a gateway knows of documents and targets, and until when it may act on it. Has no I/O. */
 export class FleetView {
   readonly #codec: WireCodec;
-  #state: FleetState = { table: null, targets: [], othersInFlight: {}, liveEntries: 1 };
+  #state: FleetState = { table: null, targets: [], othersInFlight: {}, paces: {}, liveEntries: 1 };
   #registryState = "";
   #freshAtMs = -Infinity;
 
@@ -45,7 +45,7 @@
    * that it is current, and its document is no older than ours. Throws when the document cannot be read.
    */
   update(response: SyncResponse, sentAtMs: number): boolean {
-    const { ageMs, documentVersion, document, targets, isComplete, inFlight, liveEntries } = response;
+    const { ageMs, documentVersion, document, targets, isComplete, inFlight, paces, liveEntries } = response;
     if (document !== null && documentVersion > this.version) {
       const decoded = this.#codec.decodeDocument(document).mapLeft((fault) => new Error(fault));
       this.#state = { ...this.#state, table: new RouteTable(decoded.unsafeCoerce()) };
@@ -55,7 +55,7 @@
     }
     const isCurrent = ageMs < currentMs;
     this.#freshAtMs = Math.max(this.#freshAtMs, sentAtMs - ageMs);
-    this.#state = { ...this.#state, othersInFlight: inFlight, liveEntries };
+    this.#state = { ...this.#state, othersInFlight: inFlight, paces, liveEntries };
     if (isCurrent && targets !== null) {
       this.#takeTargets(targets, isComplete);
       this.#registryState = isComplete ? response.registryState : "";
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -10,6 +10,7 @@
 import type { GatewayContext } from "./GatewayContext";
 import type { GatewayOptions } from "./GatewayOptions";
 import { Intake } from "./Intake";
+import { PassMeter } from "./PassMeter";
 import { RepeatBudget } from "./RepeatBudget";
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
@@ -42,6 +43,7 @@
   readonly #health = new TargetHealth();
   readonly #agents = new Map<string, TargetAgent>();
   readonly #budgets = new Map<string, RepeatBudget>();
+  readonly #passMeters = new Map<string, PassMeter>();
   readonly #sockets = new Set<Socket>();
   readonly #incarnation: string;
   readonly #intake: Intake;
@@ -147,6 +149,11 @@
         this.#budgets.set(service, budget);
         return budget;
       },
+      getPassMeter: (service) => {
+        const meter = this.#passMeters.get(service) ?? new PassMeter();
+        this.#passMeters.set(service, meter);
+        return meter;
+      },
       getAgent: (address) => {
         const agent = this.#agents.get(address) ?? new TargetAgent();
         this.#agents.set(address, agent);
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { Counters } from "@clementinemux/metrics/Counters";
 import type { FleetView } from "./FleetView";
 import type { GatewayOptions } from "./GatewayOptions";
+import type { PassMeter } from "./PassMeter";
 import type { RepeatBudget } from "./RepeatBudget";
 import type { RepeatReason } from "./RepeatReason";
 import type { RequestEnd } from "./RequestEnd";
@@ -17,6 +18,7 @@
   readonly ends: Counters<RequestEnd>;
   readonly repeats: Counters<RepeatReason>;
   readonly getBudget: (service: string) => RepeatBudget;
+  readonly getPassMeter: (service: string) => PassMeter;
   readonly getAgent: (address: string) => TargetAgent;
   /** Whether the process is about to stop, so that callers should close their connections. */
   readonly isStopping: () => boolean;
--- a/packages/gateway/Intake.ts
+++ b/packages/gateway/Intake.ts
@@ -9,7 +9,8 @@
 import { RequestRun } from "./RequestRun";
 
 /** A caller that meets a gateway without recent knowledge is asked to come back after this time. */
-const notFreshRetryMs = 400;
+const notFreshRetryMs = 1000;
+const notFreshSpreadMs = 800;
 
 const ownAnswers = {
   [RequestEnd.NoRoute]: { status: 404, text: "no route for this host and path" },
@@ -109,7 +110,11 @@
       { host: getHostName(request), end, status, version: view.version },
       "request refused",
     );
-    new AnswerWriter(response, isStopping).sendOwn(status, text, status === 503 ? notFreshRetryMs : null);
+    new AnswerWriter(response, isStopping).sendOwn(
+      status,
+      text,
+      status === 503 ? notFreshRetryMs + options.random() * notFreshSpreadMs : null,
+    );
   }
 }
 
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -11,6 +11,7 @@
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
 import { choosePlace } from "./choosePlace";
+import { computeCap } from "./computeCap";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
 
@@ -20,8 +21,13 @@
   readonly body: Buffer;
 }
 
-/** Places at each target that may be taken by requests that wait there. */
-const queuePlaces = 1;
+/** Places at each target that may be taken by requests that wait there; waiting here leaves the choice open. */
+const queuePlaces = 0;
+/** A request waits for a place for this share of its objective at most. */
+const waitShare = 0.4;
+const waitStepMs = 20;
+/** A rank twice as slow as the others gets an eighth of the requests, since all of its group wait for its part. */
+const pacePower = 3;
 /** A repeatable request waits for a silent target no longer than this share of its time. */
 const silentShare = 0.45;
 const repeatReasons: Readonly<Record<AttemptOutcome, RepeatReason>> = {
@@ -39,6 +45,7 @@
   readonly #endMs: number;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
+  #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
   #sends = 0;
   #mayHaveRun = false;
@@ -46,6 +53,9 @@
   #fallback: WholeAnswer | null = null;
   #lastEventId: string | null = null;
   #firstEventMs: number | null = null;
+  #lastEventAtMs = 0;
+  #longestGapMs = 0;
+  #events = 0;
   #isEnded = false;
 
   constructor(context: GatewayContext, arrival: Arrival) {
@@ -70,7 +80,43 @@
 
   /** Sends the request to a target, or refuses it at once. */
   start(): void {
-    this.#send();
+    this.#admit();
+  }
+
+  /** Sends the request when a place is free; waits a short while for one, as long as the objective allows. */
+  #admit(): void {
+    if (this.#isEnded) {
+      return;
+    }
+    const { route, arrivedAtMs } = this.#arrival;
+    if (this.#hasPlace() || this.#now() - arrivedAtMs >= route.objectiveMs * waitShare) {
+      this.#send();
+    } else {
+      this.#waitTimer = setTimeout(() => {
+        this.#admit();
+      }, waitStepMs);
+    }
+  }
+
+  /** Whether the service as a whole should run one more request. */
+  #hasPlace(): boolean {
+    const { view, loads, getPassMeter } = this.#context;
+    const { service, route } = this.#arrival;
+    const targets = view.state.targets.filter(
+      (target) => target.service === service.name && !target.isDraining,
+    );
+    const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
+    const meanLoad = load / Math.max(1, targets.length);
+    const slots = service.engine?.slots ?? targets[0]?.slots ?? 1;
+    const cap = computeCap({
+      slots,
+      stride: service.engine?.stride ?? 1,
+      stepMs: service.engine?.stepMs ?? 0,
+      gapObjectiveMs: route.gapObjectiveMs,
+      meanGapMs: getPassMeter(service.name).getMeanMs(this.#now()),
+      meanLoad,
+    });
+    return meanLoad < cap;
   }
 
   get #isRepeatable(): boolean {
@@ -79,7 +125,7 @@
   }
 
   #send(): void {
-    const target = this.#choose();
+    const target = this.#sends > 0 || this.#hasPlace() ? this.#choose() : null;
     if (target === null) {
       this.#giveUp(this.#sends === 0 ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
       return;
@@ -157,7 +203,7 @@
       id: target.id,
       slots: service.engine?.slots ?? target.slots,
       load: loads.getLoad(target),
-      weight: health.getWeight(target.id),
+      weight: health.getWeight(target.id) / (view.state.paces[target.id] ?? 1) ** pacePower,
       isNear: target.failureDomain === options.failureDomain,
     }));
     const id = choosePlace(candidates, queuePlaces, options.random);
@@ -185,7 +231,15 @@
       return;
     }
     this.#mayHaveRun = true;
-    this.#firstEventMs ??= this.#now() - this.#arrival.arrivedAtMs;
+    const nowMs = this.#now();
+    if (this.#events > 0) {
+      const gapMs = nowMs - this.#lastEventAtMs;
+      this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
+      this.#context.getPassMeter(this.#arrival.service.name).note(gapMs, nowMs);
+    }
+    this.#firstEventMs ??= nowMs - this.#arrival.arrivedAtMs;
+    this.#lastEventAtMs = nowMs;
+    this.#events += 1;
     this.#lastEventId = id ?? this.#lastEventId;
     const isFree = this.#writer.write(bytes, () => {
       attempt.resume();
@@ -304,6 +358,7 @@
     }
     this.#isEnded = true;
     clearTimeout(this.#timer);
+    clearTimeout(this.#waitTimer ?? undefined);
     this.#attempt?.cancel();
     const { ends, options, view } = this.#context;
     ends.add(end);
@@ -317,6 +372,8 @@
         status,
         targets: [...this.#tried],
         firstEventMs: this.#firstEventMs === null ? null : Math.round(this.#firstEventMs),
+        events: this.#events,
+        longestGapMs: Math.round(this.#longestGapMs),
         tookMs: Math.round(this.#now() - arrivedAtMs),
         version: view.version,
       },
--- /dev/null
+++ b/packages/gateway/test/cap.test.ts
@@ -0,0 +1,50 @@
+import t from "tap";
+import { computeCap } from "@clementinemux/gateway/computeCap";
+
+const figures = { slots: 8, stride: 4, stepMs: 4.55, gapObjectiveMs: 120 };
+
+/** Time of a pass of the stand-in group at a load, with the most loaded rank at `skew` times the mean. */
+function getPassMs(load: number, skew: number): number {
+  return 4 * (4.55 + load * 1.3575 * (0.15 + 0.85 * skew)) + 8;
+}
+
+/** Plays arrivals at a steady rate to a group under a cap; returns the load and the time of a pass at the end. */
+function playLoad(arrivalsPerS: number, skew: number, isCapped: boolean) {
+  const ranks = 16;
+  const events = 24;
+  let load = 7.9;
+  for (let step = 0; step < 400; step += 1) {
+    const passMs = getPassMs(load, skew);
+    const cap = isCapped ? computeCap({ ...figures, meanGapMs: passMs, meanLoad: load }) : figures.slots;
+    const ended = load / events;
+    const arrived = (arrivalsPerS * passMs) / 1000 / ranks;
+    load = Math.max(0, Math.min(load - ended + arrived, Math.max(cap, load - ended)));
+  }
+  return { load, passMs: getPassMs(load, skew) };
+}
+
+t.test("an overload does not stretch the pauses of all streams", (t) => {
+  const open = playLoad(70, 1.4, false);
+  const capped = playLoad(70, 1.4, true);
+  t.ok(open.passMs > 85, "without a cap the group fills up");
+  t.ok(capped.passMs < 0.65 * 120 + 8, "guards against a few more requests that make every stream late");
+  t.ok(capped.load / capped.passMs > 0.8 * (open.load / open.passMs), "most of the throughput is kept");
+  t.end();
+});
+
+t.test("the cap leaves room when the load falls", (t) => {
+  t.ok(computeCap({ ...figures, meanGapMs: getPassMs(2, 1), meanLoad: 2 }) > 6);
+  t.equal(computeCap({ ...figures, meanGapMs: null, meanLoad: 6 }), 8);
+  t.end();
+});
+
+t.test("a peak that cannot be mended by refusing is not answered by refusing", (t) => {
+  const cap = computeCap({ ...figures, meanGapMs: 400, meanLoad: 6 });
+  t.equal(cap, 8, "guards against refusals while a rank is slow, since all streams are late anyway");
+  t.end();
+});
+
+t.test("most of the slots are always used", (t) => {
+  t.ok(computeCap({ ...figures, meanGapMs: 110, meanLoad: 5 }) >= 4.8);
+  t.end();
+});
--- a/packages/gateway/test/cores.test.ts
+++ b/packages/gateway/test/cores.test.ts
@@ -118,6 +118,7 @@
     targets: [],
     isComplete: true,
     inFlight: {},
+    paces: {},
     liveEntries: 1,
     nearest: null,
     coordinators: [],
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -46,6 +46,7 @@
       })),
       isComplete: true,
       inFlight: {},
+      paces: {},
       liveEntries: 1,
       nearest: null,
       coordinators: [],
--- a/packages/registry/ExchangeRequest.ts
+++ b/packages/registry/ExchangeRequest.ts
@@ -16,5 +16,7 @@
   readonly failureDomain: string;
   readonly targets: readonly Aged<TargetRecord>[];
   readonly entries: readonly Aged<EntryRecord>[];
+  /** Paces of slow targets; empty from coordinators that do not lead. */
+  readonly paces: Readonly<Record<string, number>>;
   readonly coordinators: readonly string[];
 }
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -14,6 +14,8 @@
   readonly isComplete: boolean;
   /** Requests in flight by target, of all other entries. */
   readonly inFlight: Readonly<Record<string, number>>;
+  /** Times of slow targets for the same work; 1 for those that are not listed. */
+  readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
   /** Coordinator in the gateway's failure domain; null when none is alive. */
   readonly nearest: string | null;
