--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -132,7 +132,6 @@
     this.#aimedAtMs = nowMs;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
-    const step = Math.max(...states.map((state) => state.step));
     logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank, copies }, "map planned");
   }
 
