--- a/packages/agent/test/frozenAgent.test.ts
+++ b/packages/agent/test/frozenAgent.test.ts
@@ -15,7 +15,7 @@
 import { createRenewal } from "./helpers/createRenewal";
 
 const host = "127.0.0.1";
-const program = new URL("../../../../dist/clementinemux-agent.mjs", import.meta.url).pathname;
+const program = new URL("../../../../../dist/clementinemux-agent.mjs", import.meta.url).pathname;
 const frozenMs = 3500;
 
 // Guards against a stopped process that wakes and runs the requests that waited in its socket buffers, which
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -17,6 +17,7 @@
 import { PeerLinks } from "../PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import type { CoordinatorOptions } from "./CoordinatorOptions";
+import type { CoordinatorStatus } from "./CoordinatorStatus";
 import { DocumentService } from "./DocumentService";
 import { Exchange } from "./Exchange";
 import { PeerBook } from "./PeerBook";
@@ -57,6 +58,7 @@
   #steward: Steward | null = null;
   #table: RouteTable | null = null;
   #tickedAtMs = 0;
+  #isClosed = false;
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
@@ -103,26 +105,25 @@
     await this.#server.listen(host, framePort);
     this.#peers.learn(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
-    void periodic(tickIntervalMs).observe(() => {
-      this.#run("tick", () => {
-        this.#tick();
-      });
-    });
-    void periodic(exchangeIntervalMs).observe(() => {
-      this.#run("exchange", () => this.#exchangeNews());
+    this.#repeat(tickIntervalMs, "tick", () => {
+      this.#tick();
     });
+    this.#repeat(exchangeIntervalMs, "exchange", () => this.#exchangeNews());
     const conductor = this.#createConductor(group);
-    void periodic(conductIntervalMs).observe(() => {
-      this.#run("rank groups", () => conductor.step());
-    });
+    this.#repeat(conductIntervalMs, "rank groups", () => conductor.step());
     if (isBootstrap && group.core.isUnused) {
-      void periodic(bootstrapIntervalMs).observe(() => {
-        this.#run("bootstrap", () => this.#host.bootstrap());
-      });
+      this.#repeat(bootstrapIntervalMs, "bootstrap", () => this.#host.bootstrap());
     }
     logger.info({ address: this.address, replicaId: group.core.id, isBootstrap }, "coordinator started");
   }
 
+  /** Ends everything at once, as a killed process would. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    this.#links.close();
+    await this.#server.close();
+  }
+
   /** Stores a valid document durably; rejects when the outcome is not known or nothing was stored. */
   async submitDocument(document: StoredDocument): Promise<void> {
     await this.#requireDocuments().propose(document);
@@ -166,8 +167,7 @@
     return this.entries.listAddresses(failureDomain, leastOfDomain, this.#options.clock.monotonicMs());
   }
 
-  /** State for metrics and the status of operators. */
-  getStatus(): Readonly<Record<string, number | string | boolean | null>> {
+  getStatus(): CoordinatorStatus {
     const nowMs = this.#options.clock.monotonicMs();
     const core = this.#group?.core ?? null;
     return {
@@ -175,6 +175,7 @@
       term: core?.term ?? null,
       commitIndex: core?.commitIndex ?? null,
       appliedIndex: core?.appliedIndex ?? null,
+      isVoter: core !== null && core.id in core.membership.voters,
       voters: Object.keys(core?.membership.voters ?? {}).length,
       documentVersion: this.#machine.version,
       ageMs: this.#documents?.getAgeMs() ?? null,
@@ -297,6 +298,14 @@
     return this.#documents;
   }
 
+  #repeat(intervalMs: number, what: string, action: () => void | Promise<void>): void {
+    void periodic(intervalMs)
+      .takeWhile(() => !this.#isClosed)
+      .observe(() => {
+        this.#run(what, action);
+      });
+  }
+
   /** An exception inside an observer would end its stream. */
   #run(what: string, action: () => void | Promise<void>): void {
     Promise.resolve()
--- /dev/null
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -0,0 +1,75 @@
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Left } from "purify-ts/Either";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { Coordinator } from "@clementinemux/control/routes/Coordinator";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+
+/** Coordinators of one log on loopback, each with its own folder. */
+export class CoordinatorFleet {
+  readonly seeds: readonly string[];
+  readonly coordinators: Coordinator[] = [];
+  readonly #folders: string[] = [];
+  readonly #ports: readonly number[];
+
+  private constructor(ports: readonly number[]) {
+    this.#ports = ports;
+    this.seeds = ports.map((port) => `127.0.0.1:${port}`);
+  }
+
+  static async start(size: number): Promise<CoordinatorFleet> {
+    const fleet = new CoordinatorFleet(await findFreePorts(size));
+    await Promise.all(fleet.#ports.map((_, index) => fleet.open(index, true)));
+    return fleet;
+  }
+
+  /** Starts a coordinator, again with its folder unless that was wiped. */
+  async open(index: number, isBootstrap: boolean): Promise<void> {
+    this.#folders[index] ||= mkdtempSync(join(tmpdir(), "coordinator-"));
+    const coordinator = new Coordinator({
+      name: `c-${index}`,
+      host: "127.0.0.1",
+      framePort: this.#ports[index] ?? 0,
+      failureDomain: `d-${index}`,
+      dataFolder: this.#folders[index],
+      isBootstrap,
+      seeds: this.seeds,
+      targetVoters: 3,
+      decodeDocument: () => Left("not decoded in this test"),
+      openRank: () => {
+        throw new Error("no ranks in this test");
+      },
+      clock: new SystemClock(),
+      random: createRandom(index + 1),
+      logger: createLogger("test", {}),
+      onFatal: (error) => {
+        throw error;
+      },
+    });
+    this.coordinators[index] = coordinator;
+    await coordinator.start();
+  }
+
+  async stop(index: number): Promise<void> {
+    await this.coordinators[index]?.close();
+  }
+
+  wipe(index: number): void {
+    rmSync(this.#folders[index] ?? "", { recursive: true, force: true });
+    this.#folders[index] = "";
+  }
+
+  get leader(): number {
+    return this.coordinators.findIndex((coordinator) => coordinator.getStatus().role === "leader");
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.coordinators.map((coordinator) => coordinator.close()));
+    for (const folder of this.#folders) {
+      rmSync(folder, { recursive: true, force: true });
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/test/coordinators.test.ts
@@ -0,0 +1,134 @@
+import t from "tap";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { CoordinatorFleet } from "./CoordinatorFleet";
+
+const limitMs = 8000;
+
+function bytes(text: string): Uint8Array {
+  return Buffer.from(text);
+}
+
+function isTrue(condition: boolean): true | null {
+  return condition ? true : null;
+}
+
+async function hasLeader(fleet: CoordinatorFleet): Promise<void> {
+  await waitUntil("a leader is there", () => isTrue(fleet.leader >= 0), limitMs);
+}
+
+t.test("documents are accepted at any coordinator, the highest version is read at each", async (t) => {
+  const fleet = await CoordinatorFleet.start(3);
+  await hasLeader(fleet);
+  const follower = (fleet.leader + 1) % 3;
+  await waitUntil(
+    "the follower takes a document",
+    async () => {
+      await fleet.coordinators[follower]?.submitDocument({ version: 7, bytes: bytes("seven") });
+      return true;
+    },
+    limitMs,
+  );
+  await fleet.coordinators[fleet.leader]?.submitDocument({ version: 5, bytes: bytes("five") });
+  await fleet.coordinators[follower]?.submitDocument({ version: 7, bytes: bytes("other seven") });
+  for (const coordinator of fleet.coordinators) {
+    const { version, bytes: read } = await coordinator.readDocument();
+    t.equal(version, 7);
+    t.equal(
+      Buffer.from(read).toString(),
+      "seven",
+      "guards against other content under a version that is held",
+    );
+  }
+  await fleet.close();
+});
+
+t.test("a coordinator that is alone neither acknowledges nor reads", async (t) => {
+  const fleet = await CoordinatorFleet.start(3);
+  await hasLeader(fleet);
+  const { leader } = fleet;
+  await fleet.coordinators[leader]?.submitDocument({ version: 1, bytes: bytes("one") });
+  await Promise.all([0, 1, 2].filter((index) => index !== leader).map((index) => fleet.stop(index)));
+  await new Promise((resolve) => setTimeout(resolve, 800));
+  await t.rejects(
+    fleet.coordinators[leader]!.readDocument(),
+    "guards against a read that may be out of date",
+  );
+  await t.rejects(fleet.coordinators[leader]!.submitDocument({ version: 2, bytes: bytes("two") }));
+  const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
+  const record: TargetRecord = { ...target, isDraining: true, isGone: false, bornMs: 1, sequence: 1 };
+  t.equal(await fleet.coordinators[leader]?.registerTarget(record), false, "a drain that nobody else knows");
+  await fleet.close();
+});
+
+t.test("a coordinator that lost its disk becomes a voter again by itself", async (t) => {
+  const fleet = await CoordinatorFleet.start(3);
+  await hasLeader(fleet);
+  const { leader } = fleet;
+  const wiped = (leader + 1) % 3;
+  await fleet.coordinators[leader]?.submitDocument({ version: 1, bytes: bytes("one") });
+  await fleet.stop(wiped);
+  fleet.wipe(wiped);
+  await fleet.open(wiped, false);
+  await waitUntil(
+    "the new replica is a voter",
+    () => {
+      const status = fleet.coordinators[wiped]?.getStatus();
+      return isTrue(status?.isVoter === true && status.voters === 3);
+    },
+    4000,
+  );
+  await fleet.stop(leader);
+  await waitUntil(
+    "the rest accepts changes",
+    async () => {
+      await fleet.coordinators[wiped]?.submitDocument({ version: 2, bytes: bytes("two") });
+      return true;
+    },
+    limitMs,
+  );
+  t.equal(
+    (await fleet.coordinators[wiped]?.readDocument())?.version,
+    2,
+    "guards against a group that counts the lost disk",
+  );
+  await fleet.close();
+});
+
+t.test("targets and entries that one coordinator hears of are known to all", async (t) => {
+  const fleet = await CoordinatorFleet.start(3);
+  await hasLeader(fleet);
+  const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
+  const record: TargetRecord = { ...target, isDraining: false, isGone: false, bornMs: 1, sequence: 1 };
+  await waitUntil(
+    "heartbeats are acknowledged",
+    async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
+    limitMs,
+  );
+  await waitUntil(
+    "all know the target",
+    () => isTrue(fleet.coordinators.every(({ targets }) => targets.list(performance.now()).length === 1)),
+    2000,
+  );
+  const drained = { ...record, sequence: 2, isDraining: true };
+  t.equal(await fleet.coordinators[1]?.registerTarget(drained), true);
+  const known = fleet.coordinators.filter(
+    ({ targets }) => targets.list(performance.now())[0]?.isDraining === true,
+  );
+  t.ok(known.length >= 2, "guards against a drain that is acknowledged before a majority knows it");
+  const entry = {
+    name: "e",
+    incarnation: "1",
+    address: "e:1",
+    failureDomain: "d-0",
+    isReady: true,
+    inFlight: {},
+  };
+  fleet.coordinators[0]?.entries.put(entry, performance.now(), null);
+  await waitUntil(
+    "all name the entry",
+    () => isTrue(fleet.coordinators.every((item) => item.listEntryAddresses("d-0")[0] === "e:1")),
+    1500,
+  );
+  await fleet.close();
+});
--- a/scripts/buildTests.mjs
+++ b/scripts/buildTests.mjs
@@ -4,11 +4,13 @@
 import { build } from "esbuild";
 
 rmSync("build/tests", { recursive: true, force: true });
-const entryPoints = globSync("packages", (path) => path.endsWith(".test.ts"));
+const entryPoints = ["packages", "platform"].flatMap((folder) =>
+  globSync(folder, (path) => path.endsWith(".test.ts")),
+);
 await build({
   entryPoints,
   outdir: "build/tests",
-  outbase: "packages",
+  outbase: ".",
   outExtension: { ".js": ".mjs" },
   bundle: true,
   format: "esm",
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -20,7 +20,7 @@
 
 /** Reads the top-level TAP lines of one file. */
 function countResults(file, output, exitCode) {
-  const source = file.replace("build/tests/", "packages/").replace(/\.mjs$/, ".ts");
+  const source = file.replace("build/tests/", "").replace(/\.mjs$/, ".ts");
   let seenFailure = false;
   let printOutput = false;
   for (const line of output.split("\n")) {
