--- a/packages/gateway/RequestEnd.ts
+++ b/packages/gateway/RequestEnd.ts
@@ -14,6 +14,8 @@
   Full = "full",
   /** Targets stated that they have not run the request. */
   TurnedAway = "turned_away",
+  /** No target could be connected to; nothing was sent. */
+  Unreachable = "unreachable",
   /** The request may have run and has no answer. */
   Unknown = "unknown",
   TimedOut = "timed_out",
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -335,7 +335,7 @@
     } else {
       const { view, loads, options } = this.#context;
       this.#writer.sendOwn(503, text, estimateRetryMs(service, view.state, loads, options.random));
-      this.#end(end, 503);
+      this.#end(end === RequestEnd.Unknown ? RequestEnd.Unreachable : end, 503);
     }
   }
 
