--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -3,8 +3,11 @@
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 
-/** Passes between the last one that was begun and the one that is held: the hold has to arrive before it. */
-const leadSteps = 2;
+/**
+ * Passes between the last one that was begun and the one that is held. All ranks are armed before the group gets there,
+ * also when one order has to be given twice; otherwise the hold is a pause in every stream.
+ */
+const leadSteps = 4;
 /** Rank that holds the group. */
 const holdingRank = 0;
 
--- a/packages/experts/test/HeldGroup.ts
+++ b/packages/experts/test/HeldGroup.ts
@@ -23,6 +23,8 @@
   readonly ranks: MutableRank[];
   /** Passes that began while the ranks had different maps. */
   mixedPasses = 0;
+  /** Passes that did not begin because the group was held. */
+  heldPasses = 0;
   nowMs = 0;
   isIdle = false;
   readonly #options: HeldGroupOptions;
@@ -79,6 +81,7 @@
   #beginPass(): void {
     const step = (this.ranks[0]?.step ?? 0) + 1;
     if (this.ranks.some(({ heldStep }) => heldStep === step)) {
+      this.heldPasses += 1;
       return;
     }
     for (const rank of this.ranks) {
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
@@ -67,6 +68,31 @@
   }
 });
 
+t.test("an order that has to be given twice does not pause the group", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  let isLost = false;
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order) => {
+      if (order.kind === HoldOrderKind.Arm && order.rank === 2 && !isLost) {
+        isLost = true;
+        group.advance(150);
+        return Promise.resolve(null);
+      }
+      group.advance(2);
+      return Promise.resolve(group.order(order));
+    },
+    nowMs: () => group.nowMs,
+  });
+  lead.aim({ version: 1, epoch: 1, hosting });
+  for (let round = 0; round < 6; round += 1) {
+    await step(lead, group);
+  }
+  t.ok(isLost);
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion === 1));
+  t.equal(group.heldPasses, 0, "guards against an activation that makes every stream late");
+});
+
 t.test("a new lead releases a hold that its predecessor left", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(2), lateShare: 0 });
   group.ranks[0]!.heldStep = 3;
