--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -67,6 +67,11 @@
   }
 
   #onAnswer(answer: TargetAnswer, headers: readonly string[]): void {
+    if (answer.status < 300 && !answer.isSigned) {
+      this.#call?.cancel();
+      this.#fail(CallFailure.Malformed, "a success that no target has signed");
+      return;
+    }
     this.#answer = answer;
     this.#headers = headers;
     this.#isStream = this.#options.isStream && answer.status === 200 && isEventStream(headers);
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -211,7 +211,7 @@
   }
 
   #onWhole(attempt: Attempt, answer: WholeAnswer): void {
-    const { health, ends } = this.#context;
+    const { health } = this.#context;
     this.#mayHaveRun = true;
     if (answer.status < 500) {
       health.noteGood(attempt.targetId);
@@ -221,7 +221,6 @@
     health.noteBad(attempt.targetId);
     this.#fallback = answer;
     if (!this.#repeat(AttemptOutcome.Failed)) {
-      ends.add(RequestEnd.TargetFailure, 0);
       this.#deliver(answer, RequestEnd.TargetFailure);
     }
   }
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -28,8 +28,6 @@
       path,
       headers: headers as unknown as Record<string, string>,
       setHost: false,
-      // A connection that is not there at once is given up in time to try another target.
-      timeout: 0,
     });
     this.#timer = setTimeout(
       () => {
--- a/packages/gateway/test/TestCodec.ts
+++ b/packages/gateway/test/TestCodec.ts
@@ -40,7 +40,7 @@
       status,
       requestId: find(headers, "x-id"),
       isNotRun: find(headers, "x-not-run") !== null,
-      isSigned: true,
+      isSigned: find(headers, "x-unsigned") === null,
       isMisdirected: status === 421,
       faultyTarget: null,
     };
--- a/packages/gateway/test/forwarding.test.ts
+++ b/packages/gateway/test/forwarding.test.ts
@@ -84,6 +84,15 @@
   await stop();
 });
 
+t.test("a success without a signature is not delivered", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-unsigned: 1\r\ncontent-length: 2\r\n\r\nok`);
+  });
+  const { call, stop } = await startGateway(createDocument(1, [unsafe]), [target]);
+  t.equal((await call({ path: "/p0/", method: "POST" }, "r1", "x")).status, 502);
+  await stop();
+});
+
 t.test("bytes on an idle connection end its use", async (t) => {
   const target = new TestTarget(({ id }, socket) => {
     socket.write(answers.whole(id, "first"));
