Drop members that nothing uses

Found on reading the change: Coordinator.heldDocument and TargetLoads.total had no caller, and a one-line wrapper stood around the registry of entries.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,5 +1,4 @@
 import { periodic } from "most";
-import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { PaceBoard } from "@clementinemux/registry/PaceBoard";
@@ -134,11 +133,6 @@
     return this.#requireDocuments().read();
   }
 
-  /** Document that this replica holds, whatever its age. */
-  get heldDocument(): StoredDocument {
-    return { version: this.#machine.version, bytes: this.#machine.bytes };
-  }
-
   /** Takes over a target's heartbeat. Resolves with whether the call may be acknowledged. */
   async registerTarget(target: TargetRecord): Promise<boolean> {
     const { clock, logger } = this.#options;
@@ -266,7 +260,7 @@
 
   #sync({ entry, documentVersion, registryState }: SyncRequest): SyncResponse {
     const nowMs = this.#options.clock.monotonicMs();
-    this.#noteEntry(entry, nowMs);
+    this.entries.put(entry, nowMs, null);
     const { version, bytes } = this.#machine;
     const state = `${this.#incarnation}:${this.targets.changes}`;
     return {
@@ -287,10 +281,6 @@
     };
   }
 
-  #noteEntry(entry: EntryRecord, nowMs: number): void {
-    this.entries.put(entry, nowMs, null);
-  }
-
   #requireDocuments(): DocumentService {
     if (this.#documents === null) {
       throw new Error("the coordinator has not started");
--- a/packages/gateway/TargetLoads.ts
+++ b/packages/gateway/TargetLoads.ts
@@ -23,10 +23,6 @@
     }
   }
 
-  get total(): number {
-    return [...this.#own.values()].reduce((sum, count) => sum + count, 0);
-  }
-
   getLoad({ id }: TargetRecord): number {
     return (this.#own.get(id) ?? 0) + (this.#getState().othersInFlight[id] ?? 0);
   }
