Elect lasting leaders on disks whose syncs outlast the election timeout

Their logs show one round after another, candidate, about 1 s, pre-candidate, next term: each new term had to be synced before the votes of the last one were, heartbeats were answered only after the sync of earlier entries, so that a leader without answers stepped down. Change: no new round while the own vote is being synced; a late vote counts while its term lasts (not after a restart, since a leader of that term may have lost entries); a heartbeat is answered at once with what is synced. The proxies of a test are closed also when its fleet does not start; the test hung for 200 s.

--- a/packages/consensus/Election.ts
+++ b/packages/consensus/Election.ts
@@ -30,6 +30,10 @@
   #leader: string | null = null;
   #leaderContactMs: number;
   #deadlineMs = 0;
+  #preVotes = new Set<string>();
+  /** Term that this replica asks votes for; 0 after a restart, since a leader of that term may have lost entries. */
+  #candidacyTerm = 0;
+  /** Votes for this replica in the present term. */
   #votes = new Set<string>();
   #resendAtMs = 0;
   /** Replicas that this one has stood back for since its term or its leader last changed. */
@@ -72,6 +76,12 @@
 
   /** Starts a round of pre-votes when no leader was heard for long enough; repeats unanswered requests. */
   tick(nowMs: number): void {
+    if (this.#outbox.isVotePending) {
+      // Counts from the sync: a new round before it would have to be synced as well, so that a disk slower than the
+      // election timeout would never finish one.
+      this.#resetDeadline(nowMs);
+      return;
+    }
     if (nowMs < this.#deadlineMs) {
       this.#resend(nowMs);
       return;
@@ -82,9 +92,9 @@
     }
     this.#leader = null;
     this.#setRole(RaftRole.PreCandidate);
-    this.#votes = new Set([this.#id]);
+    this.#preVotes = new Set([this.#id]);
     this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1, nowMs);
-    if (this.#hasMajority()) {
+    if (this.#isMajority(this.#preVotes)) {
       this.#startElection(nowMs);
     }
   }
@@ -92,6 +102,7 @@
   setTerm(term: number, nowMs: number): void {
     this.#term = term;
     this.#vote = null;
+    this.#votes = new Set();
     this.#leader = null;
     this.#preferred.clear();
     this.#outbox.markVote();
@@ -119,6 +130,7 @@
       this.stepDown(nowMs);
     }
     const term = granted ? message.term : this.#term;
+    // After a vote that is being stored, so that the vote arrives first.
     this.#outbox.sendAfterPersist(from, { kind: RaftMessageKind.PreVoteReply, term, granted });
   }
 
@@ -126,8 +138,8 @@
     if (this.#role !== RaftRole.PreCandidate || !message.granted || message.term !== this.#term + 1) {
       return;
     }
-    this.#votes.add(from);
-    if (this.#hasMajority()) {
+    this.#preVotes.add(from);
+    if (this.#isMajority(this.#preVotes)) {
       this.#startElection(nowMs);
     }
   }
@@ -143,15 +155,21 @@
     this.#outbox.sendAfterPersist(from, { kind: RaftMessageKind.VoteReply, term: this.#term, granted });
   }
 
-  /** Returns whether this vote made the replica the leader. */
+  /**
+   * Returns whether this vote made the replica the leader. A vote that was stored slowly counts as long as the term
+   * lasts, also when its candidate asks for the next one already.
+   */
   onVoteReply(from: string, message: VoteReply): boolean {
-    if (this.#role !== RaftRole.Candidate || !message.granted || message.term !== this.#term) {
+    const isStanding = this.#role === RaftRole.Candidate || this.#role === RaftRole.PreCandidate;
+    const isForCandidacy = message.term === this.#term && message.term === this.#candidacyTerm;
+    if (!isStanding || !message.granted || !isForCandidacy) {
       return false;
     }
     this.#votes.add(from);
-    if (!this.#hasMajority()) {
+    if (!this.#isMajority(this.#votes)) {
       return false;
     }
+    this.#candidacyTerm = 0;
     this.#leader = this.#id;
     this.#setRole(RaftRole.Leader);
     return true;
@@ -160,7 +178,7 @@
   #startElection(nowMs: number): void {
     this.setTerm(this.#term + 1, nowMs);
     this.#vote = this.#id;
-    this.#votes = new Set();
+    this.#candidacyTerm = this.#term;
     this.#setRole(RaftRole.Candidate);
     this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs);
     // The own vote counts only once it is stored, like any other.
@@ -200,16 +218,22 @@
   #sendToVoters(kind: RaftMessageKind.PreVote | RaftMessageKind.Vote, term: number, nowMs: number): void {
     this.#resendAtMs = nowMs + this.#options.heartbeatMs;
     const { lastIndex, lastTerm } = this.#log;
+    const answered = kind === RaftMessageKind.PreVote ? this.#preVotes : this.#votes;
     for (const id of Object.keys(this.#log.getMembership().membership.voters)) {
-      if (id !== this.#id && !this.#votes.has(id)) {
-        this.#outbox.sendAfterPersist(id, { kind, term, lastIndex, lastTerm });
+      if (id !== this.#id && !answered.has(id)) {
+        const message = { kind, term, lastIndex, lastTerm };
+        if (kind === RaftMessageKind.PreVote) {
+          this.#outbox.send(id, message);
+        } else {
+          this.#outbox.sendAfterPersist(id, message);
+        }
       }
     }
   }
 
-  #hasMajority(): boolean {
+  #isMajority(votes: ReadonlySet<string>): boolean {
     const voters = Object.keys(this.#log.getMembership().membership.voters);
-    return voters.filter((id) => this.#votes.has(id)).length * 2 > voters.length;
+    return voters.filter((id) => votes.has(id)).length * 2 > voters.length;
   }
 
   #isUpToDate({ lastTerm, lastIndex }: VoteRequest): boolean {
--- a/packages/consensus/Outbox.ts
+++ b/packages/consensus/Outbox.ts
@@ -19,6 +19,7 @@
   #lastPersistId = 0;
   #donePersistId = 0;
   #isVoteDirty = false;
+  #votePersistId = 0;
   #firstDirtyIndex: number | null = null;
   #snapshot: LogSnapshot | null = null;
   #durableIndex: number;
@@ -33,6 +34,11 @@
     return this.#durableIndex;
   }
 
+  /** Whether the present term or vote is not synced yet. */
+  get isVotePending(): boolean {
+    return this.#isVoteDirty || this.#votePersistId > this.#donePersistId;
+  }
+
   push(action: RaftAction): void {
     this.#actions.push(action);
   }
@@ -110,6 +116,9 @@
 
   #createPersist(term: number, vote: string | null): RaftAction[] {
     this.#lastPersistId += 1;
+    if (this.#isVoteDirty) {
+      this.#votePersistId = this.#lastPersistId;
+    }
     const { lastIndex, firstIndex } = this.#log;
     // A snapshot starts a new log file, so the entries that stay are written again.
     const from = this.#snapshot === null ? this.#firstDirtyIndex : firstIndex;
--- a/packages/consensus/RaftCore.ts
+++ b/packages/consensus/RaftCore.ts
@@ -304,6 +304,12 @@
     if (result.success) {
       this.#commitIndex = Math.max(this.#commitIndex, Math.min(message.commitIndex, result.matchIndex));
     }
+    if (result.success && message.entries.length === 0) {
+      // A heartbeat is answered at once, with what is synced: a leader must not step down because disks are slow.
+      const matchIndex = Math.min(result.matchIndex, this.#outbox.durableIndex);
+      this.#outbox.send(from, { ...reply, term: this.term, success: true, matchIndex });
+      return;
+    }
     this.#outbox.sendAfterPersist(from, { ...reply, term: this.term, ...result });
   }
 
--- a/packages/consensus/test/Cluster.ts
+++ b/packages/consensus/test/Cluster.ts
@@ -24,6 +24,8 @@
   readonly seed: number;
   readonly lossShare: number;
   readonly slots?: number;
+  /** Shortest time of a sync. */
+  readonly syncMs?: number;
   /** Faults of the surroundings, to show that the checks find them. */
   readonly answersBeforeSync?: boolean;
   readonly keepsIdAfterDiskLoss?: boolean;
@@ -239,7 +241,7 @@
       this.#send(node, action.to, action.message);
     } else if (action.kind === RaftActionKind.Persist) {
       const isReported = this.#options.answersBeforeSync === true;
-      const dueMs = this.#nowMs + Math.floor(this.#random() * 10) * stepMs;
+      const dueMs = this.#nowMs + (this.#options.syncMs ?? 0) + Math.floor(this.#random() * 10) * stepMs;
       const previousMs = node.syncs.at(-1)?.dueMs ?? 0;
       node.syncs.push({ persist: action, dueMs: Math.max(dueMs, previousMs), isReported });
       if (isReported) {
--- a/packages/consensus/test/raftCore.test.ts
+++ b/packages/consensus/test/raftCore.test.ts
@@ -90,6 +90,23 @@
   t.end();
 });
 
+// Guards against disks whose syncs outlast the election timeout: followers that answered heartbeats only after a
+// sync made each leader step down, and candidates gave up before their own vote was stored.
+t.test("slow disks elect a lasting leader", (t) => {
+  for (let seed = 1; seed <= 20; seed += 1) {
+    const cluster = new Cluster({ seed, lossShare: 0, slots: 3, syncMs: 1500 });
+    cluster.run(15_000);
+    const leaders = cluster.nodes.filter(({ core }) => core?.role === RaftRole.Leader);
+    t.equal(leaders.length, 1, `leaders with seed ${seed}`);
+    const term = leaders[0]?.core?.term;
+    cluster.proposeEverywhere();
+    cluster.run(10_000);
+    t.equal(leaders[0]?.core?.term, term, `term with seed ${seed}`);
+    t.ok(cluster.acknowledged.size > 0, `acknowledged with seed ${seed}`);
+  }
+  t.end();
+});
+
 // Guards against two leaders in a term, lost or changed committed entries, overlapping leases, lost
 // acknowledged proposals, and a group that stays stuck after the faults end.
 t.test("rules hold under loss, crashes, lost disks, freezes and drift", (t) => {
--- a/packages/consensus/test/raftRules.test.ts
+++ b/packages/consensus/test/raftRules.test.ts
@@ -99,6 +99,45 @@
   t.end();
 });
 
+// Guards against a candidate on slow disks that asks for the next term before the stored votes arrive.
+t.test("late vote counts while its term lasts", (t) => {
+  const core = createCore();
+  core.tick(500);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 510);
+  settle(core, 510);
+  core.tick(1100);
+  t.equal(core.role, RaftRole.PreCandidate);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: 3, granted: true }, 1110);
+  t.equal(core.role, RaftRole.Leader);
+  t.end();
+});
+
+// Guards against a restarted leader that leads its old term again without the entries that it had not stored.
+t.test("vote from before a restart does not count", (t) => {
+  const entries = [{ index: 1, term: 1, data: null, membership }];
+  const core = new RaftCore({ replicaId: "a", term: 3, vote: "a", snapshot: null, entries }, options, 0);
+  core.tick(500);
+  for (const voter of ["b", "c"]) {
+    core.receive(voter, { kind: RaftMessageKind.VoteReply, term: 3, granted: true }, 510);
+  }
+  t.equal(core.role, RaftRole.PreCandidate);
+  t.end();
+});
+
+// Guards against a leader that steps down since its followers' disks are slow, and against one that counts an entry
+// as stored on the word of a heartbeat.
+t.test("heartbeat is answered before the sync of earlier entries", (t) => {
+  const core = createCore("b");
+  const append = { kind: RaftMessageKind.Append as const, term: 2, round: 1, sentAtMs: 5, commitIndex: 0 };
+  const entry = { index: 3, term: 2, data, membership: null };
+  core.receive("a", { ...append, prevIndex: 2, prevTerm: 2, entries: [entry] }, 10);
+  const kinds = core.takeActions().map(({ kind }) => kind);
+  t.same(kinds, [RaftActionKind.Persist]);
+  core.receive("a", { ...append, round: 2, prevIndex: 3, prevTerm: 2, entries: [] }, 20);
+  t.match(core.takeActions(), [{ kind: RaftActionKind.Send, message: { success: true, matchIndex: 2 } }]);
+  t.end();
+});
+
 // Guards against two overlapping membership changes, and one before the leader's own entry is committed.
 t.test("one membership change at a time", (t) => {
   const core = createLeader();
--- a/packages/system/test/config.test.ts
+++ b/packages/system/test/config.test.ts
@@ -67,11 +67,9 @@
 // Guards against an entry that serves without control, cuts streams when it loses control, or reverts later.
 t.test("entry cut off from control refuses, then catches up", async (t) => {
   const proxies = new RelayProxies(["entry-1"]);
+  t.teardown(() => proxies.close());
   const fleet = await SystemFleet.start({ engineCount: 1, mapRelays: proxies.mapRelays });
-  t.teardown(async () => {
-    await fleet.stop();
-    await proxies.close();
-  });
+  t.teardown(() => fleet.stop());
   const [url = "", otherUrl = ""] = fleet.entryUrls;
   await waitUntil("both entries in the address list", async () => {
     const body = (await (await requestHttp(`${url}/v1/addresses`)).body.json()) as { addresses: string[] };
--- a/packages/system/test/drain.test.ts
+++ b/packages/system/test/drain.test.ts
@@ -37,11 +37,9 @@
 
 async function checkDrain(t: Test, isolated: string | null, url = 0): Promise<SystemFleet> {
   const proxies = new RelayProxies(isolated === null ? [] : [isolated]);
+  t.teardown(() => proxies.close());
   const fleet = await SystemFleet.start({ mapRelays: proxies.mapRelays });
-  t.teardown(async () => {
-    await fleet.stop();
-    await proxies.close();
-  });
+  t.teardown(() => fleet.stop());
   const load = runLight(fleet.entryUrls[url] ?? "", watchedMs + 4000, 5, 20);
   const before = await getStarted(fleet);
   await waitUntil("work on the target", async () => ((await getStarted(fleet)) > before + 3 ? true : null));
