--- a/packages/policy/admission/TeamLimits.ts
+++ b/packages/policy/admission/TeamLimits.ts
@@ -2,7 +2,7 @@
 import { DemandMeter } from "./DemandMeter";
 import type { LimitShare } from "./LimitShare";
 import type { TeamDemand } from "./TeamDemand";
-import { TokenBucket } from "./TokenBucket";
+import { TokenBucket } from "@clementinemux/common/TokenBucket";
 import { unleasedPart } from "./unleasedPart";
 
 interface TeamBuckets {
