Serve metrics of gateway, coordinator and ranker; relay events in a class of their own

Counters for every end of a request, reason of a repeat, document, map and order; histograms for first events, pauses as sent and as seen, waits for a place, whole answers, acknowledgements, activations and loop delay; gauges for views with their age.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -7,6 +7,7 @@
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { PeerLinks } from "../PeerLinks";
+import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupConductor } from "./GroupConductor";
 import { RankLink } from "./RankLink";
 
@@ -20,6 +21,7 @@
   /** Opens the direct way to a rank at its address. */
   readonly openRank: (address: string) => RankClient;
   readonly notePace: (target: string, pace: number) => void;
+  readonly metrics: CoordinatorMetrics;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -107,8 +109,9 @@
     if (known !== undefined) {
       return known;
     }
-    const { clock, logger } = this.#options;
-    const conductor = new GroupConductor({ group, figures, getFence: () => this.#term, clock, logger });
+    const { clock, metrics, logger } = this.#options;
+    const getFence = (): number => this.#term;
+    const conductor = new GroupConductor({ group, figures, getFence, clock, metrics, logger });
     this.#groups.set(group, conductor);
     return conductor;
   }
@@ -128,9 +131,10 @@
     if (known !== undefined) {
       return known;
     }
-    const { links, framePort, openRank, logger } = this.#options;
+    const { links, framePort, openRank, metrics, logger } = this.#options;
     const rankerAddress = `${parseAddress(address).host}:${framePort}`;
-    const link = new RankLink({ links, rankerAddress, direct: openRank(address), logger });
+    const direct = openRank(address);
+    const link = new RankLink({ links, rankerAddress, direct, orders: metrics.orders, logger });
     this.#links.set(address, link);
     return link;
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -8,6 +8,8 @@
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
+import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import { MapOutcome } from "./MapOutcome";
 import type { RankLink } from "./RankLink";
 
 interface GroupConductorOptions {
@@ -15,6 +17,7 @@
   readonly figures: ExpertFigures;
   readonly getFence: () => number;
   readonly clock: Clock;
+  readonly metrics: CoordinatorMetrics;
   readonly logger: Logger;
 }
 
@@ -105,6 +108,7 @@
     const isVoid = goal !== null && (goal.epoch !== first.epoch || nowMs - this.#aimedAtMs > goalTimeoutMs);
     if (isVoid) {
       this.#options.logger.warn({ group: this.#options.group, version: goal.version }, "map abandoned");
+      this.#options.metrics.maps.add(MapOutcome.Abandoned);
       this.#activation.abandon();
     }
     if (this.#activation.goal !== null || this.#meter.total < leastChoices) {
@@ -117,7 +121,7 @@
   }
 
   #plan(states: readonly HeldRank[], present: RankHosting, nowMs: number): void {
-    const { group, figures, logger } = this.#options;
+    const { group, figures, metrics, logger } = this.#options;
     const { placements, spare } = figures;
     const loads = this.#meter.getLoads();
     const paces = this.#paces;
@@ -131,6 +135,7 @@
     this.#lastVersion = version;
     this.#aimedAtMs = nowMs;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
+    metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
     logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank, copies }, "map planned");
   }
@@ -138,11 +143,11 @@
   #adopt(): void {
     const { goal } = this.#activation;
     if (goal !== null) {
-      const tookMs = Math.round(this.#options.clock.monotonicMs() - this.#aimedAtMs);
-      this.#options.logger.info(
-        { group: this.#options.group, version: goal.version, tookMs },
-        "map in force",
-      );
+      const { group, clock, metrics, logger } = this.#options;
+      const tookMs = Math.round(clock.monotonicMs() - this.#aimedAtMs);
+      metrics.maps.add(MapOutcome.InForce);
+      metrics.activations.observeMs(tookMs);
+      logger.info({ group, version: goal.version, tookMs }, "map in force");
       this.#hosting = goal;
       this.#activation.abandon();
     }
--- a/packages/control/ranks/RankLink.ts
+++ b/packages/control/ranks/RankLink.ts
@@ -2,8 +2,11 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import type { Counters } from "@clementinemux/metrics/Counters";
+import type { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import { getOrderOutcome } from "@clementinemux/ranker/getOrderOutcome";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import type { PeerLinks } from "../PeerLinks";
@@ -14,6 +17,7 @@
   readonly rankerAddress: string;
   /** The rank itself, used when the process beside it does not answer; that way is priced by the platform. */
   readonly direct: RankClient;
+  readonly orders: Counters<OrderOutcome>;
   readonly logger: Logger;
 }
 
@@ -47,12 +51,13 @@
    * replaced within a second or two.
    */
   async order(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { direct } = this.#options;
+    const { direct, orders } = this.#options;
     const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
-    if (isDirect) {
-      return (await direct.order(order, fence)) ?? this.#orderByRanker(fence, order);
-    }
-    return (await this.#orderByRanker(fence, order)) ?? direct.order(order, fence);
+    const answer = isDirect
+      ? ((await direct.order(order, fence)) ?? (await this.#orderByRanker(fence, order)))
+      : ((await this.#orderByRanker(fence, order)) ?? (await direct.order(order, fence)));
+    orders.add(getOrderOutcome(answer));
+    return answer;
   }
 
   async #orderByRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,4 +1,7 @@
+import type { Server } from "node:http";
 import { periodic } from "most";
+import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
+import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { PaceBoard } from "@clementinemux/registry/PaceBoard";
@@ -15,13 +18,16 @@
 import { GroupHost } from "../GroupHost";
 import { PeerLinks } from "../PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
+import { CoordinatorMetrics } from "./CoordinatorMetrics";
 import type { CoordinatorOptions } from "./CoordinatorOptions";
 import type { CoordinatorStatus } from "./CoordinatorStatus";
+import { DocumentOutcome } from "./DocumentOutcome";
 import { DocumentService } from "./DocumentService";
 import { Exchange } from "./Exchange";
 import { PeerBook } from "./PeerBook";
 import { RouteMachine } from "./RouteMachine";
 import { Steward } from "./Steward";
+import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
 const groupName = "routes";
@@ -43,6 +49,7 @@
   readonly targets = new TargetRegistry();
   readonly entries = new EntryRegistry();
   readonly paces = new PaceBoard();
+  readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
   readonly #host: GroupHost;
   readonly #links = new PeerLinks(undefined);
@@ -56,6 +63,8 @@
   #exchange: Exchange | null = null;
   #steward: Steward | null = null;
   #table: RouteTable | null = null;
+  #metricsServer: Server | null = null;
+  #loopDelay: LoopDelayMeter | null = null;
   #tickedAtMs = 0;
   #isClosed = false;
 
@@ -102,6 +111,7 @@
       clock,
     });
     await this.#server.listen(host, framePort);
+    await this.#serveMetrics();
     this.#peers.learn(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
     this.#repeat(tickIntervalMs, "tick", () => {
@@ -120,12 +130,23 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#links.close();
+    this.#metricsServer?.close();
+    this.#loopDelay?.stop();
     await this.#server.close();
   }
 
   /** Stores a valid document durably; rejects when the outcome is not known or nothing was stored. */
   async submitDocument(document: StoredDocument): Promise<void> {
-    await this.#requireDocuments().propose(document);
+    const { clock } = this.#options;
+    const startedAtMs = clock.monotonicMs();
+    try {
+      await this.#requireDocuments().propose(document);
+    } catch (error) {
+      this.metrics.documents.add(DocumentOutcome.Unknown);
+      throw error;
+    }
+    this.metrics.documents.add(DocumentOutcome.Acknowledged);
+    this.metrics.acknowledgements.observeMs(clock.monotonicMs() - startedAtMs);
   }
 
   /** The newest accepted document; rejects when this process cannot be sure which one that is. */
@@ -178,6 +199,19 @@
     };
   }
 
+  async #serveMetrics(): Promise<void> {
+    const { host, metricsPort, clock } = this.#options;
+    if (metricsPort === null) {
+      return;
+    }
+    const loopDelay = new LoopDelayMeter("clementinemux_coordinator_loop_delay_seconds", clock);
+    loopDelay.start();
+    this.#loopDelay = loopDelay;
+    const render = (): string =>
+      this.metrics.render() + loopDelay.histogram.render() + renderStatus(this.getStatus());
+    this.#metricsServer = await serveMetrics({ host, port: metricsPort, render });
+  }
+
   #createConductor(group: ReplicatedGroup): Conductor {
     const { framePort, openRank, clock, logger } = this.#options;
     return new Conductor({
@@ -190,6 +224,7 @@
       notePace: (id, pace) => {
         this.paces.note(id, pace, clock.monotonicMs());
       },
+      metrics: this.metrics,
       clock,
       logger,
     });
--- /dev/null
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -0,0 +1,31 @@
+import { Counters } from "@clementinemux/metrics/Counters";
+import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
+import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { MapOutcome } from "../ranks/MapOutcome";
+import { DocumentOutcome } from "./DocumentOutcome";
+
+/** Counters and times of a coordinator. */
+export class CoordinatorMetrics {
+  readonly documents = new Counters(
+    "clementinemux_coordinator_documents",
+    "outcome",
+    Object.values(DocumentOutcome),
+  );
+  readonly maps = new Counters("clementinemux_coordinator_maps", "outcome", Object.values(MapOutcome));
+  readonly orders = new Counters("clementinemux_coordinator_orders", "outcome", Object.values(OrderOutcome));
+  /** From the arrival of a document to its acknowledgement. */
+  readonly acknowledgements = new TimeHistogram("clementinemux_coordinator_acknowledgement_seconds");
+  /** From the plan of a map until it is in force on all ranks. */
+  readonly activations = new TimeHistogram("clementinemux_coordinator_activation_seconds");
+
+  render(): string {
+    return [
+      renderCounters(this.documents),
+      renderCounters(this.maps),
+      renderCounters(this.orders),
+      this.acknowledgements.render(),
+      this.activations.render(),
+    ].join("");
+  }
+}
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -10,6 +10,8 @@
   readonly name: string;
   readonly host: string;
   readonly framePort: number;
+  /** Port of the metrics page; null serves none. */
+  readonly metricsPort: number | null;
   readonly failureDomain: string;
   /** Folder of the replica's files. */
   readonly dataFolder: string;
--- /dev/null
+++ b/packages/control/routes/renderStatus.ts
@@ -0,0 +1,21 @@
+import { renderGauges } from "@clementinemux/metrics/renderGauges";
+import type { CoordinatorStatus } from "./CoordinatorStatus";
+
+const msPerS = 1000;
+
+/** State of a coordinator as gauges in Prometheus text form. */
+export function renderStatus(status: CoordinatorStatus): string {
+  const { role, term, isVoter, voters, commitIndex, appliedIndex, documentVersion, ageMs } = status;
+  return renderGauges({
+    clementinemux_coordinator_leader: role === "leader" ? 1 : 0,
+    clementinemux_coordinator_term: term,
+    clementinemux_coordinator_voter: isVoter ? 1 : 0,
+    clementinemux_coordinator_voters: voters,
+    clementinemux_coordinator_commit_index: commitIndex,
+    clementinemux_coordinator_applied_index: appliedIndex,
+    clementinemux_coordinator_document_version: documentVersion,
+    clementinemux_coordinator_knowledge_age_seconds: ageMs === null ? null : ageMs / msPerS,
+    clementinemux_coordinator_targets: status.targets,
+    clementinemux_coordinator_gateways: status.entries,
+  });
+}
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -33,6 +33,7 @@
       name: `c-${index}`,
       host: "127.0.0.1",
       framePort: this.#ports[index] ?? 0,
+      metricsPort: null,
       failureDomain: `d-${index}`,
       dataFolder: this.#folders[index],
       isBootstrap,
--- /dev/null
+++ b/packages/gateway/EventRelay.ts
@@ -0,0 +1,127 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { AnswerWriter } from "./AnswerWriter";
+import type { EventPacer } from "./EventPacer";
+
+interface EventRelayOptions {
+  readonly writer: AnswerWriter;
+  readonly pacer: EventPacer;
+  readonly clock: Clock;
+  /** Told the time between two events as they arrived, in ms. */
+  readonly onGap: (gapMs: number) => void;
+}
+
+interface HeldEvent {
+  readonly bytes: Buffer;
+  readonly atMs: number;
+}
+
+/** Side of a stream that is stopped while its caller does not read. */
+interface StreamSource {
+  pause(): void;
+  resume(): void;
+}
+
+/** Passes the events of one stream on to its caller: each once, in order, at the times that its pacer chooses. */
+export class EventRelay {
+  readonly #options: EventRelayOptions;
+  #held: HeldEvent[] = [];
+  #timer: NodeJS.Timeout | null = null;
+  #source: StreamSource | null = null;
+  #onEnd: (() => void) | null = null;
+  #arrivedAtMs: number | null = null;
+  #passedOnAtMs: number | null = null;
+  #firstAtMs: number | null = null;
+  #longestArrivalGapMs = 0;
+  #longestGapMs = 0;
+  #events = 0;
+  #lastEventId: string | null = null;
+
+  constructor(options: EventRelayOptions) {
+    this.#options = options;
+  }
+
+  /** Id of the last event that was taken over; a resumed stream goes on behind it. */
+  get lastEventId(): string | null {
+    return this.#lastEventId;
+  }
+
+  /** What the caller has got, for the log; null times mean that there was no event. */
+  get summary() {
+    return {
+      firstEventAtMs: this.#firstAtMs,
+      events: this.#events,
+      longestGapMs: Math.round(this.#longestGapMs),
+      longestArrivalGapMs: Math.round(this.#longestArrivalGapMs),
+    };
+  }
+
+  /** Takes over an event. Returns whether it is new: a resumed stream may repeat what the caller already holds. */
+  push(bytes: Buffer, id: string | null, source: StreamSource): boolean {
+    if (id !== null && this.#lastEventId !== null && Number(id) <= Number(this.#lastEventId)) {
+      return false;
+    }
+    const nowMs = this.#options.clock.monotonicMs();
+    if (this.#arrivedAtMs !== null) {
+      const gapMs = nowMs - this.#arrivedAtMs;
+      this.#longestArrivalGapMs = Math.max(this.#longestArrivalGapMs, gapMs);
+      this.#options.onGap(gapMs);
+    }
+    this.#arrivedAtMs = nowMs;
+    this.#events += 1;
+    this.#lastEventId = id ?? this.#lastEventId;
+    this.#source = source;
+    this.#held.push({ bytes, atMs: this.#options.pacer.schedule(nowMs) });
+    this.#passOn();
+    return true;
+  }
+
+  /** Ends the answer after the last event. */
+  end(onEnd: () => void): void {
+    this.#onEnd = onEnd;
+    this.#passOn();
+  }
+
+  /** Passes on at once what is held, and ends the answer if its last event has arrived. */
+  flush(): void {
+    this.#held = this.#held.map(({ bytes }) => ({ bytes, atMs: -Infinity }));
+    this.#passOn();
+  }
+
+  /** Drops what is held, as when the caller has left. */
+  cancel(): void {
+    this.#held = [];
+    this.#onEnd = null;
+    clearTimeout(this.#timer ?? undefined);
+  }
+
+  #passOn(): void {
+    clearTimeout(this.#timer ?? undefined);
+    const nowMs = this.#options.clock.monotonicMs();
+    while (this.#held[0] !== undefined && this.#held[0].atMs <= nowMs) {
+      this.#write(this.#held[0].bytes, nowMs);
+      this.#held.shift();
+    }
+    const [next] = this.#held;
+    if (next !== undefined) {
+      this.#timer = setTimeout(() => {
+        this.#passOn();
+      }, next.atMs - nowMs);
+    } else if (this.#onEnd !== null) {
+      const onEnd = this.#onEnd;
+      this.#onEnd = null;
+      this.#options.writer.end();
+      onEnd();
+    }
+  }
+
+  #write(bytes: Buffer, nowMs: number): void {
+    const source = this.#source;
+    this.#longestGapMs = Math.max(this.#longestGapMs, nowMs - (this.#passedOnAtMs ?? nowMs));
+    this.#passedOnAtMs = nowMs;
+    this.#firstAtMs ??= nowMs;
+    const isFree = this.#options.writer.write(bytes, () => source?.resume());
+    if (!isFree) {
+      source?.pause();
+    }
+  }
+}
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -37,7 +37,12 @@
 
   /** Whether the document is known to be recent enough to serve by it. */
   isFresh(nowMs: number): boolean {
-    return this.#state.table !== null && nowMs - this.#freshAtMs < freshMs;
+    return this.#state.table !== null && this.getAgeMs(nowMs) < freshMs;
+  }
+
+  /** Age of the knowledge that no newer document exists, in ms; infinite when there is none. */
+  getAgeMs(nowMs: number): number {
+    return nowMs - this.#freshAtMs;
   }
 
   /**
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -2,18 +2,19 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { periodic } from "most";
-import { Counters } from "@clementinemux/metrics/Counters";
+import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
+import { renderGauges } from "@clementinemux/metrics/renderGauges";
+import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
 import type { GatewayContext } from "./GatewayContext";
+import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { Intake } from "./Intake";
 import { PassMeter } from "./PassMeter";
 import { RepeatBudget } from "./RepeatBudget";
-import { RepeatReason } from "./RepeatReason";
-import { RequestEnd } from "./RequestEnd";
 import { TargetAgent } from "./TargetAgent";
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
@@ -35,8 +36,7 @@
 /** Takes callers' requests, and forwards each to a target of the service that its route names. */
 export class Gateway {
   readonly view: FleetView;
-  readonly ends = new Counters("clementinemux_gateway_ends", "end", Object.values(RequestEnd));
-  readonly repeats = new Counters("clementinemux_gateway_repeats", "reason", Object.values(RepeatReason));
+  readonly metrics = new GatewayMetrics();
   readonly #options: GatewayOptions;
   readonly #sync: FleetSync;
   readonly #loads: TargetLoads;
@@ -47,8 +47,10 @@
   readonly #sockets = new Set<Socket>();
   readonly #incarnation: string;
   readonly #intake: Intake;
+  readonly #loopDelay: LoopDelayMeter;
   #server: Server | null = null;
   #readiness: Server | null = null;
+  #metricsServer: Server | null = null;
   #limits = firstLimits;
   #isStopping = false;
   #isClosed = false;
@@ -58,6 +60,7 @@
     this.#options = options;
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
+    this.#loopDelay = new LoopDelayMeter("clementinemux_gateway_loop_delay_seconds", clock);
     this.#loads = new TargetLoads(() => this.view.state);
     this.#sync = new FleetSync({
       view: this.view,
@@ -79,7 +82,7 @@
   }
 
   async start(): Promise<void> {
-    const { host, callerPort, readyPort, readyPath, name, logger } = this.#options;
+    const { host, callerPort, readyPort, readyPath, metricsPort, name, logger } = this.#options;
     this.#sync.start();
     this.#server = this.#createServer();
     await listen(this.#server, callerPort, host);
@@ -88,6 +91,11 @@
       response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
     });
     await listen(this.#readiness, readyPort, host);
+    if (metricsPort !== null) {
+      const render = (): string => this.renderMetrics();
+      this.#metricsServer = await serveMetrics({ host, port: metricsPort, render });
+    }
+    this.#loopDelay.start();
     void periodic(housekeepingMs)
       .takeWhile(() => !this.#isClosed)
       .observe(() => {
@@ -96,6 +104,21 @@
     logger.info({ name, address: `${host}:${callerPort}` }, "gateway started");
   }
 
+  /** Metrics as Prometheus text. */
+  renderMetrics(): string {
+    const { state, version } = this.view;
+    const gauges = {
+      clementinemux_gateway_requests_in_flight: this.inFlight,
+      clementinemux_gateway_document_version: version,
+      clementinemux_gateway_view_age_seconds:
+        this.view.getAgeMs(this.#options.leaseClock.monotonicMs()) / 1000,
+      clementinemux_gateway_targets: state.targets.length,
+      clementinemux_gateway_live_gateways: state.liveEntries,
+      clementinemux_gateway_ready: this.isReady ? 1 : 0,
+    };
+    return this.metrics.render() + this.#loopDelay.histogram.render() + renderGauges(gauges);
+  }
+
   /** Stops taking new callers, finishes what was read, and resolves when the process may end. */
   async shutDown(): Promise<void> {
     if (this.#isStopping) {
@@ -125,6 +148,8 @@
     this.#sync.close();
     this.#server?.close();
     this.#readiness?.close();
+    this.#metricsServer?.close();
+    this.#loopDelay.stop();
     for (const socket of this.#sockets) {
       socket.destroy();
     }
@@ -140,8 +165,7 @@
       view: this.view,
       loads: this.#loads,
       health: this.#health,
-      ends: this.ends,
-      repeats: this.repeats,
+      metrics: this.metrics,
       getBudget: (service) => {
         const known = this.#budgets.get(service);
         const budget =
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,10 +1,8 @@
-import type { Counters } from "@clementinemux/metrics/Counters";
 import type { FleetView } from "./FleetView";
+import type { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import type { PassMeter } from "./PassMeter";
 import type { RepeatBudget } from "./RepeatBudget";
-import type { RepeatReason } from "./RepeatReason";
-import type { RequestEnd } from "./RequestEnd";
 import type { TargetAgent } from "./TargetAgent";
 import type { TargetHealth } from "./TargetHealth";
 import type { TargetLoads } from "./TargetLoads";
@@ -15,8 +13,7 @@
   readonly view: FleetView;
   readonly loads: TargetLoads;
   readonly health: TargetHealth;
-  readonly ends: Counters<RequestEnd>;
-  readonly repeats: Counters<RepeatReason>;
+  readonly metrics: GatewayMetrics;
   readonly getBudget: (service: string) => RepeatBudget;
   readonly getPassMeter: (service: string) => PassMeter;
   readonly getAgent: (address: string) => TargetAgent;
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -10,6 +10,8 @@
   readonly callerPort: number;
   readonly readyPort: number;
   readonly readyPath: string;
+  /** Port of the metrics page; null serves none. */
+  readonly metricsPort: number | null;
   readonly failureDomain: string;
   /** Frame addresses of coordinators; hints that may be outdated. */
   readonly seeds: readonly string[];
@@ -18,6 +20,8 @@
   readonly repeatWindowMs: number;
   /** Time from the signal to stop until the process is killed. */
   readonly graceMs: number;
+  /** Longest time that an event of a stream is held back to even out pauses; 0 passes each on at once. */
+  readonly maxHoldMs: number;
   readonly codec: WireCodec;
   readonly clock: Clock;
   /** Clock that includes suspensions, for how long the gateway may act on what it knows. */
--- a/packages/gateway/Intake.ts
+++ b/packages/gateway/Intake.ts
@@ -103,9 +103,9 @@
   }
 
   #answer(response: ServerResponse, end: OwnEnd, request: IncomingMessage): void {
-    const { ends, isStopping, options, view } = this.#context;
+    const { metrics, isStopping, options, view } = this.#context;
     const { status, text } = ownAnswers[end];
-    ends.add(end);
+    metrics.ends.add(end);
     options.logger.info(
       { host: getHostName(request), end, status, version: view.version },
       "request refused",
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -6,6 +6,8 @@
 import { Attempt } from "./Attempt";
 import { AttemptOutcome } from "./AttemptOutcome";
 import { CallFailure } from "./CallFailure";
+import { EventPacer } from "./EventPacer";
+import { EventRelay } from "./EventRelay";
 import type { GatewayContext } from "./GatewayContext";
 import { NextStep } from "./NextStep";
 import { RepeatReason } from "./RepeatReason";
@@ -42,6 +44,7 @@
   readonly #context: GatewayContext;
   readonly #arrival: Arrival;
   readonly #writer: AnswerWriter;
+  readonly #relay: EventRelay;
   readonly #endMs: number;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
@@ -51,11 +54,6 @@
   #mayHaveRun = false;
   /** Failure of a target that is delivered when no better answer comes. */
   #fallback: WholeAnswer | null = null;
-  #lastEventId: string | null = null;
-  #firstEventMs: number | null = null;
-  #lastEventAtMs = 0;
-  #longestGapMs = 0;
-  #events = 0;
   #isEnded = false;
 
   constructor(context: GatewayContext, arrival: Arrival) {
@@ -63,6 +61,16 @@
     this.#context = context;
     this.#arrival = arrival;
     this.#writer = new AnswerWriter(response, context.isStopping);
+    const { maxHoldMs, clock } = context.options;
+    this.#relay = new EventRelay({
+      writer: this.#writer,
+      pacer: new EventPacer({ maxHoldMs, gapObjectiveMs: route.gapObjectiveMs }),
+      clock,
+      onGap: (gapMs) => {
+        context.metrics.pauses.observeMs(gapMs);
+        context.getPassMeter(arrival.service.name).note(gapMs, this.#now());
+      },
+    });
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
     this.#timer = setTimeout(
       () => {
@@ -130,15 +138,15 @@
       this.#giveUp(this.#sends === 0 ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
       return;
     }
-    const { options, loads, getAgent } = this.#context;
-    const { caller, request, body, team, route } = this.#arrival;
+    const { options, loads, getAgent, metrics } = this.#context;
+    const { caller, request, body, team, route, arrivedAtMs } = this.#arrival;
     const { host, port } = parseAddress(target.address);
     const leftMs = this.#endMs - this.#now();
     const context = {
       targetId: target.id,
       team,
       leftMs,
-      resumeAfter: this.#lastEventId,
+      resumeAfter: this.#relay.lastEventId,
       urgency: null,
     };
     const headers = options.codec.createTargetHeaders(request.rawHeaders, context);
@@ -146,6 +154,9 @@
       headers.push("Content-Length", String(body.length));
     }
     this.#tried.add(target.id);
+    if (this.#sends === 0) {
+      metrics.placeWaits.observeMs(this.#now() - arrivedAtMs);
+    }
     this.#sends += 1;
     loads.begin(target.id);
     const canRepeat = this.#isRepeatable && this.#sends < route.attempts;
@@ -226,37 +237,16 @@
   }
 
   #onEvent(attempt: Attempt, bytes: Buffer, id: string | null): void {
-    if (this.#isEnded || (id !== null && !this.#isNext(id))) {
-      return;
+    if (!this.#isEnded && this.#relay.push(bytes, id, attempt)) {
+      this.#mayHaveRun = true;
     }
-    this.#mayHaveRun = true;
-    const nowMs = this.#now();
-    if (this.#events > 0) {
-      const gapMs = nowMs - this.#lastEventAtMs;
-      this.#longestGapMs = Math.max(this.#longestGapMs, gapMs);
-      this.#context.getPassMeter(this.#arrival.service.name).note(gapMs, nowMs);
-    }
-    this.#firstEventMs ??= nowMs - this.#arrival.arrivedAtMs;
-    this.#lastEventAtMs = nowMs;
-    this.#events += 1;
-    this.#lastEventId = id ?? this.#lastEventId;
-    const isFree = this.#writer.write(bytes, () => {
-      attempt.resume();
-    });
-    if (!isFree) {
-      attempt.pause();
-    }
-  }
-
-  /** A resumed stream may repeat what the caller already holds. */
-  #isNext(id: string): boolean {
-    return this.#lastEventId === null || !(Number(id) <= Number(this.#lastEventId));
   }
 
   #onComplete(attempt: Attempt): void {
     this.#context.health.noteGood(attempt.targetId);
-    this.#writer.end();
-    this.#end(RequestEnd.Answered, null);
+    this.#relay.end(() => {
+      this.#end(RequestEnd.Answered, null);
+    });
   }
 
   #onNotRun(attempt: Attempt, faulty: string | null): void {
@@ -288,7 +278,7 @@
 
   /** Sends the request again when that is safe, allowed and of use. Returns whether it did. */
   #repeat(outcome: AttemptOutcome): boolean {
-    const { view, getBudget, repeats } = this.#context;
+    const { view, getBudget, metrics } = this.#context;
     const { route, service } = this.#arrival;
     const nowMs = this.#now();
     const step = decideNextStep({
@@ -305,12 +295,13 @@
     if (this.#isEnded || !isAllowed) {
       return false;
     }
-    repeats.add(this.#writer.hasStarted ? RepeatReason.Resume : repeatReasons[outcome]);
+    metrics.repeats.add(this.#writer.hasStarted ? RepeatReason.Resume : repeatReasons[outcome]);
     this.#send();
     return true;
   }
 
   #onTimeout(): void {
+    this.#relay.flush();
     this.#attempt?.cancel();
     this.#mayHaveRun ||= this.#attempt?.isSent ?? false;
     this.#giveUp(RequestEnd.TimedOut, "timeout of the route");
@@ -323,8 +314,7 @@
     }
     const { service } = this.#arrival;
     if (this.#writer.hasStarted) {
-      this.#end(RequestEnd.StreamBroken, null);
-      this.#writer.breakOff();
+      this.#breakOff();
     } else if (this.#fallback !== null) {
       this.#deliver(this.#fallback, RequestEnd.TargetFailure);
     } else if (this.#mayHaveRun) {
@@ -343,14 +333,20 @@
       return;
     }
     if (this.#writer.hasStarted) {
-      this.#end(RequestEnd.StreamBroken, null);
-      this.#writer.breakOff();
+      this.#breakOff();
       return;
     }
+    this.#context.metrics.answers.observeMs(this.#now() - this.#arrival.arrivedAtMs);
     this.#writer.sendWhole(status, headers, body);
     this.#end(end, status);
   }
 
+  #breakOff(): void {
+    this.#relay.flush();
+    this.#end(RequestEnd.StreamBroken, null);
+    this.#writer.breakOff();
+  }
+
   #end(end: RequestEnd, status: number | null): void {
     if (this.#isEnded) {
       return;
@@ -359,9 +355,15 @@
     clearTimeout(this.#timer);
     clearTimeout(this.#waitTimer ?? undefined);
     this.#attempt?.cancel();
-    const { ends, options, view } = this.#context;
-    ends.add(end);
+    this.#relay.cancel();
+    const { metrics, options, view } = this.#context;
+    metrics.ends.add(end);
     const { caller, route, service, arrivedAtMs } = this.#arrival;
+    const { firstEventAtMs, ...summary } = this.#relay.summary;
+    if (firstEventAtMs !== null) {
+      metrics.firstEvents.observeMs(firstEventAtMs - arrivedAtMs);
+      metrics.longestPauses.observeMs(summary.longestGapMs);
+    }
     options.logger.info(
       {
         id: caller.requestId,
@@ -370,9 +372,8 @@
         end,
         status,
         targets: [...this.#tried],
-        firstEventMs: this.#firstEventMs === null ? null : Math.round(this.#firstEventMs),
-        events: this.#events,
-        longestGapMs: Math.round(this.#longestGapMs),
+        ...summary,
+        firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
         tookMs: Math.round(this.#now() - arrivedAtMs),
         version: view.version,
       },
--- a/packages/gateway/test/forwarding.test.ts
+++ b/packages/gateway/test/forwarding.test.ts
@@ -29,6 +29,19 @@
   await stop();
 });
 
+// Guards against ends and times that the metrics page does not show.
+t.test("metrics tell how requests ended", async (t) => {
+  const { gateway, call, stop } = await startGateway(createDocument(1), [createTarget()]);
+  await call({ path: "/p0/" }, "r1");
+  await call({ path: "/none/" }, "r2");
+  const text = gateway.renderMetrics();
+  t.match(text, 'clementinemux_gateway_ends{end="answered"} 1\n');
+  t.match(text, 'clementinemux_gateway_ends{end="no_route"} 1\n');
+  t.match(text, "clementinemux_gateway_answer_seconds_count 1\n");
+  t.match(text, "clementinemux_gateway_document_version 1\n");
+  await stop();
+});
+
 t.test("unknown keys, routes and too large bodies are refused", async (t) => {
   const target = createTarget();
   const { call, stop } = await startGateway(createDocument(1, [{}, { isPublic: true }]), [target]);
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -70,6 +70,8 @@
     repeatSlack: 100,
     repeatWindowMs: 10_000,
     graceMs: 4000,
+    metricsPort: null,
+    maxHoldMs: 80,
     codec: new TestCodec(),
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
--- /dev/null
+++ b/packages/metrics/serveMetrics.ts
@@ -0,0 +1,29 @@
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+
+interface MetricsServerOptions {
+  readonly host: string;
+  readonly port: number;
+  /** Text of the page; called for each request. */
+  readonly render: () => string;
+}
+
+const path = "/metrics";
+
+/** Serves metrics as Prometheus text. Rejects when the address cannot be listened on. */
+export function serveMetrics({ host, port, render }: MetricsServerOptions): Promise<Server> {
+  const server = createServer((request, response) => {
+    const isKnown = request.method === "GET" && request.url?.split("?")[0] === path;
+    if (isKnown) {
+      response.writeHead(200, { "Content-Type": "text/plain; version=0.0.4" }).end(render());
+    } else {
+      response.writeHead(404).end();
+    }
+  });
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, () => {
+      resolve(server);
+    });
+  });
+}
--- /dev/null
+++ b/packages/metrics/test/metrics.test.ts
@@ -0,0 +1,34 @@
+import type { AddressInfo } from "node:net";
+import t from "tap";
+import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
+import { renderGauges } from "@clementinemux/metrics/renderGauges";
+import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
+
+// Guards against buckets that do not add up, which scrapers refuse.
+t.test("buckets are cumulative and end with all times", (t) => {
+  const histogram = new TimeHistogram("x_seconds");
+  for (const durationMs of [0.4, 1, 99, 120, 1e9]) {
+    histogram.observeMs(durationMs);
+  }
+  const text = histogram.render();
+  t.match(text, 'x_seconds_bucket{le="0.001"} 2\n');
+  t.match(text, 'x_seconds_bucket{le="0.12"} 4\n');
+  t.match(text, 'x_seconds_bucket{le="+Inf"} 5\n');
+  t.match(text, "x_seconds_count 5\n");
+  t.end();
+});
+
+t.test("gauges without a value are left out", (t) => {
+  const text = renderGauges({ a: 1, b: null, c: Infinity });
+  t.equal(text, "# TYPE a gauge\na 1\n# TYPE c gauge\nc +Inf\n");
+  t.end();
+});
+
+t.test("metrics are served on their path alone", async (t) => {
+  const server = await serveMetrics({ host: "127.0.0.1", port: 0, render: () => "a 1\n" });
+  t.teardown(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const answer = await fetch(`http://127.0.0.1:${port}/metrics`);
+  t.equal(await answer.text(), "a 1\n");
+  t.equal((await fetch(`http://127.0.0.1:${port}/other`)).status, 404);
+});
