Tell a request's story from the logs of several processes; log what a decision about a place was based on

explain REQUEST-ID FILE... (or - for standard input) prints the lines that name a request and what the fleet went through from 2 s before it, in order of time. Gateways now log each send (target, its load and pace, mean load, cap, mean gap, age of the view, time waited) and give the same figures with a refusal for want of a place. Headers of a send are made in a function of their own. Tests: order and selection of lines, lines of other programs, a request that nothing names.

--- a/packages/cli/commands/ExplainCommand.ts
+++ b/packages/cli/commands/ExplainCommand.ts
@@ -1,27 +1,70 @@
+import { readFileSync } from "node:fs";
+import { text as readText } from "node:stream/consumers";
 import { Command, Option } from "clipanion";
 import { request as requestHttp } from "undici";
 import { ExitCode } from "../ExitCode";
+import { findRequestStory } from "../findRequestStory";
+import { formatStory } from "../formatStory";
 
-/** `explain`. Any entry may be asked; only the one that handled the request knows it. */
+/** File name that stands for standard input. */
+const standardInput = "-";
+
+/** `explain`. Reads the logs of several processes, or asks entries, of which only the one that handled it knows. */
 export class ExplainCommand extends Command {
   static override paths = [["explain"]];
   static override usage = Command.Usage({
     category: "Fleet",
     description: "show why a request was refused, retried or routed as it was",
-    examples: [["Ask two entries", "$0 explain 4f1c... --entry http://10.0.0.1:8080,http://10.0.0.2:8080"]],
+    examples: [
+      ["Tell its story from the logs of several processes", "$0 explain 4f1c... logs/*.log"],
+      ["The same from standard input", "cat logs/*.log | $0 explain 4f1c... -"],
+      ["Ask two entries", "$0 explain 4f1c... --entry http://10.0.0.1:8080,http://10.0.0.2:8080"],
+    ],
   });
 
   requestId = Option.String({ name: "request-id" });
+  files = Option.Rest({ name: "log-file" });
   entry = Option.String("--entry", {
-    required: true,
     description: "URLs of entries, comma separated",
     env: "CLEMENTINEMUX_ENTRY",
   });
   token = Option.String("--token", { description: "a caller's token", env: "CLEMENTINEMUX_TOKEN" });
+  json = Option.Boolean("--json", false, { description: "print JSON" });
 
   override async execute(): Promise<number> {
+    if (this.files.length > 0) {
+      return this.#explainFromLogs();
+    }
+    if (this.entry === undefined) {
+      this.context.stderr.write('name log files, "-" for standard input, or entries with --entry\n');
+      return ExitCode.Usage;
+    }
+    return this.#askEntries(this.entry);
+  }
+
+  async #explainFromLogs(): Promise<number> {
+    const texts: string[] = [];
+    for (const file of this.files) {
+      try {
+        texts.push(file === standardInput ? await readText(this.context.stdin) : readFileSync(file, "utf8"));
+      } catch (error) {
+        const reason = error instanceof Error ? error.message : String(error);
+        this.context.stderr.write(`cannot read ${file}: ${reason}\n`);
+        return ExitCode.Usage;
+      }
+    }
+    const story = findRequestStory(texts.join("\n"), this.requestId);
+    if (story.length === 0) {
+      this.context.stderr.write(`no line names request "${this.requestId}"\n`);
+      return ExitCode.Refused;
+    }
+    this.context.stdout.write(`${this.json ? JSON.stringify(story, null, 2) : formatStory(story)}\n`);
+    return ExitCode.Done;
+  }
+
+  async #askEntries(entries: string): Promise<number> {
     const failures: string[] = [];
-    for (const url of this.entry.split(",")) {
+    for (const url of entries.split(",")) {
       try {
         const answer = await requestHttp(`${url}/v1/explain/${encodeURIComponent(this.requestId)}`, {
           headers: this.token === undefined ? {} : { authorization: `Bearer ${this.token}` },
--- /dev/null
+++ b/packages/cli/test/explain.test.ts
@@ -0,0 +1,41 @@
+import t from "tap";
+import { findRequestStory } from "@clementinemux/cli/findRequestStory";
+import { formatStory } from "@clementinemux/cli/formatStory";
+
+function createLine(timeMs: number, message: string, context: object): string {
+  return JSON.stringify({ context: { logLevel: 30, program: "p", ...context }, message, time: timeMs });
+}
+
+const lines = [
+  createLine(9000, "map planned", { name: "c-1", presentSkew: 2 }),
+  createLine(1000, "role changed", { name: "c-1", role: "leader" }),
+  `12.5 gateway-1 ${createLine(10_100, "request ended", { name: "g-1", id: "r1", end: "answered", tookMs: 300 })}`,
+  createLine(9900, "request sent", { name: "g-1", id: "r1", target: "t-1", attempt: 1 }),
+  createLine(9950, "attempt failed", { name: "g-1", id: "r2", target: "t-2" }),
+  createLine(9990, "order given", { name: "k-1", kind: "go" }),
+  "Segmentation fault {not ours",
+  "",
+];
+
+// Guards against lines that are lost or out of order because several processes wrote them.
+t.test("the story of a request is in order, with what the fleet went through", (t) => {
+  const story = findRequestStory(lines.join("\n"), "r1");
+  t.same(
+    story.map(({ event, isOwn }) => [event, isOwn]),
+    [
+      ["map planned", false],
+      ["request sent", true],
+      ["request ended", true],
+    ],
+  );
+  const text = formatStory(story);
+  t.match(text, /-900 +c-1 +map planned +presentSkew=2/);
+  t.match(text, /\* +\+0 +g-1 +request sent +id=r1 target=t-1 attempt=1/);
+  t.match(text, /\* +\+200 +g-1 +request ended/);
+  t.end();
+});
+
+t.test("a request that no line names has no story", (t) => {
+  t.same(findRequestStory(lines.join("\n"), "r9"), []);
+  t.end();
+});
--- /dev/null
+++ b/packages/gateway/Crowding.ts
@@ -0,0 +1,10 @@
+/** How full a service is, as far as a gateway knows; decides whether it runs one more request. */
+export interface Crowding {
+  readonly targets: number;
+  /** Requests in flight at a target, on average over all targets and gateways. */
+  readonly meanLoad: number;
+  /** Requests that each target should run at once. */
+  readonly cap: number;
+  /** Recent mean time between the events of a stream; null while it is not known. */
+  readonly meanGapMs: number | null;
+}
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -16,6 +16,7 @@
 export class FleetView {
   readonly #codec: WireCodec;
   #state: FleetState = { table: null, targets: [], othersInFlight: {}, paces: {}, liveEntries: 1 };
+  #openTargets = new Map<string, TargetRecord[]>();
   #registryState = "";
   #freshAtMs = -Infinity;
 
@@ -35,6 +36,11 @@
     return this.#registryState;
   }
 
+  /** Targets of a service that take requests. */
+  listOpenTargets(service: string): readonly TargetRecord[] {
+    return this.#openTargets.get(service) ?? [];
+  }
+
   /** Whether the document is known to be recent enough to serve by it. */
   isFresh(nowMs: number): boolean {
     return this.#state.table !== null && this.getAgeMs(nowMs) < freshMs;
@@ -76,5 +82,10 @@
       ? []
       : this.#state.targets.filter(({ id, address }) => !named.has(id) && !addresses.has(address));
     this.#state = { ...this.#state, targets: [...targets, ...kept] };
+    this.#openTargets = new Map();
+    for (const target of this.#state.targets.filter(({ isDraining }) => !isDraining)) {
+      const known = this.#openTargets.get(target.service) ?? [];
+      this.#openTargets.set(target.service, [...known, target]);
+    }
   }
 }
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -8,14 +8,17 @@
 import { CallFailure } from "./CallFailure";
 import { EventPacer } from "./EventPacer";
 import { EventRelay } from "./EventRelay";
+import type { Crowding } from "./Crowding";
 import type { GatewayContext } from "./GatewayContext";
 import { NextStep } from "./NextStep";
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
 import { choosePlace } from "./choosePlace";
-import { computeCap } from "./computeCap";
+import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
+import { measureCrowding } from "./measureCrowding";
+import { roundCrowding } from "./roundCrowding";
 
 interface WholeAnswer {
   readonly status: number;
@@ -48,6 +51,7 @@
   readonly #endMs: number;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
+  #crowding: Crowding | null = null;
   #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
   #sends = 0;
@@ -108,23 +112,9 @@
 
   /** Whether the service as a whole should run one more request. */
   #hasPlace(): boolean {
-    const { view, loads, getPassMeter } = this.#context;
-    const { service, route } = this.#arrival;
-    const targets = view.state.targets.filter(
-      (target) => target.service === service.name && !target.isDraining,
-    );
-    const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
-    const meanLoad = load / Math.max(1, targets.length);
-    const slots = service.engine?.slots ?? targets[0]?.slots ?? 1;
-    const cap = computeCap({
-      slots,
-      stride: service.engine?.stride ?? 1,
-      stepMs: service.engine?.stepMs ?? 0,
-      gapObjectiveMs: route.gapObjectiveMs,
-      meanGapMs: getPassMeter(service.name).getMeanMs(this.#now()),
-      meanLoad,
-    });
-    return meanLoad < cap;
+    const crowding = measureCrowding(this.#context, this.#arrival);
+    this.#crowding = crowding;
+    return crowding.meanLoad < crowding.cap;
   }
 
   get #isRepeatable(): boolean {
@@ -149,14 +139,12 @@
       resumeAfter: this.#relay.lastEventId,
       urgency: null,
     };
-    const headers = options.codec.createTargetHeaders(request.rawHeaders, context);
-    if (body.length > 0 || request.method === "POST" || request.method === "PUT") {
-      headers.push("Content-Length", String(body.length));
-    }
+    const headers = createSendHeaders(options.codec, this.#arrival, context);
     this.#tried.add(target.id);
     if (this.#sends === 0) {
       metrics.placeWaits.observeMs(this.#now() - arrivedAtMs);
     }
+    this.#logSend(target);
     this.#sends += 1;
     loads.begin(target.id);
     const canRepeat = this.#isRepeatable && this.#sends < route.attempts;
@@ -204,12 +192,35 @@
     attempt.start();
   }
 
+  #logSend(target: TargetRecord): void {
+    const { options, view, loads } = this.#context;
+    const { caller, arrivedAtMs } = this.#arrival;
+    options.logger.info(
+      {
+        id: caller.requestId,
+        target: target.id,
+        attempt: this.#sends + 1,
+        load: loads.getLoad(target),
+        pace: view.state.paces[target.id] ?? 1,
+        resumeAfter: this.#relay.lastEventId,
+        waitedMs: Math.round(this.#now() - arrivedAtMs),
+        ...this.#describeView(),
+      },
+      "request sent",
+    );
+  }
+
+  /** What the last decision about a place was based on, and its age. */
+  #describeView(): object {
+    const { view, options } = this.#context;
+    const viewAgeMs = Math.round(view.getAgeMs(options.leaseClock.monotonicMs()));
+    return { ...(this.#crowding === null ? {} : roundCrowding(this.#crowding)), viewAgeMs };
+  }
+
   #choose(): TargetRecord | null {
     const { view, loads, health, options } = this.#context;
     const { service } = this.#arrival;
-    const targets = view.state.targets.filter(
-      (target) => target.service === service.name && !target.isDraining && !this.#tried.has(target.id),
-    );
+    const targets = view.listOpenTargets(service.name).filter(({ id }) => !this.#tried.has(id));
     const candidates = health.select(targets, this.#now()).map((target) => ({
       id: target.id,
       slots: service.engine?.slots ?? target.slots,
@@ -323,7 +334,7 @@
       this.#end(end, status);
     } else {
       const { view, loads, options } = this.#context;
-      this.#writer.sendOwn(503, text, estimateRetryMs(service, view.state, loads, options.random));
+      this.#writer.sendOwn(503, text, estimateRetryMs(service, view, loads, options.random));
       this.#end(end === RequestEnd.Unknown ? RequestEnd.Unreachable : end, 503);
     }
   }
@@ -376,6 +387,7 @@
         firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
         tookMs: Math.round(this.#now() - arrivedAtMs),
         version: view.version,
+        ...(end === RequestEnd.Full ? this.#describeView() : {}),
       },
       "request ended",
     );
--- /dev/null
+++ b/packages/gateway/createSendHeaders.ts
@@ -0,0 +1,14 @@
+import type { Arrival } from "./Arrival";
+import type { SendContext } from "./SendContext";
+import type { WireCodec } from "./WireCodec";
+
+/** Headers of a request to a target: the caller's, what the wire asks for, and the length of the body. */
+export function createSendHeaders(
+  codec: WireCodec,
+  { request, body }: Arrival,
+  context: SendContext,
+): readonly string[] {
+  const headers = codec.createTargetHeaders(request.rawHeaders, context);
+  const hasBody = body.length > 0 || request.method === "POST" || request.method === "PUT";
+  return hasBody ? [...headers, "Content-Length", String(body.length)] : headers;
+}
--- a/packages/gateway/estimateRetryMs.ts
+++ b/packages/gateway/estimateRetryMs.ts
@@ -1,6 +1,6 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
-import type { FleetState } from "./FleetState";
+import type { FleetView } from "./FleetView";
 import type { TargetLoads } from "./TargetLoads";
 
 /** Shortest and longest time after which a refused caller is asked to return, in ms. */
@@ -12,11 +12,11 @@
 /** Time until a place of the service is likely to be free, spread so that refused callers do not return together. */
 export function estimateRetryMs(
   { name, engine }: RoutedService,
-  state: FleetState,
+  view: FleetView,
   loads: TargetLoads,
   random: Random,
 ): number {
-  const targets = state.targets.filter(({ service, isDraining }) => service === name && !isDraining);
+  const targets = view.listOpenTargets(name);
   const slots = targets.reduce((sum, target) => sum + (engine?.slots ?? target.slots), 0);
   const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const crowding = slots === 0 ? 1 : Math.max(0, load / slots - 0.8);
--- /dev/null
+++ b/packages/gateway/measureCrowding.ts
@@ -0,0 +1,22 @@
+import type { Arrival } from "./Arrival";
+import type { Crowding } from "./Crowding";
+import type { GatewayContext } from "./GatewayContext";
+import { computeCap } from "./computeCap";
+
+/** How full the service of a request is now. */
+export function measureCrowding(context: GatewayContext, { service, route }: Arrival): Crowding {
+  const { view, loads, getPassMeter, options } = context;
+  const targets = view.listOpenTargets(service.name);
+  const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
+  const meanLoad = load / Math.max(1, targets.length);
+  const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
+  const cap = computeCap({
+    slots: service.engine?.slots ?? targets[0]?.slots ?? 1,
+    stride: service.engine?.stride ?? 1,
+    stepMs: service.engine?.stepMs ?? 0,
+    gapObjectiveMs: route.gapObjectiveMs,
+    meanGapMs,
+    meanLoad,
+  });
+  return { targets: targets.length, meanLoad, cap, meanGapMs };
+}
--- /dev/null
+++ b/packages/gateway/roundCrowding.ts
@@ -0,0 +1,15 @@
+import type { Crowding } from "./Crowding";
+
+/** Shortens the figures for a log line. */
+export function roundCrowding({ targets, meanLoad, cap, meanGapMs }: Crowding): Crowding {
+  return {
+    targets,
+    meanLoad: round(meanLoad),
+    cap: round(cap),
+    meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
+  };
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
