--- a/packages/cli/findRequestStory.ts
+++ b/packages/cli/findRequestStory.ts
@@ -53,7 +53,7 @@
     const instance = instanceKeys.map((key) => context[key]).find((value) => typeof value === "string");
     const isOwn = idKeys.some((key) => context[key] === requestId);
     const details = Object.fromEntries(Object.entries(context).filter(([key]) => !hiddenKeys.has(key)));
-    return [{ timeMs: time, instance: String(instance ?? ""), event: message, details, isOwn }];
+    return [{ timeMs: time, instance: instance ?? "", event: message, details, isOwn }];
   } catch {
     // Not a line of ours.
     return [];
