Plan by the new demand alone after a shift, and look when copies are about to be complete

Cause: the lead averaged the choices over 450 ms, so the first plan after a shift of demand was made from a mixture (present skew 1.58 where the next look showed 1.48 after the map was in force) and had to be replaced at once; and it looked every 120 ms whatever it waited for. Change: DemandMonitor compares the choices since the last look with the average; when they load the ranks 15% less evenly it looks again after 30 ms and plans from what was chosen in between alone. A goal in preparation is looked at when its copies should be complete. Tried and reverted: a hold one pass ahead; an order that is lost then pauses the group for more than one pass, which a test forbids.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -31,6 +31,9 @@
   readonly inspection: RankInspection;
 }
 
+/** Time between two looks while there is nothing to lead. */
+const idleMs = 120;
+
 /** Leads the rank groups of the fleet while this process leads the log. */
 export class Conductor {
   readonly #options: ConductorOptions;
@@ -38,30 +41,25 @@
   readonly #groups = new Map<string, GroupConductor>();
   /** Last known place of each rank, so that a silent one can be named. */
   readonly #places = new Map<string, (RankLink | null)[]>();
-  #isBusy = false;
   #term = 0;
 
   constructor(options: ConductorOptions) {
     this.#options = options;
   }
 
-  /** Inspects all ranks and takes the next step of each group. Does nothing while another step is under way. */
-  async step(): Promise<void> {
+  /** Inspects all ranks and takes the next step of each group. Resolves with the time until the next step, in ms. */
+  async step(): Promise<number> {
     const term = this.#options.getTerm();
     const table = this.#options.getTable();
-    if (this.#isBusy || term === null || table === null) {
-      return;
+    if (term === null || table === null) {
+      return idleMs;
     }
-    this.#isBusy = true;
-    try {
-      if (term !== this.#term) {
-        this.#term = term;
-        this.#groups.clear();
-      }
-      await this.#stepAll(table, term);
-    } finally {
-      this.#isBusy = false;
+    if (term !== this.#term) {
+      this.#term = term;
+      this.#groups.clear();
     }
+    await this.#stepAll(table, term);
+    return Math.min(idleMs, ...[...this.#groups.values()].map(({ nextStepMs }) => nextStepMs));
   }
 
   async #stepAll(table: RouteTable, term: number): Promise<void> {
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -1,8 +1,8 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
-import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
@@ -25,10 +25,13 @@
 const leastGain = 0.08;
 /** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
 const goalSkew = 1.15;
-/** Choices below which the popularity is not known well enough. */
-const leastChoices = 2000;
+const bitsPerByte = 8;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
 const maxNewPerRank = 4;
+/** Time between two inspections of a group at rest. */
+const restMs = 120;
+/** The same while a map is about to be prepared, or other experts seem to be in demand. */
+const alertMs = 30;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
 const goalTimeoutMs = 6000;
 
@@ -36,18 +39,18 @@
 export class GroupConductor {
   readonly #options: GroupConductorOptions;
   readonly #activation: GroupActivation;
-  readonly #meter: PopularityMeter;
+  readonly #demand: DemandMonitor;
   #links: readonly (RankLink | null)[] = [];
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
+  #copyMs = 0;
   #lastVersion = 0;
   #lastStep = 0;
   #paces: number[] = [];
 
   constructor(options: GroupConductorOptions) {
     this.#options = options;
-    const { layerSets, expertsPerSet } = options.figures;
-    this.#meter = new PopularityMeter(layerSets, expertsPerSet);
+    this.#demand = new DemandMonitor(options.figures);
     this.#activation = new GroupActivation({
       inspect: async (rank) => (await this.#inspect(rank, false))?.state ?? this.#inspectDirectly(rank),
       order: (order) => this.#links[order.rank]?.order(options.getFence(), order) ?? Promise.resolve(null),
@@ -55,6 +58,15 @@
     });
   }
 
+  /** Time until the group should be inspected again: sooner when copies are about to be complete. */
+  get nextStepMs(): number {
+    if (this.#activation.goal === null) {
+      return this.#demand.isShifting ? alertMs : restMs;
+    }
+    const preparingMs = this.#activation.getPreparingMs();
+    return preparingMs === null ? alertMs : Math.min(restMs, Math.max(alertMs, this.#copyMs - preparingMs));
+  }
+
   /** Takes the next step from what the ranks have just reported; `links` and `inspections` are indexed by rank. */
   async step(
     links: readonly (RankLink | null)[],
@@ -63,7 +75,7 @@
     this.#links = links;
     const known = inspections.filter((inspection) => inspection !== null);
     const nowMs = this.#options.clock.monotonicMs();
-    this.#meter.add(
+    this.#demand.add(
       known.map(({ state, counts }) => ({ rank: state.rank, epoch: state.epoch, counts })),
       nowMs,
     );
@@ -111,19 +123,29 @@
       this.#options.metrics.maps.add(MapOutcome.Abandoned);
       this.#activation.abandon();
     }
-    if (this.#activation.goal !== null || this.#meter.total < leastChoices) {
+    if (this.#activation.goal !== null) {
       return;
     }
     const present = await this.#getHosting(states);
-    if (present !== null) {
-      this.#plan(states, present, nowMs);
+    const { isShifting, recentChoices } = this.#demand;
+    const loads = present === null ? null : this.#demand.review(present, this.#paces);
+    if (present !== null && loads !== null) {
+      this.#plan(states, present, loads, nowMs);
+    }
+    if (this.#demand.isShifting !== isShifting) {
+      const { group, logger } = this.#options;
+      logger.info({ group, isShifting: !isShifting, recentChoices }, "demand for experts shifts");
     }
   }
 
-  #plan(states: readonly HeldRank[], present: RankHosting, nowMs: number): void {
+  #plan(
+    states: readonly HeldRank[],
+    present: RankHosting,
+    loads: readonly Float64Array[],
+    nowMs: number,
+  ): void {
     const { group, figures, metrics, logger } = this.#options;
     const { placements, spare } = figures;
-    const loads = this.#meter.getLoads();
     const paces = this.#paces;
     const plan = planEvenMap({ present, loads, paces, placements, spare, maxNewPerRank, goalSkew });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
@@ -134,6 +156,7 @@
     const epoch = states[0]?.epoch ?? 0;
     this.#lastVersion = version;
     this.#aimedAtMs = nowMs;
+    this.#copyMs = (plan.newPerRank * figures.expertMb * bitsPerByte * 1000) / figures.linkMbps;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
     metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,4 +1,5 @@
 import type { Server } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
 import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
 import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
@@ -34,7 +35,8 @@
 const tickIntervalMs = 20;
 const exchangeIntervalMs = 200;
 const bootstrapIntervalMs = 300;
-const conductIntervalMs = 120;
+/** Time until the next step after one that has failed. */
+const conductRetryMs = 120;
 /** A tick this much late means that the process itself stood still, so others are not judged by it. */
 const stallMs = 200;
 /** A coordinator that started later ago than this has heard every target that is alive. */
@@ -119,7 +121,7 @@
     });
     this.#repeat(exchangeIntervalMs, "exchange", () => this.#exchangeNews());
     const conductor = this.#createConductor(group);
-    this.#repeat(conductIntervalMs, "rank groups", () => conductor.step());
+    void this.#conduct(conductor);
     if (isBootstrap && group.core.isUnused) {
       this.#repeat(bootstrapIntervalMs, "bootstrap", () => this.#host.bootstrap());
     }
@@ -266,8 +268,8 @@
     const members = this.#listMembers();
     this.#peers.learn(members, nowMs);
     this.#peers.forget([...members, ...this.#options.seeds], nowMs);
-    this.#run("steward", () => this.#steward?.step() ?? Promise.resolve());
-    this.#run("confirmation", () => this.#documents?.confirm() ?? Promise.resolve());
+    void this.#run("steward", () => this.#steward?.step() ?? Promise.resolve());
+    void this.#run("confirmation", () => this.#documents?.confirm() ?? Promise.resolve());
     await this.#exchange?.send();
   }
 
@@ -323,17 +325,27 @@
     return this.#documents;
   }
 
+  async #conduct(conductor: Conductor): Promise<void> {
+    while (!this.#isClosed) {
+      let waitMs = conductRetryMs;
+      await this.#run("rank groups", async () => {
+        waitMs = await conductor.step();
+      });
+      await delay(waitMs);
+    }
+  }
+
   #repeat(intervalMs: number, what: string, action: () => void | Promise<void>): void {
     void periodic(intervalMs)
       .takeWhile(() => !this.#isClosed)
       .observe(() => {
-        this.#run(what, action);
+        void this.#run(what, action);
       });
   }
 
   /** An exception inside an observer would end its stream. */
-  #run(what: string, action: () => void | Promise<void>): void {
-    Promise.resolve()
+  #run(what: string, action: () => void | Promise<void>): Promise<void> {
+    return Promise.resolve()
       .then(action)
       .catch((error: unknown) => {
         const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -32,6 +32,12 @@
     return this.#goal;
   }
 
+  /** Time since the first rank confirmed to prepare the goal, in ms; null before that. */
+  getPreparingMs(): number | null {
+    const sinceMs = Math.min(...this.#preparingSince.values());
+    return sinceMs === Infinity ? null : this.#io.nowMs() - sinceMs;
+  }
+
   aim(goal: MapGoal): void {
     this.#goal = goal;
     this.#preparingSince.clear();
--- a/packages/experts/hold/PopularityMeter.ts
+++ b/packages/experts/hold/PopularityMeter.ts
@@ -41,6 +41,11 @@
     }
   }
 
+  /** Forgets all choices; what is added next counts from the counts seen last. */
+  forget(): void {
+    this.#levels.fill(0);
+  }
+
   /** Sum of the weighted choices; tells whether there is enough to plan by. */
   get total(): number {
     return this.#levels.reduce((sum, level) => sum + level, 0);
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
@@ -135,6 +136,55 @@
   t.end();
 });
 
+/** Counts of one rank after choices with the given weights. */
+function choose(counts: readonly number[], weights: readonly number[]): number[] {
+  return counts.map((count, expert) => count + (weights[expert] ?? 0));
+}
+
+// Guards against a map that is planned from a mixture of the old and the new demand, and has to be replaced at once.
+t.test("after a shift of demand only the new demand is planned by", (t) => {
+  const present = createTurnHosting(1, 16, 4);
+  const monitor = new DemandMonitor({ layerSets: 1, expertsPerSet: 16 });
+  const even = Array.from({ length: 16 }, () => 1000);
+  const shifted = even.map((weight, expert) => (expert === 5 ? weight * 9 : weight / 2));
+  let counts = even;
+  const seen: (readonly Float64Array[] | null)[] = [];
+  let nowMs = 0;
+  const look = (weights: readonly number[], afterMs: number): void => {
+    nowMs += afterMs;
+    counts = choose(counts, weights);
+    monitor.add([{ rank: 0, epoch: 1, counts }], nowMs);
+    seen.push(monitor.review(present, [1, 1, 1, 1]));
+  };
+  for (let round = 0; round < 10; round += 1) {
+    look(even, 120);
+    t.equal(monitor.isShifting, false);
+  }
+  look(shifted, 120);
+  t.equal(monitor.isShifting, true);
+  t.equal(seen.at(-1), null, "the look may hold choices from before the shift");
+  look(shifted, 30);
+  t.equal(monitor.isShifting, false);
+  const [load = new Float64Array(0)] = seen.at(-1) ?? [];
+  t.equal((load[5] ?? 0) / (load[0] ?? 1), 18);
+  t.end();
+});
+
+// Guards against copies that chance alone makes seem useful.
+t.test("few choices do not look like a shift", (t) => {
+  const monitor = new DemandMonitor({ layerSets: 1, expertsPerSet: 4 });
+  const present = createTurnHosting(1, 4, 2);
+  const add = (counts: readonly number[], nowMs: number) => {
+    monitor.add([{ rank: 0, epoch: 1, counts }], nowMs);
+    return monitor.review(present, [1, 1]);
+  };
+  add([0, 0, 0, 0], 0);
+  t.not(add([9000, 9000, 9000, 9000], 120), null);
+  t.not(add([9900, 9000, 9000, 9000], 240), null);
+  t.equal(monitor.isShifting, false);
+  t.end();
+});
+
 t.test("the meter forgets, and starts anew with a rank", (t) => {
   const meter = new PopularityMeter(1, 2);
   meter.add([{ rank: 0, epoch: 1, counts: [1000, 0] }], 0);
