Plan a map only for a gain of a fifth

Cause: with paced events small skews no longer make streams late, but each replan copies 7 to 23 experts, which is priced and makes passes 15% slower while it runs; copies ran half of the time, and a shift that came meanwhile had to wait for them. Change: least gain 0.08 -> 0.2, goal skew 1.15 -> 1.2.

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -22,9 +22,9 @@
 }
 
 /** Least share of the present skew that a plan has to save. */
-const leastGain = 0.08;
+const leastGain = 0.2;
 /** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
-const goalSkew = 1.15;
+const goalSkew = 1.2;
 const bitsPerByte = 8;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
 const maxNewPerRank = 4;
