--- /dev/null
+++ b/packages/gateway/RequestLog.ts
@@ -0,0 +1,86 @@
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { Arrival } from "./Arrival";
+import type { Crowding } from "./Crowding";
+import type { EventRelay } from "./EventRelay";
+import type { GatewayContext } from "./GatewayContext";
+import type { RequestEnd } from "./RequestEnd";
+import { roundCrowding } from "./roundCrowding";
+
+/** Log lines and metrics of one request: each send, and its end. */
+export class RequestLog {
+  readonly #context: GatewayContext;
+  readonly #arrival: Arrival;
+  readonly #relay: EventRelay;
+
+  constructor(context: GatewayContext, arrival: Arrival, relay: EventRelay) {
+    this.#context = context;
+    this.#arrival = arrival;
+    this.#relay = relay;
+  }
+
+  /** A send to a target, the first one being attempt 1, with what decided it. */
+  noteSend(target: TargetRecord, attempt: number, crowding: Crowding | null): void {
+    const { options, view, loads, metrics } = this.#context;
+    const waitedMs = this.#getElapsedMs();
+    if (attempt === 1) {
+      metrics.placeWaits.observeMs(waitedMs);
+    }
+    options.logger.info(
+      {
+        id: this.#arrival.caller.requestId,
+        target: target.id,
+        attempt,
+        load: loads.getLoad(target),
+        pace: view.state.paces[target.id] ?? 1,
+        resumeAfter: this.#relay.lastEventId,
+        waitedMs: Math.round(waitedMs),
+        ...this.#describeView(crowding),
+      },
+      "request sent",
+    );
+  }
+
+  /** The end of the request; `crowding` is given when it decided the end. */
+  noteEnd(
+    end: RequestEnd,
+    status: number | null,
+    tried: ReadonlySet<string>,
+    crowding: Crowding | null,
+  ): void {
+    const { metrics, options, view } = this.#context;
+    const { caller, route, service, arrivedAtMs } = this.#arrival;
+    const { firstEventAtMs, ...summary } = this.#relay.summary;
+    metrics.ends.add(end);
+    if (firstEventAtMs !== null) {
+      metrics.firstEvents.observeMs(firstEventAtMs - arrivedAtMs);
+      metrics.longestPauses.observeMs(summary.longestGapMs);
+    }
+    options.logger.info(
+      {
+        id: caller.requestId,
+        route: route.name,
+        service: service.name,
+        end,
+        status,
+        targets: [...tried],
+        ...summary,
+        firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
+        tookMs: Math.round(this.#getElapsedMs()),
+        version: view.version,
+        ...(crowding === null ? {} : this.#describeView(crowding)),
+      },
+      "request ended",
+    );
+  }
+
+  /** What a decision about a place was based on, and its age. */
+  #describeView(crowding: Crowding | null): object {
+    const { view, options } = this.#context;
+    const viewAgeMs = Math.round(view.getAgeMs(options.leaseClock.monotonicMs()));
+    return { ...(crowding === null ? {} : roundCrowding(crowding)), viewAgeMs };
+  }
+
+  #getElapsedMs(): number {
+    return this.#context.options.clock.monotonicMs() - this.#arrival.arrivedAtMs;
+  }
+}
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -13,12 +13,12 @@
 import { NextStep } from "./NextStep";
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
+import { RequestLog } from "./RequestLog";
 import { choosePlace } from "./choosePlace";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
 import { measureCrowding } from "./measureCrowding";
-import { roundCrowding } from "./roundCrowding";
 
 interface WholeAnswer {
   readonly status: number;
@@ -48,6 +48,7 @@
   readonly #arrival: Arrival;
   readonly #writer: AnswerWriter;
   readonly #relay: EventRelay;
+  readonly #log: RequestLog;
   readonly #endMs: number;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
@@ -75,6 +76,7 @@
         context.getPassMeter(arrival.service.name).note(gapMs, this.#now());
       },
     });
+    this.#log = new RequestLog(context, arrival, this.#relay);
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
     this.#timer = setTimeout(
       () => {
@@ -128,8 +130,8 @@
       this.#giveUp(this.#sends === 0 ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
       return;
     }
-    const { options, loads, getAgent, metrics } = this.#context;
-    const { caller, request, body, team, route, arrivedAtMs } = this.#arrival;
+    const { options, loads, getAgent } = this.#context;
+    const { caller, request, body, team, route } = this.#arrival;
     const { host, port } = parseAddress(target.address);
     const leftMs = this.#endMs - this.#now();
     const context = {
@@ -141,11 +143,8 @@
     };
     const headers = createSendHeaders(options.codec, this.#arrival, context);
     this.#tried.add(target.id);
-    if (this.#sends === 0) {
-      metrics.placeWaits.observeMs(this.#now() - arrivedAtMs);
-    }
-    this.#logSend(target);
     this.#sends += 1;
+    this.#log.noteSend(target, this.#sends, this.#crowding);
     loads.begin(target.id);
     const canRepeat = this.#isRepeatable && this.#sends < route.attempts;
     const attempt = new Attempt({
@@ -192,31 +191,6 @@
     attempt.start();
   }
 
-  #logSend(target: TargetRecord): void {
-    const { options, view, loads } = this.#context;
-    const { caller, arrivedAtMs } = this.#arrival;
-    options.logger.info(
-      {
-        id: caller.requestId,
-        target: target.id,
-        attempt: this.#sends + 1,
-        load: loads.getLoad(target),
-        pace: view.state.paces[target.id] ?? 1,
-        resumeAfter: this.#relay.lastEventId,
-        waitedMs: Math.round(this.#now() - arrivedAtMs),
-        ...this.#describeView(),
-      },
-      "request sent",
-    );
-  }
-
-  /** What the last decision about a place was based on, and its age. */
-  #describeView(): object {
-    const { view, options } = this.#context;
-    const viewAgeMs = Math.round(view.getAgeMs(options.leaseClock.monotonicMs()));
-    return { ...(this.#crowding === null ? {} : roundCrowding(this.#crowding)), viewAgeMs };
-  }
-
   #choose(): TargetRecord | null {
     const { view, loads, health, options } = this.#context;
     const { service } = this.#arrival;
@@ -367,30 +341,8 @@
     clearTimeout(this.#waitTimer ?? undefined);
     this.#attempt?.cancel();
     this.#relay.cancel();
-    const { metrics, options, view } = this.#context;
-    metrics.ends.add(end);
-    const { caller, route, service, arrivedAtMs } = this.#arrival;
-    const { firstEventAtMs, ...summary } = this.#relay.summary;
-    if (firstEventAtMs !== null) {
-      metrics.firstEvents.observeMs(firstEventAtMs - arrivedAtMs);
-      metrics.longestPauses.observeMs(summary.longestGapMs);
-    }
-    options.logger.info(
-      {
-        id: caller.requestId,
-        route: route.name,
-        service: service.name,
-        end,
-        status,
-        targets: [...this.#tried],
-        ...summary,
-        firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
-        tookMs: Math.round(this.#now() - arrivedAtMs),
-        version: view.version,
-        ...(end === RequestEnd.Full ? this.#describeView() : {}),
-      },
-      "request ended",
-    );
+    const crowding = end === RequestEnd.Full ? this.#crowding : null;
+    this.#log.noteEnd(end, status, this.#tried, crowding);
   }
 
   #now(): number {
