Place hot experts in two steps after a shift; ask callers that a slowed group refuses to return when it is quick

Cause: a plan after a shift copied 4 experts to a rank one after the other (444 ms) before the first of them helped, at a skew of 2.5 to 4. Change: above a skew of 1.8 a plan copies at most 2 to a rank, and the next plan the rest. Cause of the second part: callers refused because passes were slow were asked back after 225 to 375 ms, while the map that helps takes 0.6 to 0.9 s, and were refused again. Change: about 0.9 s (675 to 1,125 ms) while the cap is below the slots. Test: the waits and their spread.

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -5,6 +5,7 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
@@ -28,6 +29,9 @@
 const bitsPerByte = 8;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
 const maxNewPerRank = 4;
+/** The same from a skew on at which streams are late: the first half of the copies saves most of the time. */
+const maxUrgentPerRank = 2;
+const urgentSkew = 1.8;
 /** Time between two inspections of a group at rest. */
 const restMs = 120;
 /** The same while a map is about to be prepared, or other experts seem to be in demand. */
@@ -147,7 +151,9 @@
     const { group, figures, metrics, logger } = this.#options;
     const { placements, spare } = figures;
     const paces = this.#paces;
-    const plan = planEvenMap({ present, loads, paces, placements, spare, maxNewPerRank, goalSkew });
+    const isUrgent = measureSkew(present, loads, paces) > urgentSkew;
+    const limits = { maxNewPerRank: isUrgent ? maxUrgentPerRank : maxNewPerRank, goalSkew };
+    const plan = planEvenMap({ present, loads, paces, placements, spare, ...limits });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
     if (gain < leastGain) {
       return;
--- /dev/null
+++ b/packages/experts/test/shift.test.ts
@@ -0,0 +1,68 @@
+import t from "tap";
+import type { Random } from "@clementinemux/common/Random";
+import { createRandom } from "@clementinemux/common/createRandom";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
+import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+
+const sets = 4;
+const experts = 64;
+const ranks = 16;
+const paces = Array.from({ length: ranks }, () => 1);
+const limits = { paces, placements: 5, spare: 2, goalSkew: 1.2 };
+/** Time of one copy, and of all other steps of an activation. */
+const copyMs = 111;
+const activationMs = 240;
+/** Skew above which streams are late. */
+const lateSkew = 1.8;
+
+/** Loads whose hottest expert is chosen about ten times as often as the mean one. */
+function createLoads(random: Random): Float64Array[] {
+  return Array.from({ length: sets }, () => {
+    const order = Array.from({ length: experts }, (_, expert) => expert).sort(() => random() - 0.5);
+    const loads = new Float64Array(experts);
+    order.forEach((expert, place) => {
+      loads[expert] = 1000 / (place + 1);
+    });
+    return loads;
+  });
+}
+
+function balance(loads: readonly Float64Array[]): RankHosting {
+  let present: RankHosting = createTurnHosting(sets, experts, ranks);
+  for (let round = 0; round < 12; round += 1) {
+    present = planEvenMap({ ...limits, present, loads, maxNewPerRank: 4 }).hosting;
+  }
+  return present;
+}
+
+/** Plans until the demand is served evenly; returns the time above the skew at which streams are late. */
+function play(start: RankHosting, loads: readonly Float64Array[], maxUrgent: number): number {
+  let present = start;
+  let lateMs = 0;
+  for (let round = 0; round < 8; round += 1) {
+    const skew = measureSkew(present, loads, paces);
+    const plan = planEvenMap({ ...limits, present, loads, maxNewPerRank: skew > lateSkew ? maxUrgent : 4 });
+    lateMs += skew > lateSkew ? activationMs + plan.newPerRank * copyMs : 0;
+    present = plan.hosting;
+  }
+  return lateMs;
+}
+
+// Guards against plans that copy all experts before the first of them helps: the load of a shift of demand.
+t.test("a shift of demand is served in two steps sooner than in one", (t) => {
+  const random = createRandom(11);
+  let stagedMs = 0;
+  let wholeMs = 0;
+  for (let shift = 0; shift < 10; shift += 1) {
+    const start = balance(createLoads(random));
+    const loads = createLoads(random);
+    t.ok(measureSkew(start, loads, paces) > lateSkew);
+    stagedMs += play(start, loads, 2);
+    wholeMs += play(start, loads, 4);
+  }
+  t.ok(stagedMs < wholeMs, `${Math.round(stagedMs / 10)} ms against ${Math.round(wholeMs / 10)} ms a shift`);
+  t.comment(`${Math.round(stagedMs / 10)} ms against ${Math.round(wholeMs / 10)} ms a shift`);
+  t.end();
+});
--- a/packages/gateway/Crowding.ts
+++ b/packages/gateway/Crowding.ts
@@ -3,6 +3,8 @@
   readonly targets: number;
   /** Requests in flight at a target, on average over all targets and gateways. */
   readonly meanLoad: number;
+  /** Requests that a target can run at once; 0 without targets. */
+  readonly slots: number;
   /** Requests that each target should run at once. */
   readonly cap: number;
   /** Recent mean time between the events of a stream; null while it is not known. */
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -307,8 +307,8 @@
       this.#writer.sendOwn(status, text, null);
       this.#end(end, status);
     } else {
-      const { view, loads, options } = this.#context;
-      this.#writer.sendOwn(503, text, estimateRetryMs(service, view, loads, options.random));
+      const crowding = measureCrowding(this.#context, this.#arrival);
+      this.#writer.sendOwn(503, text, estimateRetryMs(service, crowding, this.#context.options.random));
       this.#end(end === RequestEnd.Unknown ? RequestEnd.Unreachable : end, 503);
     }
   }
--- a/packages/gateway/measureCrowding.ts
+++ b/packages/gateway/measureCrowding.ts
@@ -10,13 +10,14 @@
   const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const meanLoad = load / Math.max(1, targets.length);
   const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
+  const slots = targets.length === 0 ? 0 : (service.engine?.slots ?? targets[0]?.slots ?? 1);
   const cap = computeCap({
-    slots: service.engine?.slots ?? targets[0]?.slots ?? 1,
+    slots,
     stride: service.engine?.stride ?? 1,
     stepMs: service.engine?.stepMs ?? 0,
     gapObjectiveMs: route.gapObjectiveMs,
     meanGapMs,
     meanLoad,
   });
-  return { targets: targets.length, meanLoad, cap, meanGapMs };
+  return { targets: targets.length, meanLoad, slots, cap, meanGapMs };
 }
--- a/packages/gateway/roundCrowding.ts
+++ b/packages/gateway/roundCrowding.ts
@@ -1,10 +1,11 @@
 import type { Crowding } from "./Crowding";
 
 /** Shortens the figures for a log line. */
-export function roundCrowding({ targets, meanLoad, cap, meanGapMs }: Crowding): Crowding {
+export function roundCrowding({ targets, meanLoad, slots, cap, meanGapMs }: Crowding): Crowding {
   return {
     targets,
     meanLoad: round(meanLoad),
+    slots,
     cap: round(cap),
     meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
   };
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -1,5 +1,8 @@
 import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
 import { computeCap } from "@clementinemux/gateway/computeCap";
+import { estimateRetryMs } from "@clementinemux/gateway/estimateRetryMs";
+import { createDocument } from "../../routes/test/createDocument";
 
 const figures = { slots: 8, stride: 4, stepMs: 4.55, gapObjectiveMs: 120 };
 
@@ -48,3 +51,18 @@
   t.ok(computeCap({ ...figures, meanGapMs: 110, meanLoad: 5 }) >= 4.8);
   t.end();
 });
+
+// Guards against callers that are asked to return while the passes of the group are still slow, and are refused again.
+t.test("callers refused by a slowed group return after other experts have been placed", (t) => {
+  const random = createRandom(3);
+  const [service] = createDocument(1).services;
+  const engine = { slots: 8 } as never;
+  const model = { ...service!, engine };
+  const slowed = { targets: 16, meanLoad: 5, slots: 8, cap: 4.8, meanGapMs: 130 };
+  const waits = Array.from({ length: 200 }, () => estimateRetryMs(model, slowed, random));
+  t.ok(Math.min(...waits) >= 600 && Math.max(...waits) <= 1500);
+  t.ok(Math.max(...waits) - Math.min(...waits) > 300, "guards against callers that return all at once");
+  const quick = Array.from({ length: 200 }, () => estimateRetryMs(model, { ...slowed, cap: 8 }, random));
+  t.ok(Math.max(...quick) < 500);
+  t.end();
+});
