--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -29,8 +29,8 @@
 const bitsPerByte = 8;
 /** New experts on a rank in one plan; each takes the time of a copy, in which all passes are slower. */
 const maxNewPerRank = 4;
-/** The same from a skew on at which streams are late: the first half of the copies saves most of the time. */
-const maxUrgentPerRank = 2;
+/** The same from a skew on at which streams are late: the first copy to a rank saves most of the time. */
+const maxUrgentPerRank = 1;
 const urgentSkew = 1.8;
 /** Time between two inspections of a group at rest. */
 const restMs = 120;
