--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,10 +1,12 @@
-// Bundles the programs of platform/bin into target/, one file each, so that a start reads a single file. A finished file
-// takes the place of the earlier one in one step, so that a process that starts during a build finds either of them.
+// Bundles the programs of platform/bin into target/, or the folder that is named, one file each, so that a start reads a
+// single file. A finished file takes the place of the earlier one in one step, so that a process that starts during a
+// build finds either of them.
 import { mkdirSync, readdirSync, renameSync, rmSync } from "node:fs";
 import { build } from "esbuild";
 import { bundleOptions } from "./bundleOptions.mjs";
 
-const staging = `target/build-${process.pid}`;
+const [folder = "target"] = process.argv.slice(2);
+const staging = `${folder}/build-${process.pid}`;
 mkdirSync(staging, { recursive: true });
 await build({
   ...bundleOptions,
@@ -15,6 +17,6 @@
   sourcemap: false,
 });
 for (const name of readdirSync(staging)) {
-  renameSync(`${staging}/${name}`, `target/${name}`);
+  renameSync(`${staging}/${name}`, `${folder}/${name}`);
 }
 rmSync(staging, { recursive: true });
