Measure what logs and held events cost a gateway

npm run bench -- gateway: a gateway process with a stub of its coordinator and target, 60 streams a second of 24 events, with and without logs and held events.

--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -51,6 +51,11 @@
       return result;
     };
   },
+  /** `--seconds=N`. */
+  gateway: async () => {
+    const { runGatewayBench } = await import("./gateway/runGatewayBench");
+    return ({ programs, options }) => runGatewayBench(programs, Number(options.seconds ?? 10));
+  },
   /** `--flags="V8 FLAGS"` of the agents. */
   "lead-memory": async () => {
     const { measureLeadMemory } = await import("./experts/measureLeadMemory");
--- /dev/null
+++ b/packages/bench/gateway/PlainCodec.ts
@@ -0,0 +1,36 @@
+import { decode } from "cbor-x";
+import { Right } from "purify-ts/Either";
+import type { Either } from "purify-ts/Either";
+import type { CallerRequest } from "@clementinemux/gateway/CallerRequest";
+import type { SendContext } from "@clementinemux/gateway/SendContext";
+import type { TargetAnswer } from "@clementinemux/gateway/TargetAnswer";
+import type { WireCodec } from "@clementinemux/gateway/WireCodec";
+import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
+
+const idName = "x-request-id";
+
+/** The least translation that a gateway needs, so that the bench measures the gateway alone. */
+export class PlainCodec implements WireCodec {
+  decodeDocument(bytes: Uint8Array): Either<string, RouteDocument> {
+    return Right(decode(bytes) as RouteDocument);
+  }
+
+  readRequest(headers: readonly string[]): CallerRequest {
+    const requestId = readId(headers);
+    return { requestId, leftMs: null, key: null, promptTokens: 0, maxAnswerTokens: 0, resumeAfter: null };
+  }
+
+  createTargetHeaders(headers: readonly string[], { targetId }: SendContext): string[] {
+    return ["host", "bench", idName, readId(headers) ?? "", "x-target", targetId];
+  }
+
+  readAnswer(status: number, headers: readonly string[]): TargetAnswer {
+    const requestId = readId(headers);
+    return { status, requestId, isNotRun: false, isSigned: true, isMisdirected: false, faultyTarget: null };
+  }
+}
+
+function readId(headers: readonly string[]): string | null {
+  const at = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === idName);
+  return at < 0 ? null : (headers[at + 1] ?? null);
+}
