Pass on the events that are held when a stream breaks; test rules that had no test of their own

Cause: since events may be held, a stream that broke lost up to 80 ms of ready events: they were written and the connection was destroyed in the same turn, before Node sends what was written. Found by a new test (1 of 3 events arrived). Change: the connection is destroyed one turn later.

--- a/packages/gateway/AnswerWriter.ts
+++ b/packages/gateway/AnswerWriter.ts
@@ -57,7 +57,10 @@
 
   /** Ends an answer so that the caller sees that it is not complete. */
   breakOff(): void {
-    this.#response.destroy();
+    // Node sends what was written in the same turn only after it; a connection that is destroyed before loses it.
+    setImmediate(() => {
+      this.#response.destroy();
+    });
   }
 
   /** Sends an answer of the gateway's own. */
--- /dev/null
+++ b/packages/gateway/test/lifecycle.test.ts
@@ -0,0 +1,56 @@
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { createDocument } from "../../routes/test/createDocument";
+import { TestTarget } from "./TestTarget";
+import { answers } from "./answers";
+import { startGateway } from "./startGateway";
+
+const stream = { kind: RouteKind.Streaming, canResume: true, attempts: 2 };
+/** Keys that were taken away stop within this time. */
+const revokeMs = 5000;
+
+// Guards against requests that are cut off by a release of the gateway.
+t.test("a gateway that stops finishes what it has read and sends callers away", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(answers.streamHead(id) + answers.chunk(answers.event(1)));
+    setTimeout(() => socket.write(answers.chunk(answers.event(2)) + answers.streamEnd), 800);
+  });
+  const { gateway, call, readyPort, stop } = await startGateway(createDocument(1, [stream]), [target]);
+  const running = call({ path: "/p0/", method: "POST" }, "r1", "x");
+  await waitUntil("the request runs", () => (target.requests.length === 1 ? true : null), 1000);
+  const stopped = gateway.shutDown();
+  t.equal((await fetch(`http://127.0.0.1:${readyPort}/ready`)).status, 503);
+  const late = await call({ path: "/p0/", method: "POST" }, "r2", "x");
+  t.match(late, { status: 200, headers: { connection: "close" }, isComplete: true });
+  t.match(await running, { body: answers.event(1) + answers.event(2), isComplete: true });
+  await stopped;
+  t.equal(gateway.inFlight, 0);
+  await stop();
+});
+
+// Guards against keys that work after they were taken away, and against a gateway that serves by old knowledge.
+t.test("a key that was taken away and lost knowledge both end service in time", async (t) => {
+  const target = new TestTarget(({ id }, socket) => socket.write(answers.whole(id, "ok")));
+  const { state, call, readyPort, stop } = await startGateway(createDocument(1), [target]);
+  t.equal((await call({ path: "/p0/" }, "r1")).status, 200);
+  state.document = { ...createDocument(2), teams: [{ name: "team-a", keys: ["key-b"], priority: null }] };
+  const takenAtMs = performance.now();
+  await waitUntil("the key is refused", async () =>
+    (await call({ path: "/p0/" }, "r2")).status === 401 ? true : null,
+  );
+  t.ok(performance.now() - takenAtMs < 1000);
+  state.ageMs = null;
+  const lostAtMs = performance.now();
+  await waitUntil("the gateway refuses all", async () => {
+    const answer = await call({ path: "/p0/", headers: { "x-key": "key-b" } }, "r3");
+    return answer.status === 503 && Number(answer.headers["retry-after"]) > 0 ? true : null;
+  });
+  t.ok(performance.now() - lostAtMs < revokeMs);
+  t.equal((await fetch(`http://127.0.0.1:${readyPort}/ready`)).status, 503);
+  state.ageMs = 0;
+  await delay(500);
+  t.equal((await call({ path: "/p0/", headers: { "x-key": "key-b" } }, "r4")).status, 200);
+  await stop();
+});
--- /dev/null
+++ b/packages/gateway/test/pacedStreams.test.ts
@@ -0,0 +1,80 @@
+import t from "tap";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { createDocument } from "../../routes/test/createDocument";
+import { TestTarget } from "./TestTarget";
+import { answers } from "./answers";
+import { startGateway } from "./startGateway";
+
+const stream = { kind: RouteKind.Streaming, canResume: false, attempts: 1, gapObjectiveMs: 120 };
+const maxHoldMs = 80;
+
+/** Target that sends its events with the given gaps before them, then ends as told. */
+function createTarget(gapsMs: readonly number[], end: "whole" | "reset" | "open"): TestTarget {
+  return new TestTarget(({ id }, socket) => {
+    let atMs = 0;
+    socket.write(answers.streamHead(id));
+    for (const [index, gapMs] of gapsMs.entries()) {
+      atMs += gapMs;
+      setTimeout(() => socket.write(answers.chunk(answers.event(index + 1))), atMs);
+    }
+    setTimeout(() => {
+      if (end === "reset") {
+        socket.resetAndDestroy();
+      } else if (end === "whole") {
+        socket.write(answers.streamEnd);
+      }
+    }, atMs + 5);
+  });
+}
+
+// Guards against events that are lost, reordered or cut off when they are held back, and against a late end.
+t.test("a paced stream is whole, and its pauses are shortened", async (t) => {
+  const gapsMs = [5, 30, 30, 30, 170, 30, 1, 1];
+  const { open, stop } = await startGateway(createDocument(1, [stream]), [createTarget(gapsMs, "whole")]);
+  const arrivals: number[] = [];
+  let text = "";
+  const isComplete = await new Promise<boolean>((resolve) => {
+    const sent = open({ path: "/p0/", method: "POST" }, "r1");
+    sent.on("response", (response) => {
+      response.on("data", (chunk: Buffer) => {
+        arrivals.push(performance.now());
+        text += chunk.toString();
+      });
+      response.on("close", () => {
+        resolve(response.complete);
+      });
+    });
+    sent.end("x");
+  });
+  t.equal(text, gapsMs.map((_, index) => answers.event(index + 1)).join(""));
+  t.ok(isComplete);
+  const gaps = arrivals.slice(1).map((atMs, index) => atMs - (arrivals[index] ?? 0));
+  t.ok(Math.max(...gaps) < 170 - maxHoldMs / 2, `longest pause ${Math.round(Math.max(...gaps))} ms`);
+  await stop();
+});
+
+// Guards against ready events that are thrown away because the target breaks after them.
+t.test("events that are held when a stream breaks are passed on", async (t) => {
+  const { call, stop } = await startGateway(createDocument(1, [stream]), [createTarget([1, 1, 1], "reset")]);
+  const answer = await call({ path: "/p0/", method: "POST" }, "r1", "x");
+  t.equal(answer.body, [1, 2, 3].map(answers.event).join(""));
+  t.notOk(answer.isComplete);
+  await stop();
+});
+
+t.test("a caller that leaves while events are held ends the work at the target", async (t) => {
+  const target = createTarget([1, 1, 1, 1], "open");
+  const { open, stop, gateway } = await startGateway(createDocument(1, [stream]), [target]);
+  const sent = open({ path: "/p0/", method: "POST" }, "r1");
+  sent.on("error", () => undefined);
+  sent.on("response", (response) => {
+    response.on("error", () => undefined);
+    response.once("data", () => sent.destroy());
+  });
+  sent.end("x");
+  await waitUntil("the target sees its connection close", () => (target.closed === 1 ? true : null), 1000);
+  await waitUntil("nothing is in flight", () => (gateway.inFlight === 0 ? true : null), 1000);
+  t.match(gateway.renderMetrics(), 'clementinemux_gateway_ends{end="caller_left"} 1\n');
+  await stop();
+});
