--- a/packages/agent/test/frozenAgent.test.ts
+++ b/packages/agent/test/frozenAgent.test.ts
@@ -45,6 +45,12 @@
   writeFileSync(file, JSON.stringify({ ...place, target: "runner-1", targetAddress, relays }));
   const child = spawn(process.execPath, [program, "--settings", file]);
   const ended = once(child, "exit");
+  child.once("exit", (code, signal) => {
+    t.comment(`the agent ended with ${code ?? signal ?? "nothing"}`);
+  });
+  child.stderr.on("data", (chunk: Buffer) => {
+    t.comment(chunk.toString());
+  });
   const fetchState = async (): Promise<AgentState | null> => {
     try {
       return (await (await fetch(`http://${host}:${port}/agent/state`)).json()) as AgentState;
