Complete what a former lead began before planning; time looks by the groups that are there

Also: a group that vanished with a plan pending made its lead look every 30 ms until the term ended, and at looks 30 ms apart a group between two passes counted as stopped, so that silent neighbours were passed by at a price. Change: what was begun is settled by the first look; a process that does not lead asks every 20 ms; only groups that answered set the time of the next look; a group counts as stopped when its pass has not changed for 110 ms.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -31,8 +31,10 @@
   readonly inspection: RankInspection;
 }
 
-/** Time between two looks while there is nothing to lead. */
+/** Time between two looks at groups that are at rest, or of a lead without groups. */
 const idleMs = 120;
+/** Time after which a process that does not lead looks whether it does: a group may be held for a lead that is gone. */
+const followMs = 20;
 
 /** Leads the rank groups of the fleet while this process leads the log. */
 export class Conductor {
@@ -52,17 +54,18 @@
     const term = this.#options.getTerm();
     const table = this.#options.getTable();
     if (term === null || table === null) {
-      return idleMs;
+      return followMs;
     }
     if (term !== this.#term) {
       this.#term = term;
       this.#groups.clear();
     }
-    await this.#stepAll(table, term);
-    return Math.min(idleMs, ...[...this.#groups.values()].map(({ nextStepMs }) => nextStepMs));
+    const groups = await this.#stepAll(table, term);
+    return Math.min(idleMs, ...groups.map(({ nextStepMs }) => nextStepMs));
   }
 
-  async #stepAll(table: RouteTable, term: number): Promise<void> {
+  /** Resolves with the groups that are there; one that has vanished does not ask for the next look. */
+  async #stepAll(table: RouteTable, term: number): Promise<GroupConductor[]> {
     const ranks = this.#options.listTargets().filter(({ service }) => findFigures(table, service) !== null);
     const inspected = await Promise.all(ranks.map((target) => this.#inspect(target, term)));
     const groups = new Map<string, { readonly service: string; readonly members: InspectedTarget[] }>();
@@ -75,9 +78,10 @@
         groups.set(group, entry);
       }
     }
-    await Promise.all(
+    const stepped = await Promise.all(
       [...groups].map(([group, { service, members }]) => this.#stepGroup(group, service, members, table)),
     );
+    return stepped.filter((group) => group !== null);
   }
 
   async #stepGroup(
@@ -85,11 +89,11 @@
     service: string,
     members: readonly InspectedTarget[],
     table: RouteTable,
-  ): Promise<void> {
+  ): Promise<GroupConductor | null> {
     const figures = findFigures(table, service);
     const size = members[0]?.inspection.size ?? 0;
     if (figures === null || size === 0) {
-      return;
+      return null;
     }
     const places = this.#places.get(group) ?? [];
     const links = Array.from({ length: size }, (_, rank) => places[rank] ?? null);
@@ -99,7 +103,9 @@
       inspections[inspection.state.rank] = inspection;
     }
     this.#places.set(group, links);
-    await this.#getGroup(group, figures).step(links, inspections);
+    const conductor = this.#getGroup(group, figures);
+    await conductor.step(links, inspections);
+    return conductor;
   }
 
   #getGroup(group: string, figures: ExpertFigures): GroupConductor {
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -11,7 +11,7 @@
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { MapOutcome } from "./MapOutcome";
-import type { RankLink } from "./RankLink";
+import type { RankWay } from "./RankWay";
 
 interface GroupConductorOptions {
   readonly group: string;
@@ -36,6 +36,8 @@
 const restMs = 120;
 /** The same while a map is about to be prepared, or other experts seem to be in demand. */
 const alertMs = 30;
+/** A group whose pass has not changed for this time may be held; passes of a healthy one take less. */
+const stoppedMs = 110;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
 const goalTimeoutMs = 6000;
 
@@ -44,12 +46,13 @@
   readonly #options: GroupConductorOptions;
   readonly #activation: GroupActivation;
   readonly #demand: DemandMonitor;
-  #links: readonly (RankLink | null)[] = [];
+  #links: readonly (RankWay | null)[] = [];
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
   #copyMs = 0;
   #lastVersion = 0;
   #lastStep = 0;
+  #movedAtMs = -Infinity;
   #paces: number[] = [];
 
   constructor(options: GroupConductorOptions) {
@@ -73,7 +76,7 @@
 
   /** Takes the next step from what the ranks have just reported; `links` and `inspections` are indexed by rank. */
   async step(
-    links: readonly (RankLink | null)[],
+    links: readonly (RankWay | null)[],
     inspections: readonly (RankInspection | null)[],
   ): Promise<void> {
     this.#links = links;
@@ -84,26 +87,32 @@
       nowMs,
     );
     this.#paces = inspections.map((inspection, rank) => inspection?.pace ?? this.#paces[rank] ?? 1);
-    const states = await this.#completeStates(inspections);
+    const states = await this.#completeStates(inspections, nowMs);
     if (states === null) {
       return;
     }
-    await this.#reviewGoal(states, nowMs);
+    // The group may be held for what another lead has begun, so that is completed before anything is planned.
+    if (this.#activation.goal !== null || !isBegun(states)) {
+      await this.#reviewGoal(states, nowMs);
+    }
     if (await this.#activation.advance(states)) {
       this.#adopt();
     }
   }
 
   /** Ranks whose neighbour is silent are asked directly, but only while the group may be held. */
-  async #completeStates(inspections: readonly (RankInspection | null)[]): Promise<HeldRank[] | null> {
+  async #completeStates(
+    inspections: readonly (RankInspection | null)[],
+    nowMs: number,
+  ): Promise<HeldRank[] | null> {
     const known = inspections.filter((inspection) => inspection !== null).map(({ state }) => state);
     const step = Math.max(0, ...known.map((state) => state.step));
-    const hasStopped = step === this.#lastStep;
-    this.#lastStep = step;
-    const mayBeHeld =
-      hasStopped ||
-      this.#activation.goal !== null ||
-      known.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
+    if (step !== this.#lastStep) {
+      this.#lastStep = step;
+      this.#movedAtMs = nowMs;
+    }
+    const hasStopped = nowMs - this.#movedAtMs >= stoppedMs;
+    const mayBeHeld = hasStopped || this.#activation.goal !== null || isBegun(known);
     if (known.length < inspections.length && !mayBeHeld) {
       return null;
     }
@@ -221,6 +230,10 @@
   }
 }
 
+function isBegun(states: readonly HeldRank[]): boolean {
+  return states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
+}
+
 function getHighestVersion({ mapVersion, preparedVersion, armed }: HeldRank): number {
   return Math.max(mapVersion, preparedVersion ?? 0, armed?.version ?? 0);
 }
--- a/packages/control/ranks/RankLink.ts
+++ b/packages/control/ranks/RankLink.ts
@@ -10,6 +10,7 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import type { PeerLinks } from "../PeerLinks";
+import type { RankWay } from "./RankWay";
 
 interface RankLinkOptions {
   readonly links: PeerLinks;
@@ -26,7 +27,7 @@
 const orderTimeoutMs = 70;
 
 /** A lead's way to one rank: through the process beside it, and straight when that process is silent. */
-export class RankLink {
+export class RankLink implements RankWay {
   readonly #options: RankLinkOptions;
 
   constructor(options: RankLinkOptions) {
@@ -40,7 +41,6 @@
     return answer.toMaybe().extractNullable() as RankInspection | null;
   }
 
-  /** State of the rank by its own word, for groups that stand still. */
   inspectDirectly(): Promise<HeldRank | null> {
     return this.#options.direct.inspectState();
   }
--- /dev/null
+++ b/packages/control/ranks/RankWay.ts
@@ -0,0 +1,13 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+
+/** A lead's way to one rank. All calls resolve with null when there was no answer. */
+export interface RankWay {
+  /** State, counts and, when asked for, experts of the rank, read by the process beside it. */
+  inspect(fence: number, withExperts: boolean): Promise<RankInspection | null>;
+  /** State of the rank by its own word, for groups that stand still. */
+  inspectDirectly(): Promise<HeldRank | null>;
+  /** Resolves with whether the rank has confirmed the order. */
+  order(fence: number, order: HoldOrder): Promise<boolean | null>;
+}
--- /dev/null
+++ b/packages/control/test/HeldRankWay.ts
@@ -0,0 +1,42 @@
+import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { RankWay } from "../ranks/RankWay";
+
+/** Way to a rank of a stand-in group; the process beside it can be silenced. */
+export class HeldRankWay implements RankWay {
+  readonly #group: HeldGroup;
+  readonly #rank: number;
+  isSilent = false;
+  /** Whether questions for the experts get no answer. */
+  hidesExperts = false;
+  counts: readonly number[] = [];
+  directInspections = 0;
+
+  constructor(group: HeldGroup, rank: number) {
+    this.#group = group;
+    this.#rank = rank;
+  }
+
+  inspect(_fence: number, withExperts: boolean): Promise<RankInspection | null> {
+    const state = this.#group.inspect(this.#rank);
+    if (this.isSilent || state === null) {
+      return Promise.resolve(null);
+    }
+    if (withExperts && this.hidesExperts) {
+      return new Promise(() => undefined);
+    }
+    const size = this.#group.ranks.length;
+    return Promise.resolve({ group: "g", size, state, pace: 1, counts: this.counts, experts: null });
+  }
+
+  inspectDirectly(): Promise<HeldRank | null> {
+    this.directInspections += 1;
+    return Promise.resolve(this.#group.inspect(this.#rank));
+  }
+
+  order(_fence: number, order: HoldOrder): Promise<boolean | null> {
+    return Promise.resolve(this.#group.order(order));
+  }
+}
--- /dev/null
+++ b/packages/control/test/conductor.test.ts
@@ -0,0 +1,144 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { Ranker } from "@clementinemux/ranker/Ranker";
+import type { RouteTable } from "@clementinemux/routes/RouteTable";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { PeerLinks } from "../PeerLinks";
+import { Conductor } from "../ranks/Conductor";
+import { GroupConductor } from "../ranks/GroupConductor";
+import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import { HeldRankWay } from "./HeldRankWay";
+
+const figures = {
+  layerSets: 1,
+  expertsPerSet: 8,
+  placements: 4,
+  spare: 2,
+  expertMb: 10,
+  expertShare: 0.85,
+  linkMbps: 1000,
+  formMs: 600,
+};
+const logger = createLogger("test", {});
+
+function createClock(group: HeldGroup) {
+  return { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs };
+}
+
+function createLead(group: HeldGroup): GroupConductor {
+  const clock = createClock(group);
+  const metrics = new CoordinatorMetrics();
+  return new GroupConductor({ group: "g", figures, getFence: () => 2, clock, metrics, logger });
+}
+
+async function look(lead: GroupConductor, ways: readonly HeldRankWay[]): Promise<void> {
+  await lead.step(ways, await Promise.all(ways.map((way) => way.inspect(2, false))));
+}
+
+// Guards against a new lead that reads the placement of all ranks while its predecessor's hold stops their group.
+t.test("a new lead completes what was begun before it reads anything else", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  for (const [rank, way] of ways.entries()) {
+    Object.assign(group.ranks[rank] ?? {}, { mapVersion: 3, preparedVersion: 4, highestVersion: 4 });
+    way.hidesExperts = true;
+  }
+  Object.assign(group.ranks[0] ?? {}, { heldStep: 1 });
+  group.advance(200);
+  t.ok(group.heldPasses > 0);
+  void look(createLead(group), ways);
+  await new Promise(setImmediate);
+  group.advance(100);
+  t.equal(group.ranks[0]?.heldStep, null);
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion === 4));
+  t.equal(group.mixedPasses, 0);
+});
+
+// Guards against direct inspections, which are priced, of a group that is merely between two passes.
+t.test("a silent neighbour is passed by only when the group may be held", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  const lead = createLead(group);
+  const [, way] = ways;
+  group.advance(70);
+  await look(lead, ways);
+  way!.isSilent = true;
+  for (let round = 0; round < 40; round += 1) {
+    group.advance(30);
+    await look(lead, ways);
+  }
+  t.equal(way?.directInspections, 0);
+  group.ranks[0]!.heldStep = group.ranks[0]!.step + 1;
+  ways[0]!.isSilent = true;
+  for (let round = 0; round < 8; round += 1) {
+    group.advance(30);
+    await look(lead, ways);
+  }
+  t.ok((way?.directInspections ?? 0) > 0);
+  t.equal(group.ranks[0]?.heldStep, null);
+});
+
+// Guards against a lead that goes on looking at all ranks every 30 ms for a group that is no more.
+t.test("a group that has vanished does not set the pace of the looks", async (t) => {
+  const group = new HeldGroup({ ranks: 2, random: createRandom(1), lateShare: 0 });
+  const clock = new SystemClock();
+  const [framePort = 0] = await findFreePorts(1);
+  const counts = [[0, 0, 0, 0, 0, 0, 0, 0], new Array<number>(8).fill(0)];
+  let isThere = true;
+  const rankers = group.ranks.map((_, rank) => {
+    const way = new HeldRankWay(group, rank);
+    const client = {
+      inspect: async () => {
+        way.counts = counts[rank] ?? [];
+        return isThere ? way.inspect(0, false) : null;
+      },
+      inspectState: () => way.inspectDirectly(),
+      // No order is carried out, so that the plan stays pending.
+      order: () => Promise.resolve(null),
+    };
+    return new Ranker({ host: `127.0.0.${rank + 1}`, framePort, metricsPort: null, clock, rank: client, logger });
+  });
+  await Promise.all(rankers.map((ranker) => ranker.start()));
+  const links = new PeerLinks(undefined);
+  t.teardown(async () => {
+    links.close();
+    await Promise.all(rankers.map((ranker) => ranker.close()));
+  });
+  const service = { name: "s", healthPath: "/", engine: { slots: 8, stepMs: 5, stride: 4, experts: figures } };
+  const table = { findService: () => service } as unknown as RouteTable;
+  const conductor = new Conductor({
+    framePort,
+    links,
+    getTable: () => table,
+    listTargets: () =>
+      rankers.map((_, rank) => ({
+        id: `t-${rank}`,
+        service: "s",
+        address: `127.0.0.${rank + 1}:9`,
+        failureDomain: "fd-1",
+        slots: 8,
+        isDraining: false,
+        isGone: false,
+        bornMs: 1,
+        sequence: 1,
+      })),
+    getTerm: () => 2,
+    openRank: () => ({
+      inspect: () => Promise.resolve(null),
+      inspectState: () => Promise.resolve(null),
+      order: () => Promise.resolve(null),
+    }),
+    notePace: () => undefined,
+    metrics: new CoordinatorMetrics(),
+    clock,
+    logger,
+  });
+  await conductor.step();
+  counts[0] = [9000, 10, 9000, 10, 9000, 10, 10, 10];
+  t.equal(await conductor.step(), 30, "a plan is pending");
+  isThere = false;
+  t.equal(await conductor.step(), 120);
+});
