Arm maps one pass sooner in groups whose passes are slow

Cause: after a shift of demand the group runs passes of about 145 ms until its next map is in force, and a map that was prepared came into force only with the third of them (hold two passes ahead). Streams with four such passes in a row are late; with two or three the hold of 80 ms covers them. Change: one pass ahead when passes take longer than an order that has to be given twice (100 ms), two otherwise.

--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -2,6 +2,7 @@
 import type { HoldOrder } from "./HoldOrder";
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
+import { PassTimer } from "./PassTimer";
 import { applyAnsweredOrder } from "./applyAnsweredOrder";
 import { chooseHoldOrders } from "./chooseHoldOrders";
 
@@ -15,6 +16,11 @@
 
 /** A confirmed order to prepare is not repeated within this time, since copying takes a while. */
 const prepareMs = 3000;
+/** Time of an order that has to be given twice. Passes that are longer leave room for it in the pass before the held one. */
+const repeatedOrderMs = 100;
+/** Passes from the last one that was begun to the one that is held. Four cost more by later maps than they saved. */
+const leadSteps = 2;
+const slowLeadSteps = 1;
 /** Rounds of orders between two inspections; an activation takes hold, arm and go. */
 const maxRounds = 4;
 
@@ -22,6 +28,7 @@
 export class GroupActivation {
   readonly #io: ActivationIo;
   readonly #preparingSince = new Map<number, number>();
+  readonly #passTimer = new PassTimer();
   #goal: MapGoal | null = null;
 
   constructor(io: ActivationIo) {
@@ -50,8 +57,10 @@
   /** Goes on from the present states. Resolves with whether the goal is in force on all ranks. */
   async advance(states: readonly HeldRank[]): Promise<boolean> {
     let ranks = states;
+    this.#passTimer.note(Math.max(0, ...ranks.map(({ step }) => step)), this.#io.nowMs());
     for (let round = 0; round < maxRounds; round += 1) {
-      const orders = chooseHoldOrders(ranks, this.#goal, (rank) => this.#isPreparing(rank));
+      const isPreparing = (rank: number): boolean => this.#isPreparing(rank);
+      const orders = chooseHoldOrders(ranks, this.#goal, isPreparing, this.#getLeadSteps());
       if (orders.length === 0) {
         break;
       }
@@ -71,6 +80,11 @@
     return goal !== null && ranks.every(({ mapVersion }) => mapVersion >= goal.version);
   }
 
+  /** A group whose passes are slow waits for its map; one pass less saves it most of the time that is left. */
+  #getLeadSteps(): number {
+    return this.#passTimer.getPassMs(this.#io.nowMs()) > repeatedOrderMs ? slowLeadSteps : leadSteps;
+  }
+
   async #give(order: HoldOrder): Promise<boolean | null> {
     const answer = await this.#io.order(order);
     if (order.kind === HoldOrderKind.Prepare && answer === true) {
--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -3,8 +3,6 @@
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 
-/** Passes between the last one that was begun and the one that is held. Four cost more by later maps than they saved. */
-const leadSteps = 2;
 /** Rank that holds the group. */
 const holdingRank = 0;
 
@@ -12,11 +10,13 @@
  * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It depends on the
  * reports alone, so that it also completes or clears what another lead has begun. A map is armed only while the group
  * is held before the pass from which it counts, and the group goes on only when all ranks or none are armed.
+ * `leadSteps` is the number of passes from the last one that was begun to the one that is held.
  */
 export function chooseHoldOrders(
   ranks: readonly HeldRank[],
   goal: MapGoal | null,
   isPreparing: (rank: number) => boolean,
+  leadSteps: number,
 ): HoldOrder[] {
   const [first] = ranks;
   const isWhole = ranks.every(({ epoch, isOpen }) => isOpen && epoch === first?.epoch);
