Plan by the new demand at the first look after a shift

Cause: the choices since the last look mix the old and the new demand, so the lead waited for a second look, one slow pass (60 to 150 ms) later. Change: an expert that was hot and has lost its demand tells which share of the mixture is old; that share is taken off and the rest is planned by at once. Before and after: experts/test/hold, 'a mixture of demands is separated' (nothing planned at the first look before).

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -175,7 +175,9 @@
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
     metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
-    logger.info({ group, version, epoch, presentSkew, plannedSkew, newPerRank, copies }, "map planned");
+    const { isSeparated } = this.#demand;
+    const inputs = { presentSkew, plannedSkew, newPerRank, copies, isSeparated };
+    logger.info({ group, version, epoch, ...inputs }, "map planned");
   }
 
   #adopt(): void {
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -5,6 +5,7 @@
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { separateDemand } from "@clementinemux/experts/hold/separateDemand";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
 import { HeldGroup } from "./HeldGroup";
 
@@ -206,6 +207,46 @@
   t.end();
 });
 
+// Guards against a group that waits for a second look although the first one tells where the demand has gone.
+t.test("a mixture of demands is separated when a hot expert has lost its demand", (t) => {
+  const weigh = (hot: number): number[] =>
+    Array.from({ length: 16 }, (_, expert) => (expert === hot ? 9000 : 500));
+  const [before, after] = [weigh(2), weigh(5)];
+  const limits = { paces: [1, 1, 1, 1], placements: 8, spare: 8, maxNewPerRank: 8, goalSkew: 1.1 };
+  const loads = [Float64Array.from(before)];
+  const present = planEvenMap({ present: createTurnHosting(1, 16, 4), loads, ...limits }).hosting;
+  const monitor = new DemandMonitor({ layerSets: 1, expertsPerSet: 16 });
+  let counts = before;
+  let nowMs = 0;
+  const look = (weights: readonly number[]): readonly Float64Array[] | null => {
+    nowMs += 120;
+    counts = choose(counts, weights);
+    monitor.add([{ rank: 0, epoch: 1, counts }], nowMs);
+    return monitor.review(present, [1, 1, 1, 1]);
+  };
+  look(before);
+  for (let round = 0; round < 10; round += 1) {
+    t.not(look(before), null);
+  }
+  const mixed = before.map((weight, expert) => weight * 0.4 + (after[expert] ?? 0) * 0.6);
+  const [planned = new Float64Array(0)] = look(mixed) ?? [];
+  t.equal(monitor.isShifting, false);
+  t.equal(monitor.isSeparated, true);
+  const sum = planned.reduce((total, load) => total + load, 0);
+  t.ok((planned[5] ?? 0) / sum > 0.5, `share of the new hot expert: ${(planned[5] ?? 0) / sum}`);
+  t.ok((planned[2] ?? 0) / sum < 0.08, `share of the old hot expert: ${(planned[2] ?? 0) / sum}`);
+  t.end();
+});
+
+// Guards against a separation from noise: experts whose demand merely varies tell nothing of a new one.
+t.test("demand that varies is not separated", (t) => {
+  const before = [Float64Array.from({ length: 16 }, (_, expert) => (expert === 2 ? 9000 : 500))];
+  const mixed = [Float64Array.from({ length: 16 }, (_, expert) => (expert === 2 ? 7500 : 600))];
+  t.equal(separateDemand(before, mixed), null);
+  t.equal(separateDemand([], mixed), null);
+  t.end();
+});
+
 // Guards against copies that chance alone makes seem useful.
 t.test("few choices do not look like a shift", (t) => {
   const monitor = new DemandMonitor({ layerSets: 1, expertsPerSet: 4 });
