Separate demands on broad evidence only; ask callers back after a forming group is there

Change: the lower quartile of the hot experts tells, and at least half of the choices have to be new. Before and after: experts/test/hold, one hot expert of five that lost its demand was taken for a shift before. Cause of the second: after a power loss 118 requests were turned away within 0.7 s by a group that still formed, many of them for the second and last time: they had been asked back after 0.3 s. Change: a request that ranks turn away is asked back after one and a half times the group's forming time, spread.

--- a/packages/experts/hold/separateDemand.ts
+++ b/packages/experts/hold/separateDemand.ts
@@ -1,19 +1,22 @@
 /** Load of an expert against the mean of its layer set from which on its loss tells how much demand is new. */
 const hotFactor = 3;
-/** Share of new demand below which the new part cannot be told from noise. */
-const leastShare = 0.3;
+/** Share of new demand below which the separation would multiply the noise of the choices. */
+const leastShare = 0.5;
+/** Of the hot experts, sorted by what they kept, the one that tells; a single one may have lost its demand by chance. */
+const tellingQuantile = 0.25;
 
 /**
- * Splits choices that were made partly before and partly after a shift of demand. An expert that was hot and is hardly
- * chosen any more tells which share of the choices follows the old demand; that share is taken off. Loads are given by
- * layer set and expert, in any unit. Null when no hot expert has lost enough of its demand.
+ * Splits choices that were made partly before and partly after a shift of demand. Experts that were hot and are hardly
+ * chosen any more tell which share of the choices follows the old demand; that share is taken off. Loads are given by
+ * layer set and expert, in any unit. Null when the hot experts have not lost enough of their demand.
  */
 export function separateDemand(
   before: readonly Float64Array[],
   mixed: readonly Float64Array[],
 ): Float64Array[] | null {
   const oldShares = before.flatMap((loads, set) => listOldShares(loads, mixed[set] ?? new Float64Array(0)));
-  const oldShare = Math.min(1, ...oldShares);
+  oldShares.sort((left, right) => left - right);
+  const oldShare = oldShares[Math.floor(oldShares.length * tellingQuantile)] ?? 1;
   if (1 - oldShare < leastShare) {
     return null;
   }
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -244,6 +244,9 @@
   const mixed = [Float64Array.from({ length: 16 }, (_, expert) => (expert === 2 ? 7500 : 600))];
   t.equal(separateDemand(before, mixed), null);
   t.equal(separateDemand([], mixed), null);
+  const four = [Float64Array.from({ length: 64 }, (_, expert) => (expert < 5 ? 9000 : 500))];
+  const one = [four[0]!.map((load, expert) => (expert === 3 ? 500 : load))];
+  t.equal(separateDemand(four, one), null, "one hot expert of five may have lost its demand by chance");
   t.end();
 });
 
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -308,7 +308,9 @@
       this.#end(end, status);
     } else {
       const crowding = measureCrowding(this.#context, this.#arrival);
-      this.#writer.sendOwn(503, text, estimateRetryMs(service, crowding, this.#context.options.random));
+      const isTurnedAway = end === RequestEnd.TurnedAway;
+      const retryMs = estimateRetryMs(service, crowding, isTurnedAway, this.#context.options.random);
+      this.#writer.sendOwn(503, text, retryMs);
       this.#end(end === RequestEnd.Unknown ? RequestEnd.Unreachable : end, 503);
     }
   }
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -59,10 +59,36 @@
   const engine = { slots: 8 } as never;
   const model = { ...service!, engine };
   const slowed = { targets: 16, meanLoad: 5, slots: 8, cap: 4.8, meanGapMs: 130 };
-  const waits = Array.from({ length: 200 }, () => estimateRetryMs(model, slowed, random));
+  const waits = Array.from({ length: 200 }, () => estimateRetryMs(model, slowed, false, random));
   t.ok(Math.min(...waits) >= 600 && Math.max(...waits) <= 1500);
   t.ok(Math.max(...waits) - Math.min(...waits) > 300, "guards against callers that return all at once");
-  const quick = Array.from({ length: 200 }, () => estimateRetryMs(model, { ...slowed, cap: 8 }, random));
+  const quick = Array.from({ length: 200 }, () =>
+    estimateRetryMs(model, { ...slowed, cap: 8 }, false, random),
+  );
   t.ok(Math.max(...quick) < 500);
   t.end();
 });
+
+// Guards against callers that come back, and are refused for good, while a broken group still forms.
+t.test("callers that a forming group turned away return after it is there", (t) => {
+  const random = createRandom(4);
+  const experts = {
+    layerSets: 4,
+    expertsPerSet: 64,
+    placements: 5,
+    spare: 2,
+    expertMb: 2500,
+    expertShare: 0.85,
+    linkMbps: 180_000,
+    formMs: 600,
+  };
+  const [service] = createDocument(1).services;
+  const engine = { slots: 8, experts } as never;
+  const idle = { targets: 16, meanLoad: 0, slots: 8, cap: 8, meanGapMs: null };
+  const wait = (isTurnedAway: boolean): number =>
+    estimateRetryMs({ ...service!, engine }, idle, isTurnedAway, random);
+  const waits = Array.from({ length: 200 }, () => wait(true));
+  t.ok(Math.min(...waits) >= 600 && Math.max(...waits) <= 1500);
+  t.ok(wait(false) < 500);
+  t.end();
+});
