Hand the orders of an activation to the process beside the holding rank

Weighed: shorter election timeouts (0.3 s are still late), early elections on refused connections (a cut may refuse connections of a leader that is alive), release by the ranker on its own after a silence (two deciders by design). Change: when all ranks are prepared the lead sends what it saw to the ranker of the holding rank, which holds, arms and lets go. The lead looks again; after an activation without a good answer it gives the orders itself for 2 s. Both choose their orders from the states of the ranks alone. Ranks, links to them and PeerLinks moved to the packages that both use.

--- a/packages/control/ControlClient.ts
+++ b/packages/control/ControlClient.ts
@@ -19,7 +19,7 @@
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { ControlError } from "./ControlError";
 import { ControlErrorCode } from "./ControlErrorCode";
-import { PeerLinks } from "./PeerLinks";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { getClaimGroup } from "./getClaimGroup";
 
 interface ControlClientOptions {
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -35,7 +35,7 @@
 import { ControlErrorCode } from "./ControlErrorCode";
 import type { ControlSettings } from "./ControlSettings";
 import { GroupHost } from "./GroupHost";
-import { PeerLinks } from "./PeerLinks";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ServingRelay } from "./ServingRelay";
 import { createApiRoutes } from "./createApiRoutes";
 
--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -13,7 +13,7 @@
 import { ControlError } from "./ControlError";
 import { ControlErrorCode } from "./ControlErrorCode";
 import type { ControlSettings } from "./ControlSettings";
-import type { PeerLinks } from "./PeerLinks";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ReplicatedGroup } from "./ReplicatedGroup";
 import type { StateMachine } from "./StateMachine";
 
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -6,10 +6,10 @@
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
-import type { PeerLinks } from "../PeerLinks";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupConductor } from "./GroupConductor";
-import { RankLink } from "./RankLink";
+import { RankLink } from "@clementinemux/ranker/RankLink";
 
 interface ConductorOptions {
   readonly framePort: number;
@@ -136,9 +136,8 @@
       return known;
     }
     const { links, framePort, openRank, metrics, logger } = this.#options;
-    const rankerAddress = `${parseAddress(address).host}:${framePort}`;
-    const direct = openRank(address);
-    const link = new RankLink({ links, rankerAddress, direct, orders: metrics.orders, logger });
+    const place = { address, rankerAddress: `${parseAddress(address).host}:${framePort}` };
+    const link = new RankLink({ links, place, direct: openRank(address), orders: metrics.orders, logger });
     this.#links.set(address, link);
     return link;
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -11,7 +11,7 @@
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { MapOutcome } from "./MapOutcome";
-import type { RankWay } from "./RankWay";
+import type { RankWay } from "@clementinemux/ranker/RankWay";
 
 interface GroupConductorOptions {
   readonly group: string;
@@ -38,6 +38,8 @@
 const alertMs = 30;
 /** A group whose pass has not changed for this time may be held; passes of a healthy one take less. */
 const stoppedMs = 110;
+/** Time for which a lead gives the orders itself after the process beside the holding rank has not. */
+const delegateRetryMs = 2000;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
 const goalTimeoutMs = 6000;
 
@@ -53,6 +55,7 @@
   #lastVersion = 0;
   #lastStep = 0;
   #movedAtMs = -Infinity;
+  #notDelegatedAtMs = -Infinity;
   #paces: number[] = [];
 
   constructor(options: GroupConductorOptions) {
@@ -95,11 +98,39 @@
     if (this.#activation.goal !== null || !isBegun(states)) {
       await this.#reviewGoal(states, nowMs);
     }
+    this.#activation.note(states);
+    if (this.#activation.isReady(states) && (await this.#delegate(states, nowMs))) {
+      return;
+    }
     if (await this.#activation.advance(states)) {
       this.#adopt();
     }
   }
 
+  /**
+   * Has the process beside the holding rank give the orders of an activation, which it goes on with when this lead is
+   * killed or stands still between them. Resolves with false when it cannot be asked; after a question without a good
+   * answer, the next look tells how far it came, and this lead gives the orders.
+   */
+  async #delegate(states: readonly HeldRank[], nowMs: number): Promise<boolean> {
+    const { goal, leadSteps } = this.#activation;
+    const places = this.#links.map((way) => way?.place ?? null).filter((place) => place !== null);
+    const [holder] = this.#links;
+    const isTried = nowMs - this.#notDelegatedAtMs < delegateRetryMs;
+    if (goal === null || !holder || places.length < this.#links.length || isTried) {
+      return false;
+    }
+    const { version, epoch } = goal;
+    const fence = this.#options.getFence();
+    const isDone = await holder.activate({ fence, version, epoch, leadSteps, places, states });
+    if (isDone !== true) {
+      this.#notDelegatedAtMs = nowMs;
+    }
+    const { group, logger } = this.#options;
+    logger.info({ group, version, leadSteps, ranker: holder.place.rankerAddress, isDone }, "map handed over");
+    return true;
+  }
+
   /** Ranks whose neighbour is silent are asked directly, but only while the group may be held. */
   async #completeStates(
     inspections: readonly (RankInspection | null)[],
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -17,7 +17,7 @@
 import { ControlSettings } from "../ControlSettings";
 import { Conductor } from "../ranks/Conductor";
 import { GroupHost } from "../GroupHost";
-import { PeerLinks } from "../PeerLinks";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import { CoordinatorMetrics } from "./CoordinatorMetrics";
 import type { CoordinatorOptions } from "./CoordinatorOptions";
--- a/packages/control/routes/DocumentService.ts
+++ b/packages/control/routes/DocumentService.ts
@@ -3,7 +3,7 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { ControlError } from "../ControlError";
 import { ControlErrorCode } from "../ControlErrorCode";
-import type { PeerLinks } from "../PeerLinks";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import type { DocumentConfirmation } from "./DocumentConfirmation";
 import type { RouteMachine } from "./RouteMachine";
--- a/packages/control/routes/Exchange.ts
+++ b/packages/control/routes/Exchange.ts
@@ -5,7 +5,7 @@
 import type { PaceBoard } from "@clementinemux/registry/PaceBoard";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import { MessageName } from "@clementinemux/wire/MessageName";
-import type { PeerLinks } from "../PeerLinks";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { PeerBook } from "./PeerBook";
 
 interface ExchangeOptions {
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -2,7 +2,8 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
-import type { RankWay } from "../ranks/RankWay";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
+import type { RankWay } from "@clementinemux/ranker/RankWay";
 
 /** Way to a rank of a stand-in group; the process beside it can be silenced. */
 export class HeldRankWay implements RankWay {
@@ -13,12 +14,18 @@
   hidesExperts = false;
   counts: readonly number[] = [];
   directInspections = 0;
+  /** What the process beside the rank was asked to bring into force; it does not answer. */
+  readonly activations: ActivateRequest[] = [];
 
   constructor(group: HeldGroup, rank: number) {
     this.#group = group;
     this.#rank = rank;
   }
 
+  get place() {
+    return { address: `rank-${this.#rank}:1`, rankerAddress: `rank-${this.#rank}:2` };
+  }
+
   inspect(_fence: number, withExperts: boolean): Promise<RankInspection | null> {
     const state = this.#group.inspect(this.#rank);
     if (this.isSilent || state === null) {
@@ -39,4 +46,9 @@
   order(_fence: number, order: HoldOrder): Promise<boolean | null> {
     return Promise.resolve(this.#group.order(order));
   }
+
+  activate(request: ActivateRequest): Promise<boolean | null> {
+    this.activations.push(request);
+    return Promise.resolve(null);
+  }
 }
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -6,7 +6,7 @@
 import { Ranker } from "@clementinemux/ranker/Ranker";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
-import { PeerLinks } from "../PeerLinks";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { Conductor } from "../ranks/Conductor";
 import { GroupConductor } from "../ranks/GroupConductor";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
@@ -57,6 +57,26 @@
   t.equal(group.mixedPasses, 0);
 });
 
+// Guards against a lead that waits for ever for a process that does not answer, and against orders of both at once.
+t.test("a lead hands an activation over, and gives the orders itself when that fails", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  const lead = createLead(group);
+  const counts = [0, 0, 0, 0, 0, 0, 0, 0];
+  for (let round = 0; round < 30 && group.ranks.some(({ mapVersion }) => mapVersion === 0); round += 1) {
+    counts.forEach((_, expert) => {
+      counts[expert] = (counts[expert] ?? 0) + (expert % 4 === 0 ? 9000 : 100);
+    });
+    ways[0]!.counts = [...counts];
+    await look(lead, ways);
+    group.advance(30);
+  }
+  t.match(ways[0]?.activations, [{ fence: 2, version: 1, epoch: 1, places: [{ address: "rank-0:1" }] }]);
+  t.equal(ways[0]?.activations.length, 1);
+  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === 1 && heldStep === null));
+  t.equal(group.mixedPasses, 0);
+});
+
 // Guards against direct inspections, which are priced, of a group that is merely between two passes.
 t.test("a silent neighbour is passed by only when the group may be held", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
@@ -99,7 +119,9 @@
       // No order is carried out, so that the plan stays pending.
       order: () => Promise.resolve(null),
     };
+    const openRank = (): typeof client => client;
     return new Ranker({
+      openRank,
       host: `127.0.0.${rank + 1}`,
       framePort,
       metricsPort: null,
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -12,6 +12,8 @@
   /** Gives an order. Resolves with whether the rank has confirmed it; null when there was no answer. */
   readonly order: (order: HoldOrder) => Promise<boolean | null>;
   readonly nowMs: () => number;
+  /** Passes from the last one that was begun to the one that is held; chosen by the time of a pass if not given. */
+  readonly leadSteps?: number;
 }
 
 /** A confirmed order to prepare is not repeated within this time, since copying takes a while. */
@@ -19,8 +21,8 @@
 /** Time of an order that has to be given twice. Passes that are longer leave room for it in the pass before the held one. */
 const repeatedOrderMs = 100;
 /** Passes from the last one that was begun to the one that is held. Four cost more by later maps than they saved. */
-const leadSteps = 2;
-const slowLeadSteps = 1;
+const longLeadSteps = 2;
+const shortLeadSteps = 1;
 /** Rounds of orders between two inspections; an activation takes hold, arm and go. */
 const maxRounds = 4;
 
@@ -54,13 +56,33 @@
     this.#goal = null;
   }
 
+  /** A group whose passes are slow waits for its map; one pass less saves it most of the time that is left. */
+  get leadSteps(): number {
+    const { leadSteps, nowMs } = this.#io;
+    return (
+      leadSteps ?? (this.#passTimer.getPassMs(nowMs()) > repeatedOrderMs ? shortLeadSteps : longLeadSteps)
+    );
+  }
+
+  /** Takes the pass that was begun last, to time the passes. */
+  note(states: readonly HeldRank[]): void {
+    this.#passTimer.note(Math.max(0, ...states.map(({ step }) => step)), this.#io.nowMs());
+  }
+
+  /** Whether all ranks are prepared for the goal and nothing is in flight, so that a hold is the next order. */
+  isReady(states: readonly HeldRank[]): boolean {
+    const isInFlight = states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
+    const [order] = chooseHoldOrders(states, this.#goal, (rank) => this.#isPreparing(rank), this.leadSteps);
+    return !isInFlight && order?.kind === HoldOrderKind.Hold;
+  }
+
   /** Goes on from the present states. Resolves with whether the goal is in force on all ranks. */
   async advance(states: readonly HeldRank[]): Promise<boolean> {
     let ranks = states;
-    this.#passTimer.note(Math.max(0, ...ranks.map(({ step }) => step)), this.#io.nowMs());
+    this.note(states);
     for (let round = 0; round < maxRounds; round += 1) {
       const isPreparing = (rank: number): boolean => this.#isPreparing(rank);
-      const orders = chooseHoldOrders(ranks, this.#goal, isPreparing, this.#getLeadSteps());
+      const orders = chooseHoldOrders(ranks, this.#goal, isPreparing, this.leadSteps);
       if (orders.length === 0) {
         break;
       }
@@ -80,11 +102,6 @@
     return goal !== null && ranks.every(({ mapVersion }) => mapVersion >= goal.version);
   }
 
-  /** A group whose passes are slow waits for its map; one pass less saves it most of the time that is left. */
-  #getLeadSteps(): number {
-    return this.#passTimer.getPassMs(this.#io.nowMs()) > repeatedOrderMs ? slowLeadSteps : leadSteps;
-  }
-
   async #give(order: HoldOrder): Promise<boolean | null> {
     const answer = await this.#io.order(order);
     if (order.kind === HoldOrderKind.Prepare && answer === true) {
--- /dev/null
+++ b/packages/experts/test/GroupTime.ts
@@ -0,0 +1,40 @@
+import type { HeldGroup } from "./HeldGroup";
+
+/** Simulated time of a stand-in group, in which several processes wait side by side. */
+export class GroupTime {
+  readonly #group: HeldGroup;
+  #sleepers: { readonly dueMs: number; readonly wake: () => void }[] = [];
+
+  constructor(group: HeldGroup) {
+    this.#group = group;
+  }
+
+  sleep(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#sleepers.push({ dueMs: this.#group.nowMs + ms, wake: resolve });
+    });
+  }
+
+  /** Moves the time on until the work is done. */
+  async run(work: Promise<unknown>): Promise<void> {
+    const state = { isDone: false };
+    void work.then(() => {
+      state.isDone = true;
+    });
+    await settle();
+    while (!state.isDone) {
+      const next = this.#sleepers.reduce((left, right) => (left.dueMs <= right.dueMs ? left : right));
+      this.#sleepers = this.#sleepers.filter((sleeper) => sleeper !== next);
+      if (next.dueMs > this.#group.nowMs) {
+        this.#group.advance(next.dueMs - this.#group.nowMs);
+      }
+      next.wake();
+      await settle();
+    }
+  }
+}
+
+/** Lets all promises that are ready run on. */
+function settle(): Promise<void> {
+  return new Promise(setImmediate);
+}
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -7,6 +7,7 @@
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { separateDemand } from "@clementinemux/experts/hold/separateDemand";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+import { GroupTime } from "./GroupTime";
 import { HeldGroup } from "./HeldGroup";
 
 const hosting = createTurnHosting(1, 4, 4);
@@ -72,6 +73,53 @@
   }
 });
 
+// Guards against two processes that bring a map into force at the same time: the one it was handed to, and a lead that
+// has heard nothing from it.
+t.test("maps never mix when two processes give orders at once", async (t) => {
+  let inForce = 0;
+  for (let seed = 1; seed <= 150; seed += 1) {
+    const random = createRandom(seed);
+    const passMs = seed % 2 === 0 ? 60 : 145;
+    const group = new HeldGroup({ ranks: 5, random, lateShare: seed % 3 === 0 ? 0.1 : 0, passMs });
+    const time = new GroupTime(group);
+    const createActor = (): GroupActivation =>
+      new GroupActivation({
+        inspect: async (rank) => {
+          await time.sleep(1 + random() * 12);
+          const state = group.inspect(rank);
+          await time.sleep(1 + random() * 12);
+          return state;
+        },
+        order: async (order) => {
+          // Some orders and answers take as long as a process that stands still for a moment.
+          await time.sleep(1 + random() * (random() < 0.1 ? 300 : 12));
+          const answer = group.order(order);
+          await time.sleep(1 + random() * 12);
+          return random() < 0.05 ? null : answer;
+        },
+        nowMs: () => group.nowMs,
+      });
+    const act = async (actor: GroupActivation): Promise<void> => {
+      for (let round = 0; round < 12; round += 1) {
+        const seen = group.ranks.map((rank) => ({ ...rank }));
+        await time.sleep(random() * 40);
+        await actor.advance(seen);
+        await time.sleep(random() * 60);
+      }
+    };
+    for (let version = 1; version <= 4; version += 1) {
+      const actors = [createActor(), createActor()];
+      for (const actor of actors) {
+        actor.aim({ version, epoch: 1, hosting });
+      }
+      await time.run(Promise.all(actors.map(act)));
+      inForce += group.ranks.every(({ mapVersion }) => mapVersion === version) ? 1 : 0;
+    }
+    t.equal(group.mixedPasses, 0, `seed ${seed}`);
+  }
+  t.ok(inForce > 500, `${inForce} of 600 maps in force`);
+});
+
 /** Group and lead of which the first order to arm rank 2 is lost. */
 function createLossyLead(passMs: number): { group: HeldGroup; lead: GroupActivation; isLost: () => boolean } {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0, passMs });
--- a/packages/control/ranks/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -3,19 +3,20 @@
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import type { Counters } from "@clementinemux/metrics/Counters";
-import type { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
-import type { RankClient } from "@clementinemux/ranker/RankClient";
-import type { RankInspection } from "@clementinemux/ranker/RankInspection";
-import { getOrderOutcome } from "@clementinemux/ranker/getOrderOutcome";
+import type { ActivateRequest } from "./ActivateRequest";
+import type { OrderOutcome } from "./OrderOutcome";
+import type { RankClient } from "./RankClient";
+import type { RankInspection } from "./RankInspection";
+import type { RankPlace } from "./RankPlace";
+import { getOrderOutcome } from "./getOrderOutcome";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
-import type { PeerLinks } from "../PeerLinks";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { RankWay } from "./RankWay";
 
 interface RankLinkOptions {
   readonly links: PeerLinks;
-  /** Frame address of the process beside the rank. */
-  readonly rankerAddress: string;
+  readonly place: RankPlace;
   /** The rank itself, used when the process beside it does not answer; that way is priced by the platform. */
   readonly direct: RankClient;
   readonly orders: Counters<OrderOutcome>;
@@ -26,7 +27,10 @@
 /** Shorter than the two passes that a group runs before a hold, so that an order can be given again without a pause. */
 const orderTimeoutMs = 70;
 
-/** A lead's way to one rank: through the process beside it, and straight when that process is silent. */
+/** Holding, arming and letting go take about 30 ms; an order that is lost adds its time-out. */
+const activateTimeoutMs = 150;
+
+/** Way to one rank: through the process beside it, and straight when that process is silent. */
 export class RankLink implements RankWay {
   readonly #options: RankLinkOptions;
 
@@ -34,10 +38,14 @@
     this.#options = options;
   }
 
+  get place(): RankPlace {
+    return this.#options.place;
+  }
+
   async inspect(fence: number, withExperts: boolean): Promise<RankInspection | null> {
-    const { links, rankerAddress } = this.#options;
+    const { links, place } = this.#options;
     const body = { fence, withExperts };
-    const answer = await links.call(rankerAddress, MessageName.InspectRank, body, inspectTimeoutMs);
+    const answer = await links.call(place.rankerAddress, MessageName.InspectRank, body, inspectTimeoutMs);
     return answer.toMaybe().extractNullable() as RankInspection | null;
   }
 
@@ -60,8 +68,25 @@
     return answer;
   }
 
+  async activate(request: ActivateRequest): Promise<boolean | null> {
+    const { links, place, logger } = this.#options;
+    const { rankerAddress } = place;
+    const answer = await links.call(rankerAddress, MessageName.ActivateMap, request, activateTimeoutMs);
+    return answer.caseOf({
+      Left: ({ message }) => {
+        logger.warn(
+          { rankerAddress, version: request.version, why: message },
+          "map not activated by the ranker",
+        );
+        return null;
+      },
+      Right: (body) => body as boolean,
+    });
+  }
+
   async #orderByRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { links, rankerAddress, logger } = this.#options;
+    const { links, place, logger } = this.#options;
+    const { rankerAddress } = place;
     const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
     return answer.caseOf({
       Left: ({ code, message }) => {
--- a/packages/control/ranks/RankWay.ts
+++ b/packages/ranker/RankWay.ts
@@ -1,13 +1,18 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
-import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { ActivateRequest } from "./ActivateRequest";
+import type { RankInspection } from "./RankInspection";
+import type { RankPlace } from "./RankPlace";
 
-/** A lead's way to one rank. All calls resolve with null when there was no answer. */
+/** Way to one rank. All calls resolve with null when there was no answer. */
 export interface RankWay {
+  readonly place: RankPlace;
   /** State, counts and, when asked for, experts of the rank, read by the process beside it. */
   inspect(fence: number, withExperts: boolean): Promise<RankInspection | null>;
   /** State of the rank by its own word, for groups that stand still. */
   inspectDirectly(): Promise<HeldRank | null>;
   /** Resolves with whether the rank has confirmed the order. */
   order(fence: number, order: HoldOrder): Promise<boolean | null>;
+  /** Has the process beside the rank bring a map into force. Resolves with true when it has given all orders. */
+  activate(request: ActivateRequest): Promise<boolean | null>;
 }
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -34,4 +34,5 @@
   ReadDocument = "readDocument",
   InspectRank = "inspectRank",
   OrderRank = "orderRank",
+  ActivateMap = "activateMap",
 }
--- a/packages/control/PeerLinks.ts
+++ b/packages/wire/PeerLinks.ts
@@ -1,8 +1,8 @@
 import type { Either } from "purify-ts/Either";
-import { RpcClient } from "@clementinemux/wire/RpcClient";
-import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
-import type { WireError } from "@clementinemux/wire/WireError";
-import { parseAddress } from "@clementinemux/wire/parseAddress";
+import { RpcClient } from "./RpcClient";
+import type { TlsFiles } from "./TlsFiles";
+import type { WireError } from "./WireError";
+import { parseAddress } from "./parseAddress";
 
 /** Connections to other control processes, one for each address. */
 export class PeerLinks {
