Move experts for a large gain only while passes are quick

Change: below 0.55 of the shortest pause that a route allows, a plan has to save 0.35 of the skew (0.2 otherwise). Weighed: a higher goal of the plans themselves; the first plan after a shift then leaves more to be copied under load.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -103,19 +103,21 @@
       inspections[inspection.state.rank] = inspection;
     }
     this.#places.set(group, links);
-    const conductor = this.#getGroup(group, figures);
+    const conductor = this.#getGroup(group, service, figures);
     await conductor.step(links, inspections);
     return conductor;
   }
 
-  #getGroup(group: string, figures: ExpertFigures): GroupConductor {
+  #getGroup(group: string, service: string, figures: ExpertFigures): GroupConductor {
     const known = this.#groups.get(group);
     if (known !== undefined) {
       return known;
     }
     const { clock, metrics, logger } = this.#options;
     const getFence = (): number => this.#term;
-    const conductor = new GroupConductor({ group, figures, getFence, clock, metrics, logger });
+    const getGapObjectiveMs = (): number => this.#options.getTable()?.getGapObjectiveMs(service) ?? 0;
+    const options = { group, figures, getFence, getGapObjectiveMs, clock, metrics, logger };
+    const conductor = new GroupConductor(options);
     this.#groups.set(group, conductor);
     return conductor;
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -4,6 +4,7 @@
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
@@ -17,13 +18,13 @@
   readonly group: string;
   readonly figures: ExpertFigures;
   readonly getFence: () => number;
+  /** Shortest pause that a route to the service allows; 0 without one. */
+  readonly getGapObjectiveMs: () => number;
   readonly clock: Clock;
   readonly metrics: CoordinatorMetrics;
   readonly logger: Logger;
 }
 
-/** Least share of the present skew that a plan has to save. */
-const leastGain = 0.2;
 /** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
 const goalSkew = 1.2;
 const bitsPerByte = 8;
@@ -94,11 +95,11 @@
     if (states === null) {
       return;
     }
+    this.#activation.note(states);
     // The group may be held for what another lead has begun, so that is completed before anything is planned.
     if (this.#activation.goal !== null || !isBegun(states)) {
       await this.#reviewGoal(states, nowMs);
     }
-    this.#activation.note(states);
     if (this.#activation.isReady(states) && (await this.#delegate(states, nowMs))) {
       return;
     }
@@ -195,7 +196,8 @@
     const limits = { maxNewPerRank: isUrgent ? maxUrgentPerRank : maxNewPerRank, goalSkew };
     const plan = planEvenMap({ present, loads, paces, placements, spare, ...limits });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
-    if (gain < leastGain) {
+    const { passMs } = this.#activation;
+    if (gain < chooseLeastGain(passMs, this.#options.getGapObjectiveMs())) {
       return;
     }
     const version = 1 + Math.max(this.#lastVersion, ...states.map(getHighestVersion));
@@ -207,7 +209,7 @@
     metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
     const { isSeparated } = this.#demand;
-    const inputs = { presentSkew, plannedSkew, newPerRank, copies, isSeparated };
+    const inputs = { presentSkew, plannedSkew, newPerRank, copies, isSeparated, passMs: Math.round(passMs) };
     logger.info({ group, version, epoch, ...inputs }, "map planned");
   }
 
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -31,7 +31,8 @@
 function createLead(group: HeldGroup): GroupConductor {
   const clock = createClock(group);
   const metrics = new CoordinatorMetrics();
-  return new GroupConductor({ group: "g", figures, getFence: () => 2, clock, metrics, logger });
+  const getters = { getFence: () => 2, getGapObjectiveMs: () => 0 };
+  return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger });
 }
 
 async function look(lead: GroupConductor, ways: readonly HeldRankWay[]): Promise<void> {
@@ -141,7 +142,7 @@
     healthPath: "/",
     engine: { slots: 8, stepMs: 5, stride: 4, experts: figures },
   };
-  const table = { findService: () => service } as unknown as RouteTable;
+  const table = { findService: () => service, getGapObjectiveMs: () => 0 } as unknown as RouteTable;
   const conductor = new Conductor({
     framePort,
     links,
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -41,6 +41,11 @@
     return this.#goal;
   }
 
+  /** Mean time of the last passes, in ms; 0 while nothing is known. */
+  get passMs(): number {
+    return this.#passTimer.meanMs;
+  }
+
   /** Time since the first rank confirmed to prepare the goal, in ms; null before that. */
   getPreparingMs(): number | null {
     const sinceMs = Math.min(...this.#preparingSince.values());
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -4,6 +4,8 @@
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
+import { PassTimer } from "@clementinemux/experts/hold/PassTimer";
+import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { separateDemand } from "@clementinemux/experts/hold/separateDemand";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
@@ -298,6 +300,27 @@
   t.end();
 });
 
+// Guards against copies in quick groups, which are priced and bring no stream in on time.
+t.test("a quick group moves experts for a large gain only", (t) => {
+  t.ok(chooseLeastGain(45, 120) > 0.33, "a second plan, from a skew of 1.8 to 1.2, is left");
+  t.ok(chooseLeastGain(45, 120) < 0.38, "a first plan, from a skew of 2.1 to 1.3, is not");
+  t.ok(chooseLeastGain(80, 120) < 0.25);
+  t.ok(chooseLeastGain(0, 120) < 0.25, "nothing is known of the passes");
+  t.ok(chooseLeastGain(45, 0) < 0.25, "no route allows a pause");
+  t.end();
+});
+
+t.test("the time of a pass is known from the looks", (t) => {
+  const timer = new PassTimer();
+  t.equal(timer.meanMs, 0);
+  for (let nowMs = 0; nowMs <= 3000; nowMs += 120) {
+    timer.note(Math.floor(nowMs / 50), nowMs);
+  }
+  t.ok(timer.meanMs > 40 && timer.meanMs < 60, `${timer.meanMs} ms`);
+  t.ok(timer.getPassMs(3400) >= 400, "a pass that has not ended counts with the time it took so far");
+  t.end();
+});
+
 // Guards against copies that chance alone makes seem useful.
 t.test("few choices do not look like a shift", (t) => {
   const monitor = new DemandMonitor({ layerSets: 1, expertsPerSet: 4 });
--- a/packages/routes/RouteTable.ts
+++ b/packages/routes/RouteTable.ts
@@ -9,6 +9,7 @@
   readonly #hosts = new Map<string, Map<string, Route>>();
   readonly #services = new Map<string, RoutedService>();
   readonly #teams = new Map<string, RouteTeam>();
+  readonly #gapObjectivesMs = new Map<string, number>();
 
   constructor(document: RouteDocument) {
     this.document = document;
@@ -17,6 +18,7 @@
       const prefixes = this.#hosts.get(host) ?? new Map<string, Route>();
       prefixes.set(route.pathPrefix, route);
       this.#hosts.set(host, prefixes);
+      this.#noteGapObjective(route);
     }
     for (const service of document.services) {
       this.#services.set(service.name, service);
@@ -49,7 +51,19 @@
     return this.#services.get(name) ?? null;
   }
 
+  /** Shortest pause that a route to the service allows, in ms; 0 without one. */
+  getGapObjectiveMs(service: string): number {
+    return this.#gapObjectivesMs.get(service) ?? 0;
+  }
+
   findTeam(key: string): RouteTeam | null {
     return this.#teams.get(key) ?? null;
   }
+
+  #noteGapObjective({ gapObjectiveMs, split }: Route): void {
+    for (const { service } of gapObjectiveMs > 0 ? split : []) {
+      const known = this.#gapObjectivesMs.get(service) ?? Infinity;
+      this.#gapObjectivesMs.set(service, Math.min(known, gapObjectiveMs));
+    }
+  }
 }
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -58,3 +58,13 @@
   t.match(findDocumentFault({ ...document, teams }), /share a key/);
   t.end();
 });
+
+t.test("the shortest allowed pause of a service is known", (t) => {
+  const app = [{ service: "app", weight: 1 }];
+  const table = new RouteTable(
+    createDocument(1, [{}, { gapObjectiveMs: 150 }, { gapObjectiveMs: 120, split: app }]),
+  );
+  t.equal(table.getGapObjectiveMs("app"), 120);
+  t.equal(table.getGapObjectiveMs("other"), 0);
+  t.end();
+});
