--- a/packages/control/ControlClient.ts
+++ b/packages/control/ControlClient.ts
@@ -14,12 +14,12 @@
 import type { ProposeRequest } from "@clementinemux/messages/ProposeRequest";
 import type { ProposeResponse } from "@clementinemux/messages/ProposeResponse";
 import { MessageName } from "@clementinemux/wire/MessageName";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
 import type { WireError } from "@clementinemux/wire/WireError";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { ControlError } from "./ControlError";
 import { ControlErrorCode } from "./ControlErrorCode";
-import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { getClaimGroup } from "./getClaimGroup";
 
 interface ControlClientOptions {
--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -6,14 +6,14 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
-import { Counters } from "@clementinemux/metrics/Counters";
 import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
+import { Counters } from "@clementinemux/metrics/Counters";
 import { GroupStorage } from "@clementinemux/storage/GroupStorage";
 import { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ControlError } from "./ControlError";
 import { ControlErrorCode } from "./ControlErrorCode";
 import type { ControlSettings } from "./ControlSettings";
-import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ReplicatedGroup } from "./ReplicatedGroup";
 import type { StateMachine } from "./StateMachine";
 
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import { RankLink } from "@clementinemux/ranker/RankLink";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
@@ -9,7 +10,6 @@
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupConductor } from "./GroupConductor";
-import { RankLink } from "@clementinemux/ranker/RankLink";
 
 interface ConductorOptions {
   readonly framePort: number;
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -1,18 +1,18 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
-import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
-import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
-import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { RankWay } from "@clementinemux/ranker/RankWay";
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { MapOutcome } from "./MapOutcome";
-import type { RankWay } from "@clementinemux/ranker/RankWay";
 
 interface GroupConductorOptions {
   readonly group: string;
--- a/packages/control/routes/DocumentService.ts
+++ b/packages/control/routes/DocumentService.ts
@@ -1,9 +1,9 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ControlError } from "../ControlError";
 import { ControlErrorCode } from "../ControlErrorCode";
-import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import type { DocumentConfirmation } from "./DocumentConfirmation";
 import type { RouteMachine } from "./RouteMachine";
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -1,8 +1,8 @@
-import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
-import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
 
 /** Way to a rank of a stand-in group; the process beside it can be silenced. */
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
-import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { SystemClock } from "@clementinemux/common/SystemClock";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Ranker } from "@clementinemux/ranker/Ranker";
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -3,15 +3,15 @@
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import type { Counters } from "@clementinemux/metrics/Counters";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import type { ActivateRequest } from "./ActivateRequest";
 import type { OrderOutcome } from "./OrderOutcome";
 import type { RankClient } from "./RankClient";
 import type { RankInspection } from "./RankInspection";
 import type { RankPlace } from "./RankPlace";
 import { getOrderOutcome } from "./getOrderOutcome";
-import { MessageName } from "@clementinemux/wire/MessageName";
-import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
-import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { RankWay } from "./RankWay";
 
 interface RankLinkOptions {
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -1,16 +1,16 @@
 import type { Server } from "node:http";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
-import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
-import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { RemoteError } from "@clementinemux/wire/RemoteError";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import type { ActivateRequest } from "./ActivateRequest";
