Name entries that have missed reports only when few others are there

Ruled out: a shorter life of the answers; look-ups fail while coordinators restart. Before and after: registry/test (the frozen entry was named).

--- a/packages/registry/EntryRegistry.ts
+++ b/packages/registry/EntryRegistry.ts
@@ -10,6 +10,12 @@
 /** Entries that were silent for this long are not named to callers. They report five times a second. */
 const silenceMs = 1500;
 
+/**
+ * Entries that were silent for this long are named only when too few others are there. A caller keeps an address for
+ * two seconds, and waits for about as long at an entry that stands still.
+ */
+const quietMs = 900;
+
 /** Entries that are alive, and the load they put on targets. Has no I/O. */
 export class EntryRegistry {
   readonly #entries = new Map<string, HeardEntry>();
@@ -21,11 +27,13 @@
     }
   }
 
-  /** Addresses for a caller: those of its own failure domain while enough of them are ready. */
+  /** Addresses for a caller: those of its own failure domain while enough of them are ready and were heard lately. */
   listAddresses(failureDomain: string, leastOfDomain: number, nowMs: number): string[] {
     const ready = this.#listLive(nowMs).filter(({ entry }) => entry.isReady);
-    const near = ready.filter(({ entry }) => entry.failureDomain === failureDomain);
-    return (near.length >= leastOfDomain ? near : ready).map(({ entry }) => entry.address);
+    const heard = ready.filter(({ heardAtMs }) => nowMs - heardAtMs < quietMs);
+    const near = heard.filter(({ entry }) => entry.failureDomain === failureDomain);
+    const named = [near, heard].find((entries) => entries.length >= leastOfDomain) ?? ready;
+    return named.map(({ entry }) => entry.address);
   }
 
   countLive(nowMs: number): number {
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -96,3 +96,25 @@
   t.same(registry.listAddresses("a", 1, 3000), [], "a silent entry is not named");
   t.end();
 });
+
+// Guards against callers that are sent to a frozen entry for as long as it may only be slow.
+t.test("an entry that has missed some reports is named only when few others are there", (t) => {
+  const registry = new EntryRegistry();
+  const entry = { incarnation: "1", isReady: true, inFlight: {}, failureDomain: "a" };
+  const put = (name: string, nowMs: number): void => {
+    registry.put({ ...entry, name, address: name }, nowMs, null);
+  };
+  for (const name of ["a1", "a2", "a3"]) {
+    put(name, 0);
+  }
+  put("a1", 1000);
+  put("a2", 1000);
+  t.same(registry.listAddresses("a", 2, 1000), ["a1", "a2"]);
+  t.same(registry.listAddresses("a", 3, 1000), ["a1", "a2", "a3"], "three are to be named");
+  t.same(
+    registry.listAddresses("a", 2, 1000 + 950),
+    ["a1", "a2"],
+    "all are silent since a restart of this process",
+  );
+  t.end();
+});
