--- a/packages/experts/hold/EvenLayer.ts
+++ b/packages/experts/hold/EvenLayer.ts
@@ -65,6 +65,12 @@
     return this.#loads.reduce((sum, load) => sum + load, 0) / this.rankLoads.length;
   }
 
+  /** Load of the most loaded rank against the mean; 1 is even. */
+  get skew(): number {
+    const mean = this.getMean();
+    return mean > 0 ? this.getPeak() / mean : 1;
+  }
+
   getHottest(): number {
     return this.rankLoads.indexOf(this.getPeak());
   }
--- a/packages/experts/hold/planEvenMap.ts
+++ b/packages/experts/hold/planEvenMap.ts
@@ -3,6 +3,7 @@
 import type { EvenPlanInput } from "./EvenPlanInput";
 import { applyEvenChange } from "./applyEvenChange";
 import { findEvenChange } from "./findEvenChange";
+import { getMeanSkew } from "./getMeanSkew";
 
 /** Bounds the time of planning; what is left is found by the next plan. */
 const maxChanges = 200;
@@ -18,10 +19,10 @@
   const countNew = (rank: number): number => layers.reduce((sum, layer) => sum + layer.getNewCount(rank), 0);
   const open = new Set(layers);
   for (let changes = 0; changes < maxChanges && open.size > 0; changes += 1) {
-    const layer = [...open].reduce((left, right) => (getSkew(left) >= getSkew(right) ? left : right));
+    const layer = [...open].reduce((left, right) => (left.skew >= right.skew ? left : right));
     const mayTake = (rank: number): boolean =>
       layer.getNewCount(rank) < spare && countNew(rank) < maxNewPerRank;
-    const change = getSkew(layer) > goalSkew ? findEvenChange(layer, { placements, mayTake }) : null;
+    const change = layer.skew > goalSkew ? findEvenChange(layer, { placements, mayTake }) : null;
     if (change === null) {
       open.delete(layer);
     } else {
@@ -37,12 +38,3 @@
     newPerRank: Math.max(0, ...Array.from({ length: ranks }, (_, rank) => countNew(rank))),
   };
 }
-
-function getSkew(layer: EvenLayer): number {
-  const mean = layer.getMean();
-  return mean > 0 ? layer.getPeak() / mean : 1;
-}
-
-function getMeanSkew(layers: readonly EvenLayer[]): number {
-  return layers.reduce((sum, layer) => sum + getSkew(layer), 0) / Math.max(1, layers.length);
-}
