--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,8 +1,6 @@
-import type { Server } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
-import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
-import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
+import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { PaceBoard } from "@clementinemux/registry/PaceBoard";
@@ -60,6 +58,7 @@
   readonly #peers: PeerBook;
   readonly #machine = new RouteMachine();
   readonly #server: RpcServer;
+  readonly #metricsPage: MetricsPage;
   readonly #incarnation: string;
   readonly #startedAtMs: number;
   #group: ReplicatedGroup | null = null;
@@ -67,8 +66,6 @@
   #exchange: Exchange | null = null;
   #steward: Steward | null = null;
   #table: RouteTable | null = null;
-  #metricsServer: Server | null = null;
-  #loopDelay: LoopDelayMeter | null = null;
   #tickedAtMs = 0;
   #isClosed = false;
 
@@ -78,6 +75,9 @@
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.#startedAtMs = clock.monotonicMs();
     this.#peers = new PeerBook(this.address);
+    const { host, metricsPort: port } = options;
+    const render = (): string => this.metrics.render() + renderStatus(this.getStatus());
+    this.#metricsPage = new MetricsPage({ role: "coordinator", host, port, clock, render });
     const settings = createLogSettings(options);
     const links = this.#links;
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, refusesWhenFull: false });
@@ -115,7 +115,7 @@
       clock,
     });
     await this.#server.listen(host, framePort);
-    await this.#serveMetrics();
+    await this.#metricsPage.start();
     this.#peers.learn(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
     this.#repeat(tickIntervalMs, "tick", () => {
@@ -134,8 +134,7 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#links.close();
-    this.#metricsServer?.close();
-    this.#loopDelay?.stop();
+    this.#metricsPage.stop();
     await this.#server.close();
   }
 
@@ -203,19 +202,6 @@
     };
   }
 
-  async #serveMetrics(): Promise<void> {
-    const { host, metricsPort, clock } = this.#options;
-    if (metricsPort === null) {
-      return;
-    }
-    const loopDelay = new LoopDelayMeter("clementinemux_coordinator_loop_delay_seconds", clock);
-    loopDelay.start();
-    this.#loopDelay = loopDelay;
-    const render = (): string =>
-      this.metrics.render() + loopDelay.histogram.render() + renderStatus(this.getStatus());
-    this.#metricsServer = await serveMetrics({ host, port: metricsPort, render });
-  }
-
   #createConductor(group: ReplicatedGroup): Conductor {
     const { framePort, openRank, clock, logger } = this.#options;
     return new Conductor({
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -2,9 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { periodic } from "most";
-import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
+import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
-import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { FleetSync } from "./FleetSync";
@@ -47,10 +46,9 @@
   readonly #sockets = new Set<Socket>();
   readonly #incarnation: string;
   readonly #intake: Intake;
-  readonly #loopDelay: LoopDelayMeter;
+  readonly #metricsPage: MetricsPage;
   #server: Server | null = null;
   #readiness: Server | null = null;
-  #metricsServer: Server | null = null;
   #limits = firstLimits;
   #isStopping = false;
   #isClosed = false;
@@ -60,7 +58,9 @@
     this.#options = options;
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
-    this.#loopDelay = new LoopDelayMeter("clementinemux_gateway_loop_delay_seconds", clock);
+    const { host, metricsPort: port } = options;
+    const render = (): string => this.renderMetrics();
+    this.#metricsPage = new MetricsPage({ role: "gateway", host, port, clock, render });
     this.#loads = new TargetLoads(() => this.view.state);
     this.#sync = new FleetSync({
       view: this.view,
@@ -82,7 +82,7 @@
   }
 
   async start(): Promise<void> {
-    const { host, callerPort, readyPort, readyPath, metricsPort, name, logger } = this.#options;
+    const { host, callerPort, readyPort, readyPath, name, logger } = this.#options;
     this.#sync.start();
     this.#server = this.#createServer();
     await listen(this.#server, callerPort, host);
@@ -91,11 +91,7 @@
       response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
     });
     await listen(this.#readiness, readyPort, host);
-    if (metricsPort !== null) {
-      const render = (): string => this.renderMetrics();
-      this.#metricsServer = await serveMetrics({ host, port: metricsPort, render });
-    }
-    this.#loopDelay.start();
+    await this.#metricsPage.start();
     void periodic(housekeepingMs)
       .takeWhile(() => !this.#isClosed)
       .observe(() => {
@@ -116,7 +112,7 @@
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    return this.metrics.render() + this.#loopDelay.histogram.render() + renderGauges(gauges);
+    return this.metrics.render() + renderGauges(gauges);
   }
 
   /** Stops taking new callers, finishes what was read, and resolves when the process may end. */
@@ -148,8 +144,7 @@
     this.#sync.close();
     this.#server?.close();
     this.#readiness?.close();
-    this.#metricsServer?.close();
-    this.#loopDelay.stop();
+    this.#metricsPage.stop();
     for (const socket of this.#sockets) {
       socket.destroy();
     }
--- /dev/null
+++ b/packages/metrics/MetricsPage.ts
@@ -0,0 +1,45 @@
+import type { Server } from "node:http";
+import type { Clock } from "@clementinemux/common/Clock";
+import { LoopDelayMeter } from "./LoopDelayMeter";
+import { serveMetrics } from "./serveMetrics";
+
+interface MetricsPageOptions {
+  /** Role of the process, part of the names of its metrics. */
+  readonly role: string;
+  readonly host: string;
+  /** Port of the page; null serves none. */
+  readonly port: number | null;
+  readonly clock: Clock;
+  /** Text of the metrics beside the loop delay. */
+  readonly render: () => string;
+}
+
+/** Metrics page of a process, with the delay of its event loop. */
+export class MetricsPage {
+  readonly #options: MetricsPageOptions;
+  readonly #loopDelay: LoopDelayMeter;
+  #server: Server | null = null;
+
+  constructor(options: MetricsPageOptions) {
+    this.#options = options;
+    this.#loopDelay = new LoopDelayMeter(`clementinemux_${options.role}_loop_delay_seconds`, options.clock);
+  }
+
+  /** Rejects when the address cannot be listened on. */
+  async start(): Promise<void> {
+    const { host, port, render } = this.#options;
+    if (port !== null) {
+      this.#server = await serveMetrics({
+        host,
+        port,
+        render: () => render() + this.#loopDelay.histogram.render(),
+      });
+      this.#loopDelay.start();
+    }
+  }
+
+  stop(): void {
+    this.#server?.close();
+    this.#loopDelay.stop();
+  }
+}
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -1,13 +1,11 @@
-import type { Server } from "node:http";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { Counters } from "@clementinemux/metrics/Counters";
-import { LoopDelayMeter } from "@clementinemux/metrics/LoopDelayMeter";
+import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
-import { serveMetrics } from "@clementinemux/metrics/serveMetrics";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -45,34 +43,30 @@
   readonly #links = new PeerLinks(undefined);
   readonly #ways = new Map<string, RankWay>();
   readonly #counts: CountSender;
+  readonly #metricsPage: MetricsPage;
   readonly #orders = new Counters("clementinemux_ranker_orders", "outcome", Object.values(OrderOutcome));
-  #metricsServer: Server | null = null;
-  #loopDelay: LoopDelayMeter | null = null;
   #inspections = 0;
   #highestFence = 0;
 
   constructor(options: RankerOptions) {
     this.#options = options;
-    this.#counts = new CountSender(options.clock.wallMs());
+    const { host, metricsPort: port, clock } = options;
+    this.#counts = new CountSender(clock.wallMs());
+    const render = (): string => this.#renderMetrics();
+    this.#metricsPage = new MetricsPage({ role: "ranker", host, port, clock, render });
     this.#server = new RpcServer({ handlers: this.#createHandlers() });
   }
 
   async start(): Promise<void> {
-    const { host, framePort, metricsPort, clock, logger } = this.#options;
+    const { host, framePort, logger } = this.#options;
     await this.#server.listen(host, framePort);
-    if (metricsPort !== null) {
-      this.#loopDelay = new LoopDelayMeter("clementinemux_ranker_loop_delay_seconds", clock);
-      this.#loopDelay.start();
-      const render = (): string => this.#renderMetrics();
-      this.#metricsServer = await serveMetrics({ host, port: metricsPort, render });
-    }
+    await this.#metricsPage.start();
     logger.info({ address: `${host}:${framePort}` }, "ranker started");
   }
 
   /** Ends everything at once. */
   async close(): Promise<void> {
-    this.#metricsServer?.close();
-    this.#loopDelay?.stop();
+    this.#metricsPage.stop();
     this.#links.close();
     await this.#server.close();
   }
@@ -82,8 +76,7 @@
       clementinemux_ranker_fence: this.#highestFence,
       clementinemux_ranker_inspections: this.#inspections,
     };
-    const loopDelay = this.#loopDelay?.histogram.render() ?? "";
-    return renderCounters(this.#orders) + renderGauges(gauges) + loopDelay;
+    return renderCounters(this.#orders) + renderGauges(gauges);
   }
 
   #createHandlers(): Record<string, MessageHandler> {
