Hand activations over to another coordinator instead of a ranker

Ruled out: the ranker of another rank; whether its rank is armed would be unknown while it stands still, so that the group could neither go on nor be let go. Change: the coordinator that was heard last gives the orders (ranker/MapActivator), the lead goes on after 70 ms without an answer. A coordinator that stands still hides no rank.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
@@ -21,6 +22,8 @@
   readonly getTerm: () => number | null;
   /** Opens the direct way to a rank at its address. */
   readonly openRank: (address: string) => RankClient;
+  /** Has another coordinator give the orders of an activation. Resolves with whether it has. */
+  readonly activate: (request: ActivateRequest) => Promise<boolean>;
   readonly notePace: (target: string, pace: number) => void;
   readonly metrics: CoordinatorMetrics;
   readonly clock: Clock;
@@ -114,10 +117,10 @@
     if (known !== undefined) {
       return known;
     }
-    const { clock, metrics, logger } = this.#options;
+    const { activate, clock, metrics, logger } = this.#options;
     const getFence = (): number => this.#term;
     const getGapObjectiveMs = (): number => this.#options.getTable()?.getGapObjectiveMs(service) ?? 0;
-    const options = { group, figures, getFence, getGapObjectiveMs, clock, metrics, logger };
+    const options = { group, figures, getFence, getGapObjectiveMs, activate, clock, metrics, logger };
     const conductor = new GroupConductor(options);
     this.#groups.set(group, conductor);
     return conductor;
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -8,6 +8,7 @@
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
@@ -21,6 +22,8 @@
   readonly getFence: () => number;
   /** Shortest pause that a route to the service allows; 0 without one. */
   readonly getGapObjectiveMs: () => number;
+  /** Has another process give the orders of an activation. Resolves with whether it has. */
+  readonly activate: (request: ActivateRequest) => Promise<boolean>;
   readonly clock: Clock;
   readonly metrics: CoordinatorMetrics;
   readonly logger: Logger;
@@ -40,7 +43,7 @@
 const alertMs = 30;
 /** A group whose pass has not changed for this time may be held; passes of a healthy one take less. */
 const stoppedMs = 110;
-/** Time for which a lead gives the orders itself after the process beside the holding rank has not. */
+/** Time for which a lead gives the orders itself after another process has not. */
 const delegateRetryMs = 2000;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
 const goalTimeoutMs = 6000;
@@ -111,27 +114,25 @@
   }
 
   /**
-   * Has the process beside the holding rank give the orders of an activation, which it goes on with when this lead is
-   * killed or stands still between them. Resolves with false when it has not, so that this lead gives them: from the
-   * same states, so that a hold that was given before is for the same pass.
+   * Has another coordinator give the orders of an activation, while this lead is there to go on: a process that is killed
+   * or stands still between hold and go then leaves the group held for a moment only. Resolves with false when it has
+   * not, so that this lead gives them: from the same states, so that a hold that was given before is for the same pass.
    */
   async #delegate(states: readonly HeldRank[], nowMs: number): Promise<boolean> {
     const { goal, leadSteps } = this.#activation;
     const places = this.#links.map((way) => way?.place ?? null).filter((place) => place !== null);
-    const [holder] = this.#links;
     const isTried = nowMs - this.#notDelegatedAtMs < delegateRetryMs;
-    if (goal === null || !holder || places.length < this.#links.length || isTried) {
+    if (goal === null || places.length < this.#links.length || isTried) {
       return false;
     }
+    const { group, getFence, activate, logger } = this.#options;
     const { version, epoch } = goal;
-    const fence = this.#options.getFence();
-    const isDone = await holder.activate({ fence, version, epoch, leadSteps, places, states });
-    if (isDone !== true) {
+    const isDone = await activate({ fence: getFence(), version, epoch, leadSteps, places, states });
+    if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
     }
-    const { group, logger } = this.#options;
-    logger.info({ group, version, leadSteps, ranker: holder.place.rankerAddress, isDone }, "map handed over");
-    return isDone === true;
+    logger.info({ group, version, leadSteps, isDone }, "map handed over");
+    return isDone;
   }
 
   /** Ranks whose neighbour is silent are asked directly, but only while the group may be held. */
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,6 +1,8 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
 import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
+import { MapActivator } from "@clementinemux/ranker/MapActivator";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { PaceBoard } from "@clementinemux/registry/PaceBoard";
@@ -41,6 +43,8 @@
 const completeMs = 3000;
 /** An entry's report is answered this much later at most when this process does not know yet what is current. */
 const maxSyncWaitMs = 150;
+/** Holding, arming and letting go take about 30 ms; the group may be held while an answer is awaited. */
+const activateTimeoutMs = 70;
 /** Past this age of its knowledge a coordinator acknowledges no heartbeats. */
 const currentMs = 1500;
 /** Addresses of a caller's own failure domain suffice from this many on. */
@@ -59,6 +63,7 @@
   readonly #machine = new RouteMachine();
   readonly #server: RpcServer;
   readonly #metricsPage: MetricsPage;
+  readonly #activator: MapActivator;
   readonly #incarnation: string;
   readonly #startedAtMs: number;
   #group: ReplicatedGroup | null = null;
@@ -80,6 +85,8 @@
     this.#metricsPage = new MetricsPage({ role: "coordinator", host, port, clock, render });
     const settings = createLogSettings(options);
     const links = this.#links;
+    const { orders } = this.metrics;
+    this.#activator = new MapActivator({ links, openRank: options.openRank, orders, clock, logger });
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, refusesWhenFull: false });
     this.#server = new RpcServer({
       handlers: this.#createHandlers(),
@@ -202,6 +209,20 @@
     };
   }
 
+  /** Has the peer that was heard last give the orders of an activation. */
+  async #activate(request: ActivateRequest): Promise<boolean> {
+    const { clock, logger } = this.#options;
+    const peer = this.#peers.findLive(clock.monotonicMs());
+    if (peer === null) {
+      return false;
+    }
+    const answer = await this.#links.call(peer, MessageName.ActivateMap, request, activateTimeoutMs);
+    answer.ifLeft(({ message }) => {
+      logger.warn({ peer, version: request.version, why: message }, "map not activated by the peer");
+    });
+    return answer.isRight();
+  }
+
   #createConductor(group: ReplicatedGroup): Conductor {
     const { framePort, openRank, clock, logger } = this.#options;
     return new Conductor({
@@ -211,6 +232,7 @@
       listTargets: () => this.targets.list(clock.monotonicMs()),
       getTerm: () => (group.hasLease ? group.core.term : null),
       openRank,
+      activate: (request) => this.#activate(request),
       notePace: (id, pace) => {
         this.paces.note(id, pace, clock.monotonicMs());
       },
@@ -276,6 +298,7 @@
       },
       [MessageName.ReplicaInfo]: (body) => this.#host.getInfo((body as { group: string }).group),
       [MessageName.ExchangeRegistry]: (body) => this.#exchange?.receive(body as ExchangeRequest),
+      [MessageName.ActivateMap]: (body) => this.#activator.activate(body as ActivateRequest),
       [MessageName.SyncEntry]: (body) => this.#sync(body as SyncRequest),
       [MessageName.ProposeDocument]: async (body) => {
         await this.#requireDocuments().proposeAsLeader(body as StoredDocument);
--- a/packages/control/routes/PeerBook.ts
+++ b/packages/control/routes/PeerBook.ts
@@ -19,6 +19,8 @@
 
 /** Peers that were silent for this long and are not listed elsewhere are forgotten. */
 const forgetMs = 15_000;
+/** A peer that was heard within this time is likely to answer at once; peers exchange news every 200 ms. */
+const liveMs = 450;
 /** Replicas that were silent for this long no longer count as announced. */
 const announcedMs = 1500;
 
@@ -87,6 +89,13 @@
     return near?.address ?? null;
   }
 
+  /** Address of the peer that was heard last, or null when none was heard within two exchanges. */
+  findLive(nowMs: number): string | null {
+    const live = this.peers.filter(({ heardAtMs }) => nowMs - heardAtMs < liveMs);
+    live.sort((left, right) => right.heardAtMs - left.heardAtMs);
+    return live[0]?.address ?? null;
+  }
+
   /** Replicas that announced themselves lately. */
   listAnnounced(nowMs: number): Map<string, { name: string; address: string }> {
     const live = this.peers.filter(({ heardAtMs }) => nowMs - heardAtMs < announcedMs);
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -1,7 +1,6 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
-import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
@@ -15,8 +14,6 @@
   hidesExperts = false;
   counts: readonly number[] = [];
   directInspections = 0;
-  /** What the process beside the rank was asked to bring into force; it does not answer. */
-  readonly activations: ActivateRequest[] = [];
 
   constructor(group: HeldGroup, rank: number) {
     this.#group = group;
@@ -47,9 +44,4 @@
   order(_fence: number, order: HoldOrder): Promise<boolean | null> {
     return Promise.resolve(this.#group.order(order));
   }
-
-  activate(request: ActivateRequest): Promise<boolean | null> {
-    this.activations.push(request);
-    return Promise.resolve(null);
-  }
 }
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -3,6 +3,7 @@
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import { Ranker } from "@clementinemux/ranker/Ranker";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
@@ -29,10 +30,13 @@
   return { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs };
 }
 
-function createLead(group: HeldGroup): GroupConductor {
+function createLead(
+  group: HeldGroup,
+  activate: (request: ActivateRequest) => Promise<boolean> = () => Promise.resolve(false),
+): GroupConductor {
   const clock = createClock(group);
   const metrics = new CoordinatorMetrics();
-  const getters = { getFence: () => 2, getGapObjectiveMs: () => 0 };
+  const getters = { getFence: () => 2, getGapObjectiveMs: () => 0, activate };
   return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger });
 }
 
@@ -63,7 +67,11 @@
 t.test("a lead hands an activation over, and gives the orders itself when that fails", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
   const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
-  const lead = createLead(group);
+  const handedOver: ActivateRequest[] = [];
+  const lead = createLead(group, (request) => {
+    handedOver.push(request);
+    return Promise.resolve(false);
+  });
   const counts = [0, 0, 0, 0, 0, 0, 0, 0];
   for (let round = 0; round < 30 && group.ranks.some(({ mapVersion }) => mapVersion === 0); round += 1) {
     counts.forEach((_, expert) => {
@@ -73,8 +81,8 @@
     await look(lead, ways);
     group.advance(30);
   }
-  t.match(ways[0]?.activations, [{ fence: 2, version: 1, epoch: 1, places: [{ address: "rank-0:1" }] }]);
-  t.equal(ways[0]?.activations.length, 1);
+  t.match(handedOver, [{ fence: 2, version: 1, epoch: 1, places: [{ address: "rank-0:1" }] }]);
+  t.equal(handedOver.length, 1);
   t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === 1 && heldStep === null));
   t.equal(group.mixedPasses, 0);
 });
@@ -121,9 +129,7 @@
       // No order is carried out, so that the plan stays pending.
       order: () => Promise.resolve(null),
     };
-    const openRank = (): typeof client => client;
     return new Ranker({
-      openRank,
       host: `127.0.0.${rank + 1}`,
       framePort,
       metricsPort: null,
@@ -166,6 +172,7 @@
       inspectState: () => Promise.resolve(null),
       order: () => Promise.resolve(null),
     }),
+    activate: () => Promise.resolve(false),
     notePace: () => undefined,
     metrics: new CoordinatorMetrics(),
     clock,
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -6,7 +6,6 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
-import type { ActivateRequest } from "./ActivateRequest";
 import { CountReceiver } from "./CountReceiver";
 import type { InspectRequest } from "./InspectRequest";
 import type { InspectionPart } from "./InspectionPart";
@@ -31,9 +30,6 @@
 /** Shorter than the two passes that a group runs before a hold, so that an order can be given again without a pause. */
 const orderTimeoutMs = 70;
 
-/** Holding, arming and letting go take about 30 ms; an order that is lost adds its time-out. */
-const activateTimeoutMs = 150;
-
 /** Way to one rank: through the process beside it, and straight when that process is silent. */
 export class RankLink implements RankWay {
   readonly #options: RankLinkOptions;
@@ -78,22 +74,6 @@
     return answer;
   }
 
-  async activate(request: ActivateRequest): Promise<boolean | null> {
-    const { links, place, logger } = this.#options;
-    const { rankerAddress } = place;
-    const answer = await links.call(rankerAddress, MessageName.ActivateMap, request, activateTimeoutMs);
-    return answer.caseOf({
-      Left: ({ message }) => {
-        logger.warn(
-          { rankerAddress, version: request.version, why: message },
-          "map not activated by the ranker",
-        );
-        return null;
-      },
-      Right: (body) => body as boolean,
-    });
-  }
-
   async #orderByRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
     const { links, place, logger } = this.#options;
     const { rankerAddress } = place;
--- a/packages/ranker/RankWay.ts
+++ b/packages/ranker/RankWay.ts
@@ -1,6 +1,5 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
-import type { ActivateRequest } from "./ActivateRequest";
 import type { InspectionPart } from "./InspectionPart";
 import type { RankInspection } from "./RankInspection";
 import type { RankPlace } from "./RankPlace";
@@ -14,6 +13,4 @@
   inspectDirectly(): Promise<HeldRank | null>;
   /** Resolves with whether the rank has confirmed the order. */
   order(fence: number, order: HoldOrder): Promise<boolean | null>;
-  /** Has the process beside the rank bring a map into force. Resolves with true when it has given all orders. */
-  activate(request: ActivateRequest): Promise<boolean | null>;
 }
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -1,17 +1,13 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
-import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
-import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
-import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { RemoteError } from "@clementinemux/wire/RemoteError";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
-import type { ActivateRequest } from "./ActivateRequest";
 import { CountSender } from "./CountSender";
 import type { InspectRequest } from "./InspectRequest";
 import { InspectionPart } from "./InspectionPart";
@@ -19,9 +15,6 @@
 import type { OrderRequest } from "./OrderRequest";
 import type { PackedInspection } from "./PackedInspection";
 import type { RankClient } from "./RankClient";
-import { RankLink } from "./RankLink";
-import type { RankPlace } from "./RankPlace";
-import type { RankWay } from "./RankWay";
 import { getOrderOutcome } from "./getOrderOutcome";
 
 interface RankerOptions {
@@ -31,8 +24,6 @@
   readonly metricsPort: number | null;
   readonly clock: Clock;
   readonly rank: RankClient;
-  /** Opens the direct way to another rank at its address. */
-  readonly openRank: (address: string) => RankClient;
   readonly logger: Logger;
 }
 
@@ -40,8 +31,6 @@
 export class Ranker {
   readonly #options: RankerOptions;
   readonly #server: RpcServer;
-  readonly #links = new PeerLinks(undefined);
-  readonly #ways = new Map<string, RankWay>();
   readonly #counts: CountSender;
   readonly #metricsPage: MetricsPage;
   readonly #orders = new Counters("clementinemux_ranker_orders", "outcome", Object.values(OrderOutcome));
@@ -67,7 +56,6 @@
   /** Ends everything at once. */
   async close(): Promise<void> {
     this.#metricsPage.stop();
-    this.#links.close();
     await this.#server.close();
   }
 
@@ -83,7 +71,6 @@
     return {
       [MessageName.InspectRank]: (body) => this.#inspect(body as InspectRequest),
       [MessageName.OrderRank]: (body) => this.#order(body as OrderRequest),
-      [MessageName.ActivateMap]: (body) => this.#activate(body as ActivateRequest),
     };
   }
 
@@ -107,42 +94,6 @@
     return isConfirmed;
   }
 
-  /** Gives all orders that bring a prepared map into force. A lead that hears no answer looks and goes on itself. */
-  async #activate(request: ActivateRequest): Promise<boolean> {
-    const { fence, version, epoch, leadSteps, places, states } = request;
-    this.#check(fence);
-    const ways = places.map((place) => this.#getWay(place));
-    const activation = new GroupActivation({
-      inspect: async (rank) =>
-        (await ways[rank]?.inspect(fence, InspectionPart.None))?.state ??
-        ways[rank]?.inspectDirectly() ??
-        null,
-      // A rank that is no longer prepared is the lead's matter: only it knows the whole map.
-      order: async (order) =>
-        order.kind === HoldOrderKind.Prepare
-          ? false
-          : ((await ways[order.rank]?.order(fence, order)) ?? null),
-      nowMs: () => this.#options.clock.monotonicMs(),
-      leadSteps,
-    });
-    activation.aim({ version, epoch, hosting: [] });
-    await activation.advance(states);
-    this.#options.logger.info({ version, epoch, fence, leadSteps }, "map activated");
-    return true;
-  }
-
-  #getWay(place: RankPlace): RankWay {
-    const known = this.#ways.get(place.address);
-    if (known !== undefined) {
-      return known;
-    }
-    const { openRank, logger } = this.#options;
-    const direct = openRank(place.address);
-    const way = new RankLink({ links: this.#links, place, direct, orders: this.#orders, logger });
-    this.#ways.set(place.address, way);
-    return way;
-  }
-
   /** A lead that was deposed must not order anything after its successor has begun to. */
   #check(fence: number): void {
     if (fence < this.#highestFence) {
--- /dev/null
+++ b/packages/ranker/test/activator.test.ts
@@ -0,0 +1,77 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { MapActivator } from "@clementinemux/ranker/MapActivator";
+import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { Ranker } from "@clementinemux/ranker/Ranker";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+
+interface Tap {
+  teardown(action: () => Promise<void>): void;
+}
+
+/** A group with a real process beside each rank, and an activator that reaches them by the network. */
+async function start(t: Tap, group: HeldGroup) {
+  const kinds: HoldOrderKind[] = [];
+  const clock = new SystemClock();
+  const logger = createLogger("test", {});
+  const [framePort = 0] = await findFreePorts(1);
+  const createClient = (rank: number) => ({
+    inspect: () => Promise.resolve(null),
+    inspectState: () => Promise.resolve(group.inspect(rank)),
+    order: (order: HoldOrder) => {
+      kinds.push(order.kind);
+      return Promise.resolve(group.order(order));
+    },
+  });
+  const places = group.ranks.map((_, rank) => ({
+    address: `127.0.0.${rank + 1}:9`,
+    rankerAddress: `127.0.0.${rank + 1}:${framePort}`,
+  }));
+  const rankers = places.map((_, rank) => {
+    const host = `127.0.0.${rank + 1}`;
+    return new Ranker({ host, framePort, metricsPort: null, clock, logger, rank: createClient(rank) });
+  });
+  await Promise.all(rankers.map((ranker) => ranker.start()));
+  const links = new PeerLinks(undefined);
+  t.teardown(async () => {
+    links.close();
+    await Promise.all(rankers.map((ranker) => ranker.close()));
+  });
+  const openRank = (address: string) => createClient(places.findIndex((place) => place.address === address));
+  const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
+  const activator = new MapActivator({ links, openRank, orders, clock, logger });
+  const states = group.ranks.map((state) => ({ ...state }));
+  const request = { fence: 3, version: 1, epoch: 1, leadSteps: 2, places, states };
+  return { activator, request, kinds };
+}
+
+// Guards against a group that stays held when its lead is killed between hold and go.
+t.test("a map that is handed over comes into force without the lead", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  for (const state of group.ranks) {
+    Object.assign(state, { preparedVersion: 1, highestVersion: 1 });
+  }
+  group.advance(70);
+  const { activator, request, kinds } = await start(t, group);
+  t.equal(await activator.activate(request), true);
+  const arms = [HoldOrderKind.Arm, HoldOrderKind.Arm, HoldOrderKind.Arm, HoldOrderKind.Arm];
+  t.same(kinds, [HoldOrderKind.Hold, ...arms, HoldOrderKind.Go]);
+  group.advance(200);
+  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === 1 && heldStep === null));
+  t.equal(group.mixedPasses, 0);
+});
+
+// Guards against a map order without experts: the process that gives the orders does not know the map.
+t.test("a rank that has lost what it prepared is left to the lead", async (t) => {
+  const group = new HeldGroup({ ranks: 2, random: createRandom(1), lateShare: 0 });
+  const { activator, request, kinds } = await start(t, group);
+  await activator.activate(request);
+  t.notOk(kinds.includes(HoldOrderKind.Prepare));
+});
