--- /dev/null
+++ b/packages/bench/shifts/ShiftGroup.ts
@@ -0,0 +1,150 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
+import { shiftFigures } from "./shiftFigures";
+
+type MutableRank = { -readonly [Key in keyof HeldRank]: HeldRank[Key] };
+
+const { ranks: rankCount, stride, stepMs, perSequenceMs, promptTokensPerMs, experts } = shiftFigures;
+const healthy = Array.from({ length: rankCount }, () => 1);
+const bitsPerByte = 8;
+
+/** Model of a rank group: passes take as long as its map, its demand and its requests make them. Has no clock. */
+export class ShiftGroup {
+  readonly ranks: MutableRank[];
+  readonly counts = new Float64Array(experts.layerSets * experts.expertsPerSet);
+  hosting: RankHosting = createTurnHosting(experts.layerSets, experts.expertsPerSet, rankCount);
+  copies = 0;
+  #prepared: { readonly version: number; readonly hosting: RankHosting; readonly readyAtMs: number } | null =
+    null;
+  #refusedPasses = 0;
+
+  constructor() {
+    this.ranks = Array.from({ length: rankCount }, (_, rank) => ({
+      rank,
+      epoch: 1,
+      isOpen: true,
+      step: 0,
+      mapVersion: 0,
+      preparedVersion: null,
+      armed: null,
+      heldStep: null,
+    }));
+  }
+
+  /** Passes that could not begin because the group was held. */
+  get refusedPasses(): number {
+    return this.#refusedPasses;
+  }
+
+  order(order: HoldOrder, nowMs: number): boolean {
+    const rank = this.ranks[order.rank];
+    if (rank === undefined) {
+      return false;
+    }
+    switch (order.kind) {
+      case HoldOrderKind.Prepare:
+        this.#prepare(order.version, order.hosting, nowMs);
+        return true;
+      case HoldOrderKind.Hold:
+        if (order.step <= rank.step) {
+          return false;
+        }
+        rank.heldStep = order.step;
+        return true;
+      case HoldOrderKind.Arm:
+        if (order.step <= rank.step) {
+          return false;
+        }
+        rank.armed = { version: order.version, step: order.step };
+        return true;
+      case HoldOrderKind.Disarm:
+        rank.armed = null;
+        return true;
+      case HoldOrderKind.Go:
+        rank.heldStep = null;
+        return true;
+    }
+  }
+
+  /** State of a rank; a copy that is complete shows from then on. */
+  inspect(rank: number, nowMs: number): HeldRank | null {
+    const state = this.ranks[rank];
+    if (state === undefined) {
+      return null;
+    }
+    if (this.#prepared !== null && this.#prepared.readyAtMs <= nowMs) {
+      state.preparedVersion = this.#prepared.version;
+    }
+    return { ...state };
+  }
+
+  /** Begins the next pass. Returns its time for the load and the demand, or null while the group is held. */
+  beginPass(
+    loads: readonly Float64Array[],
+    running: number,
+    newTokens: number,
+    nowMs: number,
+  ): number | null {
+    const step = (this.ranks[0]?.step ?? 0) + 1;
+    if (this.ranks.some(({ heldStep }) => heldStep === step)) {
+      this.#refusedPasses += 1;
+      return null;
+    }
+    const isSwitching = this.ranks.every(({ armed }) => armed?.step === step);
+    for (const rank of this.ranks) {
+      rank.step = step;
+      if (isSwitching && rank.armed !== null) {
+        rank.mapVersion = rank.armed.version;
+        rank.preparedVersion = null;
+        rank.armed = null;
+      }
+    }
+    if (isSwitching && this.#prepared !== null) {
+      this.hosting = this.#prepared.hosting;
+      this.#prepared = null;
+    }
+    this.#count(loads, running);
+    const isCopying = this.#prepared !== null && this.#prepared.readyAtMs > nowMs;
+    return this.#getPassMs(loads, running, newTokens) * (isCopying ? shiftFigures.copyFactor : 1);
+  }
+
+  #getPassMs(loads: readonly Float64Array[], running: number, newTokens: number): number {
+    const { expertShare } = experts;
+    const skew = measureSkew(this.hosting, loads, healthy);
+    const perStepMs = (running / rankCount) * perSequenceMs * (1 - expertShare + expertShare * skew);
+    return stride * (stepMs + perStepMs) + newTokens / promptTokensPerMs;
+  }
+
+  #count(loads: readonly Float64Array[], running: number): void {
+    const choices = (running * shiftFigures.choicesPerPass) / experts.layerSets;
+    for (const [set, shares] of loads.entries()) {
+      for (const [expert, share] of shares.entries()) {
+        const index = set * experts.expertsPerSet + expert;
+        this.counts[index] = (this.counts[index] ?? 0) + Math.round(share * choices);
+      }
+    }
+  }
+
+  #prepare(version: number, hosting: RankHosting, nowMs: number): void {
+    if (this.#prepared?.version === version) {
+      return;
+    }
+    const newCounts = Array.from({ length: rankCount }, (_, rank) =>
+      hosting.reduce(
+        (sum, held, set) => sum + countNew(held[rank] ?? [], this.hosting[set]?.[rank] ?? []),
+        0,
+      ),
+    );
+    this.copies += newCounts.reduce((sum, count) => sum + count, 0);
+    const copyMs = (Math.max(...newCounts) * experts.expertMb * bitsPerByte * 1000) / experts.linkMbps;
+    this.#prepared = { version, hosting, readyAtMs: nowMs + copyMs };
+  }
+}
+
+function countNew(after: readonly number[], before: readonly number[]): number {
+  return after.filter((expert) => !before.includes(expert)).length;
+}
--- /dev/null
+++ b/packages/bench/shifts/ShiftRankWay.ts
@@ -0,0 +1,48 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import type { RankInspection } from "@clementinemux/ranker/RankInspection";
+import type { RankWay } from "@clementinemux/ranker/RankWay";
+import type { ShiftGroup } from "./ShiftGroup";
+
+/** Way of a lead to a rank of a model group. The first rank tells the choices of all, which a lead sums up anyway. */
+export class ShiftRankWay implements RankWay {
+  readonly #group: ShiftGroup;
+  readonly #rank: number;
+  readonly #getNowMs: () => number;
+
+  constructor(group: ShiftGroup, rank: number, getNowMs: () => number) {
+    this.#group = group;
+    this.#rank = rank;
+    this.#getNowMs = getNowMs;
+  }
+
+  get place() {
+    return { address: `rank-${this.#rank}`, rankerAddress: `ranker-${this.#rank}` };
+  }
+
+  inspect(_fence: number, part: InspectionPart): Promise<RankInspection | null> {
+    const state = this.#group.inspect(this.#rank, this.#getNowMs());
+    if (state === null) {
+      return Promise.resolve(null);
+    }
+    const experts =
+      part === InspectionPart.Experts ? this.#group.hosting.map((ranks) => ranks[this.#rank] ?? []) : null;
+    return Promise.resolve({
+      group: "model",
+      size: this.#group.ranks.length,
+      state,
+      pace: 1,
+      counts: this.#rank === 0 ? [...this.#group.counts] : [],
+      experts,
+    });
+  }
+
+  inspectDirectly(): Promise<HeldRank | null> {
+    return Promise.resolve(this.#group.inspect(this.#rank, this.#getNowMs()));
+  }
+
+  order(_fence: number, order: HoldOrder): Promise<boolean | null> {
+    return Promise.resolve(this.#group.order(order, this.#getNowMs()));
+  }
+}
