--- a/packages/bench/shifts/runShiftBench.ts
+++ b/packages/bench/shifts/runShiftBench.ts
@@ -2,6 +2,7 @@
 import { ShiftLead } from "./ShiftLead";
 import { ShiftModel } from "./ShiftModel";
 import type { ShiftPolicy } from "./ShiftPolicy";
+import { usualShiftDay } from "./usualShiftDay";
 
 const policies: readonly ShiftPolicy[] = [
   { name: "product", lead: ShiftLead.Product, hasCap: true, maxHoldMs: 80 },
@@ -16,17 +17,7 @@
 export async function runShiftBench(seed: number, durationMs: number): Promise<object> {
   const results: object[] = [];
   for (const streamsPerS of rates) {
-    const day: ShiftDay = {
-      seed,
-      durationMs,
-      streamsPerS,
-      meanEvents: 16,
-      meanPromptTokens: 840,
-      objectiveMs: 500,
-      gapObjectiveMs: 120,
-      shiftEveryMs: 3400,
-      shiftShare: 0.65,
-    };
+    const day: ShiftDay = { ...usualShiftDay, seed, durationMs, streamsPerS };
     for (const policy of policies) {
       const result = await new ShiftModel(day, policy).run();
       results.push({ streamsPerS, policy: policy.name, ...result });
--- a/packages/bench/test/shiftBench.test.ts
+++ b/packages/bench/test/shiftBench.test.ts
@@ -1,18 +1,9 @@
 import t from "tap";
 import { ShiftLead } from "@clementinemux/bench/shifts/ShiftLead";
 import { ShiftModel } from "@clementinemux/bench/shifts/ShiftModel";
+import { usualShiftDay } from "@clementinemux/bench/shifts/usualShiftDay";
 
-const day = {
-  seed: 3,
-  durationMs: 10_000,
-  streamsPerS: 70,
-  meanEvents: 16,
-  meanPromptTokens: 840,
-  objectiveMs: 500,
-  gapObjectiveMs: 120,
-  shiftEveryMs: 3400,
-  shiftShare: 0.65,
-};
+const day = { ...usualShiftDay, seed: 3, durationMs: 10_000, streamsPerS: 70 };
 
 function run(lead: ShiftLead, maxHoldMs: number) {
   return new ShiftModel(day, { name: "", lead, hasCap: true, maxHoldMs }).run();
--- a/packages/cli/OperatorClient.ts
+++ b/packages/cli/OperatorClient.ts
@@ -117,7 +117,7 @@
     );
   }
 
-  /** The replica that has answered is asked first from now on; one that stands still would cost each request its silence. */
+  /** Asks this replica first from now on; one that stands still would delay each request by `silentMs`. */
   #prefer(url: string): void {
     this.#urls = [url, ...this.#urls.filter((known) => known !== url)];
   }
--- a/packages/consensus/ColdStart.ts
+++ b/packages/consensus/ColdStart.ts
@@ -10,7 +10,9 @@
  * for that life: after another start, it may have confirmed a leader in between.
  */
 export class ColdStart {
+  /** Names this start of the replica. */
   readonly life: string;
+  /** When the replica first asks the others, by its own clock. */
   readonly firstAskMs: number;
   readonly #lives = new Map<string, string>();
   #isCold: boolean;
@@ -37,6 +39,7 @@
     this.#lives.set(voter, life);
   }
 
+  /** Life in which a voter was cold; undefined when it has not said so. */
   getLife(voter: string): string | undefined {
     return this.#lives.get(voter);
   }
--- a/packages/ranker/CountSender.ts
+++ b/packages/ranker/CountSender.ts
@@ -17,6 +17,7 @@
     this.#id = firstId;
   }
 
+  /** `held` is the answer whose counts the asker has, null for none. */
   pack(counts: readonly number[], held: number | null): PackedCounts {
     const units = counts.map((count) => Math.floor(count / countUnit));
     const known = held === this.#id ? this.#units : null;
--- a/packages/wire/PeerLinks.ts
+++ b/packages/wire/PeerLinks.ts
@@ -4,7 +4,7 @@
 import type { WireError } from "./WireError";
 import { parseAddress } from "./parseAddress";
 
-/** Connections to other control processes, one for each address. */
+/** Connections to other processes of the system, one for each address. */
 export class PeerLinks {
   readonly #tls: TlsFiles | undefined;
   readonly #clients = new Map<string, RpcClient>();
@@ -13,10 +13,12 @@
     this.#tls = tls;
   }
 
+  /** Sends a message without an answer; it may be lost. */
   notify(address: string, name: string, body: unknown): void {
     this.#getClient(address).notify(name, body);
   }
 
+  /** Sends a request and waits for its answer; never rejects. */
   call(address: string, name: string, body: unknown, timeoutMs: number): Promise<Either<WireError, unknown>> {
     return this.#getClient(address).call(name, body, timeoutMs);
   }
