--- a/packages/bench/policy/summarizeRun.ts
+++ b/packages/bench/policy/summarizeRun.ts
@@ -9,6 +9,8 @@
   /** Of all classes, and of the important class alone; answered requests only. */
   readonly firstTokenP95Ms: number;
   readonly importantFirstTokenP95Ms: number;
+  /** Time from the arrival to a refusal; a refusal that comes late leaves its caller less time elsewhere. */
+  readonly refusedAfterP95Ms: number;
   readonly wastedTokensShare: number;
   readonly refusedThenRun: number;
   readonly wrongAnswer: number;
@@ -32,6 +34,7 @@
     otherOnTime: getOnTimeShare(others),
     firstTokenP95Ms: getFirstTokenP95(measured),
     importantFirstTokenP95Ms: getFirstTokenP95(important),
+    refusedAfterP95Ms: getRefusedAfterP95(measured),
     wastedTokensShare: round(1 - usefulTokens / Math.max(1, workTokenCount)),
     refusedThenRun: records.filter(
       ({ refusedOutcome, hasRun }) => refusedOutcome === Outcome.NotRun && hasRun,
@@ -55,12 +58,23 @@
 }
 
 function getFirstTokenP95(records: readonly RequestRecord[]): number {
-  const times = records
-    .flatMap(({ firstTokenAtMs, request }) =>
-      firstTokenAtMs === null ? [] : [firstTokenAtMs - request.arrivedAtMs],
-    )
-    .sort((left, right) => left - right);
-  return Math.round(times[Math.floor(times.length * 0.95)] ?? 0);
+  return getP95(
+    records.map(({ firstTokenAtMs, request }) => getElapsedMs(request.arrivedAtMs, firstTokenAtMs)),
+  );
+}
+
+function getRefusedAfterP95(records: readonly RequestRecord[]): number {
+  return getP95(records.map(({ refusedAtMs, request }) => getElapsedMs(request.arrivedAtMs, refusedAtMs)));
+}
+
+function getElapsedMs(fromMs: number, toMs: number | null): number | null {
+  return toMs === null ? null : toMs - fromMs;
+}
+
+/** Ignores the values that are null. */
+function getP95(values: readonly (number | null)[]): number {
+  const known = values.filter((value) => value !== null).sort((left, right) => left - right);
+  return Math.round(known[Math.floor(known.length * 0.95)] ?? 0);
 }
 
 function round(value: number): number {
