--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -79,10 +79,11 @@
       return parts[args[0] ?? ""]?.() ?? runPolicyBench({ seed, only: args });
     };
   },
-  /** `--seed=N --seconds=N`: days on which other experts come into demand. */
+  /** `--seed=N --seconds=N --out=FOLDER`: days on which other experts come into demand. */
   shifts: async () => {
     const { runShiftBench } = await import("./shifts/runShiftBench");
-    return ({ options }) => runShiftBench(Number(options.seed ?? 1), Number(options.seconds ?? 40) * 1000);
+    return ({ options }) =>
+      runShiftBench(Number(options.seed ?? 1), Number(options.seconds ?? 40) * 1000, options.out);
   },
 };
 
--- a/packages/bench/shifts/ShiftModel.ts
+++ b/packages/bench/shifts/ShiftModel.ts
@@ -11,20 +11,11 @@
 import { ShiftGroup } from "./ShiftGroup";
 import { ShiftLead } from "./ShiftLead";
 import type { ShiftPolicy } from "./ShiftPolicy";
+import type { ShiftResult } from "./ShiftResult";
 import { ShiftRankWay } from "./ShiftRankWay";
 import { ShiftStream } from "./ShiftStream";
 import { shiftFigures } from "./shiftFigures";
 
-interface ShiftResult {
-  readonly asked: number;
-  readonly onTime: number;
-  readonly late: number;
-  readonly refused: number;
-  readonly meanPassMs: number;
-  readonly copies: number;
-  readonly heldPasses: number;
-}
-
 const { ranks: rankCount, slots, stride, stepMs, experts } = shiftFigures;
 /** Time after which a group that is held looks whether it may go on. */
 const heldPollMs = 5;
--- a/packages/bench/shifts/runShiftBench.ts
+++ b/packages/bench/shifts/runShiftBench.ts
@@ -1,9 +1,18 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { renderLineChart } from "../renderLineChart";
 import type { ShiftDay } from "./ShiftDay";
 import { ShiftLead } from "./ShiftLead";
 import { ShiftModel } from "./ShiftModel";
 import type { ShiftPolicy } from "./ShiftPolicy";
+import type { ShiftResult } from "./ShiftResult";
 import { usualShiftDay } from "./usualShiftDay";
 
+interface ShiftRow extends ShiftResult {
+  readonly streamsPerS: number;
+  readonly policy: string;
+}
+
 const policies: readonly ShiftPolicy[] = [
   { name: "product", lead: ShiftLead.Product, hasCap: true, maxHoldMs: 80 },
   { name: "no cap", lead: ShiftLead.Product, hasCap: false, maxHoldMs: 80 },
@@ -13,9 +22,16 @@
 ];
 const rates = [40, 55, 70, 85];
 
-/** Plays days with shifts of demand at several rates of streams, with parts of the product switched off. */
-export async function runShiftBench(seed: number, durationMs: number): Promise<object> {
-  const results: object[] = [];
+/**
+ * Plays days with shifts of demand at several rates of streams, with parts of the product switched off. Draws the share
+ * on time by rate into a folder when one is given.
+ */
+export async function runShiftBench(
+  seed: number,
+  durationMs: number,
+  folder: string | undefined,
+): Promise<object> {
+  const results: ShiftRow[] = [];
   for (const streamsPerS of rates) {
     const day: ShiftDay = { ...usualShiftDay, seed, durationMs, streamsPerS };
     for (const policy of policies) {
@@ -23,5 +39,22 @@
       results.push({ streamsPerS, policy: policy.name, ...result });
     }
   }
+  if (folder !== undefined) {
+    mkdirSync(folder, { recursive: true });
+    writeFileSync(join(folder, "shifts.svg"), drawOnTime(results));
+  }
   return { seed, durationMs, results };
 }
+
+function drawOnTime(results: readonly ShiftRow[]): string {
+  return renderLineChart({
+    title: "share of streams on time by streams a second",
+    series: policies.map(({ name }) => ({
+      name,
+      values: results.filter(({ policy }) => policy === name).map(({ onTime }) => onTime),
+    })),
+    range: [0, 1],
+    ticks: [0, 0.25, 0.5, 0.75, 1],
+    labels: rates.map(String),
+  });
+}
