--- a/packages/bench/gateway/GatewayStub.ts
+++ b/packages/bench/gateway/GatewayStub.ts
@@ -6,6 +6,7 @@
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { createSyncResponse } from "@clementinemux/standins/gateway/createSyncResponse";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 
@@ -51,29 +52,14 @@
 
   #sync({ documentVersion }: SyncRequest): SyncResponse {
     const { port } = this.#target.address() as AddressInfo;
-    return {
-      ageMs: 0,
+    return createSyncResponse({
+      service: "llm",
+      addresses: Array.from({ length: targetCount }, () => `${host}:${port}`),
+      slots: 1000,
       documentVersion: 1,
       document: documentVersion < 1 ? encode(createDocument()) : null,
-      registryState: "1",
-      targets: Array.from({ length: targetCount }, (_, index) => ({
-        id: `t-${index}`,
-        service: "llm",
-        address: `${host}:${port}`,
-        failureDomain: "a",
-        slots: 1000,
-        isDraining: false,
-        isGone: false,
-        bornMs: 1,
-        sequence: 1,
-      })),
-      isComplete: true,
-      inFlight: {},
-      paces: {},
-      liveEntries: 1,
-      nearest: null,
-      coordinators: [],
-    };
+      ageMs: 0,
+    });
   }
 }
 
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -8,6 +8,7 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
+import { createSyncResponse } from "@clementinemux/standins/gateway/createSyncResponse";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -28,29 +29,15 @@
   const state = { document, ageMs: 0 as number | null, isReady: true };
   const createResponse = ({ documentVersion, entry }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
-    return {
+    const { version } = state.document;
+    return createSyncResponse({
+      service: "app",
+      addresses: targets.map(({ address }) => address),
+      slots: 4,
+      documentVersion: version,
+      document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
-      documentVersion: state.document.version,
-      document: state.document.version > documentVersion ? encode(state.document) : null,
-      registryState: `1:${state.document.version}`,
-      targets: targets.map(({ address }, index) => ({
-        id: `t-${index}`,
-        service: "app",
-        address,
-        failureDomain: "a",
-        slots: 4,
-        isDraining: false,
-        isGone: false,
-        bornMs: 1,
-        sequence: 1,
-      })),
-      isComplete: true,
-      inFlight: {},
-      paces: {},
-      liveEntries: 1,
-      nearest: null,
-      coordinators: [],
-    };
+    });
   };
   const coordinator = new RpcServer({
     handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
--- /dev/null
+++ b/packages/standins/gateway/createSyncResponse.ts
@@ -0,0 +1,46 @@
+import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+
+interface SyncResponseOptions {
+  readonly service: string;
+  /** `host:port` of each target. */
+  readonly addresses: readonly string[];
+  readonly slots: number;
+  readonly documentVersion: number;
+  /** Bytes of the document; null when the gateway holds it. */
+  readonly document: Uint8Array | null;
+  readonly ageMs: number | null;
+}
+
+/** Answer of a stand-in for a coordinator, which knows all targets of one service and no other entry. */
+export function createSyncResponse({
+  service,
+  addresses,
+  slots,
+  documentVersion,
+  document,
+  ageMs,
+}: SyncResponseOptions): SyncResponse {
+  return {
+    ageMs,
+    documentVersion,
+    document,
+    registryState: `1:${documentVersion}`,
+    targets: addresses.map((address, index) => ({
+      id: `t-${index}`,
+      service,
+      address,
+      failureDomain: "a",
+      slots,
+      isDraining: false,
+      isGone: false,
+      bornMs: 1,
+      sequence: 1,
+    })),
+    isComplete: true,
+    inFlight: {},
+    paces: {},
+    liveEntries: 1,
+    nearest: null,
+    coordinators: [],
+  };
+}
