Send nothing more to targets that say that they leave or want a pause

Cause: answers with the mark of a leaving target, and the pause that a target asks for with a 503, were not read; a gateway went on sending until the next news of the coordinators. Two faults of the same kind were found while reading: a coordinator that had just started acknowledged the end of a target that it did not know, and a gateway kept a target that had left while its restarted coordinator's list was not complete.

Change: TargetNotices keeps what targets say by their life; the gateway reports leaving targets with its next sync, the registry holds it for the life of the target, all coordinators pass it on. When all targets of a service want a pause, callers are refused at once with the soonest return. The answering of syncs moves out of Coordinator into SyncService.

Ruled out: marking such targets as draining, since a later heartbeat of the same life would undo it.

--- a/packages/bench/gateway/PlainCodec.ts
+++ b/packages/bench/gateway/PlainCodec.ts
@@ -26,7 +26,16 @@
 
   readAnswer(status: number, headers: readonly string[]): TargetAnswer {
     const requestId = readId(headers);
-    return { status, requestId, isNotRun: false, isSigned: true, isMisdirected: false, faultyTarget: null };
+    return {
+      status,
+      requestId,
+      isNotRun: false,
+      isSigned: true,
+      isMisdirected: false,
+      isLeaving: false,
+      pauseMs: null,
+      faultyTarget: null,
+    };
   }
 }
 
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -7,7 +7,6 @@
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { PaceBoard } from "@clementinemux/registry/PaceBoard";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
-import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
@@ -28,6 +27,7 @@
 import { PeerBook } from "./PeerBook";
 import { RouteMachine } from "./RouteMachine";
 import { Steward } from "./Steward";
+import { SyncService } from "./SyncService";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -41,8 +41,6 @@
 const stallMs = 200;
 /** A coordinator that started later ago than this has heard every target that is alive. */
 const completeMs = 3000;
-/** An entry's report is answered this much later at most when this process does not know yet what is current. */
-const maxSyncWaitMs = 150;
 /** Holding, arming and letting go take about 30 ms; the group may be held while an answer is awaited. */
 const activateTimeoutMs = 70;
 /** Past this age of its knowledge a coordinator acknowledges no heartbeats. */
@@ -64,6 +62,7 @@
   readonly #server: RpcServer;
   readonly #metricsPage: MetricsPage;
   readonly #activator: MapActivator;
+  readonly #sync: SyncService;
   readonly #incarnation: string;
   readonly #startedAtMs: number;
   #group: ReplicatedGroup | null = null;
@@ -88,6 +87,20 @@
     const { orders } = this.metrics;
     this.#activator = new MapActivator({ links, openRank: options.openRank, orders, clock, logger });
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, refusesWhenFull: false });
+    this.#sync = new SyncService({
+      address: this.address,
+      failureDomain: options.failureDomain,
+      incarnation: this.#incarnation,
+      targets: this.targets,
+      entries: this.entries,
+      paces: this.paces,
+      peers: this.#peers,
+      getDocument: () => this.#machine,
+      getAgeMs: () => this.#documents?.getAgeMs() ?? null,
+      isComplete: () => this.#isComplete(),
+      clock,
+      logger,
+    });
     this.#server = new RpcServer({
       handlers: this.#createHandlers(),
       onRefused: (reason, peer) => {
@@ -140,6 +153,7 @@
   /** Ends everything at once, as a killed process would. */
   async close(): Promise<void> {
     this.#isClosed = true;
+    this.#sync.close();
     this.#links.close();
     this.#metricsPage.stop();
     await this.#server.close();
@@ -177,11 +191,14 @@
     return target.isDraining ? this.#spreadDrain() : this.#isCurrent();
   }
 
-  /** Takes a target out. Resolves with whether the call may be acknowledged. */
+  /**
+   * Takes a target out. Resolves with whether the call may be acknowledged: one that this process does not know may be
+   * in use elsewhere, as long as it has just started or is cut off.
+   */
   async removeTarget(id: string): Promise<boolean> {
     const { clock, logger } = this.#options;
     if (this.targets.remove(id, clock.monotonicMs()) === null) {
-      return true;
+      return this.#isComplete() && this.#isCurrent();
     }
     logger.info({ id }, "target removed");
     return this.#spreadDrain();
@@ -252,6 +269,11 @@
     return this.#table;
   }
 
+  /** Whether every target that is alive has been heard. */
+  #isComplete(): boolean {
+    return this.#options.clock.monotonicMs() - this.#startedAtMs > completeMs;
+  }
+
   #isCurrent(): boolean {
     const ageMs = this.#documents?.getAgeMs() ?? null;
     return ageMs !== null && ageMs < currentMs;
@@ -299,7 +321,7 @@
       [MessageName.ReplicaInfo]: (body) => this.#host.getInfo((body as { group: string }).group),
       [MessageName.ExchangeRegistry]: (body) => this.#exchange?.receive(body as ExchangeRequest),
       [MessageName.ActivateMap]: (body) => this.#activator.activate(body as ActivateRequest),
-      [MessageName.SyncEntry]: (body) => this.#sync(body as SyncRequest),
+      [MessageName.SyncEntry]: (body) => this.#sync.sync(body as SyncRequest),
       [MessageName.ProposeDocument]: async (body) => {
         await this.#requireDocuments().proposeAsLeader(body as StoredDocument);
         return null;
@@ -309,40 +331,6 @@
     };
   }
 
-  async #sync({ entry, documentVersion, registryState }: SyncRequest): Promise<SyncResponse> {
-    this.entries.put(entry, this.#options.clock.monotonicMs(), null);
-    await this.#awaitKnowledge();
-    const nowMs = this.#options.clock.monotonicMs();
-    const { version, bytes } = this.#machine;
-    const state = `${this.#incarnation}:${this.targets.changes}`;
-    return {
-      ageMs: this.#documents?.getAgeMs() ?? null,
-      documentVersion: version,
-      document: version > documentVersion ? bytes : null,
-      registryState: state,
-      targets: state === registryState ? null : this.targets.list(nowMs),
-      isComplete: nowMs - this.#startedAtMs > completeMs,
-      inFlight: this.entries.sumInFlight(entry.name, nowMs),
-      paces: this.paces.list(nowMs),
-      liveEntries: this.entries.countLive(nowMs),
-      nearest:
-        entry.failureDomain === this.#options.failureDomain
-          ? this.address
-          : this.#peers.findNear(entry.failureDomain, nowMs),
-      coordinators: [this.address, ...this.#peers.peers.map(({ address }) => address)],
-    };
-  }
-
-  /** After a start, entries refuse requests until an answer is current, so they get it as soon as there is one. */
-  async #awaitKnowledge(): Promise<void> {
-    for (let waitedMs = 0; waitedMs < maxSyncWaitMs; waitedMs += tickIntervalMs) {
-      if (this.#isClosed || (this.#documents?.getAgeMs() ?? null) !== null) {
-        return;
-      }
-      await delay(tickIntervalMs);
-    }
-  }
-
   #requireDocuments(): DocumentService {
     if (this.#documents === null) {
       throw new Error("the coordinator has not started");
--- /dev/null
+++ b/packages/control/routes/SyncService.ts
@@ -0,0 +1,83 @@
+import { setTimeout as delay } from "node:timers/promises";
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import type { PaceBoard } from "@clementinemux/registry/PaceBoard";
+import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
+import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { PeerBook } from "./PeerBook";
+import type { StoredDocument } from "./StoredDocument";
+
+interface SyncServiceOptions {
+  readonly address: string;
+  readonly failureDomain: string;
+  readonly incarnation: string;
+  readonly targets: TargetRegistry;
+  readonly entries: EntryRegistry;
+  readonly paces: PaceBoard;
+  readonly peers: PeerBook;
+  readonly getDocument: () => StoredDocument;
+  /** Age of the confirmation that no newer document exists, in ms; null when there is none. */
+  readonly getAgeMs: () => number | null;
+  /** Whether every target that is alive has been heard. */
+  readonly isComplete: () => boolean;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** An entry's report is answered this much later at most when this process does not know yet what is current. */
+const maxWaitMs = 150;
+const waitStepMs = 20;
+
+/** Answers the reports of gateways: takes over what they say, and tells them what they lack. */
+export class SyncService {
+  readonly #options: SyncServiceOptions;
+  #isClosed = false;
+
+  constructor(options: SyncServiceOptions) {
+    this.#options = options;
+  }
+
+  async sync({ entry, documentVersion, registryState, leaving }: SyncRequest): Promise<SyncResponse> {
+    const { targets, entries, paces, peers, clock, logger } = this.#options;
+    entries.put(entry, clock.monotonicMs(), null);
+    for (const { id } of leaving.filter((life) => targets.markLeaving(life))) {
+      logger.info({ id, entry: entry.name }, "target leaves by its answers");
+    }
+    await this.#awaitKnowledge();
+    const { address, failureDomain, incarnation, getDocument, getAgeMs } = this.#options;
+    const nowMs = clock.monotonicMs();
+    const { version, bytes } = getDocument();
+    const state = `${incarnation}:${targets.changes}`;
+    const isComplete = this.#options.isComplete();
+    const gone = isComplete ? [] : targets.listGone();
+    return {
+      ageMs: getAgeMs(),
+      documentVersion: version,
+      document: version > documentVersion ? bytes : null,
+      registryState: state,
+      targets: state === registryState ? null : [...targets.list(nowMs), ...gone],
+      isComplete,
+      inFlight: entries.sumInFlight(entry.name, nowMs),
+      paces: paces.list(nowMs),
+      liveEntries: entries.countLive(nowMs),
+      nearest: entry.failureDomain === failureDomain ? address : peers.findNear(entry.failureDomain, nowMs),
+      coordinators: [address, ...peers.peers.map((peer) => peer.address)],
+    };
+  }
+
+  close(): void {
+    this.#isClosed = true;
+  }
+
+  /** After a start, entries refuse requests until an answer is current, so they get it as soon as there is one. */
+  async #awaitKnowledge(): Promise<void> {
+    for (let waitedMs = 0; waitedMs < maxWaitMs; waitedMs += waitStepMs) {
+      if (this.#isClosed || this.#options.getAgeMs() !== null) {
+        return;
+      }
+      await delay(waitStepMs);
+    }
+  }
+}
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -6,7 +6,11 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { Coordinator } from "@clementinemux/control/routes/Coordinator";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
+import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
 
 /** Coordinators of one log on loopback, each with its own folder. */
 export class CoordinatorFleet {
@@ -63,6 +67,15 @@
     this.#folders[index] = "";
   }
 
+  /** Reports to a coordinator as a gateway does. */
+  async sync(index: number, request: SyncRequest): Promise<SyncResponse> {
+    const address = { host: "127.0.0.1", port: this.#ports[index] ?? 0 };
+    const client = new RpcClient({ address, connectTimeoutMs: 500 });
+    const answer = await client.call(MessageName.SyncEntry, request, 1000);
+    client.close();
+    return answer.unsafeCoerce() as SyncResponse;
+  }
+
   get leader(): number {
     return this.coordinators.findIndex((coordinator) => coordinator.getStatus().role === "leader");
   }
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -162,6 +162,7 @@
         failureDomain: "fd-1",
         slots: 8,
         isDraining: false,
+        isLeaving: false,
         isGone: false,
         bornMs: 1,
         sequence: 1,
--- a/packages/control/test/coordinators.test.ts
+++ b/packages/control/test/coordinators.test.ts
@@ -21,7 +21,7 @@
 function createSyncRequest(): SyncRequest {
   const place = { address: "e:1", failureDomain: "d-0" };
   const entry = { name: "e", incarnation: "1", ...place, isReady: true, inFlight: {} };
-  return { entry, documentVersion: 0, registryState: "" };
+  return { entry, documentVersion: 0, registryState: "", leaving: [] };
 }
 
 async function hasLeader(fleet: CoordinatorFleet): Promise<void> {
@@ -67,7 +67,14 @@
   );
   await t.rejects(fleet.coordinators[leader]!.submitDocument({ version: 2, bytes: bytes("two") }));
   const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const record: TargetRecord = { ...target, isDraining: true, isGone: false, bornMs: 1, sequence: 1 };
+  const record: TargetRecord = {
+    ...target,
+    isDraining: true,
+    isLeaving: false,
+    isGone: false,
+    bornMs: 1,
+    sequence: 1,
+  };
   t.equal(await fleet.coordinators[leader]?.registerTarget(record), false, "a drain that nobody else knows");
   await fleet.close();
 });
@@ -110,7 +117,14 @@
   const fleet = await CoordinatorFleet.start(3);
   await hasLeader(fleet);
   const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const record: TargetRecord = { ...target, isDraining: false, isGone: false, bornMs: 1, sequence: 1 };
+  const record: TargetRecord = {
+    ...target,
+    isDraining: false,
+    isLeaving: false,
+    isGone: false,
+    bornMs: 1,
+    sequence: 1,
+  };
   await waitUntil(
     "heartbeats are acknowledged",
     async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
@@ -163,3 +177,54 @@
   const informed = await report();
   t.ok(informed.tookMs < 100, "guards against reports that wait although everything is known");
 });
+
+// Guards against gateways that go on sending to a target that leaves, because only one of them has been told.
+t.test("a target that leaves is named so to all gateways for its life", async (t) => {
+  const fleet = await CoordinatorFleet.start(3);
+  await hasLeader(fleet);
+  const life = { id: "t-1", bornMs: 5 };
+  const place = { service: "s", address: "h:1", failureDomain: "d", slots: 1 };
+  const state = { isDraining: false, isLeaving: false, isGone: false };
+  const record: TargetRecord = { ...life, ...place, ...state, sequence: 1 };
+  await waitUntil(
+    "heartbeats are acknowledged",
+    async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
+    limitMs,
+  );
+  await fleet.sync(0, { ...createSyncRequest(), leaving: [life] });
+  const listAll = (): boolean[] =>
+    fleet.coordinators.map(({ targets }) => targets.list(performance.now())[0]?.isLeaving ?? false);
+  await waitUntil("all know that it leaves", () => isTrue(!listAll().includes(false)), 2000);
+  await fleet.coordinators[1]?.registerTarget({ ...record, sequence: 2 });
+  await fleet.coordinators[2]?.registerTarget({ ...record, bornMs: 6 });
+  await waitUntil("its next life does not leave", () => isTrue(!listAll().includes(true)), 2000);
+  t.same(listAll(), [false, false, false]);
+  await fleet.close();
+});
+
+// Guards against a target that has unregistered and stays in use, because the coordinator that was told had just started.
+t.test(
+  "a coordinator that has just started acknowledges no end of a target that it does not know",
+  async (t) => {
+    const fleet = await CoordinatorFleet.start(3);
+    await hasLeader(fleet);
+    t.equal(await fleet.coordinators[0]?.removeTarget("t-unknown"), false);
+    const response = await fleet.sync(0, createSyncRequest());
+    t.equal(response.isComplete, false);
+    const place = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
+    const state = { isDraining: false, isLeaving: false, isGone: false };
+    await waitUntil(
+      "heartbeats are acknowledged",
+      async () =>
+        isTrue(
+          (await fleet.coordinators[0]?.registerTarget({ ...place, ...state, bornMs: 5, sequence: 1 })) ===
+            true,
+        ),
+      limitMs,
+    );
+    t.equal(await fleet.coordinators[0]?.removeTarget("t-1"), true);
+    const { targets } = await fleet.sync(0, createSyncRequest());
+    t.match(targets, [{ id: "t-1", isGone: true }], "named as gone, so that nobody keeps it");
+    await fleet.close();
+  },
+);
--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -67,6 +67,7 @@
   }
 
   #onAnswer(answer: TargetAnswer, headers: readonly string[]): void {
+    this.#options.onAnswer(answer);
     if (answer.status < 300 && !answer.isSigned) {
       this.#call?.cancel();
       this.#fail(CallFailure.Malformed, "a success that no target has signed");
--- a/packages/gateway/AttemptOptions.ts
+++ b/packages/gateway/AttemptOptions.ts
@@ -1,4 +1,5 @@
 import type { CallFailure } from "./CallFailure";
+import type { TargetAnswer } from "./TargetAnswer";
 import type { TargetCallOptions } from "./TargetCallOptions";
 
 /** A call to a target and what is to be done with its answer. */
@@ -7,6 +8,8 @@
   /** Whether a successful answer is a series of events. */
   readonly isStream: boolean;
   readonly call: TargetCallOptions;
+  /** The head of an answer to this request; called once, before everything else that follows from it. */
+  readonly onAnswer: (answer: TargetAnswer) => void;
   /** A complete answer that is not a stream. */
   readonly onWhole: (status: number, headers: readonly string[], body: Buffer) => void;
   /** Headers of a stream; called once before its first event. */
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -4,6 +4,7 @@
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { TargetLife } from "@clementinemux/registry/TargetLife";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
@@ -12,6 +13,8 @@
 interface FleetSyncOptions {
   readonly view: FleetView;
   readonly getEntry: () => EntryRecord;
+  /** Targets that have told this gateway that they leave, and are not listed as such. */
+  readonly listLeaving: () => readonly TargetLife[];
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
@@ -93,7 +96,7 @@
   }
 
   async #report(): Promise<void> {
-    const { view, clock, getEntry, logger } = this.#options;
+    const { view, clock, getEntry, listLeaving, logger } = this.#options;
     const client = this.#getClient();
     if (client === null) {
       return;
@@ -103,6 +106,7 @@
       entry: getEntry(),
       documentVersion: view.version,
       registryState: view.registryState,
+      leaving: listLeaving(),
     };
     const answer = await client.call(MessageName.SyncEntry, request, callTimeoutMs);
     const isUseful = answer.caseOf({
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -74,16 +74,24 @@
     return isCurrent;
   }
 
-  /** A coordinator that has just started does not know every target yet, so those known before stay. */
+  /**
+   * A coordinator that has just started does not know every target yet, so those known before stay, unless it names
+   * them as gone.
+   */
   #takeTargets(targets: readonly TargetRecord[], isComplete: boolean): void {
-    const named = new Set(targets.map(({ id }) => id));
-    const addresses = new Set(targets.map(({ address }) => address));
+    const present = targets.filter(({ isGone }) => !isGone);
+    const born = new Map(targets.map(({ id, bornMs }) => [id, bornMs]));
+    const addresses = new Set(present.map(({ address }) => address));
     const kept = isComplete
       ? []
-      : this.#state.targets.filter(({ id, address }) => !named.has(id) && !addresses.has(address));
-    this.#state = { ...this.#state, targets: [...targets, ...kept] };
+      : this.#state.targets.filter(
+          ({ id, address, bornMs }) => (born.get(id) ?? -Infinity) < bornMs && !addresses.has(address),
+        );
+    const named = new Set(kept.map(({ id }) => id));
+    this.#state = { ...this.#state, targets: [...present.filter(({ id }) => !named.has(id)), ...kept] };
     this.#openTargets = new Map();
-    for (const target of this.#state.targets.filter(({ isDraining }) => !isDraining)) {
+    const open = this.#state.targets.filter(({ isDraining, isLeaving }) => !isDraining && !isLeaving);
+    for (const target of open) {
       const known = this.#openTargets.get(target.service) ?? [];
       this.#openTargets.set(target.service, [...known, target]);
     }
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -5,6 +5,7 @@
 import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
+import type { TargetLife } from "@clementinemux/registry/TargetLife";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
@@ -17,6 +18,7 @@
 import { TargetAgent } from "./TargetAgent";
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
+import { TargetNotices } from "./TargetNotices";
 
 /** Bounds before the first document is known. */
 const firstLimits: CallerLimits = {
@@ -40,6 +42,7 @@
   readonly #sync: FleetSync;
   readonly #loads: TargetLoads;
   readonly #health = new TargetHealth();
+  readonly #notices = new TargetNotices();
   readonly #agents = new Map<string, TargetAgent>();
   readonly #budgets = new Map<string, RepeatBudget>();
   readonly #passMeters = new Map<string, PassMeter>();
@@ -65,6 +68,7 @@
     this.#sync = new FleetSync({
       view: this.view,
       getEntry: () => this.#getEntry(),
+      listLeaving: () => this.#listLeaving(),
       seeds,
       clock: leaseClock,
       logger,
@@ -160,6 +164,7 @@
       view: this.view,
       loads: this.#loads,
       health: this.#health,
+      notices: this.#notices,
       metrics: this.metrics,
       getBudget: (service) => {
         const known = this.#budgets.get(service);
@@ -234,6 +239,13 @@
       }
     }
     this.#health.retain(new Set(targets.map(({ id }) => id)));
+    this.#notices.retain(targets, this.#options.clock.monotonicMs());
+  }
+
+  /** Targets that leave by their own word, and that the coordinators do not name as such. */
+  #listLeaving(): TargetLife[] {
+    const named = new Set(this.view.state.targets.filter(({ isLeaving }) => isLeaving).map(({ id }) => id));
+    return this.#notices.listLeaving().filter(({ id }) => !named.has(id));
   }
 
   #getLimits(): CallerLimits {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -6,6 +6,7 @@
 import type { TargetAgent } from "./TargetAgent";
 import type { TargetHealth } from "./TargetHealth";
 import type { TargetLoads } from "./TargetLoads";
+import type { TargetNotices } from "./TargetNotices";
 
 /** What the requests of one gateway share. */
 export interface GatewayContext {
@@ -13,6 +14,7 @@
   readonly view: FleetView;
   readonly loads: TargetLoads;
   readonly health: TargetHealth;
+  readonly notices: TargetNotices;
   readonly metrics: GatewayMetrics;
   readonly getBudget: (service: string) => RepeatBudget;
   readonly getPassMeter: (service: string) => PassMeter;
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -14,10 +14,12 @@
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
 import { RequestLog } from "./RequestLog";
+import type { TargetAnswer } from "./TargetAnswer";
 import { choosePlace } from "./choosePlace";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
+import { listUsableTargets } from "./listUsableTargets";
 import { measureCrowding } from "./measureCrowding";
 
 interface WholeAnswer {
@@ -103,7 +105,8 @@
       return;
     }
     const { route, arrivedAtMs } = this.#arrival;
-    if (this.#hasPlace() || this.#now() - arrivedAtMs >= route.objectiveMs * waitShare) {
+    const waitLeftMs = route.objectiveMs * waitShare - (this.#now() - arrivedAtMs);
+    if (this.#hasPlace() || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
       this.#send();
     } else {
       this.#waitTimer = setTimeout(() => {
@@ -163,6 +166,9 @@
         answerTimeoutMs:
           canRepeat && route.kind === RouteKind.Idempotent ? leftMs * silentShare : leftMs + 1000,
       },
+      onAnswer: (answer) => {
+        this.#noteWord(target, answer);
+      },
       onWhole: (status, answerHeaders, whole) => {
         this.#onWhole(attempt, { status, headers: answerHeaders, body: whole });
       },
@@ -194,7 +200,8 @@
   #choose(): TargetRecord | null {
     const { view, loads, health, options } = this.#context;
     const { service } = this.#arrival;
-    const targets = view.listOpenTargets(service.name).filter(({ id }) => !this.#tried.has(id));
+    const usable = listUsableTargets(this.#context, service.name).targets;
+    const targets = usable.filter(({ id }) => !this.#tried.has(id));
     const candidates = health.select(targets, this.#now()).map((target) => ({
       id: target.id,
       slots: service.engine?.slots ?? target.slots,
@@ -206,6 +213,16 @@
     return targets.find((target) => target.id === id) ?? null;
   }
 
+  /** Takes over what an answer says of its target. */
+  #noteWord(target: TargetRecord, answer: TargetAnswer): void {
+    const { notices, options } = this.#context;
+    const { pauseMs } = answer;
+    const isNews = notices.note(target, answer, this.#now());
+    if (isNews || pauseMs !== null) {
+      options.logger.info({ target: target.id, isLeaving: answer.isLeaving, pauseMs }, "target turns away");
+    }
+  }
+
   #onWhole(attempt: Attempt, answer: WholeAnswer): void {
     const { health } = this.#context;
     this.#mayHaveRun = true;
--- a/packages/gateway/TargetAnswer.ts
+++ b/packages/gateway/TargetAnswer.ts
@@ -9,6 +9,10 @@
   readonly isSigned: boolean;
   /** Whether another target has the address. */
   readonly isMisdirected: boolean;
+  /** Whether the target says that it leaves. */
+  readonly isLeaving: boolean;
+  /** How long a target that has turned the request away wants nothing from this gateway, in ms; null for no word. */
+  readonly pauseMs: number | null;
   /** Target that the answer blames for the failure; null for none. */
   readonly faultyTarget: string | null;
 }
--- a/packages/gateway/estimateRetryMs.ts
+++ b/packages/gateway/estimateRetryMs.ts
@@ -14,14 +14,18 @@
 
 /**
  * Time until a place of the service is likely to be free, spread so that refused callers do not return together.
+ * Targets that all want nothing for a while are not asked before the first of them does.
  * Ranks that turn a request away (`isTurnedAway`) belong to a group that forms again.
  */
 export function estimateRetryMs(
   { engine }: RoutedService,
-  { meanLoad, cap, slots }: Crowding,
+  { meanLoad, cap, slots, pauseMs }: Crowding,
   isTurnedAway: boolean,
   random: Random,
 ): number {
+  if (pauseMs !== null) {
+    return pauseMs * (1 + random() * spreadShare);
+  }
   const crowding = slots === 0 ? 1 : Math.max(0, meanLoad / slots - 0.8);
   const isSlowed = engine !== null && cap < slots;
   const formingMs = isTurnedAway ? (engine?.experts?.formMs ?? 0) * formingFactor : 0;
--- /dev/null
+++ b/packages/gateway/listUsableTargets.ts
@@ -0,0 +1,13 @@
+import type { GatewayContext } from "./GatewayContext";
+import type { UsableTargets } from "./UsableTargets";
+
+/** Targets of a service that take requests of this gateway, by the registry and by what they told it themselves. */
+export function listUsableTargets(context: GatewayContext, service: string): UsableTargets {
+  const { view, notices, options } = context;
+  const nowMs = options.clock.monotonicMs();
+  const staying = view.listOpenTargets(service).filter((target) => !notices.isLeaving(target));
+  const targets = staying.filter((target) => notices.getPauseMs(target, nowMs) === 0);
+  const isPaused = targets.length === 0 && staying.length > 0;
+  const pauses = staying.map((target) => notices.getPauseMs(target, nowMs));
+  return { targets, pauseMs: isPaused ? Math.min(...pauses) : null };
+}
--- a/packages/gateway/measureCrowding.ts
+++ b/packages/gateway/measureCrowding.ts
@@ -2,11 +2,12 @@
 import type { Crowding } from "./Crowding";
 import type { GatewayContext } from "./GatewayContext";
 import { computeCap } from "./computeCap";
+import { listUsableTargets } from "./listUsableTargets";
 
 /** How full the service of a request is now. */
 export function measureCrowding(context: GatewayContext, { service, route }: Arrival): Crowding {
-  const { view, loads, getPassMeter, options } = context;
-  const targets = view.listOpenTargets(service.name);
+  const { loads, getPassMeter, options } = context;
+  const { targets, pauseMs } = listUsableTargets(context, service.name);
   const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const meanLoad = load / Math.max(1, targets.length);
   const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
@@ -19,5 +20,5 @@
     meanGapMs,
     meanLoad,
   });
-  return { targets: targets.length, meanLoad, slots, cap, meanGapMs };
+  return { targets: targets.length, meanLoad, slots, cap, pauseMs, meanGapMs };
 }
--- a/packages/gateway/roundCrowding.ts
+++ b/packages/gateway/roundCrowding.ts
@@ -1,12 +1,13 @@
 import type { Crowding } from "./Crowding";
 
 /** Shortens the figures for a log line. */
-export function roundCrowding({ targets, meanLoad, slots, cap, meanGapMs }: Crowding): Crowding {
+export function roundCrowding({ targets, meanLoad, slots, cap, pauseMs, meanGapMs }: Crowding): Crowding {
   return {
     targets,
     meanLoad: round(meanLoad),
     slots,
     cap: round(cap),
+    pauseMs: pauseMs === null ? null : Math.round(pauseMs),
     meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
   };
 }
--- a/packages/gateway/test/TestCodec.ts
+++ b/packages/gateway/test/TestCodec.ts
@@ -42,6 +42,8 @@
       isNotRun: find(headers, "x-not-run") !== null,
       isSigned: find(headers, "x-unsigned") === null,
       isMisdirected: status === 421,
+      isLeaving: find(headers, "x-leaving") !== null,
+      pauseMs: find(headers, "x-pause-ms") === null ? null : Number(find(headers, "x-pause-ms")),
       faultyTarget: null,
     };
   }
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -28,6 +28,7 @@
   const sync = new FleetSync({
     view: new FleetView(new TestCodec()),
     getEntry: () => entry,
+    listLeaving: () => [],
     seeds: [`127.0.0.1:${port}`],
     clock: new SystemClock(),
     logger: createLogger("test", {}),
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -26,9 +26,11 @@
 
 /** A gateway before scripted targets, with a stand-in of its coordinator. */
 export async function startGateway(document: RouteDocument, targets: readonly TestTarget[]) {
-  const state = { document, ageMs: 0 as number | null, isReady: true };
-  const createResponse = ({ documentVersion, entry }: SyncRequest): SyncResponse => {
+  const leaving: SyncRequest["leaving"] = [];
+  const state = { document, ageMs: 0 as number | null, isReady: true, leaving };
+  const createResponse = ({ documentVersion, entry, leaving }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
+    state.leaving = leaving;
     const { version } = state.document;
     return createSyncResponse({
       service: "app",
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -8,7 +8,7 @@
   /** Bytes of the document; null when the gateway holds it. */
   readonly document: Uint8Array | null;
   readonly registryState: string;
-  /** All targets; null when the gateway holds them. */
+  /** All targets, and while the list is not complete those that are gone; null when the gateway holds them. */
   readonly targets: readonly TargetRecord[] | null;
   /** Whether the coordinator has heard long enough to know every target. */
   readonly isComplete: boolean;
--- a/packages/registry/TargetRecord.ts
+++ b/packages/registry/TargetRecord.ts
@@ -7,6 +7,8 @@
   readonly failureDomain: string;
   readonly slots: number;
   readonly isDraining: boolean;
+  /** Whether the target has said in an answer to a request that it leaves; holds for the rest of its life. */
+  readonly isLeaving: boolean;
   /** Whether the target has unregistered; kept so that a late heartbeat cannot bring it back. */
   readonly isGone: boolean;
   /** Unix time of the target's start; orders its lives under one id. */
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -1,4 +1,5 @@
 import type { RegistryRecord } from "./RegistryRecord";
+import type { TargetLife } from "./TargetLife";
 import type { TargetRecord } from "./TargetRecord";
 
 /** A target that was silent for this long is no longer named to gateways: three heartbeats of 1.2 s and a margin. */
@@ -17,12 +18,13 @@
   }
 
   /** Takes over what a target said, directly or by way of another coordinator. Returns whether it is news. */
-  put(target: TargetRecord, heardAtMs: number, via: string | null = null): boolean {
-    const known = this.#records.get(target.id);
-    if (known !== undefined && !isNewer(target, known.target)) {
-      this.#noteHeard(known, target, heardAtMs, via);
-      return false;
+  put(news: TargetRecord, heardAtMs: number, via: string | null = null): boolean {
+    const known = this.#records.get(news.id);
+    if (known !== undefined && !isNewer(news, known.target)) {
+      this.#noteHeard(known, news, heardAtMs, via);
+      return news.isLeaving && this.markLeaving(news);
     }
+    const target = { ...news, isLeaving: news.isLeaving || isLeavingLife(known, news) };
     if (this.#isSuperseded(target)) {
       return false;
     }
@@ -36,7 +38,19 @@
     return true;
   }
 
-  /** Marks a target as gone. A target that was never seen leaves a record too. */
+  /** Takes over that a target has said that it leaves. Returns whether that is news about its present life. */
+  markLeaving({ id, bornMs }: TargetLife): boolean {
+    const known = this.#records.get(id);
+    if (known?.target.bornMs !== bornMs || known.target.isLeaving) {
+      return false;
+    }
+    this.#changes += 1;
+    const target = { ...known.target, isLeaving: true };
+    this.#records.set(id, { ...known, target, changedAt: this.#changes });
+    return true;
+  }
+
+  /** Marks a target as gone. Returns null for one that is not known. */
   remove(id: string, heardAtMs: number): TargetRecord | null {
     const known = this.#records.get(id);
     if (known === undefined) {
@@ -55,6 +69,11 @@
       .map(({ target }) => target);
   }
 
+  /** Targets that have unregistered, or whose address another one has. */
+  listGone(): TargetRecord[] {
+    return [...this.#records.values()].filter(({ target }) => target.isGone).map(({ target }) => target);
+  }
+
   /** Records changed after `change`, whether or not their targets still speak. */
   changedSince(change: number): RegistryRecord[] {
     return [...this.#records.values()].filter(({ changedAt }) => changedAt > change);
@@ -118,12 +137,17 @@
   return left.sequence > right.sequence;
 }
 
+function isLeavingLife(known: RegistryRecord | undefined, { bornMs }: TargetRecord): boolean {
+  return known?.target.bornMs === bornMs && known.target.isLeaving;
+}
+
 function isAlike(left: TargetRecord, right: TargetRecord): boolean {
   return (
     left.bornMs === right.bornMs &&
     left.address === right.address &&
     left.service === right.service &&
     left.isDraining === right.isDraining &&
+    left.isLeaving === right.isLeaving &&
     left.isGone === right.isGone &&
     left.slots === right.slots
   );
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -11,6 +11,7 @@
     failureDomain: "a",
     slots: 4,
     isDraining: false,
+    isLeaving: false,
     isGone: false,
     bornMs: 1000,
     sequence: 1,
@@ -37,6 +38,26 @@
   t.end();
 });
 
+// Guards against a target that leaves and is used again after its next heartbeat, or by late news of another process.
+t.test("a target that leaves by its answers does so for the rest of its life", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target(), 0);
+  t.notOk(registry.markLeaving({ id: "t-1", bornMs: 999 }), "an earlier life");
+  t.ok(registry.markLeaving({ id: "t-1", bornMs: 1000 }));
+  t.notOk(registry.markLeaving({ id: "t-1", bornMs: 1000 }), "no news");
+  registry.put(target({ sequence: 2 }), 1);
+  t.equal(registry.list(1)[0]?.isLeaving, true);
+  const other = new TargetRegistry();
+  other.put(target({ sequence: 3 }), 1);
+  const before = other.changes;
+  t.ok(other.put(target({ sequence: 2, isLeaving: true }), 2, "peer"));
+  t.match(other.list(2), [{ isLeaving: true, sequence: 3 }]);
+  t.ok(other.changes > before, "gateways learn of it");
+  registry.put(target({ bornMs: 2000 }), 3);
+  t.equal(registry.list(3)[0]?.isLeaving, false, "a later life is another target");
+  t.end();
+});
+
 t.test("a target that has unregistered does not come back in the same life", (t) => {
   const registry = new TargetRegistry();
   registry.put(target({ sequence: 5 }), 0);
--- a/packages/standins/gateway/createSyncResponse.ts
+++ b/packages/standins/gateway/createSyncResponse.ts
@@ -32,6 +32,7 @@
       failureDomain: "a",
       slots,
       isDraining: false,
+      isLeaving: false,
       isGone: false,
       bornMs: 1,
       sequence: 1,
