Take during a stop only what can end before the process has to

Cause: a gateway that had been told to stop went on taking requests until its grace time less 0.7 s was over, and then closed the connections of those that still ran.

Change: StopWindow admits by the predicted duration while callers may still be sent to the gateway, and by the latest possible end after that; the rest is refused as not run, with a short time to return and a closed connection. The window ends 0.4 s before the grace time. After the last request, connections on which one is half read keep the process for up to 0.15 s.

Ruled out: refusing everything from the signal on, since callers hold the address for 2 s and a refusal costs them a new connection.

Figures: gateway/test/stopping.

--- a/packages/gateway/AnswerWriter.ts
+++ b/packages/gateway/AnswerWriter.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { GatewayContext } from "./GatewayContext";
 import { selectEndToEnd } from "./selectEndToEnd";
 
 const framingNames = ["content-length", "transfer-encoding"];
@@ -6,11 +7,11 @@
 /** Writes one answer to a caller. An answer that cannot be completed is cut off visibly. */
 export class AnswerWriter {
   readonly #response: ServerResponse;
-  readonly #isStopping: () => boolean;
+  readonly #context: GatewayContext;
 
-  constructor(response: ServerResponse, isStopping: () => boolean) {
+  constructor(response: ServerResponse, context: GatewayContext) {
     this.#response = response;
-    this.#isStopping = isStopping;
+    this.#context = context;
     response.sendDate = false;
   }
 
@@ -75,7 +76,7 @@
   }
 
   #writeHead(status: number, headers: string[]): void {
-    if (this.#isStopping()) {
+    if (this.#context.getStopWindow() !== null) {
       headers.push("Connection", "close");
     }
     this.#response.writeHead(status, headers);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -15,6 +15,7 @@
 import { Intake } from "./Intake";
 import { PassMeter } from "./PassMeter";
 import { RepeatBudget } from "./RepeatBudget";
+import { StopWindow } from "./StopWindow";
 import { TargetAgent } from "./TargetAgent";
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
@@ -28,11 +29,13 @@
   idleTimeoutMs: 15_000,
 };
 const housekeepingMs = 1000;
-/** After the signal to stop, callers that still hold this address are served at least this long. */
-const leastStopMs = 2500;
+/** After the signal to stop, callers hold this address for this long: the time of an answer to them and a margin. */
+const namedMs = 2500;
 /** Left of the grace time when the process ends by itself. */
-const stopReserveMs = 700;
+const stopReserveMs = 400;
 const stopPollMs = 50;
+/** For connections on which a request was half read when the last one ended. */
+const lingerMs = 150;
 
 /** Takes callers' requests, and forwards each to a target of the service that its route names. */
 export class Gateway {
@@ -53,7 +56,7 @@
   #server: Server | null = null;
   #readiness: Server | null = null;
   #limits = firstLimits;
-  #isStopping = false;
+  #stopWindow: StopWindow | null = null;
   #isClosed = false;
 
   constructor(options: GatewayOptions) {
@@ -78,7 +81,7 @@
 
   /** Whether callers should be sent here. */
   get isReady(): boolean {
-    return !this.#isStopping && this.view.isFresh(this.#options.leaseClock.monotonicMs());
+    return this.#stopWindow === null && this.view.isFresh(this.#options.leaseClock.monotonicMs());
   }
 
   get inFlight(): number {
@@ -121,27 +124,33 @@
 
   /** Stops taking new callers, finishes what was read, and resolves when the process may end. */
   async shutDown(): Promise<void> {
-    if (this.#isStopping) {
+    if (this.#stopWindow !== null) {
       return;
     }
     const { clock, graceMs, logger } = this.#options;
     const startedAtMs = clock.monotonicMs();
-    this.#isStopping = true;
+    const endAtMs = startedAtMs + graceMs - stopReserveMs;
+    const window = new StopWindow({ startedAtMs, endAtMs, namedMs });
+    this.#stopWindow = window;
     logger.info({ inFlight: this.inFlight }, "gateway stopping");
     void this.#sync.sync();
-    for (;;) {
-      await new Promise((resolve) => setTimeout(resolve, stopPollMs));
-      const stoppingMs = clock.monotonicMs() - startedAtMs;
-      const isQuiet = stoppingMs >= leastStopMs && this.inFlight === 0;
-      if (isQuiet || stoppingMs >= graceMs - stopReserveMs) {
-        break;
-      }
-    }
+    await this.#pollUntil(() => window.isOver(this.inFlight, clock.monotonicMs()));
+    // Connections that are idle end here; one on which a request is under way stays open for it.
     this.#server?.close();
-    this.#server?.closeIdleConnections();
+    const lingerEndMs = Math.min(endAtMs, clock.monotonicMs() + lingerMs);
+    await this.#pollUntil(() => {
+      const isIdle = this.inFlight === 0 && (this.#sockets.size === 0 || clock.monotonicMs() >= lingerEndMs);
+      return isIdle || clock.monotonicMs() >= endAtMs;
+    });
     logger.info({ inFlight: this.inFlight }, "gateway stopped");
   }
 
+  async #pollUntil(isDone: () => boolean): Promise<void> {
+    while (!isDone()) {
+      await new Promise((resolve) => setTimeout(resolve, stopPollMs));
+    }
+  }
+
   /** Ends everything at once; callers see their connections close. */
   close(): void {
     this.#isClosed = true;
@@ -183,7 +192,7 @@
         this.#agents.set(address, agent);
         return agent;
       },
-      isStopping: () => this.#isStopping,
+      getStopWindow: () => this.#stopWindow,
     };
   }
 
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { GatewayOptions } from "./GatewayOptions";
 import type { PassMeter } from "./PassMeter";
 import type { RepeatBudget } from "./RepeatBudget";
+import type { StopWindow } from "./StopWindow";
 import type { TargetAgent } from "./TargetAgent";
 import type { TargetHealth } from "./TargetHealth";
 import type { TargetLoads } from "./TargetLoads";
@@ -19,6 +20,6 @@
   readonly getBudget: (service: string) => RepeatBudget;
   readonly getPassMeter: (service: string) => PassMeter;
   readonly getAgent: (address: string) => TargetAgent;
-  /** Whether the process is about to stop, so that callers should close their connections. */
-  readonly isStopping: () => boolean;
+  /** Set while the process is about to stop, so that callers should close their connections. */
+  readonly getStopWindow: () => StopWindow | null;
 }
--- a/packages/gateway/Intake.ts
+++ b/packages/gateway/Intake.ts
@@ -3,14 +3,19 @@
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { RouteTeam } from "@clementinemux/routes/RouteTeam";
 import { chooseService } from "@clementinemux/routes/chooseService";
+import type { Arrival } from "./Arrival";
 import { AnswerWriter } from "./AnswerWriter";
 import type { GatewayContext } from "./GatewayContext";
 import { RequestEnd } from "./RequestEnd";
 import { RequestRun } from "./RequestRun";
+import { predictDuration } from "./predictDuration";
 
 /** A caller that meets a gateway without recent knowledge is asked to come back after this time. */
 const notFreshRetryMs = 1000;
 const notFreshSpreadMs = 800;
+/** Other gateways take the requests of one that stops at once; their callers are spread a little. */
+const stoppingRetryMs = 40;
+const stoppingSpreadMs = 120;
 
 const ownAnswers = {
   [RequestEnd.NoRoute]: { status: 404, text: "no route for this host and path" },
@@ -18,6 +23,7 @@
   [RequestEnd.TooLarge]: { status: 413, text: "the body is too large" },
   [RequestEnd.NotFresh]: { status: 503, text: "the configuration is not known to be current" },
   [RequestEnd.NoTarget]: { status: 503, text: "the service of the route is not known" },
+  [RequestEnd.Stopping]: { status: 503, text: "this gateway stops before the request could end" },
 } as const;
 
 type OwnEnd = keyof typeof ownAnswers;
@@ -99,22 +105,43 @@
       priority,
       arrivedAtMs,
     };
+    if (!this.#mayEnd(arrival)) {
+      this.#answer(response, RequestEnd.Stopping, request);
+      return;
+    }
     new RequestRun(this.#context, arrival).start();
   }
 
+  /** Whether the process lasts long enough for a request. */
+  #mayEnd({ route, caller, service }: Arrival): boolean {
+    const { getStopWindow, getPassMeter, options } = this.#context;
+    const window = getStopWindow();
+    if (window === null) {
+      return true;
+    }
+    const nowMs = options.clock.monotonicMs();
+    const meanGapMs = getPassMeter(service.name).getMeanMs(nowMs);
+    const stride = service.engine?.stride ?? 1;
+    return window.admits(predictDuration({ route, caller, stride, meanGapMs }), nowMs);
+  }
+
   #answer(response: ServerResponse, end: OwnEnd, request: IncomingMessage): void {
-    const { metrics, isStopping, options, view } = this.#context;
+    const { metrics, options, view } = this.#context;
     const { status, text } = ownAnswers[end];
     metrics.ends.add(end);
     options.logger.info(
       { host: getHostName(request), end, status, version: view.version },
       "request refused",
     );
-    new AnswerWriter(response, isStopping).sendOwn(
-      status,
-      text,
-      status === 503 ? notFreshRetryMs + options.random() * notFreshSpreadMs : null,
-    );
+    const retryMs = status === 503 ? this.#getRetryMs(end) : null;
+    new AnswerWriter(response, this.#context).sendOwn(status, text, retryMs);
+  }
+
+  #getRetryMs(end: OwnEnd): number {
+    const random = this.#context.options.random();
+    return end === RequestEnd.Stopping
+      ? stoppingRetryMs + random * stoppingSpreadMs
+      : notFreshRetryMs + random * notFreshSpreadMs;
   }
 }
 
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -67,7 +67,7 @@
     const { response, route, caller, arrivedAtMs } = arrival;
     this.#context = context;
     this.#arrival = arrival;
-    this.#writer = new AnswerWriter(response, context.isStopping);
+    this.#writer = new AnswerWriter(response, context);
     const { maxHoldMs, clock } = context.options;
     this.#relay = new EventRelay({
       writer: this.#writer,
--- /dev/null
+++ b/packages/gateway/test/stopping.test.ts
@@ -0,0 +1,127 @@
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { StopWindow } from "@clementinemux/gateway/StopWindow";
+import { predictDuration } from "@clementinemux/gateway/predictDuration";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { createDocument } from "../../routes/test/createDocument";
+import { TestTarget } from "./TestTarget";
+import { answers } from "./answers";
+import { startGateway } from "./startGateway";
+
+const graceMs = 8000;
+const namedMs = 2500;
+const meanGapMs = 60;
+const tokensPerEvent = 5;
+const stream = { kind: RouteKind.Streaming, objectiveMs: 400, gapObjectiveMs: 120, timeoutMs: 8000 };
+const call = { kind: RouteKind.NonIdempotent, objectiveMs: 300, gapObjectiveMs: 0, timeoutMs: 1500 };
+
+function predict(events: number) {
+  return events === 0
+    ? predictDuration({ route: call, caller: { leftMs: 3000, maxAnswerTokens: 0 }, stride: 1, meanGapMs })
+    : predictDuration({
+        route: stream,
+        caller: { leftMs: 8000, maxAnswerTokens: events * tokensPerEvent },
+        stride: tokensPerEvent,
+        meanGapMs,
+      });
+}
+
+// Guards against answers that are cut off by a stop because their requests were taken although they could not end in time.
+t.test("nothing that is taken during a stop outlasts it, and what can end is taken", (t) => {
+  const random = createRandom(5);
+  const window = new StopWindow({ startedAtMs: 0, endAtMs: graceMs - 400, namedMs });
+  const lastTakenMs = new Map<number, number>();
+  for (let nowMs = 0; nowMs < graceMs; nowMs += 5) {
+    for (let events = 0; events <= 70; events += 1) {
+      const duration = predict(events);
+      if (window.admits(duration, nowMs)) {
+        lastTakenMs.set(events, nowMs);
+        const gaps = events * meanGapMs * (0.8 + 0.45 * random());
+        const tookMs = events === 0 ? random() * call.timeoutMs : stream.objectiveMs * random() + gaps;
+        t.ok(nowMs + tookMs <= window.endAtMs, `${events} events, taken after ${nowMs} ms`);
+      }
+    }
+  }
+  t.ok((lastTakenMs.get(0) ?? 0) > 6000, "short calls are taken until they could not end");
+  t.ok((lastTakenMs.get(28) ?? 0) >= namedMs - 5, "usual streams are taken while callers are sent here");
+  t.ok((lastTakenMs.get(28) ?? 0) < namedMs, "later on the latest end decides");
+  t.ok((lastTakenMs.get(70) ?? 0) < 2000, "long streams are sent elsewhere sooner");
+  t.end();
+});
+
+t.test("a stop is over when nobody is sent here and nothing is in flight", (t) => {
+  const window = new StopWindow({ startedAtMs: 0, endAtMs: 7600, namedMs });
+  t.notOk(window.isOver(0, 2000), "callers still hold the address");
+  t.notOk(window.isOver(1, 7000));
+  t.ok(window.isOver(0, 2500));
+  t.ok(window.isOver(1, 7600));
+  t.end();
+});
+
+t.test("a stream of unknown length counts with its time limit", (t) => {
+  const caller = { leftMs: 5000, maxAnswerTokens: 0 };
+  t.same(predictDuration({ route: stream, caller, stride: 1, meanGapMs }), {
+    expectedMs: 5000,
+    latestMs: 5000,
+  });
+  t.end();
+});
+
+// Guards against requests that were accepted during a stop and end without an answer.
+t.test("a stop under load answers everything that it takes, and refuses the rest as not run", async (t) => {
+  const eventGapMs = 100;
+  const target = new TestTarget(({ id, head }, socket) => {
+    if (head.includes("/p1/")) {
+      setTimeout(() => socket.write(answers.whole(id, "ok")), 60);
+      return;
+    }
+    socket.write(answers.streamHead(id));
+    for (let event = 1; event <= 12; event += 1) {
+      setTimeout(() => socket.write(answers.chunk(answers.event(event))), event * eventGapMs);
+    }
+    setTimeout(() => socket.write(answers.streamEnd), 12 * eventGapMs + 10);
+  });
+  const routes = [
+    { ...stream, timeoutMs: 2500 },
+    { ...call, timeoutMs: 800 },
+  ];
+  const { gateway, call: send, stop } = await startGateway(createDocument(1, routes), [target]);
+  const ends: { id: string; status: number; isComplete: boolean; isClosed: boolean; canReturn: boolean }[] =
+    [];
+  const pending: Promise<void>[] = [];
+  const state = { isStopped: false };
+  const stopped = gateway.shutDown().then(() => {
+    state.isStopped = true;
+  });
+  for (let index = 0; !state.isStopped; index += 1) {
+    const id = `r${index}`;
+    const sent = send({ path: `/p${index % 2}/`, method: "POST" }, id, "x")
+      .then(({ status, isComplete, headers }) => {
+        const canReturn = Number(headers["retry-after"]) > 0;
+        ends.push({ id, status, isComplete, isClosed: headers.connection === "close", canReturn });
+      })
+      .catch(() => {
+        ends.push({ id, status: 0, isComplete: false, isClosed: true, canReturn: true });
+      });
+    pending.push(sent);
+    await delay(40);
+  }
+  await stopped;
+  gateway.close();
+  await Promise.all(pending);
+  const seen = new Set(target.requests.map(({ id }) => id));
+  const answered = ends.filter(({ status }) => status === 200);
+  const refused = ends.filter(({ status }) => status === 503);
+  const cut = ends.filter(({ status, isComplete }) => status === 200 && !isComplete);
+  t.same(cut, [], "no answer is cut off");
+  t.same(
+    ends.filter(({ id, status }) => status !== 200 && seen.has(id)),
+    [],
+    "what was refused or not read has not run",
+  );
+  t.ok(answered.length > 20 && refused.length > 5, `${answered.length} answered, ${refused.length} refused`);
+  t.ok(ends.every(({ isClosed }) => isClosed));
+  t.ok(refused.every(({ canReturn }) => canReturn));
+  await stop();
+});
