Make ranks that answer nobody the last choice of gateways

Change: when the process beside a rank misses an inspection, the lead asks the rank itself, at most once a second; one that does not answer either is listed with a pace of 8 on the pace board that gateways choose by.

Ruled out: suspecting by the process beside the rank alone, since that one is killed and restarted by itself.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -12,6 +12,7 @@
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupConductor } from "./GroupConductor";
+import { RankSilence } from "./RankSilence";
 
 interface ConductorOptions {
   readonly framePort: number;
@@ -47,10 +48,12 @@
   readonly #groups = new Map<string, GroupConductor>();
   /** Last known place of each rank, so that a silent one can be named. */
   readonly #places = new Map<string, (RankLink | null)[]>();
+  readonly #silence: RankSilence;
   #term = 0;
 
   constructor(options: ConductorOptions) {
     this.#options = options;
+    this.#silence = new RankSilence(options);
   }
 
   /** Inspects all ranks and takes the next step of each group. Resolves with the time until the next step, in ms. */
@@ -130,8 +133,10 @@
     const link = this.#getLink(target.address);
     const inspection = await link.inspect(term, InspectionPart.Counts);
     if (inspection === null) {
+      void this.#silence.noteMissed(target.id, link);
       return null;
     }
+    this.#silence.noteAnswer(target.id);
     this.#options.notePace(target.id, inspection.pace);
     return { link, inspection };
   }
