Prefer the quick group of a service of several groups

Cause: a slow rank makes all passes of its group slow, but only that rank got fewer requests.

Change: the lead compares the passes of the groups of a service and lists the ranks of a slow, broken or stopped group with their group's pace. Gateways fill the sound groups up to their cap, then half of the places of slow ones, and count only gaps of sound groups for the cap.

Ruled out: groups in the registry, since heartbeats do not name them.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -12,7 +12,9 @@
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupConductor } from "./GroupConductor";
+import type { GroupPass } from "./GroupPass";
 import { RankSilence } from "./RankSilence";
+import { computeGroupPaces } from "./computeGroupPaces";
 
 interface ConductorOptions {
   readonly framePort: number;
@@ -32,10 +34,17 @@
 }
 
 interface InspectedTarget {
+  readonly id: string;
   readonly link: RankLink;
   readonly inspection: RankInspection;
 }
 
+interface SteppedGroup {
+  readonly members: readonly InspectedTarget[];
+  readonly conductor: GroupConductor | null;
+}
+
+const unknownPass: GroupPass = { passMs: null, slowestPace: 1, isStopped: false };
 /** Time between two looks at groups that are at rest, or of a lead without groups. */
 const idleMs = 120;
 /** Time after which a process that does not lead looks whether it does: a group may be held for a lead that is gone. */
@@ -86,9 +95,26 @@
       }
     }
     const stepped = await Promise.all(
-      [...groups].map(([group, { service, members }]) => this.#stepGroup(group, service, members, table)),
+      [...groups].map(async ([group, { service, members }]) => ({
+        service,
+        members,
+        conductor: await this.#stepGroup(group, service, members, table),
+      })),
     );
-    return stepped.filter((group) => group !== null);
+    for (const service of new Set(stepped.map((group) => group.service))) {
+      this.#notePaces(stepped.filter((group) => group.service === service));
+    }
+    return stepped.map(({ conductor }) => conductor).filter((conductor) => conductor !== null);
+  }
+
+  /** A rank is as slow as its group, or as itself: that one delays its group by what it runs. */
+  #notePaces(groups: readonly SteppedGroup[]): void {
+    const paces = computeGroupPaces(groups.map(({ conductor }) => conductor?.pass ?? unknownPass));
+    for (const [index, { members }] of groups.entries()) {
+      for (const { id, inspection } of members) {
+        this.#options.notePace(id, Math.max(inspection.pace, paces[index] ?? 1));
+      }
+    }
   }
 
   async #stepGroup(
@@ -137,8 +163,7 @@
       return null;
     }
     this.#silence.noteAnswer(target.id);
-    this.#options.notePace(target.id, inspection.pace);
-    return { link, inspection };
+    return { id: target.id, link, inspection };
   }
 
   #getLink(address: string): RankLink {
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -14,6 +14,7 @@
 import type { RankWay } from "@clementinemux/ranker/RankWay";
 import type { ExpertFigures } from "@clementinemux/routes/ExpertFigures";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import type { GroupPass } from "./GroupPass";
 import { MapOutcome } from "./MapOutcome";
 
 interface GroupConductorOptions {
@@ -43,6 +44,8 @@
 const alertMs = 30;
 /** A group whose pass has not changed for this time may be held; passes of a healthy one take less. */
 const stoppedMs = 110;
+/** A group that has not begun a pass for this time is at rest, or stands still if a rank is missing. */
+const restingMs = 400;
 /** Time for which a lead gives the orders itself after another process has not. */
 const delegateRetryMs = 2000;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
@@ -62,6 +65,8 @@
   #movedAtMs = -Infinity;
   #notDelegatedAtMs = -Infinity;
   #paces: number[] = [];
+  #isBroken = false;
+  #isMissing = false;
 
   constructor(options: GroupConductorOptions) {
     this.#options = options;
@@ -83,6 +88,17 @@
     return preparingMs === null ? alertMs : Math.min(restMs, Math.max(alertMs, this.#copyMs - preparingMs));
   }
 
+  /** How quick its passes are, for the choice between the groups of a service. */
+  get pass(): GroupPass {
+    const isResting = this.#options.clock.monotonicMs() - this.#movedAtMs >= restingMs;
+    const { passMs } = this.#activation;
+    return {
+      passMs: isResting || passMs === 0 ? null : passMs,
+      slowestPace: Math.max(1, ...this.#paces),
+      isStopped: this.#isBroken || (this.#isMissing && isResting),
+    };
+  }
+
   /** Takes the next step from what the ranks have just reported; `links` and `inspections` are indexed by rank. */
   async step(
     links: readonly (RankWay | null)[],
@@ -90,6 +106,8 @@
   ): Promise<void> {
     this.#links = links;
     const known = inspections.filter((inspection) => inspection !== null);
+    this.#isBroken = known.some(({ state }) => !state.isOpen);
+    this.#isMissing = known.length < inspections.length;
     const nowMs = this.#options.clock.monotonicMs();
     this.#demand.add(
       known.map(({ state, counts }) => ({ rank: state.rank, epoch: state.epoch, counts })),
--- a/packages/gateway/Crowding.ts
+++ b/packages/gateway/Crowding.ts
@@ -7,6 +7,8 @@
   readonly slots: number;
   /** Requests that each target should run at once. */
   readonly cap: number;
+  /** Places that are free at ranks of slow groups. */
+  readonly slowPlaces: number;
   /** Time until the first target takes requests again, in ms; null while one does, or when there is none. */
   readonly pauseMs: number | null;
   /** Recent mean time between the events of a stream; null while it is not known. */
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -21,6 +21,7 @@
 import { estimateRetryMs } from "./estimateRetryMs";
 import { listUsableTargets } from "./listUsableTargets";
 import { measureCrowding } from "./measureCrowding";
+import { slowPace } from "./slowPace";
 
 interface WholeAnswer {
   readonly status: number;
@@ -75,7 +76,7 @@
       clock,
       onGap: (gapMs) => {
         context.metrics.pauses.observeMs(gapMs);
-        context.getPassMeter(arrival.service.name).note(gapMs, this.#now());
+        this.#notePass(gapMs);
       },
     });
     this.#log = new RequestLog(context, arrival, this.#relay);
@@ -119,7 +120,7 @@
   #hasPlace(): boolean {
     const crowding = measureCrowding(this.#context, this.#arrival);
     this.#crowding = crowding;
-    return crowding.meanLoad < crowding.cap;
+    return crowding.meanLoad < crowding.cap || crowding.slowPlaces >= 1;
   }
 
   get #isRepeatable(): boolean {
@@ -201,8 +202,10 @@
   #choose(): TargetRecord | null {
     const { view, loads, health, options } = this.#context;
     const { service } = this.#arrival;
-    const usable = listUsableTargets(this.#context, service.name).targets;
-    const targets = usable.filter(({ id }) => !this.#tried.has(id));
+    const { targets: sound, slow } = listUsableTargets(this.#context, service.name);
+    const { meanLoad = 0, cap = Infinity } = this.#crowding ?? {};
+    const isSoundFull = this.#sends === 0 && slow.length > 0 && meanLoad >= cap;
+    const targets = (isSoundFull ? slow : sound).filter(({ id }) => !this.#tried.has(id));
     const candidates = health.select(targets, this.#now()).map((target) => ({
       id: target.id,
       slots: service.engine?.slots ?? target.slots,
@@ -214,6 +217,15 @@
     return targets.find((target) => target.id === id) ?? null;
   }
 
+  /** The time of a pass decides how many requests a group takes, so those of slow groups are left out. */
+  #notePass(gapMs: number): void {
+    const { getPassMeter, view } = this.#context;
+    const pace = view.state.paces[this.#attempt?.targetId ?? ""] ?? 1;
+    if (pace < slowPace) {
+      getPassMeter(this.#arrival.service.name).note(gapMs, this.#now());
+    }
+  }
+
   /** Takes over what an answer says of its target. */
   #noteWord(target: TargetRecord, answer: TargetAnswer): void {
     const { notices, options } = this.#context;
--- a/packages/gateway/listUsableTargets.ts
+++ b/packages/gateway/listUsableTargets.ts
@@ -1,5 +1,6 @@
 import type { GatewayContext } from "./GatewayContext";
 import type { UsableTargets } from "./UsableTargets";
+import { splitByPace } from "./splitByPace";
 
 /** Targets of a service that take requests of this gateway, by the registry and by what they told it themselves. */
 export function listUsableTargets(context: GatewayContext, service: string): UsableTargets {
@@ -9,5 +10,6 @@
   const targets = staying.filter((target) => notices.getPauseMs(target, nowMs) === 0);
   const isPaused = targets.length === 0 && staying.length > 0;
   const pauses = staying.map((target) => notices.getPauseMs(target, nowMs));
-  return { targets, pauseMs: isPaused ? Math.min(...pauses) : null };
+  const { sound, slow } = splitByPace(targets, view.state.paces);
+  return { targets: sound, slow, pauseMs: isPaused ? Math.min(...pauses) : null };
 }
--- a/packages/gateway/measureCrowding.ts
+++ b/packages/gateway/measureCrowding.ts
@@ -4,10 +4,13 @@
 import { computeCap } from "./computeCap";
 import { listUsableTargets } from "./listUsableTargets";
 
+/** Slots that are used at the ranks of a slow group; more requests would make it slower still. */
+const slowShare = 0.5;
+
 /** How full the service of a request is now. */
 export function measureCrowding(context: GatewayContext, { service, route }: Arrival): Crowding {
   const { loads, getPassMeter, options } = context;
-  const { targets, pauseMs } = listUsableTargets(context, service.name);
+  const { targets, slow, pauseMs } = listUsableTargets(context, service.name);
   const load = targets.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const meanLoad = load / Math.max(1, targets.length);
   const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
@@ -20,5 +23,7 @@
     meanGapMs,
     meanLoad,
   });
-  return { targets: targets.length, meanLoad, slots, cap, pauseMs, meanGapMs };
+  const slowCap = slots * slowShare;
+  const slowPlaces = slow.reduce((sum, target) => sum + Math.max(0, slowCap - loads.getLoad(target)), 0);
+  return { targets: targets.length, meanLoad, slots, cap, slowPlaces, pauseMs, meanGapMs };
 }
--- a/packages/gateway/roundCrowding.ts
+++ b/packages/gateway/roundCrowding.ts
@@ -1,12 +1,21 @@
 import type { Crowding } from "./Crowding";
 
 /** Shortens the figures for a log line. */
-export function roundCrowding({ targets, meanLoad, slots, cap, pauseMs, meanGapMs }: Crowding): Crowding {
+export function roundCrowding({
+  targets,
+  meanLoad,
+  slots,
+  cap,
+  slowPlaces,
+  pauseMs,
+  meanGapMs,
+}: Crowding): Crowding {
   return {
     targets,
     meanLoad: round(meanLoad),
     slots,
     cap: round(cap),
+    slowPlaces: Math.floor(slowPlaces),
     pauseMs: pauseMs === null ? null : Math.round(pauseMs),
     meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
   };
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -58,7 +58,15 @@
   const [service] = createDocument(1).services;
   const engine = { slots: 8 } as never;
   const model = { ...service!, engine };
-  const slowed = { targets: 16, meanLoad: 5, slots: 8, cap: 4.8, meanGapMs: 130, pauseMs: null };
+  const slowed = {
+    targets: 16,
+    meanLoad: 5,
+    slots: 8,
+    cap: 4.8,
+    meanGapMs: 130,
+    slowPlaces: 0,
+    pauseMs: null,
+  };
   const waits = Array.from({ length: 200 }, () => estimateRetryMs(model, slowed, false, random));
   t.ok(Math.min(...waits) >= 600 && Math.max(...waits) <= 1500);
   t.ok(Math.max(...waits) - Math.min(...waits) > 300, "guards against callers that return all at once");
@@ -84,7 +92,7 @@
   };
   const [service] = createDocument(1).services;
   const engine = { slots: 8, experts } as never;
-  const idle = { targets: 16, meanLoad: 0, slots: 8, cap: 8, meanGapMs: null, pauseMs: null };
+  const idle = { targets: 16, meanLoad: 0, slots: 8, cap: 8, meanGapMs: null, slowPlaces: 0, pauseMs: null };
   const wait = (isTurnedAway: boolean): number =>
     estimateRetryMs({ ...service!, engine }, idle, isTurnedAway, random);
   const waits = Array.from({ length: 200 }, () => wait(true));
--- /dev/null
+++ b/packages/gateway/test/slowGroup.test.ts
@@ -0,0 +1,112 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { choosePlace } from "@clementinemux/gateway/choosePlace";
+import { splitByPace } from "@clementinemux/gateway/splitByPace";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+
+const ranksPerGroup = 8;
+const slots = 8;
+/** Passes of a group: a fixed part, a part for each request, and the straggler's factor. */
+const fixedMs = 29;
+const perRequestMs = 2.7;
+const stragglerPace = 4;
+/** Gateways hear of paces and of each other's load this much later. */
+const newsMs = 400;
+const stepMs = 10;
+const eventsPerStream = 28;
+const allowedGapMs = 120;
+
+const targets = Array.from({ length: 2 * ranksPerGroup }, (_, index): TargetRecord => {
+  const state = { isDraining: false, isLeaving: false, isGone: false };
+  const place = { service: "s", address: `h:${index}`, failureDomain: "a", slots };
+  return { id: `t-${index}`, ...place, ...state, bornMs: 1, sequence: 1 };
+});
+
+interface PlayedStream {
+  readonly target: number;
+  leftPasses: number;
+  longestGapMs: number;
+}
+
+/** Plays a load on two groups, the second of which has a straggler; returns the share of streams with short pauses. */
+function play(streamsPerSecond: number, knowsGroups: boolean): number {
+  const random = createRandom(11);
+  const streams = new Set<PlayedStream>();
+  const history: { loads: number[]; passMs: number[] }[] = [];
+  const sinceMs = [0, 0];
+  let done = 0;
+  let short = 0;
+  for (let nowMs = 0; nowMs < 12_000; nowMs += stepMs) {
+    const loads = targets.map((_, index) => [...streams].filter(({ target }) => target === index).length);
+    const passMs = [0, 1].map((group) => {
+      const busiest = Math.max(...loads.slice(group * ranksPerGroup, (group + 1) * ranksPerGroup));
+      return (fixedMs + perRequestMs * busiest) * (group === 1 ? stragglerPace : 1);
+    });
+    history.push({ loads, passMs });
+    const news = history[Math.max(0, history.length - 1 - newsMs / stepMs)]!;
+    const groupPace = news.passMs[1]! / news.passMs[0]!;
+    const straggler = `t-${2 * ranksPerGroup - 1}`;
+    const paces = knowsGroups
+      ? Object.fromEntries(targets.slice(ranksPerGroup).map(({ id }) => [id, groupPace]))
+      : { [straggler]: stragglerPace };
+    if (random() < (streamsPerSecond * stepMs) / 1000) {
+      const { sound } = splitByPace(targets, paces);
+      const candidates = sound.map(({ id }) => ({
+        id,
+        slots,
+        load: news.loads[Number(id.slice(2))]!,
+        weight: 1 / (paces[id] ?? 1) ** 3,
+        isNear: false,
+      }));
+      const id = choosePlace(candidates, 0, random);
+      if (id !== null) {
+        streams.add({ target: Number(id.slice(2)), leftPasses: eventsPerStream, longestGapMs: 0 });
+      }
+    }
+    for (const group of [0, 1]) {
+      const tookMs = nowMs - sinceMs[group]!;
+      if (tookMs >= passMs[group]!) {
+        sinceMs[group] = nowMs;
+        for (const stream of [...streams].filter(
+          (item) => Math.floor(item.target / ranksPerGroup) === group,
+        )) {
+          stream.longestGapMs = Math.max(stream.longestGapMs, tookMs);
+          stream.leftPasses -= 1;
+          if (stream.leftPasses === 0) {
+            streams.delete(stream);
+            done += 1;
+            short += stream.longestGapMs <= allowedGapMs ? 1 : 0;
+          }
+        }
+      }
+    }
+  }
+  return short / done;
+}
+
+// Guards against half of all streams being late because one rank of another group is slow.
+t.test("streams go to the group without a straggler as long as it has places", (t) => {
+  const usual = play(20, false);
+  const known = play(20, true);
+  t.ok(known - usual > 0.15, `by the pace of the straggler alone ${usual}`);
+  t.ok(known > 0.95, `by the pace of its group ${known}`);
+  t.end();
+});
+
+t.test("single slow ranks and useless groups are told from slow groups", (t) => {
+  const one = splitByPace(targets, { "t-3": 4 });
+  t.equal(one.sound.length, 16);
+  t.same(one.slow, []);
+  const paceGroup = (pace: number) =>
+    Object.fromEntries(targets.slice(ranksPerGroup).map(({ id }) => [id, pace]));
+  t.equal(splitByPace(targets, paceGroup(3)).sound.length, 8);
+  t.equal(splitByPace(targets, paceGroup(3)).slow.length, 8);
+  t.equal(
+    splitByPace(targets, paceGroup(8)).slow.length,
+    0,
+    "guards against requests to a group that stands still",
+  );
+  const all = Object.fromEntries(targets.map(({ id }) => [id, 8]));
+  t.equal(splitByPace(targets, all).sound.length, 16, "nothing better is there");
+  t.end();
+});
