Hold requests for the first document of a gateway that has just started

Cause: after a restart of all processes gateways listen up to 0.35 s before they know the document.

Change: a request that reaches a gateway that has not known a document and targets yet waits for them, 1 s at most, then it is refused as before.

Ruled out: listening later, since callers count a refused connection as a try.

--- a/packages/gateway/Intake.ts
+++ b/packages/gateway/Intake.ts
@@ -18,6 +18,14 @@
 const stoppingRetryMs = 40;
 const stoppingSpreadMs = 120;
 
+/**
+ * A request that reaches a gateway which has just started is held this long at most for the first document and targets.
+ * After a restart of all processes these are there within a second; callers that were cut off return once, and a
+ * refusal would be their last answer.
+ */
+const startWaitMs = 1000;
+const startStepMs = 20;
+
 const ownAnswers = {
   [RequestEnd.NoRoute]: { status: 404, text: "no route for this host and path" },
   [RequestEnd.UnknownKey]: { status: 401, text: "the key is missing or unknown" },
@@ -35,6 +43,7 @@
   readonly #context: GatewayContext;
   readonly #getMaxBodyBytes: () => number;
   #inFlight = 0;
+  #isStarted = false;
 
   constructor(context: GatewayContext, getMaxBodyBytes: () => number) {
     this.#context = context;
@@ -83,6 +92,14 @@
   }
 
   #admit(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMs: number): void {
+    if (this.#isStarting(arrivedAtMs)) {
+      setTimeout(() => {
+        if (!response.destroyed) {
+          this.#admit(request, response, body, arrivedAtMs);
+        }
+      }, startStepMs);
+      return;
+    }
     const { options, view } = this.#context;
     const { table } = view.state;
     if (table === null || !view.isFresh(options.leaseClock.monotonicMs())) {
@@ -125,6 +142,14 @@
     new RequestRun(this.#context, arrival).start();
   }
 
+  /** Whether a request waits for what a gateway has to know before it can serve anything. */
+  #isStarting(arrivedAtMs: number): boolean {
+    const { options, view } = this.#context;
+    const isFresh = view.isFresh(options.leaseClock.monotonicMs());
+    this.#isStarted ||= isFresh && view.state.targets.length > 0;
+    return !this.#isStarted && options.clock.monotonicMs() - arrivedAtMs < startWaitMs;
+  }
+
   /** Whether the process lasts long enough for a request. */
   #mayEnd({ route, caller, service }: Arrival): boolean {
     const { getStopWindow, getPassMeter, options } = this.#context;
--- a/packages/gateway/test/lifecycle.test.ts
+++ b/packages/gateway/test/lifecycle.test.ts
@@ -54,3 +54,26 @@
   t.equal((await call({ path: "/p0/", headers: { "x-key": "key-b" } }, "r4")).status, 200);
   await stop();
 });
+
+// Guards against callers that were cut off by a restart of all processes, return once, and are refused for good.
+t.test("a gateway that has just started holds requests for its first document", async (t) => {
+  const target = new TestTarget(({ id }, socket) => socket.write(answers.whole(id, "ok")));
+  const { state, call, stop } = await startGateway(createDocument(1), [target], null);
+  const held = call({ path: "/p0/" }, "r1");
+  await delay(300);
+  t.equal(target.requests.length, 0);
+  state.ageMs = 0;
+  t.match(await held, { status: 200, body: "ok" });
+  await stop();
+});
+
+t.test("a gateway that learns nothing after its start refuses within a second or so", async (t) => {
+  const target = new TestTarget(({ id }, socket) => socket.write(answers.whole(id, "ok")));
+  const { call, stop } = await startGateway(createDocument(1), [target], null);
+  const startedMs = performance.now();
+  const answer = await call({ path: "/p0/" }, "r1");
+  t.equal(answer.status, 503);
+  t.ok(Number(answer.headers["retry-after"]) > 0);
+  t.ok(performance.now() - startedMs < 1500);
+  await stop();
+});
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -25,9 +25,13 @@
 }
 
 /** A gateway before scripted targets, with a stand-in of its coordinator. */
-export async function startGateway(document: RouteDocument, targets: readonly TestTarget[]) {
+export async function startGateway(
+  document: RouteDocument,
+  targets: readonly TestTarget[],
+  ageMs: number | null = 0,
+) {
   const leaving: SyncRequest["leaving"] = [];
-  const state = { document, ageMs: 0 as number | null, isReady: true, leaving };
+  const state = { document, ageMs, isReady: true, leaving };
   const createResponse = ({ documentVersion, entry, leaving }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
@@ -70,7 +74,9 @@
     logger: createLogger("test", {}),
   });
   await gateway.start();
-  await waitUntil("the gateway is ready", () => (gateway.isReady ? true : null), 3000);
+  if (state.ageMs !== null) {
+    await waitUntil("the gateway is ready", () => (gateway.isReady ? true : null), 3000);
+  }
   const open = (options: RequestOptions, id: string) =>
     request({
       port: callerPort,
