Let requests that are late already wait longer for a place

Change: computeWaitLimitMs. A request whose caller has waited longer than the objective, by its own deadline, waits for a place up to 1.2 s or a quarter of its time; any other as before.

Ruled out: a longer wait for all, since in a lasting overload it makes requests late that could be on time.

--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -16,6 +16,7 @@
 import { RequestLog } from "./RequestLog";
 import type { TargetAnswer } from "./TargetAnswer";
 import { choosePlace } from "./choosePlace";
+import { computeWaitLimitMs } from "./computeWaitLimitMs";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
@@ -31,8 +32,6 @@
 
 /** Places at each target that may be taken by requests that wait there; waiting here leaves the choice open. */
 const queuePlaces = 0;
-/** A request waits for a place for this share of its objective at most. */
-const waitShare = 0.4;
 const waitStepMs = 20;
 /** A rank twice as slow as the others gets an eighth of the requests, since all of its group wait for its part. */
 const pacePower = 3;
@@ -105,8 +104,11 @@
     if (this.#isEnded) {
       return;
     }
-    const { route, arrivedAtMs } = this.#arrival;
-    const waitLeftMs = route.objectiveMs * waitShare - (this.#now() - arrivedAtMs);
+    const { route, caller, arrivedAtMs } = this.#arrival;
+    const { objectiveMs, timeoutMs } = route;
+    const elapsedMs = this.#now() - arrivedAtMs;
+    const limitMs = computeWaitLimitMs({ elapsedMs, leftMs: caller.leftMs, objectiveMs, timeoutMs });
+    const waitLeftMs = limitMs - elapsedMs;
     if (this.#hasPlace() || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
       this.#send();
     } else {
