--- a/packages/gateway/test/forwarding.test.ts
+++ b/packages/gateway/test/forwarding.test.ts
@@ -1,3 +1,4 @@
+import { get } from "node:http";
 import { connect } from "node:net";
 import t from "tap";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
@@ -119,6 +120,51 @@
   await stop();
 });
 
+// Guards against a second copy of an answer that becomes the answer to the next request on the connection.
+t.test("a second copy of an answer, at once or with the next request, is delivered to nobody", async (t) => {
+  let copy = "";
+  const target = new TestTarget(({ id }, socket) => {
+    const answer = answers.whole(id, `for ${id}`);
+    const isEven = Number(id.slice(1)) % 2 === 0;
+    // Even requests are answered twice in the same bytes; the others meet the copy of the last answer first.
+    socket.write(isEven ? answer + answer : copy + answer);
+    copy = answer;
+  });
+  const { call, stop } = await startGateway(createDocument(1, [{ attempts: 1 }]), [target]);
+  for (let request = 0; request < 12; request += 1) {
+    const { status, body } = await call({ path: "/p0/" }, `r${request}`);
+    t.ok(status === 200 ? body === `for r${request}` : status === 502, `${status} ${body}`);
+  }
+  await stop();
+});
+
+t.test("requests without an id share no connection, so that no late copy can meet them", async (t) => {
+  const target = new TestTarget((_, socket) => {
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+  });
+  const { callerPort, stop } = await startGateway(createDocument(1), [target]);
+  for (let request = 0; request < 3; request += 1) {
+    const headers = { "x-key": "key-a" };
+    const text = await new Promise<string>((resolve, reject) => {
+      const sent = get({
+        port: callerPort,
+        path: "/p0/",
+        agent: false,
+        headers: { ...headers, host: "app.test" },
+      });
+      sent.on("error", reject);
+      sent.on("response", (response) => {
+        response.setEncoding("utf8");
+        response.once("data", resolve);
+      });
+    });
+    t.equal(text, "ok");
+  }
+  await waitUntil("each has its own", () => (target.closed === 3 ? true : null), 1000);
+  t.equal(target.requests.length, 3);
+  await stop();
+});
+
 t.test("a truncated answer is not delivered as whole", async (t) => {
   const target = new TestTarget(({ id }, socket) => {
     socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 10\r\n\r\nhalf`);
