--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -16,12 +16,12 @@
 import { RequestLog } from "./RequestLog";
 import type { TargetAnswer } from "./TargetAnswer";
 import { choosePlace } from "./choosePlace";
-import { computeWaitLimitMs } from "./computeWaitLimitMs";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
 import { listUsableTargets } from "./listUsableTargets";
 import { measureCrowding } from "./measureCrowding";
+import { planWait } from "./planWait";
 import { slowPace } from "./slowPace";
 
 interface WholeAnswer {
@@ -107,9 +107,9 @@
     const { route, caller, arrivedAtMs } = this.#arrival;
     const { objectiveMs, timeoutMs } = route;
     const elapsedMs = this.#now() - arrivedAtMs;
-    const limitMs = computeWaitLimitMs({ elapsedMs, leftMs: caller.leftMs, objectiveMs, timeoutMs });
+    const { limitMs, capShare } = planWait({ elapsedMs, leftMs: caller.leftMs, objectiveMs, timeoutMs });
     const waitLeftMs = limitMs - elapsedMs;
-    if (this.#hasPlace() || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
+    if (this.#hasPlace(capShare) || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
       this.#send();
     } else {
       this.#waitTimer = setTimeout(() => {
@@ -119,10 +119,10 @@
   }
 
   /** Whether the service as a whole should run one more request. */
-  #hasPlace(): boolean {
+  #hasPlace(capShare = 1): boolean {
     const crowding = measureCrowding(this.#context, this.#arrival);
     this.#crowding = crowding;
-    return crowding.meanLoad < crowding.cap || crowding.slowPlaces >= 1;
+    return crowding.meanLoad < crowding.cap * capShare || crowding.slowPlaces >= 1;
   }
 
   get #isRepeatable(): boolean {
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { computeCap } from "@clementinemux/gateway/computeCap";
-import { computeWaitLimitMs } from "@clementinemux/gateway/computeWaitLimitMs";
+import { planWait } from "@clementinemux/gateway/planWait";
 import { estimateRetryMs } from "@clementinemux/gateway/estimateRetryMs";
 import { createDocument } from "../../routes/test/createDocument";
 
@@ -106,24 +106,18 @@
 // have been free within a second, and against requests that are held although their callers could still be served on time.
 t.test("requests that are late already wait longer for a place than those that can be on time", (t) => {
   const route = { objectiveMs: 400, timeoutMs: 8000 };
-  t.equal(computeWaitLimitMs({ ...route, elapsedMs: 0, leftMs: 8020 }), 160, "a first try");
-  t.equal(computeWaitLimitMs({ ...route, elapsedMs: 0, leftMs: null }), 160);
-  t.equal(computeWaitLimitMs({ ...route, elapsedMs: 0, leftMs: 5600 }), 1200, "a caller that came back");
-  t.equal(
-    computeWaitLimitMs({ ...route, elapsedMs: 500, leftMs: 8020 }),
-    1200,
-    "held at the start of the gateway",
-  );
-  t.equal(
-    computeWaitLimitMs({ ...route, elapsedMs: 0, leftMs: 800 }),
-    200,
-    "no more than a part of what is left",
+  const wait = (input: Parameters<typeof planWait>[0]): number => planWait(input).limitMs;
+  t.equal(wait({ ...route, elapsedMs: 0, leftMs: 8020 }), 160, "a first try");
+  t.equal(wait({ ...route, elapsedMs: 0, leftMs: null }), 160);
+  t.equal(wait({ ...route, elapsedMs: 0, leftMs: 5600 }), 1200, "a caller that came back");
+  t.equal(wait({ ...route, elapsedMs: 500, leftMs: 8020 }), 1200, "held at the start of the gateway");
+  t.equal(wait({ ...route, elapsedMs: 0, leftMs: 800 }), 200, "no more than a part of what is left");
+  t.equal(planWait({ ...route, elapsedMs: 0, leftMs: 8020 }).capShare, 1);
+  t.ok(
+    planWait({ ...route, elapsedMs: 0, leftMs: 5600 }).capShare < 1,
+    "it lets those pass that can be on time",
   );
   const call = { objectiveMs: 300, timeoutMs: 1500 };
-  t.equal(
-    computeWaitLimitMs({ ...call, elapsedMs: 0, leftMs: 3000 }),
-    120,
-    "time beyond the route's says nothing",
-  );
+  t.equal(wait({ ...call, elapsedMs: 0, leftMs: 3000 }), 120, "time beyond the route's says nothing");
   t.end();
 });
