Fall back to slow groups for a repeat; name the notices of targets plainly

Cause: a repeat chose among sound targets alone, and gave up when all of these had been tried while a slow group had a place. Found by reading.

--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -171,7 +171,7 @@
           canRepeat && route.kind === RouteKind.Idempotent ? leftMs * silentShare : leftMs + 1000,
       },
       onAnswer: (answer) => {
-        this.#noteWord(target, answer);
+        this.#noteNotice(target, answer);
       },
       onWhole: (status, answerHeaders, whole) => {
         this.#onWhole(attempt, { status, headers: answerHeaders, body: whole });
@@ -207,7 +207,8 @@
     const { targets: sound, slow } = listUsableTargets(this.#context, service.name);
     const { meanLoad = 0, cap = Infinity } = this.#crowding ?? {};
     const isSoundFull = this.#sends === 0 && slow.length > 0 && meanLoad >= cap;
-    const targets = (isSoundFull ? slow : sound).filter(({ id }) => !this.#tried.has(id));
+    const pools = isSoundFull ? [slow] : [sound, slow];
+    const targets = pools.map((pool) => pool.filter(({ id }) => !this.#tried.has(id))).find(isFilled) ?? [];
     const candidates = health.select(targets, this.#now()).map((target) => ({
       id: target.id,
       slots: service.engine?.slots ?? target.slots,
@@ -229,12 +230,15 @@
   }
 
   /** Takes over what an answer says of its target. */
-  #noteWord(target: TargetRecord, answer: TargetAnswer): void {
+  #noteNotice(target: TargetRecord, answer: TargetAnswer): void {
     const { notices, options } = this.#context;
     const { pauseMs } = answer;
     const isNews = notices.note(target, answer, this.#now());
     if (isNews || pauseMs !== null) {
-      options.logger.info({ target: target.id, isLeaving: answer.isLeaving, pauseMs }, "target turns away");
+      options.logger.info(
+        { target: target.id, isLeaving: answer.isLeaving, pauseMs },
+        "target leaves or pauses",
+      );
     }
   }
 
@@ -383,3 +387,7 @@
     return this.#context.options.clock.monotonicMs();
   }
 }
+
+function isFilled(targets: readonly TargetRecord[]): boolean {
+  return targets.length > 0;
+}
--- a/packages/gateway/TargetNotices.ts
+++ b/packages/gateway/TargetNotices.ts
@@ -9,12 +9,12 @@
   readonly notedAtMs: number;
 }
 
-/** A target that is not listed may only be silent, so its word is kept as long as the registry keeps its record. */
+/** A target that is not listed may only be silent, so its statement is kept as long as the registry keeps its record. */
 const unlistedMs = 60_000;
 
 /**
  * What targets have told this gateway of themselves in their answers: that they leave, and for how long they want no
- * requests. Each word counts for the life of the target that gave it, before the coordinators know. Has no clock.
+ * requests. Each statement counts for the life of the target that gave it, before the coordinators know. Has no clock.
  */
 export class TargetNotices {
   readonly #notices = new Map<string, Notice>();
