Tell callers that came back by the deadlines that others state

Cause: lateness was read from the route's timeout less the caller's deadline. An operator's change of the timeout made all requests of a route late: they let others pass at 0.8 of the cap and waited up to 1.2 s.

Change: CallerDeadlines learns the longest deadline that callers of a route state; one that states less has waited before. Late requests take places as any other.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -8,6 +8,7 @@
 import type { TargetLife } from "@clementinemux/registry/TargetLife";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { ByteBudget } from "./ByteBudget";
+import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
 import type { GatewayContext } from "./GatewayContext";
@@ -47,6 +48,7 @@
   readonly #loads: TargetLoads;
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
+  readonly #deadlines = new CallerDeadlines();
   readonly #agents = new Map<string, TargetAgent>();
   readonly #budgets = new Map<string, RepeatBudget>();
   readonly #passMeters = new Map<string, PassMeter>();
@@ -178,6 +180,7 @@
       loads: this.#loads,
       health: this.#health,
       notices: this.#notices,
+      deadlines: this.#deadlines,
       metrics: this.metrics,
       heldBytes: this.#heldBytes,
       getBudget: (service) => {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,4 +1,5 @@
 import type { ByteBudget } from "./ByteBudget";
+import type { CallerDeadlines } from "./CallerDeadlines";
 import type { FleetView } from "./FleetView";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
@@ -17,6 +18,7 @@
   readonly loads: TargetLoads;
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
+  readonly deadlines: CallerDeadlines;
   readonly metrics: GatewayMetrics;
   /** Bytes of uploads and answers that are held for their end. */
   readonly heldBytes: ByteBudget;
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -16,12 +16,12 @@
 import { RequestLog } from "./RequestLog";
 import type { TargetAnswer } from "./TargetAnswer";
 import { choosePlace } from "./choosePlace";
+import { computeWaitLimitMs } from "./computeWaitLimitMs";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
 import { listUsableTargets } from "./listUsableTargets";
 import { measureCrowding } from "./measureCrowding";
-import { planWait } from "./planWait";
 import { slowPace } from "./slowPace";
 
 interface WholeAnswer {
@@ -52,6 +52,8 @@
   readonly #relay: EventRelay;
   readonly #log: RequestLog;
   readonly #endMs: number;
+  /** Time for which the caller had waited before this request. */
+  readonly #usedMs: number;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   #crowding: Crowding | null = null;
@@ -80,6 +82,7 @@
     });
     this.#log = new RequestLog(context, arrival, this.#relay);
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
+    this.#usedMs = context.deadlines.note(route.name, caller.leftMs, arrivedAtMs);
     this.#timer = setTimeout(
       () => {
         this.#onTimeout();
@@ -104,12 +107,16 @@
     if (this.#isEnded) {
       return;
     }
-    const { route, caller, arrivedAtMs } = this.#arrival;
-    const { objectiveMs, timeoutMs } = route;
+    const { route, arrivedAtMs } = this.#arrival;
     const elapsedMs = this.#now() - arrivedAtMs;
-    const { limitMs, capShare } = planWait({ elapsedMs, leftMs: caller.leftMs, objectiveMs, timeoutMs });
+    const limitMs = computeWaitLimitMs({
+      elapsedMs,
+      usedMs: this.#usedMs,
+      endMs: this.#endMs - arrivedAtMs,
+      objectiveMs: route.objectiveMs,
+    });
     const waitLeftMs = limitMs - elapsedMs;
-    if (this.#hasPlace(capShare) || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
+    if (this.#hasPlace() || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
       this.#send();
     } else {
       this.#waitTimer = setTimeout(() => {
@@ -119,10 +126,10 @@
   }
 
   /** Whether the service as a whole should run one more request. */
-  #hasPlace(capShare = 1): boolean {
+  #hasPlace(): boolean {
     const crowding = measureCrowding(this.#context, this.#arrival);
     this.#crowding = crowding;
-    return crowding.meanLoad < crowding.cap * capShare || crowding.slowPlaces >= 1;
+    return crowding.meanLoad < crowding.cap || crowding.slowPlaces >= 1;
   }
 
   get #isRepeatable(): boolean {
