--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -26,6 +26,8 @@
   readonly onFatal: (error: Error) => void;
   /** See ReplicatedGroup; true by default. */
   readonly refusesWhenFull?: boolean;
+  /** Whether the files outlast the process; true by default. */
+  readonly isDurable?: boolean;
 }
 
 interface RaftEnvelope {
@@ -132,6 +134,7 @@
       name: this.#options.settings.name,
       replicaId: core?.id ?? null,
       isUnused: core?.isUnused ?? true,
+      isDurable: this.#options.isDurable ?? true,
     };
   }
 
@@ -147,28 +150,34 @@
   }
 
   /**
-   * Creates the groups that do not exist yet. Only the first listed replica of a group creates it, and only
+   * Creates the groups that do not exist yet. Only the first listed replica with a disk creates a group, and only
    * when every listed process answers and none has ever voted or stored an entry. A replica that lost its disk
-   * therefore cannot create a second group beside the first.
+   * therefore cannot create a second group beside the first. Replicas without a disk are not among its voters.
    */
   async bootstrap(): Promise<void> {
     const { replicas } = this.#options.settings;
     for (const group of this.#groups.values()) {
-      if (!group.core.isUnused) {
-        continue;
-      }
-      const infos = await Promise.all(replicas.map((address) => this.fetchInfo(address, group.name)));
-      const members = infos.flatMap((info, index) => {
-        const address = replicas[index] ?? "";
-        const id = info?.replicaId ?? null;
-        return info === null || id === null ? [] : [{ id, member: { name: info.name, address } }];
-      });
-      const isReady = infos.every((info) => info?.isUnused === true);
-      if (isReady && members[0]?.id === group.core.id) {
-        const voters = Object.fromEntries(members.map(({ id, member }) => [id, member]));
-        this.#options.logger.info({ group: group.name, voters }, "group created");
-        group.bootstrap({ voters, learners: {} });
+      if (group.core.isUnused) {
+        const infos = await Promise.all(replicas.map((address) => this.fetchInfo(address, group.name)));
+        this.#create(group, infos);
       }
     }
   }
+
+  /** `infos` are in the order of the listed replicas; null for those that did not answer. */
+  #create(group: ReplicatedGroup, infos: readonly (ReplicaInfo | null)[]): void {
+    const { replicas } = this.#options.settings;
+    const members = infos.flatMap((info, index) => {
+      const id = info?.replicaId ?? null;
+      const address = replicas[index] ?? "";
+      return info?.isDurable !== true || id === null ? [] : [{ id, member: { name: info.name, address } }];
+    });
+    // An earlier round may have created the group while this one waited for its answers.
+    const isReady = group.core.isUnused && infos.every((info) => info?.isUnused === true);
+    if (isReady && members[0]?.id === group.core.id) {
+      const voters = Object.fromEntries(members.map(({ id, member }) => [id, member]));
+      this.#options.logger.info({ group: group.name, voters }, "group created");
+      group.bootstrap({ voters, learners: {} });
+    }
+  }
 }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -28,6 +28,7 @@
 import { RouteMachine } from "./RouteMachine";
 import { Steward } from "./Steward";
 import { SyncService } from "./SyncService";
+import { createVolatileFolder } from "./createVolatileFolder";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -86,7 +87,8 @@
     const links = this.#links;
     const { orders } = this.metrics;
     this.#activator = new MapActivator({ links, openRank: options.openRank, orders, clock, logger });
-    this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, refusesWhenFull: false });
+    const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null };
+    this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, ...replicas });
     this.#sync = new SyncService({
       address: this.address,
       failureDomain: options.failureDomain,
@@ -115,7 +117,8 @@
 
   async start(): Promise<void> {
     const { host, framePort, dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
-    const group = await this.#host.open(groupName, this.#machine, () => undefined, dataFolder);
+    const folder = dataFolder ?? createVolatileFolder();
+    const group = await this.#host.open(groupName, this.#machine, () => undefined, folder);
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
@@ -126,6 +129,7 @@
       incarnation: this.#incarnation,
       replicaId: group.core.id,
       failureDomain: this.#options.failureDomain,
+      isDurable: dataFolder !== null,
       links: this.#links,
       peers: this.#peers,
       targets: this.targets,
@@ -144,7 +148,7 @@
     this.#repeat(exchangeIntervalMs, "exchange", () => this.#exchangeNews());
     const conductor = this.#createConductor(group);
     void this.#conduct(conductor);
-    if (isBootstrap && group.core.isUnused) {
+    if (isBootstrap && dataFolder !== null && group.core.isUnused) {
       this.#repeat(bootstrapIntervalMs, "bootstrap", () => this.#host.bootstrap());
     }
     logger.info({ address: this.address, replicaId: group.core.id, isBootstrap }, "coordinator started");
@@ -280,8 +284,8 @@
   }
 
   #spreadDrain(): Promise<boolean> {
-    const majority = Math.floor(Object.keys(this.#group?.membership.voters ?? {}).length / 2) + 1;
-    return this.#exchange?.spread(majority) ?? Promise.resolve(false);
+    const voterIds = Object.keys(this.#group?.membership.voters ?? {});
+    return this.#exchange?.spread(voterIds) ?? Promise.resolve(false);
   }
 
   #tick(): void {
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -13,8 +13,8 @@
   /** Port of the metrics page; null serves none. */
   readonly metricsPort: number | null;
   readonly failureDomain: string;
-  /** Folder of the replica's files. */
-  readonly dataFolder: string;
+  /** Folder of the replica's files; null on a machine without a disk, whose replica learns but never votes. */
+  readonly dataFolder: string | null;
   /** Whether the fleet starts for the first time, so that a new log may be created. */
   readonly isBootstrap: boolean;
   /** Frame addresses of coordinators; hints that may be outdated. */
--- a/packages/control/routes/Exchange.ts
+++ b/packages/control/routes/Exchange.ts
@@ -14,6 +14,7 @@
   readonly incarnation: string;
   readonly replicaId: string;
   readonly failureDomain: string;
+  readonly isDurable: boolean;
   readonly links: PeerLinks;
   readonly peers: PeerBook;
   readonly targets: TargetRegistry;
@@ -41,21 +42,27 @@
     await Promise.all(idle.map((peer) => this.#tell(peer)));
   }
 
-  /** Sends news at once; resolves with whether `majority` coordinators, this one included, hold the present state. */
-  async spread(majority: number): Promise<boolean> {
-    if (majority <= 1) {
+  /**
+   * Sends news at once; resolves with whether a majority of `voterIds` holds the present state. Learners do not count,
+   * since any number of them may be lost at once.
+   */
+  async spread(voterIds: readonly string[]): Promise<boolean> {
+    const majority = Math.floor(voterIds.length / 2) + 1;
+    const confirmed = new Set(voterIds.filter((id) => id === this.#options.replicaId));
+    if (confirmed.size >= majority) {
       return true;
     }
     return new Promise((resolve) => {
       const { peers } = this.#options.peers;
-      let confirmed = 1;
       let left = peers.length;
       for (const peer of peers) {
         void this.#tell(peer).then((isConfirmed) => {
-          confirmed += isConfirmed ? 1 : 0;
+          if (isConfirmed && peer.replicaId !== null && voterIds.includes(peer.replicaId)) {
+            confirmed.add(peer.replicaId);
+          }
           left -= 1;
-          if (confirmed >= majority || left === 0) {
-            resolve(confirmed >= majority);
+          if (confirmed.size >= majority || left === 0) {
+            resolve(confirmed.size >= majority);
           }
         });
       }
@@ -67,7 +74,8 @@
 
   /** Takes over a peer's news. */
   receive(request: ExchangeRequest): ExchangeResponse {
-    const { name, incarnation, replicaId, failureDomain, peers, targets, entries, clock } = this.#options;
+    const { name, incarnation, replicaId, failureDomain, isDurable } = this.#options;
+    const { peers, targets, entries, clock } = this.#options;
     const nowMs = clock.monotonicMs();
     peers.note(request.address, request, nowMs);
     peers.learn(request.coordinators, nowMs);
@@ -78,11 +86,11 @@
     for (const { item, ageMs } of request.entries) {
       entries.put(item, nowMs - ageMs, request.from);
     }
-    return { from: name, incarnation, replicaId, failureDomain, coordinators: this.#listKnown() };
+    return { from: name, incarnation, replicaId, failureDomain, isDurable, coordinators: this.#listKnown() };
   }
 
   async #tell(peer: Peer): Promise<boolean> {
-    const { name, address, incarnation, replicaId, failureDomain } = this.#options;
+    const { name, address, incarnation, replicaId, failureDomain, isDurable } = this.#options;
     const { links, peers, targets, entries, paces, isLeading, clock } = this.#options;
     const sentAtMs = clock.monotonicMs();
     const change = targets.changes;
@@ -95,6 +103,7 @@
       incarnation,
       replicaId,
       failureDomain,
+      isDurable,
       targets: [...records.values()].map(({ target, heardAtMs }) => ({
         item: target,
         ageMs: sentAtMs - heardAtMs,
--- a/packages/control/routes/PeerBook.ts
+++ b/packages/control/routes/PeerBook.ts
@@ -1,5 +1,6 @@
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
+import type { AnnouncedReplica } from "./AnnouncedReplica";
 
 interface Peer {
   readonly address: string;
@@ -8,6 +9,7 @@
   name: string | null;
   replicaId: string | null;
   failureDomain: string | null;
+  isDurable: boolean;
   /** Start of the peer that confirmed `confirmedChange`. */
   incarnation: string | null;
   /** Change of this process's registry that the peer has confirmed. */
@@ -46,6 +48,7 @@
           name: null,
           replicaId: null,
           failureDomain: null,
+          isDurable: false,
           incarnation: null,
           confirmedChange: 0,
           passedAtMs: -Infinity,
@@ -65,6 +68,7 @@
     peer.name = heard.from;
     peer.replicaId = heard.replicaId;
     peer.failureDomain = heard.failureDomain;
+    peer.isDurable = heard.isDurable;
     if (peer.incarnation !== heard.incarnation) {
       peer.incarnation = heard.incarnation;
       peer.confirmedChange = 0;
@@ -97,11 +101,11 @@
   }
 
   /** Replicas that announced themselves lately. */
-  listAnnounced(nowMs: number): Map<string, { name: string; address: string }> {
+  listAnnounced(nowMs: number): Map<string, AnnouncedReplica> {
     const live = this.peers.filter(({ heardAtMs }) => nowMs - heardAtMs < announcedMs);
     return new Map(
-      live.flatMap(({ replicaId, name, address }) =>
-        replicaId === null || name === null ? [] : [[replicaId, { name, address }]],
+      live.flatMap(({ replicaId, name, address, isDurable }) =>
+        replicaId === null || name === null ? [] : [[replicaId, { member: { name, address }, isDurable }]],
       ),
     );
   }
--- a/packages/control/routes/StewardInput.ts
+++ b/packages/control/routes/StewardInput.ts
@@ -1,10 +1,11 @@
 import type { Membership } from "@clementinemux/consensus/Membership";
+import type { AnnouncedReplica } from "./AnnouncedReplica";
 
 /** What the leader knows of the replicas when it considers a change of the membership. */
 export interface StewardInput {
   readonly membership: Membership;
-  /** Replicas that have announced themselves within the last seconds: address and name by id. */
-  readonly announced: ReadonlyMap<string, { readonly name: string; readonly address: string }>;
+  /** Replicas that have announced themselves within the last seconds, by id. */
+  readonly announced: ReadonlyMap<string, AnnouncedReplica>;
   /** Time since a member was last heard, in ms, by id; the leader itself is missing. */
   readonly silenceMs: ReadonlyMap<string, number>;
   /** Entries that a member has confirmed, by id. */
--- a/packages/control/routes/chooseMembershipChange.ts
+++ b/packages/control/routes/chooseMembershipChange.ts
@@ -10,7 +10,7 @@
 /**
  * Chooses the next single step that replaces lost replicas, or null. A replica whose disk is lost returns under a new
  * id: it joins as a learner, and takes the place of the voter that had its address. A voter leaves only when a
- * learner that has caught up stands ready.
+ * learner that has caught up stands ready. A replica without a disk stays a learner.
  */
 export function chooseMembershipChange(input: StewardInput): MembershipChange | null {
   return (
@@ -19,7 +19,7 @@
 }
 
 function addUnknownReplica({ membership, announced }: StewardInput): MembershipChange | null {
-  for (const [replicaId, member] of announced) {
+  for (const [replicaId, { member }] of announced) {
     if (!(replicaId in membership.voters) && !(replicaId in membership.learners)) {
       return { kind: MembershipChangeKind.AddLearner, replicaId, member };
     }
@@ -55,7 +55,7 @@
 }
 
 function removeDeadLearner({ membership, announced }: StewardInput): MembershipChange | null {
-  const announcedAddresses = new Set([...announced.values()].map(({ address }) => address));
+  const announcedAddresses = new Set([...announced.values()].map(({ member }) => member.address));
   const dead = Object.entries(membership.learners).find(
     // The same address announces another id: the disk of this learner is lost.
     ([id, { address }]) => !announced.has(id) && announcedAddresses.has(address),
@@ -65,7 +65,8 @@
 
 function listReadyLearners({ membership, announced, matchIndexes, commitIndex }: StewardInput): string[] {
   return Object.keys(membership.learners).filter(
-    (id) => announced.has(id) && (matchIndexes.get(id) ?? 0) + maxLagEntries >= commitIndex,
+    (id) =>
+      announced.get(id)?.isDurable === true && (matchIndexes.get(id) ?? 0) + maxLagEntries >= commitIndex,
   );
 }
 
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -12,20 +12,30 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 
+interface CoordinatorFleetOptions {
+  /** Coordinators that all are told of; all by default. */
+  readonly seedCount?: number;
+  readonly targetVoters?: number;
+  /** Indexes of coordinators without a disk. */
+  readonly diskless?: readonly number[];
+}
+
 /** Coordinators of one log on loopback, each with its own folder. */
 export class CoordinatorFleet {
   readonly seeds: readonly string[];
   readonly coordinators: Coordinator[] = [];
   readonly #folders: string[] = [];
   readonly #ports: readonly number[];
+  readonly #options: CoordinatorFleetOptions;
 
-  private constructor(ports: readonly number[]) {
+  private constructor(ports: readonly number[], options: CoordinatorFleetOptions) {
     this.#ports = ports;
-    this.seeds = ports.map((port) => `127.0.0.1:${port}`);
+    this.#options = options;
+    this.seeds = ports.slice(0, options.seedCount).map((port) => `127.0.0.1:${port}`);
   }
 
-  static async start(size: number): Promise<CoordinatorFleet> {
-    const fleet = new CoordinatorFleet(await findFreePorts(size));
+  static async start(size: number, options: CoordinatorFleetOptions = {}): Promise<CoordinatorFleet> {
+    const fleet = new CoordinatorFleet(await findFreePorts(size), options);
     await Promise.all(fleet.#ports.map((_, index) => fleet.open(index, true)));
     return fleet;
   }
@@ -39,10 +49,10 @@
       framePort: this.#ports[index] ?? 0,
       metricsPort: null,
       failureDomain: `d-${index}`,
-      dataFolder: this.#folders[index],
+      dataFolder: this.#options.diskless?.includes(index) === true ? null : this.#folders[index],
       isBootstrap,
       seeds: this.seeds,
-      targetVoters: 3,
+      targetVoters: this.#options.targetVoters ?? 3,
       decodeDocument: () => Left("not decoded in this test"),
       openRank: () => {
         throw new Error("no ranks in this test");
--- a/packages/control/test/steward.test.ts
+++ b/packages/control/test/steward.test.ts
@@ -8,6 +8,10 @@
   return { name: address, address };
 }
 
+function announce(address: string, isDurable = true) {
+  return { member: member(address), isDurable };
+}
+
 function input(membership: Membership, fields: Partial<StewardInput> = {}): StewardInput {
   return {
     membership,
@@ -23,7 +27,7 @@
 const voters = { a: member("A"), b: member("B"), c: member("C") };
 
 t.test("a wiped replica returns as a learner and takes the place of its former self", (t) => {
-  const announced = new Map([["c2", member("C")]]);
+  const announced = new Map([["c2", announce("C")]]);
   const silenceMs = new Map([["c", 900]]);
   t.match(chooseMembershipChange(input({ voters, learners: {} }, { announced, silenceMs })), {
     kind: MembershipChangeKind.AddLearner,
@@ -47,7 +51,7 @@
 
 t.test("a replica at a new address replaces only a voter that is silent", (t) => {
   const learners = { d: member("D") };
-  const ready = { announced: new Map([["d", member("D")]]), matchIndexes: new Map([["d", 100]]) };
+  const ready = { announced: new Map([["d", announce("D")]]), matchIndexes: new Map([["d", 100]]) };
   t.equal(chooseMembershipChange(input({ voters, learners }, ready)), null);
   const silent = { ...ready, silenceMs: new Map([["b", 2500]]) };
   t.match(chooseMembershipChange(input({ voters, learners }, silent)), {
@@ -60,7 +64,7 @@
 t.test("no voter leaves while another one is silent too", (t) => {
   const learners = { c2: member("C") };
   const ready = {
-    announced: new Map([["c2", member("C")]]),
+    announced: new Map([["c2", announce("C")]]),
     matchIndexes: new Map([["c2", 100]]),
     silenceMs: new Map([
       ["b", 2500],
@@ -80,3 +84,18 @@
   t.equal(chooseMembershipChange(input({ voters, learners: {} }, { silenceMs })), null);
   t.end();
 });
+
+// Guards against an acknowledged change that is held by replicas whose files end with their process.
+t.test("a replica without a disk learns and is never promoted", (t) => {
+  const announced = new Map([["d", announce("D", false)]]);
+  t.match(chooseMembershipChange(input({ voters, learners: {} }, { announced })), {
+    kind: MembershipChangeKind.AddLearner,
+    replicaId: "d",
+  });
+  const learners = { d: member("D") };
+  const ready = { announced, matchIndexes: new Map([["d", 100]]) };
+  t.equal(chooseMembershipChange(input({ voters, learners }, { ...ready, targetVoters: 5 })), null);
+  const silent = { ...ready, silenceMs: new Map([["b", 2500]]) };
+  t.equal(chooseMembershipChange(input({ voters, learners }, silent)), null, "it replaces no silent voter");
+  t.end();
+});
--- a/packages/messages/ReplicaInfo.ts
+++ b/packages/messages/ReplicaInfo.ts
@@ -5,4 +5,6 @@
   readonly replicaId: string | null;
   /** Whether the replica has never voted and never stored an entry. */
   readonly isUnused: boolean;
+  /** Whether its files outlast the process. */
+  readonly isDurable: boolean;
 }
--- a/packages/registry/ExchangeRequest.ts
+++ b/packages/registry/ExchangeRequest.ts
@@ -14,6 +14,8 @@
   readonly incarnation: string;
   readonly replicaId: string;
   readonly failureDomain: string;
+  /** Whether the sender's replica has a disk. */
+  readonly isDurable: boolean;
   readonly targets: readonly Aged<TargetRecord>[];
   readonly entries: readonly Aged<EntryRecord>[];
   /** Paces of slow targets; empty from coordinators that do not lead. */
--- a/packages/registry/ExchangeResponse.ts
+++ b/packages/registry/ExchangeResponse.ts
@@ -4,5 +4,7 @@
   readonly incarnation: string;
   readonly replicaId: string;
   readonly failureDomain: string;
+  /** Whether the sender's replica has a disk. */
+  readonly isDurable: boolean;
   readonly coordinators: readonly string[];
 }
