--- a/packages/control/ranks/RankSilence.ts
+++ b/packages/control/ranks/RankSilence.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
+import { stoppedPace } from "./stoppedPace";
 
 interface RankSilenceOptions {
   readonly notePace: (target: string, pace: number) => void;
@@ -13,8 +14,6 @@
   readonly isSilent: boolean;
 }
 
-/** Pace that keeps requests from a rank as long as others have a place; what is sent into a silent one waits in vain. */
-const silentPace = 8;
 /** Time between two direct questions to one rank; the platform prices them. */
 const askAgainMs = 1000;
 
@@ -43,7 +42,7 @@
     const { notePace, clock } = this.#options;
     const known = this.#suspicions.get(target);
     if (known?.isSilent === true) {
-      notePace(target, silentPace);
+      notePace(target, stoppedPace);
     }
     if (known !== undefined && clock.monotonicMs() - known.askedAtMs < askAgainMs) {
       return;
@@ -61,8 +60,8 @@
     const { notePace, logger } = this.#options;
     this.#suspicions.set(target, { ...asked, isSilent });
     if (isSilent !== asked.isSilent) {
-      notePace(target, isSilent ? silentPace : 1);
-      logger.info({ target, isSilent }, "rank is silent or back");
+      notePace(target, isSilent ? stoppedPace : 1);
+      logger.info({ target }, isSilent ? "rank is silent" : "rank answers again");
     }
   }
 }
--- a/packages/control/ranks/computeGroupPaces.ts
+++ b/packages/control/ranks/computeGroupPaces.ts
@@ -1,9 +1,8 @@
 import type { GroupPass } from "./GroupPass";
+import { stoppedPace } from "./stoppedPace";
 
 /** Differences below this come from the load of the moment, and moving requests for them would only swap the groups. */
 const leastPace = 1.25;
-/** Pace of a group that runs no passes; its ranks are the last choice. */
-const stoppedPace = 8;
 
 /**
  * Times that the groups of one service take for a pass, as multiples of the quickest one's. All ranks of a group wait for
