--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -109,15 +109,11 @@
     }
     const { route, arrivedAtMs } = this.#arrival;
     const elapsedMs = this.#now() - arrivedAtMs;
-    const limitMs = computeWaitLimitMs({
-      elapsedMs,
-      usedMs: this.#usedMs,
-      endMs: this.#endMs - arrivedAtMs,
-      objectiveMs: route.objectiveMs,
-    });
-    const waitLeftMs = limitMs - elapsedMs;
-    if (this.#hasPlace() || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
-      this.#send();
+    const limits = { elapsedMs, usedMs: this.#usedMs, endMs: this.#endMs - arrivedAtMs };
+    const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
+    const hasPlace = this.#hasPlace();
+    if (hasPlace || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
+      this.#send(hasPlace);
     } else {
       this.#waitTimer = setTimeout(() => {
         this.#admit();
@@ -137,8 +133,8 @@
     return kind === RouteKind.Idempotent || (kind === RouteKind.Streaming && canResume);
   }
 
-  #send(): void {
-    const target = this.#sends > 0 || this.#hasPlace() ? this.#choose() : null;
+  #send(hasPlace: boolean): void {
+    const target = hasPlace ? this.#choose() : null;
     if (target === null) {
       this.#giveUp(this.#sends === 0 ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
       return;
@@ -324,7 +320,7 @@
       return false;
     }
     metrics.repeats.add(this.#writer.hasStarted ? RepeatReason.Resume : repeatReasons[outcome]);
-    this.#send();
+    this.#send(true);
     return true;
   }
 
