Let one request at a time try a group that forms again, and hold the returning ones

After a loss of power the ranks turn every request away until their group is there. Ruled out: gateways without knowledge (view age 39 ms) and full ranks (mean load 0).

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -15,6 +15,7 @@
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { Intake } from "./Intake";
+import { GroupForming } from "./GroupForming";
 import { PassMeter } from "./PassMeter";
 import { RepeatBudget } from "./RepeatBudget";
 import { StopWindow } from "./StopWindow";
@@ -52,6 +53,7 @@
   readonly #agents = new Map<string, TargetAgent>();
   readonly #budgets = new Map<string, RepeatBudget>();
   readonly #passMeters = new Map<string, PassMeter>();
+  readonly #formings = new Map<string, GroupForming>();
   readonly #sockets = new Set<Socket>();
   readonly #heldBytes: ByteBudget;
   readonly #incarnation: string;
@@ -195,6 +197,11 @@
         this.#passMeters.set(service, meter);
         return meter;
       },
+      getForming: (service) => {
+        const forming = this.#formings.get(service) ?? new GroupForming();
+        this.#formings.set(service, forming);
+        return forming;
+      },
       getAgent: (address) => {
         const agent = this.#agents.get(address) ?? new TargetAgent();
         this.#agents.set(address, agent);
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { FleetView } from "./FleetView";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
+import type { GroupForming } from "./GroupForming";
 import type { PassMeter } from "./PassMeter";
 import type { RepeatBudget } from "./RepeatBudget";
 import type { StopWindow } from "./StopWindow";
@@ -24,6 +25,7 @@
   readonly heldBytes: ByteBudget;
   readonly getBudget: (service: string) => RepeatBudget;
   readonly getPassMeter: (service: string) => PassMeter;
+  readonly getForming: (service: string) => GroupForming;
   readonly getAgent: (address: string) => TargetAgent;
   /** Set while the process is about to stop, so that callers should close their connections. */
   readonly getStopWindow: () => StopWindow | null;
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -10,17 +10,17 @@
 import { EventRelay } from "./EventRelay";
 import type { Crowding } from "./Crowding";
 import type { GatewayContext } from "./GatewayContext";
+import type { GroupForming } from "./GroupForming";
 import { NextStep } from "./NextStep";
 import { RepeatReason } from "./RepeatReason";
 import { RequestEnd } from "./RequestEnd";
 import { RequestLog } from "./RequestLog";
 import type { TargetAnswer } from "./TargetAnswer";
-import { choosePlace } from "./choosePlace";
+import { chooseTarget } from "./chooseTarget";
 import { computeWaitLimitMs } from "./computeWaitLimitMs";
 import { createSendHeaders } from "./createSendHeaders";
 import { decideNextStep } from "./decideNextStep";
 import { estimateRetryMs } from "./estimateRetryMs";
-import { listUsableTargets } from "./listUsableTargets";
 import { measureCrowding } from "./measureCrowding";
 import { slowPace } from "./slowPace";
 
@@ -30,11 +30,7 @@
   readonly body: Buffer;
 }
 
-/** Places at each target that may be taken by requests that wait there; waiting here leaves the choice open. */
-const queuePlaces = 0;
 const waitStepMs = 20;
-/** A rank twice as slow as the others gets an eighth of the requests, since all of its group wait for its part. */
-const pacePower = 3;
 /** A repeatable request waits for a silent target no longer than this share of its time. */
 const silentShare = 0.45;
 const repeatReasons: Readonly<Record<AttemptOutcome, RepeatReason>> = {
@@ -111,9 +107,9 @@
     const elapsedMs = this.#now() - arrivedAtMs;
     const limits = { elapsedMs, usedMs: this.#usedMs, endMs: this.#endMs - arrivedAtMs };
     const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
-    const hasPlace = this.#hasPlace();
+    const hasPlace = this.#hasPlace() && (this.#forming?.takeTry(this.#now()) ?? true);
     if (hasPlace || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
-      this.#send(hasPlace);
+      this.#send(hasPlace && (this.#sends === 0 || this.#takeRepeat()));
     } else {
       this.#waitTimer = setTimeout(() => {
         this.#admit();
@@ -128,6 +124,12 @@
     return crowding.meanLoad < crowding.cap || crowding.slowPlaces >= 1;
   }
 
+  /** Null for services without rank groups. */
+  get #forming(): GroupForming | null {
+    const { name, engine } = this.#arrival.service;
+    return (engine?.experts ?? null) === null ? null : this.#context.getForming(name);
+  }
+
   get #isRepeatable(): boolean {
     const { kind, canResume } = this.#arrival.route;
     return kind === RouteKind.Idempotent || (kind === RouteKind.Streaming && canResume);
@@ -136,7 +138,8 @@
   #send(hasPlace: boolean): void {
     const target = hasPlace ? this.#choose() : null;
     if (target === null) {
-      this.#giveUp(this.#sends === 0 ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
+      const isFull = this.#sends === 0 && this.#forming?.isForming !== true;
+      this.#giveUp(isFull ? RequestEnd.Full : RequestEnd.TurnedAway, "no target has a place");
       return;
     }
     const { options, loads, getAgent } = this.#context;
@@ -180,6 +183,7 @@
         this.#onWhole(attempt, { status, headers: answerHeaders, body: whole });
       },
       onBegin: (status, answerHeaders) => {
+        this.#forming?.noteServed();
         if (!this.#writer.hasStarted) {
           this.#writer.begin(status, answerHeaders);
         }
@@ -205,22 +209,9 @@
   }
 
   #choose(): TargetRecord | null {
-    const { view, loads, health, options } = this.#context;
     const { service } = this.#arrival;
-    const { targets: sound, slow } = listUsableTargets(this.#context, service.name);
-    const { meanLoad = 0, cap = Infinity } = this.#crowding ?? {};
-    const isSoundFull = this.#sends === 0 && slow.length > 0 && meanLoad >= cap;
-    const pools = isSoundFull ? [slow] : [sound, slow];
-    const targets = pools.map((pool) => pool.filter(({ id }) => !this.#tried.has(id))).find(isFilled) ?? [];
-    const candidates = health.select(targets, this.#now()).map((target) => ({
-      id: target.id,
-      slots: service.engine?.slots ?? target.slots,
-      load: loads.getLoad(target),
-      weight: health.getWeight(target.id) / (view.state.paces[target.id] ?? 1) ** pacePower,
-      isNear: target.failureDomain === options.failureDomain,
-    }));
-    const id = choosePlace(candidates, queuePlaces, options.random);
-    return targets.find((target) => target.id === id) ?? null;
+    const isFirst = this.#sends === 0;
+    return chooseTarget(this.#context, { service, tried: this.#tried, isFirst, crowding: this.#crowding });
   }
 
   /** The time of a pass decides how many requests a group takes, so those of slow groups are left out. */
@@ -249,6 +240,7 @@
     const { health } = this.#context;
     this.#mayHaveRun = true;
     if (answer.status < 500) {
+      this.#forming?.noteServed();
       health.noteGood(attempt.targetId);
       this.#deliver(answer, RequestEnd.Answered);
       return;
@@ -278,7 +270,13 @@
     if (faulty !== null && faulty !== attempt.targetId) {
       health.noteUnreachable(faulty, this.#now());
     }
-    if (!this.#repeat(AttemptOutcome.NotRun)) {
+    const forming = this.#forming;
+    forming?.noteTurnedAway(this.#now());
+    if (forming?.isForming === true && !this.#mayHaveRun && !this.#isEnded) {
+      // All ranks turn requests away until the group is there, so none of them is ruled out for the next try.
+      this.#tried.clear();
+      this.#admit();
+    } else if (!this.#repeat(AttemptOutcome.NotRun)) {
       this.#giveUp(RequestEnd.TurnedAway, "targets have turned the request away");
     }
   }
@@ -302,8 +300,8 @@
 
   /** Sends the request again when that is safe, allowed and of use. Returns whether it did. */
   #repeat(outcome: AttemptOutcome): boolean {
-    const { view, getBudget, metrics } = this.#context;
-    const { route, service } = this.#arrival;
+    const { metrics } = this.#context;
+    const { route } = this.#arrival;
     const nowMs = this.#now();
     const step = decideNextStep({
       outcome,
@@ -312,10 +310,7 @@
       attemptsLeft: route.attempts - this.#sends,
       leftMs: this.#endMs - nowMs,
     });
-    const isAllowed =
-      step === NextStep.Repeat &&
-      this.#choose() !== null &&
-      getBudget(service.name).take(view.state.liveEntries, nowMs);
+    const isAllowed = step === NextStep.Repeat && this.#choose() !== null && this.#takeRepeat();
     if (this.#isEnded || !isAllowed) {
       return false;
     }
@@ -324,6 +319,12 @@
     return true;
   }
 
+  /** Takes a repeat from the budget of the service; false when that is used up. */
+  #takeRepeat(): boolean {
+    const { view, getBudget } = this.#context;
+    return getBudget(this.#arrival.service.name).take(view.state.liveEntries, this.#now());
+  }
+
   #onTimeout(): void {
     this.#relay.flush();
     this.#attempt?.cancel();
@@ -390,7 +391,3 @@
     return this.#context.options.clock.monotonicMs();
   }
 }
-
-function isFilled(targets: readonly TargetRecord[]): boolean {
-  return targets.length > 0;
-}
--- /dev/null
+++ b/packages/gateway/chooseTarget.ts
@@ -0,0 +1,45 @@
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import type { Crowding } from "./Crowding";
+import type { GatewayContext } from "./GatewayContext";
+import { choosePlace } from "./choosePlace";
+import { listUsableTargets } from "./listUsableTargets";
+
+interface TargetChoice {
+  readonly service: RoutedService;
+  /** Targets that had the request already. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether no target had it. */
+  readonly isFirst: boolean;
+  /** How full the service was when the request was admitted; null when that was not measured. */
+  readonly crowding: Crowding | null;
+}
+
+/** Places at each target that may be taken by requests that wait there; waiting here leaves the choice open. */
+const queuePlaces = 0;
+/** A rank twice as slow as the others gets an eighth of the requests, since all of its group wait for its part. */
+const pacePower = 3;
+
+/** Draws the target for a request by load, health, pace and place; null when none has a place. */
+export function chooseTarget(context: GatewayContext, choice: TargetChoice): TargetRecord | null {
+  const { view, loads, health, options } = context;
+  const { service, tried, isFirst, crowding } = choice;
+  const { targets: sound, slow } = listUsableTargets(context, service.name);
+  const { meanLoad = 0, cap = Infinity } = crowding ?? {};
+  const isSoundFull = isFirst && slow.length > 0 && meanLoad >= cap;
+  const pools = isSoundFull ? [slow] : [sound, slow];
+  const targets = pools.map((pool) => pool.filter(({ id }) => !tried.has(id))).find(isFilled) ?? [];
+  const candidates = health.select(targets, options.clock.monotonicMs()).map((target) => ({
+    id: target.id,
+    slots: service.engine?.slots ?? target.slots,
+    load: loads.getLoad(target),
+    weight: health.getWeight(target.id) / (view.state.paces[target.id] ?? 1) ** pacePower,
+    isNear: target.failureDomain === options.failureDomain,
+  }));
+  const id = choosePlace(candidates, queuePlaces, options.random);
+  return targets.find((target) => target.id === id) ?? null;
+}
+
+function isFilled(targets: readonly TargetRecord[]): boolean {
+  return targets.length > 0;
+}
