Ask a second rank at once before a request waits for a group that forms

It is asked first, as before, and while the lead reports some groups as sound no request waits for a try. Repeats that follow a wait are counted in the metrics.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -197,9 +197,12 @@
         this.#passMeters.set(service, meter);
         return meter;
       },
-      getForming: (service) => {
-        const forming = this.#formings.get(service) ?? new GroupForming();
-        this.#formings.set(service, forming);
+      getForming: ({ name, engine }) => {
+        if ((engine?.experts ?? null) === null) {
+          return null;
+        }
+        const forming = this.#formings.get(name) ?? new GroupForming();
+        this.#formings.set(name, forming);
         return forming;
       },
       getAgent: (address) => {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,3 +1,4 @@
+import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
 import type { FleetView } from "./FleetView";
@@ -25,7 +26,8 @@
   readonly heldBytes: ByteBudget;
   readonly getBudget: (service: string) => RepeatBudget;
   readonly getPassMeter: (service: string) => PassMeter;
-  readonly getForming: (service: string) => GroupForming;
+  /** Null for services without rank groups. */
+  readonly getForming: (service: RoutedService) => GroupForming | null;
   readonly getAgent: (address: string) => TargetAgent;
   /** Set while the process is about to stop, so that callers should close their connections. */
   readonly getStopWindow: () => StopWindow | null;
--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -47,6 +47,7 @@
   readonly #writer: AnswerWriter;
   readonly #relay: EventRelay;
   readonly #log: RequestLog;
+  readonly #forming: GroupForming | null;
   readonly #endMs: number;
   /** Time for which the caller had waited before this request. */
   readonly #usedMs: number;
@@ -65,6 +66,7 @@
     const { response, route, caller, arrivedAtMs } = arrival;
     this.#context = context;
     this.#arrival = arrival;
+    this.#forming = context.getForming(arrival.service);
     this.#writer = new AnswerWriter(response, context);
     const { maxHoldMs, clock } = context.options;
     this.#relay = new EventRelay({
@@ -107,9 +109,9 @@
     const elapsedMs = this.#now() - arrivedAtMs;
     const limits = { elapsedMs, usedMs: this.#usedMs, endMs: this.#endMs - arrivedAtMs };
     const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
-    const hasPlace = this.#hasPlace() && (this.#forming?.takeTry(this.#now()) ?? true);
+    const hasPlace = this.#hasPlace() && this.#mayTry();
     if (hasPlace || waitLeftMs <= (this.#crowding?.pauseMs ?? 0)) {
-      this.#send(hasPlace && (this.#sends === 0 || this.#takeRepeat()));
+      this.#send(hasPlace && (this.#sends === 0 || this.#takeRepeat(RepeatReason.NotRun)));
     } else {
       this.#waitTimer = setTimeout(() => {
         this.#admit();
@@ -124,10 +126,11 @@
     return crowding.meanLoad < crowding.cap || crowding.slowPlaces >= 1;
   }
 
-  /** Null for services without rank groups. */
-  get #forming(): GroupForming | null {
-    const { name, engine } = this.#arrival.service;
-    return (engine?.experts ?? null) === null ? null : this.#context.getForming(name);
+  /** Whether a rank may turn the request away. Of no account while some groups of the service are known to be sound. */
+  #mayTry(): boolean {
+    const open = this.#context.view.listOpenTargets(this.#arrival.service.name);
+    const isSplit = (this.#crowding?.targets ?? 0) < open.length;
+    return isSplit || (this.#forming?.takeTry(this.#now()) ?? true);
   }
 
   get #isRepeatable(): boolean {
@@ -270,13 +273,15 @@
     if (faulty !== null && faulty !== attempt.targetId) {
       health.noteUnreachable(faulty, this.#now());
     }
-    const forming = this.#forming;
-    forming?.noteTurnedAway(this.#now());
-    if (forming?.isForming === true && !this.#mayHaveRun && !this.#isEnded) {
+    this.#forming?.noteTurnedAway(this.#now());
+    if (this.#isEnded || this.#repeat(AttemptOutcome.NotRun)) {
+      return;
+    }
+    if (this.#forming?.isForming === true && !this.#mayHaveRun) {
       // All ranks turn requests away until the group is there, so none of them is ruled out for the next try.
       this.#tried.clear();
       this.#admit();
-    } else if (!this.#repeat(AttemptOutcome.NotRun)) {
+    } else {
       this.#giveUp(RequestEnd.TurnedAway, "targets have turned the request away");
     }
   }
@@ -300,29 +305,30 @@
 
   /** Sends the request again when that is safe, allowed and of use. Returns whether it did. */
   #repeat(outcome: AttemptOutcome): boolean {
-    const { metrics } = this.#context;
-    const { route } = this.#arrival;
-    const nowMs = this.#now();
     const step = decideNextStep({
       outcome,
       isRepeatable: this.#isRepeatable,
       mayHaveRun: this.#mayHaveRun,
-      attemptsLeft: route.attempts - this.#sends,
-      leftMs: this.#endMs - nowMs,
+      attemptsLeft: this.#arrival.route.attempts - this.#sends,
+      leftMs: this.#endMs - this.#now(),
     });
-    const isAllowed = step === NextStep.Repeat && this.#choose() !== null && this.#takeRepeat();
-    if (this.#isEnded || !isAllowed) {
+    const reason = this.#writer.hasStarted ? RepeatReason.Resume : repeatReasons[outcome];
+    const isUseful = step === NextStep.Repeat && this.#choose() !== null;
+    if (this.#isEnded || !isUseful || !this.#takeRepeat(reason)) {
       return false;
     }
-    metrics.repeats.add(this.#writer.hasStarted ? RepeatReason.Resume : repeatReasons[outcome]);
     this.#send(true);
     return true;
   }
 
   /** Takes a repeat from the budget of the service; false when that is used up. */
-  #takeRepeat(): boolean {
-    const { view, getBudget } = this.#context;
-    return getBudget(this.#arrival.service.name).take(view.state.liveEntries, this.#now());
+  #takeRepeat(reason: RepeatReason): boolean {
+    const { view, getBudget, metrics } = this.#context;
+    const isTaken = getBudget(this.#arrival.service.name).take(view.state.liveEntries, this.#now());
+    if (isTaken) {
+      metrics.repeats.add(reason);
+    }
+    return isTaken;
   }
 
   #onTimeout(): void {
--- a/packages/gateway/test/forming.test.ts
+++ b/packages/gateway/test/forming.test.ts
@@ -29,11 +29,13 @@
 const returning = { path: "/p0/", headers: { "x-left": "7000" } };
 
 async function start(t: Test, attempts = 2) {
-  const state = { isForming: false };
+  const state = { isForming: false, turnsAwayOnce: false };
   const targets = [0, 1, 2].map(
     () =>
       new TestTarget(({ id }, socket) => {
-        socket.write(state.isForming ? answers.notRun(id) : answers.whole(id, `for ${id}`));
+        const isTurnedAway = state.isForming || state.turnsAwayOnce;
+        state.turnsAwayOnce = false;
+        socket.write(isTurnedAway ? answers.notRun(id) : answers.whole(id, `for ${id}`));
       }),
   );
   const document = createDocument(1, [{ timeoutMs: 8000, attempts }]);
@@ -102,3 +104,16 @@
   t.ok(forming.takeTry(112), "all go on at once");
   t.end();
 });
+
+// Guards against requests that wait or are refused on account of one group, while another one is known to be sound.
+t.test("a request that one group turns away goes to another at once", async (t) => {
+  const { state, call } = await start(t);
+  state.isForming = true;
+  await call({ path: "/p0/", headers: { "x-left": "8000" } }, "before");
+  state.isForming = false;
+  state.turnsAwayOnce = true;
+  const askedAtMs = performance.now();
+  const { status } = await call(returning, "new");
+  t.equal(status, 200);
+  t.ok(performance.now() - askedAtMs < 250);
+});
