--- a/packages/gateway/test/pacedStreams.test.ts
+++ b/packages/gateway/test/pacedStreams.test.ts
@@ -1,4 +1,3 @@
-import { monitorEventLoopDelay } from "node:perf_hooks";
 import t from "tap";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { waitUntil } from "@clementinemux/system/waitUntil";
@@ -9,6 +8,9 @@
 
 const stream = { kind: RouteKind.Streaming, canResume: false, attempts: 1, gapObjectiveMs: 120 };
 const maxHoldMs = 80;
+const stallStepMs = 5;
+const calmStallMs = 20;
+const maxStreams = 8;
 
 /** Target that sends its events with the given gaps before them, then ends as told. */
 function createTarget(gapsMs: readonly number[], end: "whole" | "reset" | "open"): TestTarget {
@@ -29,34 +31,57 @@
   });
 }
 
+/**
+ * Adds up the time for which this process stood still. Target, gateway and caller share it, so that each stall lengthens
+ * a pause by as much; on an idle machine it is a few ms.
+ */
+function watchStalls() {
+  let totalMs = 0;
+  let lastMs = performance.now();
+  const timer = setInterval(() => {
+    const nowMs = performance.now();
+    totalMs += Math.max(0, nowMs - lastMs - stallStepMs);
+    lastMs = nowMs;
+  }, stallStepMs);
+  return {
+    stop: (): number => {
+      clearInterval(timer);
+      return totalMs;
+    },
+  };
+}
+
 // Guards against events that are lost, reordered or cut off when they are held back, and against a late end.
 t.test("a paced stream is whole, and its pauses are shortened", async (t) => {
   const gapsMs = [5, 30, 30, 30, 170, 30, 1, 1];
   const { open, stop } = await startGateway(createDocument(1, [stream]), [createTarget(gapsMs, "whole")]);
-  const arrivals: number[] = [];
-  let text = "";
-  const stalls = monitorEventLoopDelay({ resolution: 5 });
-  stalls.enable();
-  const isComplete = await new Promise<boolean>((resolve) => {
-    const sent = open({ path: "/p0/", method: "POST" }, "r1");
-    sent.on("response", (response) => {
-      response.on("data", (chunk: Buffer) => {
-        arrivals.push(performance.now());
-        text += chunk.toString();
-      });
-      response.on("close", () => {
-        resolve(response.complete);
+  // A busy machine disturbs the first ones; the pauses of one that is hardly disturbed say the most.
+  for (let round = 1, stallMs = Infinity; round <= maxStreams && stallMs > calmStallMs; round += 1) {
+    const arrivals: number[] = [];
+    let text = "";
+    const stalls = watchStalls();
+    const isComplete = await new Promise<boolean>((resolve) => {
+      const sent = open({ path: "/p0/", method: "POST" }, `r${round}`);
+      sent.on("response", (response) => {
+        response.on("data", (chunk: Buffer) => {
+          arrivals.push(performance.now());
+          text += chunk.toString();
+        });
+        response.on("close", () => {
+          resolve(response.complete);
+        });
       });
+      sent.end("x");
     });
-    sent.end("x");
-  });
-  t.equal(text, gapsMs.map((_, index) => answers.event(index + 1)).join(""));
-  t.ok(isComplete);
-  const gaps = arrivals.slice(1).map((atMs, index) => atMs - (arrivals[index] ?? 0));
-  t.ok(
-    Math.max(...gaps) < 170 - maxHoldMs / 2,
-    `longest pause ${Math.round(Math.max(...gaps))} ms, own stall ${stalls.max / 1e6} ms`,
-  );
+    stallMs = stalls.stop();
+    t.equal(text, gapsMs.map((_, index) => answers.event(index + 1)).join(""));
+    t.ok(isComplete);
+    const gaps = arrivals.slice(1).map((atMs, index) => atMs - (arrivals[index] ?? 0));
+    t.ok(
+      Math.max(...gaps) < 170 - maxHoldMs / 2 + stallMs,
+      `longest pause ${Math.round(Math.max(...gaps))} ms, own stalls ${Math.round(stallMs)} ms`,
+    );
+  }
   await stop();
 });
 
