--- a/packages/bench/test/policyBench.test.ts
+++ b/packages/bench/test/policyBench.test.ts
@@ -5,6 +5,9 @@
 import { scenarios } from "@clementinemux/bench/policy/scenarios";
 import { summarizeRun } from "@clementinemux/bench/policy/summarizeRun";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 type Summary = ReturnType<typeof summarizeRun>;
 
 function run(name: string, routing: RoutingKind): Summary {
--- a/packages/bench/test/shiftBench.test.ts
+++ b/packages/bench/test/shiftBench.test.ts
@@ -3,6 +3,9 @@
 import { ShiftModel } from "@clementinemux/bench/shifts/ShiftModel";
 import { usualShiftDay } from "@clementinemux/bench/shifts/usualShiftDay";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const day = { ...usualShiftDay, seed: 3, durationMs: 10_000, streamsPerS: 70 };
 
 function run(lead: ShiftLead, maxHoldMs: number) {
--- a/packages/control/test/coordinators.test.ts
+++ b/packages/control/test/coordinators.test.ts
@@ -8,6 +8,9 @@
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { CoordinatorFleet } from "./CoordinatorFleet";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const limitMs = 8000;
 
 function bytes(text: string): Uint8Array {
--- a/packages/entry/test/addressSpread.test.ts
+++ b/packages/entry/test/addressSpread.test.ts
@@ -3,6 +3,9 @@
 import { orderAddresses } from "@clementinemux/entry/orderAddresses";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 interface Team {
   readonly name: string;
   readonly tokensPerS: number;
--- a/packages/entry/test/callers.test.ts
+++ b/packages/entry/test/callers.test.ts
@@ -6,6 +6,9 @@
 import { askModel } from "./askModel";
 import { startFleet } from "./startFleet";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 async function getJson(url: string): Promise<Record<string, unknown>> {
   return (await (await requestHttp(url)).body.json()) as Record<string, unknown>;
 }
--- a/packages/entry/test/streams.test.ts
+++ b/packages/entry/test/streams.test.ts
@@ -4,6 +4,9 @@
 import { askModel } from "./askModel";
 import { startFleet } from "./startFleet";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const fastTimeouts = { firstTokenTimeoutMs: 300, tokenGapTimeoutMs: 200 };
 
 // Guards against an answer that is changed on its way, with UTF-8 sequences and events broken anywhere.
--- a/packages/experts/test/activation.test.ts
+++ b/packages/experts/test/activation.test.ts
@@ -7,6 +7,9 @@
 import { RankOrderKind } from "@clementinemux/experts/activation/RankOrderKind";
 import { ActivationWorld } from "./ActivationWorld";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 /** Weights of the events. Most are rounds without loss, since random events alone rarely reach an activation. */
 const weights = {
   runRound: 120,
--- a/packages/gateway/test/lifecycle.test.ts
+++ b/packages/gateway/test/lifecycle.test.ts
@@ -7,6 +7,9 @@
 import { answers } from "./answers";
 import { startGateway } from "./startGateway";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const stream = { kind: RouteKind.Streaming, canResume: true, attempts: 2 };
 /** Keys that were taken away stop within this time. */
 const revokeMs = 5000;
--- a/packages/gateway/test/stopping.test.ts
+++ b/packages/gateway/test/stopping.test.ts
@@ -9,6 +9,9 @@
 import { answers } from "./answers";
 import { startGateway } from "./startGateway";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const graceMs = 8000;
 const namedMs = 2500;
 const meanGapMs = 60;
--- a/packages/logging/test/boundedLogs.test.ts
+++ b/packages/logging/test/boundedLogs.test.ts
@@ -5,6 +5,9 @@
 import { build } from "esbuild";
 import { BoundedLogWriter } from "@clementinemux/logging/BoundedLogWriter";
 
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
 const infoLevel = 30;
 const warningLevel = 40;
 
