Show that two leads give one map version two contents

Cause shown here: a lead does not see what ranks are still copying. The lead of term 3 numbers its map as the lead of term 2 did; ranks that copy the first map refuse the second, then report the version as prepared and are armed with it.

HeldGroup now keeps the contents of maps, refuses a prepare of a version it has had unless the content is the same too, and refuses orders with a lower fence.

--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -14,6 +14,10 @@
   hidesExperts = false;
   counts: readonly number[] = [];
   directInspections = 0;
+  /** Whether orders get no answer and are not carried out. */
+  missesOrders = false;
+  /** Orders that were missed, for a test that has them carried out late. */
+  readonly missedOrders: { readonly fence: number; readonly order: HoldOrder }[] = [];
 
   constructor(group: HeldGroup, rank: number) {
     this.#group = group;
@@ -33,7 +37,9 @@
       return new Promise(() => undefined);
     }
     const size = this.#group.ranks.length;
-    return Promise.resolve({ group: "g", size, state, pace: 1, counts: this.counts, experts: null });
+    const hosting = part === InspectionPart.Experts ? this.#group.getHosting(this.#rank) : null;
+    const experts = hosting?.map((ranks) => ranks[this.#rank] ?? []) ?? null;
+    return Promise.resolve({ group: "g", size, state, pace: 1, counts: this.counts, experts });
   }
 
   inspectDirectly(): Promise<HeldRank | null> {
@@ -41,7 +47,11 @@
     return Promise.resolve(this.#group.inspect(this.#rank));
   }
 
-  order(_fence: number, order: HoldOrder): Promise<boolean | null> {
-    return Promise.resolve(this.#group.order(order));
+  order(fence: number, order: HoldOrder): Promise<boolean | null> {
+    if (this.missesOrders) {
+      this.missedOrders.push({ fence, order });
+      return Promise.resolve(null);
+    }
+    return Promise.resolve(this.#group.order(order, fence));
   }
 }
--- /dev/null
+++ b/packages/control/test/mapVersions.test.ts
@@ -0,0 +1,96 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import { GroupConductor } from "../ranks/GroupConductor";
+import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import { HeldRankWay } from "./HeldRankWay";
+
+const figures = {
+  layerSets: 1,
+  expertsPerSet: 8,
+  placements: 4,
+  spare: 2,
+  expertMb: 10,
+  expertShare: 0.85,
+  linkMbps: 1000,
+  formMs: 600,
+};
+const logger = createLogger("test", {});
+const lookMs = 30;
+const hotChoices = 9000;
+const coldChoices = 100;
+
+class LeadOfTerm {
+  readonly #conductor: GroupConductor;
+  readonly #group: HeldGroup;
+  readonly #ways: readonly HeldRankWay[];
+  readonly #fence: number;
+  readonly #counts = new Array<number>(figures.expertsPerSet).fill(0);
+
+  constructor(group: HeldGroup, ways: readonly HeldRankWay[], term: number) {
+    this.#group = group;
+    this.#ways = ways;
+    this.#fence = term;
+    this.#conductor = new GroupConductor({
+      group: "g",
+      figures,
+      getFence: () => term,
+      getGapObjectiveMs: () => 0,
+      activate: () => Promise.resolve(false),
+      clock: { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs },
+      metrics: new CoordinatorMetrics(),
+      logger,
+    });
+  }
+
+  /** Looks at the group while the experts of one rank, those from `hot` in steps of 4, are in demand. */
+  async look(hot: number): Promise<void> {
+    this.#counts.forEach((count, expert) => {
+      this.#counts[expert] = count + (expert % 4 === hot ? hotChoices : coldChoices);
+    });
+    this.#ways[0]!.counts = [...this.#counts];
+    const inspections = this.#ways.map((way) => way.inspect(this.#fence, InspectionPart.Counts));
+    await this.#conductor.step(this.#ways, await Promise.all(inspections));
+    this.#group.advance(lookMs);
+  }
+}
+
+function createGroup(): { group: HeldGroup; ways: HeldRankWay[] } {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  return { group, ways: group.ranks.map((_, rank) => new HeldRankWay(group, rank)) };
+}
+
+function isInForce({ ranks }: HeldGroup): boolean {
+  return ranks.every(({ mapVersion }) => mapVersion > 0);
+}
+
+/** Has a lead look until a map is in force on all ranks and a pass has begun with it. */
+async function lookUntilInForce(lead: LeadOfTerm, group: HeldGroup, hot: number): Promise<void> {
+  for (let look = 0; look < 60 && !isInForce(group); look += 1) {
+    await lead.look(hot);
+  }
+  group.advance(100);
+}
+
+// Guards against ranks that run one pass with different maps under one version: a lead does not see what is being copied.
+t.test("a new lead never gives another map the version of one that is still being copied", async (t) => {
+  const { group, ways } = createGroup();
+  const first = new LeadOfTerm(group, ways, 2);
+  ways[2]!.missesOrders = true;
+  ways[3]!.missesOrders = true;
+  for (let look = 0; look < 10 && group.ranks[0]?.preparing === null; look += 1) {
+    await first.look(0);
+  }
+  t.ok(group.ranks[0]?.preparing, "the first lead has begun");
+  t.ok(
+    group.ranks.every(({ preparedVersion }) => preparedVersion === null),
+    "and its copies are not complete",
+  );
+  ways[2]!.missesOrders = false;
+  ways[3]!.missesOrders = false;
+  await lookUntilInForce(new LeadOfTerm(group, ways, 3), group, 1);
+  t.ok(isInForce(group), "a map is in force");
+  t.equal(group.mixedPasses, 0);
+});
--- a/packages/experts/test/HeldGroup.ts
+++ b/packages/experts/test/HeldGroup.ts
@@ -1,7 +1,9 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Random } from "@clementinemux/common/Random";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 
 interface HeldGroupOptions {
   readonly ranks: number;
@@ -14,7 +16,11 @@
 
 type MutableRank = { -readonly [Key in keyof HeldRank]: HeldRank[Key] } & {
   highestVersion: number;
+  /** Highest fence of an order that it was given; orders with a lower one are refused. */
+  highestFence: number;
   preparing: { version: number; readyAtMs: number } | null;
+  /** Contents of the maps that it has accepted, by version. */
+  hostings: Map<number, RankHosting>;
 };
 
 const copyMs = 200;
@@ -23,14 +29,16 @@
 /** Stand-in of a rank group with hold and go: passes go on by themselves, orders may be carried out late. */
 export class HeldGroup {
   readonly ranks: MutableRank[];
-  /** Passes that began while the ranks had different maps. */
+  /** Passes that began while the ranks had different maps, by version or by content. */
   mixedPasses = 0;
+  /** Those of them in which all ranks had the same version. */
+  collidedPasses = 0;
   /** Passes that did not begin because the group was held. */
   heldPasses = 0;
   nowMs = 0;
   isIdle = false;
   readonly #options: HeldGroupOptions;
-  #late: { readonly order: HoldOrder; readonly dueMs: number }[] = [];
+  #late: { readonly order: HoldOrder; readonly fence: number; readonly dueMs: number }[] = [];
   readonly #passMs: number;
   #nextPassMs: number;
 
@@ -46,8 +54,8 @@
     const endMs = this.nowMs + ms;
     while (this.nowMs < endMs) {
       this.nowMs += 5;
-      for (const { order } of this.#late.filter(({ dueMs }) => dueMs <= this.nowMs)) {
-        this.#carryOut(order);
+      for (const { order, fence } of this.#late.filter(({ dueMs }) => dueMs <= this.nowMs)) {
+        this.#carryOut(order, fence);
       }
       this.#late = this.#late.filter(({ dueMs }) => dueMs > this.nowMs);
       this.#finishCopies();
@@ -71,16 +79,22 @@
     return state === undefined ? null : { ...state };
   }
 
+  /** Content of the map in force on a rank; null for the one that the group formed with. */
+  getHosting(rank: number): RankHosting | null {
+    const state = this.ranks[rank];
+    return state?.hostings.get(state.mapVersion) ?? null;
+  }
+
   /** Gives an order; null when there is no answer, whether or not it is carried out later. */
-  order(order: HoldOrder): boolean | null {
+  order(order: HoldOrder, fence = 0): boolean | null {
     const { random, lateShare } = this.#options;
     if (random() < lateShare) {
       if (random() < 0.8) {
-        this.#late.push({ order, dueMs: this.nowMs + 2000 + random() * 10_000 });
+        this.#late.push({ order, fence, dueMs: this.nowMs + 2000 + random() * 10_000 });
       }
       return null;
     }
-    return this.#carryOut(order);
+    return this.#carryOut(order, fence);
   }
 
   #beginPass(): void {
@@ -96,8 +110,18 @@
         rank.armed = null;
       }
     }
-    if (new Set(this.ranks.map(({ mapVersion }) => mapVersion)).size > 1) {
+    this.#countMixture();
+  }
+
+  #countMixture(): void {
+    const [first] = this.ranks;
+    const hasOneVersion = this.ranks.every(({ mapVersion }) => mapVersion === first?.mapVersion);
+    const [hosting] = this.ranks.map(({ rank }) => this.getHosting(rank));
+    if (!hasOneVersion) {
+      this.mixedPasses += 1;
+    } else if (!this.ranks.every(({ rank }) => isDeepStrictEqual(this.getHosting(rank), hosting))) {
       this.mixedPasses += 1;
+      this.collidedPasses += 1;
     }
   }
 
@@ -110,17 +134,19 @@
     }
   }
 
-  #carryOut(order: HoldOrder): boolean {
+  #carryOut(order: HoldOrder, fence: number): boolean {
     const rank = this.ranks[order.rank];
-    if (rank?.epoch !== order.epoch) {
+    if (rank?.epoch !== order.epoch || fence < rank.highestFence) {
       return false;
     }
+    rank.highestFence = fence;
     switch (order.kind) {
       case HoldOrderKind.Prepare:
         if (order.version <= rank.highestVersion || rank.armed !== null) {
-          return rank.preparing?.version === order.version || rank.preparedVersion === order.version;
+          return isCarriedOut(rank, order);
         }
         rank.highestVersion = order.version;
+        rank.hostings.set(order.version, order.hosting);
         rank.preparing = { version: order.version, readyAtMs: this.nowMs + copyMs };
         return true;
       case HoldOrderKind.Hold:
@@ -148,6 +174,15 @@
   }
 }
 
+/** Whether the map of an order to prepare is the very one that the rank copies or has prepared. */
+function isCarriedOut(
+  { preparing, preparedVersion, hostings }: MutableRank,
+  { version, hosting }: { readonly version: number; readonly hosting: RankHosting },
+): boolean {
+  const isKnown = preparing?.version === version || preparedVersion === version;
+  return isKnown && isDeepStrictEqual(hostings.get(version), hosting);
+}
+
 function createRank(rank: number, epoch: number): MutableRank {
   return {
     rank,
@@ -159,6 +194,8 @@
     armed: null,
     heldStep: null,
     highestVersion: 0,
+    highestFence: 0,
     preparing: null,
+    hostings: new Map(),
   };
 }
