Show that a late order to prepare gives one version two contents

An order without an answer may be carried out seconds later. A rank that has not heard the next lead yet accepts it, although the next lead has given its version to another map; the fence does not help, as the rank has seen no higher one.

--- a/packages/control/test/mapVersions.test.ts
+++ b/packages/control/test/mapVersions.test.ts
@@ -19,6 +19,8 @@
 };
 const logger = createLogger("test", {});
 const lookMs = 30;
+/** Time after which an order without an answer is carried out. */
+const lateMs = 2000;
 const hotChoices = 9000;
 const coldChoices = 100;
 
@@ -94,3 +96,37 @@
   t.ok(isInForce(group), "a map is in force");
   t.equal(group.mixedPasses, 0);
 });
+
+// Guards against a copy that begins seconds after its order, when another lead has given the version to another map.
+t.test("an order to prepare that is carried out late does not mix maps", async (t) => {
+  const { group, ways } = createGroup();
+  const late = ways.slice(0, 2);
+  const first = new LeadOfTerm(group, ways, 2);
+  for (const way of ways) {
+    way.missesOrders = true;
+  }
+  for (let look = 0; look < 10 && ways[0]?.missedOrders.length === 0; look += 1) {
+    await first.look(0);
+  }
+  const orders = late.flatMap(({ missedOrders }) => missedOrders.slice(0, 1));
+  t.match(orders, [
+    { fence: 2, order: { rank: 0 } },
+    { fence: 2, order: { rank: 1 } },
+  ]);
+  ways[2]!.missesOrders = false;
+  ways[3]!.missesOrders = false;
+  const second = new LeadOfTerm(group, ways, 3);
+  const startMs = group.nowMs;
+  while (group.nowMs - startMs < lateMs) {
+    await second.look(1);
+  }
+  t.ok(group.ranks[2]?.preparedVersion, "the second lead has planned");
+  for (const { fence, order } of orders) {
+    t.equal(group.order(order, fence), true, "the first order that a rank is given is carried out");
+  }
+  ways[0]!.missesOrders = false;
+  ways[1]!.missesOrders = false;
+  await lookUntilInForce(second, group, 1);
+  t.ok(isInForce(group), "a map is in force");
+  t.equal(group.mixedPasses, 0);
+});
