Number maps by the term of their lead and compare what ranks have prepared

Cause: a lead took one more than the highest version that it saw as the version of its plan. What a rank is still copying, and what it will carry out late, is not in its report, so the next lead gave the same version to another map. Ranks that had the first one refused the second, reported the version as prepared, and were armed with the first content.

A version is now the term of the lead times 2^24 plus a count. The term is durable and no two leads share one, and a later term has the higher versions, which ranks ask for. A lead that sees a version of a later term plans nothing. A check of contents alone would have left the collision to be found by reports that may be missing; it is there as well for writers that number otherwise, such as a lead of the release before: the process beside a rank reads what the rank has prepared once for each map and reports its digest, and the lead gives up a map that a rank has prepared with other experts.

The same shape beside it: the placement that a new lead read from the ranks was taken as that of the version in an earlier report. It has to be that version's.

--- a/packages/bench/shifts/ShiftRankWay.ts
+++ b/packages/bench/shifts/ShiftRankWay.ts
@@ -35,6 +35,7 @@
       pace: 1,
       counts: this.#rank === 0 ? [...this.#group.counts] : [],
       experts,
+      preparedDigest: null,
     });
   }
 
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -147,9 +147,17 @@
       return known;
     }
     const { activate, clock, metrics, logger } = this.#options;
-    const getFence = (): number => this.#term;
     const getGapObjectiveMs = (): number => this.#options.getTable()?.getGapObjectiveMs(service) ?? 0;
-    const options = { group, figures, getFence, getGapObjectiveMs, activate, clock, metrics, logger };
+    const options = {
+      group,
+      figures,
+      fence: this.#term,
+      getGapObjectiveMs,
+      activate,
+      clock,
+      metrics,
+      logger,
+    };
     const conductor = new GroupConductor(options);
     this.#groups.set(group, conductor);
     return conductor;
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -3,10 +3,13 @@
 import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
+import type { MapGoal } from "@clementinemux/experts/hold/MapGoal";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
@@ -20,7 +23,8 @@
 interface GroupConductorOptions {
   readonly group: string;
   readonly figures: ExpertFigures;
-  readonly getFence: () => number;
+  /** Term of the lead. */
+  readonly fence: number;
   /** Shortest pause that a route to the service allows; 0 without one. */
   readonly getGapObjectiveMs: () => number;
   /** Has another process give the orders of an activation. Resolves with whether it has. */
@@ -56,11 +60,11 @@
   readonly #options: GroupConductorOptions;
   readonly #activation: GroupActivation;
   readonly #demand: DemandMonitor;
+  readonly #versions: MapVersions;
   #links: readonly (RankWay | null)[] = [];
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
   #copyMs = 0;
-  #lastVersion = 0;
   #lastStep = 0;
   #movedAtMs = -Infinity;
   #notDelegatedAtMs = -Infinity;
@@ -71,10 +75,11 @@
   constructor(options: GroupConductorOptions) {
     this.#options = options;
     this.#demand = new DemandMonitor(options.figures);
+    this.#versions = new MapVersions(options.fence);
     this.#activation = new GroupActivation({
       inspect: async (rank) =>
         (await this.#inspect(rank, InspectionPart.None))?.state ?? this.#inspectDirectly(rank),
-      order: (order) => this.#links[order.rank]?.order(options.getFence(), order) ?? Promise.resolve(null),
+      order: (order) => this.#links[order.rank]?.order(options.fence, order) ?? Promise.resolve(null),
       nowMs: () => options.clock.monotonicMs(),
     });
   }
@@ -119,6 +124,7 @@
       return;
     }
     this.#activation.note(states);
+    this.#checkContent(known);
     // The group may be held for what another lead has begun, so that is completed before anything is planned.
     if (this.#activation.goal !== null || !isBegun(states)) {
       await this.#reviewGoal(states, nowMs);
@@ -143,9 +149,9 @@
     if (goal === null || places.length < this.#links.length || isTried) {
       return false;
     }
-    const { group, getFence, activate, logger } = this.#options;
+    const { group, fence, activate, logger } = this.#options;
     const { version, epoch } = goal;
-    const isDone = await activate({ fence: getFence(), version, epoch, leadSteps, places, states });
+    const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
     }
@@ -177,17 +183,36 @@
     return states.includes(null) ? null : states.filter((state) => state !== null);
   }
 
+  /** Gives up a goal whose version a rank has prepared with other experts, as another writer's order would leave it. */
+  #checkContent(known: readonly RankInspection[]): void {
+    const { goal } = this.#activation;
+    const other = known.find(({ state, preparedDigest }) => {
+      const isGoal = state.preparedVersion !== null && state.preparedVersion === goal?.version;
+      return isGoal && preparedDigest !== null && preparedDigest !== getRankDigest(goal.hosting, state.rank);
+    });
+    if (goal !== null && other !== undefined) {
+      const { rank } = other.state;
+      this.#abandon(goal, `rank ${rank} has prepared other experts under this version`);
+    }
+  }
+
+  #abandon({ version }: MapGoal, why: string): void {
+    const { group, fence, metrics, logger } = this.#options;
+    logger.warn({ group, version, fence, why }, "map abandoned");
+    metrics.maps.add(MapOutcome.Abandoned);
+    this.#activation.abandon();
+  }
+
   async #reviewGoal(states: readonly HeldRank[], nowMs: number): Promise<void> {
     const [first] = states;
     if (first === undefined) {
       return;
     }
     const { goal } = this.#activation;
-    const isVoid = goal !== null && (goal.epoch !== first.epoch || nowMs - this.#aimedAtMs > goalTimeoutMs);
-    if (isVoid) {
-      this.#options.logger.warn({ group: this.#options.group, version: goal.version }, "map abandoned");
-      this.#options.metrics.maps.add(MapOutcome.Abandoned);
-      this.#activation.abandon();
+    if (goal !== null && goal.epoch !== first.epoch) {
+      this.#abandon(goal, "the group has formed again");
+    } else if (goal !== null && nowMs - this.#aimedAtMs > goalTimeoutMs) {
+      this.#abandon(goal, `not in force after ${goalTimeoutMs} ms`);
     }
     if (this.#activation.goal !== null) {
       return;
@@ -221,9 +246,16 @@
     if (gain < chooseLeastGain(passMs, this.#options.getGapObjectiveMs())) {
       return;
     }
-    const version = 1 + Math.max(this.#lastVersion, ...states.map(getHighestVersion));
+    const highestReported = Math.max(...states.map(getHighestVersion));
+    const version = this.#versions.take(highestReported);
+    if (version === null) {
+      logger.error(
+        { group, fence: this.#options.fence, highestReported },
+        "no map version left in this term",
+      );
+      return;
+    }
     const epoch = states[0]?.epoch ?? 0;
-    this.#lastVersion = version;
     this.#aimedAtMs = nowMs;
     this.#copyMs = (plan.newPerRank * figures.expertMb * bitsPerByte * 1000) / figures.linkMbps;
     this.#activation.aim({ version, epoch, hosting: plan.hosting });
@@ -260,18 +292,21 @@
     const hosting =
       mapVersion === 0
         ? createTurnHosting(layerSets, expertsPerSet, states.length)
-        : await this.#fetchHosting(states.length, layerSets);
+        : await this.#fetchHosting(states.length, layerSets, mapVersion);
     if (hosting !== null) {
       this.#hosting = { epoch, version: mapVersion, hosting };
     }
     return hosting;
   }
 
-  async #fetchHosting(ranks: number, layerSets: number): Promise<RankHosting | null> {
+  /** Reads the placement under a version; null when a rank does not answer or has another version by now. */
+  async #fetchHosting(ranks: number, layerSets: number, version: number): Promise<RankHosting | null> {
     const inspections = await Promise.all(
       Array.from({ length: ranks }, (_, rank) => this.#inspect(rank, InspectionPart.Experts)),
     );
-    const experts = inspections.map((inspection) => inspection?.experts ?? null);
+    const experts = inspections.map((inspection) =>
+      inspection?.state.mapVersion === version ? inspection.experts : null,
+    );
     return experts.includes(null)
       ? null
       : Array.from({ length: layerSets }, (_, set) => experts.map((held) => held?.[set] ?? []));
@@ -282,7 +317,7 @@
   }
 
   #inspect(rank: number, part: InspectionPart): Promise<RankInspection | null> {
-    return this.#links[rank]?.inspect(this.#options.getFence(), part) ?? Promise.resolve(null);
+    return this.#links[rank]?.inspect(this.#options.fence, part) ?? Promise.resolve(null);
   }
 }
 
@@ -290,6 +325,10 @@
   return states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
 }
 
+function getRankDigest(hosting: RankHosting, rank: number): number {
+  return getExpertsDigest(hosting.map((ranks) => ranks[rank] ?? []));
+}
+
 function getHighestVersion({ mapVersion, preparedVersion, armed }: HeldRank): number {
   return Math.max(mapVersion, preparedVersion ?? 0, armed?.version ?? 0);
 }
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -1,5 +1,6 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
@@ -12,6 +13,8 @@
   isSilent = false;
   /** Whether questions for the experts get no answer. */
   hidesExperts = false;
+  /** Whether inspections hold the digest of what the rank has prepared. */
+  tellsPrepared = false;
   counts: readonly number[] = [];
   directInspections = 0;
   /** Whether orders get no answer and are not carried out. */
@@ -39,7 +42,9 @@
     const size = this.#group.ranks.length;
     const hosting = part === InspectionPart.Experts ? this.#group.getHosting(this.#rank) : null;
     const experts = hosting?.map((ranks) => ranks[this.#rank] ?? []) ?? null;
-    return Promise.resolve({ group: "g", size, state, pace: 1, counts: this.counts, experts });
+    const preparedDigest = this.tellsPrepared ? this.#getPreparedDigest(state) : null;
+    const { counts } = this;
+    return Promise.resolve({ group: "g", size, state, pace: 1, counts, experts, preparedDigest });
   }
 
   inspectDirectly(): Promise<HeldRank | null> {
@@ -54,4 +59,9 @@
     }
     return Promise.resolve(this.#group.order(order, fence));
   }
+
+  #getPreparedDigest({ preparedVersion }: HeldRank): number | null {
+    const hosting = this.#group.ranks[this.#rank]?.hostings.get(preparedVersion ?? 0);
+    return hosting === undefined ? null : getExpertsDigest(hosting.map((ranks) => ranks[this.#rank] ?? []));
+  }
 }
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
@@ -36,7 +37,7 @@
 ): GroupConductor {
   const clock = createClock(group);
   const metrics = new CoordinatorMetrics();
-  const getters = { getFence: () => 2, getGapObjectiveMs: () => 0, activate };
+  const getters = { fence: 2, getGapObjectiveMs: () => 0, activate };
   return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger });
 }
 
@@ -81,9 +82,10 @@
     await look(lead, ways);
     group.advance(30);
   }
-  t.match(handedOver, [{ fence: 2, version: 1, epoch: 1, places: [{ address: "rank-0:1" }] }]);
+  const version = new MapVersions(2).take(0);
+  t.match(handedOver, [{ fence: 2, version, epoch: 1, places: [{ address: "rank-0:1" }] }]);
   t.equal(handedOver.length, 1);
-  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === 1 && heldStep === null));
+  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === version && heldStep === null));
   t.equal(group.mixedPasses, 0);
 });
 
@@ -126,6 +128,7 @@
         return isThere ? way.inspect(0, InspectionPart.Counts) : null;
       },
       inspectState: () => way.inspectDirectly(),
+      readPrepared: () => Promise.resolve(null),
       // No order is carried out, so that the plan stays pending.
       order: () => Promise.resolve(null),
     };
@@ -171,6 +174,7 @@
     openRank: () => ({
       inspect: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(null),
+      readPrepared: () => Promise.resolve(null),
       order: () => Promise.resolve(null),
     }),
     activate: () => Promise.resolve(false),
--- a/packages/control/test/mapVersions.test.ts
+++ b/packages/control/test/mapVersions.test.ts
@@ -1,5 +1,8 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
@@ -38,7 +41,7 @@
     this.#conductor = new GroupConductor({
       group: "g",
       figures,
-      getFence: () => term,
+      fence: term,
       getGapObjectiveMs: () => 0,
       activate: () => Promise.resolve(false),
       clock: { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs },
@@ -130,3 +133,22 @@
   t.ok(isInForce(group), "a map is in force");
   t.equal(group.mixedPasses, 0);
 });
+
+// Guards against another writer of maps, such as a lead of an earlier release, that has taken the version of a plan.
+t.test("a map is given up when a rank has prepared other experts under its version", async (t) => {
+  const { group, ways } = createGroup();
+  const version = new MapVersions(2).take(0) ?? 0;
+  const hosting = createTurnHosting(figures.layerSets, figures.expertsPerSet, 4).map((ranks) =>
+    [...ranks].reverse(),
+  );
+  const lead = new LeadOfTerm(group, ways, 2);
+  for (const way of ways) {
+    way.tellsPrepared = true;
+  }
+  await lead.look(0);
+  t.equal(group.order({ kind: HoldOrderKind.Prepare, rank: 1, epoch: 1, version, hosting }), true);
+  await lookUntilInForce(lead, group, 0);
+  t.ok(isInForce(group), "the next plan is in force");
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion > version));
+  t.equal(group.mixedPasses, 0);
+});
--- /dev/null
+++ b/packages/ranker/PreparedDigest.ts
@@ -0,0 +1,36 @@
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
+import type { RankClient } from "./RankClient";
+
+interface KnownDigest {
+  readonly epoch: number;
+  readonly version: number;
+  readonly digest: number;
+}
+
+/** Digest of the experts that a rank has prepared. It is read once for each map, since the lists cost a call. */
+export class PreparedDigest {
+  readonly #rank: RankClient;
+  #known: KnownDigest | null = null;
+
+  constructor(rank: RankClient) {
+    this.#rank = rank;
+  }
+
+  /** Resolves with null when the rank has prepared nothing, or its lists cannot be read now. */
+  async read({ epoch, preparedVersion }: HeldRank): Promise<number | null> {
+    if (preparedVersion === null) {
+      return null;
+    }
+    if (this.#known?.epoch === epoch && this.#known.version === preparedVersion) {
+      return this.#known.digest;
+    }
+    const prepared = await this.#rank.readPrepared();
+    if (prepared?.version !== preparedVersion) {
+      return null;
+    }
+    const digest = getExpertsDigest(prepared.experts);
+    this.#known = { epoch, version: preparedVersion, digest };
+    return digest;
+  }
+}
--- a/packages/ranker/RankClient.ts
+++ b/packages/ranker/RankClient.ts
@@ -1,11 +1,14 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankExperts } from "./RankExperts";
 import type { RankInspection } from "./RankInspection";
 
 /** Speaks to one rank. */
 export interface RankClient {
-  /** Resolves with null when the rank belongs to no group or does not answer. */
+  /** Resolves with null when the rank belongs to no group or does not answer; without a digest of what is prepared. */
   inspect(withExperts: boolean): Promise<RankInspection | null>;
+  /** Experts that the rank has prepared; null for none or no answer. */
+  readPrepared(): Promise<RankExperts | null>;
   /** State alone, which is cheaper from another machine. */
   inspectState(): Promise<HeldRank | null>;
   /** Resolves with whether the rank has confirmed the order; null when there was no answer. */
--- a/packages/ranker/RankInspection.ts
+++ b/packages/ranker/RankInspection.ts
@@ -12,4 +12,6 @@
   readonly counts: readonly number[];
   /** Experts that the rank holds by layer set; null when they were not asked for. */
   readonly experts: readonly (readonly number[])[] | null;
+  /** Of the experts that the rank has prepared; null for none, or where they are not known. */
+  readonly preparedDigest: number | null;
 }
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -14,6 +14,7 @@
 import { OrderOutcome } from "./OrderOutcome";
 import type { OrderRequest } from "./OrderRequest";
 import type { PackedInspection } from "./PackedInspection";
+import { PreparedDigest } from "./PreparedDigest";
 import type { RankClient } from "./RankClient";
 import { getOrderOutcome } from "./getOrderOutcome";
 
@@ -32,6 +33,7 @@
   readonly #options: RankerOptions;
   readonly #server: RpcServer;
   readonly #counts: CountSender;
+  readonly #prepared: PreparedDigest;
   readonly #metricsPage: MetricsPage;
   readonly #orders = new Counters("clementinemux_ranker_orders", "outcome", Object.values(OrderOutcome));
   #inspections = 0;
@@ -41,6 +43,7 @@
     this.#options = options;
     const { host, metricsPort: port, clock } = options;
     this.#counts = new CountSender(clock.wallMs());
+    this.#prepared = new PreparedDigest(options.rank);
     const render = (): string => this.#renderMetrics();
     this.#metricsPage = new MetricsPage({ role: "ranker", host, port, clock, render });
     this.#server = new RpcServer({ handlers: this.#createHandlers() });
@@ -82,7 +85,7 @@
       return null;
     }
     const counts = part === InspectionPart.Counts ? this.#counts.pack(inspection.counts, countsHeld) : null;
-    return { ...inspection, counts };
+    return { ...inspection, counts, preparedDigest: await this.#prepared.read(inspection.state) };
   }
 
   async #order({ fence, order }: OrderRequest): Promise<boolean | null> {
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -24,6 +24,7 @@
   const [framePort = 0] = await findFreePorts(1);
   const createClient = (rank: number) => ({
     inspect: () => Promise.resolve(null),
+    readPrepared: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(group.inspect(rank)),
     order: (order: HoldOrder) => {
       kinds.push(order.kind);
--- a/packages/ranker/test/ranker.test.ts
+++ b/packages/ranker/test/ranker.test.ts
@@ -1,12 +1,15 @@
 import t from "tap";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { PreparedDigest } from "@clementinemux/ranker/PreparedDigest";
 import { Ranker } from "@clementinemux/ranker/Ranker";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 
+const idleState = { isOpen: true, step: 3, mapVersion: 0, armed: null, heldStep: null };
 const order = { kind: HoldOrderKind.Go as const, rank: 0, epoch: 1, step: 4 };
 
 // Guards against orders of a lead that was replaced while it stood still, and against outcomes that are not counted.
@@ -15,6 +18,7 @@
   const fences: number[] = [];
   const rank = {
     inspect: () => Promise.resolve(null),
+    readPrepared: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: (_: unknown, fence: number) => {
       fences.push(fence);
@@ -50,3 +54,34 @@
   }
   t.match(text, "clementinemux_ranker_fence 6\n");
 });
+
+// Guards against a lead that cannot tell which experts a rank has prepared, and against lists read at each look.
+t.test("the digest of prepared experts is read once for each map", async (t) => {
+  let state = { rank: 0, epoch: 1, preparedVersion: null as number | null };
+  let lists = { version: 4, experts: [[1, 2]] };
+  let reads = 0;
+  const rank = {
+    inspect: () => Promise.reject(new Error("not asked in this test")),
+    inspectState: () => Promise.resolve(null),
+    readPrepared: () => {
+      reads += 1;
+      return Promise.resolve(lists);
+    },
+    order: () => Promise.resolve(null),
+  };
+  const prepared = new PreparedDigest(rank);
+  const read = () => prepared.read({ ...idleState, ...state });
+  t.equal(await read(), null);
+  t.equal(reads, 0);
+  state = { ...state, preparedVersion: 4 };
+  t.equal(await read(), getExpertsDigest([[1, 2]]));
+  t.equal(await read(), getExpertsDigest([[1, 2]]));
+  t.equal(reads, 1);
+  state = { ...state, epoch: 2 };
+  lists = { version: 4, experts: [[3]] };
+  t.equal(await read(), getExpertsDigest([[3]]), "a group that has formed again may prepare other experts");
+  state = { ...state, preparedVersion: 5 };
+  t.equal(await read(), null, "the lists are older than the report");
+  lists = { version: 5, experts: [[7]] };
+  t.equal(await read(), getExpertsDigest([[7]]));
+});
