Name the map, the lead and the way in log lines of orders

Two maps under one version could not be told apart in the logs: orders had no version and no pass, plans no term, and neither had anything of the content. Both now hold a digest of the placement. Orders given directly and refused orders have lines of their own; a refusal by a process that serves another lead was logged as an order without an answer.

--- a/packages/cli/findRequestStory.ts
+++ b/packages/cli/findRequestStory.ts
@@ -13,6 +13,7 @@
   "map planned",
   "member changed",
   "no answer to an order",
+  "order refused",
   "role changed",
   "target changed",
   "target removed",
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -5,6 +5,7 @@
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
@@ -149,13 +150,13 @@
     if (goal === null || places.length < this.#links.length || isTried) {
       return false;
     }
-    const { group, fence, activate, logger } = this.#options;
+    const { fence, activate, logger } = this.#options;
     const { version, epoch } = goal;
     const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
     }
-    logger.info({ group, version, leadSteps, isDone }, "map handed over");
+    logger.info({ ...this.#describe(goal), leadSteps, isDone }, "map handed over");
     return isDone;
   }
 
@@ -196,9 +197,9 @@
     }
   }
 
-  #abandon({ version }: MapGoal, why: string): void {
-    const { group, fence, metrics, logger } = this.#options;
-    logger.warn({ group, version, fence, why }, "map abandoned");
+  #abandon(goal: MapGoal, why: string): void {
+    const { metrics, logger } = this.#options;
+    logger.warn({ ...this.#describe(goal), why }, "map abandoned");
     metrics.maps.add(MapOutcome.Abandoned);
     this.#activation.abandon();
   }
@@ -235,7 +236,7 @@
     loads: readonly Float64Array[],
     nowMs: number,
   ): void {
-    const { group, figures, metrics, logger } = this.#options;
+    const { group, fence, figures, metrics, logger } = this.#options;
     const { placements, spare } = figures;
     const paces = this.#paces;
     const isUrgent = measureSkew(present, loads, paces) > urgentSkew;
@@ -249,36 +250,40 @@
     const highestReported = Math.max(...states.map(getHighestVersion));
     const version = this.#versions.take(highestReported);
     if (version === null) {
-      logger.error(
-        { group, fence: this.#options.fence, highestReported },
-        "no map version left in this term",
-      );
+      logger.error({ group, fence, highestReported }, "no map version left in this term");
       return;
     }
     const epoch = states[0]?.epoch ?? 0;
     this.#aimedAtMs = nowMs;
     this.#copyMs = (plan.newPerRank * figures.expertMb * bitsPerByte * 1000) / figures.linkMbps;
-    this.#activation.aim({ version, epoch, hosting: plan.hosting });
+    const goal = { version, epoch, hosting: plan.hosting };
+    this.#activation.aim(goal);
     metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
     const { isSeparated } = this.#demand;
     const inputs = { presentSkew, plannedSkew, newPerRank, copies, isSeparated, passMs: Math.round(passMs) };
-    logger.info({ group, version, epoch, ...inputs }, "map planned");
+    logger.info({ ...this.#describe(goal), ...inputs }, "map planned");
   }
 
   #adopt(): void {
     const { goal } = this.#activation;
     if (goal !== null) {
-      const { group, clock, metrics, logger } = this.#options;
+      const { clock, metrics, logger } = this.#options;
       const tookMs = Math.round(clock.monotonicMs() - this.#aimedAtMs);
       metrics.maps.add(MapOutcome.InForce);
       metrics.activations.observeMs(tookMs);
-      logger.info({ group, version: goal.version, tookMs }, "map in force");
+      logger.info({ ...this.#describe(goal), tookMs }, "map in force");
       this.#hosting = goal;
       this.#activation.abandon();
     }
   }
 
+  /** Fields of a map in log lines. */
+  #describe({ version, epoch, hosting }: MapGoal) {
+    const { group, fence } = this.#options;
+    return { group, version, epoch, fence, digest: getHostingDigest(hosting) };
+  }
+
   /** Present placement; null when it cannot be had now. */
   async #getHosting(states: readonly HeldRank[]): Promise<RankHosting | null> {
     const { mapVersion = 0, epoch = 0 } = states[0] ?? {};
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -1,9 +1,11 @@
+import type { Logger } from "roarr";
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { LogRecorder } from "@clementinemux/logging/test/LogRecorder";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import { Ranker } from "@clementinemux/ranker/Ranker";
@@ -26,6 +28,8 @@
   formMs: 600,
 };
 const logger = createLogger("test", {});
+/** Version of the first plan of a lead of term 2. */
+const firstVersion = new MapVersions(2).take(0) ?? 0;
 
 function createClock(group: HeldGroup) {
   return { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs };
@@ -34,17 +38,36 @@
 function createLead(
   group: HeldGroup,
   activate: (request: ActivateRequest) => Promise<boolean> = () => Promise.resolve(false),
+  log: Logger = logger,
 ): GroupConductor {
   const clock = createClock(group);
   const metrics = new CoordinatorMetrics();
   const getters = { fence: 2, getGapObjectiveMs: () => 0, activate };
-  return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger });
+  return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger: log });
 }
 
 async function look(lead: GroupConductor, ways: readonly HeldRankWay[]): Promise<void> {
   await lead.step(ways, await Promise.all(ways.map((way) => way.inspect(2, InspectionPart.Counts))));
 }
 
+/** Looks at a group whose requests choose few experts until `isDone`, or for 30 rounds. */
+async function lookUntil(
+  lead: GroupConductor,
+  group: HeldGroup,
+  ways: readonly HeldRankWay[],
+  isDone: () => boolean,
+): Promise<void> {
+  const counts = [0, 0, 0, 0, 0, 0, 0, 0];
+  for (let round = 0; round < 30 && !isDone(); round += 1) {
+    counts.forEach((_, expert) => {
+      counts[expert] = (counts[expert] ?? 0) + (expert % 4 === 0 ? 9000 : 100);
+    });
+    ways[0]!.counts = [...counts];
+    await look(lead, ways);
+    group.advance(30);
+  }
+}
+
 // Guards against a new lead that reads the placement of all ranks while its predecessor's hold stops their group.
 t.test("a new lead completes what was begun before it reads anything else", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
@@ -73,22 +96,44 @@
     handedOver.push(request);
     return Promise.resolve(false);
   });
-  const counts = [0, 0, 0, 0, 0, 0, 0, 0];
-  for (let round = 0; round < 30 && group.ranks.some(({ mapVersion }) => mapVersion === 0); round += 1) {
-    counts.forEach((_, expert) => {
-      counts[expert] = (counts[expert] ?? 0) + (expert % 4 === 0 ? 9000 : 100);
-    });
-    ways[0]!.counts = [...counts];
-    await look(lead, ways);
-    group.advance(30);
-  }
-  const version = new MapVersions(2).take(0);
-  t.match(handedOver, [{ fence: 2, version, epoch: 1, places: [{ address: "rank-0:1" }] }]);
+  await lookUntil(lead, group, ways, () => group.ranks.every(({ mapVersion }) => mapVersion > 0));
+  t.match(handedOver, [{ fence: 2, version: firstVersion, epoch: 1, places: [{ address: "rank-0:1" }] }]);
   t.equal(handedOver.length, 1);
-  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === version && heldStep === null));
+  t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === firstVersion && heldStep === null));
   t.equal(group.mixedPasses, 0);
 });
 
+// Guards against two maps under one version that cannot be told apart, nor their leads, in the logs.
+t.test("the lines of a map name its lead and its content", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  const log = new LogRecorder();
+  const lead = createLead(group, () => Promise.resolve(false), log.logger);
+  await lookUntil(lead, group, ways, () => log.find("map in force").length > 0);
+  const [planned] = log.find("map planned");
+  t.match(planned?.context.digest, /^[0-9a-f]{8}$/);
+  const context = { group: "g", version: firstVersion, epoch: 1, fence: 2, digest: planned?.context.digest };
+  for (const event of ["map planned", "map handed over", "map in force"]) {
+    t.match(log.find(event), [{ level: "info", context }], event);
+  }
+  t.same(log.find("map abandoned"), []);
+});
+
+t.test("the line of an abandoned map names its lead and its content", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  const log = new LogRecorder();
+  const lead = createLead(group, () => Promise.resolve(false), log.logger);
+  await lookUntil(lead, group, ways, () => log.find("map planned").length > 0);
+  const [planned] = log.find("map planned");
+  group.form();
+  group.advance(30);
+  await look(lead, ways);
+  const context = { group: "g", version: firstVersion, epoch: 1, fence: 2, digest: planned?.context.digest };
+  t.match(log.find("map abandoned"), [{ level: "warn", context }]);
+  t.type(planned?.context.digest, "string");
+});
+
 // Guards against direct inspections, which are priced, of a group that is merely between two passes.
 t.test("a silent neighbour is passed by only when the group may be held", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
--- /dev/null
+++ b/packages/logging/test/LogRecorder.ts
@@ -0,0 +1,26 @@
+import type { Logger, MessageContext } from "roarr";
+
+interface RecordedLine {
+  readonly level: "debug" | "info" | "warn" | "error";
+  readonly event: string;
+  readonly context: MessageContext;
+}
+
+/** Keeps the lines that are logged, for tests that read them. */
+export class LogRecorder {
+  readonly #lines: RecordedLine[] = [];
+
+  get logger(): Logger {
+    const methods = Object.fromEntries(
+      (["debug", "info", "warn", "error"] as const).map((level) => [
+        level,
+        (context: MessageContext, event: string) => this.#lines.push({ level, event, context }),
+      ]),
+    );
+    return methods as unknown as Logger;
+  }
+
+  find(event: string): RecordedLine[] {
+    return this.#lines.filter((line) => line.event === event);
+  }
+}
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -10,10 +10,12 @@
 import type { InspectRequest } from "./InspectRequest";
 import type { InspectionPart } from "./InspectionPart";
 import type { OrderOutcome } from "./OrderOutcome";
+import { OrderWay } from "./OrderWay";
 import type { PackedInspection } from "./PackedInspection";
 import type { RankClient } from "./RankClient";
 import type { RankInspection } from "./RankInspection";
 import type { RankPlace } from "./RankPlace";
+import { describeOrder } from "./describeOrder";
 import { getOrderOutcome } from "./getOrderOutcome";
 import type { RankWay } from "./RankWay";
 
@@ -65,27 +67,58 @@
    * replaced within a second or two.
    */
   async order(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { direct, orders } = this.#options;
+    const { orders } = this.#options;
     const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
     const answer = isDirect
-      ? ((await direct.order(order, fence)) ?? (await this.#orderByRanker(fence, order)))
-      : ((await this.#orderByRanker(fence, order)) ?? (await direct.order(order, fence)));
+      ? ((await this.#orderDirectly(fence, order)) ?? (await this.#orderByRanker(fence, order)))
+      : ((await this.#orderByRanker(fence, order)) ?? (await this.#orderDirectly(fence, order)));
     orders.add(getOrderOutcome(answer));
     return answer;
   }
 
+  /** Logs what the rank answered; an order without an answer is logged by the direct way itself. */
+  async #orderDirectly(fence: number, order: HoldOrder): Promise<boolean | null> {
+    const { direct, logger } = this.#options;
+    const isConfirmed = await direct.order(order, fence);
+    if (isConfirmed === true) {
+      logger.info({ ...this.#describe(fence, order, OrderWay.Direct), isConfirmed }, "order given");
+    }
+    if (isConfirmed === false) {
+      logger.warn(this.#describe(fence, order, OrderWay.Direct), "order refused");
+    }
+    return isConfirmed;
+  }
+
+  /** Logs orders that are not confirmed; the process beside the rank logs what it gives. */
   async #orderByRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
     const { links, place, logger } = this.#options;
     const { rankerAddress } = place;
     const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
     return answer.caseOf({
       Left: ({ code, message }) => {
-        const { kind, rank } = order;
-        logger.warn({ kind, rank, rankerAddress, why: message }, "no answer to an order");
         // A process that has answered serves another lead.
-        return code === WireErrorCode.Remote ? false : null;
+        const isRefused = code === WireErrorCode.Remote;
+        const line = { ...this.#describe(fence, order, OrderWay.Ranker), why: message };
+        logger.warn(line, isRefused ? "order refused" : "no answer to an order");
+        return isRefused ? false : null;
+      },
+      Right: (body) => {
+        const isConfirmed = body as boolean | null;
+        if (isConfirmed === false) {
+          logger.warn(this.#describe(fence, order, OrderWay.Ranker), "order refused");
+        }
+        return isConfirmed;
       },
-      Right: (body) => body as boolean | null,
     });
   }
+
+  #describe(fence: number, order: HoldOrder, way: OrderWay) {
+    const { address, rankerAddress } = this.#options.place;
+    return {
+      ...describeOrder(order),
+      fence,
+      way,
+      address: way === OrderWay.Direct ? address : rankerAddress,
+    };
+  }
 }
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -13,9 +13,11 @@
 import { InspectionPart } from "./InspectionPart";
 import { OrderOutcome } from "./OrderOutcome";
 import type { OrderRequest } from "./OrderRequest";
+import { OrderWay } from "./OrderWay";
 import type { PackedInspection } from "./PackedInspection";
 import { PreparedDigest } from "./PreparedDigest";
 import type { RankClient } from "./RankClient";
+import { describeOrder } from "./describeOrder";
 import { getOrderOutcome } from "./getOrderOutcome";
 
 interface RankerOptions {
@@ -92,8 +94,8 @@
     this.#check(fence);
     const isConfirmed = await this.#options.rank.order(order, fence);
     this.#orders.add(getOrderOutcome(isConfirmed));
-    const { kind, rank, epoch } = order;
-    this.#options.logger.info({ kind, rank, epoch, fence, isConfirmed }, "order given");
+    const line = { ...describeOrder(order), fence, way: OrderWay.Ranker, isConfirmed };
+    this.#options.logger.info(line, "order given");
     return isConfirmed;
   }
 
--- /dev/null
+++ b/packages/ranker/test/orderLines.test.ts
@@ -0,0 +1,136 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
+import { LogRecorder } from "@clementinemux/logging/test/LogRecorder";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { RankLink } from "@clementinemux/ranker/RankLink";
+import { Ranker } from "@clementinemux/ranker/Ranker";
+import { describeOrder } from "@clementinemux/ranker/describeOrder";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+
+interface Tap {
+  teardown(action: () => Promise<void>): void;
+}
+
+const hosting = [[[0, 2], [1]]];
+const digest = getHostingDigest(hosting);
+const ids = { rank: 1, epoch: 4 };
+const prepare: HoldOrder = { kind: HoldOrderKind.Prepare, ...ids, version: 16, hosting };
+const arm: HoldOrder = { kind: HoldOrderKind.Arm, ...ids, version: 16, step: 290 };
+const go: HoldOrder = { kind: HoldOrderKind.Go, ...ids, step: 290 };
+const address = "127.0.0.1:9";
+
+/** A link to a rank that gives `answer` to all orders, with a process beside it unless `isAlone`. */
+async function start(t: Tap, answer: boolean | null, isAlone = false) {
+  const lead = new LogRecorder();
+  const beside = new LogRecorder();
+  const rank = {
+    inspect: () => Promise.resolve(null),
+    readPrepared: () => Promise.resolve(null),
+    inspectState: () => Promise.resolve(null),
+    order: () => Promise.resolve(answer),
+  };
+  const host = "127.0.0.1";
+  const [framePort = 0] = await findFreePorts(1);
+  const clock = new SystemClock();
+  const ranker = new Ranker({ host, framePort, metricsPort: null, clock, rank, logger: beside.logger });
+  if (!isAlone) {
+    await ranker.start();
+  }
+  const links = new PeerLinks(undefined);
+  t.teardown(async () => {
+    links.close();
+    await ranker.close();
+  });
+  const rankerAddress = `${host}:${framePort}`;
+  const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
+  const place = { address, rankerAddress };
+  const link = new RankLink({ links, place, direct: rank, orders, logger: lead.logger });
+  return { link, lead, beside, rankerAddress };
+}
+
+// Guards against lines that do not say which map an order is about.
+t.test("an order is described by its version, pass and digest", (t) => {
+  t.same(describeOrder(prepare), { kind: "prepare", ...ids, version: 16, digest });
+  t.same(describeOrder(arm), { kind: "arm", ...ids, version: 16, step: 290 });
+  t.same(describeOrder({ kind: HoldOrderKind.Disarm, ...ids, version: 16 }), {
+    kind: "disarm",
+    ...ids,
+    version: 16,
+  });
+  t.same(describeOrder({ kind: HoldOrderKind.Hold, ...ids, step: 290 }), { kind: "hold", ...ids, step: 290 });
+  t.same(describeOrder(go), { kind: "go", ...ids, step: 290 });
+  t.end();
+});
+
+// Guards against an order whose content cannot be compared with that of the plan.
+t.test("the process beside a rank logs the map of an order", async (t) => {
+  const { link, lead, beside } = await start(t, true);
+  t.equal(await link.order(3, prepare), true);
+  const context = {
+    kind: "prepare",
+    ...ids,
+    version: 16,
+    digest,
+    fence: 3,
+    way: "ranker",
+    isConfirmed: true,
+  };
+  t.same(beside.find("order given"), [{ level: "info", event: "order given", context }]);
+  t.same(lead.find("order given"), []);
+  t.same(lead.find("order refused"), []);
+});
+
+// Guards against orders of a lead that leave no trace because they passed the process beside the rank by.
+t.test("a direct order is logged by the lead", async (t) => {
+  const { link, lead, beside } = await start(t, true);
+  t.equal(await link.order(3, go), true);
+  const context = { kind: "go", ...ids, step: 290, fence: 3, way: "direct", address, isConfirmed: true };
+  t.same(lead.find("order given"), [{ level: "info", event: "order given", context }]);
+  t.same(beside.find("order given"), []);
+});
+
+// Guards against refusals, the sign of a version that stands for two maps, that look like any other line.
+t.test("a refused order is a warning that names its way", async (t) => {
+  const { link, lead, beside, rankerAddress } = await start(t, false);
+  t.equal(await link.order(3, prepare), false);
+  t.equal(await link.order(3, go), false);
+  const fields = { kind: "prepare", ...ids, version: 16, digest, fence: 3 };
+  t.same(lead.find("order refused"), [
+    { level: "warn", event: "order refused", context: { ...fields, way: "ranker", address: rankerAddress } },
+    {
+      level: "warn",
+      event: "order refused",
+      context: { kind: "go", ...ids, step: 290, fence: 3, way: "direct", address },
+    },
+  ]);
+  t.match(beside.find("order given"), [{ context: { kind: "prepare", isConfirmed: false } }]);
+});
+
+// Guards against orders of a replaced lead that are taken for orders without an answer.
+t.test("an order of a replaced lead is logged as refused", async (t) => {
+  const { link, lead, beside } = await start(t, true);
+  await link.order(5, arm);
+  t.equal(await link.order(3, arm), false);
+  t.match(lead.find("order refused"), [
+    { level: "warn", context: { version: 16, step: 290, fence: 3, way: "ranker", why: /term 5/ } },
+  ]);
+  t.same(lead.find("no answer to an order"), []);
+  t.equal(beside.find("order given").length, 1);
+});
+
+// Guards against an order to prepare that may be carried out late and does not say which map it had.
+t.test("an order without an answer is logged with its map, and given directly", async (t) => {
+  const { link, lead } = await start(t, true, true);
+  t.equal(await link.order(3, prepare), true);
+  t.match(lead.find("no answer to an order"), [
+    { level: "warn", context: { kind: "prepare", version: 16, digest, fence: 3, way: "ranker" } },
+  ]);
+  t.match(lead.find("order given"), [
+    { level: "info", context: { kind: "prepare", version: 16, digest, fence: 3, way: "direct" } },
+  ]);
+});
