--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -181,7 +181,8 @@
     }
     const { links, framePort, openRank, metrics, logger } = this.#options;
     const place = { address, rankerAddress: `${parseAddress(address).host}:${framePort}` };
-    const link = new RankLink({ links, place, direct: openRank(address), orders: metrics.orders, logger });
+    const { orders, refusedOrders } = metrics;
+    const link = new RankLink({ links, place, direct: openRank(address), orders, refusedOrders, logger });
     this.#links.set(address, link);
     return link;
   }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -85,8 +85,9 @@
     this.#metricsPage = new MetricsPage({ role: "coordinator", host, port, clock, render });
     const settings = createLogSettings(options);
     const links = this.#links;
-    const { orders } = this.metrics;
-    this.#activator = new MapActivator({ links, openRank: options.openRank, orders, clock, logger });
+    const { orders, refusedOrders } = this.metrics;
+    const { openRank } = options;
+    this.#activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
     const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null };
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, ...replicas });
     this.#sync = new SyncService({
--- a/packages/control/routes/CoordinatorMetrics.ts
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -1,3 +1,4 @@
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
@@ -14,6 +15,11 @@
   );
   readonly maps = new Counters("clementinemux_coordinator_maps", "outcome", Object.values(MapOutcome));
   readonly orders = new Counters("clementinemux_coordinator_orders", "outcome", Object.values(OrderOutcome));
+  readonly refusedOrders = new Counters(
+    "clementinemux_coordinator_refused_orders",
+    "kind",
+    Object.values(HoldOrderKind),
+  );
   /** From the arrival of a document to its acknowledgement. */
   readonly acknowledgements = new TimeHistogram("clementinemux_coordinator_acknowledgement_seconds");
   /** From the plan of a map until it is in force on all ranks. */
@@ -24,6 +30,7 @@
       renderCounters(this.documents),
       renderCounters(this.maps),
       renderCounters(this.orders),
+      renderCounters(this.refusedOrders),
       this.acknowledgements.render(),
       this.activations.render(),
     ].join("");
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -17,6 +17,7 @@
   /** Opens the direct way to a rank at its address. */
   readonly openRank: (address: string) => RankClient;
   readonly orders: Counters<OrderOutcome>;
+  readonly refusedOrders: Counters<HoldOrderKind>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -58,8 +59,9 @@
     if (known !== undefined) {
       return known;
     }
-    const { links, openRank, orders, logger } = this.#options;
-    const way = new RankLink({ links, place, direct: openRank(place.address), orders, logger });
+    const { links, openRank, orders, refusedOrders, logger } = this.#options;
+    const direct = openRank(place.address);
+    const way = new RankLink({ links, place, direct, orders, refusedOrders, logger });
     this.#ways.set(place.address, way);
     return way;
   }
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -25,6 +25,7 @@
   /** The rank itself, used when the process beside it does not answer; that way is priced by the platform. */
   readonly direct: RankClient;
   readonly orders: Counters<OrderOutcome>;
+  readonly refusedOrders: Counters<HoldOrderKind>;
   readonly logger: Logger;
 }
 
@@ -67,12 +68,15 @@
    * replaced within a second or two.
    */
   async order(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { orders } = this.#options;
+    const { orders, refusedOrders } = this.#options;
     const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
     const answer = isDirect
       ? ((await this.#orderDirectly(fence, order)) ?? (await this.#orderByRanker(fence, order)))
       : ((await this.#orderByRanker(fence, order)) ?? (await this.#orderDirectly(fence, order)));
     orders.add(getOrderOutcome(answer));
+    if (answer === false) {
+      refusedOrders.add(order.kind);
+    }
     return answer;
   }
 
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -47,7 +47,8 @@
   });
   const openRank = (address: string) => createClient(places.findIndex((place) => place.address === address));
   const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
-  const activator = new MapActivator({ links, openRank, orders, clock, logger });
+  const refusedOrders = new Counters("refused", "kind", Object.values(HoldOrderKind));
+  const activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
   const states = group.ranks.map((state) => ({ ...state }));
   const request = { fence: 3, version: 1, epoch: 1, leadSteps: 2, places, states };
   return { activator, request, kinds };
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -49,8 +49,9 @@
   const rankerAddress = `${host}:${framePort}`;
   const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
   const place = { address, rankerAddress };
-  const link = new RankLink({ links, place, direct: rank, orders, logger: lead.logger });
-  return { link, lead, beside, rankerAddress };
+  const refusedOrders = new Counters("refused", "kind", Object.values(HoldOrderKind));
+  const link = new RankLink({ links, place, direct: rank, orders, refusedOrders, logger: lead.logger });
+  return { link, lead, beside, rankerAddress, refusedOrders };
 }
 
 // Guards against lines that do not say which map an order is about.
@@ -96,7 +97,7 @@
 
 // Guards against refusals, the sign of a version that stands for two maps, that look like any other line.
 t.test("a refused order is a warning that names its way", async (t) => {
-  const { link, lead, beside, rankerAddress } = await start(t, false);
+  const { link, lead, beside, rankerAddress, refusedOrders } = await start(t, false);
   t.equal(await link.order(3, prepare), false);
   t.equal(await link.order(3, go), false);
   const fields = { kind: "prepare", ...ids, version: 16, digest, fence: 3 };
@@ -109,6 +110,8 @@
     },
   ]);
   t.match(beside.find("order given"), [{ context: { kind: "prepare", isConfirmed: false } }]);
+  const counts = { prepare: 1, hold: 0, arm: 0, disarm: 0, go: 1 };
+  t.same(Object.fromEntries(refusedOrders.entries()), counts, "refusals are counted by kind");
 });
 
 // Guards against orders of a replaced lead that are taken for orders without an answer.
