Read the sockets before a timeout of the gateway ends a connection

A gateway that was stopped or blocked for longer than its header timeout or its idle timeout ended connections on which whole requests waited: on waking, its timers run before its sockets are read. The same held for a request whose headers arrived in two parts, the second during the standstill.

The server now reads its sockets first. A connection on which bytes waited gets its timeout once more; one without is ended at once, as before. Node reports a late request only once, so the rest of it is limited here.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -23,6 +23,7 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 
 /** Bounds before the first document is known. */
 const firstLimits: CallerLimits = {
@@ -235,7 +236,7 @@
         this.#sockets.delete(socket);
       });
     });
-    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    postponeTimeouts(server, (error, socket) => {
       this.#options.logger.warn({ code: error.code ?? "", error: error.message }, "malformed request");
       if (socket.writable && error.code !== "ECONNRESET") {
         const status =
--- /dev/null
+++ b/packages/wire/test/postponeTimeouts.test.ts
@@ -0,0 +1,60 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
+import { RawConnection } from "./helpers/RawConnection";
+import { blockEventLoop } from "./helpers/blockEventLoop";
+
+// Only a hang reaches this.
+t.setTimeout(60_000);
+
+const limits = { headersTimeout: 300, requestTimeout: 500, connectionsCheckingInterval: 100 };
+const standstillMs = 1000;
+const head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n";
+
+async function startServer() {
+  const codes: (string | undefined)[] = [];
+  const server = createServer(limits, (request, response) => {
+    request.resume().on("end", () => response.end("ok"));
+  });
+  postponeTimeouts(server, (error, socket) => {
+    codes.push(error.code);
+    socket.destroy();
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const stop = (): void => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { port: (server.address() as AddressInfo).port, codes, stop };
+}
+
+// Guards against a body that waited in the socket while the process stood still, and counted as late.
+t.test("a body that arrived during a standstill is read", async (t) => {
+  const { port, codes, stop } = await startServer();
+  const [connection] = (await RawConnection.openAll(port, 1)) as [RawConnection];
+  connection.send(`${head}\r\nbo`);
+  await delay(50);
+  connection.send("dy");
+  blockEventLoop(standstillMs);
+  await connection.waitFor("ok");
+  t.match(connection.text, /^HTTP\/1.1 200/);
+  t.same(codes, []);
+  stop();
+});
+
+// Guards against requests without any limit: Node forgets a request that it has once reported as late.
+t.test("a request of which a part arrived during a standstill stays limited", async (t) => {
+  const { port, codes, stop } = await startServer();
+  const [body, headers] = (await RawConnection.openAll(port, 2)) as [RawConnection, RawConnection];
+  body.send(`${head}\r\nb`);
+  headers.send(head);
+  await delay(50);
+  body.send("o");
+  headers.send("\r\nb");
+  blockEventLoop(standstillMs);
+  await Promise.all([body.waitForClose(), headers.waitForClose()]);
+  t.same(codes, ["ERR_HTTP_REQUEST_TIMEOUT", "ERR_HTTP_REQUEST_TIMEOUT"]);
+  stop();
+});
