--- /dev/null
+++ b/packages/agent/test/agentServer.test.ts
@@ -0,0 +1,71 @@
+import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { createAgentServer } from "@clementinemux/agent/createAgentServer";
+import { RawConnection } from "../../wire/test/helpers/RawConnection";
+import { blockEventLoop } from "../../wire/test/helpers/blockEventLoop";
+
+// Only a hang reaches this.
+t.setTimeout(60_000);
+
+/** Longer than the header timeout of the agent and the interval of its check. */
+const standstillMs = 6500;
+const head = "POST /v1/x HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n";
+
+async function startServer() {
+  const server = await createAgentServer({ maxConnections: 10, tls: undefined }, (request, response) => {
+    request.resume();
+    if (request.url === "/v1/begun") {
+      response.write("begun");
+    } else {
+      response.writeHead(503).end("not run");
+    }
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const stop = (): void => {
+    server.closeAllConnections();
+    server.close();
+  };
+  return { server, port: (server.address() as AddressInfo).port, stop };
+}
+
+// Guards against an agent that wakes and closes open connections on which requests wait: their senders can't tell
+// whether the requests were run, and may not send them elsewhere.
+t.test("an agent that stood still answers requests on open connections", async (t) => {
+  const { port, stop } = await startServer();
+  const [fresh, split] = (await RawConnection.openAll(port, 2)) as [RawConnection, RawConnection];
+  split.send(head);
+  await delay(50);
+  split.send("\r\n{}");
+  fresh.send(`${head}\r\n{}`);
+  blockEventLoop(standstillMs);
+  for (const [name, connection] of Object.entries({ fresh, split })) {
+    await connection.waitFor("not run");
+    t.match(connection.text, /^HTTP\/1.1 503/, name);
+  }
+  stop();
+});
+
+// Guards the answers of the agent to malformed and slow requests.
+t.test("malformed and slow requests are answered and their connections closed", async (t) => {
+  const { server, port, stop } = await startServer();
+  server.headersTimeout = 300;
+  server.requestTimeout = 300;
+  const [malformed, large, slow, begun] = (await RawConnection.openAll(port, 4)) as [
+    RawConnection,
+    RawConnection,
+    RawConnection,
+    RawConnection,
+  ];
+  malformed.send("no request\r\n\r\n");
+  large.send(`${head}x-large: ${"x".repeat(20_000)}\r\n\r\n`);
+  slow.send(head);
+  begun.send(`${head.replace("/v1/x", "/v1/begun")}\r\n{`);
+  await Promise.all([malformed, large, slow, begun].map((connection) => connection.waitForClose()));
+  t.match(malformed.text, /^HTTP\/1.1 400 Bad Request\r\nConnection: close\r\n\r\n/);
+  t.match(large.text, /^HTTP\/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n\r\n/);
+  t.match(slow.text, /^HTTP\/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n/);
+  t.match(begun.text, /^HTTP\/1.1 200/);
+  t.notMatch(begun.text, /408/);
+  stop();
+});
