Add a failing test for a target that is heard again after a silence

Gateways ask a coordinator for what differs from the list that they hold, named by the start of the coordinator and the number of its last change. A target that falls silent counts as a change, its return does not, so that one number names the list without the target and the list with it.

--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -94,6 +94,28 @@
   t.end();
 });
 
+// Guards against gateways that never use a target again after its machine stood still: they ask only for what differs
+// from the list that they hold, and the list with the target had the same number as the one without it.
+t.test("a target that is heard again after a silence is a change", (t) => {
+  const registry = new TargetRegistry();
+  const expectChange = (what: string, nowMs: number, action: () => void): void => {
+    const before = registry.changes;
+    action();
+    t.equal(registry.list(nowMs).length, 1, what);
+    t.ok(registry.changes > before, `${what}: gateways learn of it`);
+  };
+  registry.put(target(), 0);
+  registry.expire(4600, 4400);
+  expectChange("its own heartbeat", 5000, () => registry.put(target({ sequence: 2 }), 5000));
+  registry.expire(9600, 9400);
+  expectChange("news of another coordinator, heard before the silence was noticed", 9700, () =>
+    registry.put(target({ sequence: 2 }), 9450, "peer"),
+  );
+  t.same(registry.list(14_000), [], "a list is asked for before the silence is looked for");
+  expectChange("a heartbeat after such a list", 14_010, () => registry.put(target({ sequence: 3 }), 14_010));
+  t.end();
+});
+
 t.test("news is passed to other peers than the one that brought it", (t) => {
   const registry = new TargetRegistry();
   registry.put(target(), 10, "peer-a");
