Count the return of a silent target as a change of the target list

A target that was heard again after 4.5 s of silence (its machine stood still or was cut off) stayed missing at the gateways until another target changed: its return did not change the number that names the list. The registry now notes for each record whether the target is silent, and list and number are read together. Run: registry, coordinators and cores tests.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -292,7 +292,7 @@
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const isLate = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
-    this.targets.expire(nowMs, this.#tickedAtMs);
+    this.targets.expire(nowMs);
     this.#tickedAtMs = nowMs;
     // After a stall of its own the process reads what has arrived before it judges others.
     if (!isLate) {
--- a/packages/registry/RegistryRecord.ts
+++ b/packages/registry/RegistryRecord.ts
@@ -9,4 +9,6 @@
   readonly via: string | null;
   /** Change of this registry that brought the record into its present state. */
   readonly changedAt: number;
+  /** Whether the target was found silent and has not been heard since, so that gateways are not told of it. */
+  readonly isSilent: boolean;
 }
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -21,7 +21,9 @@
   put(news: TargetRecord, heardAtMs: number, via: string | null = null): boolean {
     const known = this.#records.get(news.id);
     if (known !== undefined && !isNewer(news, known.target)) {
-      this.#noteHeard(known, news, heardAtMs, via);
+      if (isSameCall(news, known.target) && heardAtMs > known.heardAtMs) {
+        this.#noteHeard({ ...known, via }, heardAtMs);
+      }
       return news.isLeaving && this.markLeaving(news);
     }
     const target = { ...news, isLeaving: news.isLeaving || isLeavingLife(known, news) };
@@ -29,12 +31,11 @@
       return false;
     }
     if (known !== undefined && isAlike(known.target, target)) {
-      const heard = Math.max(heardAtMs, known.heardAtMs);
-      this.#records.set(target.id, { ...known, target, heardAtMs: heard, via });
+      this.#noteHeard({ ...known, target, via }, heardAtMs);
       return true;
     }
     this.#changes += 1;
-    this.#records.set(target.id, { target, heardAtMs, via, changedAt: this.#changes });
+    this.#records.set(target.id, { target, heardAtMs, via, changedAt: this.#changes, isSilent: false });
     return true;
   }
 
@@ -58,14 +59,15 @@
     }
     const target = { ...known.target, isGone: true, isDraining: true };
     this.#changes += 1;
-    this.#records.set(id, { target, heardAtMs, via: null, changedAt: this.#changes });
+    this.#records.set(id, { ...known, target, heardAtMs, via: null, changedAt: this.#changes });
     return target;
   }
 
-  /** Targets that gateways may use or have to drain. */
+  /** Targets that gateways may use or have to drain. `changes`, read afterwards, names this list. */
   list(nowMs: number): TargetRecord[] {
+    this.#findSilent(nowMs);
     return [...this.#records.values()]
-      .filter(({ target, heardAtMs }) => !target.isGone && nowMs - heardAtMs < silenceMs)
+      .filter(({ target, isSilent }) => !target.isGone && !isSilent)
       .map(({ target }) => target);
   }
 
@@ -85,25 +87,35 @@
   }
 
   /** Drops old records; a target that fell silent counts as a change. */
-  expire(nowMs: number, sinceMs: number): void {
-    for (const [id, { target, heardAtMs }] of this.#records) {
+  expire(nowMs: number): void {
+    this.#findSilent(nowMs);
+    for (const [id, { heardAtMs }] of this.#records) {
       if (nowMs - heardAtMs > tombstoneMs) {
         this.#records.delete(id);
       }
-      const wasNamed = !target.isGone && sinceMs - heardAtMs < silenceMs;
-      if (wasNamed && nowMs - heardAtMs >= silenceMs) {
-        this.#changes += 1;
-      }
     }
   }
 
-  #noteHeard(known: RegistryRecord, target: TargetRecord, heardAtMs: number, via: string | null): void {
-    const isSame = known.target.bornMs === target.bornMs && known.target.sequence === target.sequence;
-    if (isSame && heardAtMs > known.heardAtMs) {
-      this.#records.set(target.id, { ...known, heardAtMs, via });
+  #findSilent(nowMs: number): void {
+    for (const [id, record] of this.#records) {
+      if (!record.isSilent && nowMs - record.heardAtMs >= silenceMs) {
+        this.#changes += record.target.isGone ? 0 : 1;
+        this.#records.set(id, { ...record, isSilent: true });
+      }
     }
   }
 
+  /** Stores a record whose target was heard; one that was silent returns to the list, which is a change. */
+  #noteHeard(record: RegistryRecord, heardAtMs: number): void {
+    const isBack = record.isSilent && heardAtMs > record.heardAtMs;
+    this.#changes += isBack && !record.target.isGone ? 1 : 0;
+    this.#records.set(record.target.id, {
+      ...record,
+      heardAtMs: Math.max(heardAtMs, record.heardAtMs),
+      isSilent: record.isSilent && !isBack,
+    });
+  }
+
   /** An address belongs to the target that started last. */
   #isSuperseded({ id, address, bornMs }: TargetRecord): boolean {
     for (const { target } of this.#records.values()) {
@@ -137,6 +149,11 @@
   return left.sequence > right.sequence;
 }
 
+/** Whether two records come from the same call of a target, by way of different coordinators. */
+function isSameCall(left: TargetRecord, right: TargetRecord): boolean {
+  return left.bornMs === right.bornMs && left.sequence === right.sequence;
+}
+
 function isLeavingLife(known: RegistryRecord | undefined, { bornMs }: TargetRecord): boolean {
   return known?.target.bornMs === bornMs && known.target.isLeaving;
 }
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -86,9 +86,9 @@
   const registry = new TargetRegistry();
   registry.put(target(), 0);
   const before = registry.changes;
-  registry.expire(4400, 4300);
+  registry.expire(4400);
   t.equal(registry.changes, before);
-  registry.expire(4600, 4400);
+  registry.expire(4600);
   t.ok(registry.changes > before);
   t.same(registry.list(4600), []);
   t.end();
@@ -105,9 +105,9 @@
     t.ok(registry.changes > before, `${what}: gateways learn of it`);
   };
   registry.put(target(), 0);
-  registry.expire(4600, 4400);
+  registry.expire(4600);
   expectChange("its own heartbeat", 5000, () => registry.put(target({ sequence: 2 }), 5000));
-  registry.expire(9600, 9400);
+  registry.expire(9600);
   expectChange("news of another coordinator, heard before the silence was noticed", 9700, () =>
     registry.put(target({ sequence: 2 }), 9450, "peer"),
   );
