End the orders of a map activator before the lead can go on to another map

The process that an activation is handed to gives orders for 200 ms after the receipt and none after that. Before, one that stood still for longer could disarm a rank of a later map by states read before and after its stop. An order that the way to a rank gives a second time by its other connection is not covered.

--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -1,6 +1,8 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import type { Counters } from "@clementinemux/metrics/Counters";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -22,6 +24,12 @@
   readonly logger: Logger;
 }
 
+/**
+ * Time after the receipt of a request in which orders are given. The lead gives them itself after 70 ms without an answer,
+ * under the same fencing number, and takes longer than this to copy experts for its next map and hold the group for it.
+ */
+const orderWindowMs = 200;
+
 /** Gives the orders of an activation for the lead of a group, from another process than the lead's. */
 export class MapActivator {
   readonly #options: MapActivatorOptions;
@@ -31,27 +39,27 @@
     this.#options = options;
   }
 
-  /** Resolves with true when all orders were given. A lead that hears no answer goes on itself. */
+  /**
+   * Resolves with whether the time for orders sufficed. A lead that hears no answer goes on itself, so that a process that
+   * stood still must neither order anything nor judge by states that it has read before and after that.
+   */
   async activate(request: ActivateRequest): Promise<boolean> {
     const { fence, version, epoch, leadSteps, places, states } = request;
+    const { clock, logger } = this.#options;
+    const endMs = clock.monotonicMs() + orderWindowMs;
+    const isOver = (): boolean => clock.monotonicMs() >= endMs;
     const ways = places.map((place) => this.#getWay(place));
     const activation = new GroupActivation({
-      inspect: async (rank) =>
-        (await ways[rank]?.inspect(fence, InspectionPart.None))?.state ??
-        ways[rank]?.inspectDirectly() ??
-        null,
-      // A rank that is no longer prepared is the lead's matter: only it knows the whole map.
-      order: async (order) =>
-        order.kind === HoldOrderKind.Prepare
-          ? false
-          : ((await ways[order.rank]?.order(fence, order)) ?? null),
-      nowMs: () => this.#options.clock.monotonicMs(),
+      inspect: (rank) => (isOver() ? Promise.resolve(null) : inspect(ways[rank], fence)),
+      order: (order) => (isOver() ? Promise.resolve(null) : give(ways[order.rank], fence, order)),
+      nowMs: () => clock.monotonicMs(),
       leadSteps,
     });
     activation.aim({ version, epoch, hosting: [] });
     await activation.advance(states);
-    this.#options.logger.info({ version, epoch, fence, leadSteps }, "map activated");
-    return true;
+    const isInTime = !isOver();
+    logger.info({ version, epoch, fence, leadSteps, isInTime }, "orders of an activation given");
+    return isInTime;
   }
 
   #getWay(place: RankPlace): RankWay {
@@ -66,3 +74,12 @@
     return way;
   }
 }
+
+async function inspect(way: RankWay | undefined, fence: number): Promise<HeldRank | null> {
+  return (await way?.inspect(fence, InspectionPart.None))?.state ?? way?.inspectDirectly() ?? null;
+}
+
+async function give(way: RankWay | undefined, fence: number, order: HoldOrder): Promise<boolean | null> {
+  // A rank that is no longer prepared is the lead's matter: only it knows the whole map.
+  return order.kind === HoldOrderKind.Prepare ? false : ((await way?.order(fence, order)) ?? null);
+}
