Add a failing test for a late copy of a refusal

A target may send an answer a second time at the point where the next answer is expected; the request's id tells such a copy apart. A request that was turned away by ranks that form their group goes to the same target again under the same id, over the same kept connection, so that the copy of the first refusal counts as the answer to the second try. The request that runs meanwhile is then sent once more: three runs of a request that may run once.

--- /dev/null
+++ b/packages/gateway/test/repeatedId.test.ts
@@ -0,0 +1,51 @@
+import type { Socket } from "node:net";
+import t from "tap";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import { createDocument } from "../../routes/test/createDocument";
+import { TestTarget } from "./TestTarget";
+import { answers } from "./answers";
+import { startGateway } from "./startGateway";
+
+const experts = {
+  ...{ layerSets: 4, expertsPerSet: 64, placements: 11, spare: 2, expertMb: 2500, expertShare: 0.8 },
+  ...{ linkMbps: 180_000, formMs: 600 },
+};
+const engine = {
+  ...{ slots: 8, kvCapacityTokens: 100_000, stride: 4, stepMs: 4.5, perSequenceMs: 1 },
+  ...{ perThousandContextMs: 0, readPerSecond: 60_000, chunkTokens: 512 },
+  ...{ meanPromptTokens: 800, meanAnswerTokens: 100, experts },
+};
+const service: RoutedService = { name: "app", healthPath: "/health", maxConnections: 100, engine };
+/** Targets turn this many requests away, after which the group is there. */
+const turnedAway = 2;
+
+// Guards against a request that runs twice, or is refused although it has run: it goes to the same target again under the
+// same id once its group has formed, and a late copy of the refusal that it met there before bears that id as well.
+t.test("a late copy of a refusal is not taken for the answer to the next try", async (t) => {
+  const copies = new Map<Socket, string>();
+  let left = turnedAway;
+  const runs: string[] = [];
+  const targets = [0, 1].map(
+    () =>
+      new TestTarget(({ id }, socket) => {
+        const copy = copies.get(socket) ?? "";
+        if (id !== "warm" && left > 0) {
+          left -= 1;
+          copies.set(socket, answers.notRun(id));
+          socket.write(answers.notRun(id));
+          return;
+        }
+        runs.push(id);
+        socket.write(copy + answers.whole(id, `for ${id}`));
+      }),
+  );
+  const document = createDocument(1, [{ kind: RouteKind.NonIdempotent, timeoutMs: 8000, attempts: 6 }]);
+  const { call, stop } = await startGateway({ ...document, services: [service] }, targets);
+  t.teardown(stop);
+  await call({ path: "/p0/", headers: { "x-left": "8000" } }, "warm");
+  const { status } = await call({ path: "/p0/", method: "POST", headers: { "x-left": "7000" } }, "r1", "x");
+  const count = runs.filter((id) => id === "r1").length;
+  t.ok(count <= 1, `ran ${count} times`);
+  t.ok(count === 0 || status !== 503, `answered ${status}`);
+});
