Meet a target again over a connection of its own

A request that is sent to a target a second time, after its group has formed, no longer uses a kept connection: a late copy of the first refusal bears the same id and would count as the answer. Run: repeatedId, forming, forwarding and notices tests of the gateway.

--- a/packages/gateway/RequestRun.ts
+++ b/packages/gateway/RequestRun.ts
@@ -169,7 +169,8 @@
       call: {
         host,
         port,
-        agent: getAgent(target.address),
+        // A target that is met again may have a late copy of its refusal, with the same id, on its kept connections.
+        agent: this.#sends > this.#tried.size ? null : getAgent(target.address),
         codec: options.codec,
         requestId: caller.requestId,
         method: request.method ?? "GET",
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -29,7 +29,7 @@
       host,
       port,
       // An answer that bears no id could be a late copy of another one, so it gets a connection of its own.
-      agent: requestId === null ? false : agent,
+      agent: requestId === null ? false : (agent ?? false),
       method,
       path,
       headers: headers as unknown as Record<string, string>,
--- a/packages/gateway/TargetCallOptions.ts
+++ b/packages/gateway/TargetCallOptions.ts
@@ -5,7 +5,8 @@
 export interface TargetCallOptions {
   readonly host: string;
   readonly port: number;
-  readonly agent: TargetAgent;
+  /** Kept connections to the target; null for a connection that serves this request only. */
+  readonly agent: TargetAgent | null;
   readonly codec: WireCodec;
   readonly requestId: string | null;
   readonly method: string;
