--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -107,8 +107,10 @@
     this.#response = response;
     const { codec, requestId } = this.#options;
     const answer = codec.readAnswer(response.statusCode ?? 0, response.rawHeaders);
+    // A misdirected answer may come without an id; one with another request's id is a late copy.
+    const isAnonymousRefusal = answer.isMisdirected && answer.requestId === null;
     const isForeign = requestId !== null && answer.requestId !== requestId;
-    if (isForeign && !answer.isMisdirected) {
+    if (isForeign && !isAnonymousRefusal) {
       this.#fail(CallFailure.ForeignAnswer, `answer to request ${answer.requestId ?? "without id"}`);
       return;
     }
