Add a known red test for a late order to disarm

Two leads have armed one rank each for different passes. The order to disarm one of them gets no answer, the lead finds that rank still armed and completes the activation around it; the order is carried out just before the pass begins.

--- /dev/null
+++ b/packages/experts/test/lateOrder.test.ts
@@ -0,0 +1,45 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { HeldGroup } from "./HeldGroup";
+
+// Guards against an order to disarm that gets no answer and is carried out seconds later, after the same version was armed
+// again: nothing in the order tells the two activations of that version apart.
+t.test("a late order to disarm does not meet a later activation of the same version", async (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0, passMs: 60 });
+  group.isIdle = true;
+  // Two earlier leads have armed one rank each while no pass was begun, and one of them holds the group.
+  for (const state of group.ranks) {
+    Object.assign(state, { step: 1, preparedVersion: 1, highestVersion: 1 });
+  }
+  Object.assign(group.ranks[0] ?? {}, { heldStep: 3 });
+  Object.assign(group.ranks[1] ?? {}, { armed: { version: 1, step: 5 } });
+  Object.assign(group.ranks[2] ?? {}, { armed: { version: 1, step: 4 } });
+  const late: HoldOrder[] = [];
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order) => {
+      if (order.kind === HoldOrderKind.Disarm && order.rank === 2 && late.length === 0) {
+        late.push(order);
+        return Promise.resolve(null);
+      }
+      return Promise.resolve(group.order(order));
+    },
+    nowMs: () => group.nowMs,
+  });
+  const look = (): Promise<boolean> => lead.advance(group.ranks.map((rank) => ({ ...rank })));
+  await look();
+  t.equal(late.length, 1);
+  t.ok(group.ranks.every(({ armed, heldStep }) => armed?.step === 4 && heldStep === null));
+  group.isIdle = false;
+  while ((group.ranks[0]?.step ?? 0) < 3) {
+    group.advance(5);
+  }
+  await look();
+  group.order(late[0]!);
+  group.advance(100);
+  t.equal(group.ranks[0]?.step, 4);
+  t.equal(group.mixedPasses, 0);
+});
