Play leads that overlap on random schedules

Two real leads of successive terms work side by side: the replaced one goes on, stands still and wakes; orders and answers are late or lost, groups form again, demand shifts, and most seeds have a third process give the orders of an activation. Guards against ranks with different maps in one pass.

The figures of the stand-in service move to a file of their own, which the tests of the conductor share.

--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -16,17 +16,8 @@
 import { GroupConductor } from "../ranks/GroupConductor";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { HeldRankWay } from "./HeldRankWay";
+import { expertFigures as figures } from "./expertFigures";
 
-const figures = {
-  layerSets: 1,
-  expertsPerSet: 8,
-  placements: 4,
-  spare: 2,
-  expertMb: 10,
-  expertShare: 0.85,
-  linkMbps: 1000,
-  formMs: 600,
-};
 const logger = createLogger("test", {});
 /** Version of the first plan of a lead of term 2. */
 const firstVersion = new MapVersions(2).take(0) ?? 0;
--- /dev/null
+++ b/packages/control/test/leadOverlap.test.ts
@@ -0,0 +1,165 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import type { Random } from "@clementinemux/common/Random";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { GroupTime } from "@clementinemux/experts/test/GroupTime";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import { GroupConductor } from "../ranks/GroupConductor";
+import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import { DelayedRankWay } from "./DelayedRankWay";
+import { HeldRankWay } from "./HeldRankWay";
+import { ShiftingDemand } from "./ShiftingDemand";
+import { StandInProcess } from "./StandInProcess";
+import { expertFigures } from "./expertFigures";
+
+const seeds = 200;
+const ranks = 4;
+const leads = 5;
+/** Time from one lead to the next. */
+const leastTermMs = 400;
+const termSpreadMs = 2600;
+/** Time for which a replaced lead still takes new steps; the one it is in is always completed. */
+const longestOverlapMs = 800;
+const longestStopMs = 2500;
+/** Time for which a lead waits for the process that it has handed an activation to. */
+const activateTimeoutMs = 70;
+const leastFormMs = 1500;
+const formSpreadMs = 10_000;
+const logger = createLogger("test", {});
+
+/** A group with several leads one after another, on simulated time. */
+class OverlapWorld {
+  readonly group: HeldGroup;
+  readonly #time: GroupTime;
+  readonly #random: Random;
+  readonly #demand: ShiftingDemand;
+  readonly #ways: readonly HeldRankWay[];
+  readonly #hasActivator: boolean;
+  readonly #mapsInForce = new Set<string>();
+  #isOver = false;
+
+  constructor(seed: number) {
+    this.#random = createRandom(seed);
+    const passMs = seed % 2 === 0 ? 60 : 145;
+    this.group = new HeldGroup({ ranks, random: this.#random, lateShare: 0, passMs });
+    this.#time = new GroupTime(this.group);
+    this.#demand = new ShiftingDemand(expertFigures.expertsPerSet, ranks, this.#random);
+    this.#ways = this.group.ranks.map((_, rank) => new HeldRankWay(this.group, rank));
+    this.#hasActivator = seed % 3 !== 0;
+  }
+
+  get mapsInForce(): number {
+    return this.#mapsInForce.size;
+  }
+
+  async run(): Promise<void> {
+    void this.#formAgain();
+    await this.#time.run(this.#succeed());
+    this.#isOver = true;
+  }
+
+  /** Starts one lead after another; the last one is left alone for a while. */
+  async #succeed(): Promise<void> {
+    const works: Promise<void>[] = [];
+    for (let term = 2; term < 2 + leads; term += 1) {
+      const termMs = leastTermMs + this.#random() * termSpreadMs;
+      const untilMs = this.group.nowMs + termMs + this.#random() * longestOverlapMs;
+      const process = this.#createProcess();
+      works.push(this.#lead(term, process, untilMs));
+      await this.#time.sleep(termMs);
+      if (this.#random() < 0.5) {
+        process.stop(this.#random() * longestStopMs);
+      }
+    }
+    await Promise.all(works);
+  }
+
+  async #lead(term: number, process: StandInProcess, untilMs: number): Promise<void> {
+    const ways = this.#createWays(process);
+    const conductor = new GroupConductor({
+      group: "g",
+      figures: expertFigures,
+      fence: term,
+      getGapObjectiveMs: () => 0,
+      activate: (request) => this.#activate(request, process),
+      clock: { monotonicMs: () => this.group.nowMs, wallMs: () => this.group.nowMs },
+      metrics: new CoordinatorMetrics(),
+      logger,
+    });
+    while (this.group.nowMs < untilMs) {
+      this.#ways[0]!.counts = this.#demand.getCounts(this.group.nowMs);
+      const inspections = ways.map((way) => way.inspect(term, InspectionPart.Counts));
+      await conductor.step(ways, await Promise.all(inspections));
+      this.#noteMap();
+      await process.sleep(conductor.nextStepMs);
+    }
+  }
+
+  /** Gives the orders of an activation as `MapActivator` does, from another process than the lead's. */
+  async #activate(request: ActivateRequest, lead: StandInProcess): Promise<boolean> {
+    if (!this.#hasActivator) {
+      return false;
+    }
+    const { fence, version, epoch, leadSteps, states } = request;
+    const ways = this.#createWays(this.#createProcess());
+    const activation = new GroupActivation({
+      inspect: async (rank) =>
+        (await ways[rank]?.inspect(fence, InspectionPart.None))?.state ??
+        ways[rank]?.inspectDirectly() ??
+        null,
+      order: async (order) =>
+        order.kind === HoldOrderKind.Prepare
+          ? false
+          : ((await ways[order.rank]?.order(fence, order)) ?? null),
+      nowMs: () => this.group.nowMs,
+      leadSteps,
+    });
+    activation.aim({ version, epoch, hosting: [] });
+    const work = activation.advance(states).then(() => true);
+    const isDone = await Promise.race([work, this.#time.sleep(activateTimeoutMs).then(() => false)]);
+    await lead.sleep(1);
+    return isDone;
+  }
+
+  async #formAgain(): Promise<void> {
+    while (!this.#isOver) {
+      await this.#time.sleep(leastFormMs + this.#random() * formSpreadMs);
+      this.group.form();
+    }
+  }
+
+  #noteMap(): void {
+    const [first] = this.group.ranks;
+    if (first !== undefined && this.group.ranks.every(({ mapVersion }) => mapVersion === first.mapVersion)) {
+      if (first.mapVersion > 0) {
+        this.#mapsInForce.add(`${first.epoch}/${first.mapVersion}`);
+      }
+    }
+  }
+
+  #createProcess(): StandInProcess {
+    return new StandInProcess(this.group, this.#time, this.#random);
+  }
+
+  #createWays(process: StandInProcess): DelayedRankWay[] {
+    const [time, random] = [this.#time, this.#random];
+    return this.#ways.map((way) => new DelayedRankWay({ way, process, time, random }));
+  }
+}
+
+// Guards against ranks with different maps in one pass while a lead that was replaced is still at work.
+t.test("maps never mix when leads of successive terms overlap", async (t) => {
+  let inForce = 0;
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const world = new OverlapWorld(seed);
+    await world.run();
+    const { mixedPasses, collidedPasses } = world.group;
+    t.equal(mixedPasses, 0, `seed ${seed}, of which with one version: ${collidedPasses}`);
+    inForce += world.mapsInForce;
+  }
+  t.ok(inForce > 2 * seeds, `${inForce} maps in force`);
+});
--- a/packages/control/test/mapVersions.test.ts
+++ b/packages/control/test/mapVersions.test.ts
@@ -9,17 +9,8 @@
 import { GroupConductor } from "../ranks/GroupConductor";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { HeldRankWay } from "./HeldRankWay";
+import { expertFigures as figures } from "./expertFigures";
 
-const figures = {
-  layerSets: 1,
-  expertsPerSet: 8,
-  placements: 4,
-  spare: 2,
-  expertMb: 10,
-  expertShare: 0.85,
-  linkMbps: 1000,
-  formMs: 600,
-};
 const logger = createLogger("test", {});
 const lookMs = 30;
 /** Time after which an order without an answer is carried out. */
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { Right } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
@@ -38,7 +39,15 @@
       await this.#gate;
     }
     const state = this.#group.inspect(rank);
-    return Right({ group: "g", size: this.#group.ranks.length, state, pace: 1, counts: null, experts: null });
+    return Right({
+      group: "g",
+      size: this.#group.ranks.length,
+      state,
+      pace: 1,
+      counts: null,
+      experts: null,
+      preparedDigest: null,
+    });
   }
 }
 
@@ -47,10 +56,12 @@
     links: new GroupLinks(group, gate),
     openRank: (address) => ({
       inspect: () => Promise.resolve(null),
+      readPrepared: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(group.inspect(Number(address))),
       order: (order) => Promise.resolve(group.order(order)),
     }),
     orders: new Counters("orders", "outcome", Object.values(OrderOutcome)),
+    refusedOrders: new Counters("refused", "kind", Object.values(HoldOrderKind)),
     clock: { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs },
     logger: createLogger("test", {}),
   });
