Fence all ranks before an activation of another lead is taken over

A lead that found a group held or armed by another lead decided from reports that could be older than the other's last order, and ordered only the ranks that it wanted to change. The others had not heard its fence and still carried out what the old lead ordered: some ranks of a pass had the new version, some the old one.

A lead now gives each rank that has had no order of it one that changes nothing but the fence (the group is held before the pass in question, the others disarm a version that no map has), reads all ranks again, and only then decides. A rank that has the map of the lead's own goal has had an order of it, so activations of its own cost nothing more.

experts/test/lateOrder took the first order to disarm a rank for the one that is late; it takes the one of the map's version now, after the look that takes over.

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -82,6 +82,7 @@
         (await this.#inspect(rank, InspectionPart.None))?.state ?? this.#inspectDirectly(rank),
       order: (order) => this.#links[order.rank]?.order(options.fence, order) ?? Promise.resolve(null),
       nowMs: () => options.clock.monotonicMs(),
+      reservedVersion: this.#versions.reserved,
     });
   }
 
--- a/packages/control/test/leadOverlap.test.ts
+++ b/packages/control/test/leadOverlap.test.ts
@@ -116,6 +116,7 @@
           ? false
           : ((await ways[order.rank]?.order(fence, order)) ?? null),
       nowMs: () => this.group.nowMs,
+      reservedVersion: 0,
       leadSteps,
     });
     activation.aim({ version, epoch, hosting: [] });
--- /dev/null
+++ b/packages/experts/hold/FencedRanks.ts
@@ -0,0 +1,25 @@
+interface RankOfEpoch {
+  readonly rank: number;
+  readonly epoch: number;
+}
+
+/** Ranks that have answered an order of one lead, so that they refuse orders of earlier leads. */
+export class FencedRanks {
+  readonly #ranks = new Set<number>();
+  #epoch = 0;
+
+  /** A group that forms again has forgotten its fences. */
+  add({ rank, epoch }: RankOfEpoch): void {
+    if (epoch > this.#epoch) {
+      this.#epoch = epoch;
+      this.#ranks.clear();
+    }
+    if (epoch === this.#epoch) {
+      this.#ranks.add(rank);
+    }
+  }
+
+  has({ rank, epoch }: RankOfEpoch): boolean {
+    return epoch === this.#epoch && this.#ranks.has(rank);
+  }
+}
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -3,7 +3,9 @@
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 import { PassTimer } from "./PassTimer";
+import { FencedRanks } from "./FencedRanks";
 import { applyAnsweredOrder } from "./applyAnsweredOrder";
+import { chooseFenceOrders } from "./chooseFenceOrders";
 import { chooseHoldOrders } from "./chooseHoldOrders";
 
 interface ActivationIo {
@@ -14,6 +16,8 @@
   readonly nowMs: () => number;
   /** Passes from the last one that was begun to the one that is held; chosen by the time of a pass if not given. */
   readonly leadSteps?: number;
+  /** Version that no map has; disarming it changes nothing. */
+  readonly reservedVersion: number;
 }
 
 /** A confirmed order to prepare is not repeated within this time, since copying takes a while. */
@@ -30,6 +34,7 @@
 export class GroupActivation {
   readonly #io: ActivationIo;
   readonly #preparingSince = new Map<number, number>();
+  readonly #fenced = new FencedRanks();
   readonly #passTimer = new PassTimer();
   #goal: MapGoal | null = null;
 
@@ -77,7 +82,7 @@
   /** Whether all ranks are prepared for the goal and nothing is in flight, so that a hold is the next order. */
   isReady(states: readonly HeldRank[]): boolean {
     const isInFlight = states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
-    const [order] = chooseHoldOrders(states, this.#goal, (rank) => this.#isPreparing(rank), this.leadSteps);
+    const [order] = this.#chooseOrders(states);
     return !isInFlight && order?.kind === HoldOrderKind.Hold;
   }
 
@@ -86,13 +91,13 @@
     let ranks = states;
     this.note(states);
     for (let round = 0; round < maxRounds; round += 1) {
-      const isPreparing = (rank: number): boolean => this.#isPreparing(rank);
-      const orders = chooseHoldOrders(ranks, this.#goal, isPreparing, this.leadSteps);
+      const fenceOrders = this.#chooseFenceOrders(ranks);
+      const orders = fenceOrders.length > 0 ? fenceOrders : this.#chooseOrders(ranks);
       if (orders.length === 0) {
         break;
       }
       const answers = await Promise.all(orders.map((order) => this.#give(order)));
-      if (answers.includes(null) || answers.includes(false)) {
+      if (fenceOrders.length > 0 || answers.includes(null) || answers.includes(false)) {
         const fresh = await Promise.all(ranks.map(({ rank }) => this.#io.inspect(rank)));
         const known = fresh.filter((rank) => rank !== null);
         if (known.length < ranks.length) {
@@ -107,8 +112,21 @@
     return goal !== null && ranks.every(({ mapVersion }) => mapVersion >= goal.version);
   }
 
+  /** Orders that make an activation which another lead has begun obey this one, before its state is relied on. */
+  #chooseFenceOrders(ranks: readonly HeldRank[]): HoldOrder[] {
+    const unfenced = ranks.filter((rank) => !this.#fenced.has(rank) && !isOfGoal(rank, this.#goal));
+    return chooseFenceOrders(ranks, unfenced, this.#io.reservedVersion);
+  }
+
+  #chooseOrders(ranks: readonly HeldRank[]): HoldOrder[] {
+    return chooseHoldOrders(ranks, this.#goal, (rank) => this.#isPreparing(rank), this.leadSteps);
+  }
+
   async #give(order: HoldOrder): Promise<boolean | null> {
     const answer = await this.#io.order(order);
+    if (answer !== null) {
+      this.#fenced.add(order);
+    }
     if (order.kind === HoldOrderKind.Prepare && answer === true) {
       this.#preparingSince.set(order.rank, this.#io.nowMs());
     }
@@ -121,6 +139,11 @@
   }
 }
 
+/** A rank that has the map of the goal has carried out an order of its lead. */
+function isOfGoal({ mapVersion, preparedVersion }: HeldRank, goal: MapGoal | null): boolean {
+  return goal !== null && (mapVersion === goal.version || preparedVersion === goal.version);
+}
+
 function applyAll(rank: HeldRank, orders: readonly HoldOrder[]): HeldRank {
   return orders
     .filter((order) => order.rank === rank.rank)
--- a/packages/experts/hold/MapVersions.ts
+++ b/packages/experts/hold/MapVersions.ts
@@ -7,11 +7,14 @@
  * the version of such a map to another one.
  */
 export class MapVersions {
+  /** Version of this term that no map has. */
+  readonly reserved: number;
   readonly #endVersion: number;
   #lastVersion: number;
 
   constructor(term: number) {
-    this.#lastVersion = term * versionsPerTerm;
+    this.reserved = term * versionsPerTerm;
+    this.#lastVersion = this.reserved;
     this.#endVersion = (term + 1) * versionsPerTerm;
   }
 
--- /dev/null
+++ b/packages/experts/hold/chooseFenceOrders.ts
@@ -0,0 +1,30 @@
+import type { HeldRank } from "./HeldRank";
+import type { HoldOrder } from "./HoldOrder";
+import { HoldOrderKind } from "./HoldOrderKind";
+import { holdingRank } from "./holdingRank";
+import { isWhole } from "./isWhole";
+
+/**
+ * Chooses the orders by which a lead takes over an activation in flight from ranks that have had no order of it. Until they
+ * have, they still obey the lead before it, so what they report may change at any moment. The group is held before the pass
+ * that the activation is about; the other ranks disarm a version that no map has, which changes nothing but their fence.
+ * Empty when nothing is in flight. The state of all ranks has to be read again afterwards.
+ */
+export function chooseFenceOrders(
+  ranks: readonly HeldRank[],
+  unfenced: readonly HeldRank[],
+  reservedVersion: number,
+): HoldOrder[] {
+  const holder = ranks.find(({ heldStep }) => heldStep !== null);
+  const step = holder?.heldStep ?? ranks.find(({ armed }) => armed !== null)?.armed?.step ?? null;
+  if (step === null || !isWhole(ranks)) {
+    return [];
+  }
+  const isDue = ranks.some((rank) => rank.step >= step);
+  const heldRank = isDue ? null : (holder?.rank ?? holdingRank);
+  return unfenced.map(({ rank, epoch }) =>
+    rank === heldRank
+      ? { kind: HoldOrderKind.Hold, rank, epoch, step }
+      : { kind: HoldOrderKind.Disarm, rank, epoch, version: reservedVersion },
+  );
+}
--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -2,9 +2,8 @@
 import type { HoldOrder } from "./HoldOrder";
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
-
-/** Rank that holds the group. */
-const holdingRank = 0;
+import { holdingRank } from "./holdingRank";
+import { isWhole } from "./isWhole";
 
 /**
  * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It depends on the
@@ -19,8 +18,7 @@
   leadSteps: number,
 ): HoldOrder[] {
   const [first] = ranks;
-  const isWhole = ranks.every(({ epoch, isOpen }) => isOpen && epoch === first?.epoch);
-  if (first === undefined || !isWhole) {
+  if (first === undefined || !isWhole(ranks)) {
     return [];
   }
   const isInFlight = ranks.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
--- a/packages/experts/test/fencedLeads.test.ts
+++ b/packages/experts/test/fencedLeads.test.ts
@@ -65,6 +65,7 @@
       return answer;
     },
     nowMs: () => group.nowMs,
+    reservedVersion: 0,
   });
 }
 
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -25,6 +25,7 @@
       return Promise.resolve(answer);
     },
     nowMs: () => group.nowMs,
+    reservedVersion: 0,
   });
 }
 
@@ -101,6 +102,7 @@
           return random() < 0.05 ? null : answer;
         },
         nowMs: () => group.nowMs,
+        reservedVersion: 0,
       });
     const act = async (actor: GroupActivation): Promise<void> => {
       for (let round = 0; round < 12; round += 1) {
@@ -139,6 +141,7 @@
       return Promise.resolve(group.order(order));
     },
     nowMs: () => group.nowMs,
+    reservedVersion: 0,
   });
   return { group, lead, isLost: () => isLost };
 }
--- a/packages/experts/test/lateOrder.test.ts
+++ b/packages/experts/test/lateOrder.test.ts
@@ -21,20 +21,24 @@
   const lead = new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
     order: (order) => {
-      if (order.kind === HoldOrderKind.Disarm && order.rank === 2 && late.length === 0) {
+      const isDisarm = order.kind === HoldOrderKind.Disarm && order.version === 1;
+      if (isDisarm && order.rank === 2 && late.length === 0) {
         late.push(order);
         return Promise.resolve(null);
       }
       return Promise.resolve(group.order(order));
     },
     nowMs: () => group.nowMs,
+    reservedVersion: 0,
   });
   const look = (): Promise<boolean> => lead.advance(group.ranks.map((rank) => ({ ...rank })));
+  // The first look takes the activation over, the second one settles it.
+  await look();
   await look();
   t.equal(late.length, 1);
   t.ok(group.ranks.every(({ armed, heldStep }) => armed?.step === 4 && heldStep === null));
   group.isIdle = false;
-  while ((group.ranks[0]?.step ?? 0) < 3) {
+  for (let turn = 0; turn < 100 && (group.ranks[0]?.step ?? 0) < 3; turn += 1) {
     group.advance(5);
   }
   await look();
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -29,6 +29,8 @@
  * under the same fencing number, and takes longer than this to copy experts for its next map and hold the group for it.
  */
 const orderWindowMs = 200;
+/** Map that each group forms with; it is never armed. */
+const reservedVersion = 0;
 
 /** Gives the orders of an activation for the lead of a group, from another process than the lead's. */
 export class MapActivator {
@@ -54,6 +56,7 @@
       order: (order) => (isOver() ? Promise.resolve(null) : give(ways[order.rank], fence, order)),
       nowMs: () => clock.monotonicMs(),
       leadSteps,
+      reservedVersion,
     });
     activation.aim({ version, epoch, hosting: [] });
     await activation.advance(states);
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -88,6 +88,7 @@
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
     order: (order) => Promise.resolve(group.order(order)),
     nowMs: () => group.nowMs,
+    reservedVersion: 0,
   });
   for (const rank of group.ranks) {
     Object.assign(rank, { preparedVersion: 1, highestVersion: 1 });
