Build the list of targets only for gateways that need it

Since a silent target counts as a change when it returns, each sync of a gateway built the whole list to learn the number of the last change, five times a second and gateway, also when it was not sent. The search for silent targets is a call of its own now; the list is built where it is sent. The answers are the same.

--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -49,7 +49,7 @@
     const { address, failureDomain, incarnation, getDocument, getAgeMs } = this.#options;
     const nowMs = clock.monotonicMs();
     const { version, bytes } = getDocument();
-    const listed = targets.list(nowMs);
+    targets.findSilent(nowMs);
     const state = `${incarnation}:${targets.changes}`;
     const isComplete = this.#options.isComplete();
     const gone = isComplete ? [] : targets.listGone();
@@ -58,7 +58,7 @@
       documentVersion: version,
       document: version > documentVersion ? bytes : null,
       registryState: state,
-      targets: state === registryState ? null : [...listed, ...gone],
+      targets: state === registryState ? null : [...targets.list(nowMs), ...gone],
       isComplete,
       inFlight: entries.sumInFlight(entry.name, nowMs),
       paces: paces.list(nowMs),
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -63,9 +63,19 @@
     return target;
   }
 
-  /** Targets that gateways may use or have to drain. `changes`, read afterwards, names this list. */
+  /** Finds targets that have fallen silent, each of which is a change; `changes`, read afterwards, names the list. */
+  findSilent(nowMs: number): void {
+    for (const [id, record] of this.#records) {
+      if (!record.isSilent && nowMs - record.heardAtMs >= silenceMs) {
+        this.#changes += record.target.isGone ? 0 : 1;
+        this.#records.set(id, { ...record, isSilent: true });
+      }
+    }
+  }
+
+  /** Targets that gateways may use or have to drain. */
   list(nowMs: number): TargetRecord[] {
-    this.#findSilent(nowMs);
+    this.findSilent(nowMs);
     return [...this.#records.values()]
       .filter(({ target, isSilent }) => !target.isGone && !isSilent)
       .map(({ target }) => target);
@@ -88,7 +98,7 @@
 
   /** Drops old records; a target that fell silent counts as a change. */
   expire(nowMs: number): void {
-    this.#findSilent(nowMs);
+    this.findSilent(nowMs);
     for (const [id, { heardAtMs }] of this.#records) {
       if (nowMs - heardAtMs > tombstoneMs) {
         this.#records.delete(id);
@@ -96,15 +106,6 @@
     }
   }
 
-  #findSilent(nowMs: number): void {
-    for (const [id, record] of this.#records) {
-      if (!record.isSilent && nowMs - record.heardAtMs >= silenceMs) {
-        this.#changes += record.target.isGone ? 0 : 1;
-        this.#records.set(id, { ...record, isSilent: true });
-      }
-    }
-  }
-
   /** Stores a record whose target was heard; one that was silent returns to the list, which is a change. */
   #noteHeard(record: RegistryRecord, heardAtMs: number): void {
     const isBack = record.isSilent && heardAtMs > record.heardAtMs;
