--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -7,10 +7,11 @@
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import { isInFlight } from "@clementinemux/experts/hold/isInFlight";
+import type { MapGoal } from "@clementinemux/experts/hold/MapGoal";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
-import type { MapGoal } from "@clementinemux/experts/hold/MapGoal";
 import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
@@ -128,7 +129,7 @@
     this.#activation.note(states);
     this.#checkContent(known);
     // The group may be held for what another lead has begun, so that is completed before anything is planned.
-    if (this.#activation.goal !== null || !isBegun(states)) {
+    if (this.#activation.goal !== null || !isInFlight(states)) {
       await this.#reviewGoal(states, nowMs);
     }
     if (this.#activation.isReady(states) && (await this.#delegate(states, nowMs))) {
@@ -173,7 +174,7 @@
       this.#movedAtMs = nowMs;
     }
     const hasStopped = nowMs - this.#movedAtMs >= stoppedMs;
-    const mayBeHeld = hasStopped || this.#activation.goal !== null || isBegun(known);
+    const mayBeHeld = hasStopped || this.#activation.goal !== null || isInFlight(known);
     if (known.length < inspections.length && !mayBeHeld) {
       return null;
     }
@@ -327,10 +328,6 @@
   }
 }
 
-function isBegun(states: readonly HeldRank[]): boolean {
-  return states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
-}
-
 function getRankDigest(hosting: RankHosting, rank: number): number {
   return getExpertsDigest(hosting.map((ranks) => ranks[rank] ?? []));
 }
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -1,12 +1,13 @@
+import { FencedRanks } from "./FencedRanks";
 import type { HeldRank } from "./HeldRank";
 import type { HoldOrder } from "./HoldOrder";
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 import { PassTimer } from "./PassTimer";
-import { FencedRanks } from "./FencedRanks";
 import { applyAnsweredOrder } from "./applyAnsweredOrder";
 import { chooseFenceOrders } from "./chooseFenceOrders";
 import { chooseHoldOrders } from "./chooseHoldOrders";
+import { isInFlight } from "./isInFlight";
 
 interface ActivationIo {
   /** State of a rank; null when it cannot be had. */
@@ -81,9 +82,8 @@
 
   /** Whether all ranks are prepared for the goal and nothing is in flight, so that a hold is the next order. */
   isReady(states: readonly HeldRank[]): boolean {
-    const isInFlight = states.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
     const [order] = this.#chooseOrders(states);
-    return !isInFlight && order?.kind === HoldOrderKind.Hold;
+    return !isInFlight(states) && order?.kind === HoldOrderKind.Hold;
   }
 
   /** Goes on from the present states. Resolves with whether the goal is in force on all ranks. */
--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -3,6 +3,7 @@
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 import { holdingRank } from "./holdingRank";
+import { isInFlight } from "./isInFlight";
 import { isWhole } from "./isWhole";
 
 /**
@@ -21,8 +22,7 @@
   if (first === undefined || !isWhole(ranks)) {
     return [];
   }
-  const isInFlight = ranks.some(({ armed, heldStep }) => armed !== null || heldStep !== null);
-  if (isInFlight) {
+  if (isInFlight(ranks)) {
     return settle(ranks);
   }
   if (goal?.epoch !== first.epoch || ranks.every(({ mapVersion }) => mapVersion >= goal.version)) {
