--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -7,6 +7,7 @@
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { TargetLife } from "@clementinemux/registry/TargetLife";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
+import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -23,7 +24,6 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
-import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 
 /** Bounds before the first document is known. */
 const firstLimits: CallerLimits = {
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -1,9 +1,9 @@
 import t from "tap";
 import { Right } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
-import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
