Have the stand-in rank keep its fence when it refuses an order

The stand-in raised its fence by refused orders as well, and kept what was prepared while it copied.

The lead counts a rank as fenced that has refused the order.

--- a/packages/experts/test/HeldGroup.ts
+++ b/packages/experts/test/HeldGroup.ts
@@ -16,7 +16,7 @@
 
 type MutableRank = { -readonly [Key in keyof HeldRank]: HeldRank[Key] } & {
   highestVersion: number;
-  /** Highest fence of an order that it was given; orders with a lower one are refused. */
+  /** Highest fence of an order that it has accepted; orders with a lower one are refused. */
   highestFence: number;
   preparing: { version: number; readyAtMs: number } | null;
   /** Contents of the maps that it has accepted, by version. */
@@ -139,7 +139,13 @@
     if (rank?.epoch !== order.epoch || fence < rank.highestFence) {
       return false;
     }
-    rank.highestFence = fence;
+    const isAccepted = this.#apply(rank, order);
+    // A refused order leaves the fence as it was, as ranks of the platform do.
+    rank.highestFence = isAccepted ? fence : rank.highestFence;
+    return isAccepted;
+  }
+
+  #apply(rank: MutableRank, order: HoldOrder): boolean {
     switch (order.kind) {
       case HoldOrderKind.Prepare:
         if (order.version <= rank.highestVersion || rank.armed !== null) {
@@ -147,6 +153,7 @@
         }
         rank.highestVersion = order.version;
         rank.hostings.set(order.version, order.hosting);
+        rank.preparedVersion = null;
         rank.preparing = { version: order.version, readyAtMs: this.nowMs + copyMs };
         return true;
       case HoldOrderKind.Hold:
