Count a rank as fenced only after it has accepted an order

A pass could begin while ranks of a group had different maps. A lead that takes over an activation gives each rank an order of its own, so that the rank refuses those of the lead before it, and counted each answer. The coordinator that an activation is handed to disarmed version 0 as the order that changes nothing: a group that has just formed has it in force and refuses. It reserves a version of the lead's term now, as the lead does.

The tests that reserved version 0 reserve one that no map has, since the stand-in refuses to disarm the version in force.

--- a/packages/control/test/leadOverlap.test.ts
+++ b/packages/control/test/leadOverlap.test.ts
@@ -3,6 +3,7 @@
 import type { Random } from "@clementinemux/common/Random";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { GroupTime } from "@clementinemux/experts/test/GroupTime";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -116,7 +117,7 @@
           ? false
           : ((await ways[order.rank]?.order(fence, order)) ?? null),
       nowMs: () => this.group.nowMs,
-      reservedVersion: 0,
+      reservedVersion: new MapVersions(fence).reserved,
       leadSteps,
     });
     activation.aim({ version, epoch, hosting: [] });
--- a/packages/experts/hold/FencedRanks.ts
+++ b/packages/experts/hold/FencedRanks.ts
@@ -3,7 +3,10 @@
   readonly epoch: number;
 }
 
-/** Ranks that have answered an order of one lead, so that they refuse orders of earlier leads. */
+/**
+ * Ranks that have accepted an order of one lead, so that they refuse orders of earlier leads. A rank that refuses an order
+ * keeps its fence.
+ */
 export class FencedRanks {
   readonly #ranks = new Set<number>();
   #epoch = 0;
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -124,7 +124,7 @@
 
   async #give(order: HoldOrder): Promise<boolean | null> {
     const answer = await this.#io.order(order);
-    if (answer !== null) {
+    if (answer === true) {
       this.#fenced.add(order);
     }
     if (order.kind === HoldOrderKind.Prepare && answer === true) {
--- a/packages/experts/test/fencedLeads.test.ts
+++ b/packages/experts/test/fencedLeads.test.ts
@@ -11,6 +11,8 @@
 const step = 3;
 const version = 1;
 const epoch = 1;
+/** Version that no map has. A rank refuses to disarm the one in force, which is 0 here. */
+const reservedVersion = 9;
 /** Fence of the lead that has begun an activation, and of the one that replaces it. */
 const oldFence = 2;
 const newFence = 3;
@@ -65,7 +67,7 @@
       return answer;
     },
     nowMs: () => group.nowMs,
-    reservedVersion: 0,
+    reservedVersion,
   });
 }
 
@@ -127,3 +129,25 @@
   group.advance(130);
   await lookOn(t, lead, group);
 });
+
+// Guards against a rank that counts as taken over although it has refused the order, and so still obeys the old lead.
+t.test("a rank that refuses the order of a new lead is given another one", async (t) => {
+  const group = createHeldGroup();
+  Object.assign(group.ranks[1] ?? {}, { preparedVersion: null });
+  let refusals = 0;
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order) => {
+      const isRefused = order.rank === 2 && order.kind === HoldOrderKind.Disarm && refusals === 0;
+      refusals += isRefused ? 1 : 0;
+      return Promise.resolve(isRefused ? false : group.order(order, newFence));
+    },
+    nowMs: () => group.nowMs,
+    reservedVersion,
+  });
+  await lead.advance(group.ranks.map((state) => ({ ...state })));
+  t.equal(refusals, 1);
+  arm(group, [2]);
+  group.advance(130);
+  await lookOn(t, lead, group);
+});
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -12,6 +12,8 @@
 import { GroupTime } from "./GroupTime";
 import { HeldGroup } from "./HeldGroup";
 
+/** Version that no map has. A rank refuses to disarm the one in force. */
+const reservedVersion = 1_000_000;
 const hosting = createTurnHosting(1, 4, 4);
 /** Time after which a lead gives an order again. */
 const lostOrderMs = 70;
@@ -25,7 +27,7 @@
       return Promise.resolve(answer);
     },
     nowMs: () => group.nowMs,
-    reservedVersion: 0,
+    reservedVersion,
   });
 }
 
@@ -102,7 +104,7 @@
           return random() < 0.05 ? null : answer;
         },
         nowMs: () => group.nowMs,
-        reservedVersion: 0,
+        reservedVersion,
       });
     const act = async (actor: GroupActivation): Promise<void> => {
       for (let round = 0; round < 12; round += 1) {
@@ -141,7 +143,7 @@
       return Promise.resolve(group.order(order));
     },
     nowMs: () => group.nowMs,
-    reservedVersion: 0,
+    reservedVersion,
   });
   return { group, lead, isLost: () => isLost };
 }
--- a/packages/experts/test/lateOrder.test.ts
+++ b/packages/experts/test/lateOrder.test.ts
@@ -5,6 +5,9 @@
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { HeldGroup } from "./HeldGroup";
 
+/** Version that no map has. A rank refuses to disarm the one in force. */
+const reservedVersion = 1_000_000;
+
 // Guards against an order to disarm that gets no answer and is carried out seconds later, after the same version was armed
 // again: nothing in the order tells the two activations of that version apart.
 t.test("a late order to disarm does not meet a later activation of the same version", async (t) => {
@@ -29,7 +32,7 @@
       return Promise.resolve(group.order(order));
     },
     nowMs: () => group.nowMs,
-    reservedVersion: 0,
+    reservedVersion,
   });
   const look = (): Promise<boolean> => lead.advance(group.ranks.map((rank) => ({ ...rank })));
   // The first look takes the activation over, the second one settles it.
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -4,6 +4,7 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import type { Counters } from "@clementinemux/metrics/Counters";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ActivateRequest } from "./ActivateRequest";
@@ -29,8 +30,6 @@
  * under the same fencing number, and takes longer than this to copy experts for its next map and hold the group for it.
  */
 const orderWindowMs = 200;
-/** Map that each group forms with; it is never armed. */
-const reservedVersion = 0;
 
 /** Gives the orders of an activation for the lead of a group, from another process than the lead's. */
 export class MapActivator {
@@ -56,7 +55,7 @@
       order: (order) => (isOver() ? Promise.resolve(null) : give(ways[order.rank], fence, order)),
       nowMs: () => clock.monotonicMs(),
       leadSteps,
-      reservedVersion,
+      reservedVersion: new MapVersions(fence).reserved,
     });
     activation.aim({ version, epoch, hosting: [] });
     await activation.advance(states);
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -6,12 +6,16 @@
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Counters } from "@clementinemux/metrics/Counters";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import { MapActivator } from "@clementinemux/ranker/MapActivator";
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import { Ranker } from "@clementinemux/ranker/Ranker";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 
+const warmUpMs = 10_000;
+
 interface Tap {
   teardown(action: () => Promise<void>): void;
 }
@@ -45,6 +49,11 @@
     links.close();
     await Promise.all(rankers.map((ranker) => ranker.close()));
   });
+  // Connections are opened first: on a busy machine that takes longer than an order without an answer is waited for.
+  const inspection = { fence: 3, part: InspectionPart.None, countsHeld: null };
+  for (const { rankerAddress } of places) {
+    await links.call(rankerAddress, MessageName.InspectRank, inspection, warmUpMs);
+  }
   const openRank = (address: string) => createClient(places.findIndex((place) => place.address === address));
   const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
   const refusedOrders = new Counters("refused", "kind", Object.values(HoldOrderKind));
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -15,6 +15,8 @@
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { WireError } from "@clementinemux/wire/WireError";
 
+/** Version that no map has. A rank refuses to disarm the one in force. */
+const reservedVersion = 1_000_000;
 const hosting = createTurnHosting(1, 4, 4);
 const slowRank = 2;
 
@@ -88,7 +90,7 @@
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
     order: (order) => Promise.resolve(group.order(order)),
     nowMs: () => group.nowMs,
-    reservedVersion: 0,
+    reservedVersion,
   });
   for (const rank of group.ranks) {
     Object.assign(rank, { preparedVersion: 1, highestVersion: 1 });
