Give the orders after one without an answer a higher fence

Ranks of one group could begin a pass with different maps.

Fences are the term times 2^30 plus a count now: raised for the rank after an order without an answer, between the two ways of one order, and for all ranks when an activation is handed over. Until a rank has accepted an order after one without an answer, the lead does not let its group go and does not rely on its report. The coordinator that activates reports whether an order is left without an answer; its answer was ignored before. The ranker compares terms.

In lateOrder the late order bears the fence that it was given with; the checks are the same, and the order has to be refused in addition.

--- a/packages/bench/shifts/ShiftModel.ts
+++ b/packages/bench/shifts/ShiftModel.ts
@@ -52,7 +52,7 @@
     this.#conductor = new GroupConductor({
       group: "model",
       figures: experts,
-      fence: 1,
+      term: 1,
       getGapObjectiveMs: () => day.gapObjectiveMs,
       activate: () => Promise.resolve(false),
       clock: { monotonicMs: () => this.#nowMs, wallMs: () => this.#nowMs },
--- a/packages/bench/shifts/ShiftRankWay.ts
+++ b/packages/bench/shifts/ShiftRankWay.ts
@@ -1,5 +1,6 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankFence } from "@clementinemux/experts/hold/RankFence";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
@@ -21,7 +22,7 @@
     return { address: `rank-${this.#rank}`, rankerAddress: `ranker-${this.#rank}` };
   }
 
-  inspect(_fence: number, part: InspectionPart): Promise<RankInspection | null> {
+  inspect(_term: number, part: InspectionPart): Promise<RankInspection | null> {
     const state = this.#group.inspect(this.#rank, this.#getNowMs());
     if (state === null) {
       return Promise.resolve(null);
@@ -43,7 +44,7 @@
     return Promise.resolve(this.#group.inspect(this.#rank, this.#getNowMs()));
   }
 
-  order(_fence: number, order: HoldOrder): Promise<boolean | null> {
+  order(_fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     return Promise.resolve(this.#group.order(order, this.#getNowMs()));
   }
 }
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -151,7 +151,7 @@
     const options = {
       group,
       figures,
-      fence: this.#term,
+      term: this.#term,
       getGapObjectiveMs,
       activate,
       clock,
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -3,6 +3,7 @@
 import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
@@ -26,7 +27,7 @@
   readonly group: string;
   readonly figures: ExpertFigures;
   /** Term of the lead. */
-  readonly fence: number;
+  readonly term: number;
   /** Shortest pause that a route to the service allows; 0 without one. */
   readonly getGapObjectiveMs: () => number;
   /** Has another process give the orders of an activation. Resolves with whether it has. */
@@ -63,6 +64,7 @@
   readonly #activation: GroupActivation;
   readonly #demand: DemandMonitor;
   readonly #versions: MapVersions;
+  readonly #fences: FenceNumbers;
   #links: readonly (RankWay | null)[] = [];
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
@@ -77,11 +79,13 @@
   constructor(options: GroupConductorOptions) {
     this.#options = options;
     this.#demand = new DemandMonitor(options.figures);
-    this.#versions = new MapVersions(options.fence);
+    this.#versions = new MapVersions(options.term);
+    this.#fences = FenceNumbers.ofTerm(options.term);
     this.#activation = new GroupActivation({
       inspect: async (rank) =>
         (await this.#inspect(rank, InspectionPart.None))?.state ?? this.#inspectDirectly(rank),
-      order: (order) => this.#links[order.rank]?.order(options.fence, order) ?? Promise.resolve(null),
+      order: (order, fence) => this.#links[order.rank]?.order(fence, order) ?? Promise.resolve(null),
+      fences: this.#fences,
       nowMs: () => options.clock.monotonicMs(),
       reservedVersion: this.#versions.reserved,
     });
@@ -152,11 +156,13 @@
     if (goal === null || places.length < this.#links.length || isTried) {
       return false;
     }
-    const { fence, activate, logger } = this.#options;
+    const { activate, logger } = this.#options;
     const { version, epoch } = goal;
+    const fence = this.#fences.handOver();
     const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
+      this.#activation.doubt(states);
     }
     logger.info({ ...this.#describe(goal), leadSteps, isDone }, "map handed over");
     return isDone;
@@ -238,7 +244,7 @@
     loads: readonly Float64Array[],
     nowMs: number,
   ): void {
-    const { group, fence, figures, metrics, logger } = this.#options;
+    const { group, term, figures, metrics, logger } = this.#options;
     const { placements, spare } = figures;
     const paces = this.#paces;
     const isUrgent = measureSkew(present, loads, paces) > urgentSkew;
@@ -252,7 +258,7 @@
     const highestReported = Math.max(...states.map(getHighestVersion));
     const version = this.#versions.take(highestReported);
     if (version === null) {
-      logger.error({ group, fence, highestReported }, "no map version left in this term");
+      logger.error({ group, term, highestReported }, "no map version left in this term");
       return;
     }
     const epoch = states[0]?.epoch ?? 0;
@@ -282,8 +288,8 @@
 
   /** Fields of a map in log lines. */
   #describe({ version, epoch, hosting }: MapGoal) {
-    const { group, fence } = this.#options;
-    return { group, version, epoch, fence, digest: getHostingDigest(hosting) };
+    const { group, term } = this.#options;
+    return { group, version, epoch, term, digest: getHostingDigest(hosting) };
   }
 
   /** Present placement; null when it cannot be had now. */
@@ -324,7 +330,7 @@
   }
 
   #inspect(rank: number, part: InspectionPart): Promise<RankInspection | null> {
-    return this.#links[rank]?.inspect(this.#options.fence, part) ?? Promise.resolve(null);
+    return this.#links[rank]?.inspect(this.#options.term, part) ?? Promise.resolve(null);
   }
 }
 
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -242,7 +242,7 @@
     answer.ifLeft(({ message }) => {
       logger.warn({ peer, version: request.version, why: message }, "map not activated by the peer");
     });
-    return answer.isRight();
+    return answer.orDefault(false) === true;
   }
 
   #createConductor(group: ReplicatedGroup): Conductor {
--- a/packages/control/test/DelayedRankWay.ts
+++ b/packages/control/test/DelayedRankWay.ts
@@ -1,6 +1,7 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankFence } from "@clementinemux/experts/hold/RankFence";
 import type { GroupTime } from "@clementinemux/experts/test/GroupTime";
 import type { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
@@ -42,24 +43,25 @@
     return this.#options.way.place;
   }
 
-  inspect(fence: number, part: InspectionPart): Promise<RankInspection | null> {
-    return this.#ask((way) => way.inspect(fence, part));
+  inspect(term: number, part: InspectionPart): Promise<RankInspection | null> {
+    return this.#ask((way) => way.inspect(term, part));
   }
 
   inspectDirectly(): Promise<HeldRank | null> {
     return this.#ask((way) => way.inspectDirectly());
   }
 
-  async order(fence: number, order: HoldOrder): Promise<boolean | null> {
+  async order({ number }: RankFence, order: HoldOrder): Promise<boolean | null> {
     const { way, process, time, random } = this.#options;
+    const carryOut = (): boolean | null => way.carryOut(number, order);
     if (random() < unansweredShare) {
       if (random() < lateShare) {
-        void time.sleep(random() * latestMs).then(() => way.order(fence, order));
+        void time.sleep(random() * latestMs).then(carryOut);
       }
       await process.sleep(orderTimeoutMs);
       return null;
     }
-    const answer = await this.#call(orderTimeoutMs, () => way.order(fence, order));
+    const answer = await this.#call(orderTimeoutMs, () => Promise.resolve(carryOut()));
     return random() < lostAnswerShare ? null : answer;
   }
 
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -1,5 +1,6 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import type { RankFence } from "@clementinemux/experts/hold/RankFence";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import type { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
@@ -31,7 +32,7 @@
     return { address: `rank-${this.#rank}:1`, rankerAddress: `rank-${this.#rank}:2` };
   }
 
-  inspect(_fence: number, part: InspectionPart): Promise<RankInspection | null> {
+  inspect(_term: number, part: InspectionPart): Promise<RankInspection | null> {
     const state = this.#group.inspect(this.#rank);
     if (this.isSilent || state === null) {
       return Promise.resolve(null);
@@ -52,12 +53,16 @@
     return Promise.resolve(this.#group.inspect(this.#rank));
   }
 
-  order(fence: number, order: HoldOrder): Promise<boolean | null> {
+  order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     if (this.missesOrders) {
-      this.missedOrders.push({ fence, order });
+      this.missedOrders.push({ fence: fence.number, order });
       return Promise.resolve(null);
     }
-    return Promise.resolve(this.#group.order(order, fence));
+    return Promise.resolve(this.carryOut(fence.number, order));
+  }
+
+  carryOut(fence: number, order: HoldOrder): boolean | null {
+    return this.#group.order(order, fence);
   }
 
   #getPreparedDigest({ preparedVersion }: HeldRank): number | null {
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -33,7 +34,7 @@
 ): GroupConductor {
   const clock = createClock(group);
   const metrics = new CoordinatorMetrics();
-  const getters = { fence: 2, getGapObjectiveMs: () => 0, activate };
+  const getters = { term: 2, getGapObjectiveMs: () => 0, activate };
   return new GroupConductor({ group: "g", figures, ...getters, clock, metrics, logger: log });
 }
 
@@ -88,7 +89,8 @@
     return Promise.resolve(false);
   });
   await lookUntil(lead, group, ways, () => group.ranks.every(({ mapVersion }) => mapVersion > 0));
-  t.match(handedOver, [{ fence: 2, version: firstVersion, epoch: 1, places: [{ address: "rank-0:1" }] }]);
+  const fence = FenceNumbers.ofTerm(2).handOver();
+  t.match(handedOver, [{ fence, version: firstVersion, epoch: 1, places: [{ address: "rank-0:1" }] }]);
   t.equal(handedOver.length, 1);
   t.ok(group.ranks.every(({ mapVersion, heldStep }) => mapVersion === firstVersion && heldStep === null));
   t.equal(group.mixedPasses, 0);
@@ -103,7 +105,7 @@
   await lookUntil(lead, group, ways, () => log.find("map in force").length > 0);
   const [planned] = log.find("map planned");
   t.match(planned?.context.digest, /^[0-9a-f]{8}$/);
-  const context = { group: "g", version: firstVersion, epoch: 1, fence: 2, digest: planned?.context.digest };
+  const context = { group: "g", version: firstVersion, epoch: 1, term: 2, digest: planned?.context.digest };
   for (const event of ["map planned", "map handed over", "map in force"]) {
     t.match(log.find(event), [{ level: "info", context }], event);
   }
@@ -120,7 +122,7 @@
   group.form();
   group.advance(30);
   await look(lead, ways);
-  const context = { group: "g", version: firstVersion, epoch: 1, fence: 2, digest: planned?.context.digest };
+  const context = { group: "g", version: firstVersion, epoch: 1, term: 2, digest: planned?.context.digest };
   t.match(log.find("map abandoned"), [{ level: "warn", context }]);
   t.type(planned?.context.digest, "string");
 });
--- a/packages/control/test/leadOverlap.test.ts
+++ b/packages/control/test/leadOverlap.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { Random } from "@clementinemux/common/Random";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
@@ -84,7 +85,7 @@
     const conductor = new GroupConductor({
       group: "g",
       figures: expertFigures,
-      fence: term,
+      term,
       getGapObjectiveMs: () => 0,
       activate: (request) => this.#activate(request, process),
       clock: { monotonicMs: () => this.group.nowMs, wallMs: () => this.group.nowMs },
@@ -107,21 +108,23 @@
     }
     const { fence, version, epoch, leadSteps, states } = request;
     const ways = this.#createWays(this.#createProcess());
+    const term = FenceNumbers.getTerm(fence);
     const activation = new GroupActivation({
       inspect: async (rank) =>
-        (await ways[rank]?.inspect(fence, InspectionPart.None))?.state ??
+        (await ways[rank]?.inspect(term, InspectionPart.None))?.state ??
         ways[rank]?.inspectDirectly() ??
         null,
-      order: async (order) =>
+      order: async (order, rankFence) =>
         order.kind === HoldOrderKind.Prepare
           ? false
-          : ((await ways[order.rank]?.order(fence, order)) ?? null),
+          : ((await ways[order.rank]?.order(rankFence, order)) ?? null),
+      fences: new FenceNumbers(fence),
       nowMs: () => this.group.nowMs,
-      reservedVersion: new MapVersions(fence).reserved,
+      reservedVersion: new MapVersions(term).reserved,
       leadSteps,
     });
     activation.aim({ version, epoch, hosting: [] });
-    const work = activation.advance(states).then(() => true);
+    const work = activation.advance(states).then(() => !activation.hasUnanswered);
     const isDone = await Promise.race([work, this.#time.sleep(activateTimeoutMs).then(() => false)]);
     await lead.sleep(1);
     return isDone;
--- a/packages/control/test/mapVersions.test.ts
+++ b/packages/control/test/mapVersions.test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
@@ -22,17 +23,17 @@
   readonly #conductor: GroupConductor;
   readonly #group: HeldGroup;
   readonly #ways: readonly HeldRankWay[];
-  readonly #fence: number;
+  readonly #term: number;
   readonly #counts = new Array<number>(figures.expertsPerSet).fill(0);
 
   constructor(group: HeldGroup, ways: readonly HeldRankWay[], term: number) {
     this.#group = group;
     this.#ways = ways;
-    this.#fence = term;
+    this.#term = term;
     this.#conductor = new GroupConductor({
       group: "g",
       figures,
-      fence: term,
+      term,
       getGapObjectiveMs: () => 0,
       activate: () => Promise.resolve(false),
       clock: { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs },
@@ -47,7 +48,7 @@
       this.#counts[expert] = count + (expert % 4 === hot ? hotChoices : coldChoices);
     });
     this.#ways[0]!.counts = [...this.#counts];
-    const inspections = this.#ways.map((way) => way.inspect(this.#fence, InspectionPart.Counts));
+    const inspections = this.#ways.map((way) => way.inspect(this.#term, InspectionPart.Counts));
     await this.#conductor.step(this.#ways, await Promise.all(inspections));
     this.#group.advance(lookMs);
   }
@@ -104,8 +105,8 @@
   }
   const orders = late.flatMap(({ missedOrders }) => missedOrders.slice(0, 1));
   t.match(orders, [
-    { fence: 2, order: { rank: 0 } },
-    { fence: 2, order: { rank: 1 } },
+    { fence: FenceNumbers.ofTerm(2).floor, order: { rank: 0 } },
+    { fence: FenceNumbers.ofTerm(2).floor, order: { rank: 1 } },
   ]);
   ways[2]!.missesOrders = false;
   ways[3]!.missesOrders = false;
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -1,9 +1,11 @@
-import { FencedRanks } from "./FencedRanks";
+import type { FenceNumbers } from "./FenceNumbers";
 import type { HeldRank } from "./HeldRank";
 import type { HoldOrder } from "./HoldOrder";
 import { HoldOrderKind } from "./HoldOrderKind";
 import type { MapGoal } from "./MapGoal";
 import { PassTimer } from "./PassTimer";
+import { RankFence } from "./RankFence";
+import { RankObedience } from "./RankObedience";
 import { applyAnsweredOrder } from "./applyAnsweredOrder";
 import { chooseFenceOrders } from "./chooseFenceOrders";
 import { chooseHoldOrders } from "./chooseHoldOrders";
@@ -12,8 +14,10 @@
 interface ActivationIo {
   /** State of a rank; null when it cannot be had. */
   readonly inspect: (rank: number) => Promise<HeldRank | null>;
-  /** Gives an order. Resolves with whether the rank has confirmed it; null when there was no answer. */
-  readonly order: (order: HoldOrder) => Promise<boolean | null>;
+  /** Gives an order. Resolves with whether the rank has accepted it; null when there was no answer. */
+  readonly order: (order: HoldOrder, fence: RankFence) => Promise<boolean | null>;
+  /** Of the orders that this process gives. */
+  readonly fences: FenceNumbers;
   readonly nowMs: () => number;
   /** Passes from the last one that was begun to the one that is held; chosen by the time of a pass if not given. */
   readonly leadSteps?: number;
@@ -28,14 +32,15 @@
 /** Passes from the last one that was begun to the one that is held. Four cost more by later maps than they saved. */
 const longLeadSteps = 2;
 const shortLeadSteps = 1;
-/** Rounds of orders between two inspections; an activation takes hold, arm and go. */
-const maxRounds = 4;
+/** Rounds of orders between two inspections: hold, arm and go, and what orders without an answer add. */
+const maxRounds = 6;
 
 /** Brings maps into force on one group. Inspects all ranks, gives the orders that follow, and looks again. */
 export class GroupActivation {
   readonly #io: ActivationIo;
   readonly #preparingSince = new Map<number, number>();
-  readonly #fenced = new FencedRanks();
+  readonly #obedience = new RankObedience();
+  readonly #fences: RankFence[] = [];
   readonly #passTimer = new PassTimer();
   #goal: MapGoal | null = null;
 
@@ -58,6 +63,16 @@
     return sinceMs === Infinity ? null : this.#io.nowMs() - sinceMs;
   }
 
+  /** Whether an order that was given may still be carried out. */
+  get hasUnanswered(): boolean {
+    return this.#obedience.hasUnanswered;
+  }
+
+  /** To be called when another process may have given orders of this lead, and has not told how they ended. */
+  doubt(states: readonly HeldRank[]): void {
+    this.#obedience.doubt(states);
+  }
+
   aim(goal: MapGoal): void {
     this.#goal = goal;
     this.#preparingSince.clear();
@@ -91,8 +106,9 @@
     let ranks = states;
     this.note(states);
     for (let round = 0; round < maxRounds; round += 1) {
-      const fenceOrders = this.#chooseFenceOrders(ranks);
-      const orders = fenceOrders.length > 0 ? fenceOrders : this.#chooseOrders(ranks);
+      const next = this.#chooseOrders(ranks);
+      const fenceOrders = this.#chooseFenceOrders(ranks, next);
+      const orders = fenceOrders.length > 0 ? fenceOrders : next;
       if (orders.length === 0) {
         break;
       }
@@ -112,10 +128,18 @@
     return goal !== null && ranks.every(({ mapVersion }) => mapVersion >= goal.version);
   }
 
-  /** Orders that make an activation which another lead has begun obey this one, before its state is relied on. */
-  #chooseFenceOrders(ranks: readonly HeldRank[]): HoldOrder[] {
-    const unfenced = ranks.filter((rank) => !this.#fenced.has(rank) && !isOfGoal(rank, this.#goal));
-    return chooseFenceOrders(ranks, unfenced, this.#io.reservedVersion);
+  /**
+   * Orders after which the ranks of an activation in flight do what this lead has them do, and nothing else: those that
+   * have had no order of it, and those that may still carry out one without an answer. Of these, a rank that is given
+   * its order again is settled by that.
+   */
+  #chooseFenceOrders(ranks: readonly HeldRank[], next: readonly HoldOrder[]): HoldOrder[] {
+    const unsettled = ranks.filter((rank) => {
+      const isTakenOver = !this.#obedience.isFenced(rank) && !isOfGoal(rank, this.#goal);
+      const isRepeated = next.some((order) => order.rank === rank.rank && order.kind !== HoldOrderKind.Go);
+      return isTakenOver || (this.#obedience.isUnanswered(rank) && !isRepeated);
+    });
+    return chooseFenceOrders(ranks, unsettled, this.#io.reservedVersion);
   }
 
   #chooseOrders(ranks: readonly HeldRank[]): HoldOrder[] {
@@ -123,9 +147,11 @@
   }
 
   async #give(order: HoldOrder): Promise<boolean | null> {
-    const answer = await this.#io.order(order);
-    if (answer === true) {
-      this.#fenced.add(order);
+    const fence = this.#getFence(order.rank);
+    const answer = await this.#io.order(order, fence);
+    this.#obedience.note(order, answer);
+    if (answer === null) {
+      fence.raise();
     }
     if (order.kind === HoldOrderKind.Prepare && answer === true) {
       this.#preparingSince.set(order.rank, this.#io.nowMs());
@@ -133,6 +159,11 @@
     return answer;
   }
 
+  #getFence(rank: number): RankFence {
+    this.#fences[rank] ??= new RankFence(this.#io.fences);
+    return this.#fences[rank];
+  }
+
   #isPreparing(rank: number): boolean {
     const sinceMs = this.#preparingSince.get(rank);
     return sinceMs !== undefined && this.#io.nowMs() - sinceMs < prepareMs;
--- a/packages/experts/hold/chooseFenceOrders.ts
+++ b/packages/experts/hold/chooseFenceOrders.ts
@@ -5,14 +5,14 @@
 import { isWhole } from "./isWhole";
 
 /**
- * Chooses the orders by which a lead takes over an activation in flight from ranks that have had no order of it. Until they
- * have, they still obey the lead before it, so what they report may change at any moment. The group is held before the pass
- * that the activation is about; the other ranks disarm a version that no map has, which changes nothing but their fence.
- * Empty when nothing is in flight. The state of all ranks has to be read again afterwards.
+ * Chooses the orders by which a lead makes sure of ranks in an activation in flight: what they report may change at any
+ * moment while they may carry out other orders than its last ones. The group is held before the pass that the activation
+ * is about; the other ranks disarm a version that no map has, which changes nothing but their fence. Empty when nothing
+ * is in flight. The state of all ranks has to be read again afterwards.
  */
 export function chooseFenceOrders(
   ranks: readonly HeldRank[],
-  unfenced: readonly HeldRank[],
+  unsettled: readonly HeldRank[],
   reservedVersion: number,
 ): HoldOrder[] {
   const holder = ranks.find(({ heldStep }) => heldStep !== null);
@@ -22,7 +22,7 @@
   }
   const isDue = ranks.some((rank) => rank.step >= step);
   const heldRank = isDue ? null : (holder?.rank ?? holdingRank);
-  return unfenced.map(({ rank, epoch }) =>
+  return unsettled.map(({ rank, epoch }) =>
     rank === heldRank
       ? { kind: HoldOrderKind.Hold, rank, epoch, step }
       : { kind: HoldOrderKind.Disarm, rank, epoch, version: reservedVersion },
--- a/packages/experts/test/fencedLeads.test.ts
+++ b/packages/experts/test/fencedLeads.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import type { Test } from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
@@ -55,9 +56,9 @@
 ): GroupActivation {
   return new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: async (order) => {
+    order: async (order, { number }) => {
       const dueMs = group.nowMs + lostOrderMs;
-      const answer = isLost(order) ? null : group.order(order, newFence);
+      const answer = isLost(order) ? null : group.order(order, number);
       // Other orders of the same round are given in the meantime.
       await Promise.resolve();
       if (answer === null) {
@@ -67,6 +68,7 @@
       return answer;
     },
     nowMs: () => group.nowMs,
+    fences: new FenceNumbers(newFence),
     reservedVersion,
   });
 }
@@ -137,12 +139,13 @@
   let refusals = 0;
   const lead = new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: (order) => {
+    order: (order, { number }) => {
       const isRefused = order.rank === 2 && order.kind === HoldOrderKind.Disarm && refusals === 0;
       refusals += isRefused ? 1 : 0;
-      return Promise.resolve(isRefused ? false : group.order(order, newFence));
+      return Promise.resolve(isRefused ? false : group.order(order, number));
     },
     nowMs: () => group.nowMs,
+    fences: new FenceNumbers(newFence),
     reservedVersion,
   });
   await lead.advance(group.ranks.map((state) => ({ ...state })));
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
@@ -18,14 +19,15 @@
 /** Time after which a lead gives an order again. */
 const lostOrderMs = 70;
 
-function createLead(group: HeldGroup): GroupActivation {
+function createLead(group: HeldGroup, term = 1): GroupActivation {
   return new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: (order) => {
-      const answer = group.order(order);
+    order: (order, { number }) => {
+      const answer = group.order(order, number);
       group.advance(1);
       return Promise.resolve(answer);
     },
+    fences: FenceNumbers.ofTerm(term),
     nowMs: () => group.nowMs,
     reservedVersion,
   });
@@ -56,7 +58,8 @@
   for (let seed = 1; seed <= 60; seed += 1) {
     const random = createRandom(seed);
     const group = new HeldGroup({ ranks: 6, random, lateShare: 0.3, passMs: seed % 2 === 0 ? 60 : 145 });
-    let lead = createLead(group);
+    let term = 1;
+    let lead = createLead(group, term);
     let version = 0;
     for (let round = 0; round < 120; round += 1) {
       if (lead.goal === null || random() < 0.05) {
@@ -67,7 +70,8 @@
         lead.abandon();
       }
       if (random() < 0.08) {
-        lead = createLead(group);
+        term += 1;
+        lead = createLead(group, term);
       }
       if (random() < 0.02) {
         group.form();
@@ -87,7 +91,7 @@
     const passMs = seed % 2 === 0 ? 60 : 145;
     const group = new HeldGroup({ ranks: 5, random, lateShare: seed % 3 === 0 ? 0.1 : 0, passMs });
     const time = new GroupTime(group);
-    const createActor = (): GroupActivation =>
+    const createActor = (fences: FenceNumbers): GroupActivation =>
       new GroupActivation({
         inspect: async (rank) => {
           await time.sleep(1 + random() * 12);
@@ -96,13 +100,14 @@
           await time.sleep(seed % 4 === 0 && rank === 0 ? 200 : 1 + random() * 12);
           return state;
         },
-        order: async (order) => {
+        order: async (order, { number }) => {
           // Some orders and answers take as long as a process that stands still for a moment.
           await time.sleep(1 + random() * (random() < 0.1 ? 300 : 12));
-          const answer = group.order(order);
+          const answer = group.order(order, number);
           await time.sleep(1 + random() * 12);
           return random() < 0.05 ? null : answer;
         },
+        fences,
         nowMs: () => group.nowMs,
         reservedVersion,
       });
@@ -114,11 +119,13 @@
         await time.sleep(random() * 60);
       }
     };
+    const fences = FenceNumbers.ofTerm(1);
     for (let version = 1; version <= 4; version += 1) {
-      const actors = [createActor(), createActor()];
+      const actors = [createActor(new FenceNumbers(fences.handOver())), createActor(fences)];
       for (const actor of actors) {
         actor.aim({ version, epoch: 1, hosting });
       }
+      actors[1]?.doubt(group.ranks);
       await time.run(Promise.all(actors.map(act)));
       inForce += group.ranks.every(({ mapVersion }) => mapVersion === version) ? 1 : 0;
     }
@@ -133,15 +140,16 @@
   let isLost = false;
   const lead = new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: (order) => {
+    order: (order, { number }) => {
       if (order.kind === HoldOrderKind.Arm && order.rank === 2 && !isLost) {
         isLost = true;
         group.advance(lostOrderMs);
         return Promise.resolve(null);
       }
       group.advance(2);
-      return Promise.resolve(group.order(order));
+      return Promise.resolve(group.order(order, number));
     },
+    fences: FenceNumbers.ofTerm(1),
     nowMs: () => group.nowMs,
     reservedVersion,
   });
--- a/packages/experts/test/lateOrder.test.ts
+++ b/packages/experts/test/lateOrder.test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
@@ -20,17 +21,18 @@
   Object.assign(group.ranks[0] ?? {}, { heldStep: 3 });
   Object.assign(group.ranks[1] ?? {}, { armed: { version: 1, step: 5 } });
   Object.assign(group.ranks[2] ?? {}, { armed: { version: 1, step: 4 } });
-  const late: HoldOrder[] = [];
+  const late: { readonly order: HoldOrder; readonly fence: number }[] = [];
   const lead = new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: (order) => {
+    order: (order, { number }) => {
       const isDisarm = order.kind === HoldOrderKind.Disarm && order.version === 1;
       if (isDisarm && order.rank === 2 && late.length === 0) {
-        late.push(order);
+        late.push({ order, fence: number });
         return Promise.resolve(null);
       }
-      return Promise.resolve(group.order(order));
+      return Promise.resolve(group.order(order, number));
     },
+    fences: FenceNumbers.ofTerm(1),
     nowMs: () => group.nowMs,
     reservedVersion,
   });
@@ -45,7 +47,9 @@
     group.advance(5);
   }
   await look();
-  group.order(late[0]!);
+  for (const { order, fence } of late) {
+    t.equal(group.order(order, fence), false);
+  }
   group.advance(100);
   t.equal(group.ranks[0]?.step, 4);
   t.equal(group.mixedPasses, 0);
--- a/packages/ranker/ActivateRequest.ts
+++ b/packages/ranker/ActivateRequest.ts
@@ -3,6 +3,7 @@
 
 /** Order of a lead to bring a map into force that all ranks of a group have prepared. */
 export interface ActivateRequest {
+  /** Lowest of the fencing numbers that the lead has set aside for these orders. */
   readonly fence: number;
   readonly version: number;
   readonly epoch: number;
--- a/packages/ranker/InspectRequest.ts
+++ b/packages/ranker/InspectRequest.ts
@@ -3,7 +3,7 @@
 /** Question of a lead for the state of a rank. */
 export interface InspectRequest {
   /** Term of the lead. */
-  readonly fence: number;
+  readonly term: number;
   readonly part: InspectionPart;
   /** Answer whose counts the asker holds; null for none. */
   readonly countsHeld: number | null;
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -1,10 +1,12 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
+import type { RankFence } from "@clementinemux/experts/hold/RankFence";
 import type { Counters } from "@clementinemux/metrics/Counters";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ActivateRequest } from "./ActivateRequest";
@@ -27,7 +29,7 @@
 
 /**
  * Time after the receipt of a request in which orders are given. The lead gives them itself after 70 ms without an answer,
- * under the same fencing number, and takes longer than this to copy experts for its next map and hold the group for it.
+ * with higher fencing numbers, so that later ones would be refused in any case.
  */
 const orderWindowMs = 200;
 
@@ -41,7 +43,7 @@
   }
 
   /**
-   * Resolves with whether the time for orders sufficed. A lead that hears no answer goes on itself, so that a process that
+   * Resolves with whether the time for orders sufficed and none is left without an answer. A lead that hears no answer goes on itself, so that a process that
    * stood still must neither order anything nor judge by states that it has read before and after that.
    */
   async activate(request: ActivateRequest): Promise<boolean> {
@@ -49,19 +51,24 @@
     const { clock, logger } = this.#options;
     const endMs = clock.monotonicMs() + orderWindowMs;
     const isOver = (): boolean => clock.monotonicMs() >= endMs;
+    const term = FenceNumbers.getTerm(fence);
     const ways = places.map((place) => this.#getWay(place));
     const activation = new GroupActivation({
-      inspect: (rank) => (isOver() ? Promise.resolve(null) : inspect(ways[rank], fence)),
-      order: (order) => (isOver() ? Promise.resolve(null) : give(ways[order.rank], fence, order)),
+      inspect: (rank) => (isOver() ? Promise.resolve(null) : inspect(ways[rank], term)),
+      order: (order, rankFence) =>
+        isOver() ? Promise.resolve(null) : give(ways[order.rank], rankFence, order),
+      fences: new FenceNumbers(fence),
       nowMs: () => clock.monotonicMs(),
       leadSteps,
-      reservedVersion: new MapVersions(fence).reserved,
+      reservedVersion: new MapVersions(term).reserved,
     });
     activation.aim({ version, epoch, hosting: [] });
     await activation.advance(states);
     const isInTime = !isOver();
-    logger.info({ version, epoch, fence, leadSteps, isInTime }, "orders of an activation given");
-    return isInTime;
+    const isAnswered = !activation.hasUnanswered;
+    const line = { version, epoch, term, fence, leadSteps, isInTime, isAnswered };
+    logger.info(line, "orders of an activation given");
+    return isInTime && isAnswered;
   }
 
   #getWay(place: RankPlace): RankWay {
@@ -77,11 +84,11 @@
   }
 }
 
-async function inspect(way: RankWay | undefined, fence: number): Promise<HeldRank | null> {
-  return (await way?.inspect(fence, InspectionPart.None))?.state ?? way?.inspectDirectly() ?? null;
+async function inspect(way: RankWay | undefined, term: number): Promise<HeldRank | null> {
+  return (await way?.inspect(term, InspectionPart.None))?.state ?? way?.inspectDirectly() ?? null;
 }
 
-async function give(way: RankWay | undefined, fence: number, order: HoldOrder): Promise<boolean | null> {
+async function give(way: RankWay | undefined, fence: RankFence, order: HoldOrder): Promise<boolean | null> {
   // A rank that is no longer prepared is the lead's matter: only it knows the whole map.
   return order.kind === HoldOrderKind.Prepare ? false : ((await way?.order(fence, order)) ?? null);
 }
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -1,7 +1,9 @@
 import type { Logger } from "roarr";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import type { RankFence } from "@clementinemux/experts/hold/RankFence";
 import type { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -46,9 +48,9 @@
     return this.#options.place;
   }
 
-  async inspect(fence: number, part: InspectionPart): Promise<RankInspection | null> {
+  async inspect(term: number, part: InspectionPart): Promise<RankInspection | null> {
     const { links, place } = this.#options;
-    const request: InspectRequest = { fence, part, countsHeld: this.#counts.held };
+    const request: InspectRequest = { term, part, countsHeld: this.#counts.held };
     const answer = await links.call(place.rankerAddress, MessageName.InspectRank, request, inspectTimeoutMs);
     const inspection = answer.toMaybe().extractNullable() as PackedInspection | null;
     if (inspection === null) {
@@ -65,14 +67,22 @@
   /**
    * Gives an order by the shorter way for its kind, and by the other one when there is no answer. Hold and go are given
    * directly: while the machine beside a rank stands still nobody else can let its group go, whereas a lead is
-   * replaced within a second or two.
+   * replaced within a second or two. The second way has a higher fence, so that the rank refuses the order that had no
+   * answer once it has accepted the other one.
    */
-  async order(fence: number, order: HoldOrder): Promise<boolean | null> {
+  async order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     const { orders, refusedOrders } = this.#options;
     const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
-    const answer = isDirect
-      ? ((await this.#orderDirectly(fence, order)) ?? (await this.#orderByRanker(fence, order)))
-      : ((await this.#orderByRanker(fence, order)) ?? (await this.#orderDirectly(fence, order)));
+    const ways = [
+      () => this.#orderDirectly(fence.number, order),
+      () => this.#orderByRanker(fence.number, order),
+    ] as const;
+    const [first, second] = isDirect ? ways : [ways[1], ways[0]];
+    let answer = await first();
+    if (answer === null) {
+      fence.raise();
+      answer = await second();
+    }
     orders.add(getOrderOutcome(answer));
     if (answer === false) {
       refusedOrders.add(order.kind);
@@ -120,6 +130,7 @@
     const { address, rankerAddress } = this.#options.place;
     return {
       ...describeOrder(order),
+      term: FenceNumbers.getTerm(fence),
       fence,
       way,
       address: way === OrderWay.Direct ? address : rankerAddress,
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { MetricsPage } from "@clementinemux/metrics/MetricsPage";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
@@ -39,7 +40,7 @@
   readonly #metricsPage: MetricsPage;
   readonly #orders = new Counters("clementinemux_ranker_orders", "outcome", Object.values(OrderOutcome));
   #inspections = 0;
-  #highestFence = 0;
+  #highestTerm = 0;
 
   constructor(options: RankerOptions) {
     this.#options = options;
@@ -66,7 +67,7 @@
 
   #renderMetrics(): string {
     const gauges = {
-      clementinemux_ranker_fence: this.#highestFence,
+      clementinemux_ranker_term: this.#highestTerm,
       clementinemux_ranker_inspections: this.#inspections,
     };
     return renderCounters(this.#orders) + renderGauges(gauges);
@@ -79,8 +80,8 @@
     };
   }
 
-  async #inspect({ fence, part, countsHeld }: InspectRequest): Promise<PackedInspection | null> {
-    this.#check(fence);
+  async #inspect({ term, part, countsHeld }: InspectRequest): Promise<PackedInspection | null> {
+    this.#check(term);
     this.#inspections += 1;
     const inspection = await this.#options.rank.inspect(part === InspectionPart.Experts);
     if (inspection === null) {
@@ -91,19 +92,20 @@
   }
 
   async #order({ fence, order }: OrderRequest): Promise<boolean | null> {
-    this.#check(fence);
+    const term = FenceNumbers.getTerm(fence);
+    this.#check(term);
     const isConfirmed = await this.#options.rank.order(order, fence);
     this.#orders.add(getOrderOutcome(isConfirmed));
-    const line = { ...describeOrder(order), fence, way: OrderWay.Ranker, isConfirmed };
+    const line = { ...describeOrder(order), term, fence, way: OrderWay.Ranker, isConfirmed };
     this.#options.logger.info(line, "order given");
     return isConfirmed;
   }
 
   /** A lead that was deposed must not order anything after its successor has begun to. */
-  #check(fence: number): void {
-    if (fence < this.#highestFence) {
-      throw new RemoteError("deposed", `a lead of term ${this.#highestFence} is at work`);
+  #check(term: number): void {
+    if (term < this.#highestTerm) {
+      throw new RemoteError("deposed", `a lead of term ${this.#highestTerm} is at work`);
     }
-    this.#highestFence = fence;
+    this.#highestTerm = term;
   }
 }
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -1,6 +1,7 @@
 import t from "tap";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
@@ -30,9 +31,9 @@
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(group.inspect(rank)),
-    order: (order: HoldOrder) => {
+    order: (order: HoldOrder, fence: number) => {
       kinds.push(order.kind);
-      return Promise.resolve(group.order(order));
+      return Promise.resolve(group.order(order, fence));
     },
   });
   const places = group.ranks.map((_, rank) => ({
@@ -50,7 +51,7 @@
     await Promise.all(rankers.map((ranker) => ranker.close()));
   });
   // Connections are opened first: on a busy machine that takes longer than an order without an answer is waited for.
-  const inspection = { fence: 3, part: InspectionPart.None, countsHeld: null };
+  const inspection = { term: 3, part: InspectionPart.None, countsHeld: null };
   for (const { rankerAddress } of places) {
     await links.call(rankerAddress, MessageName.InspectRank, inspection, warmUpMs);
   }
@@ -59,7 +60,14 @@
   const refusedOrders = new Counters("refused", "kind", Object.values(HoldOrderKind));
   const activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
   const states = group.ranks.map((state) => ({ ...state }));
-  const request = { fence: 3, version: 1, epoch: 1, leadSteps: 2, places, states };
+  const request = {
+    fence: FenceNumbers.ofTerm(3).handOver(),
+    version: 1,
+    epoch: 1,
+    leadSteps: 2,
+    places,
+    states,
+  };
   return { activator, request, kinds };
 }
 
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -2,6 +2,7 @@
 import { Right } from "purify-ts/Either";
 import type { Either } from "purify-ts/Either";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
@@ -34,7 +35,7 @@
   override async call(address: string, _name: string, body: unknown): Promise<Either<WireError, unknown>> {
     const request = body as InspectRequest | OrderRequest;
     if ("order" in request) {
-      return Right(this.#group.order(request.order));
+      return Right(this.#group.order(request.order, request.fence));
     }
     const rank = Number(address);
     if (rank === slowRank) {
@@ -60,7 +61,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(group.inspect(Number(address))),
-      order: (order) => Promise.resolve(group.order(order)),
+      order: (order, fence) => Promise.resolve(group.order(order, fence)),
     }),
     orders: new Counters("orders", "outcome", Object.values(OrderOutcome)),
     refusedOrders: new Counters("refused", "kind", Object.values(HoldOrderKind)),
@@ -86,9 +87,11 @@
 // map and some from after, so that it takes that map for one that cannot be completed and disarms a rank of it.
 t.test("a process that goes on late gives no orders about a later map", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const fences = FenceNumbers.ofTerm(3);
   const lead = new GroupActivation({
     inspect: (rank) => Promise.resolve(group.inspect(rank)),
-    order: (order) => Promise.resolve(group.order(order)),
+    order: (order, { number }) => Promise.resolve(group.order(order, number)),
+    fences,
     nowMs: () => group.nowMs,
     reservedVersion,
   });
@@ -103,7 +106,7 @@
   const gate = new Promise<void>((resolve) => {
     openGate = resolve;
   });
-  const request = { fence: 3, version: 1, epoch: 1, leadSteps: 2, places, states };
+  const request = { fence: fences.handOver(), version: 1, epoch: 1, leadSteps: 2, places, states };
   const late = createActivator(group, gate).activate(request);
   await new Promise(setImmediate);
   await bringIntoForce(group, lead, 2);
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -1,7 +1,9 @@
 import t from "tap";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { RankFence } from "@clementinemux/experts/hold/RankFence";
 import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
 import { LogRecorder } from "@clementinemux/logging/test/LogRecorder";
 import { Counters } from "@clementinemux/metrics/Counters";
@@ -23,6 +25,11 @@
 const arm: HoldOrder = { kind: HoldOrderKind.Arm, ...ids, version: 16, step: 290 };
 const go: HoldOrder = { kind: HoldOrderKind.Go, ...ids, step: 290 };
 const address = "127.0.0.1:9";
+const fence = FenceNumbers.ofTerm(3).floor;
+
+function createFence(term: number): RankFence {
+  return new RankFence(FenceNumbers.ofTerm(term));
+}
 
 /** A link to a rank that gives `answer` to all orders, with a process beside it unless `isAlone`. */
 async function start(t: Tap, answer: boolean | null, isAlone = false) {
@@ -71,13 +78,14 @@
 // Guards against an order whose content cannot be compared with that of the plan.
 t.test("the process beside a rank logs the map of an order", async (t) => {
   const { link, lead, beside } = await start(t, true);
-  t.equal(await link.order(3, prepare), true);
+  t.equal(await link.order(createFence(3), prepare), true);
   const context = {
     kind: "prepare",
     ...ids,
     version: 16,
     digest,
-    fence: 3,
+    term: 3,
+    fence,
     way: "ranker",
     isConfirmed: true,
   };
@@ -89,8 +97,17 @@
 // Guards against orders of a lead that leave no trace because they passed the process beside the rank by.
 t.test("a direct order is logged by the lead", async (t) => {
   const { link, lead, beside } = await start(t, true);
-  t.equal(await link.order(3, go), true);
-  const context = { kind: "go", ...ids, step: 290, fence: 3, way: "direct", address, isConfirmed: true };
+  t.equal(await link.order(createFence(3), go), true);
+  const context = {
+    kind: "go",
+    ...ids,
+    step: 290,
+    term: 3,
+    fence,
+    way: "direct",
+    address,
+    isConfirmed: true,
+  };
   t.same(lead.find("order given"), [{ level: "info", event: "order given", context }]);
   t.same(beside.find("order given"), []);
 });
@@ -98,15 +115,15 @@
 // Guards against refusals, the sign of a version that stands for two maps, that look like any other line.
 t.test("a refused order is a warning that names its way", async (t) => {
   const { link, lead, beside, rankerAddress, refusedOrders } = await start(t, false);
-  t.equal(await link.order(3, prepare), false);
-  t.equal(await link.order(3, go), false);
-  const fields = { kind: "prepare", ...ids, version: 16, digest, fence: 3 };
+  t.equal(await link.order(createFence(3), prepare), false);
+  t.equal(await link.order(createFence(3), go), false);
+  const fields = { kind: "prepare", ...ids, version: 16, digest, term: 3, fence };
   t.same(lead.find("order refused"), [
     { level: "warn", event: "order refused", context: { ...fields, way: "ranker", address: rankerAddress } },
     {
       level: "warn",
       event: "order refused",
-      context: { kind: "go", ...ids, step: 290, fence: 3, way: "direct", address },
+      context: { kind: "go", ...ids, step: 290, term: 3, fence, way: "direct", address },
     },
   ]);
   t.match(beside.find("order given"), [{ context: { kind: "prepare", isConfirmed: false } }]);
@@ -117,10 +134,10 @@
 // Guards against orders of a replaced lead that are taken for orders without an answer.
 t.test("an order of a replaced lead is logged as refused", async (t) => {
   const { link, lead, beside } = await start(t, true);
-  await link.order(5, arm);
-  t.equal(await link.order(3, arm), false);
+  await link.order(createFence(5), arm);
+  t.equal(await link.order(createFence(3), arm), false);
   t.match(lead.find("order refused"), [
-    { level: "warn", context: { version: 16, step: 290, fence: 3, way: "ranker", why: /term 5/ } },
+    { level: "warn", context: { version: 16, step: 290, term: 3, fence, way: "ranker", why: /term 5/ } },
   ]);
   t.same(lead.find("no answer to an order"), []);
   t.equal(beside.find("order given").length, 1);
@@ -129,11 +146,14 @@
 // Guards against an order to prepare that may be carried out late and does not say which map it had.
 t.test("an order without an answer is logged with its map, and given directly", async (t) => {
   const { link, lead } = await start(t, true, true);
-  t.equal(await link.order(3, prepare), true);
+  t.equal(await link.order(createFence(3), prepare), true);
   t.match(lead.find("no answer to an order"), [
-    { level: "warn", context: { kind: "prepare", version: 16, digest, fence: 3, way: "ranker" } },
+    { level: "warn", context: { kind: "prepare", version: 16, digest, term: 3, fence, way: "ranker" } },
   ]);
   t.match(lead.find("order given"), [
-    { level: "info", context: { kind: "prepare", version: 16, digest, fence: 3, way: "direct" } },
+    {
+      level: "info",
+      context: { kind: "prepare", version: 16, digest, term: 3, fence: fence + 1, way: "direct" },
+    },
   ]);
 });
--- a/packages/ranker/test/ranker.test.ts
+++ b/packages/ranker/test/ranker.test.ts
@@ -1,5 +1,6 @@
 import t from "tap";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -42,17 +43,23 @@
     client.close();
     await ranker.close();
   });
-  const give = (fence: number) => client.call(MessageName.OrderRank, { fence, order }, 1000);
+  const give = (term: number) => {
+    const fence = FenceNumbers.ofTerm(term).floor;
+    return client.call(MessageName.OrderRank, { fence, order }, 1000);
+  };
   t.equal((await give(5)).extract(), true);
   t.equal((await give(6)).extract(), false);
   t.equal((await give(5)).isLeft(), true);
   t.equal((await give(6)).extract(), null);
-  t.same(fences, [5, 6, 6]);
+  t.same(
+    fences.map((fence) => FenceNumbers.getTerm(fence)),
+    [5, 6, 6],
+  );
   const text = await (await fetch(`http://127.0.0.1:${metricsPort}/metrics`)).text();
   for (const outcome of ["confirmed", "refused", "no_answer"]) {
     t.match(text, `clementinemux_ranker_orders{outcome="${outcome}"} 1\n`);
   }
-  t.match(text, "clementinemux_ranker_fence 6\n");
+  t.match(text, "clementinemux_ranker_term 6\n");
 });
 
 // Guards against a lead that cannot tell which experts a rank has prepared, and against lists read at each look.
