Leave a map that the lead has not planned unarmed

A pass could begin with two contents of one version. A lead that found a group held, with nothing armed or some ranks armed, took the hold for one about the version that all ranks had prepared and armed it everywhere, also after it had given that map up, and also when another lead had planned it. The version does not tell whether the ranks have prepared the same content; only the lead that planned the map can compare it. It disarms and lets the group go now unless the map is its own goal. Ranks that are all armed still go on as they are.

What it costs: a map that is half activated when its lead is lost is planned and copied anew by the next lead.

Evidence: fencedLeads "a new lead does not arm a map that it has not planned" runs a pass with two contents before and none after.

--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -8,7 +8,8 @@
 
 /**
  * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It depends on the
- * reports alone, so that it also completes or clears what another lead has begun. A map is armed only while the group
+ * reports alone, so that it also clears what another lead has begun, or lets a group go whose ranks are all armed. A map
+ * of another lead is not completed: its version does not tell whether all ranks have prepared the same. A map is armed only while the group
  * is held before the pass from which it counts, and the group goes on only when all ranks or none are armed.
  * `leadSteps` is the number of passes from the last one that was begun to the one that is held.
  */
@@ -23,7 +24,7 @@
     return [];
   }
   if (isInFlight(ranks)) {
-    return settle(ranks);
+    return settle(ranks, goal);
   }
   if (goal?.epoch !== first.epoch || ranks.every(({ mapVersion }) => mapVersion >= goal.version)) {
     return [];
@@ -39,18 +40,19 @@
   return [{ kind: HoldOrderKind.Hold, rank: holdingRank, epoch: first.epoch, step }];
 }
 
-/** Completes an activation that has begun; clears one that cannot be completed. */
-function settle(ranks: readonly HeldRank[]): HoldOrder[] {
+/** Completes an activation of the goal that has begun; clears one that cannot be completed. */
+function settle(ranks: readonly HeldRank[], goal: MapGoal | null): HoldOrder[] {
   const holder = ranks.find(({ heldStep }) => heldStep !== null);
-  const target = findTarget(ranks, holder?.heldStep ?? null);
+  const target = findTarget(ranks, goal, holder?.heldStep ?? null);
   if (target === null) {
     return letGo(ranks);
   }
   const { version, step } = target;
   const isDue = getStep(ranks) >= step;
   const missing = ranks.filter(({ armed }) => armed?.version !== version || armed.step !== step);
+  const isOfGoal = goal?.version === version && goal.epoch === ranks[0]?.epoch;
   const canComplete =
-    !isDue && missing.every((rank) => rank.armed === null && rank.preparedVersion === version);
+    isOfGoal && !isDue && missing.every((rank) => rank.armed === null && rank.preparedVersion === version);
   if (!canComplete && missing.length > 0) {
     const armed = ranks.filter((rank) => rank.armed !== null);
     return armed.map(({ rank, epoch, armed: held }) => ({
@@ -73,19 +75,21 @@
 /** Map and pass that the activation in flight is about; null when no rank can have been armed. */
 function findTarget(
   ranks: readonly HeldRank[],
+  goal: MapGoal | null,
   heldStep: number | null,
 ): { readonly version: number; readonly step: number } | null {
   const armed = ranks.find((rank) => rank.armed !== null)?.armed ?? null;
   if (armed !== null) {
     return armed;
   }
-  const [first] = ranks;
-  const prepared = first?.preparedVersion ?? null;
-  // A lead arms only after all are prepared, and its orders may still be on their way: arming completes them.
-  const isPrepared =
-    prepared !== null &&
-    ranks.every(({ preparedVersion, mapVersion }) => preparedVersion === prepared && mapVersion < prepared);
-  return isPrepared && heldStep !== null ? { version: prepared, step: heldStep } : null;
+  if (goal === null || goal.epoch !== ranks[0]?.epoch || heldStep === null) {
+    return null;
+  }
+  const { version } = goal;
+  const isPrepared = ranks.every(
+    ({ preparedVersion, mapVersion }) => preparedVersion === version && mapVersion < version,
+  );
+  return isPrepared ? { version, step: heldStep } : null;
 }
 
 function letGo(ranks: readonly HeldRank[]): HoldOrder[] {
--- a/packages/experts/test/fencedLeads.test.ts
+++ b/packages/experts/test/fencedLeads.test.ts
@@ -6,6 +6,7 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { HeldGroup } from "./HeldGroup";
 
 const ranks = 4;
@@ -154,3 +155,17 @@
   group.advance(130);
   await lookOn(t, lead, group);
 });
+
+// Guards against a pass with two contents of one version: the version is all that a new lead knows of a prepared map.
+t.test("a new lead does not arm a map that it has not planned", async (t) => {
+  const group = createHeldGroup();
+  group.ranks.forEach(({ hostings }, rank) => {
+    hostings.set(version, createTurnHosting(1, 4, rank === 1 ? 2 : ranks));
+  });
+  await lookOn(
+    t,
+    createNewLead(group, () => false),
+    group,
+  );
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion === 0));
+});
--- a/packages/experts/test/lateOrder.test.ts
+++ b/packages/experts/test/lateOrder.test.ts
@@ -36,8 +36,9 @@
     nowMs: () => group.nowMs,
     reservedVersion,
   });
+  lead.aim({ version: 1, epoch: 1, hosting: [] });
   const look = (): Promise<boolean> => lead.advance(group.ranks.map((rank) => ({ ...rank })));
-  // The first look takes the activation over, the second one settles it.
+  // The first look clears what cannot be completed, the second one brings the map of the lead's goal into force.
   await look();
   await look();
   t.equal(late.length, 1);
