Hold a group only for a map whose content is known on each rank

A pass could begin with two contents of one version: a digest that was not known did not keep the lead from holding the group and arming it, although the check that ranks have prepared the plan's experts is the only one of the content. The group is held when the digest of each rank has been compared; where the process beside a rank is silent, the rank's own lists are read. The ranker gives the lists 60 ms of an inspection, since a slow answer cost the whole inspection.

A rank's report to another instance is up to 200 ms old. A direct report is read 250 ms after the last order now, so that the lead does not decide from what was before its own order, such as a fence order.

Evidence: "a group is not held for a map before the content of each rank is known" and "a direct report that follows an order shows what the order has changed" fail with either check left out and pass with it.

--- a/packages/bench/shifts/ShiftGroup.ts
+++ b/packages/bench/shifts/ShiftGroup.ts
@@ -40,6 +40,11 @@
     return this.#refusedPasses;
   }
 
+  /** Of the map that is copied or prepared; null for none. */
+  get preparedHosting(): RankHosting | null {
+    return this.#prepared?.hosting ?? null;
+  }
+
   order(order: HoldOrder, nowMs: number): boolean {
     const rank = this.ranks[order.rank];
     if (rank === undefined) {
--- a/packages/bench/shifts/ShiftRankWay.ts
+++ b/packages/bench/shifts/ShiftRankWay.ts
@@ -1,6 +1,7 @@
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import type { RankFence } from "@clementinemux/experts/hold/RankFence";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankInspection } from "@clementinemux/ranker/RankInspection";
 import type { RankWay } from "@clementinemux/ranker/RankWay";
@@ -36,7 +37,7 @@
       pace: 1,
       counts: this.#rank === 0 ? [...this.#group.counts] : [],
       experts,
-      preparedDigest: null,
+      preparedDigest: this.#getPreparedDigest(),
     });
   }
 
@@ -44,7 +45,16 @@
     return Promise.resolve(this.#group.inspect(this.#rank, this.#getNowMs()));
   }
 
+  readPreparedDirectly(): Promise<number | null> {
+    return Promise.resolve(this.#getPreparedDigest());
+  }
+
   order(_fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     return Promise.resolve(this.#group.order(order, this.#getNowMs()));
   }
+
+  #getPreparedDigest(): number | null {
+    const hosting = this.#group.preparedHosting;
+    return hosting === null ? null : getExpertsDigest(hosting.map((ranks) => ranks[this.#rank] ?? []));
+  }
 }
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -179,10 +179,11 @@
     if (known !== undefined) {
       return known;
     }
-    const { links, framePort, openRank, metrics, logger } = this.#options;
+    const { links, framePort, openRank, metrics, clock, logger } = this.#options;
     const place = { address, rankerAddress: `${parseAddress(address).host}:${framePort}` };
     const { orders, refusedOrders } = metrics;
-    const link = new RankLink({ links, place, direct: openRank(address), orders, refusedOrders, logger });
+    const direct = openRank(address);
+    const link = new RankLink({ links, place, direct, orders, refusedOrders, clock, logger });
     this.#links.set(address, link);
     return link;
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -136,8 +136,11 @@
     if (this.#activation.goal !== null || !isInFlight(states)) {
       await this.#reviewGoal(states, nowMs);
     }
-    if (this.#activation.isReady(states) && (await this.#delegate(states, nowMs))) {
-      return;
+    if (this.#activation.isReady(states)) {
+      const isEnded = !(await this.#isContentKnown(inspections)) || (await this.#delegate(states, nowMs));
+      if (isEnded) {
+        return;
+      }
     }
     if (await this.#activation.advance(states)) {
       this.#adopt();
@@ -205,6 +208,22 @@
     }
   }
 
+  /** Whether each rank is known to have prepared the experts of the goal. The group is not held for a map before that. */
+  async #isContentKnown(inspections: readonly (RankInspection | null)[]): Promise<boolean> {
+    const { goal } = this.#activation;
+    if (goal === null) {
+      return false;
+    }
+    const digests = await Promise.all(
+      inspections.map((inspection, rank) =>
+        inspection === null
+          ? this.#links[rank]?.readPreparedDirectly(goal.version)
+          : inspection.preparedDigest,
+      ),
+    );
+    return digests.every((digest, rank) => digest === getRankDigest(goal.hosting, rank));
+  }
+
   #abandon(goal: MapGoal, why: string): void {
     const { metrics, logger } = this.#options;
     logger.warn({ ...this.#describe(goal), why }, "map abandoned");
--- a/packages/control/test/DelayedRankWay.ts
+++ b/packages/control/test/DelayedRankWay.ts
@@ -51,6 +51,10 @@
     return this.#ask((way) => way.inspectDirectly());
   }
 
+  readPreparedDirectly(): Promise<number | null> {
+    return this.#ask((way) => way.readPreparedDirectly());
+  }
+
   async order({ number }: RankFence, order: HoldOrder): Promise<boolean | null> {
     const { way, process, time, random } = this.#options;
     const carryOut = (): boolean | null => way.carryOut(number, order);
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -15,7 +15,7 @@
   /** Whether questions for the experts get no answer. */
   hidesExperts = false;
   /** Whether inspections hold the digest of what the rank has prepared. */
-  tellsPrepared = false;
+  tellsPrepared = true;
   counts: readonly number[] = [];
   directInspections = 0;
   /** Whether orders get no answer and are not carried out. */
@@ -53,6 +53,11 @@
     return Promise.resolve(this.#group.inspect(this.#rank));
   }
 
+  readPreparedDirectly(): Promise<number | null> {
+    const state = this.#group.inspect(this.#rank);
+    return Promise.resolve(state === null ? null : this.#getPreparedDigest(state));
+  }
+
   order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     if (this.missesOrders) {
       this.missedOrders.push({ fence: fence.number, order });
--- a/packages/control/test/mapVersions.test.ts
+++ b/packages/control/test/mapVersions.test.ts
@@ -134,9 +134,6 @@
     [...ranks].reverse(),
   );
   const lead = new LeadOfTerm(group, ways, 2);
-  for (const way of ways) {
-    way.tellsPrepared = true;
-  }
   await lead.look(0);
   t.equal(group.order({ kind: HoldOrderKind.Prepare, rank: 1, epoch: 1, version, hosting }), true);
   await lookUntilInForce(lead, group, 0);
@@ -144,3 +141,32 @@
   t.ok(group.ranks.every(({ mapVersion }) => mapVersion > version));
   t.equal(group.mixedPasses, 0);
 });
+
+// Guards against a map that is armed although nobody knows whether all ranks have prepared the same under its version.
+t.test("a group is not held for a map before the content of each rank is known", async (t) => {
+  const { group, ways } = createGroup();
+  const version = new MapVersions(2).take(0) ?? 0;
+  const hosting = createTurnHosting(figures.layerSets, figures.expertsPerSet, 4).map((ranks) =>
+    [...ranks].reverse(),
+  );
+  const lead = new LeadOfTerm(group, ways, 2);
+  ways[1]!.tellsPrepared = false;
+  await lead.look(0);
+  t.equal(group.order({ kind: HoldOrderKind.Prepare, rank: 1, epoch: 1, version, hosting }), true);
+  for (let look = 0; look < 40; look += 1) {
+    await lead.look(0);
+  }
+  t.ok(
+    group.ranks.every(({ preparedVersion }) => preparedVersion === version),
+    "all ranks have prepared the version",
+  );
+  t.equal(group.heldPasses, 0);
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion === 0));
+  ways[1]!.tellsPrepared = true;
+  await lookUntilInForce(lead, group, 0);
+  t.ok(
+    group.ranks.every(({ mapVersion }) => mapVersion > version),
+    "the next plan is in force",
+  );
+  t.equal(group.mixedPasses, 0);
+});
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -76,9 +76,9 @@
     if (known !== undefined) {
       return known;
     }
-    const { links, openRank, orders, refusedOrders, logger } = this.#options;
+    const { links, openRank, orders, refusedOrders, clock, logger } = this.#options;
     const direct = openRank(place.address);
-    const way = new RankLink({ links, place, direct, orders, refusedOrders, logger });
+    const way = new RankLink({ links, place, direct, orders, refusedOrders, clock, logger });
     this.#ways.set(place.address, way);
     return way;
   }
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -1,9 +1,12 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
 import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
 import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
 import type { RankFence } from "@clementinemux/experts/hold/RankFence";
+import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import type { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -28,10 +31,13 @@
   readonly direct: RankClient;
   readonly orders: Counters<OrderOutcome>;
   readonly refusedOrders: Counters<HoldOrderKind>;
+  readonly clock: Clock;
   readonly logger: Logger;
 }
 
 const inspectTimeoutMs = 200;
+/** Age of what a rank reports to another instance than its own: up to 200 ms, and the time on the way. */
+const reportLagMs = 250;
 /** Shorter than the two passes that a group runs before a hold, so that an order can be given again without a pause. */
 const orderTimeoutMs = 70;
 
@@ -39,6 +45,7 @@
 export class RankLink implements RankWay {
   readonly #options: RankLinkOptions;
   readonly #counts = new CountReceiver();
+  #orderedAtMs = -Infinity;
 
   constructor(options: RankLinkOptions) {
     this.#options = options;
@@ -60,8 +67,19 @@
     return counts === null ? null : { ...inspection, counts };
   }
 
-  inspectDirectly(): Promise<HeldRank | null> {
-    return this.#options.direct.inspectState();
+  /** What a rank reports to another instance may be from before the last order, so that it is read later than that. */
+  async inspectDirectly(): Promise<HeldRank | null> {
+    const { clock, direct } = this.#options;
+    const waitMs = this.#orderedAtMs + reportLagMs - clock.monotonicMs();
+    if (waitMs > 0) {
+      await sleep(waitMs);
+    }
+    return direct.inspectState();
+  }
+
+  async readPreparedDirectly(version: number): Promise<number | null> {
+    const prepared = await this.#options.direct.readPrepared();
+    return prepared?.version === version ? getExpertsDigest(prepared.experts) : null;
   }
 
   /**
@@ -71,7 +89,7 @@
    * answer once it has accepted the other one.
    */
   async order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
-    const { orders, refusedOrders } = this.#options;
+    const { orders, refusedOrders, clock } = this.#options;
     const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
     const ways = [
       () => this.#orderDirectly(fence.number, order),
@@ -83,6 +101,7 @@
       fence.raise();
       answer = await second();
     }
+    this.#orderedAtMs = clock.monotonicMs();
     orders.add(getOrderOutcome(answer));
     if (answer === false) {
       refusedOrders.add(order.kind);
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
@@ -31,6 +32,9 @@
   readonly logger: Logger;
 }
 
+/** Part of the time for an inspection. A digest that takes longer is told at the next one. */
+const digestWaitMs = 60;
+
 /** Process beside a rank: reads its counts and gives it orders, which is free or cheap only from its own machine. */
 export class Ranker {
   readonly #options: RankerOptions;
@@ -88,7 +92,9 @@
       return null;
     }
     const counts = part === InspectionPart.Counts ? this.#counts.pack(inspection.counts, countsHeld) : null;
-    return { ...inspection, counts, preparedDigest: await this.#prepared.read(inspection.state) };
+    const digest = this.#prepared.read(inspection.state);
+    const preparedDigest = await Promise.race([digest, sleep(digestWaitMs, null)]);
+    return { ...inspection, counts, preparedDigest };
   }
 
   async #order({ fence, order }: OrderRequest): Promise<boolean | null> {
--- /dev/null
+++ b/packages/ranker/test/directReport.test.ts
@@ -0,0 +1,58 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { RankFence } from "@clementinemux/experts/hold/RankFence";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { RankLink } from "@clementinemux/ranker/RankLink";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+
+/** Age of a rank's report to another instance. */
+const lagMs = 200;
+const idle: HeldRank = {
+  rank: 0,
+  epoch: 1,
+  isOpen: true,
+  step: 2,
+  mapVersion: 0,
+  preparedVersion: null,
+  armed: null,
+  heldStep: null,
+};
+
+// Guards against a decision from a report that is older than the lead's own order, such as a second hold.
+t.test("a direct report that follows an order shows what the order has changed", async (t) => {
+  const clock = new SystemClock();
+  let heldAtMs = Infinity;
+  const links = new PeerLinks(undefined);
+  t.teardown(() => {
+    links.close();
+  });
+  const link = new RankLink({
+    links,
+    place: { address: "127.0.0.1:9", rankerAddress: "127.0.0.1:9" },
+    direct: {
+      inspect: () => Promise.resolve(null),
+      readPrepared: () => Promise.resolve(null),
+      inspectState: () => {
+        const isShown = clock.monotonicMs() - lagMs >= heldAtMs;
+        return Promise.resolve({ ...idle, heldStep: isShown ? 4 : null });
+      },
+      order: () => {
+        heldAtMs = clock.monotonicMs();
+        return Promise.resolve(true);
+      },
+    },
+    orders: new Counters("orders", "outcome", Object.values(OrderOutcome)),
+    refusedOrders: new Counters("refused", "kind", Object.values(HoldOrderKind)),
+    clock,
+    logger: createLogger("test", {}),
+  });
+  const fence = new RankFence(FenceNumbers.ofTerm(1));
+  t.equal((await link.inspectDirectly())?.heldStep, null);
+  t.equal(await link.order(fence, { kind: HoldOrderKind.Hold, rank: 0, epoch: 1, step: 4 }), true);
+  t.equal((await link.inspectDirectly())?.heldStep, 4);
+});
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -57,7 +57,15 @@
   const orders = new Counters("orders", "outcome", Object.values(OrderOutcome));
   const place = { address, rankerAddress };
   const refusedOrders = new Counters("refused", "kind", Object.values(HoldOrderKind));
-  const link = new RankLink({ links, place, direct: rank, orders, refusedOrders, logger: lead.logger });
+  const link = new RankLink({
+    links,
+    place,
+    direct: rank,
+    orders,
+    refusedOrders,
+    clock,
+    logger: lead.logger,
+  });
   return { link, lead, beside, rankerAddress, refusedOrders };
 }
 
