--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -215,7 +215,7 @@
       return false;
     }
     const digests = await Promise.all(
-      inspections.map((inspection, rank) =>
+      inspections.map(async (inspection, rank) =>
         inspection === null
           ? this.#links[rank]?.readPreparedDirectly(goal.version)
           : inspection.preparedDigest,
