Give no orders to disarm a map that has come into force

The ranks of a group are read one by one. Where a pass began meanwhile, some reported the new map in force and others still had it armed; the lead took that for an activation that cannot be completed and disarmed them. Each rank refuses that, so nothing mixed, but the orders cost a round and are logged as refused ones.

The test gets three orders to disarm before and none after.

--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -48,6 +48,10 @@
     return letGo(ranks);
   }
   const { version, step } = target;
+  if (ranks.some(({ mapVersion }) => mapVersion === version)) {
+    // The pass has begun while the ranks were read, so that the others have the map by now as well.
+    return letGo(ranks);
+  }
   const isDue = getStep(ranks) >= step;
   const missing = ranks.filter(({ armed }) => armed?.version !== version || armed.step !== step);
   const isOfGoal = goal?.version === version && goal.epoch === ranks[0]?.epoch;
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -6,6 +6,7 @@
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import { PopularityMeter } from "@clementinemux/experts/hold/PopularityMeter";
 import { PassTimer } from "@clementinemux/experts/hold/PassTimer";
+import { chooseHoldOrders } from "@clementinemux/experts/hold/chooseHoldOrders";
 import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { separateDemand } from "@clementinemux/experts/hold/separateDemand";
@@ -197,6 +198,21 @@
   t.equal(group.mixedPasses, 0);
 });
 
+// Guards against orders to disarm a map that is in force already, which each rank refuses.
+t.test("a pass that begins while the ranks are read ends the activation", (t) => {
+  const group = new HeldGroup({ ranks: 4, random: createRandom(1), lateShare: 0 });
+  const ranks = group.ranks.map((rank) =>
+    rank.rank === 0
+      ? { ...rank, step: 3, mapVersion: 1 }
+      : { ...rank, step: 2, preparedVersion: 1, armed: { version: 1, step: 3 } },
+  );
+  t.same(
+    chooseHoldOrders(ranks, { version: 1, epoch: 1, hosting }, () => false, 2),
+    [],
+  );
+  t.end();
+});
+
 t.test("a new lead releases a hold that its predecessor left", async (t) => {
   const group = new HeldGroup({ ranks: 4, random: createRandom(2), lateShare: 0 });
   group.ranks[0]!.heldStep = 3;
