Share the fencing numbers of a lead among its groups

A rank that comes to a group of another name keeps its fence. Each group counted its fences by itself, so that a rank which had accepted a high number in its former group would have refused all orders of the same lead for the new one, and the new group would have had no map until the lead changes. The lead has one count for all its groups now, and a group begins above all numbers before.

By reading only that ranks of the platform keep their fence when groups are formed anew.

--- a/packages/bench/shifts/ShiftModel.ts
+++ b/packages/bench/shifts/ShiftModel.ts
@@ -4,6 +4,7 @@
 import { planEvenMap } from "@clementinemux/experts/hold/planEvenMap";
 import { PassMeter } from "@clementinemux/gateway/PassMeter";
 import { computeCap } from "@clementinemux/gateway/computeCap";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { ShiftDay } from "./ShiftDay";
@@ -53,6 +54,7 @@
       group: "model",
       figures: experts,
       term: 1,
+      fences: FenceNumbers.ofTerm(1),
       getGapObjectiveMs: () => day.gapObjectiveMs,
       activate: () => Promise.resolve(false),
       clock: { monotonicMs: () => this.#nowMs, wallMs: () => this.#nowMs },
--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
@@ -59,6 +60,7 @@
   readonly #places = new Map<string, (RankLink | null)[]>();
   readonly #silence: RankSilence;
   #term = 0;
+  #fences = FenceNumbers.ofTerm(0);
 
   constructor(options: ConductorOptions) {
     this.#options = options;
@@ -74,6 +76,7 @@
     }
     if (term !== this.#term) {
       this.#term = term;
+      this.#fences = FenceNumbers.ofTerm(term);
       this.#groups.clear();
     }
     const groups = await this.#stepAll(table, term);
@@ -152,6 +155,7 @@
       group,
       figures,
       term: this.#term,
+      fences: this.#fences,
       getGapObjectiveMs,
       activate,
       clock,
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -3,7 +3,7 @@
 import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
 import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
-import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
+import type { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
@@ -28,6 +28,8 @@
   readonly figures: ExpertFigures;
   /** Term of the lead. */
   readonly term: number;
+  /** Of the lead's orders to all groups. */
+  readonly fences: FenceNumbers;
   /** Shortest pause that a route to the service allows; 0 without one. */
   readonly getGapObjectiveMs: () => number;
   /** Has another process give the orders of an activation. Resolves with whether it has. */
@@ -64,7 +66,6 @@
   readonly #activation: GroupActivation;
   readonly #demand: DemandMonitor;
   readonly #versions: MapVersions;
-  readonly #fences: FenceNumbers;
   #links: readonly (RankWay | null)[] = [];
   #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
@@ -80,12 +81,13 @@
     this.#options = options;
     this.#demand = new DemandMonitor(options.figures);
     this.#versions = new MapVersions(options.term);
-    this.#fences = FenceNumbers.ofTerm(options.term);
+    // A rank that has come from another group may have accepted a high number there.
+    options.fences.raiseFloor();
     this.#activation = new GroupActivation({
       inspect: async (rank) =>
         (await this.#inspect(rank, InspectionPart.None))?.state ?? this.#inspectDirectly(rank),
       order: (order, fence) => this.#links[order.rank]?.order(fence, order) ?? Promise.resolve(null),
-      fences: this.#fences,
+      fences: options.fences,
       nowMs: () => options.clock.monotonicMs(),
       reservedVersion: this.#versions.reserved,
     });
@@ -159,9 +161,9 @@
     if (goal === null || places.length < this.#links.length || isTried) {
       return false;
     }
-    const { activate, logger } = this.#options;
+    const { fences, activate, logger } = this.#options;
     const { version, epoch } = goal;
-    const fence = this.#fences.handOver();
+    const fence = fences.handOver();
     const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
--- a/packages/control/test/leadOverlap.test.ts
+++ b/packages/control/test/leadOverlap.test.ts
@@ -86,6 +86,7 @@
       group: "g",
       figures: expertFigures,
       term,
+      fences: FenceNumbers.ofTerm(term),
       getGapObjectiveMs: () => 0,
       activate: (request) => this.#activate(request, process),
       clock: { monotonicMs: () => this.group.nowMs, wallMs: () => this.group.nowMs },
--- a/packages/experts/hold/FenceNumbers.ts
+++ b/packages/experts/hold/FenceNumbers.ts
@@ -4,7 +4,7 @@
 const numbersHandedOver = 16;
 
 /**
- * Fencing numbers of the orders that one lead gives to a group. A rank refuses an order with a lower number than the
+ * Fencing numbers of the orders that one lead gives to all its groups. A rank refuses an order with a lower number than the
  * highest that it has accepted, also one that it carries out late; the numbers of a later term are higher.
  */
 export class FenceNumbers {
@@ -37,14 +37,20 @@
     return raised;
   }
 
+  /** Gives all later orders of this lead higher numbers than any before. */
+  raiseFloor(): void {
+    this.#highest += 1;
+    this.#floor = this.#highest;
+  }
+
   /**
    * Sets numbers aside for another process and returns the lowest of them. All later orders of this lead have higher ones,
    * so that it need not know whether that process is still at work.
    */
   handOver(): number {
     const lowest = this.#highest + 1;
-    this.#floor = lowest + numbersHandedOver;
-    this.#highest = this.#floor;
+    this.#highest += numbersHandedOver;
+    this.raiseFloor();
     return lowest;
   }
 }
