Show a late go, two endless holds and a lost refusal on the fix of mixed maps

Callers of a group in which one rank takes no orders would see streams that stand still; ranks could begin a pass with different maps. Tests only; nothing is fixed.

- heldByFence, "no rank is armed before the holder refuses a go": a rank with an order without an answer is not fenced when the next round gives it an order to arm or disarm (isRepeated).
If it is the rank that holds the group and the order was a go, the other ranks are armed in the same round and the go is carried out late: one mixed pass.
- heldByFence, two tests of a rank that takes no orders: the group is held for the whole 8 s.
- unansweredWay: RankLink.order tells of a refusal when its first way had no answer and only the second one was refused.
The first copy is not noted as unanswered: one mixed pass.
- mixedReleases: an inspection of the release before names its term `fence`; the ranker's highest term becomes undefined.

--- /dev/null
+++ b/packages/experts/test/heldByFence.test.ts
@@ -0,0 +1,131 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { HeldGroup } from "./HeldGroup";
+
+interface SentOrder {
+  readonly order: HoldOrder;
+  readonly fence: number;
+}
+
+const ranks = 4;
+const step = 3;
+const version = 1;
+const reservedVersion = 1_000_000;
+const hosting = createTurnHosting(1, 4, ranks);
+/** Time of an order that is given both ways without an answer. */
+const unansweredMs = 150;
+/** Streams of a held group fail after about this time. */
+const longestHoldMs = 8000;
+
+/** Group that is held by rank 0 before pass 3. */
+function createHeldGroup(): HeldGroup {
+  const group = new HeldGroup({ ranks, random: createRandom(1), lateShare: 0 });
+  Object.assign(group.ranks[0] ?? {}, { heldStep: step });
+  group.advance(130);
+  return group;
+}
+
+function prepare(group: HeldGroup): void {
+  for (const state of group.ranks) {
+    Object.assign(state, { preparedVersion: version, highestVersion: version });
+  }
+}
+
+/** Lead of term 2. Orders that `isLost` picks get no answer and are kept in `lost`. */
+function createLead(
+  group: HeldGroup,
+  isLost: (order: HoldOrder) => boolean,
+): { readonly lead: GroupActivation; readonly lost: SentOrder[] } {
+  const lost: SentOrder[] = [];
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: async (order, { number }) => {
+      const isAnswered = !isLost(order);
+      const answer = isAnswered ? group.order(order, number) : null;
+      await Promise.resolve();
+      if (!isAnswered) {
+        lost.push({ order, fence: number });
+        group.advance(unansweredMs);
+      }
+      return answer;
+    },
+    fences: FenceNumbers.ofTerm(2),
+    nowMs: () => group.nowMs,
+    reservedVersion,
+  });
+  return { lead, lost };
+}
+
+async function look(lead: GroupActivation, group: HeldGroup): Promise<void> {
+  await lead.advance(group.ranks.map((state) => ({ ...state })));
+}
+
+// Guards against a go without an answer that is carried out while the other ranks are being armed: the rank that holds the
+// group counts as settled as soon as it is given an order to arm, whether or not it accepts that.
+t.test("no rank is armed before the holder refuses a go without an answer", async (t) => {
+  const group = createHeldGroup();
+  let isDeaf = false;
+  const { lead, lost } = createLead(group, ({ rank, kind }) => {
+    isDeaf ||= kind === HoldOrderKind.Go;
+    return isDeaf && rank === 0;
+  });
+  lead.aim({ version, epoch: 1, hosting });
+  // The copies are not complete yet, so that the hold is ended; from the go on, rank 0 answers no order.
+  await look(lead, group);
+  const go = lost.find(({ order }) => order.kind === HoldOrderKind.Go);
+  t.ok(go !== undefined);
+  prepare(group);
+  await look(lead, group);
+  if (go !== undefined) {
+    group.order(go.order, go.fence);
+  }
+  group.advance(200);
+  t.equal(group.mixedPasses, 0);
+});
+
+// Guards against a group that stands still for ever because one rank, which holds nothing and is not armed, takes no orders.
+t.test("a rank that takes no orders does not keep its group held", async (t) => {
+  const group = createHeldGroup();
+  prepare(group);
+  let isDeaf = false;
+  const { lead } = createLead(group, ({ rank, kind }) => {
+    isDeaf ||= kind === HoldOrderKind.Arm;
+    return isDeaf && rank === 2;
+  });
+  lead.aim({ version, epoch: 1, hosting });
+  const startMs = group.nowMs;
+  while (group.nowMs - startMs < longestHoldMs) {
+    await look(lead, group);
+    group.advance(30);
+    if (group.nowMs - startMs > 2000) {
+      lead.abandon();
+    }
+  }
+  t.ok((group.ranks[0]?.step ?? 0) >= step, "the group goes on");
+});
+
+// Guards against a group that stands still for ever after a failed hand-over, when nothing is armed and the rank that holds the
+// group answers, but another rank takes no orders.
+t.test("a hold that was handed over is ended although a rank takes no orders", async (t) => {
+  const group = new HeldGroup({ ranks, random: createRandom(1), lateShare: 0 });
+  const { lead } = createLead(group, ({ rank, kind }) => rank === 2 && kind !== HoldOrderKind.Prepare);
+  lead.aim({ version, epoch: 1, hosting });
+  await look(lead, group);
+  t.ok(group.ranks.every(({ preparing }) => preparing !== null));
+  // The process that was to give the orders has held the group and is gone; a rank has lost what it had prepared.
+  Object.assign(group.ranks[0] ?? {}, { heldStep: step });
+  group.advance(500);
+  Object.assign(group.ranks[2] ?? {}, { preparedVersion: null });
+  lead.doubt(group.ranks);
+  const startMs = group.nowMs;
+  while (group.nowMs - startMs < longestHoldMs) {
+    await look(lead, group);
+    group.advance(30);
+  }
+  t.ok((group.ranks[0]?.step ?? 0) >= step, "the group goes on");
+});
--- /dev/null
+++ b/packages/ranker/test/mixedReleases.test.ts
@@ -0,0 +1,40 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import { Ranker } from "@clementinemux/ranker/Ranker";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import { RpcClient } from "@clementinemux/wire/RpcClient";
+
+const order = { kind: HoldOrderKind.Go as const, rank: 0, epoch: 1, step: 4 };
+
+// Guards against a ranker that forgets the highest term: a coordinator of the release before, which runs beside this one during
+// an upgrade, names the term of an inspection `fence`.
+t.test("an inspection without a term does not lift the check for deposed leads", async (t) => {
+  const rank = {
+    inspect: () => Promise.resolve(null),
+    readPrepared: () => Promise.resolve(null),
+    inspectState: () => Promise.resolve(null),
+    order: () => Promise.resolve(true),
+  };
+  const [framePort = 0] = await findFreePorts(1);
+  const host = "127.0.0.1";
+  const clock = new SystemClock();
+  const logger = createLogger("test", {});
+  const ranker = new Ranker({ host, framePort, metricsPort: null, rank, clock, logger });
+  await ranker.start();
+  const client = new RpcClient({ address: { host, port: framePort }, tls: undefined });
+  t.teardown(async () => {
+    client.close();
+    await ranker.close();
+  });
+  const give = (term: number) =>
+    client.call(MessageName.OrderRank, { fence: FenceNumbers.ofTerm(term).floor, order }, 1000);
+  t.equal((await give(6)).extract(), true);
+  const ofBefore = { fence: 5, part: InspectionPart.None, countsHeld: null };
+  await client.call(MessageName.InspectRank, ofBefore, 1000);
+  t.equal((await give(5)).isLeft(), true);
+});
--- /dev/null
+++ b/packages/ranker/test/unansweredWay.test.ts
@@ -0,0 +1,93 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
+import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
+import type { HoldOrder } from "@clementinemux/experts/hold/HoldOrder";
+import { HoldOrderKind } from "@clementinemux/experts/hold/HoldOrderKind";
+import { RankFence } from "@clementinemux/experts/hold/RankFence";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { Counters } from "@clementinemux/metrics/Counters";
+import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { RankLink } from "@clementinemux/ranker/RankLink";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+
+interface Tap {
+  teardown(action: () => void): void;
+}
+
+type GiveOrder = (order: HoldOrder, fence: number) => boolean | null;
+
+const ranks = 4;
+const deafRank = 2;
+const version = 1;
+
+/** A link to a rank without a process beside it, so that orders to it by that way get no answer. */
+function createLink(t: Tap, order: GiveOrder): RankLink {
+  const links = new PeerLinks(undefined);
+  t.teardown(() => {
+    links.close();
+  });
+  return new RankLink({
+    links,
+    place: { address: "127.0.0.1:9", rankerAddress: "127.0.0.1:9" },
+    direct: {
+      inspect: () => Promise.resolve(null),
+      readPrepared: () => Promise.resolve(null),
+      inspectState: () => Promise.resolve(null),
+      order: (given, fence) => Promise.resolve(order(given, fence)),
+    },
+    orders: new Counters("orders", "outcome", Object.values(OrderOutcome)),
+    refusedOrders: new Counters("refused", "kind", Object.values(HoldOrderKind)),
+    clock: new SystemClock(),
+    logger: createLogger("test", {}),
+  });
+}
+
+// Guards against an order that counts as refused although its first copy had no answer and may still be carried out: the
+// refusal of the second copy leaves the rank's fence as it was.
+t.test("an order that is refused by its second way only stays unanswered", async (t) => {
+  const link = createLink(t, () => false);
+  const arm: HoldOrder = { kind: HoldOrderKind.Arm, rank: 1, epoch: 1, version, step: 3 };
+  t.equal(await link.order(new RankFence(FenceNumbers.ofTerm(2)), arm), null);
+});
+
+// Guards against one armed rank in a group that was let go: the first copy of an order to arm is carried out late, and the
+// second one was turned away by a rank that takes no calls at the moment.
+t.test("a group goes on only after the first copy of a refused order is void", async (t) => {
+  const group = new HeldGroup({ ranks, random: createRandom(1), lateShare: 0 });
+  group.isIdle = true;
+  for (const state of group.ranks) {
+    Object.assign(state, { preparedVersion: version, highestVersion: version });
+  }
+  const firstCopies: { readonly order: HoldOrder; readonly fence: number }[] = [];
+  const fences = FenceNumbers.ofTerm(2);
+  const link = createLink(t, () => false);
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order, fence) => {
+      if (order.rank !== deafRank || order.kind !== HoldOrderKind.Arm) {
+        return Promise.resolve(group.order(order, fence.number));
+      }
+      firstCopies.push({ order, fence: fence.number });
+      // The map cannot be completed any more, so that the lead gives up.
+      Object.assign(group.ranks[1] ?? {}, { preparedVersion: null, armed: null });
+      return link.order(fence, order);
+    },
+    fences,
+    nowMs: () => group.nowMs,
+    reservedVersion: 1_000_000,
+  });
+  lead.aim({ version, epoch: 1, hosting: createTurnHosting(1, 4, ranks) });
+  await lead.advance(group.ranks.map((state) => ({ ...state })));
+  t.equal(firstCopies.length, 1);
+  t.equal(group.ranks[0]?.heldStep, null, "the lead has let the group go");
+  for (const { order, fence } of firstCopies) {
+    group.order(order, fence);
+  }
+  group.isIdle = false;
+  group.advance(300);
+  t.equal(group.mixedPasses, 0);
+});
