Show a group that stands still because one rank answers orders late

Streams of a group stand still for as long as one of its ranks takes 80 to 200 ms for a call: its reports are read in time, its orders have no answer, and the lead lets no group go while a rank has an order without an answer. All ranks are armed meanwhile, and a late copy of an order to arm for the same version and pass would change nothing.

--- a/packages/experts/test/heldByFence.test.ts
+++ b/packages/experts/test/heldByFence.test.ts
@@ -129,3 +129,33 @@
   }
   t.ok((group.ranks[0]?.step ?? 0) >= step, "the group goes on");
 });
+
+// Guards against a group that stands still while one rank answers later than the time for an order, but in time for a report:
+// it is armed as all others are, and another copy of that order changes nothing.
+t.test("a group whose ranks are all armed goes on although one answers late", async (t) => {
+  const group = createHeldGroup();
+  prepare(group);
+  const lead = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: async (order, { number }) => {
+      const answer = group.order(order, number);
+      await Promise.resolve();
+      if (order.rank !== 2) {
+        return answer;
+      }
+      group.advance(unansweredMs);
+      return null;
+    },
+    fences: FenceNumbers.ofTerm(2),
+    nowMs: () => group.nowMs,
+    reservedVersion,
+  });
+  lead.aim({ version, epoch: 1, hosting });
+  const startMs = group.nowMs;
+  while (group.nowMs - startMs < longestHoldMs) {
+    await look(lead, group);
+    group.advance(30);
+  }
+  t.ok(group.ranks.every(({ mapVersion }) => mapVersion === version));
+  t.equal(group.mixedPasses, 0);
+});
