Take an order that only its second way refused for one without an answer

A pass could begin with different maps: the first way of an order had no answer and the second one was refused, so the order counted as refused. Its first copy may still be carried out, and a refusal leaves the rank's fence as it was.

--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -86,7 +86,8 @@
    * Gives an order by the shorter way for its kind, and by the other one when there is no answer. Hold and go are given
    * directly: while the machine beside a rank stands still nobody else can let its group go, whereas a lead is
    * replaced within a second or two. The second way has a higher fence, so that the rank refuses the order that had no
-   * answer once it has accepted the other one.
+   * answer once it has accepted the other one. Where it refuses that, the first one may still be carried out, so that
+   * there is no answer.
    */
   async order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     const { orders, refusedOrders, clock } = this.#options;
@@ -99,7 +100,8 @@
     let answer = await first();
     if (answer === null) {
       fence.raise();
-      answer = await second();
+      const isAccepted = await second();
+      answer = isAccepted === true ? true : null;
     }
     this.#orderedAtMs = clock.monotonicMs();
     orders.add(getOrderOutcome(answer));
