Keep the check for deposed leads beside coordinators of an earlier release

During an upgrade an inspection of an earlier release names its term `fence`. The ranker read `term` and forgot the highest one, so that orders of a deposed lead passed; orders of the earlier release had term 0 for it and would all have been refused. The field has its former name, and a number below those of the first term is a term.

Evidence: mixedReleases fails before (known red, found by a review of the fix) and passes after, with the order of an earlier release in addition.

--- a/packages/experts/hold/FenceNumbers.ts
+++ b/packages/experts/hold/FenceNumbers.ts
@@ -21,8 +21,9 @@
     return new FenceNumbers(term * numbersPerTerm);
   }
 
+  /** Coordinators of earlier releases have the term itself as the number of all their orders. */
   static getTerm(number: number): number {
-    return Math.floor(number / numbersPerTerm);
+    return number < numbersPerTerm ? number : Math.floor(number / numbersPerTerm);
   }
 
   /** Lowest number of an order that is given now. */
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -57,7 +57,7 @@
 
   async inspect(term: number, part: InspectionPart): Promise<RankInspection | null> {
     const { links, place } = this.#options;
-    const request: InspectRequest = { term, part, countsHeld: this.#counts.held };
+    const request: InspectRequest = { fence: term, part, countsHeld: this.#counts.held };
     const answer = await links.call(place.rankerAddress, MessageName.InspectRank, request, inspectTimeoutMs);
     const inspection = answer.toMaybe().extractNullable() as PackedInspection | null;
     if (inspection === null) {
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -84,8 +84,8 @@
     };
   }
 
-  async #inspect({ term, part, countsHeld }: InspectRequest): Promise<PackedInspection | null> {
-    this.#check(term);
+  async #inspect({ fence, part, countsHeld }: InspectRequest): Promise<PackedInspection | null> {
+    this.#check(fence);
     this.#inspections += 1;
     const inspection = await this.#options.rank.inspect(part === InspectionPart.Experts);
     if (inspection === null) {
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -51,7 +51,7 @@
     await Promise.all(rankers.map((ranker) => ranker.close()));
   });
   // Connections are opened first: on a busy machine that takes longer than an order without an answer is waited for.
-  const inspection = { term: 3, part: InspectionPart.None, countsHeld: null };
+  const inspection = { fence: 3, part: InspectionPart.None, countsHeld: null };
   for (const { rankerAddress } of places) {
     await links.call(rankerAddress, MessageName.InspectRank, inspection, warmUpMs);
   }
--- a/packages/ranker/test/mixedReleases.test.ts
+++ b/packages/ranker/test/mixedReleases.test.ts
@@ -37,4 +37,7 @@
   const ofBefore = { fence: 5, part: InspectionPart.None, countsHeld: null };
   await client.call(MessageName.InspectRank, ofBefore, 1000);
   t.equal((await give(5)).isLeft(), true);
+  const orderOfBefore = { fence: 7, order };
+  t.equal((await client.call(MessageName.OrderRank, orderOfBefore, 1000)).extract(), true, "of term 7");
+  t.equal((await give(6)).isLeft(), true);
 });
