Judge an unanswered order by what it may still change

Two faults of the fences by order, found by a review. A pass could begin with different maps: a rank with an order without an answer counted as settled when the next round had an order for it, also when it was the rank that holds the group and the order was a go; the go was carried out late while the other ranks were being armed. And a group stood still as long as one of its ranks answered later than 80 ms: it was armed as all others were, and was not trusted.

Orders without an answer are kept by rank (RankAcknowledgements) with the time at which they were given. One that repeats what the rank reports, a hold, or one that is 13 s old holds nobody up; a go at the rank that holds the group is always settled first.

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -167,7 +167,7 @@
     const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
-      this.#activation.doubt(states);
+      this.#activation.noteUnknownOrders(states);
     }
     logger.info({ ...this.#describe(goal), leadSteps, isDone }, "map handed over");
     return isDone;
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -5,11 +5,12 @@
 import type { MapGoal } from "./MapGoal";
 import { PassTimer } from "./PassTimer";
 import { RankFence } from "./RankFence";
-import { RankObedience } from "./RankObedience";
+import { RankAcknowledgements } from "./RankAcknowledgements";
 import { applyAnsweredOrder } from "./applyAnsweredOrder";
 import { chooseFenceOrders } from "./chooseFenceOrders";
 import { chooseHoldOrders } from "./chooseHoldOrders";
 import { isInFlight } from "./isInFlight";
+import { isWithoutEffect } from "./isWithoutEffect";
 
 interface ActivationIo {
   /** State of a rank; null when it cannot be had. */
@@ -39,7 +40,7 @@
 export class GroupActivation {
   readonly #io: ActivationIo;
   readonly #preparingSince = new Map<number, number>();
-  readonly #obedience = new RankObedience();
+  readonly #acknowledgements = new RankAcknowledgements();
   readonly #fences: RankFence[] = [];
   readonly #passTimer = new PassTimer();
   #goal: MapGoal | null = null;
@@ -65,12 +66,12 @@
 
   /** Whether an order that was given may still be carried out. */
   get hasUnanswered(): boolean {
-    return this.#obedience.hasUnanswered;
+    return this.#acknowledgements.hasUnanswered;
   }
 
   /** To be called when another process may have given orders of this lead, and has not told how they ended. */
-  doubt(states: readonly HeldRank[]): void {
-    this.#obedience.doubt(states);
+  noteUnknownOrders(states: readonly HeldRank[]): void {
+    this.#acknowledgements.noteUnknown(states, this.#io.nowMs());
   }
 
   aim(goal: MapGoal): void {
@@ -129,19 +130,30 @@
   }
 
   /**
-   * Orders after which the ranks of an activation in flight do what this lead has them do, and nothing else: those that
-   * have had no order of it, and those that may still carry out one without an answer. Of these, a rank that is given
-   * its order again is settled by that.
+   * Orders for the ranks of an activation in flight that have had no order of this lead, and for those whose report may not
+   * be relied on because of an order without an answer.
    */
   #chooseFenceOrders(ranks: readonly HeldRank[], next: readonly HoldOrder[]): HoldOrder[] {
     const unsettled = ranks.filter((rank) => {
-      const isTakenOver = !this.#obedience.isFenced(rank) && !isOfGoal(rank, this.#goal);
-      const isRepeated = next.some((order) => order.rank === rank.rank && order.kind !== HoldOrderKind.Go);
-      return isTakenOver || (this.#obedience.isUnanswered(rank) && !isRepeated);
+      const isUnfenced = !this.#acknowledgements.isFenced(rank) && !isOfGoal(rank, this.#goal);
+      return isUnfenced || this.#mayChange(rank, next);
     });
     return chooseFenceOrders(ranks, unsettled, this.#io.reservedVersion);
   }
 
+  /**
+   * Whether an order without an answer may still change the map of a rank, or end its hold, after the next orders. One of
+   * these that the rank itself is given settles the former, but not a go that comes while other ranks are being armed.
+   */
+  #mayChange(rank: HeldRank, next: readonly HoldOrder[]): boolean {
+    const isOrdered = next.some((order) => order.rank === rank.rank && order.kind !== HoldOrderKind.Go);
+    const { reservedVersion, nowMs } = this.#io;
+    return this.#acknowledgements.listUnanswered(rank, nowMs()).some((order) => {
+      const isGo = rank.heldStep !== null && (order === null || order.kind === HoldOrderKind.Go);
+      return (isGo || !isOrdered) && (order === null || !isWithoutEffect(order, rank, reservedVersion));
+    });
+  }
+
   #chooseOrders(ranks: readonly HeldRank[]): HoldOrder[] {
     return chooseHoldOrders(ranks, this.#goal, (rank) => this.#isPreparing(rank), this.leadSteps);
   }
@@ -149,7 +161,7 @@
   async #give(order: HoldOrder): Promise<boolean | null> {
     const fence = this.#getFence(order.rank);
     const answer = await this.#io.order(order, fence);
-    this.#obedience.note(order, answer);
+    this.#acknowledgements.note(order, answer, this.#io.nowMs());
     if (answer === null) {
       fence.raise();
     }
--- a/packages/experts/hold/chooseHoldOrders.ts
+++ b/packages/experts/hold/chooseHoldOrders.ts
@@ -7,8 +7,8 @@
 import { isWhole } from "./isWhole";
 
 /**
- * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It depends on the
- * reports alone, so that it also clears what another lead has begun, or lets a group go whose ranks are all armed. A map
+ * Chooses the orders that bring a group one stage closer to a map, from what all its ranks report. It keeps no
+ * state, so that it also clears what another lead has begun, or lets a group go whose ranks are all armed. A map
  * of another lead is not completed: its version does not tell whether all ranks have prepared the same. A map is armed only while the group
  * is held before the pass from which it counts, and the group goes on only when all ranks or none are armed.
  * `leadSteps` is the number of passes from the last one that was begun to the one that is held.
--- /dev/null
+++ b/packages/experts/hold/isWithoutEffect.ts
@@ -0,0 +1,21 @@
+import type { HeldRank } from "./HeldRank";
+import type { HoldOrder } from "./HoldOrder";
+import { HoldOrderKind } from "./HoldOrderKind";
+
+/**
+ * Whether an order that a rank carries out late cannot bring it to another map than the other ranks. A late hold stops the
+ * group until the lead looks at it again, and changes no map.
+ */
+export function isWithoutEffect(order: HoldOrder, rank: HeldRank, reservedVersion: number): boolean {
+  switch (order.kind) {
+    case HoldOrderKind.Hold:
+    case HoldOrderKind.Prepare:
+      return true;
+    case HoldOrderKind.Arm:
+      return rank.armed?.version === order.version && rank.armed.step === order.step;
+    case HoldOrderKind.Disarm:
+      return order.version === reservedVersion;
+    case HoldOrderKind.Go:
+      return rank.heldStep !== order.step;
+  }
+}
--- a/packages/experts/test/heldByFence.test.ts
+++ b/packages/experts/test/heldByFence.test.ts
@@ -121,7 +121,7 @@
   Object.assign(group.ranks[0] ?? {}, { heldStep: step });
   group.advance(500);
   Object.assign(group.ranks[2] ?? {}, { preparedVersion: null });
-  lead.doubt(group.ranks);
+  lead.noteUnknownOrders(group.ranks);
   const startMs = group.nowMs;
   while (group.nowMs - startMs < longestHoldMs) {
     await look(lead, group);
--- a/packages/experts/test/hold.test.ts
+++ b/packages/experts/test/hold.test.ts
@@ -126,7 +126,7 @@
       for (const actor of actors) {
         actor.aim({ version, epoch: 1, hosting });
       }
-      actors[1]?.doubt(group.ranks);
+      actors[1]?.noteUnknownOrders(group.ranks);
       await time.run(Promise.all(actors.map(act)));
       inForce += group.ranks.every(({ mapVersion }) => mapVersion === version) ? 1 : 0;
     }
--- a/packages/experts/test/unanswered.test.ts
+++ b/packages/experts/test/unanswered.test.ts
@@ -138,7 +138,7 @@
     reservedVersion,
   });
   group.order({ kind: HoldOrderKind.Hold, rank: 0, epoch: 1, step: 2 }, handedOver);
-  lead.doubt(group.ranks);
+  lead.noteUnknownOrders(group.ranks);
   await look(lead, group);
   t.equal(group.ranks[0]?.heldStep, null);
   t.equal(group.order(arm, handedOver), false);
@@ -147,6 +147,35 @@
   t.equal(group.mixedPasses, 0);
 });
 
+// Guards against a group that is held for ever because one rank takes no orders. Late orders come 12 s late at the most.
+t.test("a rank that takes no orders is trusted after its late orders are over", async (t) => {
+  const group = createIdleGroup();
+  const { lead, late } = createLead(group, () => false);
+  lead.aim({ version: 1, epoch: 1, hosting });
+  await look(lead, group);
+  group.advance(250);
+  const deaf = new GroupActivation({
+    inspect: (rank) => Promise.resolve(group.inspect(rank)),
+    order: (order, { number }) => Promise.resolve(order.rank === 2 ? null : group.order(order, number)),
+    fences: FenceNumbers.ofTerm(3),
+    nowMs: () => group.nowMs,
+    reservedVersion,
+  });
+  t.equal(late.length, 0);
+  group.isIdle = false;
+  Object.assign(group.ranks[0] ?? {}, { heldStep: (group.ranks[0]?.step ?? 0) + 2 });
+  deaf.aim({ version: 1, epoch: 1, hosting });
+  deaf.noteUnknownOrders(group.ranks);
+  Object.assign(group.ranks[1] ?? {}, { preparedVersion: null });
+  const heldSinceMs = group.nowMs;
+  while (group.ranks[0]?.heldStep !== null && group.nowMs - heldSinceMs < 60_000) {
+    await look(deaf, group);
+    group.advance(30);
+  }
+  t.ok(group.nowMs - heldSinceMs < 15_000, `held for ${group.nowMs - heldSinceMs} ms`);
+  t.ok(group.nowMs - heldSinceMs > 12_000);
+});
+
 t.test("numbers of a later term are higher, and those set aside lie below the lead's next ones", (t) => {
   const [older, newer] = [FenceNumbers.ofTerm(2), FenceNumbers.ofTerm(3)];
   const raised = older.raise(older.raise(older.floor));
