Plan maps while processes beside ranks are silent

What callers saw: streams stayed late after a shift of demand for as long as the process beside any one rank of their group was down.

Cause: GroupConductor needed the state of every rank and read a rank directly only while the group might be held. It plans from the counts that are known now, and reads the other ranks when a map pays by them, at most once a second; while a goal is in progress it reads them unless all that is left to do is to copy. A new lead reads the lists of such a rank directly, once a second at most (PresentHosting, split off GroupConductor). A rank that answers nobody, or reports another epoch or map, gets no plan. Counts that follow a gap are left out: PopularityMeter added the choices of the whole gap as if made since the last look.

Ruled out: leaving those ranks out of the map, since their experts would be on no rank; planning from their last known states, which may be of another epoch.

Not played at 72 or more ranks.

--- a/packages/bench/shifts/ShiftRankWay.ts
+++ b/packages/bench/shifts/ShiftRankWay.ts
@@ -45,6 +45,10 @@
     return Promise.resolve(this.#group.inspect(this.#rank, this.#getNowMs()));
   }
 
+  readExpertsDirectly(): Promise<readonly (readonly number[])[] | null> {
+    return Promise.resolve(this.#group.hosting.map((ranks) => ranks[this.#rank] ?? []));
+  }
+
   readPreparedDirectly(): Promise<number | null> {
     return Promise.resolve(this.#getPreparedDigest());
   }
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -1,14 +1,15 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { chooseLeastGain } from "@clementinemux/experts/hold/chooseLeastGain";
-import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
+import type { EvenPlan } from "@clementinemux/experts/hold/EvenPlan";
 import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
 import { getExpertsDigest } from "@clementinemux/experts/hold/getExpertsDigest";
 import { GroupActivation } from "@clementinemux/experts/hold/GroupActivation";
 import { getHostingDigest } from "@clementinemux/experts/hold/getHostingDigest";
 import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
 import { isInFlight } from "@clementinemux/experts/hold/isInFlight";
+import { isWhole } from "@clementinemux/experts/hold/isWhole";
 import type { MapGoal } from "@clementinemux/experts/hold/MapGoal";
 import { MapVersions } from "@clementinemux/experts/hold/MapVersions";
 import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
@@ -22,6 +23,7 @@
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import type { GroupPass } from "./GroupPass";
 import { MapOutcome } from "./MapOutcome";
+import { PresentHosting } from "./PresentHosting";
 
 interface GroupConductorOptions {
   readonly group: string;
@@ -37,6 +39,13 @@
   readonly logger: Logger;
 }
 
+/** Map that is worth its copies. */
+interface MapDraft {
+  /** Placement that it was planned from. */
+  readonly present: RankHosting;
+  readonly plan: EvenPlan;
+}
+
 /** Skew of a layer set that is left as it is: copies are priced, and a finer balance saves little time. */
 const goalSkew = 1.2;
 const bitsPerByte = 8;
@@ -53,6 +62,10 @@
 const stoppedMs = 110;
 /** A group that has not begun a pass for this time is at rest, or stands still if a rank is missing. */
 const restingMs = 400;
+/** Time between two direct reads for a plan: a rank may be gone together with the process beside it. */
+const planReadMs = 1000;
+/** Time between two direct reads while copies are awaited. */
+const copyReadMs = 100;
 /** Time for which a lead gives the orders itself after another process has not. */
 const delegateRetryMs = 2000;
 /** A goal that is not in force after this time is given up; a later plan takes its place. */
@@ -65,13 +78,16 @@
   readonly #demand: DemandMonitor;
   readonly #versions: MapVersions;
   readonly #fences: FenceNumbers;
+  readonly #present: PresentHosting;
   #links: readonly (RankWay | null)[] = [];
-  #hosting: { readonly epoch: number; readonly version: number; readonly hosting: RankHosting } | null = null;
   #aimedAtMs = 0;
   #copyMs = 0;
   #lastStep = 0;
   #movedAtMs = -Infinity;
   #notDelegatedAtMs = -Infinity;
+  #readAtMs = -Infinity;
+  /** Whether all ranks have been prepared for the goal, so that the group may be held for it. */
+  #isBegun = false;
   #paces: number[] = [];
   #isBroken = false;
   #isMissing = false;
@@ -80,6 +96,7 @@
     this.#options = options;
     this.#demand = new DemandMonitor(options.figures);
     this.#versions = new MapVersions(options.term);
+    this.#present = new PresentHosting({ ...options.figures, term: options.term, clock: options.clock });
     this.#fences = FenceNumbers.ofTerm(options.term);
     this.#activation = new GroupActivation({
       inspect: async (rank) =>
@@ -126,6 +143,15 @@
       nowMs,
     );
     this.#paces = inspections.map((inspection, rank) => inspection?.pace ?? this.#paces[rank] ?? 1);
+    const knownStates = known.map(({ state }) => state);
+    this.#noteStep(knownStates, nowMs);
+    let draft: MapDraft | null = null;
+    if (this.#isMissing && !this.#isReadNeeded(knownStates, nowMs)) {
+      draft = this.#activation.goal === null ? await this.#draft(knownStates, nowMs) : null;
+      if (draft === null) {
+        return;
+      }
+    }
     const states = await this.#completeStates(inspections, nowMs);
     if (states === null) {
       return;
@@ -134,9 +160,10 @@
     this.#checkContent(known);
     // The group may be held for what another lead has begun, so that is completed before anything is planned.
     if (this.#activation.goal !== null || !isInFlight(states)) {
-      await this.#reviewGoal(states, nowMs);
+      await this.#reviewGoal(states, draft, nowMs);
     }
     if (this.#activation.isReady(states)) {
+      this.#isBegun = true;
       const isEnded = !(await this.#isContentKnown(inspections)) || (await this.#delegate(states, nowMs));
       if (isEnded) {
         return;
@@ -171,22 +198,34 @@
     return isDone;
   }
 
-  /** Ranks whose neighbour is silent are asked directly, but only while the group may be held. */
-  async #completeStates(
-    inspections: readonly (RankInspection | null)[],
-    nowMs: number,
-  ): Promise<HeldRank[] | null> {
-    const known = inspections.filter((inspection) => inspection !== null).map(({ state }) => state);
+  #noteStep(known: readonly HeldRank[], nowMs: number): void {
     const step = Math.max(0, ...known.map((state) => state.step));
     if (step !== this.#lastStep) {
       this.#lastStep = step;
       this.#movedAtMs = nowMs;
     }
-    const hasStopped = nowMs - this.#movedAtMs >= stoppedMs;
-    const mayBeHeld = hasStopped || this.#activation.goal !== null || isInFlight(known);
-    if (known.length < inspections.length && !mayBeHeld) {
-      return null;
+  }
+
+  /**
+   * Whether ranks whose neighbour is silent have to be read directly, which is priced: at each look while the group may be
+   * held, and while a goal is in progress unless all that is left to do is to copy.
+   */
+  #isReadNeeded(known: readonly HeldRank[], nowMs: number): boolean {
+    if (nowMs - this.#movedAtMs >= stoppedMs || isInFlight(known)) {
+      return true;
+    }
+    if (this.#activation.goal === null || this.#activation.isCopying(known, this.#links.length)) {
+      return false;
     }
+    return this.#isBegun || nowMs - this.#readAtMs >= copyReadMs;
+  }
+
+  /** States of all ranks, read directly where the neighbour is silent; null when one cannot be had. */
+  async #completeStates(
+    inspections: readonly (RankInspection | null)[],
+    nowMs: number,
+  ): Promise<HeldRank[] | null> {
+    this.#readAtMs = this.#isMissing ? nowMs : this.#readAtMs;
     const states = await Promise.all(
       inspections.map(async (inspection, rank) =>
         inspection === null ? this.#inspectDirectly(rank) : inspection.state,
@@ -231,7 +270,8 @@
     this.#activation.abandon();
   }
 
-  async #reviewGoal(states: readonly HeldRank[], nowMs: number): Promise<void> {
+  /** `draft` was made from the ranks that are known; null if it has yet to be made. */
+  async #reviewGoal(states: readonly HeldRank[], draft: MapDraft | null, nowMs: number): Promise<void> {
     const [first] = states;
     if (first === undefined) {
       return;
@@ -245,35 +285,48 @@
     if (this.#activation.goal !== null) {
       return;
     }
-    const present = await this.#getHosting(states);
-    const { isShifting, recentChoices } = this.#demand;
-    const loads = present === null ? null : this.#demand.review(present, this.#paces);
-    if (present !== null && loads !== null) {
-      this.#plan(states, present, loads, nowMs);
+    const chosen = draft ?? (await this.#draft(states, nowMs));
+    // The ranks that were read after the draft may have formed a new group, or have another map.
+    if (chosen !== null && (await this.#present.read(states, this.#links)) === chosen.present) {
+      this.#plan(states, chosen.plan, nowMs);
     }
+  }
+
+  /** Map that pays by the choices of the ranks that are known; the others' requests choose about the same experts. */
+  async #draft(known: readonly HeldRank[], nowMs: number): Promise<MapDraft | null> {
+    const isPartial = known.length < this.#links.length;
+    if (isPartial && !isWhole(known)) {
+      return null;
+    }
+    const present = await this.#present.read(known, this.#links);
+    const loads = present === null ? null : this.#reviewDemand(present);
+    const canRead = !isPartial || nowMs - this.#readAtMs >= planReadMs;
+    return present === null || loads === null || !canRead ? null : this.#choosePlan(present, loads);
+  }
+
+  #reviewDemand(present: RankHosting): readonly Float64Array[] | null {
+    const { isShifting, recentChoices } = this.#demand;
+    const loads = this.#demand.review(present, this.#paces);
     if (this.#demand.isShifting !== isShifting) {
       const { group, logger } = this.#options;
       logger.info({ group, isShifting: !isShifting, recentChoices }, "demand for experts shifts");
     }
+    return loads;
   }
 
-  #plan(
-    states: readonly HeldRank[],
-    present: RankHosting,
-    loads: readonly Float64Array[],
-    nowMs: number,
-  ): void {
-    const { group, term, figures, metrics, logger } = this.#options;
-    const { placements, spare } = figures;
+  #choosePlan(present: RankHosting, loads: readonly Float64Array[]): MapDraft | null {
+    const { placements, spare } = this.#options.figures;
     const paces = this.#paces;
     const isUrgent = measureSkew(present, loads, paces) > urgentSkew;
     const limits = { maxNewPerRank: isUrgent ? maxUrgentPerRank : maxNewPerRank, goalSkew };
     const plan = planEvenMap({ present, loads, paces, placements, spare, ...limits });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
-    const { passMs } = this.#activation;
-    if (gain < chooseLeastGain(passMs, this.#options.getGapObjectiveMs())) {
-      return;
-    }
+    const leastGain = chooseLeastGain(this.#activation.passMs, this.#options.getGapObjectiveMs());
+    return gain < leastGain ? null : { present, plan };
+  }
+
+  #plan(states: readonly HeldRank[], plan: EvenPlan, nowMs: number): void {
+    const { group, term, figures, metrics, logger } = this.#options;
     const highestReported = Math.max(...states.map(getHighestVersion));
     const version = this.#versions.take(highestReported);
     if (version === null) {
@@ -282,12 +335,14 @@
     }
     const epoch = states[0]?.epoch ?? 0;
     this.#aimedAtMs = nowMs;
+    this.#isBegun = false;
     this.#copyMs = (plan.newPerRank * figures.expertMb * bitsPerByte * 1000) / figures.linkMbps;
     const goal = { version, epoch, hosting: plan.hosting };
     this.#activation.aim(goal);
     metrics.maps.add(MapOutcome.Planned);
     const { presentSkew, plannedSkew, newPerRank, copies } = plan;
     const { isSeparated } = this.#demand;
+    const { passMs } = this.#activation;
     const inputs = { presentSkew, plannedSkew, newPerRank, copies, isSeparated, passMs: Math.round(passMs) };
     logger.info({ ...this.#describe(goal), ...inputs }, "map planned");
   }
@@ -300,7 +355,7 @@
       metrics.maps.add(MapOutcome.InForce);
       metrics.activations.observeMs(tookMs);
       logger.info({ ...this.#describe(goal), tookMs }, "map in force");
-      this.#hosting = goal;
+      this.#present.note(goal);
       this.#activation.abandon();
     }
   }
@@ -311,39 +366,6 @@
     return { group, version, epoch, term, digest: getHostingDigest(hosting) };
   }
 
-  /** Present placement; null when it cannot be had now. */
-  async #getHosting(states: readonly HeldRank[]): Promise<RankHosting | null> {
-    const { mapVersion = 0, epoch = 0 } = states[0] ?? {};
-    if (states.some((state) => state.mapVersion !== mapVersion)) {
-      return null;
-    }
-    if (this.#hosting?.epoch === epoch && this.#hosting.version === mapVersion) {
-      return this.#hosting.hosting;
-    }
-    const { layerSets, expertsPerSet } = this.#options.figures;
-    const hosting =
-      mapVersion === 0
-        ? createTurnHosting(layerSets, expertsPerSet, states.length)
-        : await this.#fetchHosting(states.length, layerSets, mapVersion);
-    if (hosting !== null) {
-      this.#hosting = { epoch, version: mapVersion, hosting };
-    }
-    return hosting;
-  }
-
-  /** Reads the placement under a version; null when a rank does not answer or has another version by now. */
-  async #fetchHosting(ranks: number, layerSets: number, version: number): Promise<RankHosting | null> {
-    const inspections = await Promise.all(
-      Array.from({ length: ranks }, (_, rank) => this.#inspect(rank, InspectionPart.Experts)),
-    );
-    const experts = inspections.map((inspection) =>
-      inspection?.state.mapVersion === version ? inspection.experts : null,
-    );
-    return experts.includes(null)
-      ? null
-      : Array.from({ length: layerSets }, (_, set) => experts.map((held) => held?.[set] ?? []));
-  }
-
   #inspectDirectly(rank: number): Promise<HeldRank | null> {
     return this.#links[rank]?.inspectDirectly() ?? Promise.resolve(null);
   }
--- /dev/null
+++ b/packages/control/ranks/PresentHosting.ts
@@ -0,0 +1,84 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import { createTurnHosting } from "@clementinemux/experts/hold/createTurnHosting";
+import type { HeldRank } from "@clementinemux/experts/hold/HeldRank";
+import type { MapGoal } from "@clementinemux/experts/hold/MapGoal";
+import type { RankHosting } from "@clementinemux/experts/hold/RankHosting";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import type { RankWay } from "@clementinemux/ranker/RankWay";
+
+interface PresentHostingOptions {
+  readonly layerSets: number;
+  readonly expertsPerSet: number;
+  /** Term of the lead. */
+  readonly term: number;
+  readonly clock: Clock;
+}
+
+type Links = readonly (RankWay | null)[];
+
+/** Time between two direct reads of lists, which are priced and pause the group. */
+const readAgainMs = 1000;
+
+/** Placement in force on a group, read from its ranks when this lead has not brought it into force itself. */
+export class PresentHosting {
+  readonly #options: PresentHostingOptions;
+  #known: MapGoal | null = null;
+  #readAtMs = -Infinity;
+
+  constructor(options: PresentHostingOptions) {
+    this.#options = options;
+  }
+
+  /** Takes a map that has come into force. */
+  note(map: MapGoal): void {
+    this.#known = map;
+  }
+
+  /**
+   * Resolves with null when the placement cannot be had now. `states` are those of the ranks that are known; the same
+   * object stands for the same map.
+   */
+  async read(states: readonly HeldRank[], links: Links): Promise<RankHosting | null> {
+    const { mapVersion = 0, epoch = 0 } = states[0] ?? {};
+    if (states.some((state) => state.mapVersion !== mapVersion || state.epoch !== epoch)) {
+      return null;
+    }
+    if (this.#known?.epoch === epoch && this.#known.version === mapVersion) {
+      return this.#known.hosting;
+    }
+    const { layerSets, expertsPerSet } = this.#options;
+    const hosting =
+      mapVersion === 0
+        ? createTurnHosting(layerSets, expertsPerSet, links.length)
+        : await this.#fetch(mapVersion, links, states.length < links.length);
+    if (hosting !== null) {
+      this.#known = { epoch, version: mapVersion, hosting };
+    }
+    return hosting;
+  }
+
+  /** Reads the placement under a version; null when a rank does not answer or has another version by now. */
+  async #fetch(version: number, links: Links, isDirect: boolean): Promise<RankHosting | null> {
+    const nowMs = this.#options.clock.monotonicMs();
+    if (isDirect && nowMs - this.#readAtMs < readAgainMs) {
+      return null;
+    }
+    this.#readAtMs = isDirect ? nowMs : this.#readAtMs;
+    const experts = await Promise.all(links.map((way) => this.#readExperts(version, way, isDirect)));
+    return experts.includes(null)
+      ? null
+      : Array.from({ length: this.#options.layerSets }, (_, set) => experts.map((held) => held?.[set] ?? []));
+  }
+
+  async #readExperts(
+    version: number,
+    way: RankWay | null,
+    isDirect: boolean,
+  ): Promise<readonly (readonly number[])[] | null> {
+    const inspection = (await way?.inspect(this.#options.term, InspectionPart.Experts)) ?? null;
+    if (inspection === null) {
+      return isDirect ? ((await way?.readExpertsDirectly(version)) ?? null) : null;
+    }
+    return inspection.state.mapVersion === version ? inspection.experts : null;
+  }
+}
--- a/packages/control/test/DelayedRankWay.ts
+++ b/packages/control/test/DelayedRankWay.ts
@@ -51,6 +51,10 @@
     return this.#ask((way) => way.inspectDirectly());
   }
 
+  readExpertsDirectly(version: number): Promise<readonly (readonly number[])[] | null> {
+    return this.#ask((way) => way.readExpertsDirectly(version));
+  }
+
   readPreparedDirectly(): Promise<number | null> {
     return this.#ask((way) => way.readPreparedDirectly());
   }
--- a/packages/control/test/HeldRankWay.ts
+++ b/packages/control/test/HeldRankWay.ts
@@ -41,8 +41,7 @@
       return new Promise(() => undefined);
     }
     const size = this.#group.ranks.length;
-    const hosting = part === InspectionPart.Experts ? this.#group.getHosting(this.#rank) : null;
-    const experts = hosting?.map((ranks) => ranks[this.#rank] ?? []) ?? null;
+    const experts = part === InspectionPart.Experts ? this.#getExperts() : null;
     const preparedDigest = this.tellsPrepared ? this.#getPreparedDigest(state) : null;
     const { counts } = this;
     return Promise.resolve({ group: "g", size, state, pace: 1, counts, experts, preparedDigest });
@@ -53,6 +52,11 @@
     return Promise.resolve(this.#group.inspect(this.#rank));
   }
 
+  readExpertsDirectly(version: number): Promise<readonly (readonly number[])[] | null> {
+    const isInForce = this.#group.inspect(this.#rank)?.mapVersion === version;
+    return Promise.resolve(isInForce ? this.#getExperts() : null);
+  }
+
   readPreparedDirectly(): Promise<number | null> {
     const state = this.#group.inspect(this.#rank);
     return Promise.resolve(state === null ? null : this.#getPreparedDigest(state));
@@ -70,6 +74,11 @@
     return this.#group.order(order, fence);
   }
 
+  #getExperts(): readonly (readonly number[])[] | null {
+    const hosting = this.#group.getHosting(this.#rank);
+    return hosting?.map((ranks) => ranks[this.#rank] ?? []) ?? null;
+  }
+
   #getPreparedDigest({ preparedVersion }: HeldRank): number | null {
     const hosting = this.#group.ranks[this.#rank]?.hostings.get(preparedVersion ?? 0);
     return hosting === undefined ? null : getExpertsDigest(hosting.map((ranks) => ranks[this.#rank] ?? []));
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -169,6 +169,7 @@
       },
       inspectState: () => way.inspectDirectly(),
       readPrepared: () => Promise.resolve(null),
+      readInForce: () => Promise.resolve(null),
       // No order is carried out, so that the plan stays pending.
       order: () => Promise.resolve(null),
     };
@@ -215,6 +216,7 @@
       inspect: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
+      readInForce: () => Promise.resolve(null),
       order: () => Promise.resolve(null),
     }),
     activate: () => Promise.resolve(false),
--- a/packages/experts/hold/GroupActivation.ts
+++ b/packages/experts/hold/GroupActivation.ts
@@ -63,6 +63,22 @@
     return sinceMs === Infinity ? null : this.#io.nowMs() - sinceMs;
   }
 
+  /**
+   * Whether some of the known ranks still copy the goal, and no order is due to any of the `size` ranks: the others have
+   * prepared it, or have confirmed that they copy it.
+   */
+  isCopying(known: readonly HeldRank[], size: number): boolean {
+    const goal = this.#goal;
+    if (goal === null || known.some(({ epoch }) => epoch !== goal.epoch)) {
+      return false;
+    }
+    const prepared = known.filter(({ preparedVersion }) => preparedVersion === goal.version);
+    const preparedRanks = new Set(prepared.map(({ rank }) => rank));
+    const ranks = Array.from({ length: size }, (_, rank) => rank);
+    const isSettled = ranks.every((rank) => preparedRanks.has(rank) || this.#isPreparing(rank));
+    return isSettled && prepared.length < known.length;
+  }
+
   /** Whether an order that was given may still be carried out. */
   get hasUnanswered(): boolean {
     return this.#obedience.hasUnanswered;
--- a/packages/experts/hold/PopularityMeter.ts
+++ b/packages/experts/hold/PopularityMeter.ts
@@ -11,7 +11,8 @@
   readonly #sets: number;
   readonly #experts: number;
   readonly #levels: Float64Array;
-  readonly #latest = new Map<number, RankCounts>();
+  /** Counts of the ranks that answered last. */
+  #latest: ReadonlyMap<number, RankCounts> = new Map();
   #updatedAtMs: number | null = null;
 
   constructor(sets: number, experts: number) {
@@ -20,7 +21,10 @@
     this.#levels = new Float64Array(sets * experts);
   }
 
-  /** Takes the counts of all ranks that answered at about the same moment. */
+  /**
+   * Takes the counts of all ranks that answered at about the same moment. What a rank adds after a gap is left out: it was
+   * chosen over the whole gap, and the demand of that time may be gone.
+   */
   add(ranks: readonly { rank: number; epoch: number; counts: readonly number[] }[], nowMs: number): void {
     const elapsedMs = this.#updatedAtMs === null ? 0 : nowMs - this.#updatedAtMs;
     const decay = Math.exp(-elapsedMs / memoryMs);
@@ -28,8 +32,10 @@
     this.#levels.forEach((level, index) => {
       this.#levels[index] = level * decay;
     });
+    const latest = this.#latest;
+    this.#latest = new Map(ranks.map(({ rank, epoch, counts }) => [rank, { epoch, counts }]));
     for (const { rank, epoch, counts } of ranks) {
-      const before = this.#latest.get(rank);
+      const before = latest.get(rank);
       const isSameLife = before?.epoch === epoch && (before.counts[0] ?? 0) <= (counts[0] ?? 0);
       if (before !== undefined && isSameLife) {
         counts.forEach((count, index) => {
@@ -37,7 +43,6 @@
           this.#levels[index] = (this.#levels[index] ?? 0) + added;
         });
       }
-      this.#latest.set(rank, { epoch, counts });
     }
   }
 
--- a/packages/ranker/RankClient.ts
+++ b/packages/ranker/RankClient.ts
@@ -9,6 +9,8 @@
   inspect(withExperts: boolean): Promise<RankInspection | null>;
   /** Experts that the rank has prepared; null for none or no answer. */
   readPrepared(): Promise<RankExperts | null>;
+  /** Experts that the rank holds under the map in force; null for no answer. */
+  readInForce(): Promise<RankExperts | null>;
   /** State alone, which is cheaper from another machine. */
   inspectState(): Promise<HeldRank | null>;
   /** Resolves with whether the rank has confirmed the order; null when there was no answer. */
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -77,6 +77,11 @@
     return direct.inspectState();
   }
 
+  async readExpertsDirectly(version: number): Promise<readonly (readonly number[])[] | null> {
+    const inForce = await this.#options.direct.readInForce();
+    return inForce?.version === version ? inForce.experts : null;
+  }
+
   async readPreparedDirectly(version: number): Promise<number | null> {
     const prepared = await this.#options.direct.readPrepared();
     return prepared?.version === version ? getExpertsDigest(prepared.experts) : null;
--- a/packages/ranker/RankWay.ts
+++ b/packages/ranker/RankWay.ts
@@ -12,6 +12,8 @@
   inspect(term: number, part: InspectionPart): Promise<RankInspection | null>;
   /** State of the rank by its own word, for groups that stand still. */
   inspectDirectly(): Promise<HeldRank | null>;
+  /** Experts of the rank by layer set under the map in force, by its own word; null if that map has another version. */
+  readExpertsDirectly(version: number): Promise<readonly (readonly number[])[] | null>;
   /** Digest of the experts that the rank has prepared under a version, by its own word. */
   readPreparedDirectly(version: number): Promise<number | null>;
   /** Resolves with whether the rank has accepted the order. Raises the fence between two ways that it tries. */
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -30,6 +30,7 @@
   const createClient = (rank: number) => ({
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
+    readInForce: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(group.inspect(rank)),
     order: (order: HoldOrder, fence: number) => {
       kinds.push(order.kind);
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -38,6 +38,7 @@
   const rank = {
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
+    readInForce: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: () => Promise.resolve(answer),
   };
--- a/packages/ranker/test/ranker.test.ts
+++ b/packages/ranker/test/ranker.test.ts
@@ -20,6 +20,7 @@
   const rank = {
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
+    readInForce: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: (_: unknown, fence: number) => {
       fences.push(fence);
@@ -74,6 +75,7 @@
       reads += 1;
       return Promise.resolve(lists);
     },
+    readInForce: () => Promise.resolve(null),
     order: () => Promise.resolve(null),
   };
   const prepared = new PreparedDigest(rank);
