Give orders directly first to ranks whose ranker is silent

What callers saw: streams of a group paused longer when a map came into force while the process beside one of its ranks was down or squeezed. Each order to that rank waited 70 ms for that process first, each read of its state up to 200 ms, and the coordinator that an activation was handed to missed the 70 ms that its lead waits.

Cause: RankLink knew nothing of earlier calls. It takes a process for silent for 1 s after a call without an answer now, and gives orders by the direct way first and by the process second; the fence is raised between the two as before. An answer, also a refusal, ends that. Such a process is asked for counts only, which each look does. ActivateRequest names the silent ranks; a coordinator of the release before ignores the field.

Ruled out: leaving out the process altogether, since the direct way may fail, too, and then it is the only one left.

How much shorter a group is held was not measured on the platform.

--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -90,7 +90,8 @@
   #isBegun = false;
   #paces: number[] = [];
   #isBroken = false;
-  #isMissing = false;
+  /** Ranks whose neighbour did not answer at this look. */
+  #silentRanks: readonly number[] = [];
 
   constructor(options: GroupConductorOptions) {
     this.#options = options;
@@ -124,7 +125,7 @@
     return {
       passMs: isResting || passMs === 0 ? null : passMs,
       slowestPace: Math.max(1, ...this.#paces),
-      isStopped: this.#isBroken || (this.#isMissing && isResting),
+      isStopped: this.#isBroken || (this.#silentRanks.length > 0 && isResting),
     };
   }
 
@@ -136,7 +137,7 @@
     this.#links = links;
     const known = inspections.filter((inspection) => inspection !== null);
     this.#isBroken = known.some(({ state }) => !state.isOpen);
-    this.#isMissing = known.length < inspections.length;
+    this.#silentRanks = [...inspections.keys()].filter((rank) => inspections[rank] === null);
     const nowMs = this.#options.clock.monotonicMs();
     this.#demand.add(
       known.map(({ state, counts }) => ({ rank: state.rank, epoch: state.epoch, counts })),
@@ -146,7 +147,7 @@
     const knownStates = known.map(({ state }) => state);
     this.#noteStep(knownStates, nowMs);
     let draft: MapDraft | null = null;
-    if (this.#isMissing && !this.#isReadNeeded(knownStates, nowMs)) {
+    if (this.#silentRanks.length > 0 && !this.#isReadNeeded(knownStates, nowMs)) {
       draft = this.#activation.goal === null ? await this.#draft(knownStates, nowMs) : null;
       if (draft === null) {
         return;
@@ -189,7 +190,8 @@
     const { activate, logger } = this.#options;
     const { version, epoch } = goal;
     const fence = this.#fences.handOver();
-    const isDone = await activate({ fence, version, epoch, leadSteps, places, states });
+    const silentRanks = this.#silentRanks;
+    const isDone = await activate({ fence, version, epoch, leadSteps, places, silentRanks, states });
     if (!isDone) {
       this.#notDelegatedAtMs = nowMs;
       this.#activation.doubt(states);
@@ -225,7 +227,7 @@
     inspections: readonly (RankInspection | null)[],
     nowMs: number,
   ): Promise<HeldRank[] | null> {
-    this.#readAtMs = this.#isMissing ? nowMs : this.#readAtMs;
+    this.#readAtMs = this.#silentRanks.length > 0 ? nowMs : this.#readAtMs;
     const states = await Promise.all(
       inspections.map(async (inspection, rank) =>
         inspection === null ? this.#inspectDirectly(rank) : inspection.state,
--- a/packages/ranker/ActivateRequest.ts
+++ b/packages/ranker/ActivateRequest.ts
@@ -11,6 +11,8 @@
   readonly leadSteps: number;
   /** All ranks of the group, by rank. */
   readonly places: readonly RankPlace[];
+  /** Ranks whose neighbour has not answered the lead; missing from leads of the release before. */
+  readonly silentRanks?: readonly number[];
   /** What the ranks reported last, by rank. */
   readonly states: readonly HeldRank[];
 }
--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -36,7 +36,7 @@
 /** Gives the orders of an activation for the lead of a group, from another process than the lead's. */
 export class MapActivator {
   readonly #options: MapActivatorOptions;
-  readonly #ways = new Map<string, RankWay>();
+  readonly #ways = new Map<string, RankLink>();
 
   constructor(options: MapActivatorOptions) {
     this.#options = options;
@@ -47,12 +47,15 @@
    * stood still must neither order anything nor judge by states that it has read before and after that.
    */
   async activate(request: ActivateRequest): Promise<boolean> {
-    const { fence, version, epoch, leadSteps, places, states } = request;
+    const { fence, version, epoch, leadSteps, places, silentRanks = [], states } = request;
     const { clock, logger } = this.#options;
     const endMs = clock.monotonicMs() + orderWindowMs;
     const isOver = (): boolean => clock.monotonicMs() >= endMs;
     const term = FenceNumbers.getTerm(fence);
     const ways = places.map((place) => this.#getWay(place));
+    for (const rank of silentRanks) {
+      ways[rank]?.noteSilence();
+    }
     const activation = new GroupActivation({
       inspect: (rank) => (isOver() ? Promise.resolve(null) : inspect(ways[rank], term)),
       order: (order, rankFence) =>
@@ -71,7 +74,7 @@
     return isInTime && isAnswered;
   }
 
-  #getWay(place: RankPlace): RankWay {
+  #getWay(place: RankPlace): RankLink {
     const known = this.#ways.get(place.address);
     if (known !== undefined) {
       return known;
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Either } from "purify-ts/Either";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { FenceNumbers } from "@clementinemux/experts/hold/FenceNumbers";
@@ -10,10 +11,11 @@
 import type { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { WireError } from "@clementinemux/wire/WireError";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { CountReceiver } from "./CountReceiver";
 import type { InspectRequest } from "./InspectRequest";
-import type { InspectionPart } from "./InspectionPart";
+import { InspectionPart } from "./InspectionPart";
 import type { OrderOutcome } from "./OrderOutcome";
 import { OrderWay } from "./OrderWay";
 import type { PackedInspection } from "./PackedInspection";
@@ -40,12 +42,16 @@
 const reportLagMs = 250;
 /** Shorter than the two passes that a group runs before a hold, so that an order can be given again without a pause. */
 const orderTimeoutMs = 70;
+/** Time for which a process that has not answered is taken for silent; a lead looks several times within it. */
+const silenceMs = 1000;
 
 /** Way to one rank: through the process beside it, and straight when that process is silent. */
 export class RankLink implements RankWay {
   readonly #options: RankLinkOptions;
   readonly #counts = new CountReceiver();
   #orderedAtMs = -Infinity;
+  /** When the process beside the rank last gave no answer; cleared by each answer. */
+  #silentAtMs = -Infinity;
 
   constructor(options: RankLinkOptions) {
     this.#options = options;
@@ -55,10 +61,20 @@
     return this.#options.place;
   }
 
+  /** To be called when the process beside the rank has not answered somebody else. */
+  noteSilence(): void {
+    this.#silentAtMs = this.#options.clock.monotonicMs();
+  }
+
+  /** A process that is taken for silent is asked for counts only, which the regular looks do. */
   async inspect(term: number, part: InspectionPart): Promise<RankInspection | null> {
     const { links, place } = this.#options;
+    if (part !== InspectionPart.Counts && this.#isSilent) {
+      return null;
+    }
     const request: InspectRequest = { term, part, countsHeld: this.#counts.held };
     const answer = await links.call(place.rankerAddress, MessageName.InspectRank, request, inspectTimeoutMs);
+    this.#noteAnswer(answer);
     const inspection = answer.toMaybe().extractNullable() as PackedInspection | null;
     if (inspection === null) {
       return null;
@@ -88,14 +104,15 @@
   }
 
   /**
-   * Gives an order by the shorter way for its kind, and by the other one when there is no answer. Hold and go are given
-   * directly: while the machine beside a rank stands still nobody else can let its group go, whereas a lead is
+   * Gives an order by the shorter way for its kind, and by the other one when there is no answer. While the process beside
+   * the rank is taken for silent, the direct way is the shorter one: waiting for that process holds the group longer. Hold
+   * and go are always given directly: while the machine beside a rank stands still nobody else can let its group go, whereas a lead is
    * replaced within a second or two. The second way has a higher fence, so that the rank refuses the order that had no
    * answer once it has accepted the other one.
    */
   async order(fence: RankFence, order: HoldOrder): Promise<boolean | null> {
     const { orders, refusedOrders, clock } = this.#options;
-    const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go;
+    const isDirect = order.kind === HoldOrderKind.Hold || order.kind === HoldOrderKind.Go || this.#isSilent;
     const ways = [
       () => this.#orderDirectly(fence.number, order),
       () => this.#orderByRanker(fence.number, order),
@@ -132,10 +149,12 @@
     const { links, place, logger } = this.#options;
     const { rankerAddress } = place;
     const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
+    this.#noteAnswer(answer);
     return answer.caseOf({
-      Left: ({ code, message }) => {
+      Left: (error) => {
+        const { message } = error;
         // A process that has answered serves another lead.
-        const isRefused = code === WireErrorCode.Remote;
+        const isRefused = isAnswer(error);
         const line = { ...this.#describe(fence, order, OrderWay.Ranker), why: message };
         logger.warn(line, isRefused ? "order refused" : "no answer to an order");
         return isRefused ? false : null;
@@ -150,6 +169,15 @@
     });
   }
 
+  get #isSilent(): boolean {
+    return this.#options.clock.monotonicMs() - this.#silentAtMs < silenceMs;
+  }
+
+  #noteAnswer(answer: Either<WireError, unknown>): void {
+    const isAnswered = answer.caseOf({ Left: isAnswer, Right: () => true });
+    this.#silentAtMs = isAnswered ? -Infinity : this.#options.clock.monotonicMs();
+  }
+
   #describe(fence: number, order: HoldOrder, way: OrderWay) {
     const { address, rankerAddress } = this.#options.place;
     return {
@@ -161,3 +189,7 @@
     };
   }
 }
+
+function isAnswer({ code }: WireError): boolean {
+  return code === WireErrorCode.Remote;
+}
