--- a/packages/ranker/test/mixedReleases.test.ts
+++ b/packages/ranker/test/mixedReleases.test.ts
@@ -17,6 +17,7 @@
   const rank = {
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
+    readInForce: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: () => Promise.resolve(true),
   };
--- a/packages/ranker/test/unansweredWay.test.ts
+++ b/packages/ranker/test/unansweredWay.test.ts
@@ -36,6 +36,7 @@
     direct: {
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
+      readInForce: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(null),
       order: (given, fence) => Promise.resolve(order(given, fence)),
     },
