Start the platform's programs from a code cache made by the build

Callers see: after a kill, requests at that machine are lost until the restarted gateway serves. Cause: the start compiles the bundle anew each time, as a module, and functions of the request path again at the first requests.

Each program is a script with V8's code cache beside it in target/programs/, made by the build with the flags of the deploy file and with all functions compiled; target/NAME.cjs loads both. So the file carries CRC-32 sums of the program and of the data; a missing, damaged or rejected cache is reported on standard error and the program compiled without it. zlib.crc32 needs Node 20.15.

Tests: node scripts/runTests.mjs platform/test, 36 passed.

--- a/packages/demo/runDemo.ts
+++ b/packages/demo/runDemo.ts
@@ -64,7 +64,7 @@
   const fleet = createDemoFleet(folder, tokensFile, await findFreePorts(portCount));
   for (const { program, name, settings } of fleet.processes) {
     const text = formatSettings(`${name} (${program})`, settings);
-    const daemon = new DaemonProcess({ program, name, settings: text, folder, programs });
+    const daemon = new DaemonProcess({ program: `${program}.mjs`, name, settings: text, folder, programs });
     daemons.push(daemon);
     daemon.start();
   }
--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 
 interface DaemonOptions {
-  /** Name of the bundle in `programs`, without extension. */
+  /** Name of the program's file in `programs`. */
   readonly program: string;
   readonly name: string;
   /** Text of the settings file. */
@@ -44,7 +44,7 @@
   start(): void {
     const { programs, program } = this.#options;
     const log = openSync(this.logFile, "a");
-    const args = [join(programs, `${program}.mjs`), "--settings", this.settingsFile];
+    const args = [join(programs, program), "--settings", this.settingsFile];
     const child = spawn(process.execPath, args, {
       stdio: ["ignore", log, log],
       env: { ...process.env, ROARR_LOG: "true" },
--- a/packages/system/SystemFleet.ts
+++ b/packages/system/SystemFleet.ts
@@ -178,7 +178,8 @@
 
   #add(program: string, name: string, values: object): void {
     const settings = JSON.stringify(values, null, 2);
-    this.processes.set(name, new DaemonProcess({ program, name, settings, folder: this.folder, programs }));
+    const options = { program: `${program}.mjs`, name, settings, folder: this.folder, programs };
+    this.processes.set(name, new DaemonProcess(options));
   }
 
   #addControls(takePort: () => number): void {
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,22 +1,54 @@
-// Bundles the programs of platform/bin into target/, or the folder that is named, one file each, so that a start reads a
-// single file. A finished file takes the place of the earlier one in one step, so that a process that starts during a
-// build finds either of them.
-import { mkdirSync, readdirSync, renameSync, rmSync } from "node:fs";
+// Bundles the programs of platform/bin into target/, or the folder that is named: for each a loader, which the deploy file
+// starts, and in programs/ the program with V8's code cache. A finished file takes the place of the earlier one in one
+// step; a loader that finds a program and a cache of two builds does without the cache.
+import { execFileSync } from "node:child_process";
+import { copyFileSync, mkdirSync, readdirSync, renameSync, rmSync } from "node:fs";
+import { basename } from "node:path";
 import { build } from "esbuild";
 import { bundleOptions } from "./bundleOptions.mjs";
+import { readRoles } from "./readRoles.mjs";
 
 const [folder = "target"] = process.argv.slice(2);
 const staging = `${folder}/build-${process.pid}`;
-mkdirSync(staging, { recursive: true });
-await build({
+const names = readdirSync("platform/bin").map((file) => basename(file, ".ts"));
+const commonOptions = {
   ...bundleOptions,
-  entryPoints: readdirSync("platform/bin").map((name) => `platform/bin/${name}`),
-  outdir: staging,
+  // Node loads a CommonJS file with less work than a module, and a script may have a code cache.
+  format: "cjs",
+  banner: {},
+  // The loader reads programs as ASCII.
+  charset: "ascii",
   minify: true,
   keepNames: true,
   sourcemap: false,
+};
+
+mkdirSync(`${staging}/programs`, { recursive: true });
+mkdirSync(`${folder}/programs`, { recursive: true });
+await build({
+  ...commonOptions,
+  entryPoints: names.map((name) => `platform/bin/${name}.ts`),
+  outdir: `${staging}/programs`,
+  outExtension: { ".js": ".js" },
+  banner: { js: "(function (require) {" },
+  footer: { js: "})" },
+  // cbor-x reads it only where there is no require.
+  define: { "import.meta.url": "undefined" },
+});
+await build({
+  ...commonOptions,
+  entryPoints: ["platform/start/loader.ts", "platform/start/createCodeCache.ts"],
+  outdir: staging,
+  outExtension: { ".js": ".cjs" },
 });
-for (const name of readdirSync(staging)) {
-  renameSync(`${staging}/${name}`, `${folder}/${name}`);
+for (const name of names) {
+  const { flags } = readRoles().find(({ role }) => role === name);
+  const program = `${staging}/programs/${name}.js`;
+  const cache = `${staging}/programs/${name}.cache`;
+  execFileSync(process.execPath, [...flags, `${staging}/createCodeCache.cjs`, program, cache]);
+  copyFileSync(`${staging}/loader.cjs`, `${staging}/${name}.cjs`);
+  for (const file of [`programs/${name}.js`, `programs/${name}.cache`, `${name}.cjs`]) {
+    renameSync(`${staging}/${file}`, `${folder}/${file}`);
+  }
 }
 rmSync(staging, { recursive: true });
--- a/scripts/measureStart.mjs
+++ b/scripts/measureStart.mjs
@@ -10,7 +10,8 @@
 const [startsText = "20", ...chosen] = process.argv.slice(2);
 const starts = Number(startsText);
 const folder = mkdtempSync(join(tmpdir(), "clementinemux-start-"));
-const firstPort = 20_000 + (process.pid % 2000) * 16;
+// Below the ports that Linux gives to outgoing connections.
+const firstPort = 20_000 + (process.pid % 700) * 16;
 const startedLine = "started";
 
 /** Settings of a program; the ports differ from those of a fleet under test. */
