Load node:tls in the platform's programs at its first use

Callers see: a restarted gateway serves a little sooner. Cause: the frame client and server import node:tls, which brings in all of node:crypto (26 modules of Node, about 15 ms of processor time by themselves), and the platform's frames are not encrypted. The build of the platform puts a stand-in with the two functions that are used in its place; the other programs are bundled as before.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -18,6 +18,7 @@
   banner: {},
   // The loader reads programs as ASCII.
   charset: "ascii",
+  alias: { "node:tls": "./scripts/lazyTls.cjs" },
   minify: true,
   keepNames: true,
   sourcemap: false,
