Bundle cbor-x without its native part for the platform

Callers see: a restarted gateway serves a little sooner. Cause: cbor-x's main file for Node imports node:module to find its native part, which the deploy file had turned off by a variable. The build of the platform takes the file without it; the variable has no effect any more and leaves the deploy file. Programs that tests start without the variable now run the same code as deployed ones.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -18,7 +18,11 @@
   banner: {},
   // The loader reads programs as ASCII.
   charset: "ascii",
-  alias: { "node:tls": "./scripts/lazyTls.cjs" },
+  alias: {
+    "node:tls": "./scripts/lazyTls.cjs",
+    // Without the native part, which the main file loads by way of node:module.
+    "cbor-x": "./node_modules/cbor-x/index.js",
+  },
   minify: true,
   keepNames: true,
   sourcemap: false,
--- a/scripts/measureStart.mjs
+++ b/scripts/measureStart.mjs
@@ -50,7 +50,7 @@
 }
 
 /** Runs a command until it prints that it has started, or to its end, and returns its processor time and its duration. */
-async function measure(args, env) {
+async function measure(args) {
   const startedAtMs = performance.now();
   const child = spawn(process.execPath, args, { env, stdio: ["ignore", "pipe", "inherit"] });
   const result = await new Promise((resolve, reject) => {
@@ -71,11 +71,11 @@
   return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)];
 }
 
-const common = { PATH: process.env.PATH, HOME: process.env.HOME };
+const env = { PATH: process.env.PATH, HOME: process.env.HOME };
 const emptyProgram = join(folder, "empty.cjs");
 writeFileSync(emptyProgram, `process.stdout.write("${startedLine}\\n"); setInterval(() => {}, 1000);`);
 try {
-  for (const { role, flags, program, env } of readRoles().filter(
+  for (const { role, flags, program } of readRoles().filter(
     ({ role }) => chosen.length === 0 || chosen.includes(role),
   )) {
     const commands = {
@@ -85,7 +85,7 @@
     for (const [name, createArgs] of Object.entries(commands)) {
       const runs = [];
       for (let index = 0; index < starts; index += 1) {
-        runs.push(await measure(createArgs(), { ...common, ...env }));
+        runs.push(await measure(createArgs()));
       }
       const processorMs = getMedian(runs.map((run) => run.processorMs));
       const durationMs = getMedian(runs.map((run) => run.durationMs));
