Keep identifiers in the platform's bundles instead of restoring names

Callers see: a restarted gateway serves a little sooner. Cause: esbuild's keepNames sets the name of each function and class while the program is evaluated. With identifiers left as they are the names stay without it, and stack traces show them; the text is longer (gateway 287 to 405 kB), which the code cache makes unimportant. Two classes that refer to themselves are named with an underscore; the names of classes are used only in messages of cbor-x and zod.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -23,8 +23,8 @@
     // Without the native part, which the main file loads by way of node:module.
     "cbor-x": "./node_modules/cbor-x/index.js",
   },
-  minify: true,
-  keepNames: true,
+  minifyWhitespace: true,
+  minifySyntax: true,
   sourcemap: false,
 };
 
