--- a/packages/common/SuspensionClock.ts
+++ b/packages/common/SuspensionClock.ts
@@ -1,4 +1,4 @@
-import { performance } from "node:perf_hooks";
+import { getSteadyMs } from "./getSteadyMs";
 import type { Clock } from "./Clock";
 
 /** Jumps of the time of day against the steady clock below this are corrections of the time, in milliseconds. */
@@ -17,7 +17,7 @@
   #lastSteadyMs: number;
   #lastWallMs: number;
 
-  constructor(steadyMs = () => performance.now(), wallMs = () => Date.now()) {
+  constructor(steadyMs = () => getSteadyMs(), wallMs = () => Date.now()) {
     this.#steadyMs = steadyMs;
     this.#wallMs = wallMs;
     this.#lastSteadyMs = steadyMs();
--- a/packages/common/SystemClock.ts
+++ b/packages/common/SystemClock.ts
@@ -1,10 +1,10 @@
-import { performance } from "node:perf_hooks";
+import { getSteadyMs } from "./getSteadyMs";
 import type { Clock } from "./Clock";
 
 /** Clock of this machine. */
 export class SystemClock implements Clock {
   monotonicMs(): number {
-    return performance.now();
+    return getSteadyMs();
   }
 
   wallMs(): number {
