Lead the stand-in for node:tls to Node's module

A program of the platform that encrypted its frames would have ended with "Maximum call stack size exceeded"; none does. Cause: the build applies the alias inside the stand-in too, so that it led back to itself.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -6,6 +6,7 @@
 import { basename } from "node:path";
 import { build } from "esbuild";
 import { bundleOptions } from "./bundleOptions.mjs";
+import { platformAliases } from "./platformAliases.mjs";
 import { readRoles } from "./readRoles.mjs";
 
 const [folder = "target"] = process.argv.slice(2);
@@ -18,11 +19,7 @@
   banner: {},
   // The loader reads programs as ASCII.
   charset: "ascii",
-  alias: {
-    "node:tls": "./scripts/lazyTls.cjs",
-    // Without the native part, which the main file loads by way of node:module.
-    "cbor-x": "./node_modules/cbor-x/index.js",
-  },
+  alias: platformAliases,
   minifyWhitespace: true,
   minifySyntax: true,
   sourcemap: false,
