Load node:crypto in the platform's programs at its first use

Callers see: a restarted coordinator answers a little sooner. Cause: the storage imports node:crypto for the identity of a new data folder and for the name of a new segment of the log, neither of which a restart needs.

--- /dev/null
+++ b/scripts/lazy/crypto.mjs
@@ -0,0 +1,2 @@
+// The name has no prefix, since the build would lead node:crypto back to this file.
+export const randomUUID = () => require("crypto").randomUUID();
--- a/scripts/lazy/tls.mjs
+++ b/scripts/lazy/tls.mjs
@@ -1,3 +1,3 @@
-// Without the prefix, which the build would lead back to this file.
+// The name has no prefix, since the build would lead node:tls back to this file.
 export const connect = (...args) => require("tls").connect(...args);
 export const createServer = (...args) => require("tls").createServer(...args);
