--- a/scripts/measureStart.mjs
+++ b/scripts/measureStart.mjs
@@ -14,12 +14,12 @@
 const firstPort = 20_000 + (process.pid % 700) * 16;
 const startedLine = "started";
 
-/** Settings of a program; the ports differ from those of a fleet under test. */
+/** Writes the settings of a program; returns the path of the file. */
 function writeSettings(role) {
   const address = (offset) => `127.0.0.1:${firstPort + offset}`;
   const dataFolder = join(folder, `data-${role}`);
-  rmSync(dataFolder, { recursive: true, force: true });
-  mkdirSync(dataFolder);
+  // Kept from start to start, as after a kill.
+  mkdirSync(dataFolder, { recursive: true });
   const isCoordinator = role === "coordinator";
   const file = join(folder, `${role}.jsonc`);
   const settings = {
