Find ranks whose ranker a new lead has never heard

What callers saw: after a change of the lead, a group got no new map, and was not let go if it was held, until each process beside its ranks had answered the new lead once.

Cause: the conductor learned from these processes alone which rank is at which address. It asks the rank itself now, once a second until it is placed. A lead that misses the address of a rank does not use up its direct read for a plan either.

Ruled out: taking the place from the rank's state alone, which does not name its group where a service has several.

The platform's part of it (readMembership, readInForce) was not run against the platform.

--- a/packages/control/ranks/Conductor.ts
+++ b/packages/control/ranks/Conductor.ts
@@ -47,6 +47,8 @@
 const unknownPass: GroupPass = { passMs: null, slowestPace: 1, isStopped: false };
 /** Time between two looks at groups that are at rest, or of a lead without groups. */
 const idleMs = 120;
+/** Time between two direct questions for the group of a rank; the platform prices them. */
+const askAgainMs = 1000;
 /** Time after which a process that does not lead looks whether it does: a group may be held for a lead that is gone. */
 const followMs = 20;
 
@@ -57,6 +59,8 @@
   readonly #groups = new Map<string, GroupConductor>();
   /** Last known place of each rank, so that a silent one can be named. */
   readonly #places = new Map<string, (RankLink | null)[]>();
+  /** When ranks whose group is not known were last asked for it. */
+  readonly #askedAtMs = new Map<RankLink, number>();
   readonly #silence: RankSilence;
   #term = 0;
 
@@ -168,12 +172,29 @@
     const inspection = await link.inspect(term, InspectionPart.Counts);
     if (inspection === null) {
       void this.#silence.noteMissed(target.id, link);
+      void this.#findPlace(link);
       return null;
     }
     this.#silence.noteAnswer(target.id);
     return { id: target.id, link, inspection };
   }
 
+  /** Asks a rank itself for its group. A new lead has never heard of it from a process that is silent. */
+  async #findPlace(link: RankLink): Promise<void> {
+    const nowMs = this.#options.clock.monotonicMs();
+    const isPlaced = [...this.#places.values()].some((links) => links.includes(link));
+    if (isPlaced || nowMs - (this.#askedAtMs.get(link) ?? -Infinity) < askAgainMs) {
+      return;
+    }
+    this.#askedAtMs.set(link, nowMs);
+    const membership = await link.readMembershipDirectly();
+    if (membership !== null) {
+      const links = this.#places.get(membership.group) ?? [];
+      links[membership.rank] = link;
+      this.#places.set(membership.group, links);
+    }
+  }
+
   #getLink(address: string): RankLink {
     const known = this.#links.get(address);
     if (known !== undefined) {
--- a/packages/control/ranks/GroupConductor.ts
+++ b/packages/control/ranks/GroupConductor.ts
@@ -302,7 +302,8 @@
     }
     const present = await this.#present.read(known, this.#links);
     const loads = present === null ? null : this.#reviewDemand(present);
-    const canRead = !isPartial || nowMs - this.#readAtMs >= planReadMs;
+    const isReadDue = nowMs - this.#readAtMs >= planReadMs && !this.#links.includes(null);
+    const canRead = !isPartial || isReadDue;
     return present === null || loads === null || !canRead ? null : this.#choosePlan(present, loads);
   }
 
--- a/packages/control/test/conductor.test.ts
+++ b/packages/control/test/conductor.test.ts
@@ -170,6 +170,7 @@
       inspectState: () => way.inspectDirectly(),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       // No order is carried out, so that the plan stays pending.
       order: () => Promise.resolve(null),
     };
@@ -217,6 +218,7 @@
       inspectState: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       order: () => Promise.resolve(null),
     }),
     activate: () => Promise.resolve(false),
--- /dev/null
+++ b/packages/control/test/unknownRank.test.ts
@@ -0,0 +1,89 @@
+import t from "tap";
+import { createRandom } from "@clementinemux/common/createRandom";
+import { HeldGroup } from "@clementinemux/experts/test/HeldGroup";
+import { createLogger } from "@clementinemux/logging/createLogger";
+import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
+import type { RankClient } from "@clementinemux/ranker/RankClient";
+import { Ranker } from "@clementinemux/ranker/Ranker";
+import type { RouteTable } from "@clementinemux/routes/RouteTable";
+import { findFreePorts } from "@clementinemux/system/findFreePorts";
+import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { Conductor } from "../ranks/Conductor";
+import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import { HeldRankWay } from "./HeldRankWay";
+import { expertFigures as experts } from "./expertFigures";
+
+const ranks = 2;
+const silentRank = 1;
+const passMs = 60;
+const longestRounds = 40;
+const logger = createLogger("test", {});
+
+// Guards against a new lead that plans nothing until it has heard each process beside a rank once, as it does not know
+// where the others' ranks are.
+t.test("a new lead finds the rank of a process that it has never heard", async (t) => {
+  const group = new HeldGroup({ ranks, random: createRandom(1), lateShare: 0, passMs });
+  const clock = { monotonicMs: () => group.nowMs, wallMs: () => group.nowMs };
+  const ways = group.ranks.map((_, rank) => new HeldRankWay(group, rank));
+  const counts = [0, 0, 0, 0, 0, 0, 0, 0];
+  let questions = 0;
+  const createClient = (rank: number): RankClient => ({
+    inspect: () => ways[rank]!.inspect(0, InspectionPart.Counts),
+    inspectState: () => ways[rank]!.inspectDirectly(),
+    readPrepared: () => Promise.resolve(null),
+    readInForce: () => Promise.resolve(null),
+    readMembership: () => {
+      questions += 1;
+      return Promise.resolve({ group: "g", rank });
+    },
+    order: (order, fence) => Promise.resolve(group.order(order, fence)),
+  });
+  const [framePort = 0] = await findFreePorts(1);
+  const rank = createClient(0);
+  const ranker = new Ranker({ host: "127.0.0.1", framePort, metricsPort: null, clock, rank, logger });
+  await ranker.start();
+  const links = new PeerLinks(undefined);
+  t.teardown(async () => {
+    links.close();
+    await ranker.close();
+  });
+  const engine = { slots: 8, stepMs: 5, stride: 4, experts };
+  const service = { name: "s", healthPath: "/", engine };
+  const table = { findService: () => service, getGapObjectiveMs: () => 0 } as unknown as RouteTable;
+  const conductor = new Conductor({
+    framePort,
+    links,
+    getTable: () => table,
+    listTargets: () =>
+      group.ranks.map(({ rank: index }) => ({
+        id: `t-${index}`,
+        service: "s",
+        address: `127.0.0.${index + 1}:9`,
+        failureDomain: "fd-1",
+        slots: 8,
+        isDraining: false,
+        isLeaving: false,
+        isGone: false,
+        bornMs: 1,
+        sequence: 1,
+      })),
+    getTerm: () => 2,
+    openRank: (address) => createClient(address === `127.0.0.${silentRank + 1}:9` ? silentRank : 0),
+    activate: () => Promise.resolve(false),
+    notePace: () => undefined,
+    metrics: new CoordinatorMetrics(),
+    clock,
+    logger,
+  });
+  const isPrepared = () => group.ranks.every(({ preparedVersion }) => preparedVersion !== null);
+  for (let round = 0; round < longestRounds && !isPrepared(); round += 1) {
+    counts.forEach((count, expert) => {
+      counts[expert] = count + (expert % ranks === 0 ? 9000 : 100);
+    });
+    ways[0]!.counts = [...counts];
+    await conductor.step();
+    group.advance(passMs);
+  }
+  t.ok(isPrepared(), "both ranks have been given a map");
+  t.equal(questions, 1);
+});
--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -21,6 +21,7 @@
 import type { PackedInspection } from "./PackedInspection";
 import type { RankClient } from "./RankClient";
 import type { RankInspection } from "./RankInspection";
+import type { RankMembership } from "./RankMembership";
 import type { RankPlace } from "./RankPlace";
 import { describeOrder } from "./describeOrder";
 import { getOrderOutcome } from "./getOrderOutcome";
@@ -93,6 +94,11 @@
     return direct.inspectState();
   }
 
+  /** Place of the rank in its group by its own word; null when there was no answer. */
+  readMembershipDirectly(): Promise<RankMembership | null> {
+    return this.#options.direct.readMembership();
+  }
+
   async readExpertsDirectly(version: number): Promise<readonly (readonly number[])[] | null> {
     const inForce = await this.#options.direct.readInForce();
     return inForce?.version === version ? inForce.experts : null;
--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -31,6 +31,7 @@
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
     readInForce: () => Promise.resolve(null),
+    readMembership: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(group.inspect(rank)),
     order: (order: HoldOrder, fence: number) => {
       kinds.push(order.kind);
--- a/packages/ranker/test/directReport.test.ts
+++ b/packages/ranker/test/directReport.test.ts
@@ -38,6 +38,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       inspectState: () => {
         const isShown = clock.monotonicMs() - lagMs >= heldAtMs;
         return Promise.resolve({ ...idle, heldStep: isShown ? 4 : null });
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -61,6 +61,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(group.inspect(Number(address))),
       order: (order, fence) => Promise.resolve(group.order(order, fence)),
     }),
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -39,6 +39,7 @@
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
     readInForce: () => Promise.resolve(null),
+    readMembership: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: () => Promise.resolve(answer),
   };
--- a/packages/ranker/test/ranker.test.ts
+++ b/packages/ranker/test/ranker.test.ts
@@ -21,6 +21,7 @@
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
     readInForce: () => Promise.resolve(null),
+    readMembership: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: (_: unknown, fence: number) => {
       fences.push(fence);
@@ -76,6 +77,7 @@
       return Promise.resolve(lists);
     },
     readInForce: () => Promise.resolve(null),
+    readMembership: () => Promise.resolve(null),
     order: () => Promise.resolve(null),
   };
   const prepared = new PreparedDigest(rank);
--- a/packages/ranker/test/silentRanker.test.ts
+++ b/packages/ranker/test/silentRanker.test.ts
@@ -62,6 +62,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(null),
       order: (_, fence) => {
         links.given.push({ way: OrderWay.Direct, fence });
@@ -143,6 +144,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(group.inspect(0)),
       order: (order, fence) => Promise.resolve(group.order(order, fence)),
     }),
