Bound the framing of an answer and the events that are held back

Callers of a route waited until its timeout when a target went on with the digits of a chunk's size, and the gateway read them at full speed meanwhile: Node's parser takes leading zeros of a size without a bound, unlike heads, extensions and trailers. 64 KiB of framing without a byte of the body end the attempt now.

A stream of whole events at full speed filled the memory of a gateway that evens out pauses: all that arrived within the hold of 80 ms was kept, whatever its size, and not counted. Beyond 64 KiB the oldest events are passed on early; the caller's own pace then stops the target as before. A write to a full caller no longer adds one listener each.

Ruled out by tests that passed before: endless status lines, headers, provisional answers, bodies, chunk extensions, trailers and events, at full speed and with one piece every 20 ms (ended by the route's timeout at the latest), and bytes behind a whole answer, on which the connection is closed.

--- a/packages/gateway/AnswerWriter.ts
+++ b/packages/gateway/AnswerWriter.ts
@@ -8,6 +8,7 @@
 export class AnswerWriter {
   readonly #response: ServerResponse;
   readonly #context: GatewayContext;
+  #isWaiting = false;
 
   constructor(response: ServerResponse, context: GatewayContext) {
     this.#response = response;
@@ -43,11 +44,15 @@
     this.#response.flushHeaders();
   }
 
-  /** Returns whether more may be written at once; otherwise `onDrain` is called later. */
+  /** Returns whether more may be written at once; otherwise `onDrain` is called later, for several writes once. */
   write(bytes: Buffer, onDrain: () => void): boolean {
     const isFree = this.#response.write(bytes);
-    if (!isFree) {
-      this.#response.once("drain", onDrain);
+    if (!isFree && !this.#isWaiting) {
+      this.#isWaiting = true;
+      this.#response.once("drain", () => {
+        this.#isWaiting = false;
+        onDrain();
+      });
     }
     return isFree;
   }
--- a/packages/gateway/EventRelay.ts
+++ b/packages/gateway/EventRelay.ts
@@ -21,10 +21,14 @@
   resume(): void;
 }
 
+/** A stream of which more arrives within the hold has no pauses to even out; its oldest events are passed on early. */
+const maxHeldBytes = 65_536;
+
 /** Passes the events of one stream on to its caller: each once, in order, at the times that its pacer chooses. */
 export class EventRelay {
   readonly #options: EventRelayOptions;
   #held: HeldEvent[] = [];
+  #heldBytes = 0;
   #timer: NodeJS.Timeout | null = null;
   #source: StreamSource | null = null;
   #onEnd: (() => void) | null = null;
@@ -71,6 +75,7 @@
     this.#lastEventId = id ?? this.#lastEventId;
     this.#source = source;
     this.#held.push({ bytes, atMs: this.#options.pacer.schedule(nowMs) });
+    this.#heldBytes += bytes.length;
     this.#passOn();
     return true;
   }
@@ -90,6 +95,7 @@
   /** Drops what is held, as when the caller has left. */
   cancel(): void {
     this.#held = [];
+    this.#heldBytes = 0;
     this.#onEnd = null;
     clearTimeout(this.#timer ?? undefined);
   }
@@ -97,11 +103,13 @@
   #passOn(): void {
     clearTimeout(this.#timer ?? undefined);
     const nowMs = this.#options.clock.monotonicMs();
-    while (this.#held[0] !== undefined && this.#held[0].atMs <= nowMs) {
-      this.#write(this.#held[0].bytes, nowMs);
+    let [next] = this.#held;
+    while (next !== undefined && (next.atMs <= nowMs || this.#heldBytes > maxHeldBytes)) {
+      this.#write(next.bytes, nowMs);
+      this.#heldBytes -= next.bytes.length;
       this.#held.shift();
+      [next] = this.#held;
     }
-    const [next] = this.#held;
     if (next !== undefined) {
       this.#timer = setTimeout(() => {
         this.#passOn();
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -9,6 +9,8 @@
 const maxHeadBytes = 16_384;
 /** Provisional answers before the final one; a sound target sends one at most. */
 const maxProvisional = 8;
+/** Bytes of a body's framing before more of the body; Node reads the digits of a chunk's size without a bound. */
+const maxFramingBytes = 65_536;
 
 /** One request on its way to a target, and its answer. */
 export class TargetCall {
@@ -19,6 +21,8 @@
   #isConnected = false;
   #isDone = false;
   #provisional = 0;
+  /** Bytes read since the body last went on. */
+  #framingBytes = 0;
   #timer: NodeJS.Timeout;
 
   constructor(options: TargetCallOptions, listener: TargetCallListener) {
@@ -131,9 +135,31 @@
     response.on("close", () => {
       this.#fail(CallFailure.Broken, "connection closed before the end of the answer");
     });
+    this.#limitFraming(response);
     this.#listener.onAnswer(answer, response.rawHeaders);
   }
 
+  /** Ends a call whose connection goes on without any byte of the body. */
+  #limitFraming(response: IncomingMessage): void {
+    const { socket } = response;
+    let hasBody = false;
+    response.on("data", () => {
+      hasBody = true;
+    });
+    // Called for the same bytes after the parser, so that what they hold of the body has been seen.
+    const onBytes = ({ length }: Buffer): void => {
+      this.#framingBytes = hasBody || response.readableLength > 0 ? 0 : this.#framingBytes + length;
+      hasBody = false;
+      if (this.#framingBytes > maxFramingBytes) {
+        this.#fail(CallFailure.TooLarge, "framing of a body without an end");
+      }
+    };
+    socket.on("data", onBytes);
+    response.once("end", () => {
+      socket.off("data", onBytes);
+    });
+  }
+
   #getFailure({ code = "" }: NodeJS.ErrnoException): CallFailure {
     if (!this.#isConnected) {
       return CallFailure.NotConnected;
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -1,6 +1,10 @@
 import type { Socket } from "node:net";
 import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import type { AnswerWriter } from "@clementinemux/gateway/AnswerWriter";
 import { ByteBudget } from "@clementinemux/gateway/ByteBudget";
+import { EventPacer } from "@clementinemux/gateway/EventPacer";
+import { EventRelay } from "@clementinemux/gateway/EventRelay";
 import { HeldBytes } from "@clementinemux/gateway/HeldBytes";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { waitUntil } from "@clementinemux/system/waitUntil";
@@ -28,16 +32,56 @@
   write();
 }
 
-const endless: Record<string, { first: (id: string) => string; text: string; isStream?: boolean }> = {
-  "header lines": { first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n`, text: "x-more: 1\r\n".repeat(500) },
-  "one header": { first: () => "HTTP/1.1 200 OK\r\nx-long: ", text: block },
-  "no protocol at all": { first: () => "", text: block },
-  "provisional answers": { first: () => "", text: "HTTP/1.1 100 Continue\r\n\r\n".repeat(100) },
-  "a body without length": { first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n`, text: block },
-  "a body in chunks": { first: chunkedHead, text: answers.chunk(block) },
-  "a chunk extension": { first: (id) => `${chunkedHead(id)}1;`, text: block },
-  trailers: { first: (id) => `${chunkedHead(id)}0\r\n`, text: "x-more: 1\r\n".repeat(500) },
-  "an event": { first: (id) => answers.streamHead(id), text: answers.chunk(block), isStream: true },
+/** Writes the same bytes now and then until the other side closes. */
+function writeSlowly(socket: Socket, text: string): void {
+  const timer = setInterval(() => socket.write(text), 20);
+  socket.once("close", () => {
+    clearInterval(timer);
+  });
+}
+
+interface EndlessAnswer {
+  readonly first: (id: string) => string;
+  /** Repeated at full speed. */
+  readonly text: string;
+  /** Repeated now and then. */
+  readonly slow: string;
+  readonly isStream?: boolean;
+}
+
+const endless: Record<string, EndlessAnswer> = {
+  "header lines": {
+    first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n`,
+    text: "x-more: 1\r\n".repeat(500),
+    slow: "x-more: 1\r\n",
+  },
+  "one header": { first: () => "HTTP/1.1 200 OK\r\nx-long: ", text: block, slow: "x" },
+  "a status line": { first: () => "HTTP/1.1 200 ", text: block, slow: "x" },
+  "no protocol at all": { first: () => "", text: block, slow: "x" },
+  "provisional answers": {
+    first: () => "",
+    text: "HTTP/1.1 100 Continue\r\n\r\n".repeat(100),
+    slow: "HTTP/1.1 100 Continue\r\n\r\n",
+  },
+  "a body without length": {
+    first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n`,
+    text: block,
+    slow: "x",
+  },
+  "a body in chunks": { first: chunkedHead, text: answers.chunk(block), slow: answers.chunk("x") },
+  "a chunk size": { first: chunkedHead, text: "0".repeat(65_536), slow: "0" },
+  "a chunk extension": { first: (id) => `${chunkedHead(id)}1;`, text: block, slow: "x" },
+  trailers: {
+    first: (id) => `${chunkedHead(id)}0\r\n`,
+    text: "x-more: 1\r\n".repeat(500),
+    slow: "x-more: 1\r\n",
+  },
+  "an event": {
+    first: (id) => answers.streamHead(id),
+    text: answers.chunk(block),
+    slow: answers.chunk("x"),
+    isStream: true,
+  },
 };
 
 for (const [name, { first, text, isStream = false }] of Object.entries(endless)) {
@@ -60,6 +104,93 @@
   });
 }
 
+// Guards against the same at a byte now and then, which no bound on the size ends.
+for (const [name, { first, slow, isStream = false }] of Object.entries(endless)) {
+  t.test(`endless bytes, slowly: ${name}`, async (t) => {
+    const target = new TestTarget(({ id }, socket) => {
+      socket.write(first(id));
+      writeSlowly(socket, slow);
+    });
+    const route = { ...(isStream ? stream : unsafe), timeoutMs: 700 };
+    const { gateway, call, stop } = await startGateway(createDocument(1, [route]), [target]);
+    const startedMs = performance.now();
+    const answer = await call({ path: "/p0/", method: "POST" }, "r1", "x");
+    t.ok(answer.status === 502 || answer.status === 504 || !answer.isComplete, "no success");
+    t.ok(performance.now() - startedMs < 1500, "ended by the route's timeout at the latest");
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
+    await stop();
+  });
+}
+
+// Guards against bytes behind a whole answer that keep a connection and the gateway busy until the target ends.
+for (const [name, write] of Object.entries({
+  "at once": writeEndlessly,
+  slowly: (socket: Socket) => {
+    writeSlowly(socket, "x");
+  },
+})) {
+  t.test(`endless bytes behind a whole answer, ${name}`, async (t) => {
+    const target = new TestTarget(({ id }, socket) => {
+      socket.write(answers.whole(id, "ok"));
+      setTimeout(write, 20, socket, block);
+    });
+    const { call, stop } = await startGateway(createDocument(1, [unsafe]), [target]);
+    t.match(await call({ path: "/p0/", method: "POST" }, "r1", "x"), { status: 200, body: "ok" });
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    await stop();
+  });
+}
+
+// Guards against whole events without an end: those that are held back to even out pauses filled the memory.
+t.test("endless events are held back within a bound", (t) => {
+  const written: Buffer[] = [];
+  const writer = {
+    write: (bytes: Buffer) => {
+      written.push(bytes);
+      return false;
+    },
+  } as unknown as AnswerWriter;
+  const pacer = new EventPacer({ maxHoldMs: 80, gapObjectiveMs: 500 });
+  const relay = new EventRelay({ writer, pacer, clock: new SystemClock(), onGap: () => undefined });
+  let pauses = 0;
+  const source = { pause: () => (pauses += 1), resume: () => undefined };
+  const event = Buffer.from(`data: ${"x".repeat(1000)}\n\n`);
+  let mostHeld = 0;
+  for (let count = 1; count <= 10_000; count += 1) {
+    relay.push(event, null, source);
+    mostHeld = Math.max(mostHeld, (count - written.length) * event.length);
+  }
+  t.ok(mostHeld <= 65_536, `${mostHeld} bytes were held`);
+  t.ok(pauses > 0, "the target is stopped while the caller does not read");
+  relay.cancel();
+  t.end();
+});
+
+// Guards against a target without an end that is read for a caller who does not read.
+t.test("endless events for a caller who does not read", async (t) => {
+  let socket: Socket | null = null;
+  const target = new TestTarget(({ id }, taken) => {
+    socket = taken;
+    taken.write(answers.streamHead(id));
+    writeEndlessly(taken, answers.chunk(`data: ${block}\n\n`));
+  });
+  const route = { ...stream, gapObjectiveMs: 500, timeoutMs: 1500 };
+  const { gateway, open, stop } = await startGateway(createDocument(1, [route]), [target]);
+  const caller = open({ path: "/p0/", method: "POST" }, "r1");
+  caller.on("error", () => undefined);
+  caller.on("response", (response) => {
+    response.on("error", () => undefined);
+    response.pause();
+  });
+  caller.end("x");
+  await waitUntil("the route's timeout ends it", () => (target.closed === 1 ? true : null), 3000);
+  t.ok(socket!.bytesWritten < 3 * mostHeldBytes, `${socket!.bytesWritten} bytes were taken from the target`);
+  t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
+  caller.destroy();
+  await stop();
+});
+
 // Guards against many such targets at once, each within its own bound.
 t.test("endless bodies at once stay within one budget", async (t) => {
   const target = new TestTarget(({ id }, socket) => {
