End calls of agents and ranks whose answers have no end

Operators would see agents and rankers busy with connections that nobody waits for. Three causes:

- Bytes behind a whole answer, on a connection that is kept: Node's agent reads and drops them for as long as the target sends, and takes what comes after the next request for its answer.
Polls, orders and forwarded calls of the agent and all calls to ranks were open to it; the gateway's connections were not.
Their rule moves to wire/closeNoisyIdle and holds for all of them.
- A call that must not be repeated runs on without its caller, and had no bound then: neither slow nor quick answers ever ended, and a leaving agent waited for them until its deadline.
- Provisional answers at full speed reach no one, so no bound on an answer saw them.
More than 8 end a forwarded call, as in the gateway.

Ruled out by tests that passed before: polls and calls to ranks whose status line, headers, body, chunk size, chunk extension or trailers go on, at full speed and with one piece every 20 ms, are refused within their time and their connection is closed; repeatable calls end with their caller.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -76,7 +76,7 @@
     const targetAddress = parseAddress(settings.targetAddress);
     this.#view = new ConfigView(settings);
     this.#gate = new AdmissionGate(incarnation, this.#view);
-    this.#forwarder = new Forwarder(targetAddress);
+    this.#forwarder = new Forwarder(targetAddress, settings.abandonedTimeoutMs);
     this.#target = new TargetClient(targetAddress);
     this.#load = new LoadPoller(this.#target, settings.loadPath, clock);
     this.#orderGate = new OrderGate(incarnation, this.#view);
--- a/packages/agent/AgentSettings.ts
+++ b/packages/agent/AgentSettings.ts
@@ -38,6 +38,8 @@
   heartbeatIntervalMs: z.number().int().min(50).max(1000).default(1000),
   /** After SIGTERM, time for the requests in flight to end. */
   shutdownDeadlineMs: z.number().int().min(0).max(3_600_000).default(300_000),
+  /** Time for a call that must not be repeated to end after its caller has left; then its connection is closed. */
+  abandonedTimeoutMs: z.number().int().min(1000).max(3_600_000).default(600_000),
   maxConnections: z.number().int().min(1).max(65_535).default(1024),
   /** PEM files for mutual TLS with relays and entries; without them, connections are plain. */
   tls: z.strictObject({ keyFile: z.string(), certFile: z.string(), caFile: z.string() }).optional(),
--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -2,6 +2,8 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import { Outcome } from "@clementinemux/common/Outcome";
 import type { Address } from "@clementinemux/wire/Address";
+import { closeNoisyIdle } from "@clementinemux/wire/closeNoisyIdle";
+import { limitAbandonedCall } from "./limitAbandonedCall";
 
 interface ForwardOptions {
   readonly repeatable: boolean;
@@ -13,6 +15,8 @@
 
 const connectTimeoutMs = 500;
 const maxTargetSockets = 1024;
+/** Provisional answers before the final one; a sound target sends one at most. */
+const maxProvisional = 8;
 const perConnectionHeaders: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
@@ -28,12 +32,16 @@
 /** Streams requests to the target and its answers back. Sends each request at most once. */
 export class Forwarder {
   readonly #address: Address;
+  readonly #abandonedTimeoutMs: number;
   readonly #http = new HttpAgent({ keepAlive: true, maxSockets: maxTargetSockets });
 
   #inFlight = 0;
 
-  constructor(address: Address) {
+  /** `abandonedTimeoutMs` is the time for a call that must not be repeated to end after its caller has left. */
+  constructor(address: Address, abandonedTimeoutMs: number) {
     this.#address = address;
+    this.#abandonedTimeoutMs = abandonedTimeoutMs;
+    closeNoisyIdle(this.#http);
   }
 
   /** Requests whose answer has not ended, also those that run on without their caller. */
@@ -89,6 +97,13 @@
         clearTimeout(timer);
       });
     });
+    let provisional = 0;
+    upstream.on("information", () => {
+      provisional += 1;
+      if (provisional > maxProvisional) {
+        upstream.destroy(new Error("provisional answers without an end"));
+      }
+    });
     upstream.once("close", closeSide);
     upstream.on("error", () => {
       request.unpipe(upstream);
@@ -108,6 +123,8 @@
       // A request that must not be repeated runs to its end even when nobody waits for the answer.
       if (repeatable || !sent || !request.complete) {
         upstream.destroy();
+      } else {
+        limitAbandonedCall(upstream, this.#abandonedTimeoutMs);
       }
     });
     request.pipe(upstream);
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -1,6 +1,7 @@
 import { Agent as HttpAgent, request as requestHttp } from "node:http";
 import type { ClientRequest } from "node:http";
 import type { Address } from "@clementinemux/wire/Address";
+import { closeNoisyIdle } from "@clementinemux/wire/closeNoisyIdle";
 
 interface TargetRequest {
   readonly method: string;
@@ -33,6 +34,7 @@
   ) {
     this.#address = address;
     this.#transport = transport;
+    closeNoisyIdle(transport.agent);
   }
 
   /** Rejects when the target does not answer in time; its connection is then closed. */
--- /dev/null
+++ b/packages/agent/test/endless.test.ts
@@ -0,0 +1,114 @@
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { Forwarder } from "@clementinemux/agent/Forwarder";
+import { TargetClient } from "@clementinemux/agent/TargetClient";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { EndlessTarget } from "../../wire/test/helpers/EndlessTarget";
+import { RawConnection } from "../../wire/test/helpers/RawConnection";
+import { endlessAnswers } from "../../wire/test/helpers/endlessAnswers";
+
+const host = "127.0.0.1";
+const speeds = { "at full speed": 0, slowly: 20 };
+const wholeAnswer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+for (const [speed, pauseMs] of Object.entries(speeds)) {
+  for (const [name, { first, full, slow }] of Object.entries(endlessAnswers)) {
+    // Guards against a target in trouble whose polls are never over, or fill the memory of its agent.
+    t.test(`poll of a target, ${speed}: ${name}`, async (t) => {
+      const target = new EndlessTarget({ first: () => first, more: pauseMs === 0 ? full : slow, pauseMs });
+      const client = new TargetClient({ host, port: await target.listen() });
+      const startedMs = performance.now();
+      await t.rejects(client.send({ method: "GET", path: "/engine/load", timeoutMs: 300 }));
+      t.ok(performance.now() - startedMs < 1000);
+      await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+      client.close();
+      target.close();
+    });
+  }
+
+  // Guards against bytes behind an answer that are read for ever, or are taken for the next answer.
+  t.test(`bytes behind the answer to a poll, ${speed}`, async (t) => {
+    const target = new EndlessTarget({
+      first: () => wholeAnswer,
+      more: "x".repeat(pauseMs === 0 ? 65_536 : 1),
+      pauseMs,
+    });
+    const client = new TargetClient({ host, port: await target.listen() });
+    const poll = { method: "GET", path: "/engine/load", timeoutMs: 300 };
+    t.same(await client.send(poll), { status: 200, text: "{}" });
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    t.same(await client.send(poll), { status: 200, text: "{}" });
+    client.close();
+    target.close();
+  });
+}
+
+const forwardedHead = "POST /pay HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\n{}";
+
+/** Serves callers by a forwarder alone, and closes the caller's connection after it has sent its request. */
+async function forwardAndLeave(target: EndlessTarget, repeatable: boolean, abandonedTimeoutMs: number) {
+  const forwarder = new Forwarder({ host, port: await target.listen() }, abandonedTimeoutMs);
+  const server = createServer((request, response) => {
+    forwarder.forward(request, response, {
+      repeatable,
+      headers: {},
+      onUnreachable: () => response.destroy(),
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, host, resolve));
+  const [caller] = (await RawConnection.openAll((server.address() as AddressInfo).port, 1)) as [
+    RawConnection,
+  ];
+  caller.send(forwardedHead);
+  await waitUntil("the target answers", () => (target.answered === 1 ? true : null), 1000);
+  await delay(50);
+  caller.close();
+  const stop = (): void => {
+    forwarder.close();
+    server.close();
+    target.close();
+  };
+  return { forwarder, stop };
+}
+
+for (const [name, { first, full, slow }] of Object.entries(endlessAnswers)) {
+  // Guards against a repeatable call that goes on for a caller that has left because its target did not end.
+  t.test(`call without an end: ${name}`, async (t) => {
+    const target = new EndlessTarget({ first: () => first, more: full, pauseMs: 0 });
+    const { forwarder, stop } = await forwardAndLeave(target, true, 60_000);
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    await waitUntil("the call is over", () => (forwarder.inFlight === 0 ? true : null), 1000);
+    t.equal(target.answered, 1);
+    stop();
+  });
+
+  // Guards against calls that must not be repeated, run on without their caller, and never end.
+  t.test(`abandoned call without an end, slowly: ${name}`, async (t) => {
+    const target = new EndlessTarget({ first: () => first, more: slow, pauseMs: 20 });
+    const { forwarder, stop } = await forwardAndLeave(target, false, 300);
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    await waitUntil("the call is over", () => (forwarder.inFlight === 0 ? true : null), 1000);
+    t.equal(target.answered, 1);
+    stop();
+  });
+
+  t.test(`abandoned call without an end, at full speed: ${name}`, async (t) => {
+    const target = new EndlessTarget({ first: () => first, more: full, pauseMs: 0 });
+    const { forwarder, stop } = await forwardAndLeave(target, false, 60_000);
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 5000);
+    await waitUntil("the call is over", () => (forwarder.inFlight === 0 ? true : null), 1000);
+    t.equal(target.answered, 1);
+    stop();
+  });
+}
+
+// Guards against kept connections on which a target goes on behind its answer.
+t.test("bytes behind the answer to a call", async (t) => {
+  const target = new EndlessTarget({ first: () => wholeAnswer, more: "x".repeat(65_536), pauseMs: 0 });
+  const { stop } = await forwardAndLeave(target, true, 60_000);
+  await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+  t.equal(target.answered, 1);
+  stop();
+});
--- a/packages/gateway/TargetAgent.ts
+++ b/packages/gateway/TargetAgent.ts
@@ -1,11 +1,7 @@
 import { Agent } from "node:http";
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
-
-interface KeptSocket {
-  readonly sinceMs: number;
-  readonly onData: () => void;
-}
+import { closeNoisyIdle } from "@clementinemux/wire/closeNoisyIdle";
 
 /** Idle connections are closed after this long, or after `idleShare` of what the target announces. */
 const maxIdleMs = 4000;
@@ -14,31 +10,22 @@
 
 /** Connections to one target. One on which bytes arrive while it is idle is never used again. */
 export class TargetAgent extends Agent {
-  readonly #kept = new WeakMap<Socket, KeptSocket>();
+  /** When a connection was last used, by `performance.now()`. */
+  readonly #usedAtMs = new WeakMap<Socket, number>();
 
   constructor() {
     super({ keepAlive: true, maxFreeSockets: maxIdleSockets, scheduling: "lifo" });
+    closeNoisyIdle(this);
   }
 
   /** Called by Node when a request has ended and its connection may be kept. */
   override keepSocketAlive(socket: Socket): boolean {
-    if (socket.destroyed || socket.readableLength > 0) {
-      return false;
-    }
-    const onData = (): void => {
-      socket.destroy();
-    };
-    this.#kept.set(socket, { sinceMs: performance.now(), onData });
-    socket.on("data", onData);
+    this.#usedAtMs.set(socket, performance.now());
     socket.setTimeout(getIdleMs(socket));
     return true;
   }
 
   override reuseSocket(socket: Socket, request: ClientRequest): void {
-    const kept = this.#kept.get(socket);
-    if (kept !== undefined) {
-      socket.removeListener("data", kept.onData);
-    }
     socket.setTimeout(0);
     super.reuseSocket(socket, request);
   }
@@ -48,7 +35,7 @@
     const nowMs = performance.now();
     for (const sockets of Object.values(this.freeSockets)) {
       for (const socket of sockets ?? []) {
-        if (nowMs - (this.#kept.get(socket)?.sinceMs ?? 0) > ageMs) {
+        if (nowMs - (this.#usedAtMs.get(socket) ?? 0) > ageMs) {
           socket.destroy();
         }
       }
--- /dev/null
+++ b/packages/wire/closeNoisyIdle.ts
@@ -0,0 +1,33 @@
+import type { Agent, ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/**
+ * Makes an agent close a kept connection on which bytes arrive while it is idle. Node would read and drop them for as long as
+ * the other side sends, and take what comes after the next request for its answer.
+ */
+export function closeNoisyIdle(agent: Agent): void {
+  const listeners = new WeakMap<Duplex, () => void>();
+  // Returns whether the connection may be kept, although its declared type does not say so.
+  const keepSocketAlive: (socket: Duplex) => unknown = agent.keepSocketAlive.bind(agent);
+  const reuseSocket = agent.reuseSocket.bind(agent);
+
+  agent.keepSocketAlive = (socket: Socket): boolean => {
+    if (keepSocketAlive(socket) === false || socket.destroyed || socket.readableLength > 0) {
+      return false;
+    }
+    const onData = (): void => {
+      socket.destroy();
+    };
+    listeners.set(socket, onData);
+    socket.on("data", onData);
+    return true;
+  };
+  agent.reuseSocket = (socket: Duplex, request: ClientRequest): void => {
+    const onData = listeners.get(socket);
+    if (onData !== undefined) {
+      socket.removeListener("data", onData);
+    }
+    reuseSocket(socket, request);
+  };
+}
