End answers that go on behind their end or their limit at an entry

What callers and operators would see: an engine that goes on behind `data: [DONE]` was read until it closed the connection, with no time limit, and its later tokens still reached the session of an answer that had been sent. An engine that ignores `max_tokens` was believed for as long as it sent tokens, each of which counts as progress; an answer that is sent as a whole then fills the memory. A state report without an end was collected for its whole time limit at full speed.

Causes and fixes: a complete answer did not end its exchange. `UpstreamCall.finish` leaves the rest 1 s and 64 KiB, so that a sound connection is still kept. Tokens at or beyond the limit end the attempt (stream fault `too_many_tokens`). A state report is at most 64 KiB.

Ruled out by tests: state reports whose status line, headers, provisional answers, chunk size, extension or trailers go on are refused within the time of a poll and their connections closed; events, comments and events of another request are no progress, so a stalled stream ends by the gap of tokens.

--- a/packages/entry/ModelAttempt.ts
+++ b/packages/entry/ModelAttempt.ts
@@ -23,6 +23,8 @@
   readonly modes: readonly ResumeMode[];
   /** Tokens already sent to the caller. */
   readonly sentTokenCount: number;
+  /** Tokens of the whole answer at most. */
+  readonly maxTokenCount: number;
   /** Header that names the stream to continue; empty for a fresh start. */
   readonly resumeHeaders: Readonly<Record<string, string>>;
   readonly kvHeaders: Readonly<Record<string, string>>;
@@ -257,8 +259,13 @@
   #onToken(tokenIndex: number, tail: string, finishReason: string | null): void {
     this.#gotToken = true;
     this.#progressAtMs = this.#options.readNowMs();
-    const base = this.#mode === ResumeMode.Replay ? this.#options.sentTokenCount : 0;
-    if (!this.#listener.onToken(this, base + tokenIndex, tail)) {
+    const { sentTokenCount, maxTokenCount } = this.#options;
+    const position = tokenIndex + (this.#mode === ResumeMode.Replay ? sentTokenCount : 0);
+    if (position >= maxTokenCount) {
+      this.#fault(StreamFault.TooManyTokens);
+      return;
+    }
+    if (!this.#listener.onToken(this, position, tail)) {
       this.#end(AttemptEndKind.StreamBroken);
       return;
     }
@@ -272,6 +279,7 @@
       this.#fault(StreamFault.MissingFinalEvent);
       return;
     }
+    this.#call?.finish();
     const { reason, tokenCount } = this.#finish;
     const base = this.#mode === ResumeMode.Replay ? this.#options.sentTokenCount : 0;
     this.#ended = true;
--- a/packages/entry/ModelSession.ts
+++ b/packages/entry/ModelSession.ts
@@ -183,6 +183,7 @@
         },
         modes: this.#getModes(link),
         sentTokenCount,
+        maxTokenCount: model.maxTokenCount,
         resumeHeaders: {
           [resumeHeaderNames.attempt]: last?.attemptId ?? "",
           [resumeHeaderNames.fromToken]: String(sentTokenCount),
--- a/packages/entry/StreamFault.ts
+++ b/packages/entry/StreamFault.ts
@@ -7,5 +7,6 @@
   MalformedEvent = "malformed_event",
   EventTooLarge = "event_too_large",
   MissingFinalEvent = "missing_final_event",
+  TooManyTokens = "too_many_tokens",
   TokenCountMismatch = "token_count_mismatch",
 }
--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -13,6 +13,8 @@
   readonly onCacheEvents: (target: string, events: readonly CacheEvent[]) => void;
 }
 
+/** A state report with its cache events takes some 2 KB. */
+const maxStateBytes = 65_536;
 // Part of the permitted age after which a stamp is no longer sent: the rest is left for the way to the agent.
 const stampUseShare = 0.8;
 const poolOptions = {
@@ -166,7 +168,7 @@
         await body.dump();
         return false;
       }
-      const state = (await body.json()) as AgentState;
+      const state = JSON.parse(await readText(body)) as AgentState;
       this.#stamp = state.stamp;
       // The stamp may be as old as the sending of the question.
       this.#stampAtMs = sentAtMs;
@@ -182,3 +184,17 @@
     }
   }
 }
+
+/** Reads a body of a bounded size; throws on a larger one, whose connection is then closed. */
+async function readText(body: AsyncIterable<Buffer>): Promise<string> {
+  const chunks: Buffer[] = [];
+  let sizeBytes = 0;
+  for await (const chunk of body) {
+    sizeBytes += chunk.length;
+    if (sizeBytes > maxStateBytes) {
+      throw new RangeError(`state report of more than ${maxStateBytes} bytes`);
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -14,6 +14,10 @@
   readonly mayWrite: () => boolean;
 }
 
+/** Behind the part of an answer that is needed, for its framing and a target that tidies up. */
+const maxRestBytes = 65_536;
+const restTimeoutMs = 1000;
+
 /**
  * One HTTP exchange with an agent. The HTTP library never repeats it: what was not written failed with
  * `written` false, everything else with `written` true.
@@ -24,6 +28,9 @@
   #controller: Dispatcher.DispatchController | null = null;
   #written = false;
   #closed = false;
+  /** Bytes read since nothing more was needed; null before. */
+  #restBytes: number | null = null;
+  #restTimer: NodeJS.Timeout | undefined;
 
   constructor(options: UpstreamCallOptions, listener: UpstreamListener) {
     this.#listener = listener;
@@ -56,14 +63,28 @@
     this.#controller?.resume();
   }
 
+  /**
+   * Nothing more of the answer is needed, and the listener hears nothing more. The connection is kept if the answer ends soon,
+   * and closed if it does not.
+   */
+  finish(): void {
+    if (this.#closed || this.#restBytes !== null) {
+      return;
+    }
+    this.#restBytes = 0;
+    this.#restTimer = setTimeout(() => {
+      this.abort();
+    }, restTimeoutMs);
+    this.#restTimer.unref();
+  }
+
   /** Ends the exchange and closes its connection. The listener hears nothing more. */
   abort(): void {
     if (this.#closed) {
       return;
     }
-    this.#closed = true;
+    this.#close();
     this.#controller?.abort(new Error("aborted by the entry"));
-    this.#closeClient();
   }
 
   #createHandler(mayWrite: () => boolean): Dispatcher.DispatchHandler {
@@ -85,13 +106,14 @@
         this.#guard(() => {
           this.#listener.onData(chunk);
         });
+        this.#countRest(chunk.length);
       },
       onResponseEnd: () => {
         this.#guard(() => {
-          this.#closed = true;
-          this.#closeClient();
+          this.#close();
           this.#listener.onEnd();
         });
+        this.#close();
       },
       onResponseError: (_controller, error) => {
         this.#fail(error);
@@ -100,17 +122,33 @@
   }
 
   #guard(notify: () => void): void {
-    if (!this.#closed) {
+    if (!this.#closed && this.#restBytes === null) {
       notify();
     }
   }
 
+  #countRest(bytes: number): void {
+    if (this.#restBytes === null) {
+      return;
+    }
+    this.#restBytes += bytes;
+    if (this.#restBytes > maxRestBytes) {
+      this.abort();
+    }
+  }
+
   #fail(error: unknown): void {
     this.#guard(() => {
-      this.#closed = true;
-      this.#closeClient();
+      this.#close();
       this.#listener.onError(this.#written, error instanceof Error ? error : new Error(String(error)));
     });
+    this.#close();
+  }
+
+  #close(): void {
+    this.#closed = true;
+    clearTimeout(this.#restTimer);
+    this.#closeClient();
   }
 
   #closeClient(): void {
--- /dev/null
+++ b/packages/entry/test/endless.test.ts
@@ -0,0 +1,185 @@
+import t from "tap";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { TargetKind } from "@clementinemux/common/TargetKind";
+import { TargetRole } from "@clementinemux/common/TargetRole";
+import { headerNames } from "@clementinemux/common/headerNames";
+import { ModelAttempt } from "@clementinemux/entry/ModelAttempt";
+import { ResumeMode } from "@clementinemux/entry/ResumeMode";
+import { StreamFault } from "@clementinemux/entry/StreamFault";
+import { TargetLink } from "@clementinemux/entry/TargetLink";
+import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { EndlessTarget } from "../../wire/test/helpers/EndlessTarget";
+import { endlessAnswers } from "../../wire/test/helpers/endlessAnswers";
+
+const clock = new SystemClock();
+const readNowMs = (): number => clock.monotonicMs();
+const speeds = { "at full speed": 0, slowly: 20 };
+/** What sockets of both sides hold at most, and the answer itself. */
+const mostBytes = 33_554_432;
+
+async function openLink(target: EndlessTarget): Promise<TargetLink> {
+  const announcement = {
+    target: "engine-0",
+    incarnation: "00000000000001-0",
+    address: `127.0.0.1:${await target.listen()}`,
+    failureDomain: "fd-0",
+    region: "r",
+    kind: TargetKind.Engine,
+    models: ["demo"],
+    adapters: [],
+    version: "",
+    role: TargetRole.Both,
+    service: "",
+    group: "",
+    rank: 0,
+    checksFencing: false,
+  };
+  return new TargetLink(announcement, {
+    connectTimeoutMs: 500,
+    tls: undefined,
+    onCacheEvents: () => undefined,
+  });
+}
+
+for (const [speed, pauseMs] of Object.entries(speeds)) {
+  for (const [name, { first, full, slow }] of Object.entries(endlessAnswers)) {
+    // Guards against an agent in trouble whose state reports fill the memory of an entry, or are never over.
+    t.test(`state report, ${speed}: ${name}`, async (t) => {
+      const target = new EndlessTarget({ first: () => first, more: pauseMs === 0 ? full : slow, pauseMs });
+      const link = await openLink(target);
+      const startedMs = performance.now();
+      await link.poll(300, readNowMs);
+      t.ok(performance.now() - startedMs < 1500);
+      t.notOk(link.getView(readNowMs(), 1000).accepting);
+      // Asked twice, the second time over a new connection.
+      await waitUntil("the connections are closed", () => (target.closed === 2 ? true : null), 1000);
+      if (name.startsWith("a body")) {
+        t.ok(target.sentBytes < mostBytes, `${target.sentBytes} bytes were taken`);
+      }
+      await link.destroy();
+      target.close();
+    });
+  }
+}
+
+const streamHead = (head: string): string => {
+  const id = /clementinemux-attempt: (\S+)/i.exec(head)?.[1] ?? "";
+  return `HTTP/1.1 200 OK\r\n${headerNames.attemptId}: ${id}\r\ncontent-type: text/event-stream\r\n\r\n`;
+};
+const createToken = (index: number): string =>
+  `data: {"id":"a-1","token_index":${index},"choices":[{"text":"x","finish_reason":null}]}\n\n`;
+const finalEvents = `data: {"id":"a-1","choices":[{"text":"","finish_reason":"stop"}]}\n\ndata: [DONE]\n\n`;
+
+/** Runs an attempt with a limit of 10 tokens and collects what its session would hear. */
+async function runAttempt(target: EndlessTarget) {
+  const link = await openLink(target);
+  const heard = { tokens: 0, completed: 0, faults: [] as StreamFault[], ends: [] as AttemptEndKind[] };
+  const attempt = new ModelAttempt(
+    {
+      attemptId: "a-1",
+      link,
+      path: "/v1/completions",
+      headers: { [headerNames.attemptId]: "a-1" },
+      modes: [ResumeMode.Fresh],
+      sentTokenCount: 0,
+      maxTokenCount: 10,
+      resumeHeaders: {},
+      kvHeaders: {},
+      createBody: () => "{}",
+      repeatable: true,
+      mayWrite: () => true,
+      readNowMs,
+    },
+    {
+      onToken: () => {
+        heard.tokens += 1;
+        return true;
+      },
+      onChunkEnd: () => undefined,
+      onFault: (_attempt, fault) => {
+        heard.faults.push(fault);
+      },
+      onCompleted: () => {
+        heard.completed += 1;
+      },
+      onCachedTokens: () => undefined,
+      onEnded: (_attempt, end) => {
+        heard.ends.push(end);
+      },
+      onRejected: () => undefined,
+      onNotResumable: () => undefined,
+    },
+  );
+  attempt.start();
+  const stop = async (): Promise<void> => {
+    await link.destroy();
+    target.close();
+  };
+  return { attempt, heard, stop };
+}
+
+for (const [speed, pauseMs] of Object.entries(speeds)) {
+  for (const [name, more] of Object.entries({ tokens: createToken(1), "one event": "x" })) {
+    // Guards against an engine that goes on behind the end of its answer: its connection was read until it closed it, and its
+    // events still reached the session.
+    t.test(`behind a complete answer, ${speed}: ${name}`, async (t) => {
+      const first = (head: string): string => `${streamHead(head)}${createToken(0)}${finalEvents}`;
+      const target = new EndlessTarget({ first, more: pauseMs === 0 ? more.repeat(1000) : more, pauseMs });
+      const { heard, stop } = await runAttempt(target);
+      await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 3000);
+      t.same(heard, { tokens: 1, completed: 1, faults: [], ends: [] });
+      t.ok(target.sentBytes < mostBytes, `${target.sentBytes} bytes were taken`);
+      await stop();
+    });
+  }
+
+  // Guards against an engine that ignores the limit of tokens: each makes progress, so that no time limit ends the stream, and
+  // an answer that is sent as a whole fills the memory.
+  t.test(`tokens without an end, ${speed}`, async (t) => {
+    const tokens = Array.from({ length: 1000 }, (_, index) => createToken(index)).join("");
+    const first = (head: string): string => streamHead(head) + tokens;
+    const target = new EndlessTarget({ first, more: createToken(1000), pauseMs });
+    const { heard, stop } = await runAttempt(target);
+    await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+    t.same(heard, {
+      tokens: 10,
+      completed: 0,
+      faults: [StreamFault.TooManyTokens],
+      ends: [AttemptEndKind.StreamBroken],
+    });
+    await stop();
+  });
+
+  for (const [name, { first, more }] of Object.entries({
+    "an event": { first: `${createToken(0)}data: `, more: "x" },
+    comments: { first: createToken(0), more: ": wait\n\n" },
+    "events of another request": { first: createToken(0), more: createToken(1).replace("a-1", "b-2") },
+  })) {
+    // Guards against bytes that count as progress although no token comes.
+    t.test(`stalled stream, ${speed}: ${name}`, async (t) => {
+      const target = new EndlessTarget({
+        first: (head) => streamHead(head) + first,
+        more: pauseMs === 0 ? more.repeat(1000) : more,
+        pauseMs,
+      });
+      const { attempt, heard, stop } = await runAttempt(target);
+      const defaults = {
+        ...createDefaultConfig().defaults,
+        tokenGapTimeoutMs: 300,
+        firstTokenTimeoutMs: 300,
+      };
+      const timedOut = await waitUntil(
+        "the attempt ends",
+        () => attempt.checkProgress(readNowMs(), defaults) ?? heard.ends[0] ?? null,
+        1000,
+      );
+      attempt.abort();
+      const isTooLarge = heard.faults.includes(StreamFault.EventTooLarge);
+      t.equal(timedOut, isTooLarge ? AttemptEndKind.StreamBroken : AttemptEndKind.TokenGapTimeout);
+      await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
+      await stop();
+    });
+  }
+}
