Answer requests that waited on open connections when an entry wakes

What callers would see: an entry that was stopped for longer than its header timeout answered 408 to whole requests that waited on open connections, when its check of timeouts ran before the sockets were read.

Cause: Node's check of timeouts, each 30 s at the entry, fires before the sockets are read. The entry now has the guard of the agent, which moves to wire/guardHttpServer with endHttpClient. Timeouts are checked each second, so that a header timeout of 10 s ends a slow caller after 10 s and not after up to 40 s.

--- a/packages/agent/createAgentServer.ts
+++ b/packages/agent/createAgentServer.ts
@@ -1,9 +1,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
-import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
-import { endAgentClient } from "./endAgentClient";
+import { guardHttpServer } from "@clementinemux/wire/guardHttpServer";
 
 interface AgentServerOptions {
   readonly maxConnections: number;
@@ -33,12 +31,6 @@
     server = https.createServer({ ...options, handshakeTimeout: limits.headersTimeout }, handle);
   }
   server.maxConnections = maxConnections;
-  const latestResponses = new WeakMap<Socket, ServerResponse>();
-  server.on("request", (request: IncomingMessage, response: ServerResponse) => {
-    latestResponses.set(request.socket, response);
-  });
-  postponeTimeouts(server, (error, socket) => {
-    endAgentClient(error, socket, latestResponses.get(socket));
-  });
+  guardHttpServer(server);
   return server;
 }
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -6,6 +6,7 @@
 import { periodic } from "most";
 import type * as z from "zod";
 import { createIncarnation } from "@clementinemux/agent/createIncarnation";
+import { guardHttpServer } from "@clementinemux/wire/guardHttpServer";
 import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 import type { Clock } from "@clementinemux/common/Clock";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
@@ -58,6 +59,7 @@
 const headersTimeoutMs = 10_000;
 const bodyTimeoutMs = 60_000;
 const keepAliveTimeoutMs = 60_000;
+const timeoutCheckIntervalMs = 1000;
 
 /** Entry process: takes callers' requests and sends each to a target. */
 export class EntryServer {
@@ -225,6 +227,7 @@
       headersTimeout: headersTimeoutMs,
       requestTimeout: bodyTimeoutMs,
       keepAliveTimeout: keepAliveTimeoutMs,
+      connectionsCheckingInterval: timeoutCheckIntervalMs,
       noDelay: true,
     };
     const handle = (request: IncomingMessage, response: ServerResponse): void => {
@@ -242,6 +245,7 @@
             handle,
           );
     server.maxConnections = maxConnections;
+    guardHttpServer(server);
     return server;
   }
 
--- /dev/null
+++ b/packages/entry/test/standstill.test.ts
@@ -0,0 +1,66 @@
+import { setTimeout as delay } from "node:timers/promises";
+import t from "tap";
+import { RawConnection } from "../../wire/test/helpers/RawConnection";
+import { blockEventLoop } from "../../wire/test/helpers/blockEventLoop";
+import { startFleet } from "./startFleet";
+
+// Only a hang reaches this.
+t.setTimeout(90_000);
+
+/** Longer than the header timeout and the interval at which Node checks it. */
+const standstillMs = 11_500;
+/** Node checks its timeouts each second here, and a postponed one runs once more. */
+const marginMs = 3000;
+const body = '{"model":"demo","prompt":"x","max_tokens":2}';
+const head =
+  `POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer token-of-yard\r\n` +
+  `content-type: application/json\r\ncontent-length: ${body.length}\r\n`;
+
+async function startEntry() {
+  const fleet = await startFleet();
+  return { port: Number(new URL(fleet.urls[0]!).port), stop: fleet.stop };
+}
+
+// Guards against timers that fire before the sockets are read when a stopped process wakes: they closed connections
+// on which whole requests waited.
+t.test("an entry that stood still answers what arrived meanwhile", async (t) => {
+  const { port, stop } = await startEntry();
+  const [fresh, split] = (await RawConnection.openAll(port, 2)) as [RawConnection, RawConnection];
+  split.send(head);
+  await delay(50);
+  split.send(`\r\n${body}`);
+  fresh.send(`${head}\r\n${body}`);
+  blockEventLoop(standstillMs);
+  for (const [name, connection] of Object.entries({ fresh, split })) {
+    await connection.waitFor("\r\n\r\n");
+    // A refusal is an answer as well: the entry's lease ends while it stands still.
+    t.match(connection.text, /^HTTP\/1.1 (200|503)/, name);
+    connection.close();
+  }
+  await stop();
+});
+
+// Guards against an allowance for standstills that lets callers hold connections without a whole request, and the answer to
+// malformed requests.
+t.test("an entry ends connections without a whole request", async (t) => {
+  const { port, stop } = await startEntry();
+  const [slow, malformed, large] = (await RawConnection.openAll(port, 3)) as [
+    RawConnection,
+    RawConnection,
+    RawConnection,
+  ];
+  slow.send(head);
+  malformed.send("no request\r\n\r\n");
+  large.send(`${head}x-large: ${"x".repeat(20_000)}\r\n\r\n`);
+  await Promise.all([malformed, large].map((connection) => connection.waitForClose()));
+  t.match(malformed.text, /^HTTP\/1.1 400 Bad Request\r\nConnection: close\r\n\r\n/);
+  t.match(large.text, /^HTTP\/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n\r\n/);
+  await delay(50);
+  slow.send("x-more: 1\r\n");
+  blockEventLoop(standstillMs);
+  const wokenAtMs = performance.now();
+  await slow.waitForClose();
+  t.ok(performance.now() - wokenAtMs < 10_000 + marginMs);
+  t.match(slow.text, /^HTTP\/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n/);
+  await stop();
+});
--- a/packages/agent/endAgentClient.ts
+++ b/packages/wire/endHttpClient.ts
@@ -14,7 +14,7 @@
  * Answers a malformed or late request and closes its connection, as Node does by default. An answer that has begun, which
  * is given as the latest response of the connection, is cut off instead.
  */
-export function endAgentClient(
+export function endHttpClient(
   error: NodeJS.ErrnoException,
   socket: Socket,
   latest: ServerResponse | undefined,
--- /dev/null
+++ b/packages/wire/guardHttpServer.ts
@@ -0,0 +1,18 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { endHttpClient } from "./endHttpClient";
+import { postponeTimeouts } from "./postponeTimeouts";
+
+/**
+ * Lets a server read its sockets before one of its timeouts ends a connection, and answers malformed and late requests as Node
+ * does by default. Takes over the server's `clientError` and `timeout` events.
+ */
+export function guardHttpServer(server: Server): void {
+  const latestResponses = new WeakMap<Socket, ServerResponse>();
+  server.on("request", (request: IncomingMessage, response: ServerResponse) => {
+    latestResponses.set(request.socket, response);
+  });
+  postponeTimeouts(server, (error, socket) => {
+    endHttpClient(error, socket, latestResponses.get(socket));
+  });
+}
