--- a/packages/ranker/test/mixedReleases.test.ts
+++ b/packages/ranker/test/mixedReleases.test.ts
@@ -18,6 +18,7 @@
     inspect: () => Promise.resolve(null),
     readPrepared: () => Promise.resolve(null),
     readInForce: () => Promise.resolve(null),
+    readMembership: () => Promise.resolve(null),
     inspectState: () => Promise.resolve(null),
     order: () => Promise.resolve(true),
   };
--- a/packages/ranker/test/unansweredWay.test.ts
+++ b/packages/ranker/test/unansweredWay.test.ts
@@ -37,6 +37,7 @@
       inspect: () => Promise.resolve(null),
       readPrepared: () => Promise.resolve(null),
       readInForce: () => Promise.resolve(null),
+      readMembership: () => Promise.resolve(null),
       inspectState: () => Promise.resolve(null),
       order: (given, fence) => Promise.resolve(order(given, fence)),
     },
