Take a process beside a rank for silent only when it leaves a look unanswered

Streams of a group stood still for longer: an order that a rank leaves unanswered timed out at the process beside it, which was taken for silent for a second. The rank was then read directly, 250 ms after the last order, while its group was held. The process waits for its rank; only a look, or a refused connection, tells of the process itself.

--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -43,7 +43,7 @@
 const reportLagMs = 250;
 /** Shorter than the two passes that a group runs before a hold, so that an order can be given again without a pause. */
 const orderTimeoutMs = 70;
-/** Time for which a process that has not answered is taken for silent; a lead looks several times within it. */
+/** Time for which a process that has not answered a look is taken for silent; a lead looks several times within it. */
 const silenceMs = 1000;
 
 /** Way to one rank: through the process beside it, and straight when that process is silent. */
@@ -157,7 +157,10 @@
     const { links, place, logger } = this.#options;
     const { rankerAddress } = place;
     const answer = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
-    this.#noteAnswer(answer);
+    // The process waits for its rank, which may leave an order unanswered; only a look tells whether it is silent itself.
+    if (!answer.caseOf({ Left: ({ code }) => code === WireErrorCode.Timeout, Right: () => false })) {
+      this.#noteAnswer(answer);
+    }
     return answer.caseOf({
       Left: (error) => {
         const { message } = error;
