--- a/packages/ranker/MapActivator.ts
+++ b/packages/ranker/MapActivator.ts
@@ -43,8 +43,9 @@
   }
 
   /**
-   * Resolves with whether the time for orders sufficed and none is left without an answer. A lead that hears no answer goes on itself, so that a process that
-   * stood still must neither order anything nor judge by states that it has read before and after that.
+   * Resolves with whether the time for orders sufficed and none is left without an answer. A lead that hears no answer goes
+   * on itself, so that a process that stood still must neither order anything nor judge by states that it has read before
+   * and after that.
    */
   async activate(request: ActivateRequest): Promise<boolean> {
     const { fence, version, epoch, leadSteps, places, silentRanks = [], states } = request;
