Share the client of a rank that answers nothing among the ranker's tests

Nine literals in eight test files gave null to each call of a rank that the test does not use, so that each new call of RankClient had to be added to all of them. The tests keep their checks and the calls that they replace.

--- a/packages/ranker/test/activator.test.ts
+++ b/packages/ranker/test/activator.test.ts
@@ -14,6 +14,7 @@
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { silentClient } from "./silentClient";
 
 const warmUpMs = 10_000;
 
@@ -28,10 +29,7 @@
   const logger = createLogger("test", {});
   const [framePort = 0] = await findFreePorts(1);
   const createClient = (rank: number) => ({
-    inspect: () => Promise.resolve(null),
-    readPrepared: () => Promise.resolve(null),
-    readInForce: () => Promise.resolve(null),
-    readMembership: () => Promise.resolve(null),
+    ...silentClient,
     inspectState: () => Promise.resolve(group.inspect(rank)),
     order: (order: HoldOrder, fence: number) => {
       kinds.push(order.kind);
--- a/packages/ranker/test/directReport.test.ts
+++ b/packages/ranker/test/directReport.test.ts
@@ -9,6 +9,7 @@
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import { RankLink } from "@clementinemux/ranker/RankLink";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { silentClient } from "./silentClient";
 
 /** Age of a rank's report to another instance. */
 const lagMs = 200;
@@ -35,10 +36,7 @@
     links,
     place: { address: "127.0.0.1:9", rankerAddress: "127.0.0.1:9" },
     direct: {
-      inspect: () => Promise.resolve(null),
-      readPrepared: () => Promise.resolve(null),
-      readInForce: () => Promise.resolve(null),
-      readMembership: () => Promise.resolve(null),
+      ...silentClient,
       inspectState: () => {
         const isShown = clock.monotonicMs() - lagMs >= heldAtMs;
         return Promise.resolve({ ...idle, heldStep: isShown ? 4 : null });
--- a/packages/ranker/test/lateActivator.test.ts
+++ b/packages/ranker/test/lateActivator.test.ts
@@ -15,6 +15,7 @@
 import type { OrderRequest } from "@clementinemux/ranker/OrderRequest";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { WireError } from "@clementinemux/wire/WireError";
+import { silentClient } from "./silentClient";
 
 /** Version that no map has. A rank refuses to disarm the one in force. */
 const reservedVersion = 1_000_000;
@@ -58,10 +59,7 @@
   return new MapActivator({
     links: new GroupLinks(group, gate),
     openRank: (address) => ({
-      inspect: () => Promise.resolve(null),
-      readPrepared: () => Promise.resolve(null),
-      readInForce: () => Promise.resolve(null),
-      readMembership: () => Promise.resolve(null),
+      ...silentClient,
       inspectState: () => Promise.resolve(group.inspect(Number(address))),
       order: (order, fence) => Promise.resolve(group.order(order, fence)),
     }),
--- a/packages/ranker/test/mixedReleases.test.ts
+++ b/packages/ranker/test/mixedReleases.test.ts
@@ -8,6 +8,7 @@
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
+import { silentClient } from "./silentClient";
 
 const order = { kind: HoldOrderKind.Go as const, rank: 0, epoch: 1, step: 4 };
 
@@ -15,11 +16,7 @@
 // an upgrade, names the term of an inspection `fence`.
 t.test("an inspection without a term does not lift the check for deposed leads", async (t) => {
   const rank = {
-    inspect: () => Promise.resolve(null),
-    readPrepared: () => Promise.resolve(null),
-    readInForce: () => Promise.resolve(null),
-    readMembership: () => Promise.resolve(null),
-    inspectState: () => Promise.resolve(null),
+    ...silentClient,
     order: () => Promise.resolve(true),
   };
   const [framePort = 0] = await findFreePorts(1);
--- a/packages/ranker/test/orderLines.test.ts
+++ b/packages/ranker/test/orderLines.test.ts
@@ -13,6 +13,7 @@
 import { describeOrder } from "@clementinemux/ranker/describeOrder";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { silentClient } from "./silentClient";
 
 interface Tap {
   teardown(action: () => Promise<void>): void;
@@ -36,11 +37,7 @@
   const lead = new LogRecorder();
   const beside = new LogRecorder();
   const rank = {
-    inspect: () => Promise.resolve(null),
-    readPrepared: () => Promise.resolve(null),
-    readInForce: () => Promise.resolve(null),
-    readMembership: () => Promise.resolve(null),
-    inspectState: () => Promise.resolve(null),
+    ...silentClient,
     order: () => Promise.resolve(answer),
   };
   const host = "127.0.0.1";
--- a/packages/ranker/test/ranker.test.ts
+++ b/packages/ranker/test/ranker.test.ts
@@ -9,6 +9,7 @@
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
+import { silentClient } from "./silentClient";
 
 const idleState = { isOpen: true, step: 3, mapVersion: 0, armed: null, heldStep: null };
 const order = { kind: HoldOrderKind.Go as const, rank: 0, epoch: 1, step: 4 };
@@ -18,11 +19,7 @@
   const answers = [true, false, null];
   const fences: number[] = [];
   const rank = {
-    inspect: () => Promise.resolve(null),
-    readPrepared: () => Promise.resolve(null),
-    readInForce: () => Promise.resolve(null),
-    readMembership: () => Promise.resolve(null),
-    inspectState: () => Promise.resolve(null),
+    ...silentClient,
     order: (_: unknown, fence: number) => {
       fences.push(fence);
       return Promise.resolve(answers.shift() ?? null);
--- /dev/null
+++ b/packages/ranker/test/silentClient.ts
@@ -0,0 +1,11 @@
+import type { RankClient } from "@clementinemux/ranker/RankClient";
+
+/** Client of a rank that answers nothing; tests replace the calls that they need. */
+export const silentClient: RankClient = {
+  inspect: () => Promise.resolve(null),
+  readPrepared: () => Promise.resolve(null),
+  readInForce: () => Promise.resolve(null),
+  readMembership: () => Promise.resolve(null),
+  inspectState: () => Promise.resolve(null),
+  order: () => Promise.resolve(null),
+};
--- a/packages/ranker/test/silentRanker.test.ts
+++ b/packages/ranker/test/silentRanker.test.ts
@@ -19,6 +19,7 @@
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { WireError } from "@clementinemux/wire/WireError";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
+import { silentClient } from "./silentClient";
 
 interface GivenOrder {
   readonly way: OrderWay;
@@ -59,11 +60,7 @@
     links,
     place: { address: "rank", rankerAddress: "ranker" },
     direct: {
-      inspect: () => Promise.resolve(null),
-      readPrepared: () => Promise.resolve(null),
-      readInForce: () => Promise.resolve(null),
-      readMembership: () => Promise.resolve(null),
-      inspectState: () => Promise.resolve(null),
+      ...silentClient,
       order: (_, fence) => {
         links.given.push({ way: OrderWay.Direct, fence });
         return Promise.resolve(state.directAnswer);
@@ -159,10 +156,7 @@
   const activator = new MapActivator({
     links,
     openRank: () => ({
-      inspect: () => Promise.resolve(null),
-      readPrepared: () => Promise.resolve(null),
-      readInForce: () => Promise.resolve(null),
-      readMembership: () => Promise.resolve(null),
+      ...silentClient,
       inspectState: () => Promise.resolve(group.inspect(0)),
       order: (order, fence) => Promise.resolve(group.order(order, fence)),
     }),
--- a/packages/ranker/test/unansweredWay.test.ts
+++ b/packages/ranker/test/unansweredWay.test.ts
@@ -13,6 +13,7 @@
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import { RankLink } from "@clementinemux/ranker/RankLink";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { silentClient } from "./silentClient";
 
 interface Tap {
   teardown(action: () => void): void;
@@ -34,11 +35,7 @@
     links,
     place: { address: "127.0.0.1:9", rankerAddress: "127.0.0.1:9" },
     direct: {
-      inspect: () => Promise.resolve(null),
-      readPrepared: () => Promise.resolve(null),
-      readInForce: () => Promise.resolve(null),
-      readMembership: () => Promise.resolve(null),
-      inspectState: () => Promise.resolve(null),
+      ...silentClient,
       order: (given, fence) => Promise.resolve(order(given, fence)),
     },
     orders: new Counters("orders", "outcome", Object.values(OrderOutcome)),
