Keep the log of a replica without a disk in memory

Cause: such a replica kept its log in a temporary folder by the code for disks, which creates its files by renaming. The platform lets nothing be renamed outside the data folder.

The files of such a replica never outlived its process and never counted as a vote, so nothing is written any more: the Raft core holds the log, and each start is a new replica, as before.

--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -1,5 +1,3 @@
-import { existsSync } from "node:fs";
-import { mkdir } from "node:fs/promises";
 import { join } from "node:path";
 import type { Logger } from "roarr";
 import type * as z from "zod";
@@ -9,6 +7,7 @@
 import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { GroupStorage } from "@clementinemux/storage/GroupStorage";
+import { MemoryStorage } from "@clementinemux/storage/MemoryStorage";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ControlError } from "./ControlError";
@@ -26,7 +25,7 @@
   readonly onFatal: (error: Error) => void;
   /** See `ReplicatedGroup`; true by default. */
   readonly refusesWhenFull?: boolean;
-  /** Whether the files survive a restart of the process; true by default. */
+  /** Whether this machine has a disk; true by default. Without one, nothing is written to the file system. */
   readonly isDurable?: boolean;
 }
 
@@ -64,7 +63,11 @@
     return [...this.#groups.values()];
   }
 
-  /** Opens the files of a group, by default in its subfolder of the data folder. */
+  get #isDurable(): boolean {
+    return this.#options.isDurable ?? true;
+  }
+
+  /** Opens a group: on a machine with a disk, its files, by default in its subfolder of the data folder. */
   async open(
     name: string,
     machine: StateMachine,
@@ -73,10 +76,7 @@
   ): Promise<ReplicatedGroup> {
     const { settings, clock, random, logger, links, onFatal } = this.#options;
     const { electionTimeoutMs, heartbeatMs, maxClockDriftShare, snapshotEntries } = settings;
-    if (!existsSync(folder)) {
-      await mkdir(folder, { recursive: true });
-    }
-    const storage = await GroupStorage.open(folder, onFatal);
+    const storage = this.#isDurable ? await GroupStorage.open(folder, onFatal) : new MemoryStorage();
     const { replicaId } = storage.state;
     const group = new ReplicatedGroup({
       name,
@@ -134,7 +134,7 @@
       name: this.#options.settings.name,
       replicaId: core?.id ?? null,
       isUnused: core?.isUnused ?? true,
-      isDurable: this.#options.isDurable ?? true,
+      isDurable: this.#isDurable,
     };
   }
 
--- a/packages/control/ReplicatedGroup.ts
+++ b/packages/control/ReplicatedGroup.ts
@@ -13,14 +13,14 @@
 import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
 import type { RaftOptions } from "@clementinemux/consensus/RaftOptions";
 import { RaftRole } from "@clementinemux/consensus/RaftRole";
-import type { GroupStorage } from "@clementinemux/storage/GroupStorage";
+import type { ReplicaStorage } from "@clementinemux/storage/ReplicaStorage";
 import { ControlError } from "./ControlError";
 import { ControlErrorCode } from "./ControlErrorCode";
 import type { StateMachine } from "./StateMachine";
 
 interface ReplicatedGroupOptions {
   readonly name: string;
-  readonly storage: GroupStorage;
+  readonly storage: ReplicaStorage;
   readonly machine: StateMachine;
   readonly raft: RaftOptions;
   readonly clock: Clock;
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -28,7 +28,6 @@
 import { RouteStateMachine } from "./RouteStateMachine";
 import { MembershipManager } from "./MembershipManager";
 import { SyncService } from "./SyncService";
-import { createVolatileFolder } from "./createVolatileFolder";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -118,8 +117,7 @@
 
   async start(): Promise<void> {
     const { host, framePort, dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
-    const folder = dataFolder ?? createVolatileFolder();
-    const group = await this.#host.open(groupName, this.#machine, () => undefined, folder);
+    const group = await this.#host.open(groupName, this.#machine, () => undefined, dataFolder ?? undefined);
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -9,6 +9,7 @@
 import type { LogSnapshot } from "@clementinemux/consensus/LogSnapshot";
 import type { DiskOperations } from "./DiskOperations";
 import type { PersistRequest } from "./PersistRequest";
+import type { ReplicaStorage } from "./ReplicaStorage";
 import { StorageError } from "./StorageError";
 import { encodeRecord } from "./encodeRecord";
 import { readRecords } from "./readRecords";
@@ -39,7 +40,7 @@
 /**
  * Durable state of one replica of a log group: a folder with files for identity, snapshot and log segment.
  */
-export class GroupStorage {
+export class GroupStorage implements ReplicaStorage {
   /** State that was read when the folder was opened. */
   readonly state: DurableState;
   readonly #folder: string;
--- a/packages/storage/test/groupStorage.test.ts
+++ b/packages/storage/test/groupStorage.test.ts
@@ -4,6 +4,7 @@
 import t from "tap";
 import { RaftActionKind } from "@clementinemux/consensus/RaftActionKind";
 import { GroupStorage } from "@clementinemux/storage/GroupStorage";
+import { MemoryStorage } from "@clementinemux/storage/MemoryStorage";
 import { StorageError } from "@clementinemux/storage/StorageError";
 import { getCrc32c } from "@clementinemux/storage/getCrc32c";
 import { systemDisk } from "@clementinemux/storage/systemDisk";
@@ -149,3 +150,23 @@
   t.equal(storage.isFull, false);
   t.equal((await GroupStorage.open(folder, fail)).state.entries.length, 1);
 });
+
+// Guards against two replicas without a disk with one identity, and against acknowledgements out of order or within the call.
+t.test("storage without a disk", async (t) => {
+  const storage = new MemoryStorage();
+  t.not(storage.state.replicaId, new MemoryStorage().state.replicaId);
+  const stored: number[] = [];
+  const last = new Promise<void>((resolve) => {
+    for (const index of [1, 2, 3]) {
+      storage.persist({ ...request, entries: [entry(index)] }, () => {
+        stored.push(index);
+        if (index === 3) {
+          resolve();
+        }
+      });
+    }
+  });
+  t.same(stored, []);
+  await last;
+  t.same(stored, [1, 2, 3]);
+});
--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -13,6 +13,8 @@
   readonly folder: string;
   /** Folder of the built programs. */
   readonly programs: string;
+  /** Flags of Node before the program; none by default. */
+  readonly flags?: readonly string[];
 }
 
 interface ExitStatus {
@@ -28,7 +30,10 @@
   readonly logFile: string;
   readonly settingsFile: string;
   readonly #options: DaemonOptions;
+  /** Exits that no signal of ours had asked for. */
+  readonly ownExits: ExitStatus[] = [];
   #child: ChildProcess | null = null;
+  #isSignalled = false;
   #exited: Promise<ExitStatus> = Promise.resolve({ code: null, signal: null });
 
   constructor(options: DaemonOptions) {
@@ -44,18 +49,22 @@
   }
 
   start(): void {
-    const { programs, program } = this.#options;
+    const { programs, program, flags = [] } = this.#options;
     const log = openSync(this.logFile, "a");
-    const args = [join(programs, program), "--settings", this.settingsFile];
+    const args = [...flags, join(programs, program), "--settings", this.settingsFile];
     const child = spawn(process.execPath, args, {
       stdio: ["ignore", log, log],
       env: { ...process.env, ROARR_LOG: "true" },
     });
     closeSync(log);
     this.#child = child;
+    this.#isSignalled = false;
     this.#exited = new Promise((resolve) => {
       const onExit = (code: number | null, signal: NodeJS.Signals | null): void => {
         this.#child = null;
+        if (!this.#isSignalled) {
+          this.ownExits.push({ code, signal });
+        }
         resolve({ code, signal });
       };
       child.once("error", () => {
@@ -66,6 +75,7 @@
   }
 
   signal(signal: NodeJS.Signals): void {
+    this.#isSignalled ||= signal === "SIGKILL" || signal === "SIGTERM";
     this.#child?.kill(signal);
   }
 
