Send maps to rankers compressed, and wait for their answers

Cause: the whole map (14.7 kB at 10 x 384 experts and 192 ranks) was encoded anew for each rank, 55 to 71 ms in one turn of the leader's loop, and 192 of them take 226 ms of its link, but an order was given up after 70 ms and given again by the direct path, with 25.6 kB of JSON each. Only orders that pause the group need that short a time-out.

--- a/packages/ranker/RankLink.ts
+++ b/packages/ranker/RankLink.ts
@@ -11,6 +11,7 @@
 import type { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { RemoteErrorBody } from "@clementinemux/wire/RemoteErrorBody";
 import type { WireError } from "@clementinemux/wire/WireError";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { CountDecoder } from "./CountDecoder";
@@ -22,9 +23,11 @@
 import type { RankClient } from "./RankClient";
 import type { RankInspection } from "./RankInspection";
 import type { RankMembership } from "./RankMembership";
+import type { PrepareRequest } from "./PrepareRequest";
 import type { RankEndpoints } from "./RankEndpoints";
 import { describeOrder } from "./describeOrder";
 import { getOrderOutcome } from "./getOrderOutcome";
+import { packHosting } from "./packHosting";
 import type { RankChannel } from "./RankChannel";
 
 interface RankLinkOptions {
@@ -46,6 +49,13 @@
  * group.
  */
 const orderTimeoutMs = 70;
+/**
+ * An order to prepare does not pause the group. The maps for 200 ranks take the link of a small instance longer than
+ * `orderTimeoutMs`, and sending them again by the other path would only add to it.
+ */
+const prepareTimeoutMs = 400;
+/** Code with which `RpcServer` answers a message that it does not know. */
+const unknownMessageCode: string = WireErrorCode.UnknownMessage;
 /**
  * A ranker counts as silent for this long after a request without a response. A leader polls several times
  * within it.
@@ -174,9 +184,8 @@
 
   /** Logs orders that are not confirmed; the ranker logs the orders that it forwards. */
   async #orderThroughRanker(fence: number, order: HoldOrder): Promise<boolean | null> {
-    const { links, endpoints, logger } = this.#options;
-    const { rankerAddress } = endpoints;
-    const response = await links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
+    const { logger } = this.#options;
+    const response = await this.#callRanker(fence, order);
     // The ranker waits for its rank, which may not respond, so a timeout doesn't show that the ranker is
     // silent. Only an inspection can show that.
     if (!response.caseOf({ Left: ({ code }) => code === WireErrorCode.Timeout, Right: () => false })) {
@@ -201,6 +210,22 @@
     });
   }
 
+  /** A ranker of an earlier release does not know compressed maps. */
+  async #callRanker(fence: number, order: HoldOrder): Promise<Either<WireError, unknown>> {
+    const { links, endpoints } = this.#options;
+    const { rankerAddress } = endpoints;
+    if (order.kind !== HoldOrderKind.Prepare) {
+      return links.call(rankerAddress, MessageName.OrderRank, { fence, order }, orderTimeoutMs);
+    }
+    const { hosting, ...fields } = order;
+    const request: PrepareRequest = { fence, order: fields, packedHosting: packHosting(hosting) };
+    const response = await links.call(rankerAddress, MessageName.PrepareRank, request, prepareTimeoutMs);
+    const isUnknown = response.swap().toMaybe().filter(isUnknownMessage).isJust();
+    return isUnknown
+      ? links.call(rankerAddress, MessageName.OrderRank, { fence, order }, prepareTimeoutMs)
+      : response;
+  }
+
   get #isRankerSilent(): boolean {
     return this.#options.clock.monotonicMs() - this.#lastSilentAtMs < silenceMs;
   }
@@ -225,3 +250,7 @@
 function isRemoteError({ code }: WireError): boolean {
   return code === WireErrorCode.Remote;
 }
+
+function isUnknownMessage({ code, detail }: WireError): boolean {
+  return code === WireErrorCode.Remote && (detail as RemoteErrorBody).code === unknownMessageCode;
+}
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -17,10 +17,12 @@
 import type { OrderRequest } from "./OrderRequest";
 import { OrderPath } from "./OrderPath";
 import type { EncodedInspection } from "./EncodedInspection";
+import type { PrepareRequest } from "./PrepareRequest";
 import { PreparedDigestCache } from "./PreparedDigestCache";
 import type { RankClient } from "./RankClient";
 import { describeOrder } from "./describeOrder";
 import { getOrderOutcome } from "./getOrderOutcome";
+import { unpackHosting } from "./unpackHosting";
 
 interface RankerOptions {
   readonly host: string;
@@ -84,6 +86,10 @@
     return {
       [MessageName.InspectRank]: (body) => this.#inspect(body as InspectRequest),
       [MessageName.OrderRank]: (body) => this.#order(body as OrderRequest),
+      [MessageName.PrepareRank]: (body) => {
+        const { fence, order, packedHosting } = body as PrepareRequest;
+        return this.#order({ fence, order: { ...order, hosting: unpackHosting(packedHosting) } });
+      },
     };
   }
 
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -34,5 +34,6 @@
   ReadDocument = "readDocument",
   InspectRank = "inspectRank",
   OrderRank = "orderRank",
+  PrepareRank = "prepareRank",
   ActivateMap = "activateMap",
 }
