Find the parts of prompts that crash targets, and turn their requests away

Callers saw most requests of a service refused, broken or late while one part of a prompt crashed each target that began to answer on it: each crash takes a rank group down for three seconds, and the next one followed a second after it was back.

Cause: no code looked at the parts of a prompt. A request whose target crashed was sent on to the next target, and every other request with its part was sent as any other.

The decision is in packages/crashes, without I/O. A gateway that loses an unanswered request asks whether the target refuses connections, and reports the crash with the parts of its unanswered requests that it has not lately seen answered. Coordinators share the reports, ask the gateways which of the parts they have seen answered, and judge a crash 1.2 s later, while a group is still down. A part that nobody has seen answered is suspected after one crash, if there are at most three; otherwise the crashes that have a part in common show it. A crash with a suspect accuses nothing else. A suspicion lasts 30 s, 120 s, then 600 s, ends at each gateway at another moment, is tried by one request at a time, and is lifted by an answer. Gateways keep suspicions and return them to coordinators that have lost theirs. A request whose target crashed is sent again only after the judgement.

--- a/packages/bench/gateway/PlainCodec.ts
+++ b/packages/bench/gateway/PlainCodec.ts
@@ -17,7 +17,16 @@
 
   readRequest(headers: readonly string[]): CallerRequest {
     const requestId = readRequestId(headers);
-    return { requestId, leftMs: null, key: null, promptTokens: 0, maxAnswerTokens: 0, resumeAfter: null };
+    return {
+      requestId,
+      leftMs: null,
+      key: null,
+      promptTokens: 0,
+      maxAnswerTokens: 0,
+      model: null,
+      sharedParts: [],
+      resumeAfter: null,
+    };
   }
 
   createTargetHeaders(headers: readonly string[], { targetId }: SendContext): string[] {
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
+import { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { MapActivator } from "@clementinemux/ranker/MapActivator";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
@@ -53,6 +54,7 @@
   readonly targets = new TargetRegistry();
   readonly entries = new EntryRegistry();
   readonly slowdowns = new SlowdownTable();
+  readonly crashes = new CrashLedger();
   readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
   readonly #host: GroupHost;
@@ -96,6 +98,7 @@
       targets: this.targets,
       entries: this.entries,
       slowdowns: this.slowdowns,
+      crashes: this.crashes,
       peers: this.#peers,
       getDocument: () => this.#machine,
       getAgeMs: () => this.#documents?.getAgeMs() ?? null,
@@ -134,6 +137,7 @@
       targets: this.targets,
       entries: this.entries,
       slowdowns: this.slowdowns,
+      crashes: this.crashes,
       isLeading: () => group.hasLease,
       clock,
     });
@@ -291,6 +295,9 @@
     const nowMs = this.#options.clock.monotonicMs();
     const isStalled = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
     this.targets.expire(nowMs);
+    for (const { part, crashes, target } of this.crashes.review(nowMs)) {
+      this.#options.logger.warn({ part, crashes, target }, "prompt part suspected of crashing targets");
+    }
     this.#tickedAtMs = nowMs;
     // Skipped after a stall, so that messages received meanwhile are read before timeouts are checked.
     if (!isStalled) {
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import type { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
@@ -20,6 +21,7 @@
   readonly targets: TargetRegistry;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
+  readonly crashes: CrashLedger;
   readonly isLeading: () => boolean;
   readonly clock: Clock;
 }
@@ -86,6 +88,9 @@
       targets.put(item, nowMs - ageMs, request.from);
     }
     this.#options.slowdowns.merge(request.paces, nowMs);
+    if (request.crashes !== undefined) {
+      this.#options.crashes.merge(request.crashes, nowMs);
+    }
     for (const { item, ageMs } of request.entries) {
       entries.put(item, nowMs - ageMs, request.from);
     }
@@ -113,6 +118,7 @@
       })),
       entries: entries.listDirect(sentAtMs).map(({ entry, ageMs }) => ({ item: entry, ageMs })),
       paces: isLeading() ? slowdowns.list(sentAtMs) : {},
+      crashes: this.#options.crashes.getEvidence(sentAtMs),
       coordinators: this.#listSeen(),
     };
     peer.isCallInFlight = true;
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import type { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
@@ -16,6 +17,7 @@
   readonly targets: TargetRegistry;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
+  readonly crashes: CrashLedger;
   readonly peers: PeerTable;
   readonly getDocument: () => StoredDocument;
   /** Age of the confirmation that no newer document exists, in ms; null when there is none. */
@@ -39,9 +41,13 @@
     this.#options = options;
   }
 
-  async sync({ entry, documentVersion, registryState, leaving }: SyncRequest): Promise<SyncResponse> {
-    const { targets, entries, slowdowns, peers, clock, logger } = this.#options;
+  async sync(request: SyncRequest): Promise<SyncResponse> {
+    const { entry, documentVersion, registryState, leaving } = request;
+    const { targets, entries, slowdowns, crashes, peers, clock, logger } = this.#options;
     entries.put(entry, clock.monotonicMs(), null);
+    if (request.crashes !== undefined) {
+      crashes.merge(request.crashes, clock.monotonicMs());
+    }
     for (const { id } of leaving.filter((incarnation) => targets.markLeaving(incarnation))) {
       logger.info({ id, entry: entry.name }, "target leaves by its answers");
     }
@@ -63,6 +69,7 @@
       inFlight: entries.sumInFlight(entry.name, nowMs),
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
+      crashes: crashes.getVerdicts(nowMs),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- /dev/null
+++ b/packages/crashes/ClearedParts.ts
@@ -0,0 +1,29 @@
+/** A part that was answered within this time is not a suspect of a single crash. */
+const memoryMs = 30_000;
+/** The parts that were answered the longest time ago are forgotten beyond this number. */
+const maxParts = 4096;
+
+/**
+ * Prompt parts that targets have recently answered, with the time. Bounded, since callers choose the parts. Takes the
+ * current time as a parameter.
+ */
+export class ClearedParts {
+  /** In the order of the last clearance. */
+  readonly #clearedAtMs = new Map<string, number>();
+
+  note(part: string, atMs: number): void {
+    const knownAtMs = this.#clearedAtMs.get(part) ?? -Infinity;
+    this.#clearedAtMs.delete(part);
+    this.#clearedAtMs.set(part, Math.max(knownAtMs, atMs));
+    if (this.#clearedAtMs.size > maxParts) {
+      const [oldest] = this.#clearedAtMs.keys();
+      this.#clearedAtMs.delete(oldest ?? "");
+    }
+  }
+
+  /** When the part was last answered; null if not within the last 30 s. */
+  find(part: string, nowMs: number): number | null {
+    const atMs = this.#clearedAtMs.get(part) ?? null;
+    return atMs !== null && nowMs - atMs < memoryMs ? atMs : null;
+  }
+}
--- /dev/null
+++ b/packages/gateway/AttemptWatch.ts
@@ -0,0 +1,65 @@
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+
+interface AttemptWatchOptions {
+  readonly target: TargetRecord;
+  readonly parts: readonly string[];
+  /** The target has answered a request with these parts and went on. */
+  readonly onCleared: (parts: readonly string[], nowMs: number) => void;
+  /** The connection broke before the target had begun to answer. */
+  readonly onBroken: (watch: AttemptWatch, nowMs: number) => void;
+}
+
+/** A target that crashes as it begins to answer may still get the first events out. */
+const firstEventsMs = 300;
+const firstFailureStatus = 500;
+
+/** Observes for one attempt whether its target begins to answer and goes on. Takes the current time as a parameter. */
+export class AttemptWatch {
+  readonly target: TargetRecord;
+  readonly parts: readonly string[];
+  readonly #options: AttemptWatchOptions;
+  #firstEventAtMs: number | null = null;
+  #isCleared = false;
+
+  constructor(options: AttemptWatchOptions) {
+    this.#options = options;
+    this.target = options.target;
+    this.parts = options.parts;
+  }
+
+  noteEvent(nowMs: number): void {
+    this.#firstEventAtMs ??= nowMs;
+    if (nowMs - this.#firstEventAtMs >= firstEventsMs) {
+      this.#clear(nowMs);
+    }
+  }
+
+  noteStreamEnd(nowMs: number): void {
+    if (this.#firstEventAtMs !== null) {
+      this.#clear(nowMs);
+    }
+  }
+
+  /** A target that fails a request, as at its deadline, may not have begun to answer it. */
+  noteResponse(status: number, nowMs: number): void {
+    if (status < firstFailureStatus) {
+      this.#clear(nowMs);
+    }
+  }
+
+  /** Returns whether the attempt may be the one at which the target has crashed. */
+  noteBroken(nowMs: number): boolean {
+    if (this.#isCleared || this.parts.length === 0) {
+      return false;
+    }
+    this.#options.onBroken(this, nowMs);
+    return true;
+  }
+
+  #clear(nowMs: number): void {
+    if (!this.#isCleared) {
+      this.#isCleared = true;
+      this.#options.onCleared(this.parts, nowMs);
+    }
+  }
+}
--- a/packages/gateway/CallerRequest.ts
+++ b/packages/gateway/CallerRequest.ts
@@ -7,6 +7,10 @@
   readonly key: string | null;
   readonly promptTokens: number;
   readonly maxAnswerTokens: number;
+  /** Model that the caller names; null for none. */
+  readonly model: string | null;
+  /** Ids of the parts of the prompt, in order, without the last one, which other requests do not share. */
+  readonly sharedParts: readonly string[];
   /** Id of the last event that the caller received of an earlier, broken stream. */
   readonly resumeAfter: string | null;
 }
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -1,6 +1,8 @@
 import { periodic } from "most";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
+import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
@@ -18,6 +20,8 @@
    * leaving.
    */
   readonly listLeaving: () => readonly TargetIncarnation[];
+  readonly getCrashEvidence: () => CrashEvidence;
+  readonly onCrashVerdicts: (verdicts: CrashVerdicts) => void;
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
@@ -105,7 +109,7 @@
   }
 
   async #report(): Promise<void> {
-    const { view, clock, getEntry, listLeaving, logger } = this.#options;
+    const { view, clock, getEntry, listLeaving, getCrashEvidence, logger } = this.#options;
     const client = this.#getClient();
     if (client === null) {
       return;
@@ -116,6 +120,7 @@
       documentVersion: view.version,
       registryState: view.registryState,
       leaving: listLeaving(),
+      crashes: getCrashEvidence(),
     };
     const result = await client.call(MessageName.SyncEntry, request, callTimeoutMs);
     const isUseful = result.caseOf({
@@ -124,6 +129,9 @@
         const response = body as SyncResponse;
         this.#addCoordinators(response.coordinators);
         const isCurrent = this.#update(response, sentAtMs);
+        if (response.crashes !== undefined) {
+          this.#options.onCrashVerdicts(response.crashes);
+        }
         this.#preferNearest(response.nearest, sentAtMs);
         return isCurrent;
       },
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -12,6 +12,7 @@
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
+import { CrashWatch } from "./CrashWatch";
 import type { GatewayContext } from "./GatewayContext";
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
@@ -24,6 +25,7 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { isRefusingConnections } from "./isRefusingConnections";
 
 /** Limits until the first document is known. */
 const initialLimits: CallerLimits = {
@@ -54,6 +56,7 @@
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
   readonly #deadlines = new CallerDeadlines();
+  readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #passMeters = new Map<string, PassMeter>();
@@ -79,10 +82,21 @@
     const render = (): string => this.renderMetrics();
     this.#metricsPage = new MetricsEndpoint({ role: "gateway", host, port, clock, render });
     this.#loads = new TargetLoads(() => this.view.state);
+    this.#crashes = new CrashWatch({
+      clock,
+      random,
+      isRefusing: isRefusingConnections,
+      onNews: () => void this.#sync.sync(),
+      logger,
+    });
     this.#sync = new FleetSync({
       view: this.view,
       getEntry: () => this.#getEntry(),
       listLeaving: () => this.#listLeaving(),
+      getCrashEvidence: () => this.#crashes.getEvidence(),
+      onCrashVerdicts: (verdicts) => {
+        this.#crashes.update(verdicts);
+      },
       seeds,
       clock: leaseClock,
       logger,
@@ -187,6 +201,7 @@
       health: this.#health,
       notices: this.#notices,
       deadlines: this.#deadlines,
+      crashes: this.#crashes,
       metrics: this.metrics,
       byteBudget: this.#byteBudget,
       getRetryBudget: (service) => {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
+import type { CrashWatch } from "./CrashWatch";
 import type { FleetView } from "./FleetView";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
@@ -21,6 +22,7 @@
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
   readonly deadlines: CallerDeadlines;
+  readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
   /** Limits the bytes of uploads and responses that are buffered until they are complete. */
   readonly byteBudget: ByteBudget;
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -1,13 +1,14 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
-import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
 import { Attempt } from "./Attempt";
 import { AttemptOutcome } from "./AttemptOutcome";
+import type { AttemptWatch } from "./AttemptWatch";
 import { CallFailure } from "./CallFailure";
 import { EventPacer } from "./EventPacer";
 import { EventRelay } from "./EventRelay";
+import type { FullResponse } from "./FullResponse";
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
 import type { GroupRecovery } from "./GroupRecovery";
@@ -15,31 +16,25 @@
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestLog } from "./RequestLog";
-import type { TargetResponse } from "./TargetResponse";
 import { chooseTarget } from "./chooseTarget";
 import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
 import { computeWaitLimitMs } from "./computeWaitLimitMs";
-import { createTargetRequestHeaders } from "./createTargetRequestHeaders";
+import { createCallOptions } from "./createCallOptions";
 import { decideNextStep } from "./decideNextStep";
-import { estimateRetryAfterMs } from "./estimateRetryAfterMs";
+import { getPartKeys } from "./getPartKeys";
+import { isRetryable } from "./isRetryable";
 import { measureServiceLoad } from "./measureServiceLoad";
+import { recordNotice } from "./recordNotice";
+import { retryReasons } from "./retryReasons";
+import { sendFailure } from "./sendFailure";
 import { slowGroupThreshold } from "./slowGroupThreshold";
 
-interface FullResponse {
-  readonly status: number;
-  readonly headers: readonly string[];
-  readonly body: Buffer;
-}
-
 const waitPollMs = 20;
-/** An idempotent request waits for an unresponsive target no longer than this share of its time. */
-const responseTimeoutShare = 0.45;
-const retryReasons: Readonly<Record<AttemptOutcome, AttemptRetryReason>> = {
-  [AttemptOutcome.NotSent]: AttemptRetryReason.NotConnected,
-  [AttemptOutcome.NotRun]: AttemptRetryReason.NotRun,
-  [AttemptOutcome.Failed]: AttemptRetryReason.TargetFailure,
-  [AttemptOutcome.Unknown]: AttemptRetryReason.Broken,
-};
+/**
+ * A request whose target has crashed is sent again only when the coordinators have judged the crash: if it was the cause,
+ * it would crash the next target.
+ */
+const crashVerdictMs = 1700;
 
 /** Handles one request until its end: chooses targets, retries, and relays the response to the caller. */
 export class RequestForwarder {
@@ -52,6 +47,9 @@
   readonly #endMs: number;
   /** How long the caller had waited before this request, in ms. */
   readonly #waitedBeforeMs: number;
+  /** Shared parts of the prompt, as `getPartKeys` names them. */
+  readonly #parts: readonly string[];
+  readonly #isRetryable: boolean;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   #load: ServiceLoad | null = null;
@@ -68,6 +66,8 @@
     this.#context = context;
     this.#routed = routed;
     this.#recovery = context.getGroupRecovery(routed.service);
+    this.#isRetryable = isRetryable(route);
+    this.#parts = getPartKeys(routed.caller, routed.service.name);
     this.#writer = new ResponseWriter(response, context);
     const { maxHoldMs, clock } = context.options;
     this.#relay = new EventRelay({
@@ -103,7 +103,7 @@
 
   /** Sends the request when a slot is free; waits a short while for one, as its objective allows. */
   #admit(): void {
-    if (this.#isEnded) {
+    if (this.#isEnded || this.#rejectSuspect()) {
       return;
     }
     const { route, arrivedAtMs } = this.#routed;
@@ -120,6 +120,15 @@
     }
   }
 
+  /** Ends a request that may crash its target, whether it has just arrived or was waiting. Returns whether it did. */
+  #rejectSuspect(): boolean {
+    const waitMs = this.#context.crashes.getWaitMs(this.#parts);
+    if (waitMs > 0) {
+      this.#fail(RequestOutcome.Suspect, "a part of the prompt is suspected of crashing targets", waitMs);
+    }
+    return waitMs > 0;
+  }
+
   /** Whether the service as a whole may run one more request. */
   #hasSlot(): boolean {
     const serviceLoad = measureServiceLoad(this.#context, this.#routed);
@@ -134,11 +143,6 @@
     return isSplit || (this.#recovery?.takeProbe(this.#now()) ?? true);
   }
 
-  get #isRetryable(): boolean {
-    const { kind, canResume } = this.#routed.route;
-    return kind === RouteKind.Idempotent || (kind === RouteKind.Streaming && canResume);
-  }
-
   #send(hasSlot: boolean): void {
     const target = hasSlot ? this.#chooseTarget() : null;
     if (target === null) {
@@ -146,41 +150,30 @@
       this.#fail(isFull ? RequestOutcome.Full : RequestOutcome.Rejected, "no target has a place");
       return;
     }
-    const { options, loads, getConnectionPool } = this.#context;
-    const { caller, request, body, team, route } = this.#routed;
-    const { host, port } = parseAddress(target.address);
-    const leftMs = this.#endMs - this.#now();
-    const { lastEventId: resumeAfter } = this.#relay;
-    const context = { targetId: target.id, team, leftMs, resumeAfter, urgency: null };
-    const headers = createTargetRequestHeaders(options.codec, this.#routed, context);
+    const { options, loads, crashes, byteBudget } = this.#context;
+    const { route } = this.#routed;
     this.#tried.add(target.id);
     this.#sends += 1;
     this.#log.logSend(target, this.#sends, this.#load);
     loads.begin(target.id);
-    const canRetry = this.#isRetryable && this.#sends < route.attempts;
+    const watch = crashes.begin(target, this.#parts);
     const attempt = new Attempt({
       targetId: target.id,
       isStream: route.kind === RouteKind.Streaming,
       stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
-      byteBudget: this.#context.byteBudget,
-      call: {
-        host,
-        port,
-        // A target tried before may send a late copy of its rejection with the same id on a kept connection.
-        connectionPool: this.#sends > this.#tried.size ? null : getConnectionPool(target.address),
-        codec: options.codec,
-        requestId: caller.requestId,
-        method: request.method ?? "GET",
-        path: request.url ?? "/",
-        headers,
-        body,
-        responseTimeoutMs:
-          canRetry && route.kind === RouteKind.Idempotent ? leftMs * responseTimeoutShare : leftMs + 1000,
-      },
+      byteBudget,
+      call: createCallOptions(this.#context, this.#routed, {
+        target,
+        leftMs: this.#endMs - this.#now(),
+        resumeAfter: this.#relay.lastEventId,
+        isSameTarget: this.#sends > this.#tried.size,
+        canRetry: this.#isRetryable && this.#sends < route.attempts,
+      }),
       onResponse: (response) => {
-        this.#recordNotice(target, response);
+        recordNotice(this.#context, target, response);
       },
       onFullResponse: (status, responseHeaders, body) => {
+        watch.noteResponse(status, this.#now());
         this.#onFullResponse(attempt, { status, headers: responseHeaders, body });
       },
       onStreamStart: (status, responseHeaders) => {
@@ -190,16 +183,18 @@
         }
       },
       onEvent: (bytes, id) => {
+        watch.noteEvent(this.#now());
         this.#onEvent(attempt, bytes, id);
       },
       onStreamEnd: () => {
+        watch.noteStreamEnd(this.#now());
         this.#onStreamEnd(attempt);
       },
       onNotRun: (faultyTarget) => {
         this.#onNotRun(attempt, faultyTarget);
       },
       onFailure: (failure, isSent, detail) => {
-        this.#onFailure(attempt, failure, isSent, detail);
+        this.#onFailure(attempt, watch, failure, isSent, detail);
       },
       onReleased: () => {
         loads.end(target.id);
@@ -224,18 +219,6 @@
     }
   }
 
-  #recordNotice(target: TargetRecord, response: TargetResponse): void {
-    const { notices, options } = this.#context;
-    const { pauseMs } = response;
-    const isNew = notices.note(target, response, this.#now());
-    if (isNew || pauseMs !== null) {
-      options.logger.info(
-        { target: target.id, isLeaving: response.isLeaving, pauseMs },
-        "target leaves or pauses",
-      );
-    }
-  }
-
   #onFullResponse(attempt: Attempt, full: FullResponse): void {
     const { health } = this.#context;
     this.#mayHaveRun = true;
@@ -283,7 +266,13 @@
     }
   }
 
-  #onFailure(attempt: Attempt, failure: CallFailure, isSent: boolean, detail: string): void {
+  #onFailure(
+    attempt: Attempt,
+    watch: AttemptWatch,
+    failure: CallFailure,
+    isSent: boolean,
+    detail: string,
+  ): void {
     const { health, options } = this.#context;
     const { targetId } = attempt;
     if (failure === CallFailure.NotConnected) {
@@ -295,13 +284,27 @@
     this.#mayHaveRun ||= isSent;
     const id = this.#routed.caller.requestId;
     options.logger.info({ id, target: targetId, failure, detail, isSent }, "attempt failed");
+    const isCrash = isSent && failure === CallFailure.Broken && watch.noteBroken(this.#now());
+    if (isCrash && this.#isRetryable && !this.#context.crashes.areCleared(this.#parts)) {
+      this.#waitTimer = setTimeout(() => {
+        this.#retryOrFail(outcome, failure);
+      }, crashVerdictMs);
+    } else {
+      this.#retryOrFail(outcome, failure);
+    }
+  }
+
+  #retryOrFail(outcome: AttemptOutcome, failure: CallFailure): void {
     if (!this.#retry(outcome)) {
       this.#fail(this.#writer.hasStarted ? RequestOutcome.StreamBroken : RequestOutcome.Unknown, failure);
     }
   }
 
-  /** Sends the request again if that is safe, allowed and useful. Returns whether it did. */
+  /** Sends the request again if that is safe, allowed and useful. Returns whether it did, or has ended the request. */
   #retry(outcome: AttemptOutcome): boolean {
+    if (!this.#isEnded && !this.#writer.hasStarted && this.#rejectSuspect()) {
+      return true;
+    }
     const step = decideNextStep({
       outcome,
       isRetryable: this.#isRetryable,
@@ -334,26 +337,22 @@
     this.#fail(RequestOutcome.TimedOut, "timeout of the route");
   }
 
-  /** Ends a request without success: by a target's failure, or by stating whether it may have run. */
-  #fail(end: RequestOutcome, text: string): void {
+  /**
+   * Ends a request without success: by a target's failure, or by stating whether it may have run. The caller may return
+   * after `retryAfterMs`, by default when a place is likely to be free.
+   */
+  #fail(end: RequestOutcome, text: string, retryAfterMs: number | null = null): void {
     if (this.#isEnded) {
       return;
     }
-    const { service } = this.#routed;
     if (this.#writer.hasStarted) {
       this.#abort();
     } else if (this.#fallback !== null) {
       this.#deliver(this.#fallback, RequestOutcome.TargetFailure);
-    } else if (this.#mayHaveRun) {
-      const status = end === RequestOutcome.TimedOut ? 504 : 502;
-      this.#writer.sendLocal(status, text, null);
-      this.#end(end, status);
     } else {
-      const serviceLoad = measureServiceLoad(this.#context, this.#routed);
-      const isRejected = end === RequestOutcome.Rejected;
-      const retryMs = estimateRetryAfterMs(service, serviceLoad, isRejected, this.#context.options.random);
-      this.#writer.sendLocal(503, text, retryMs);
-      this.#end(end === RequestOutcome.Unknown ? RequestOutcome.Unreachable : end, 503);
+      const failure = { end, text, mayHaveRun: this.#mayHaveRun, retryAfterMs };
+      const sent = sendFailure(this.#context, this.#routed, this.#writer, failure);
+      this.#end(sent.end, sent.status);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/sendFailure.ts
@@ -0,0 +1,40 @@
+import type { GatewayContext } from "./GatewayContext";
+import { RequestOutcome } from "./RequestOutcome";
+import type { ResponseWriter } from "./ResponseWriter";
+import type { RoutedRequest } from "./RoutedRequest";
+import { estimateRetryAfterMs } from "./estimateRetryAfterMs";
+import { measureServiceLoad } from "./measureServiceLoad";
+
+interface Failure {
+  readonly end: RequestOutcome;
+  readonly text: string;
+  /** Whether any target may have run the request. */
+  readonly mayHaveRun: boolean;
+  /** When the caller of a request that has not run may return; null for when a place is likely to be free. */
+  readonly retryAfterMs: number | null;
+}
+
+interface SentFailure {
+  readonly end: RequestOutcome;
+  readonly status: number;
+}
+
+/** Answers a request that has no response of a target, and states whether it may have run. */
+export function sendFailure(
+  context: GatewayContext,
+  routed: RoutedRequest,
+  writer: ResponseWriter,
+  { end, text, mayHaveRun, retryAfterMs }: Failure,
+): SentFailure {
+  if (mayHaveRun) {
+    const status = end === RequestOutcome.TimedOut ? 504 : 502;
+    writer.sendLocal(status, text, null);
+    return { end, status };
+  }
+  const isRejected = end === RequestOutcome.Rejected;
+  const { random } = context.options;
+  const serviceLoad = measureServiceLoad(context, routed);
+  const retryMs = retryAfterMs ?? estimateRetryAfterMs(routed.service, serviceLoad, isRejected, random);
+  writer.sendLocal(503, text, retryMs);
+  return { end: end === RequestOutcome.Unknown ? RequestOutcome.Unreachable : end, status: 503 };
+}
--- a/packages/gateway/test/TestCodec.ts
+++ b/packages/gateway/test/TestCodec.ts
@@ -22,6 +22,8 @@
       key: get("x-key"),
       promptTokens: 0,
       maxAnswerTokens: 0,
+      model: get("x-model"),
+      sharedParts: (get("x-parts") ?? "").split(",").filter((part) => part !== ""),
       resumeAfter: get("x-after"),
     };
   }
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -29,6 +29,8 @@
     view: new FleetView(new TestCodec()),
     getEntry: () => entry,
     listLeaving: () => [],
+    getCrashEvidence: () => ({ reports: [], clearances: [], suspicions: [] }),
+    onCrashVerdicts: () => undefined,
     seeds: [`127.0.0.1:${port}`],
     clock: new SystemClock(),
     logger: createLogger("test", {}),
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -3,6 +3,8 @@
 import { encode } from "cbor-x";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
+import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
+import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
@@ -31,12 +33,15 @@
   ageMs: number | null = 0,
 ) {
   const leaving: SyncRequest["leaving"] = [];
-  const state = { document, ageMs, isReady: true, leaving };
-  const createResponse = ({ documentVersion, entry, leaving }: SyncRequest): SyncResponse => {
+  const crashes = null as CrashEvidence | null;
+  const verdicts = null as CrashVerdicts | null;
+  const state = { document, ageMs, isReady: true, leaving, crashes, verdicts };
+  const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
+    state.crashes = crashes ?? null;
     const { version } = state.document;
-    return createSyncResponse({
+    const response = createSyncResponse({
       service: "app",
       addresses: targets.map(({ address }) => address),
       slots: 4,
@@ -44,6 +49,7 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
+    return state.verdicts === null ? response : { ...response, crashes: state.verdicts };
   };
   const coordinator = new RpcServer({
     handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
--- a/packages/registry/ExchangeRequest.ts
+++ b/packages/registry/ExchangeRequest.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { EntryRecord } from "./EntryRecord";
 import type { TargetRecord } from "./TargetRecord";
 
@@ -20,5 +21,7 @@
   readonly entries: readonly Aged<EntryRecord>[];
   /** Slowdown of slow targets, as a multiple of the usual time; empty unless the sender is the leader. */
   readonly paces: Readonly<Record<string, number>>;
+  /** Missing from coordinators of earlier releases. */
+  readonly crashes?: CrashEvidence;
   readonly coordinators: readonly string[];
 }
--- a/packages/registry/SyncRequest.ts
+++ b/packages/registry/SyncRequest.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { EntryRecord } from "./EntryRecord";
 import type { TargetIncarnation } from "./TargetIncarnation";
 
@@ -12,4 +13,6 @@
    * leaving.
    */
   readonly leaving: readonly TargetIncarnation[];
+  /** Missing from gateways of earlier releases. */
+  readonly crashes?: CrashEvidence;
 }
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,3 +1,4 @@
+import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
 import type { TargetRecord } from "./TargetRecord";
 
 /** The state that a gateway lacks, and the age of its confirmation. */
@@ -20,6 +21,8 @@
   /** Slowdown of slow targets, as a multiple of the usual time; 1 for targets that are not listed. */
   readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
+  /** Missing from coordinators of earlier releases. */
+  readonly crashes?: CrashVerdicts;
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
