Reset the connection of a response without a length that breaks off

Callers took broken answers for complete ones: where a target's answer has neither a length nor chunks, the end of the connection is its end, and a gateway whose target had reset it closed its own connection in order.

The gateway now resets the caller's connection in that case. gateway/test/brokenStreams plays it for streams and bodies, and streams that are to be resumed at a target that answers with an error (500, 404, 503 that has run, text in place of a stream, a refusal, part of an event): these seven pass before and after, the two about responses without a length failed.

--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -9,6 +9,8 @@
   readonly #response: ServerResponse;
   readonly #context: GatewayContext;
   #isDrainPending = false;
+  /** Whether the end of the connection is the end of the response. */
+  #endsWithConnection = false;
 
   constructor(response: ServerResponse, context: GatewayContext) {
     this.#response = response;
@@ -38,6 +40,7 @@
     if (!isFramed(headers)) {
       // The end of such a response looks like a break of the connection; chunked framing would present a
       // break as a complete response.
+      this.#endsWithConnection = true;
       this.#response.useChunkedEncodingByDefault = false;
       this.#response.shouldKeepAlive = false;
     }
@@ -70,6 +73,10 @@
     // Node flushes what was written in this turn only after the turn; destroying the connection earlier loses
     // it.
     setImmediate(() => {
+      if (this.#endsWithConnection) {
+        // A connection that is closed in order would present the response as complete.
+        this.#response.socket?.resetAndDestroy();
+      }
       this.#response.destroy();
     });
   }
