Take no refusal without an id on a kept connection for the present request's

Callers of requests that must not run twice could be told that theirs had not run while it was running (REFUSED), or it ran at a second target (TWICE): a target may send an earlier refusal once more on a kept connection. One with another request's id was recognized, a 421 without an id was not, since such a response may be genuine.

On a new connection it still is; on a kept one its request may have run. gateway/test/repeatedRefusal fails before for the 421 without an id (503 in place of 502), and passes before and after for the other copies.

--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -115,8 +115,10 @@
     this.#response = response;
     const { codec, requestId } = this.#options;
     const targetResponse = codec.readResponse(response.statusCode ?? 0, response.rawHeaders);
-    // A misdirected response may have no id; one with the id of another request is a late copy.
-    const isMisdirectedWithoutId = targetResponse.isMisdirected && targetResponse.requestId === null;
+    // A misdirected response may have no id; on a kept connection it may be a late copy, as one with another request's id.
+    const { isMisdirected } = targetResponse;
+    const isMisdirectedWithoutId =
+      isMisdirected && targetResponse.requestId === null && !this.#request.reusedSocket;
     const isForeign = requestId !== null && targetResponse.requestId !== requestId;
     if (isForeign && !isMisdirectedWithoutId) {
       this.#fail(
