--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -1,6 +1,7 @@
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
+import { matchAddress } from "@clementinemux/wire/matchAddress";
 import type { FleetState } from "./FleetState";
 import type { WireCodec } from "./WireCodec";
 
@@ -86,7 +87,8 @@
    * lists them as gone.
    */
   #updateTargets(targets: readonly TargetRecord[], isComplete: boolean): void {
-    const present = targets.filter(({ isGone }) => !isGone);
+    // Coordinators of earlier releases also list targets whose address cannot be used.
+    const present = targets.filter(({ isGone, address }) => !isGone && matchAddress(address) !== null);
     const listedBornMs = new Map(targets.map(({ id, bornMs }) => [id, bornMs]));
     const addresses = new Set(present.map(({ address }) => address));
     const kept = isComplete
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -1,3 +1,4 @@
+import { matchAddress } from "@clementinemux/wire/matchAddress";
 import type { RegistryRecord } from "./RegistryRecord";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetRecord } from "./TargetRecord";
@@ -22,6 +23,10 @@
 
   /** Applies a record received from the target or from another coordinator. Returns whether it is new. */
   put(received: TargetRecord, seenAtMs: number, via: string | null = null): boolean {
+    // A coordinator of an earlier release may pass on a target whose address cannot be used.
+    if (matchAddress(received.address) === null) {
+      return false;
+    }
     const known = this.#records.get(received.id);
     if (known !== undefined && !isNewer(received, known.target)) {
       if (isSameHeartbeat(received, known.target) && seenAtMs > known.lastSeenAtMs) {
