Limit the new experts of a plan by the time to copy them

Callers of large groups got late answers for seconds after a shift of demand: while streams are late, a plan gave each rank one new expert, so that a map of 192 ranks needed several plans, each with an activation of 0.6 to 1 s.

The limit is now the time that the copies take: 120 ms while streams are late, 450 ms otherwise, which are the same numbers as before for 16 ranks (1 and 4). A plan makes up to 400 changes in place of 200, which takes 80 ms on this machine for 192 ranks.

--- a/packages/control/ranks/GroupController.ts
+++ b/packages/control/ranks/GroupController.ts
@@ -1,5 +1,6 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import { chooseMaxNewPerRank } from "@clementinemux/experts/hold/chooseMaxNewPerRank";
 import { chooseMinGain } from "@clementinemux/experts/hold/chooseMinGain";
 import { DemandMonitor } from "@clementinemux/experts/hold/DemandMonitor";
 import type { BalancedPlan } from "@clementinemux/experts/hold/BalancedPlan";
@@ -51,10 +52,7 @@
 /** Skew up to which a layer set stays unchanged: copies cost money, and a finer balance saves little time. */
 const maxBalancedSkew = 1.2;
 const bitsPerByte = 8;
-/** Most new experts on a rank in one plan: each takes the time of a copy, which slows down all passes. */
-const maxNewPerRank = 4;
-/** The same above `urgentSkew`, where streams are late: the first copy saves most of the time. */
-const maxUrgentPerRank = 1;
+/** Above this skew, streams are late. */
 const urgentSkew = 1.8;
 /** Time between two inspections of a group without a desired map. */
 const intervalMs = 120;
@@ -334,7 +332,8 @@
     const { placements, spare } = this.#options.parameters;
     const slowdowns = this.#slowdowns;
     const isUrgent = measureSkew(present, loads, slowdowns) > urgentSkew;
-    const limits = { maxNewPerRank: isUrgent ? maxUrgentPerRank : maxNewPerRank, goalSkew: maxBalancedSkew };
+    const maxNewPerRank = chooseMaxNewPerRank(this.#options.parameters, isUrgent);
+    const limits = { maxNewPerRank, goalSkew: maxBalancedSkew };
     const plan = planBalancedMap({ present, loads, paces: slowdowns, placements, spare, ...limits });
     const gain = (plan.presentSkew - plan.plannedSkew) / plan.presentSkew;
     const minGain = chooseMinGain(this.#activation.passMs, this.#options.getGapObjectiveMs());
--- a/packages/experts/hold/planBalancedMap.ts
+++ b/packages/experts/hold/planBalancedMap.ts
@@ -6,7 +6,7 @@
 import { getMeanSkew } from "./getMeanSkew";
 
 /** Bounds the planning time; the next plan continues with what is left. */
-const maxChanges = 200;
+const maxChanges = 400;
 
 /**
  * Plans the next placement from the present one. It improves the layer set with the highest skew first, since
--- a/packages/experts/test/largeGroup.test.ts
+++ b/packages/experts/test/largeGroup.test.ts
@@ -3,13 +3,18 @@
 import { BalancedLayer } from "@clementinemux/experts/hold/BalancedLayer";
 import { ChangeEvaluator } from "@clementinemux/experts/hold/ChangeEvaluator";
 import { applyBalancedChange } from "@clementinemux/experts/hold/applyBalancedChange";
+import { chooseMaxNewPerRank } from "@clementinemux/experts/hold/chooseMaxNewPerRank";
 import { createRoundRobinHosting } from "@clementinemux/experts/hold/createRoundRobinHosting";
+import { measureSkew } from "@clementinemux/experts/hold/measureSkew";
 import { planBalancedMap } from "@clementinemux/experts/hold/planBalancedMap";
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { Random } from "@clementinemux/common/Random";
 
 const large = { sets: 10, experts: 384, ranks: 192, placements: 3 };
 const zipfExponent = 0.43;
+/** Skew above which streams miss their objective, and time of an activation without its copies. */
+const lateSkew = 1.5;
+const activationMs = 240;
 /** A coordinator that does not return to its event loop for this long counts as stalled. */
 const stallMs = 200;
 
@@ -43,6 +48,35 @@
   t.end();
 });
 
+/** Time until the load is balanced so far that streams are on time, with a plan after the other. */
+function getLateMs(maxNewPerRank: number, copyMs: number): number {
+  const random = createRandom(7);
+  const paces = Array.from({ length: large.ranks }, () => 1);
+  const limits = { paces, placements: large.placements, spare: 2, goalSkew: 1.2 };
+  const loads = createLoads(random);
+  let present = createRoundRobinHosting(large.sets, large.experts, large.ranks);
+  let lateMs = 0;
+  while (measureSkew(present, loads, paces) > lateSkew) {
+    const plan = planBalancedMap({ ...limits, present, loads, maxNewPerRank });
+    present = plan.hosting;
+    lateMs += activationMs + plan.newPerRank * copyMs;
+  }
+  return lateMs;
+}
+
+// Guards against plans of one new expert a rank where copies take far less time than the other parts of an activation.
+t.test("a plan has as many new experts as can be copied in time", (t) => {
+  const heavy = { expertMb: 2500, linkMbps: 180_000 };
+  t.equal(chooseMaxNewPerRank(heavy, true), 1);
+  t.equal(chooseMaxNewPerRank(heavy, false), 4);
+  t.equal(chooseMaxNewPerRank({ expertMb: 90_000, linkMbps: 180_000 }, false), 1, "at least one");
+  const light = { expertMb: 170, linkMbps: 180_000 };
+  const copyMs = (170 * 8) / 180;
+  const lateMs = getLateMs(chooseMaxNewPerRank(light, true), copyMs);
+  t.ok(lateMs < getLateMs(1, copyMs), `${Math.round(lateMs)} ms`);
+  t.end();
+});
+
 // Guards against gains that differ from those of the changed placement, for each shape of a change.
 t.test("the gain of a change is that of the placement after it", (t) => {
   const slowdowns = [1, 1, 1.5, 1];
