--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -25,6 +25,8 @@
   sourcemap: false,
 };
 
+// Also after a failed build, which would leave its files in the folder of the programs.
+process.once("exit", () => rmSync(staging, { recursive: true, force: true }));
 mkdirSync(`${staging}/programs`, { recursive: true });
 mkdirSync(`${folder}/programs`, { recursive: true });
 await build({
@@ -53,4 +55,3 @@
     renameSync(`${staging}/${file}`, `${folder}/${file}`);
   }
 }
-rmSync(staging, { recursive: true });
