Count a crash once, whichever coordinators judge it

A coordinator that heard of a suspicion before it had judged the crash itself took the crash for another one of the same part, and passed the higher number on: a first suspicion could last for 600 s in place of 30, which takes a sound part away for long.

--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -23,8 +23,10 @@
  * they last saw the parts answered. A rank group takes longer to recover.
  */
 const settleMs = 1200;
-/** Reports of one crash may name its time with this difference. */
-const reportedMs = 20_000;
+/** A report of a crash that is older than this is ignored unless the crash is known. */
+const reportedMs = 10_000;
+/** Longer, so that no other process still reports a crash that was forgotten here, which would count it again. */
+const rememberedMs = 20_000;
 const maxCrashes = 64;
 const maxPartsPerCrash = 64;
 const maxRecords = 256;
@@ -73,7 +75,7 @@
           judgements.push({ part, crashes: this.#getRecord(part).crashes, target });
         }
       }
-      if (nowMs - crash.atMs > reportedMs) {
+      if (nowMs - crash.atMs > rememberedMs) {
         this.#crashes.delete(key);
       }
     }
@@ -83,10 +85,11 @@
   /** Everything that another coordinator may lack. */
   getEvidence(nowMs: number): CrashEvidence {
     return {
-      reports: [...this.#crashes.values()].map(({ report: { target }, atMs, parts }) => ({
+      reports: [...this.#crashes.values()].map(({ report: { target }, atMs, parts, isJudged }) => ({
         target,
         ageMs: nowMs - atMs,
         parts: [...parts],
+        isJudged,
       })),
       clearances: this.#listWatched().flatMap((part) => {
         const atMs = this.#cleared.find(part, nowMs);
@@ -111,13 +114,15 @@
   }
 
   #addReport(report: CrashReport, nowMs: number): void {
-    const { target, ageMs, parts } = report;
+    const { target, ageMs, parts, isJudged = false } = report;
     const key = `${target.id}:${target.bornMs}`;
     const known = this.#crashes.get(key);
-    if (ageMs > reportedMs || (known === undefined && this.#crashes.size >= maxCrashes)) {
+    if (known === undefined && (ageMs > reportedMs || this.#crashes.size >= maxCrashes)) {
       return;
     }
     const crash = known ?? { report, atMs: nowMs - ageMs, parts: new Set(), isJudged: false };
+    // Judged again here, the crash would count twice for the part that it was attributed to.
+    crash.isJudged ||= isJudged;
     this.#crashes.set(key, crash);
     for (const part of parts.slice(0, maxPartsPerCrash - crash.parts.size)) {
       crash.parts.add(part);
--- a/packages/crashes/CrashReport.ts
+++ b/packages/crashes/CrashReport.ts
@@ -1,6 +1,6 @@
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 
-/** Crash of a target, as one gateway has seen it. */
+/** Crash of a target, as one gateway has seen it, or as a coordinator knows it. */
 export interface CrashReport {
   readonly target: TargetIncarnation;
   readonly ageMs: number;
@@ -9,4 +9,6 @@
    * this gateway has recently seen answered are left out.
    */
   readonly parts: readonly string[];
+  /** Whether the sender has judged the crash: its suspicions contain what followed. Missing from gateways. */
+  readonly isJudged?: boolean;
 }
--- a/packages/crashes/test/crashLedger.test.ts
+++ b/packages/crashes/test/crashLedger.test.ts
@@ -148,6 +148,30 @@
   t.end();
 });
 
+// Guards against a crash that counts again, when one coordinator has forgotten it and another one has not.
+t.test("coordinators that exchange a crash for long count it once", (t) => {
+  const ledgers = [new CrashLedger(), new CrashLedger(), new CrashLedger()];
+  const transitMs = 90;
+  ledgers.forEach((ledger, index) => {
+    report(ledger, "t-1", index * transitMs, ["deadly"]);
+  });
+  for (let atMs = 300; atMs < 29_000; atMs += 200) {
+    for (const [index, ledger] of ledgers.entries()) {
+      const evidence = ledger.getEvidence(atMs);
+      ledgers.forEach((other, to) => {
+        if (to !== index) {
+          other.merge(evidence, atMs + transitMs);
+        }
+      });
+      ledger.review(atMs);
+    }
+  }
+  for (const ledger of ledgers) {
+    t.match(ledger.getVerdicts(29_000).suspicions, [{ part: "deadly", crashes: 1 }]);
+  }
+  t.end();
+});
+
 // Guards against memory that callers can fill with parts of their own, and against the loss of what was learned.
 t.test("a million parts at crashes neither fill the memory nor displace a suspect", (t) => {
   const ledger = new CrashLedger();
