Name the attribution of crashes in the usual terms

Words of our own (judge, verdict, clear, strike, deadly) are replaced: attribute, findings, answered, candidate, poison. Gateways are asked for at most 512 parts at once.

--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -69,7 +69,7 @@
       inFlight: entries.sumInFlight(entry.name, nowMs),
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
-      crashes: crashes.getVerdicts(nowMs),
+      crashes: crashes.getFindings(nowMs),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- a/packages/crashes/PartClearance.ts
+++ b/packages/crashes/AnsweredPart.ts
@@ -1,5 +1,5 @@
 /** A target has answered a request with this prompt part and went on. */
-export interface PartClearance {
+export interface AnsweredPart {
   readonly part: string;
   readonly ageMs: number;
 }
--- a/packages/crashes/ClearedParts.ts
+++ b/packages/crashes/AnsweredParts.ts
@@ -7,23 +7,23 @@
  * Prompt parts that targets have recently answered, with the time. Bounded, since callers choose the parts. Takes the
  * current time as a parameter.
  */
-export class ClearedParts {
-  /** In the order of the last clearance. */
-  readonly #clearedAtMs = new Map<string, number>();
+export class AnsweredParts {
+  /** In the order of their last answers. */
+  readonly #answeredAtMs = new Map<string, number>();
 
   note(part: string, atMs: number): void {
-    const knownAtMs = this.#clearedAtMs.get(part) ?? -Infinity;
-    this.#clearedAtMs.delete(part);
-    this.#clearedAtMs.set(part, Math.max(knownAtMs, atMs));
-    if (this.#clearedAtMs.size > maxParts) {
-      const [oldest] = this.#clearedAtMs.keys();
-      this.#clearedAtMs.delete(oldest ?? "");
+    const knownAtMs = this.#answeredAtMs.get(part) ?? -Infinity;
+    this.#answeredAtMs.delete(part);
+    this.#answeredAtMs.set(part, Math.max(knownAtMs, atMs));
+    if (this.#answeredAtMs.size > maxParts) {
+      const [oldest] = this.#answeredAtMs.keys();
+      this.#answeredAtMs.delete(oldest ?? "");
     }
   }
 
   /** When the part was last answered; null if not within the last five minutes. */
   find(part: string, nowMs: number): number | null {
-    const atMs = this.#clearedAtMs.get(part) ?? null;
+    const atMs = this.#answeredAtMs.get(part) ?? null;
     return atMs !== null && nowMs - atMs < memoryMs ? atMs : null;
   }
 }
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -1,25 +1,25 @@
-import { ClearedParts } from "./ClearedParts";
+import { AnsweredParts } from "./AnsweredParts";
 import type { CrashEvidence } from "./CrashEvidence";
 import type { CrashReport } from "./CrashReport";
-import type { CrashVerdicts } from "./CrashVerdicts";
+import type { CrashFindings } from "./CrashFindings";
 import { PartRecord } from "./PartRecord";
 
 interface Crash {
   readonly report: CrashReport;
   readonly atMs: number;
   readonly parts: Set<string>;
-  isJudged: boolean;
+  isAttributed: boolean;
 }
 
 /** A suspicion that has just begun. */
-interface Judgement {
+interface Attribution {
   readonly part: string;
   readonly crashes: number;
   readonly target: string;
 }
 
 /**
- * Time from a crash until it is judged. Within it, the reports of all gateways have arrived, and their answers on when
+ * Time from a crash until it is attributed. Within it, the reports of all gateways have arrived, and their answers on when
  * they last saw the parts answered. A rank group takes longer to recover.
  */
 const settleMs = 1200;
@@ -30,31 +30,33 @@
 const maxCrashes = 64;
 const maxPartsPerCrash = 64;
 const maxRecords = 256;
+/** Gateways are asked for no more parts than this. */
+const maxWatched = 512;
 /** With more unanswered parts at a crash, a single crash does not show which of them it was. */
 const maxSingleSuspects = 3;
 /** A part that is one of few left after two crashes, or that was there at three, is suspected. */
 const fewSuspects = 2;
-const strikesOfFew = 2;
-const strikesOfMany = 3;
+const crashesOfFew = 2;
+const crashesOfMany = 3;
 
 /**
  * Finds the prompt parts that crash targets, from crashes that gateways report. Callers' requests share most parts, so
  * that each crash has several candidates: the parts of the requests that were at the target and had no answer yet.
- * Parts that other targets have answered are cleared. A crash at which a suspected part was present is attributed to
+ * Parts that other targets have answered are no candidates. A crash at which a suspected part was present is attributed to
  * that part, and says nothing about the others.
  *
- * All coordinators exchange their evidence and judge it by the same rules. Pure: the caller passes the current time.
+ * All coordinators exchange their evidence and attribute crashes by the same rules. Pure: the caller passes the current time.
  */
 export class CrashLedger {
   readonly #crashes = new Map<string, Crash>();
-  readonly #cleared = new ClearedParts();
+  readonly #answered = new AnsweredParts();
   readonly #records = new Map<string, PartRecord>();
 
   /** Adds what another process knows. */
-  merge({ reports, clearances, suspicions }: CrashEvidence, nowMs: number): void {
-    for (const { part, ageMs } of clearances) {
-      this.#cleared.note(part, nowMs - ageMs);
-      this.#records.get(part)?.noteCleared(nowMs - ageMs);
+  merge({ reports, answered, suspicions }: CrashEvidence, nowMs: number): void {
+    for (const { part, ageMs } of answered) {
+      this.#answered.note(part, nowMs - ageMs);
+      this.#records.get(part)?.noteAnswered(nowMs - ageMs);
     }
     for (const report of reports) {
       this.#addReport(report, nowMs);
@@ -64,42 +66,42 @@
     }
   }
 
-  /** Judges the crashes that are due. Returns the suspicions that begin. */
-  review(nowMs: number): Judgement[] {
-    const judgements: Judgement[] = [];
+  /** Attributes the crashes that are due. Returns the suspicions that begin. */
+  review(nowMs: number): Attribution[] {
+    const attributions: Attribution[] = [];
     for (const [key, crash] of this.#crashes) {
-      if (!crash.isJudged && nowMs - crash.atMs >= settleMs) {
-        crash.isJudged = true;
+      if (!crash.isAttributed && nowMs - crash.atMs >= settleMs) {
+        crash.isAttributed = true;
         const { id: target } = crash.report.target;
-        for (const part of this.#judge(crash, nowMs)) {
-          judgements.push({ part, crashes: this.#getRecord(part).crashes, target });
+        for (const part of this.#attribute(crash, nowMs)) {
+          attributions.push({ part, crashes: this.#getRecord(part).crashes, target });
         }
       }
       if (nowMs - crash.atMs > rememberedMs) {
         this.#crashes.delete(key);
       }
     }
-    return judgements;
+    return attributions;
   }
 
   /** Everything that another coordinator may lack. */
   getEvidence(nowMs: number): CrashEvidence {
     return {
-      reports: [...this.#crashes.values()].map(({ report: { target }, atMs, parts, isJudged }) => ({
+      reports: [...this.#crashes.values()].map(({ report: { target }, atMs, parts, isAttributed }) => ({
         target,
         ageMs: nowMs - atMs,
         parts: [...parts],
-        isJudged,
+        isAttributed,
       })),
-      clearances: this.#listWatched().flatMap((part) => {
-        const atMs = this.#cleared.find(part, nowMs);
+      answered: this.#listWatched().flatMap((part) => {
+        const atMs = this.#answered.find(part, nowMs);
         return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
       }),
       suspicions: this.#listSuspicions(nowMs),
     };
   }
 
-  getVerdicts(nowMs: number): CrashVerdicts {
+  getFindings(nowMs: number): CrashFindings {
     return { suspicions: this.#listSuspicions(nowMs), watched: this.#listWatched() };
   }
 
@@ -108,21 +110,21 @@
   }
 
   #listWatched(): string[] {
-    const unjudged = [...this.#crashes.values()].filter(({ isJudged }) => !isJudged);
-    const parts = unjudged.flatMap((crash) => [...crash.parts]);
-    return [...new Set([...parts, ...this.#records.keys()])];
+    const unattributed = [...this.#crashes.values()].filter(({ isAttributed }) => !isAttributed);
+    const parts = unattributed.flatMap((crash) => [...crash.parts]);
+    return [...new Set([...this.#records.keys(), ...parts])].slice(0, maxWatched);
   }
 
   #addReport(report: CrashReport, nowMs: number): void {
-    const { target, ageMs, parts, isJudged = false } = report;
+    const { target, ageMs, parts, isAttributed = false } = report;
     const key = `${target.id}:${target.bornMs}`;
     const known = this.#crashes.get(key);
     if (known === undefined && (ageMs > reportedMs || this.#crashes.size >= maxCrashes)) {
       return;
     }
-    const crash = known ?? { report, atMs: nowMs - ageMs, parts: new Set(), isJudged: false };
-    // Judged again here, the crash would count twice for the part that it was attributed to.
-    crash.isJudged ||= isJudged;
+    const crash = known ?? { report, atMs: nowMs - ageMs, parts: new Set(), isAttributed: false };
+    // Attributed again here, the crash would count twice for its part.
+    crash.isAttributed ||= isAttributed;
     this.#crashes.set(key, crash);
     for (const part of parts.slice(0, maxPartsPerCrash - crash.parts.size)) {
       crash.parts.add(part);
@@ -130,7 +132,7 @@
   }
 
   /** Returns the parts that become suspects by the crash. */
-  #judge({ atMs, parts }: Crash, nowMs: number): string[] {
+  #attribute({ atMs, parts }: Crash, nowMs: number): string[] {
     const candidates = [...parts];
     const known = candidates.filter((part) => this.#records.get(part)?.isSuspectedAt(atMs, nowMs) === true);
     if (known.length > 0) {
@@ -139,18 +141,18 @@
       });
       return [];
     }
-    const unanswered = candidates.filter((part) => this.#cleared.find(part, nowMs) === null);
+    const unanswered = candidates.filter((part) => this.#answered.find(part, nowMs) === null);
     if (unanswered.length > 0 && unanswered.length <= maxSingleSuspects) {
       return this.#suspect(unanswered, nowMs);
     }
-    const struck = (unanswered.length > 0 ? unanswered : candidates).filter(
-      (part) => (this.#cleared.find(part, nowMs) ?? -Infinity) < atMs,
+    const possible = (unanswered.length > 0 ? unanswered : candidates).filter(
+      (part) => (this.#answered.find(part, nowMs) ?? -Infinity) < atMs,
     );
-    const strikes = struck.map((part) => this.#getRecord(part).strike(atMs));
-    const repeated = struck.filter((_, index) => (strikes[index] ?? 0) >= strikesOfFew);
+    const crashes = possible.map((part) => this.#getRecord(part).noteCandidate(atMs));
+    const repeated = possible.filter((_, index) => (crashes[index] ?? 0) >= crashesOfFew);
     const isNarrow = repeated.length <= fewSuspects;
     return this.#suspect(
-      struck.filter((_, index) => (strikes[index] ?? 0) >= (isNarrow ? strikesOfFew : strikesOfMany)),
+      possible.filter((_, index) => (crashes[index] ?? 0) >= (isNarrow ? crashesOfFew : crashesOfMany)),
       nowMs,
     );
   }
--- a/packages/crashes/CrashReport.ts
+++ b/packages/crashes/CrashReport.ts
@@ -9,6 +9,6 @@
    * this gateway has recently seen answered are left out.
    */
   readonly parts: readonly string[];
-  /** Whether the sender has judged the crash: its suspicions contain what followed. Missing from gateways. */
-  readonly isJudged?: boolean;
+  /** Whether the sender has attributed the crash: its suspicions contain what followed. Missing from gateways. */
+  readonly isAttributed?: boolean;
 }
--- a/packages/crashes/PartRecord.ts
+++ b/packages/crashes/PartRecord.ts
@@ -6,7 +6,7 @@
  */
 const suspicionMs: readonly number[] = [30_000, 120_000, 600_000];
 /** Crashes within this time may have one cause, as those of several targets at once. */
-const strikeGapMs = 2000;
+const sameCauseMs = 2000;
 /** A suspicion that was lifted is reported for this long, so that all processes learn of it. */
 const liftedMs = 20_000;
 
@@ -16,9 +16,9 @@
   #crashes = 0;
   #sinceMs = -Infinity;
   #untilMs = -Infinity;
-  #clearedAtMs = -Infinity;
-  #strikes = 0;
-  #struckAtMs = -Infinity;
+  #answeredAtMs = -Infinity;
+  #candidateCrashes = 0;
+  #candidateAtMs = -Infinity;
 
   constructor(part: string) {
     this.part = part;
@@ -31,28 +31,28 @@
 
   /** How much would be lost with this record. */
   get weight(): number {
-    return this.#crashes * suspicionMs.length + this.#strikes;
+    return this.#crashes * suspicionMs.length + this.#candidateCrashes;
   }
 
-  /** Counts a crash at which the part was one of several candidates. Returns the crashes since its last clearance. */
-  strike(atMs: number): number {
-    if (atMs - this.#struckAtMs >= strikeGapMs) {
-      this.#strikes = this.#clearedAtMs > this.#struckAtMs ? 1 : this.#strikes + 1;
-      this.#struckAtMs = atMs;
+  /** Counts a crash at which the part was one of several candidates. Returns the crashes since it was last answered. */
+  noteCandidate(atMs: number): number {
+    if (atMs - this.#candidateAtMs >= sameCauseMs) {
+      this.#candidateCrashes = this.#answeredAtMs > this.#candidateAtMs ? 1 : this.#candidateCrashes + 1;
+      this.#candidateAtMs = atMs;
     }
-    return this.#strikes;
+    return this.#candidateCrashes;
   }
 
   suspect(nowMs: number): void {
     this.#crashes = this.#isLifted ? 1 : this.#crashes + 1;
-    this.#strikes = 0;
+    this.#candidateCrashes = 0;
     const forMs = suspicionMs[Math.min(this.#crashes, suspicionMs.length) - 1] ?? 0;
     this.#sinceMs = nowMs;
     this.#untilMs = nowMs + forMs;
   }
 
-  noteCleared(atMs: number): void {
-    this.#clearedAtMs = Math.max(this.#clearedAtMs, atMs);
+  noteAnswered(atMs: number): void {
+    this.#answeredAtMs = Math.max(this.#answeredAtMs, atMs);
   }
 
   /** Whether the part was suspected when a target crashed at `atMs`, or has become so since. */
@@ -70,7 +70,7 @@
 
   /** Null if the part has never been suspected, or not for long. */
   getSuspicion(nowMs: number): PartSuspicion | null {
-    const isOver = this.#untilMs <= nowMs || (this.#isLifted && nowMs - this.#clearedAtMs > liftedMs);
+    const isOver = this.#untilMs <= nowMs || (this.#isLifted && nowMs - this.#answeredAtMs > liftedMs);
     if (this.#crashes === 0 || isOver) {
       return null;
     }
@@ -81,6 +81,6 @@
 
   /** A target that begins to write an answer on a part that crashes targets does not go on. */
   get #isLifted(): boolean {
-    return this.#clearedAtMs > this.#sinceMs;
+    return this.#answeredAtMs > this.#sinceMs;
   }
 }
--- a/packages/crashes/SuspectParts.ts
+++ b/packages/crashes/SuspectParts.ts
@@ -15,7 +15,7 @@
 /** Time from a probe to the next: a crash that it causes is known by then. */
 const probeIntervalMs = 3000;
 /** After its end at this gateway, a suspicion is dropped unless it is renewed. */
-const probationMs = 15_000;
+const retentionMs = 15_000;
 const maxSuspects = 256;
 
 /**
@@ -45,7 +45,7 @@
       }
     }
     for (const [part, { untilMs }] of this.#suspects) {
-      if (nowMs - untilMs > probationMs) {
+      if (nowMs - untilMs > retentionMs) {
         this.#suspects.delete(part);
       }
     }
@@ -56,7 +56,7 @@
     return Math.max(0, ...parts.map((part) => (this.#suspects.get(part)?.nextProbeAtMs ?? nowMs) - nowMs));
   }
 
-  /** To be called when a request with these parts is sent: each part on probation is tried by one request at a time. */
+  /** To be called when a request with these parts is sent: after the end of a suspicion, its part is tried by one request at a time. */
   noteSent(parts: readonly string[], nowMs: number): void {
     for (const part of parts) {
       const suspect = this.#suspects.get(part);
--- a/packages/crashes/test/crashLedger.test.ts
+++ b/packages/crashes/test/crashLedger.test.ts
@@ -2,42 +2,42 @@
 import { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 
-const nothing: CrashEvidence = { reports: [], clearances: [], suspicions: [] };
-/** Later than the judgement of a crash at 0, with the time for the answers of all gateways. */
-const judgedMs = 1300;
+const nothing: CrashEvidence = { reports: [], answered: [], suspicions: [] };
+/** Later than the attribution of a crash at 0, with the time for the answers of all gateways. */
+const attributedMs = 1300;
 
 function report(ledger: CrashLedger, id: string, atMs: number, parts: readonly string[]): void {
   ledger.merge({ ...nothing, reports: [{ target: { id, bornMs: 1 }, ageMs: 0, parts }] }, atMs);
 }
 
 function clear(ledger: CrashLedger, part: string, atMs: number): void {
-  ledger.merge({ ...nothing, clearances: [{ part, ageMs: 0 }] }, atMs);
+  ledger.merge({ ...nothing, answered: [{ part, ageMs: 0 }] }, atMs);
 }
 
 function listSuspects(ledger: CrashLedger, nowMs: number): string[] {
   ledger.review(nowMs);
-  const { suspicions } = ledger.getVerdicts(nowMs);
+  const { suspicions } = ledger.getFindings(nowMs);
   return suspicions.filter(({ isLifted }) => !isLifted).map(({ part }) => part);
 }
 
 // Guards against a part that has to crash a rank group several times before it is suspected.
 t.test("one crash shows the only part that nobody has seen answered", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-1", 0, ["shared", "deadly"]);
-  t.same(ledger.getVerdicts(0).watched, ["shared", "deadly"], "the gateways are asked for both");
+  report(ledger, "t-1", 0, ["shared", "poison"]);
+  t.same(ledger.getFindings(0).watched, ["shared", "poison"], "the gateways are asked for both");
   clear(ledger, "shared", 200);
   t.same(listSuspects(ledger, 300), [], "not before all gateways have answered");
-  t.same(listSuspects(ledger, judgedMs), ["deadly"]);
+  t.same(listSuspects(ledger, attributedMs), ["poison"]);
   t.end();
 });
 
 // Guards against sound requests that are turned away since many of them were at a target that crashed.
 t.test("a crash with many unanswered parts shows none of them, two crashes show the common one", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-1", 0, ["a", "b", "c", "d", "deadly"]);
-  t.same(listSuspects(ledger, judgedMs), []);
-  report(ledger, "t-2", 4000, ["e", "f", "g", "h", "deadly"]);
-  t.same(listSuspects(ledger, 4000 + judgedMs), ["deadly"]);
+  report(ledger, "t-1", 0, ["a", "b", "c", "d", "poison"]);
+  t.same(listSuspects(ledger, attributedMs), []);
+  report(ledger, "t-2", 4000, ["e", "f", "g", "h", "poison"]);
+  t.same(listSuspects(ledger, 4000 + attributedMs), ["poison"]);
   t.end();
 });
 
@@ -51,50 +51,54 @@
     ["t-1", "t-2", "t-3"].forEach((id) => {
       report(ledger, `${id}-${crash}`, atMs, crash % 3 === 0 ? ["shared", "rare"] : ["shared"]);
     });
-    t.same(listSuspects(ledger, atMs + judgedMs), []);
+    t.same(listSuspects(ledger, atMs + attributedMs), []);
     clear(ledger, "rare", atMs + 2500);
   }
   t.end();
 });
 
 // Guards against a part that is never suspected because it was sound in the past.
-t.test("a part that was answered before and turns deadly is suspected when few are left", (t) => {
+t.test("a part that was answered before and begins to crash targets is suspected when few are left", (t) => {
   const ledger = new CrashLedger();
-  const parts = ["deadly", "a", "b", "c"];
+  const parts = ["poison", "a", "b", "c"];
   parts.forEach((part) => {
     clear(ledger, part, 9000);
   });
   report(ledger, "t-1", 10_000, parts);
-  t.same(listSuspects(ledger, 10_000 + judgedMs), []);
+  t.same(listSuspects(ledger, 10_000 + attributedMs), []);
   clear(ledger, "b", 13_000);
   clear(ledger, "c", 13_000);
   report(ledger, "t-2", 14_000, parts);
-  t.same(listSuspects(ledger, 14_000 + judgedMs), ["deadly", "a"]);
+  t.same(listSuspects(ledger, 14_000 + attributedMs), ["poison", "a"]);
   clear(ledger, "a", 16_000);
-  t.same(listSuspects(ledger, 16_000), ["deadly"], "the first answer clears the other one");
+  t.same(listSuspects(ledger, 16_000), ["poison"], "the first answer lifts the other suspicion");
   t.end();
 });
 
-// Guards against the parts that a deadly request shares with sound ones, and against strikes from one cause.
-t.test("a crash at which a suspect was present accuses nothing else", (t) => {
+// Guards against the parts that such a request shares with sound ones, and against crashes with one cause that count twice.
+t.test("a crash at which a suspect was present says nothing of other parts", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-1", 0, ["deadly"]);
-  listSuspects(ledger, judgedMs);
+  report(ledger, "t-1", 0, ["poison"]);
+  listSuspects(ledger, attributedMs);
   for (let crash = 2; crash < 8; crash += 1) {
     const atMs = crash * 4000;
-    report(ledger, `t-${crash}`, atMs, ["deadly", "new"]);
-    t.same(listSuspects(ledger, atMs + judgedMs), ["deadly"]);
+    report(ledger, `t-${crash}`, atMs, ["poison", "new"]);
+    t.same(listSuspects(ledger, atMs + attributedMs), ["poison"]);
   }
   t.end();
 });
 
-// Guards against a second deadly part that hides behind the first one.
-t.test("two deadly parts are both found", (t) => {
+// Guards against a second part that crashes targets and hides behind the first one.
+t.test("two parts that crash targets are both found", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-1", 0, ["deadly-1", "deadly-2"]);
-  t.same(listSuspects(ledger, judgedMs), ["deadly-1", "deadly-2"], "at one target");
-  report(ledger, "t-2", 8000, ["deadly-3"]);
-  t.same(listSuspects(ledger, 8000 + judgedMs), ["deadly-1", "deadly-2", "deadly-3"], "one after the other");
+  report(ledger, "t-1", 0, ["poison-1", "poison-2"]);
+  t.same(listSuspects(ledger, attributedMs), ["poison-1", "poison-2"], "at one target");
+  report(ledger, "t-2", 8000, ["poison-3"]);
+  t.same(
+    listSuspects(ledger, 8000 + attributedMs),
+    ["poison-1", "poison-2", "poison-3"],
+    "one after the other",
+  );
   t.end();
 });
 
@@ -102,11 +106,11 @@
 t.test("an answer lifts a suspicion, and nobody brings it back", (t) => {
   const ledger = new CrashLedger();
   report(ledger, "t-1", 0, ["sound"]);
-  listSuspects(ledger, judgedMs);
-  const { suspicions } = ledger.getEvidence(judgedMs);
+  listSuspects(ledger, attributedMs);
+  const { suspicions } = ledger.getEvidence(attributedMs);
   clear(ledger, "sound", 3000);
   t.same(listSuspects(ledger, 3000), []);
-  t.match(ledger.getVerdicts(3000).suspicions, [{ part: "sound", isLifted: true, leftMs: 0 }]);
+  t.match(ledger.getFindings(3000).suspicions, [{ part: "sound", isLifted: true, leftMs: 0 }]);
   ledger.merge({ ...nothing, suspicions }, 3200);
   t.same(listSuspects(ledger, 3200), []);
   t.end();
@@ -115,24 +119,24 @@
 // Guards against an answer from before the crash that lifts the suspicion.
 t.test("an answer that is older than the suspicion does not lift it", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-1", 40_000, ["deadly"]);
-  t.same(listSuspects(ledger, 40_000 + judgedMs), ["deadly"]);
-  ledger.merge({ ...nothing, clearances: [{ part: "deadly", ageMs: 35_000 }] }, 42_000);
-  t.same(listSuspects(ledger, 42_000), ["deadly"]);
+  report(ledger, "t-1", 40_000, ["poison"]);
+  t.same(listSuspects(ledger, 40_000 + attributedMs), ["poison"]);
+  ledger.merge({ ...nothing, answered: [{ part: "poison", ageMs: 35_000 }] }, 42_000);
+  t.same(listSuspects(ledger, 42_000), ["poison"]);
   t.end();
 });
 
-// Guards against evidence that is lost with the coordinator that has judged it.
+// Guards against evidence that is lost with the coordinator that has attributed it.
 t.test("a coordinator that has just started learns the suspicions from another one", (t) => {
   const first = new CrashLedger();
-  report(first, "t-1", 0, ["deadly"]);
-  listSuspects(first, judgedMs);
+  report(first, "t-1", 0, ["poison"]);
+  listSuspects(first, attributedMs);
   const second = new CrashLedger();
   second.merge(first.getEvidence(2000), 2000);
-  t.same(listSuspects(second, 2000), ["deadly"]);
+  t.same(listSuspects(second, 2000), ["poison"]);
   const third = new CrashLedger();
   third.merge({ ...nothing, suspicions: first.getEvidence(2000).suspicions }, 500);
-  t.same(listSuspects(third, 500), ["deadly"], "its clock starts anew");
+  t.same(listSuspects(third, 500), ["poison"], "its clock starts anew");
   t.same(listSuspects(third, 40_000), [], "and the suspicion ends as it would have");
   t.end();
 });
@@ -153,7 +157,7 @@
   const ledgers = [new CrashLedger(), new CrashLedger(), new CrashLedger()];
   const transitMs = 90;
   ledgers.forEach((ledger, index) => {
-    report(ledger, "t-1", index * transitMs, ["deadly"]);
+    report(ledger, "t-1", index * transitMs, ["poison"]);
   });
   for (let atMs = 300; atMs < 29_000; atMs += 200) {
     for (const [index, ledger] of ledgers.entries()) {
@@ -167,7 +171,7 @@
     }
   }
   for (const ledger of ledgers) {
-    t.match(ledger.getVerdicts(29_000).suspicions, [{ part: "deadly", crashes: 1 }]);
+    t.match(ledger.getFindings(29_000).suspicions, [{ part: "poison", crashes: 1 }]);
   }
   t.end();
 });
@@ -175,19 +179,19 @@
 // Guards against memory that callers can fill with parts of their own, and against the loss of what was learned.
 t.test("a million parts at crashes neither fill the memory nor displace a suspect", (t) => {
   const ledger = new CrashLedger();
-  report(ledger, "t-0", 0, ["deadly"]);
-  listSuspects(ledger, judgedMs);
+  report(ledger, "t-0", 0, ["poison"]);
+  listSuspects(ledger, attributedMs);
   for (let crash = 1; crash <= 1000; crash += 1) {
     const parts = Array.from({ length: 1000 }, (_, index) => `${crash}-${index}`);
-    report(ledger, `t-${crash}`, judgedMs + crash, parts);
+    report(ledger, `t-${crash}`, attributedMs + crash, parts);
   }
   ledger.review(10_000);
   const { reports, suspicions } = ledger.getEvidence(10_000);
   t.ok(reports.reduce((sum, { parts }) => sum + parts.length, 0) <= 64 * 64);
   t.same(
     suspicions.map(({ part }) => part),
-    ["deadly"],
+    ["poison"],
   );
-  t.ok(ledger.getVerdicts(10_000).watched.length <= 256);
+  t.ok(ledger.getFindings(10_000).watched.length <= 256);
   t.end();
 });
--- a/packages/crashes/test/suspectParts.test.ts
+++ b/packages/crashes/test/suspectParts.test.ts
@@ -1,9 +1,9 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
-import { ClearedParts } from "@clementinemux/crashes/ClearedParts";
+import { AnsweredParts } from "@clementinemux/crashes/AnsweredParts";
 import { SuspectParts } from "@clementinemux/crashes/SuspectParts";
 
-const suspicion = { part: "deadly", crashes: 1, ageMs: 0, leftMs: 30_000, isLifted: false };
+const suspicion = { part: "poison", crashes: 1, ageMs: 0, leftMs: 30_000, isLifted: false };
 
 // Guards against all gateways that try a suspected part at the same moment.
 t.test("gateways end a suspicion one after the other", (t) => {
@@ -12,7 +12,7 @@
   gateways.forEach((suspects) => {
     suspects.update([suspicion], 0);
   });
-  const endsMs = gateways.map((suspects) => suspects.getWaitMs(["deadly", "other"], 0));
+  const endsMs = gateways.map((suspects) => suspects.getWaitMs(["poison", "other"], 0));
   t.ok(Math.min(...endsMs) >= 30_000);
   for (let atMs = 30_000; atMs < 60_000; atMs += 1000) {
     const ending = endsMs.filter((endMs) => endMs >= atMs && endMs < atMs + 1000);
@@ -26,13 +26,13 @@
 t.test("after a suspicion a part is tried by one request at a time", (t) => {
   const suspects = new SuspectParts(() => 0);
   suspects.update([suspicion], 0);
-  suspects.noteSent(["deadly"], 100);
-  t.equal(suspects.getWaitMs(["deadly"], 29_000), 1000, "a request that was sent meanwhile does not end it");
-  t.equal(suspects.getWaitMs(["deadly"], 30_000), 0);
-  suspects.noteSent(["deadly"], 30_000);
-  t.ok(suspects.getWaitMs(["deadly"], 30_001) > 2000);
+  suspects.noteSent(["poison"], 100);
+  t.equal(suspects.getWaitMs(["poison"], 29_000), 1000, "a request that was sent meanwhile does not end it");
+  t.equal(suspects.getWaitMs(["poison"], 30_000), 0);
+  suspects.noteSent(["poison"], 30_000);
+  t.ok(suspects.getWaitMs(["poison"], 30_001) > 2000);
   suspects.update([{ ...suspicion, crashes: 2, leftMs: 120_000 }], 31_000);
-  t.equal(suspects.getWaitMs(["deadly"], 31_000), 120_000);
+  t.equal(suspects.getWaitMs(["poison"], 31_000), 120_000);
   t.end();
 });
 
@@ -41,28 +41,28 @@
   const suspects = new SuspectParts(() => 0);
   suspects.update([suspicion], 0);
   suspects.update([], 1000);
-  t.equal(suspects.getWaitMs(["deadly"], 1000), 29_000);
+  t.equal(suspects.getWaitMs(["poison"], 1000), 29_000);
   t.match(
     suspects.list(1000),
-    [{ part: "deadly", ageMs: 1000, leftMs: 29_000 }],
+    [{ part: "poison", ageMs: 1000, leftMs: 29_000 }],
     "it is told to coordinators",
   );
   suspects.update([{ ...suspicion, leftMs: 0, isLifted: true }], 2000);
-  t.equal(suspects.getWaitMs(["deadly"], 2000), 0);
+  t.equal(suspects.getWaitMs(["poison"], 2000), 0);
   t.same(suspects.list(2000), []);
   t.end();
 });
 
 // Guards against memory that callers can fill with parts of their own.
-t.test("cleared parts are forgotten after five minutes, and the oldest of too many at once", (t) => {
-  const cleared = new ClearedParts();
-  cleared.note("first", 0);
-  t.equal(cleared.find("first", 299_000), 0);
-  t.equal(cleared.find("first", 301_000), null);
+t.test("answered parts are forgotten after five minutes, and the oldest of too many at once", (t) => {
+  const answered = new AnsweredParts();
+  answered.note("first", 0);
+  t.equal(answered.find("first", 299_000), 0);
+  t.equal(answered.find("first", 301_000), null);
   for (let index = 0; index < 5000; index += 1) {
-    cleared.note(`part-${index}`, 100);
+    answered.note(`part-${index}`, 100);
   }
-  t.equal(cleared.find("first", 100), null);
-  t.equal(cleared.find("part-4999", 100), 100);
+  t.equal(answered.find("first", 100), null);
+  t.equal(answered.find("part-4999", 100), 100);
   t.end();
 });
--- a/packages/gateway/AttemptWatch.ts
+++ b/packages/gateway/AttemptWatch.ts
@@ -4,7 +4,7 @@
   readonly target: TargetRecord;
   readonly parts: readonly string[];
   /** The target has answered a request with these parts and went on. */
-  readonly onCleared: (parts: readonly string[], nowMs: number) => void;
+  readonly onAnswered: (parts: readonly string[], nowMs: number) => void;
   /** The connection broke before the target had begun to answer. */
   readonly onBroken: (watch: AttemptWatch, nowMs: number) => void;
 }
@@ -19,7 +19,7 @@
   readonly parts: readonly string[];
   readonly #options: AttemptWatchOptions;
   #firstEventAtMs: number | null = null;
-  #isCleared = false;
+  #isAnswered = false;
 
   constructor(options: AttemptWatchOptions) {
     this.#options = options;
@@ -30,36 +30,36 @@
   noteEvent(nowMs: number): void {
     this.#firstEventAtMs ??= nowMs;
     if (nowMs - this.#firstEventAtMs >= firstEventsMs) {
-      this.#clear(nowMs);
+      this.#noteAnswered(nowMs);
     }
   }
 
   noteStreamEnd(nowMs: number): void {
     if (this.#firstEventAtMs !== null) {
-      this.#clear(nowMs);
+      this.#noteAnswered(nowMs);
     }
   }
 
   /** A target that fails a request, as at its deadline, may not have begun to answer it. */
   noteResponse(status: number, nowMs: number): void {
     if (status < firstFailureStatus) {
-      this.#clear(nowMs);
+      this.#noteAnswered(nowMs);
     }
   }
 
   /** Returns whether the attempt may be the one at which the target has crashed. */
   noteBroken(nowMs: number): boolean {
-    if (this.#isCleared || this.parts.length === 0) {
+    if (this.#isAnswered || this.parts.length === 0) {
       return false;
     }
     this.#options.onBroken(this, nowMs);
     return true;
   }
 
-  #clear(nowMs: number): void {
-    if (!this.#isCleared) {
-      this.#isCleared = true;
-      this.#options.onCleared(this.parts, nowMs);
+  #noteAnswered(nowMs: number): void {
+    if (!this.#isAnswered) {
+      this.#isAnswered = true;
+      this.#options.onAnswered(this.parts, nowMs);
     }
   }
 }
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -1,9 +1,9 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
-import { ClearedParts } from "@clementinemux/crashes/ClearedParts";
+import { AnsweredParts } from "@clementinemux/crashes/AnsweredParts";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
-import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
+import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { SuspectParts } from "@clementinemux/crashes/SuspectParts";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { AttemptWatch } from "./AttemptWatch";
@@ -34,7 +34,7 @@
  */
 export class CrashWatch {
   readonly #options: CrashWatchOptions;
-  readonly #cleared = new ClearedParts();
+  readonly #answered = new AnsweredParts();
   readonly #suspects: SuspectParts;
   readonly #crashes = new Map<string, SeenCrash>();
   #watched: readonly string[] = [];
@@ -55,8 +55,8 @@
     return new AttemptWatch({
       target,
       parts,
-      onCleared: (cleared, nowMs) => {
-        this.#noteCleared(target, cleared, nowMs);
+      onAnswered: (answered, nowMs) => {
+        this.#noteAnswered(target, answered, nowMs);
       },
       onBroken: (watch, nowMs) => {
         void this.#examine(watch, nowMs);
@@ -65,13 +65,13 @@
   }
 
   /** Whether a target has lately answered requests with each of these parts. */
-  areCleared(parts: readonly string[]): boolean {
-    return parts.every((part) => this.#cleared.find(part, this.#now()) !== null);
+  areAnswered(parts: readonly string[]): boolean {
+    return parts.every((part) => this.#answered.find(part, this.#now()) !== null);
   }
 
   /** Takes over what a coordinator has concluded. */
-  update({ suspicions, watched }: CrashVerdicts): void {
-    const hasNews = watched.some((part) => !this.#watched.includes(part) && this.areCleared([part]));
+  update({ suspicions, watched }: CrashFindings): void {
+    const hasNews = watched.some((part) => !this.#watched.includes(part) && this.areAnswered([part]));
     this.#watched = watched;
     this.#suspects.update(suspicions, this.#now());
     if (hasNews) {
@@ -93,21 +93,21 @@
         ageMs: nowMs - atMs,
         parts: [...parts],
       })),
-      clearances: this.#watched.flatMap((part) => {
-        const atMs = this.#cleared.find(part, nowMs);
+      answered: this.#watched.flatMap((part) => {
+        const atMs = this.#answered.find(part, nowMs);
         return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
       }),
       suspicions: this.#suspects.list(nowMs),
     };
   }
 
-  #noteCleared(target: TargetRecord, parts: readonly string[], nowMs: number): void {
+  #noteAnswered(target: TargetRecord, parts: readonly string[], nowMs: number): void {
     const watched = parts.filter((part) => this.#watched.includes(part));
     if (watched.length > 0) {
       this.#options.logger.info({ target: target.id, parts: watched }, "watched prompt part answered");
     }
     parts.forEach((part) => {
-      this.#cleared.note(part, nowMs);
+      this.#answered.note(part, nowMs);
     });
   }
 
@@ -123,7 +123,7 @@
     }
     const crash = known ?? { target, atMs, parts: new Set() };
     this.#crashes.set(key, crash);
-    const suspects = parts.filter((part) => !this.areCleared([part]));
+    const suspects = parts.filter((part) => !this.areAnswered([part]));
     suspects.forEach((part) => crash.parts.add(part));
     logger.warn({ target: target.id, parts: suspects }, "target crashed before it answered a request");
     onNews();
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -2,7 +2,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
-import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
+import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
@@ -21,7 +21,7 @@
    */
   readonly listLeaving: () => readonly TargetIncarnation[];
   readonly getCrashEvidence: () => CrashEvidence;
-  readonly onCrashVerdicts: (verdicts: CrashVerdicts) => void;
+  readonly onCrashFindings: (findings: CrashFindings) => void;
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
@@ -130,7 +130,7 @@
         this.#addCoordinators(response.coordinators);
         const isCurrent = this.#update(response, sentAtMs);
         if (response.crashes !== undefined) {
-          this.#options.onCrashVerdicts(response.crashes);
+          this.#options.onCrashFindings(response.crashes);
         }
         this.#preferNearest(response.nearest, sentAtMs);
         return isCurrent;
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -94,8 +94,8 @@
       getEntry: () => this.#getEntry(),
       listLeaving: () => this.#listLeaving(),
       getCrashEvidence: () => this.#crashes.getEvidence(),
-      onCrashVerdicts: (verdicts) => {
-        this.#crashes.update(verdicts);
+      onCrashFindings: (findings) => {
+        this.#crashes.update(findings);
       },
       seeds,
       clock: leaseClock,
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -31,10 +31,10 @@
 
 const waitPollMs = 20;
 /**
- * A request whose target has crashed is sent again only when the coordinators have judged the crash: if it was the cause,
+ * A request whose target has crashed is sent again only when the coordinators have attributed the crash: if it was the cause,
  * it would crash the next target.
  */
-const crashVerdictMs = 1700;
+const attributionWaitMs = 1700;
 
 /** Handles one request until its end: chooses targets, retries, and relays the response to the caller. */
 export class RequestForwarder {
@@ -285,10 +285,10 @@
     const id = this.#routed.caller.requestId;
     options.logger.info({ id, target: targetId, failure, detail, isSent }, "attempt failed");
     const isCrash = isSent && failure === CallFailure.Broken && watch.noteBroken(this.#now());
-    if (isCrash && this.#isRetryable && !this.#context.crashes.areCleared(this.#parts)) {
+    if (isCrash && this.#isRetryable && !this.#context.crashes.areAnswered(this.#parts)) {
       this.#waitTimer = setTimeout(() => {
         this.#retryOrFail(outcome, failure);
-      }, crashVerdictMs);
+      }, attributionWaitMs);
     } else {
       this.#retryOrFail(outcome, failure);
     }
--- a/packages/gateway/test/crashes.test.ts
+++ b/packages/gateway/test/crashes.test.ts
@@ -10,12 +10,12 @@
 
 const streaming = { kind: RouteKind.Streaming, canResume: true, attempts: 2, timeoutMs: 5000 };
 const document = createDocument(1, [streaming]);
-const [deadlyKey = ""] = getPartKeys({ model: null, sharedParts: ["deadly"] }, "app");
+const [poisonKey = ""] = getPartKeys({ model: null, sharedParts: ["poison"] }, "app");
 
-/** Target that answers streams, and crashes on requests with the part "deadly". */
+/** Target that answers streams, and crashes on requests with the part "poison". */
 function createTarget(): TestTarget {
   const target: TestTarget = new TestTarget(({ id, head }, socket) => {
-    if (/x-parts: \S*deadly/i.test(head)) {
+    if (/x-parts: \S*poison/i.test(head)) {
       target.close();
     } else {
       const { streamHead, chunk, event, streamEnd } = responses;
@@ -38,18 +38,18 @@
     const targets = [createTarget(), createTarget()];
     const { state, call, stop } = await startGateway(document, targets);
     t.equal((await call(post("shared"), "r1", "x")).status, 200);
-    const crashed = call(post("shared,deadly"), "r2", "x");
+    const crashed = call(post("shared,poison"), "r2", "x");
     const [report] = await waitUntil("report", () => {
       const { reports = [] } = state.crashes ?? {};
       return reports.length > 0 ? reports : null;
     });
-    t.same(report?.parts, [deadlyKey], "the part that was answered is not named");
+    t.same(report?.parts, [poisonKey], "the part that was answered is not named");
     await delay(300);
     t.equal(
       targets.reduce((sum, { requests }) => sum + requests.length, 0),
       2,
     );
-    state.verdicts = { suspicions: [{ ...suspicion, part: deadlyKey }], watched: [] };
+    state.findings = { suspicions: [{ ...suspicion, part: poisonKey }], watched: [] };
     t.equal((await crashed).status, 502, "it may have run");
     t.equal(
       targets.reduce((sum, { requests }) => sum + requests.length, 0),
@@ -63,10 +63,10 @@
 t.test("a suspected request is refused at once, others with its first part are served", async (t) => {
   const target = createTarget();
   const { state, call, stop } = await startGateway(document, [target]);
-  state.verdicts = { suspicions: [{ ...suspicion, part: deadlyKey }], watched: [] };
+  state.findings = { suspicions: [{ ...suspicion, part: poisonKey }], watched: [] };
   await delay(500);
   const startedAtMs = performance.now();
-  const refused = await call(post("shared,deadly"), "r1", "x");
+  const refused = await call(post("shared,poison"), "r1", "x");
   t.ok(performance.now() - startedAtMs < 150, "refused at once");
   t.equal(refused.status, 503);
   t.ok(Number(refused.headers["retry-after"]) > 20);
@@ -95,9 +95,9 @@
       }),
   );
   const { state, call, stop } = await startGateway(document, targets);
-  const ended = call(post("shared,deadly"), "r1", "x");
+  const ended = call(post("shared,poison"), "r1", "x");
   await delay(100);
-  state.verdicts = { suspicions: [{ ...suspicion, part: deadlyKey }], watched: [] };
+  state.findings = { suspicions: [{ ...suspicion, part: poisonKey }], watched: [] };
   const refused = await ended;
   t.equal(refused.status, 503);
   t.ok(Number(refused.headers["retry-after"]) > 20);
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -4,7 +4,7 @@
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
-import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
+import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
@@ -34,8 +34,8 @@
 ) {
   const leaving: SyncRequest["leaving"] = [];
   const crashes = null as CrashEvidence | null;
-  const verdicts = null as CrashVerdicts | null;
-  const state = { document, ageMs, isReady: true, leaving, crashes, verdicts };
+  const findings = null as CrashFindings | null;
+  const state = { document, ageMs, isReady: true, leaving, crashes, findings };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
@@ -49,7 +49,7 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
-    return state.verdicts === null ? response : { ...response, crashes: state.verdicts };
+    return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
     handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,4 +1,4 @@
-import type { CrashVerdicts } from "@clementinemux/crashes/CrashVerdicts";
+import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import type { TargetRecord } from "./TargetRecord";
 
 /** The state that a gateway lacks, and the age of its confirmation. */
@@ -22,7 +22,7 @@
   readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
   /** Missing from coordinators of earlier releases. */
-  readonly crashes?: CrashVerdicts;
+  readonly crashes?: CrashFindings;
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
