--- a/packages/crashes/SuspectParts.ts
+++ b/packages/crashes/SuspectParts.ts
@@ -39,7 +39,9 @@
         if (known !== undefined && known.suspicion.crashes <= crashes) {
           this.#suspects.delete(part);
         }
-      } else if (crashes > (known?.suspicion.crashes ?? 0) && this.#suspects.size < maxSuspects) {
+      } else if (
+        known === undefined ? this.#suspects.size < maxSuspects : crashes > known.suspicion.crashes
+      ) {
         const untilMs = nowMs + leftMs + this.#random() * spreadShare * (ageMs + leftMs);
         this.#suspects.set(part, { suspicion, sinceMs: nowMs - ageMs, untilMs, nextProbeAtMs: untilMs });
       }
@@ -56,7 +58,10 @@
     return Math.max(0, ...parts.map((part) => (this.#suspects.get(part)?.nextProbeAtMs ?? nowMs) - nowMs));
   }
 
-  /** To be called when a request with these parts is sent: after the end of a suspicion, its part is tried by one request at a time. */
+  /**
+   * To be called when a request with these parts is sent: after the end of a suspicion, its part is tried by one request
+   * at a time.
+   */
   noteSent(parts: readonly string[], nowMs: number): void {
     for (const part of parts) {
       const suspect = this.#suspects.get(part);
--- a/packages/crashes/test/suspectParts.test.ts
+++ b/packages/crashes/test/suspectParts.test.ts
@@ -53,6 +53,17 @@
   t.end();
 });
 
+// Guards against a known suspect that is tried again since the table is full.
+t.test("a full table takes no more suspects, but renews those that it has", (t) => {
+  const suspects = new SuspectParts(() => 0);
+  const many = Array.from({ length: 300 }, (_, index) => ({ ...suspicion, part: `part-${index}` }));
+  suspects.update(many, 0);
+  t.equal(suspects.list(0).length, 256);
+  suspects.update([{ ...suspicion, part: "part-0", crashes: 2, leftMs: 120_000 }], 1000);
+  t.equal(suspects.getWaitMs(["part-0"], 1000), 120_000);
+  t.end();
+});
+
 // Guards against memory that callers can fill with parts of their own.
 t.test("answered parts are forgotten after five minutes, and the oldest of too many at once", (t) => {
   const answered = new AnsweredParts();
