Share how answered parts are listed, and estimate a retry time only where it is used

CrashLedger and CrashWatch listed the answered parts among those that are watched by the same loop; AnsweredParts does it now. A crash at which suspects were present used its own copy of the loop that suspects parts. A suspected request was refused with a known time, but the load of its service was measured all the same. No behaviour changes: lint, and 82 tests of crashes, the gateway, coordinators and processes pass.

--- a/packages/crashes/AnsweredParts.ts
+++ b/packages/crashes/AnsweredParts.ts
@@ -1,3 +1,5 @@
+import type { AnsweredPart } from "./AnsweredPart";
+
 /** A part that was answered within this time is not a suspect of a single crash. */
 const memoryMs = 300_000;
 /** The parts that were answered the longest time ago are forgotten beyond this number. */
@@ -26,4 +28,12 @@
     const atMs = this.#answeredAtMs.get(part) ?? null;
     return atMs !== null && nowMs - atMs < memoryMs ? atMs : null;
   }
+
+  /** Those of the parts that were answered in that time, for another process. */
+  list(parts: readonly string[], nowMs: number): AnsweredPart[] {
+    return parts.flatMap((part) => {
+      const atMs = this.find(part, nowMs);
+      return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
+    });
+  }
 }
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -93,10 +93,7 @@
         parts: [...parts],
         isAttributed,
       })),
-      answered: this.#listWatched().flatMap((part) => {
-        const atMs = this.#answered.find(part, nowMs);
-        return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
-      }),
+      answered: this.#answered.list(this.#listWatched(), nowMs),
       suspicions: this.#listSuspicions(nowMs),
     };
   }
@@ -136,9 +133,7 @@
     const candidates = [...parts];
     const known = candidates.filter((part) => this.#records.get(part)?.isSuspectedAt(atMs, nowMs) === true);
     if (known.length > 0) {
-      known.forEach((part) => {
-        this.#getRecord(part).suspect(nowMs);
-      });
+      this.#suspect(known, nowMs);
       return [];
     }
     const unanswered = candidates.filter((part) => this.#answered.find(part, nowMs) === null);
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -93,10 +93,7 @@
         ageMs: nowMs - atMs,
         parts: [...parts],
       })),
-      answered: this.#watched.flatMap((part) => {
-        const atMs = this.#answered.find(part, nowMs);
-        return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
-      }),
+      answered: this.#answered.list(this.#watched, nowMs),
       suspicions: this.#suspects.list(nowMs),
     };
   }
--- a/packages/gateway/sendFailure.ts
+++ b/packages/gateway/sendFailure.ts
@@ -31,10 +31,12 @@
     writer.sendLocal(status, text, null);
     return { end, status };
   }
-  const isRejected = end === RequestOutcome.Rejected;
-  const { random } = context.options;
-  const serviceLoad = measureServiceLoad(context, routed);
-  const retryMs = retryAfterMs ?? estimateRetryAfterMs(routed.service, serviceLoad, isRejected, random);
-  writer.sendLocal(503, text, retryMs);
+  writer.sendLocal(503, text, retryAfterMs ?? estimateRetryMs(context, routed, end));
   return { end: end === RequestOutcome.Unknown ? RequestOutcome.Unreachable : end, status: 503 };
 }
+
+function estimateRetryMs(context: GatewayContext, routed: RoutedRequest, end: RequestOutcome): number {
+  const serviceLoad = measureServiceLoad(context, routed);
+  const isRejected = end === RequestOutcome.Rejected;
+  return estimateRetryAfterMs(routed.service, serviceLoad, isRejected, context.options.random);
+}
