--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -22,6 +22,7 @@
 import { createCallOptions } from "./createCallOptions";
 import { decideNextStep } from "./decideNextStep";
 import { getPartKeys } from "./getPartKeys";
+import { getRequestKey } from "./getRequestKey";
 import { isRetryable } from "./isRetryable";
 import { measureServiceLoad } from "./measureServiceLoad";
 import { recordNotice } from "./recordNotice";
@@ -79,7 +80,7 @@
         this.#notePass(gapMs);
       },
     });
-    this.#log = new RequestLog(context, routed, this.#relay);
+    this.#log = new RequestLog(context, routed, this.#relay, getRequestKey(routed));
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
     this.#waitedBeforeMs = context.deadlines.note(route.name, caller.leftMs, arrivedAtMs);
     this.#timer = setTimeout(
--- a/packages/gateway/RequestLog.ts
+++ b/packages/gateway/RequestLog.ts
@@ -11,11 +11,14 @@
   readonly #context: GatewayContext;
   readonly #routed: RoutedRequest;
   readonly #relay: EventRelay;
+  /** Tells whether two lines are about the same request, as `getRequestKey` defines it. */
+  readonly #key: string;
 
-  constructor(context: GatewayContext, request: RoutedRequest, relay: EventRelay) {
+  constructor(context: GatewayContext, request: RoutedRequest, relay: EventRelay, key: string) {
     this.#context = context;
     this.#routed = request;
     this.#relay = relay;
+    this.#key = key;
   }
 
   /** Logs a send to a target with the load that decided it; the first send is attempt 1. */
@@ -28,6 +31,7 @@
     options.logger.info(
       {
         id: this.#routed.caller.requestId,
+        key: this.#key,
         target: target.id,
         attempt,
         load: loads.getLoad(target),
@@ -58,6 +62,7 @@
     options.logger.info(
       {
         id: caller.requestId,
+        key: this.#key,
         route: route.name,
         service: service.name,
         end,
