Name what may crash targets a cause, as it is not always a prompt part

AnsweredParts, PartRecord, PartSuspicion and SuspectParts become AnsweredCauses, CauseRecord, Suspicion and SuspectTable, since they are to hold requests, too. Fields on the wire keep their names, which earlier releases read. No behaviour changes.

--- a/packages/crashes/AnsweredParts.ts
+++ b/packages/crashes/AnsweredCauses.ts
@@ -1,4 +1,4 @@
-import type { AnsweredPart } from "./AnsweredPart";
+import type { AnsweredCause } from "./AnsweredCause";
 
 /** A part that was answered within this time is not a suspect of a single crash. */
 const memoryMs = 300_000;
@@ -9,7 +9,7 @@
  * Prompt parts that targets have recently answered, with the time. Bounded, since callers choose the parts. Takes the
  * current time as a parameter.
  */
-export class AnsweredParts {
+export class AnsweredCauses {
   /** In the order of their last answers. */
   readonly #answeredAtMs = new Map<string, number>();
 
@@ -30,7 +30,7 @@
   }
 
   /** Those of the parts that were answered in that time, for another process. */
-  list(parts: readonly string[], nowMs: number): AnsweredPart[] {
+  list(parts: readonly string[], nowMs: number): AnsweredCause[] {
     return parts.flatMap((part) => {
       const atMs = this.find(part, nowMs);
       return atMs === null ? [] : [{ part, ageMs: nowMs - atMs }];
--- a/packages/crashes/PartRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -1,4 +1,4 @@
-import type { PartSuspicion } from "./PartSuspicion";
+import type { Suspicion } from "./Suspicion";
 
 /**
  * How long a part is suspected, by the crashes that are attributed to it. A suspicion after one crash may be wrong, and
@@ -11,7 +11,7 @@
 const liftedMs = 20_000;
 
 /** What is known of one prompt part. Pure: the caller passes the current time. */
-export class PartRecord {
+export class CauseRecord {
   readonly part: string;
   #crashes = 0;
   #sinceMs = -Infinity;
@@ -60,7 +60,7 @@
     return !this.#isLifted && this.#untilMs > Math.min(atMs, nowMs);
   }
 
-  mergeSuspicion({ crashes, ageMs, leftMs }: PartSuspicion, nowMs: number): void {
+  mergeSuspicion({ crashes, ageMs, leftMs }: Suspicion, nowMs: number): void {
     if (crashes > this.#crashes) {
       this.#crashes = crashes;
       this.#sinceMs = nowMs - ageMs;
@@ -69,7 +69,7 @@
   }
 
   /** Null if the part has never been suspected, or not for long. */
-  getSuspicion(nowMs: number): PartSuspicion | null {
+  getSuspicion(nowMs: number): Suspicion | null {
     const isOver = this.#untilMs <= nowMs || (this.#isLifted && nowMs - this.#answeredAtMs > liftedMs);
     if (this.#crashes === 0 || isOver) {
       return null;
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -1,8 +1,8 @@
-import { AnsweredParts } from "./AnsweredParts";
+import { AnsweredCauses } from "./AnsweredCauses";
 import type { CrashEvidence } from "./CrashEvidence";
 import type { CrashReport } from "./CrashReport";
 import type { CrashFindings } from "./CrashFindings";
-import { PartRecord } from "./PartRecord";
+import { CauseRecord } from "./CauseRecord";
 
 interface Crash {
   readonly report: CrashReport;
@@ -49,8 +49,8 @@
  */
 export class CrashLedger {
   readonly #crashes = new Map<string, Crash>();
-  readonly #answered = new AnsweredParts();
-  readonly #records = new Map<string, PartRecord>();
+  readonly #answered = new AnsweredCauses();
+  readonly #records = new Map<string, CauseRecord>();
 
   /** Adds what another process knows. */
   merge({ reports, answered, suspicions }: CrashEvidence, nowMs: number): void {
@@ -159,8 +159,8 @@
     return [...parts];
   }
 
-  #getRecord(part: string): PartRecord {
-    const record = this.#records.get(part) ?? new PartRecord(part);
+  #getRecord(part: string): CauseRecord {
+    const record = this.#records.get(part) ?? new CauseRecord(part);
     this.#records.set(part, record);
     if (this.#records.size > maxRecords) {
       const weakest = [...this.#records.values()].reduce((left, right) =>
--- a/packages/crashes/SuspectParts.ts
+++ b/packages/crashes/SuspectTable.ts
@@ -1,8 +1,8 @@
 import type { Random } from "@clementinemux/common/Random";
-import type { PartSuspicion } from "./PartSuspicion";
+import type { Suspicion } from "./Suspicion";
 
 interface Suspect {
-  readonly suspicion: PartSuspicion;
+  readonly suspicion: Suspicion;
   readonly sinceMs: number;
   /** Until when this gateway sends no request with the part. */
   readonly untilMs: number;
@@ -22,7 +22,7 @@
  * Prompt parts that this gateway does not send to targets, since they are suspected of crashing them. Pure: the caller
  * passes the current time.
  */
-export class SuspectParts {
+export class SuspectTable {
   readonly #random: Random;
   readonly #suspects = new Map<string, Suspect>();
 
@@ -31,7 +31,7 @@
   }
 
   /** Takes over what a coordinator suspects. One that has restarted may know less, so only lifted suspicions end. */
-  update(suspicions: readonly PartSuspicion[], nowMs: number): void {
+  update(suspicions: readonly Suspicion[], nowMs: number): void {
     for (const suspicion of suspicions) {
       const { part, crashes, ageMs, leftMs, isLifted } = suspicion;
       const known = this.#suspects.get(part);
@@ -72,7 +72,7 @@
   }
 
   /** The suspicions that are in force here, for coordinators that have lost them. */
-  list(nowMs: number): PartSuspicion[] {
+  list(nowMs: number): Suspicion[] {
     return [...this.#suspects.values()]
       .filter(({ untilMs }) => untilMs > nowMs)
       .map(({ suspicion, sinceMs, untilMs }) => ({
--- a/packages/crashes/test/suspectParts.test.ts
+++ b/packages/crashes/test/suspectTable.test.ts
@@ -1,14 +1,14 @@
 import t from "tap";
 import { createRandom } from "@clementinemux/common/createRandom";
-import { AnsweredParts } from "@clementinemux/crashes/AnsweredParts";
-import { SuspectParts } from "@clementinemux/crashes/SuspectParts";
+import { AnsweredCauses } from "@clementinemux/crashes/AnsweredCauses";
+import { SuspectTable } from "@clementinemux/crashes/SuspectTable";
 
 const suspicion = { part: "poison", crashes: 1, ageMs: 0, leftMs: 30_000, isLifted: false };
 
 // Guards against all gateways that try a suspected part at the same moment.
 t.test("gateways end a suspicion one after the other", (t) => {
   const random = createRandom(3);
-  const gateways = Array.from({ length: 100 }, () => new SuspectParts(random));
+  const gateways = Array.from({ length: 100 }, () => new SuspectTable(random));
   gateways.forEach((suspects) => {
     suspects.update([suspicion], 0);
   });
@@ -24,7 +24,7 @@
 
 // Guards against a gateway that sends many requests with a part at the end of its suspicion.
 t.test("after a suspicion a part is tried by one request at a time", (t) => {
-  const suspects = new SuspectParts(() => 0);
+  const suspects = new SuspectTable(() => 0);
   suspects.update([suspicion], 0);
   suspects.noteSent(["poison"], 100);
   t.equal(suspects.getWaitMs(["poison"], 29_000), 1000, "a request that was sent meanwhile does not end it");
@@ -38,7 +38,7 @@
 
 // Guards against a coordinator without memory that ends suspicions, and against one that brings back an ended one.
 t.test("a suspicion ends when it is lifted, not when a coordinator no longer names it", (t) => {
-  const suspects = new SuspectParts(() => 0);
+  const suspects = new SuspectTable(() => 0);
   suspects.update([suspicion], 0);
   suspects.update([], 1000);
   t.equal(suspects.getWaitMs(["poison"], 1000), 29_000);
@@ -55,7 +55,7 @@
 
 // Guards against a known suspect that is tried again since the table is full.
 t.test("a full table takes no more suspects, but renews those that it has", (t) => {
-  const suspects = new SuspectParts(() => 0);
+  const suspects = new SuspectTable(() => 0);
   const many = Array.from({ length: 300 }, (_, index) => ({ ...suspicion, part: `part-${index}` }));
   suspects.update(many, 0);
   t.equal(suspects.list(0).length, 256);
@@ -66,7 +66,7 @@
 
 // Guards against memory that callers can fill with parts of their own.
 t.test("answered parts are forgotten after five minutes, and the oldest of too many at once", (t) => {
-  const answered = new AnsweredParts();
+  const answered = new AnsweredCauses();
   answered.note("first", 0);
   t.equal(answered.find("first", 299_000), 0);
   t.equal(answered.find("first", 301_000), null);
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -1,10 +1,10 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
-import { AnsweredParts } from "@clementinemux/crashes/AnsweredParts";
+import { AnsweredCauses } from "@clementinemux/crashes/AnsweredCauses";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
-import { SuspectParts } from "@clementinemux/crashes/SuspectParts";
+import { SuspectTable } from "@clementinemux/crashes/SuspectTable";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { AttemptWatch } from "./AttemptWatch";
 
@@ -34,14 +34,14 @@
  */
 export class CrashWatch {
   readonly #options: CrashWatchOptions;
-  readonly #answered = new AnsweredParts();
-  readonly #suspects: SuspectParts;
+  readonly #answered = new AnsweredCauses();
+  readonly #suspects: SuspectTable;
   readonly #crashes = new Map<string, SeenCrash>();
   #watched: readonly string[] = [];
 
   constructor(options: CrashWatchOptions) {
     this.#options = options;
-    this.#suspects = new SuspectParts(options.random);
+    this.#suspects = new SuspectTable(options.random);
   }
 
   /** Time until a request with these parts may be sent, in ms; 0 if none of them is suspected of crashing targets. */
