--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -1,13 +1,13 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
-import { Attempt } from "./Attempt";
+import type { Attempt } from "./Attempt";
+import type { AttemptListener } from "./AttemptListener";
 import { AttemptOutcome } from "./AttemptOutcome";
-import type { AttemptWatch } from "./AttemptWatch";
 import { CallFailure } from "./CallFailure";
 import { EventPacer } from "./EventPacer";
 import { EventRelay } from "./EventRelay";
+import type { FailedAttempt } from "./FailedAttempt";
 import type { FullResponse } from "./FullResponse";
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
@@ -17,15 +17,13 @@
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestLog } from "./RequestLog";
 import { chooseTarget } from "./chooseTarget";
-import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
 import { computeWaitLimitMs } from "./computeWaitLimitMs";
-import { createCallOptions } from "./createCallOptions";
+import { createAttempt } from "./createAttempt";
 import { decideNextStep } from "./decideNextStep";
 import { getPartKeys } from "./getPartKeys";
 import { getRequestKey } from "./getRequestKey";
 import { isRetryable } from "./isRetryable";
 import { measureServiceLoad } from "./measureServiceLoad";
-import { recordNotice } from "./recordNotice";
 import { retryReasons } from "./retryReasons";
 import { sendFailure } from "./sendFailure";
 import { slowGroupThreshold } from "./slowGroupThreshold";
@@ -53,6 +51,29 @@
   readonly #isRetryable: boolean;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
+  readonly #listener: AttemptListener = {
+    onFullResponse: (attempt, full) => {
+      this.#onFullResponse(attempt, full);
+    },
+    onStreamStart: (status, headers) => {
+      this.#recovery?.noteAccepted();
+      if (!this.#writer.hasStarted) {
+        this.#writer.begin(status, headers);
+      }
+    },
+    onEvent: (attempt, bytes, id) => {
+      this.#onEvent(attempt, bytes, id);
+    },
+    onStreamEnd: (attempt) => {
+      this.#onStreamEnd(attempt);
+    },
+    onNotRun: (attempt, faultyTarget) => {
+      this.#onNotRun(attempt, faultyTarget);
+    },
+    onFailure: (failed) => {
+      this.#onFailure(failed);
+    },
+  };
   #load: ServiceLoad | null = null;
   #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
@@ -151,58 +172,20 @@
       this.#fail(isFull ? RequestOutcome.Full : RequestOutcome.Rejected, "no target has a place");
       return;
     }
-    const { options, loads, crashes, byteBudget } = this.#context;
     const { route } = this.#routed;
     this.#tried.add(target.id);
     this.#sends += 1;
     this.#log.logSend(target, this.#sends, this.#load);
-    loads.begin(target.id);
-    const watch = crashes.begin(target, this.#parts);
-    const attempt = new Attempt({
-      targetId: target.id,
-      isStream: route.kind === RouteKind.Streaming,
-      stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
-      byteBudget,
-      call: createCallOptions(this.#context, this.#routed, {
-        target,
-        leftMs: this.#endMs - this.#now(),
-        resumeAfter: this.#relay.lastEventId,
-        isSameTarget: this.#sends > this.#tried.size,
-        canRetry: this.#isRetryable && this.#sends < route.attempts,
-      }),
-      onResponse: (response) => {
-        recordNotice(this.#context, target, response);
-      },
-      onFullResponse: (status, responseHeaders, body) => {
-        watch.noteResponse(status, this.#now());
-        this.#onFullResponse(attempt, { status, headers: responseHeaders, body });
-      },
-      onStreamStart: (status, responseHeaders) => {
-        this.#recovery?.noteAccepted();
-        if (!this.#writer.hasStarted) {
-          this.#writer.begin(status, responseHeaders);
-        }
-      },
-      onEvent: (bytes, id) => {
-        watch.noteEvent(this.#now());
-        this.#onEvent(attempt, bytes, id);
-      },
-      onStreamEnd: () => {
-        watch.noteStreamEnd(this.#now());
-        this.#onStreamEnd(attempt);
-      },
-      onNotRun: (faultyTarget) => {
-        this.#onNotRun(attempt, faultyTarget);
-      },
-      onFailure: (failure, isSent, detail) => {
-        this.#onFailure(attempt, watch, failure, isSent, detail);
-      },
-      onReleased: () => {
-        loads.end(target.id);
-      },
-    });
-    this.#attempt = attempt;
-    attempt.start();
+    const input = {
+      target,
+      watch: this.#context.crashes.begin(target, this.#parts),
+      leftMs: this.#endMs - this.#now(),
+      resumeAfter: this.#relay.lastEventId,
+      isSameTarget: this.#sends > this.#tried.size,
+      canRetry: this.#isRetryable && this.#sends < route.attempts,
+    };
+    this.#attempt = createAttempt(this.#context, this.#routed, input, this.#listener);
+    this.#attempt.start();
   }
 
   #chooseTarget(): TargetRecord | null {
@@ -267,13 +250,7 @@
     }
   }
 
-  #onFailure(
-    attempt: Attempt,
-    watch: AttemptWatch,
-    failure: CallFailure,
-    isSent: boolean,
-    detail: string,
-  ): void {
+  #onFailure({ attempt, watch, failure, isSent, detail }: FailedAttempt): void {
     const { health, options } = this.#context;
     const { targetId } = attempt;
     if (failure === CallFailure.NotConnected) {
--- /dev/null
+++ b/packages/gateway/createAttempt.ts
@@ -0,0 +1,68 @@
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { RouteKind } from "@clementinemux/routes/RouteKind";
+import { Attempt } from "./Attempt";
+import type { AttemptListener } from "./AttemptListener";
+import type { AttemptWatch } from "./AttemptWatch";
+import type { GatewayContext } from "./GatewayContext";
+import type { RoutedRequest } from "./RoutedRequest";
+import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
+import { createCallOptions } from "./createCallOptions";
+import { recordNotice } from "./recordNotice";
+
+interface AttemptInput {
+  readonly target: TargetRecord;
+  readonly watch: AttemptWatch;
+  /** Time until the end of the request, in ms. */
+  readonly leftMs: number;
+  /** Id of the last event that the caller has; null for a whole stream. */
+  readonly resumeAfter: string | null;
+  /** Whether the target has been tried before. */
+  readonly isSameTarget: boolean;
+  readonly canRetry: boolean;
+}
+
+/** Creates an attempt that occupies a slot of its target, and tells what it shows of the target and the request. */
+export function createAttempt(
+  context: GatewayContext,
+  routed: RoutedRequest,
+  { target, watch, ...call }: AttemptInput,
+  listener: AttemptListener,
+): Attempt {
+  const { options, loads, byteBudget } = context;
+  const { route } = routed;
+  const now = (): number => options.clock.monotonicMs();
+  loads.begin(target.id);
+  const attempt: Attempt = new Attempt({
+    targetId: target.id,
+    isStream: route.kind === RouteKind.Streaming,
+    stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
+    byteBudget,
+    call: createCallOptions(context, routed, { target, ...call }),
+    onResponse: (response) => {
+      recordNotice(context, target, response);
+    },
+    onFullResponse: (status, headers, body) => {
+      watch.noteResponse(status, now());
+      listener.onFullResponse(attempt, { status, headers, body });
+    },
+    onStreamStart: listener.onStreamStart,
+    onEvent: (bytes, id) => {
+      watch.noteEvent(now());
+      listener.onEvent(attempt, bytes, id);
+    },
+    onStreamEnd: () => {
+      watch.noteStreamEnd(now());
+      listener.onStreamEnd(attempt);
+    },
+    onNotRun: (faultyTarget) => {
+      listener.onNotRun(attempt, faultyTarget);
+    },
+    onFailure: (failure, isSent, detail) => {
+      listener.onFailure({ attempt, watch, failure, isSent, detail });
+    },
+    onReleased: () => {
+      loads.end(target.id);
+    },
+  });
+  return attempt;
+}
