Find requests that crash their targets, wherever they come, and stop them

Cause: a fault that travels with the request was taken for a fault of the place.

Change: the cause of a crash may be a request, by a digest of service, model, team, method, path and body. CrashLedger suspects a request after two crashes, at once, at the gateway and at the coordinators; after one if it took down a rank group. What mass crashes do not have in common stays unsuspected; a request that explains all crashes clears those that were suspected beside it. Parts of plain runners need two different requests. A gateway asks the coordinators before it sends a request again whose target has crashed, and coordinators answer waiting gateways as soon as their findings change (CrashFeed), since a caller repeats within a few ms. A target may refuse connections only later, be replaced at once, or crash within the head of its answer: all are looked for.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,9 +1,9 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
-import { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { MapActivator } from "@clementinemux/ranker/MapActivator";
+import type { AwaitFindingsRequest } from "@clementinemux/registry/AwaitFindingsRequest";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
@@ -20,6 +20,7 @@
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import { CoordinatorMetrics } from "./CoordinatorMetrics";
+import { CrashFeed } from "./CrashFeed";
 import type { CoordinatorOptions } from "./CoordinatorOptions";
 import type { CoordinatorStatus } from "./CoordinatorStatus";
 import { DocumentOutcome } from "./DocumentOutcome";
@@ -54,7 +55,7 @@
   readonly targets = new TargetRegistry();
   readonly entries = new EntryRegistry();
   readonly slowdowns = new SlowdownTable();
-  readonly crashes = new CrashLedger();
+  readonly crashes: CrashFeed;
   readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
   readonly #host: GroupHost;
@@ -80,6 +81,8 @@
     const { clock, random, logger, onFatal } = options;
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.#startedAtMs = clock.monotonicMs();
+    const onChanged = (): void => this.#exchange?.sendSoon();
+    this.crashes = new CrashFeed({ incarnation: this.#incarnation, clock, onChanged, logger });
     this.#peers = new PeerTable(this.address);
     const { host, metricsPort: port } = options;
     const render = (): string => this.metrics.render() + renderStatus(this.getStatus());
@@ -161,6 +164,7 @@
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#sync.close();
+    this.crashes.close();
     this.#links.close();
     this.#metricsPage.stop();
     await this.#server.close();
@@ -295,9 +299,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const isStalled = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
     this.targets.expire(nowMs);
-    for (const { part, crashes, target } of this.crashes.review(nowMs)) {
-      this.#options.logger.warn({ part, crashes, target }, "prompt part suspected of crashing targets");
-    }
+    this.crashes.review();
     this.#tickedAtMs = nowMs;
     // Skipped after a stall, so that messages received meanwhile are read before timeouts are checked.
     if (!isStalled) {
@@ -332,6 +334,7 @@
       [MessageName.ExchangeRegistry]: (body) => this.#exchange?.receive(body as ExchangeRequest),
       [MessageName.ActivateMap]: (body) => this.#activator.activate(body as ActivateRequest),
       [MessageName.SyncEntry]: (body) => this.#sync.sync(body as SyncRequest),
+      [MessageName.AwaitFindings]: (body) => this.crashes.awaitFindings(body as AwaitFindingsRequest),
       [MessageName.ProposeDocument]: async (body) => {
         await this.#requireDocuments().proposeAsLeader(body as StoredDocument);
         return null;
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -1,5 +1,4 @@
 import type { Clock } from "@clementinemux/common/Clock";
-import type { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
@@ -7,6 +6,7 @@
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { CrashFeed } from "./CrashFeed";
 import type { PeerTable } from "./PeerTable";
 
 interface ExchangeOptions {
@@ -21,7 +21,7 @@
   readonly targets: TargetRegistry;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
-  readonly crashes: CrashLedger;
+  readonly crashes: CrashFeed;
   readonly isLeading: () => boolean;
   readonly clock: Clock;
 }
@@ -36,6 +36,8 @@
  */
 export class RegistryExchange {
   readonly #options: ExchangeOptions;
+  /** Peers that get another call as soon as the one in flight has ended. */
+  readonly #pending = new Set<Peer>();
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -47,6 +49,17 @@
     await Promise.all(idlePeers.map((peer) => this.#sendTo(peer)));
   }
 
+  /** Sends changes to every peer now, or after the call that is in flight to it. */
+  sendSoon(): void {
+    for (const peer of this.#options.peers.peers) {
+      if (peer.isCallInFlight) {
+        this.#pending.add(peer);
+      } else {
+        void this.#sendTo(peer);
+      }
+    }
+  }
+
   /**
    * Sends changes to all peers at once. Resolves with whether a majority of `voterIds` has the current state.
    * Learners do not count, since any number of them may be lost at once.
@@ -89,7 +102,7 @@
     }
     this.#options.slowdowns.merge(request.paces, nowMs);
     if (request.crashes !== undefined) {
-      this.#options.crashes.merge(request.crashes, nowMs);
+      this.#options.crashes.merge(request.crashes);
     }
     for (const { item, ageMs } of request.entries) {
       entries.put(item, nowMs - ageMs, request.from);
@@ -118,12 +131,15 @@
       })),
       entries: entries.listDirect(sentAtMs).map(({ entry, ageMs }) => ({ item: entry, ageMs })),
       paces: isLeading() ? slowdowns.list(sentAtMs) : {},
-      crashes: this.#options.crashes.getEvidence(sentAtMs),
+      crashes: this.#options.crashes.getEvidence(),
       coordinators: this.#listSeen(),
     };
     peer.isCallInFlight = true;
     const answer = await links.call(peer.address, MessageName.ExchangeRegistry, request, callTimeoutMs);
     peer.isCallInFlight = false;
+    if (this.#pending.delete(peer) && answer.isRight()) {
+      void this.#sendTo(peer);
+    }
     return answer.caseOf({
       Left: () => false,
       Right: (body) => {
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -1,12 +1,12 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
-import type { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { CrashFeed } from "./CrashFeed";
 import type { PeerTable } from "./PeerTable";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -17,7 +17,7 @@
   readonly targets: TargetRegistry;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
-  readonly crashes: CrashLedger;
+  readonly crashes: CrashFeed;
   readonly peers: PeerTable;
   readonly getDocument: () => StoredDocument;
   /** Age of the confirmation that no newer document exists, in ms; null when there is none. */
@@ -46,7 +46,7 @@
     const { targets, entries, slowdowns, crashes, peers, clock, logger } = this.#options;
     entries.put(entry, clock.monotonicMs(), null);
     if (request.crashes !== undefined) {
-      crashes.merge(request.crashes, clock.monotonicMs());
+      crashes.merge(request.crashes);
     }
     for (const { id } of leaving.filter((incarnation) => targets.markLeaving(incarnation))) {
       logger.info({ id, entry: entry.name }, "target leaves by its answers");
@@ -69,7 +69,7 @@
       inFlight: entries.sumInFlight(entry.name, nowMs),
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
-      crashes: crashes.getFindings(nowMs),
+      crashes: crashes.getFindings(),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- /dev/null
+++ b/packages/crashes/CandidateRequest.ts
@@ -0,0 +1,9 @@
+/** A request that was at a target when the target crashed. */
+export interface CandidateRequest {
+  /** Equal for all attempts and repeats of the request, at any gateway. */
+  readonly key: string;
+  /** Keys of the shared parts of its prompt. */
+  readonly parts: readonly string[];
+  /** Whether the target had begun to answer it. */
+  readonly hasBegun: boolean;
+}
--- a/packages/crashes/CauseRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -1,37 +1,65 @@
+import { CauseKind } from "./CauseKind";
 import type { Suspicion } from "./Suspicion";
+import { getCauseKind } from "./getCauseKind";
 
 /**
- * How long a part is suspected, by the crashes that are attributed to it. A suspicion after one crash may be wrong, and
- * ends soon; if it was right, its end costs another crash.
+ * How long a cause is suspected, by the crashes that are attributed to it. The end of a right suspicion costs another crash.
+ * A wrong one takes a part from all its callers, and a request only from the one that repeats it, so that it may last longer.
  */
-const suspicionMs: readonly number[] = [30_000, 120_000, 600_000];
+const suspicionMs: Readonly<Record<CauseKind, readonly number[]>> = {
+  [CauseKind.Part]: [30_000, 120_000, 600_000],
+  [CauseKind.Request]: [120_000, 600_000],
+};
+/**
+ * How long a request is suspected that was with another one at all its crashes, so that it may be sound. The next crash or
+ * answer tells them apart.
+ */
+const ambiguousMs = 15_000;
 /** Crashes within this time may have one cause, as those of several targets at once. */
 const sameCauseMs = 2000;
 /** A suspicion that was lifted is reported for this long, so that all processes learn of it. */
 const liftedMs = 20_000;
+/** A request that was suspected within this time is suspected again at its first crash. */
+const relapseMs = 3_600_000;
+const maxPresences = 8;
+const maxReasons = 8;
 
-/** What is known of one prompt part. Pure: the caller passes the current time. */
+/** What is known of one prompt part or request. Pure: the caller passes the current time. */
 export class CauseRecord {
-  readonly part: string;
+  readonly key: string;
+  readonly #kind: CauseKind;
   #crashes = 0;
   #sinceMs = -Infinity;
   #untilMs = -Infinity;
   #answeredAtMs = -Infinity;
+  #withdrawnAtMs = -Infinity;
   #candidateCrashes = 0;
   #candidateAtMs = -Infinity;
+  /** Crashes since the last answer at which the cause was present, with their times. */
+  readonly #presences = new Map<string, number>();
+  /** Crashes that the suspicion rests on. */
+  readonly #supports = new Set<string>();
+  /** Requests with this part, or crashes with many of them, that are different reasons to suspect it; since the last answer. */
+  readonly #reasons = new Set<string>();
 
-  constructor(part: string) {
-    this.part = part;
+  constructor(key: string) {
+    this.key = key;
+    this.#kind = getCauseKind(key);
   }
 
-  /** Crashes that are attributed to the part. */
+  /** Crashes that are attributed to the cause. */
   get crashes(): number {
     return this.#crashes;
   }
 
+  /** Crashes since the last answer at which the cause was present. */
+  get presences(): number {
+    return this.#presences.size;
+  }
+
   /** How much would be lost with this record. */
   get weight(): number {
-    return this.#crashes * suspicionMs.length + this.#candidateCrashes;
+    return this.#crashes * maxPresences + this.#candidateCrashes + this.#presences.size + this.#reasons.size;
   }
 
   /** Counts a crash at which the part was one of several candidates. Returns the crashes since it was last answered. */
@@ -43,23 +71,80 @@
     return this.#candidateCrashes;
   }
 
-  suspect(nowMs: number): void {
-    this.#crashes = this.#isLifted ? 1 : this.#crashes + 1;
+  /** Notes that the cause was at a target that has crashed. */
+  notePresence(crash: string, atMs: number): void {
+    if (atMs > this.#answeredAtMs && this.#presences.size < maxPresences) {
+      this.#presences.set(crash, atMs);
+    }
+  }
+
+  /** Notes a reason to suspect the part. Returns how many different ones there are since the last answer. */
+  noteReason(reason: string): number {
+    if (this.#reasons.size < maxReasons) {
+      this.#reasons.add(reason);
+    }
+    return this.#reasons.size;
+  }
+
+  /** `isAmbiguous` states whether another request was at the same crashes. */
+  suspect(crash: string, nowMs: number, isAmbiguous = false): void {
+    if (this.#isLifted) {
+      this.#crashes = 0;
+      this.#supports.clear();
+    }
+    this.#crashes += 1;
     this.#candidateCrashes = 0;
-    const forMs = suspicionMs[Math.min(this.#crashes, suspicionMs.length) - 1] ?? 0;
+    const durations = suspicionMs[this.#kind];
+    const forMs = durations[Math.min(this.#crashes, durations.length) - 1] ?? 0;
     this.#sinceMs = nowMs;
-    this.#untilMs = nowMs + forMs;
+    this.#untilMs = nowMs + (isAmbiguous ? ambiguousMs : forMs);
+    this.#supports.add(crash);
   }
 
   noteAnswered(atMs: number): void {
-    this.#answeredAtMs = Math.max(this.#answeredAtMs, atMs);
+    if (atMs <= this.#answeredAtMs) {
+      return;
+    }
+    this.#answeredAtMs = atMs;
+    this.#reasons.clear();
+    for (const [crash, crashedAtMs] of this.#presences) {
+      if (crashedAtMs < atMs) {
+        this.#presences.delete(crash);
+      }
+    }
   }
 
-  /** Whether the part was suspected when a target crashed at `atMs`, or has become so since. */
+  /** Ends a suspicion that rests only on crashes with another cause. */
+  refute(explained: ReadonlySet<string>, nowMs: number): void {
+    const isExplained = [...this.#supports].every((crash) => explained.has(crash));
+    if (this.#supports.size > 0 && isExplained) {
+      this.withdraw(nowMs);
+      explained.forEach((crash) => this.#presences.delete(crash));
+    }
+  }
+
+  /** Ends a suspicion that further evidence does not bear out. */
+  withdraw(nowMs: number): void {
+    if (this.isSuspectedAt(nowMs, nowMs)) {
+      this.#withdrawnAtMs = nowMs;
+    }
+  }
+
+  /** Crashes at which the cause was present. */
+  listPresences(): ReadonlySet<string> {
+    return new Set(this.#presences.keys());
+  }
+
+  /** Whether the cause was suspected when a target crashed at `atMs`, or has become so since. */
   isSuspectedAt(atMs: number, nowMs: number): boolean {
     return !this.#isLifted && this.#untilMs > Math.min(atMs, nowMs);
   }
 
+  /** Whether the cause was suspected before a crash at `atMs`, and has not been answered since. */
+  isRelapseAt(atMs: number): boolean {
+    return this.#crashes > 0 && !this.#isLifted && atMs > this.#sinceMs && atMs < this.#untilMs + relapseMs;
+  }
+
   mergeSuspicion({ crashes, ageMs, leftMs }: Suspicion, nowMs: number): void {
     if (crashes > this.#crashes) {
       this.#crashes = crashes;
@@ -68,19 +153,23 @@
     }
   }
 
-  /** Null if the part has never been suspected, or not for long. */
+  /** Null if the cause has never been suspected, or not for long. */
   getSuspicion(nowMs: number): Suspicion | null {
-    const isOver = this.#untilMs <= nowMs || (this.#isLifted && nowMs - this.#answeredAtMs > liftedMs);
+    const isOver = this.#untilMs <= nowMs || (this.#isLifted && nowMs - this.#liftedAtMs > liftedMs);
     if (this.#crashes === 0 || isOver) {
       return null;
     }
     const isLifted = this.#isLifted;
     const leftMs = isLifted ? 0 : this.#untilMs - nowMs;
-    return { part: this.part, crashes: this.#crashes, ageMs: nowMs - this.#sinceMs, leftMs, isLifted };
+    return { part: this.key, crashes: this.#crashes, ageMs: nowMs - this.#sinceMs, leftMs, isLifted };
   }
 
-  /** A target that begins to write an answer on a part that crashes targets does not go on. */
+  /** A target that begins to answer what crashes targets does not go on. */
   get #isLifted(): boolean {
-    return this.#answeredAtMs > this.#sinceMs;
+    return this.#liftedAtMs > this.#sinceMs;
+  }
+
+  get #liftedAtMs(): number {
+    return Math.max(this.#answeredAtMs, this.#withdrawnAtMs);
   }
 }
--- a/packages/crashes/SuspectTable.ts
+++ b/packages/crashes/SuspectTable.ts
@@ -4,7 +4,7 @@
 interface Suspect {
   readonly suspicion: Suspicion;
   readonly sinceMs: number;
-  /** Until when this gateway sends no request with the part. */
+  /** Until when this process sends no request with the cause. */
   readonly untilMs: number;
   /** After that, when the next single request with it may be sent. */
   nextProbeAtMs: number;
@@ -19,8 +19,8 @@
 const maxSuspects = 256;
 
 /**
- * Prompt parts that this gateway does not send to targets, since they are suspected of crashing them. Pure: the caller
- * passes the current time.
+ * Prompt parts and requests that this process does not send to targets, since they are suspected of crashing them. Pure: the
+ * caller passes the current time.
  */
 export class SuspectTable {
   readonly #random: Random;
@@ -53,18 +53,18 @@
     }
   }
 
-  /** Time until a request with these parts may be sent, in ms; 0 if it may be sent now. */
-  getWaitMs(parts: readonly string[], nowMs: number): number {
-    return Math.max(0, ...parts.map((part) => (this.#suspects.get(part)?.nextProbeAtMs ?? nowMs) - nowMs));
+  /** Time until a request with these causes may be sent, in ms; 0 if it may be sent now. */
+  getWaitMs(causes: readonly string[], nowMs: number): number {
+    return Math.max(0, ...causes.map((cause) => (this.#suspects.get(cause)?.nextProbeAtMs ?? nowMs) - nowMs));
   }
 
   /**
-   * To be called when a request with these parts is sent: after the end of a suspicion, its part is tried by one request
+   * To be called when a request with these causes is sent: after the end of a suspicion, its cause is tried by one request
    * at a time.
    */
-  noteSent(parts: readonly string[], nowMs: number): void {
-    for (const part of parts) {
-      const suspect = this.#suspects.get(part);
+  noteSent(causes: readonly string[], nowMs: number): void {
+    for (const cause of causes) {
+      const suspect = this.#suspects.get(cause);
       if (suspect !== undefined && nowMs >= suspect.untilMs) {
         suspect.nextProbeAtMs = nowMs + probeIntervalMs;
       }
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -3,12 +3,15 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import type { AwaitFindingsRequest } from "@clementinemux/registry/AwaitFindingsRequest";
+import type { AwaitFindingsResponse } from "@clementinemux/registry/AwaitFindingsResponse";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
+import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { FleetView } from "./FleetView";
 
@@ -35,6 +38,8 @@
  */
 const retryMs = 40;
 const callTimeoutMs = 350;
+/** Longer than a coordinator holds its response while its findings do not change. */
+const findingsTimeoutMs = 6000;
 /** After this many responses in a row without current state, the gateway switches to the next coordinator. */
 const maxUselessResponses = 2;
 /** Time after a switch before the nearest coordinator is tried again. */
@@ -50,11 +55,15 @@
   #client: RpcClient | null = null;
   #currentIndex = 0;
   #uselessResponses = 0;
-  #isSyncing = false;
+  /** Resolves when the reports in flight and those that wait have ended; null while there are none. */
+  #syncing: Promise<void> | null = null;
   #isSyncPending = false;
   #isConnected = false;
   #isClosed = false;
   #switchedAtMs = -Infinity;
+  /** Connection on which this gateway waits for findings, or whose coordinator knows no such call. */
+  #findingsClient: RpcClient | null = null;
+  #findingsRevision = "";
   #retryTimer: NodeJS.Timeout | null = null;
 
   constructor(options: FleetSyncOptions) {
@@ -76,19 +85,24 @@
     this.#client?.close();
   }
 
-  /** Sends a report now; if a report is already in flight, sends another one after it. */
-  async sync(): Promise<void> {
-    if (this.#isSyncing) {
+  /** Sends a report now, or after the one in flight. Resolves when it was answered or has failed. */
+  sync(): Promise<void> {
+    if (this.#syncing !== null) {
       this.#isSyncPending = true;
-      return;
+      return this.#syncing;
     }
-    this.#isSyncing = true;
+    this.#syncing = this.#reportAll().finally(() => {
+      this.#syncing = null;
+      this.#retrySoon();
+    });
+    return this.#syncing;
+  }
+
+  async #reportAll(): Promise<void> {
     do {
       this.#isSyncPending = false;
       await this.#report();
     } while (this.#hasPendingSync());
-    this.#isSyncing = false;
-    this.#retrySoon();
   }
 
   #retrySoon(): void {
@@ -143,12 +157,38 @@
       logger.info({ coordinator: `${host}:${port}`, isUseful, why, version: view.version }, "coordinator");
     }
     this.#uselessResponses = isUseful ? 0 : this.#uselessResponses + 1;
+    if (isUseful) {
+      void this.#awaitFindings(client);
+    }
     const isUnresponsive = result.isLeft();
     if (isUnresponsive || this.#uselessResponses >= maxUselessResponses) {
       this.#switchCoordinator();
     }
   }
 
+  /** Takes over findings on crashes as soon as the coordinator has them. */
+  async #awaitFindings(client: RpcClient): Promise<void> {
+    if (this.#findingsClient === client) {
+      return;
+    }
+    this.#findingsClient = client;
+    while (!this.#isClosed && this.#client === client) {
+      const request: AwaitFindingsRequest = { revision: this.#findingsRevision };
+      const result = await client.call(MessageName.AwaitFindings, request, findingsTimeoutMs);
+      const error = result.swap().toMaybe().extractNullable();
+      if (error !== null) {
+        // A coordinator of an earlier release knows no such call; after other errors the next report asks again.
+        this.#findingsClient = error.code === WireErrorCode.Remote ? client : null;
+        return;
+      }
+      result.ifRight((body) => {
+        const { revision, findings } = body as AwaitFindingsResponse;
+        this.#findingsRevision = revision;
+        this.#options.onCrashFindings(findings);
+      });
+    }
+  }
+
   #update(response: SyncResponse, sentAtMs: number): boolean {
     try {
       return this.#options.view.update(response, sentAtMs);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -5,6 +5,7 @@
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
@@ -86,7 +87,10 @@
       clock,
       random,
       isRefusing: isRefusingConnections,
-      onNews: () => void this.#sync.sync(),
+      isReplaced: (target) => this.#isReplaced(target),
+      isIsolated: (service) =>
+        (this.view.state.table?.findService(service)?.engine?.experts ?? null) === null,
+      onNews: () => this.#sync.sync(),
       logger,
     });
     this.#sync = new FleetSync({
@@ -288,6 +292,12 @@
     this.#notices.retain(targets, this.#options.clock.monotonicMs());
   }
 
+  #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
+    const isSuccessor = (other: TargetRecord): boolean =>
+      other.address === address && (other.id !== id || other.bornMs > bornMs);
+    return !isDraining && !isLeaving && this.view.listOpenTargets(service).some(isSuccessor);
+  }
+
   /** Targets that reported that they are leaving, but that the coordinators do not list as leaving. */
   #listLeaving(): TargetIncarnation[] {
     const listedIds = new Set(
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -14,6 +14,7 @@
 import type { GroupRecovery } from "./GroupRecovery";
 import { NextStep } from "./NextStep";
 import { AttemptRetryReason } from "./AttemptRetryReason";
+import type { RequestCauses } from "./RequestCauses";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestLog } from "./RequestLog";
 import { chooseTarget } from "./chooseTarget";
@@ -29,12 +30,6 @@
 import { slowGroupThreshold } from "./slowGroupThreshold";
 
 const waitPollMs = 20;
-/**
- * A request whose target has crashed is sent again only when the coordinators have attributed the crash: if it was the cause,
- * it would crash the next target.
- */
-const attributionWaitMs = 1700;
-
 /** Sends without a connection that do not count as attempts. */
 const maxUnsent = 4;
 
@@ -49,8 +44,7 @@
   readonly #endMs: number;
   /** How long the caller had waited before this request, in ms. */
   readonly #waitedBeforeMs: number;
-  /** Shared parts of the prompt, as `getPartKeys` names them. */
-  readonly #parts: readonly string[];
+  readonly #causes: RequestCauses;
   readonly #isRetryable: boolean;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
@@ -94,22 +88,22 @@
     this.#routed = routed;
     this.#recovery = context.getGroupRecovery(routed.service);
     this.#isRetryable = isRetryable(route);
-    this.#parts = getPartKeys(routed.caller, routed.service.name);
+    this.#causes = {
+      request: getRequestKey(routed),
+      parts: getPartKeys(routed.caller, routed.service.name),
+    };
     this.#writer = new ResponseWriter(response, context);
     const { maxHoldMs, clock } = context.options;
     this.#relay = new EventRelay({
       writer: this.#writer,
-      pacer: new EventPacer({
-        maxHoldMs,
-        gapObjectiveMs: route.gapObjectiveMs,
-      }),
+      pacer: new EventPacer({ maxHoldMs, gapObjectiveMs: route.gapObjectiveMs }),
       clock,
       onGap: (gapMs) => {
         context.metrics.pauses.observeMs(gapMs);
         this.#notePass(gapMs);
       },
     });
-    this.#log = new RequestLog(context, routed, this.#relay, getRequestKey(routed));
+    this.#log = new RequestLog(context, routed, this.#relay, this.#causes.request);
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
     this.#waitedBeforeMs = context.deadlines.note(route.name, caller.leftMs, arrivedAtMs);
     this.#timer = setTimeout(
@@ -138,11 +132,7 @@
     }
     const { route, arrivedAtMs } = this.#routed;
     const elapsedMs = this.#now() - arrivedAtMs;
-    const limits = {
-      elapsedMs,
-      usedMs: this.#waitedBeforeMs,
-      endMs: this.#endMs - arrivedAtMs,
-    };
+    const limits = { elapsedMs, usedMs: this.#waitedBeforeMs, endMs: this.#endMs - arrivedAtMs };
     const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
     const hasSlot = this.#hasSlot() && this.#takeProbe();
     if (hasSlot || waitLeftMs <= (this.#load?.pauseMs ?? 0)) {
@@ -156,9 +146,13 @@
 
   /** Ends a request that may crash its target, whether it has just arrived or was waiting. Returns whether it did. */
   #rejectSuspect(): boolean {
-    const waitMs = this.#context.crashes.getWaitMs(this.#parts);
+    const waitMs = this.#context.crashes.getWaitMs(this.#causes);
     if (waitMs > 0) {
-      this.#fail(RequestOutcome.Suspect, "a part of the prompt is suspected of crashing targets", waitMs);
+      this.#fail(
+        RequestOutcome.Suspect,
+        "the request or a part of it is suspected of crashing targets",
+        waitMs,
+      );
     }
     return waitMs > 0;
   }
@@ -190,7 +184,7 @@
     this.#log.logSend(target, this.#sends, this.#load);
     const input = {
       target,
-      watch: this.#context.crashes.begin(target, this.#parts),
+      watch: this.#context.crashes.begin(target, this.#causes),
       leftMs: this.#endMs - this.#now(),
       resumeAfter: this.#relay.lastEventId,
       isSameTarget: this.#sends > this.#tried.size,
@@ -203,12 +197,7 @@
   #chooseTarget(): TargetRecord | null {
     const { service } = this.#routed;
     const isFirst = this.#sends === 0;
-    return chooseTarget(this.#context, {
-      service,
-      tried: this.#tried,
-      isFirst,
-      serviceLoad: this.#load,
-    });
+    return chooseTarget(this.#context, { service, tried: this.#tried, isFirst, serviceLoad: this.#load });
   }
 
   /** Slow groups are left out, since the time of a pass sets the concurrency limit of the whole service. */
@@ -280,14 +269,14 @@
     this.#unsent += failure === CallFailure.NotConnected ? 1 : 0;
     const id = this.#routed.caller.requestId;
     options.logger.info({ id, target: targetId, failure, detail, isSent }, "attempt failed");
-    const isCrash = isSent && failure === CallFailure.Broken && watch.noteBroken(this.#now());
-    if (isCrash && this.#isRetryable && !this.#context.crashes.areAnswered(this.#parts)) {
-      this.#waitTimer = setTimeout(() => {
-        this.#retryOrFail(outcome, failure);
-      }, attributionWaitMs);
-    } else {
+    if (!isSent || failure !== CallFailure.Broken) {
       this.#retryOrFail(outcome, failure);
+      return;
     }
+    const isWaiting = this.#isRetryable && !this.#writer.hasStarted;
+    void this.#context.crashes.examine(watch, isWaiting).then(() => {
+      this.#retryOrFail(outcome, failure);
+    });
   }
 
   #retryOrFail(outcome: AttemptOutcome, failure: CallFailure): void {
@@ -298,7 +287,7 @@
 
   /** Sends the request again if that is safe, allowed and useful. Returns whether it did, or has ended the request. */
   #retry(outcome: AttemptOutcome): boolean {
-    if (!this.#isEnded && !this.#writer.hasStarted && this.#rejectSuspect()) {
+    if (!this.#isEnded && this.#rejectSuspect()) {
       return true;
     }
     const step = decideNextStep({
--- a/packages/gateway/RequestOutcome.ts
+++ b/packages/gateway/RequestOutcome.ts
@@ -16,7 +16,7 @@
   Stopping = "stopping",
   /** No target has a free slot; nothing was sent. */
   Full = "full",
-  /** A part of the prompt is suspected of crashing targets; nothing was sent. */
+  /** The request or a part of its prompt is suspected of crashing targets; nothing was sent. */
   Suspect = "suspect",
   /** Targets stated that they have not run the request. */
   Rejected = "turned_away",
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -15,6 +15,9 @@
  */
 const maxFramingBytes = 65_536;
 
+/** Node's code for a connection that ends within the head of a response. */
+const endWithinHeadCode = "HPE_INVALID_EOF_STATE";
+
 /** One request in flight to a target, and its response. */
 export class TargetCall {
   readonly #options: TargetCallOptions;
@@ -173,7 +176,7 @@
     if (!this.#isConnected) {
       return CallFailure.NotConnected;
     }
-    return code.startsWith("HPE_") ? CallFailure.Malformed : CallFailure.Broken;
+    return code.startsWith("HPE_") && code !== endWithinHeadCode ? CallFailure.Malformed : CallFailure.Broken;
   }
 
   #fail(failure: CallFailure, detail: string): void {
--- a/packages/gateway/test/forming.test.ts
+++ b/packages/gateway/test/forming.test.ts
@@ -2,29 +2,13 @@
 import t from "tap";
 import type { Test } from "tap";
 import { GroupRecovery } from "@clementinemux/gateway/GroupRecovery";
-import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import { createDocument } from "../../routes/test/createDocument";
 import { TestTarget } from "./TestTarget";
+import { rankService } from "./rankService";
 import { responses } from "./responses";
 import { startGateway } from "./startGateway";
 
 const formMs = 600;
-const experts = {
-  ...{ layerSets: 4, expertsPerSet: 64, placements: 11, spare: 2, expertMb: 2500, expertShare: 0.8 },
-  ...{ linkMbps: 180_000, formMs },
-};
-const engine = {
-  ...{
-    slots: 8,
-    kvCapacityTokens: 100_000,
-    stride: 4,
-    stepMs: 4.5,
-    perSequenceMs: 1,
-    perThousandContextMs: 0,
-  },
-  ...{ readPerSecond: 60_000, chunkTokens: 512, meanPromptTokens: 800, meanAnswerTokens: 100, experts },
-};
-const service: RoutedService = { name: "app", healthPath: "/health", maxConnections: 100, engine };
 /** A caller that has already waited for a second. */
 const returning = { path: "/p0/", headers: { "x-left": "7000" } };
 
@@ -39,7 +23,7 @@
       }),
   );
   const document = createDocument(1, [{ timeoutMs: 8000, attempts }]);
-  const { call, stop } = await startGateway({ ...document, services: [service] }, targets);
+  const { call, stop } = await startGateway({ ...document, services: [rankService] }, targets);
   t.teardown(stop);
   await call({ path: "/p0/", headers: { "x-left": "8000" } }, "first");
   const countSends = (): number => targets.reduce((sum, { requests }) => sum + requests.length, 0);
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -28,6 +28,7 @@
   Order = "order",
   LimitShares = "limitShares",
   SyncEntry = "syncEntry",
+  AwaitFindings = "awaitFindings",
   ExchangeRegistry = "exchangeRegistry",
   ProposeDocument = "proposeDocument",
   ConfirmDocument = "confirmDocument",
