Stop requests that crash their targets at the product's own interface, too

A call that crashes its targets was sent to the next one by the entry's retries, and again each time its caller came, at any entry.

Cause: the same as at the gateway; besides, an entry is told of a broken request by the agent, which goes on, so that nothing showed that the target had crashed.

Change: an agent looks whether its target refuses connections before it tells the entry of a break, and states its last crash in /agent/state. The entry asks for it before it tries another target, and holds a request after two crashes (CrashGuard, with the ledger and the table of the gateway). Relays put the entries' evidence together (CrashService); entries exchange with all of them at once after a crash and each second. The key covers team, model or service, method, path and body, not the idempotency key.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -7,6 +7,7 @@
 import { headerNames } from "@clementinemux/common/headerNames";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { AdmissionGate } from "./AdmissionGate";
 import { AgentRefusal } from "./AgentRefusal";
@@ -20,6 +21,7 @@
 import { OrderGate } from "./OrderGate";
 import { RelayClient } from "./RelayClient";
 import { TargetClient } from "./TargetClient";
+import { TargetCrashes } from "./TargetCrashes";
 import type { RankMember } from "./rank/RankMember";
 import { createAgentServer } from "./createAgentServer";
 import { createIncarnation } from "./createIncarnation";
@@ -46,6 +48,7 @@
   readonly #configView: ConfigView;
   readonly #admissionGate: AdmissionGate;
   readonly #forwarder: Forwarder;
+  readonly #crashes: TargetCrashes;
   readonly #targetClient: TargetClient;
   readonly #loadPoller: LoadPoller;
   readonly #cacheEventPoller: CacheEventPoller | null;
@@ -77,6 +80,8 @@
     this.#configView = new ConfigView(settings);
     this.#admissionGate = new AdmissionGate(incarnation, this.#configView);
     this.#forwarder = new Forwarder(targetAddress, settings.abandonedTimeoutMs);
+    const isRefusing = (): Promise<boolean> => isRefusingConnections(settings.targetAddress);
+    this.#crashes = new TargetCrashes({ clock: this.#clock, isRefusing });
     this.#targetClient = new TargetClient(targetAddress);
     this.#loadPoller = new LoadPoller(this.#targetClient, settings.loadPath, clock);
     this.#orderGate = new OrderGate(incarnation, this.#configView);
@@ -281,6 +286,7 @@
       onUnreachable: () => {
         this.#refuse(response, AgentRefusal.TargetUnreachable, headers);
       },
+      onBroken: () => this.#crashes.examine(),
     });
   }
 
@@ -314,6 +320,7 @@
       inFlight: this.inFlight,
       load: this.#loadPoller.getLoad(),
       revision: this.#configView.config.revision,
+      lastCrash: this.#crashes.last,
       cacheEvents:
         this.#cacheEventPoller?.getAfter(
           Number(params.get("cacheAfter") ?? 0),
--- a/packages/agent/AgentState.ts
+++ b/packages/agent/AgentState.ts
@@ -1,5 +1,6 @@
 import type { AgentLoad } from "./AgentLoad";
 import type { CacheEvent } from "./CacheEvent";
+import type { TargetCrash } from "./TargetCrash";
 import type { AgentRefusal } from "./AgentRefusal";
 
 /** Response of an agent's `GET /agent/state`, which entries poll. */
@@ -16,6 +17,8 @@
   readonly revision: number;
   /** Cache events of the engine that were requested with `cacheAfter` and `cacheLimit`. */
   readonly cacheEvents?: readonly CacheEvent[];
+  /** Last crash of the target; null for none, and missing from agents of earlier releases. */
+  readonly lastCrash?: TargetCrash | null;
   /** Rank group of the target; null when it is not part of one. */
   readonly group: { readonly name: string; readonly rank: number } | null;
 }
--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -11,6 +11,8 @@
   readonly headers: Readonly<Record<string, string>>;
   /** Called when no connection could be made, so nothing was sent to the target. */
   readonly onUnreachable: () => void;
+  /** Called when the connection of a request breaks; the caller is told once the promise resolves. */
+  readonly onBroken: () => Promise<void>;
 }
 
 const connectTimeoutMs = 500;
@@ -50,7 +52,7 @@
   }
 
   forward(request: IncomingMessage, response: ServerResponse, options: ForwardOptions): void {
-    const { repeatable, headers, onUnreachable } = options;
+    const { repeatable, headers, onUnreachable, onBroken } = options;
     let sent = false;
     let openSides = 2;
     const closeSide = (): void => {
@@ -83,7 +85,9 @@
         // The headers are sent immediately, since the first token may take seconds.
         response.flushHeaders();
         targetResponse.pipe(response);
-        targetResponse.once("error", () => response.destroy());
+        targetResponse.once("error", () => {
+          void onBroken().finally(() => response.destroy());
+        });
         response.once("close", () => targetResponse.resume());
       },
     );
@@ -114,13 +118,17 @@
       if (response.destroyed) {
         return;
       }
-      if (response.headersSent) {
-        response.destroy();
-      } else if (sent) {
-        respondUnknown(response, headers);
-      } else {
+      if (!sent) {
         onUnreachable();
+        return;
       }
+      void onBroken().finally(() => {
+        if (response.headersSent) {
+          response.destroy();
+        } else if (!response.destroyed) {
+          respondUnknown(response, headers);
+        }
+      });
     });
     response.once("close", () => {
       closeSide();
--- a/packages/agent/test/endless.test.ts
+++ b/packages/agent/test/endless.test.ts
@@ -58,6 +58,7 @@
     forwarder.forward(request, response, {
       repeatable,
       headers: {},
+      onBroken: () => Promise.resolve(),
       onUnreachable: () => response.destroy(),
     });
   });
--- a/packages/common/RefusalReason.ts
+++ b/packages/common/RefusalReason.ts
@@ -14,6 +14,8 @@
   DeadlinePassed = "deadline_passed",
   QueueFull = "queue_full",
   Preempted = "preempted",
+  /** The request is suspected of crashing targets. */
+  SuspectRequest = "suspect_request",
   NoTarget = "no_target",
   TargetsFailed = "targets_failed",
   RetryBudgetSpent = "retry_budget_spent",
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -9,6 +9,7 @@
 import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { CrashService } from "@clementinemux/membership/CrashService";
 import { LimitService } from "@clementinemux/membership/LimitService";
 import { RelayService } from "@clementinemux/membership/RelayService";
 import type { ChangeMemberRequest } from "@clementinemux/messages/ChangeMemberRequest";
@@ -247,7 +248,9 @@
       },
     ]);
     const limits = new LimitService({ clock: this.#clock, relayStart: randomBytes(6).toString("hex") });
-    return { ...this.#directory.handlers, ...limits.handlers, ...Object.fromEntries(counted) };
+    const crashes = new CrashService(this.#clock);
+    const services = { ...this.#directory.handlers, ...limits.handlers, ...crashes.handlers };
+    return { ...services, ...Object.fromEntries(counted) };
   }
 
   /** The relay of this process lags behind its log replica; without a replica the relay's view is used. */
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -22,6 +22,7 @@
 import { CallerTable } from "./CallerTable";
 import type { ClaimClient } from "./ClaimClient";
 import { ControlClaimClient } from "./ControlClaimClient";
+import { CrashGuard } from "./CrashGuard";
 import { Dispatcher } from "./Dispatcher";
 import { EntryMetrics } from "./EntryMetrics";
 import type { EntrySettings } from "./EntrySettings";
@@ -29,6 +30,7 @@
 import { FleetView } from "./FleetView";
 import { HttpApi } from "./HttpApi";
 import { LimitReporter } from "./LimitReporter";
+import { exchangeCrashes } from "./exchangeCrashes";
 import { exchangeLimitShares } from "./exchangeLimitShares";
 import type { LeaseClient } from "./LeaseClient";
 import { RelayCaller } from "./RelayCaller";
@@ -52,6 +54,7 @@
 // With four renewals per lease, three may be lost before the lease expires.
 const renewalsPerLease = 4;
 const limitReportIntervalMs = 1000;
+const crashRefreshIntervalMs = 1000;
 // A team without a share can use only a small part of its limit, so its first report is sent early, ahead of
 // the next regular round.
 const newTeamReportIntervalMs = 50;
@@ -75,6 +78,7 @@
   readonly #limitReporter: LimitReporter;
   readonly #dispatcher: Dispatcher;
   readonly #control: ControlClient;
+  readonly #crashes: CrashGuard;
   readonly #api: HttpApi;
   readonly #server: Server;
   readonly #shutdown: Shutdown;
@@ -111,6 +115,7 @@
       random: Math.random,
       tls,
     });
+    this.#crashes = this.#createCrashGuard();
     this.#api = this.#createApi(
       options.claims ?? new ControlClaimClient(this.#control, settings.claimTimeoutMs),
     );
@@ -146,6 +151,7 @@
     });
     this.#runPeriodically(this.#settings.pollIntervalMs, () => this.#refreshFleet());
     this.#runPeriodically(limitReportIntervalMs, () => this.#exchangeLimitShares(false));
+    this.#runPeriodically(crashRefreshIntervalMs, () => this.#crashes.refresh());
     this.#runPeriodically(newTeamReportIntervalMs, () => this.#exchangeLimitShares(true));
     this.#runPeriodically(createDefaultConfig().defaults.servingLeaseMs / renewalsPerLease, () =>
       this.#renewLease(),
@@ -195,12 +201,25 @@
     });
   }
 
+  #createCrashGuard(): CrashGuard {
+    const logger = createLogger("clementinemux-entry", { entry: this.#settings.name });
+    return new CrashGuard({
+      clock: this.#clock,
+      random: Math.random,
+      exchange: (evidence) => exchangeCrashes(this.#relays, evidence),
+      log: (event, fields) => {
+        logger.warn({ ...fields }, event);
+      },
+    });
+  }
+
   #createApi(claims: ClaimClient): HttpApi {
     const settings = this.#settings;
     const logger = createLogger("clementinemux-entry", { entry: settings.name });
     const context: SessionContext = {
       dispatcher: this.#dispatcher,
       fleet: this.#fleet,
+      crashes: this.#crashes,
       metrics: new EntryMetrics(),
       explain: new ExplainLog(settings.explainedRequests),
       explainDecisions: (requestId) => this.#policy.explain(requestId),
--- a/packages/entry/ModelSession.ts
+++ b/packages/entry/ModelSession.ts
@@ -26,6 +26,7 @@
 
 interface ModelSessionOptions {
   readonly request: PolicyRequest;
+  readonly key: string;
   readonly model: ModelRequest;
   readonly sink: ResponseSink;
   readonly claim: ClaimGuard | null;
@@ -59,7 +60,7 @@
   #anyAttemptMayHaveRun = false;
 
   constructor(options: ModelSessionOptions, context: SessionContext) {
-    super(options.request, context, options.claim, options.onSessionEnded);
+    super(options.request, options.key, context, options.claim, options.onSessionEnded);
     this.#options = options;
   }
 
--- a/packages/entry/RelayCaller.ts
+++ b/packages/entry/RelayCaller.ts
@@ -38,6 +38,12 @@
     return null;
   }
 
+  /** Calls every relay. Resolves with the responses of those that responded successfully. */
+  async callAll(name: MessageName, body: unknown, timeoutMs: number): Promise<readonly RelayResponse[]> {
+    const responses = await Promise.all(this.#clients.map((client) => client.call(name, body, timeoutMs)));
+    return responses.flatMap((response) => (response.isRight() ? [{ body: response.extract() }] : []));
+  }
+
   /** Calls only the relay with this address. Resolves with null when it did not respond successfully. */
   async callAt(
     address: string,
--- a/packages/entry/RequestReceiver.ts
+++ b/packages/entry/RequestReceiver.ts
@@ -6,6 +6,7 @@
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
 import { TargetKind } from "@clementinemux/common/TargetKind";
 import { headerNames } from "@clementinemux/common/headerNames";
+import { createRequestKey } from "@clementinemux/crashes/createRequestKey";
 import type { Claimant } from "@clementinemux/messages/Claimant";
 import type { RecordedResponse } from "@clementinemux/messages/RecordedResponse";
 import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
@@ -69,10 +70,14 @@
     const { headers } = incoming.request;
     const isOnce = isAtMostOnce(headers);
     const policyRequest = this.#createPolicyRequest(incoming, TargetKind.Engine, model.model, !isOnce, model);
+    const key = createKey(incoming, policyRequest, body);
+    if (this.#refuseSuspect(incoming, key)) {
+      return;
+    }
     const admitted = await this.#admit(incoming, policyRequest, isOnce, body);
     if (admitted !== null) {
       await this.#run(incoming, (onSessionEnded) =>
-        this.#createModelSession(admitted, model, onSessionEnded),
+        this.#createModelSession(admitted, model, key, onSessionEnded),
       );
     }
   }
@@ -99,6 +104,10 @@
       return;
     }
     const policyRequest = this.#createPolicyRequest(incoming, TargetKind.Service, service, repeatable, null);
+    const key = createKey(incoming, policyRequest, body);
+    if (this.#refuseSuspect(incoming, key)) {
+      return;
+    }
     const admitted = await this.#admit(incoming, policyRequest, hasKey && !repeatable, body);
     if (admitted === null) {
       return;
@@ -110,6 +119,7 @@
         new ServiceSession(
           {
             request: policyRequest,
+            key,
             method: incoming.request.method ?? "GET",
             path: path ?? "/",
             contentType: headers["content-type"] ?? "",
@@ -221,6 +231,7 @@
   #createModelSession(
     admitted: AdmittedRequest,
     model: ModelRequest,
+    key: string,
     onSessionEnded: () => void,
   ): ModelSession {
     const { settings, context } = this.#options;
@@ -237,6 +248,7 @@
     return new ModelSession(
       {
         request: policyRequest,
+        key,
         model,
         sink,
         claim,
@@ -269,14 +281,35 @@
     });
   }
 
-  #refuse({ requestId, response }: IncomingRequest, reason: RefusalReason, outcome: Outcome): void {
+  /** Refuses a request that is suspected of crashing targets. Returns whether it did. */
+  #refuseSuspect(incoming: IncomingRequest, key: string): boolean {
+    const waitMs = this.#options.context.crashes.getWaitMs(key);
+    if (waitMs > 0) {
+      this.#refuse(incoming, RefusalReason.SuspectRequest, Outcome.NotRun, waitMs);
+    }
+    return waitMs > 0;
+  }
+
+  #refuse(
+    { requestId, response }: IncomingRequest,
+    reason: RefusalReason,
+    outcome: Outcome,
+    retryAfterMs?: number,
+  ): void {
     const { context } = this.#options;
     context.metrics.refusals.add(reason);
     context.log("request refused", { requestId, reason });
-    sendProblem(response, createProblem({ requestId, reason, outcome }, context.random));
+    const delays = retryAfterMs === undefined ? {} : { retryAfterMs };
+    sendProblem(response, createProblem({ requestId, reason, outcome, ...delays }, context.random));
   }
 }
 
+/** The idempotency key does not tell requests apart, as the same bytes crash a target under any key. */
+function createKey({ request, path }: IncomingRequest, policyRequest: PolicyRequest, body: Buffer): string {
+  const { kind, model, team } = policyRequest;
+  return createRequestKey([kind, model, team, request.method ?? "GET", path], body);
+}
+
 /** Calls back when the connection closes, or had already closed, before the full response was sent. */
 function onCallerGone(response: ServerResponse, callback: () => void): void {
   const check = (): void => {
--- a/packages/entry/RequestSession.ts
+++ b/packages/entry/RequestSession.ts
@@ -25,9 +25,18 @@
   readonly retryAfterMs: number;
 }
 
+/** Ends of attempts that a crash of the target may show as. */
+const brokenEnds: ReadonlySet<AttemptEndKind> = new Set([
+  AttemptEndKind.StreamBroken,
+  AttemptEndKind.TargetError,
+]);
+
 /** Base of model and service sessions: claims, refusals, recorded responses and logs. */
 export abstract class RequestSession implements Session {
   readonly request: PolicyRequest;
+  /** Equal for all attempts and repeats of the request, at any entry. */
+  readonly #key: string;
+  readonly #links = new Map<string, TargetLink>();
   protected readonly context: SessionContext;
   /** Nothing more is sent to the caller: it has disconnected or has received an error. */
   protected callerDetached = false;
@@ -42,11 +51,13 @@
 
   constructor(
     request: PolicyRequest,
+    key: string,
     context: SessionContext,
     claim: ClaimGuard | null,
     onSessionEnded: () => void,
   ) {
     this.request = request;
+    this.#key = key;
     this.context = context;
     this.#claim = claim;
     this.#onSessionEnded = onSessionEnded;
@@ -147,7 +158,26 @@
       void this.fail(RefusalReason.DeadlinePassed, Outcome.NotRun, 0);
       return;
     }
-    dispatcher.onAttemptEnded(attemptId, end);
+    const link = this.#links.get(attemptId);
+    if (link !== undefined && brokenEnds.has(end)) {
+      void this.context.crashes.examine(this.#key, link).then(() => {
+        this.#endAttempt(attemptId, end);
+      });
+    } else {
+      this.#endAttempt(attemptId, end);
+    }
+  }
+
+  #endAttempt(attemptId: string, end: AttemptEndKind): void {
+    this.#links.delete(attemptId);
+    const waitMs = end === AttemptEndKind.Completed ? 0 : this.context.crashes.getWaitMs(this.#key);
+    if (waitMs > 0 && !this.#ended) {
+      this.context.dispatcher.onCallerGone(this.request.requestId);
+      this.abortAll();
+      void this.fail(RefusalReason.TargetsFailed, Outcome.Unknown, waitMs);
+      return;
+    }
+    this.context.dispatcher.onAttemptEnded(attemptId, end);
     if (this.#abandonedByPolicy && end !== AttemptEndKind.Completed) {
       void this.fail(RefusalReason.TargetsFailed, Outcome.Unknown, 0);
     }
@@ -171,6 +201,7 @@
       return;
     }
     void this.#claim?.complete(record);
+    this.context.crashes.noteAnswered(this.#key);
     this.#close("completed", target);
   }
 
@@ -215,6 +246,8 @@
       this.reportEnd(action.attemptId, AttemptEndKind.ConnectFailed);
       return;
     }
+    this.#links.set(action.attemptId, link);
+    this.context.crashes.noteSent(this.#key);
     this.launch(action, link);
   }
 
--- a/packages/entry/ServiceSession.ts
+++ b/packages/entry/ServiceSession.ts
@@ -17,6 +17,7 @@
 
 interface ServiceSessionOptions {
   readonly request: PolicyRequest;
+  readonly key: string;
   readonly method: UndiciDispatcher.HttpMethod;
   readonly path: string;
   readonly contentType: string;
@@ -50,7 +51,7 @@
   #anyAttemptMayHaveRun = false;
 
   constructor(options: ServiceSessionOptions, context: SessionContext) {
-    super(options.request, context, options.claim, options.onSessionEnded);
+    super(options.request, options.key, context, options.claim, options.onSessionEnded);
     this.#options = options;
     this.#response = options.response;
   }
--- a/packages/entry/SessionContext.ts
+++ b/packages/entry/SessionContext.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
+import type { CrashGuard } from "./CrashGuard";
 import type { Dispatcher } from "./Dispatcher";
 import type { EntryMetrics } from "./EntryMetrics";
 import type { ExplainRecord } from "@clementinemux/policy/ExplainRecord";
@@ -11,6 +12,7 @@
 export interface SessionContext {
   readonly dispatcher: Dispatcher;
   readonly fleet: FleetView;
+  readonly crashes: CrashGuard;
   readonly metrics: EntryMetrics;
   readonly explain: ExplainLog;
   /** Decisions of the policy about a request, with the scores of the candidates. */
--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -17,6 +17,8 @@
 const maxStateBytes = 65_536;
 // A stamp is used only for this share of its permitted age, so that the request can still reach the agent.
 const maxStampAgeShare = 0.8;
+/** An attempt that breaks is examined at once, so that an older crash is not the one that broke it. */
+const recentCrashMs = 1000;
 const clientOptions = {
   pipelining: 1,
   // The entry has its own timeouts for each phase of a request.
@@ -123,6 +125,26 @@
     }
   }
 
+  /**
+   * Resolves with the number of the target's last crash if it is recent, as its agent counts them; 0 if the agent itself
+   * refuses connections, and null for no crash.
+   */
+  async findCrash(timeoutMs: number): Promise<number | null> {
+    const client = this.createFreshClient();
+    try {
+      const { body } = await requestHttp(`${this.#origin}/agent/state`, {
+        dispatcher: client,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const { lastCrash = null } = JSON.parse(await readText(body)) as AgentState;
+      return lastCrash !== null && lastCrash.ageMs <= recentCrashMs ? lastCrash.number : null;
+    } catch (error) {
+      return (error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? 0 : null;
+    } finally {
+      client.destroy().catch(() => undefined);
+    }
+  }
+
   close(): void {
     this.#pool.close().catch(() => undefined);
     this.#pollClient.destroy().catch(() => undefined);
--- a/packages/entry/getProblemStatus.ts
+++ b/packages/entry/getProblemStatus.ts
@@ -15,6 +15,7 @@
   [RefusalReason.DeadlinePassed]: 504,
   [RefusalReason.QueueFull]: 503,
   [RefusalReason.Preempted]: 503,
+  [RefusalReason.SuspectRequest]: 503,
   [RefusalReason.NoTarget]: 503,
   [RefusalReason.TargetsFailed]: 502,
   [RefusalReason.RetryBudgetSpent]: 502,
--- a/packages/entry/test/startFleet.ts
+++ b/packages/entry/test/startFleet.ts
@@ -8,6 +8,8 @@
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
+import { SystemClock } from "@clementinemux/common/SystemClock";
+import { CrashService } from "@clementinemux/membership/CrashService";
 import type { FetchEntriesResponse } from "@clementinemux/membership/FetchEntriesResponse";
 import type { FetchTargetsResponse } from "@clementinemux/membership/FetchTargetsResponse";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
@@ -109,6 +111,7 @@
         entries: [...announced.values()],
         removed: [],
       }),
+      ...new CrashService(new SystemClock()).handlers,
       [MessageName.AnnounceEntry]: (body) => {
         const announcement = body as EntryAnnouncement;
         announced.set(announcement.entry, announcement);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -26,7 +26,7 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
-import { isRefusingConnections } from "./isRefusingConnections";
+import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 /** Limits until the first document is known. */
 const initialLimits: CallerLimits = {
--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -17,6 +17,8 @@
   readonly executions = new Map<string, number>();
   /** Injected fault: closes the connection after the execution, without a response. */
   disconnectAfterExecution = false;
+  /** Injected fault: the target crashes, and no longer listens, as it executes a call with this body. */
+  deadlyBody: string | null = null;
   /** Injected fault: executes requests, but never responds. */
   frozen = false;
   /**
@@ -88,6 +90,10 @@
     const count = (this.executions.get(key) ?? 0) + 1;
     this.executions.set(key, count);
     await delay(this.#settings.executionMs);
+    if (key === this.deadlyBody) {
+      this.close();
+      return;
+    }
     if (this.frozen) {
       return;
     }
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -27,6 +27,7 @@
   LoadReport = "loadReport",
   Order = "order",
   LimitShares = "limitShares",
+  ExchangeCrashes = "exchangeCrashes",
   SyncEntry = "syncEntry",
   AwaitFindings = "awaitFindings",
   ExchangeRegistry = "exchangeRegistry",
--- a/packages/gateway/isRefusingConnections.ts
+++ b/packages/wire/isRefusingConnections.ts
@@ -1,5 +1,5 @@
 import { connect } from "node:net";
-import { parseAddress } from "@clementinemux/wire/parseAddress";
+import { parseAddress } from "./parseAddress";
 
 /** A machine without power does not respond at all, which shows no crash of the target itself. */
 const timeoutMs = 500;
