Need crashes at different times before a request is suspected that was answered before

Two targets of a rack that crash within a moment, with such a request at both, made it a suspect everywhere for two minutes. Reports of crashes now state when the gateway last saw the request answered; what was answered in the last five minutes is suspected only after crashes that are 2 s apart, without an answer in between. The new test fails without the rule (three crashes within 0.9 s made it a suspect).

--- a/packages/crashes/CandidateRequest.ts
+++ b/packages/crashes/CandidateRequest.ts
@@ -6,4 +6,6 @@
   readonly parts: readonly string[];
   /** Whether the target had begun to answer it. */
   readonly hasBegun: boolean;
+  /** Time since the reporting process last saw the same request answered, in ms. Missing if it has not, or not lately. */
+  readonly answeredMs?: number;
 }
--- a/packages/crashes/CauseRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -57,6 +57,20 @@
     return this.#presences.size;
   }
 
+  /** The same, where crashes that may have one cause count once. */
+  get separatePresences(): number {
+    const times = [...this.#presences.values()].sort((left, right) => left - right);
+    let lastAtMs = -Infinity;
+    let count = 0;
+    for (const atMs of times) {
+      if (atMs - lastAtMs >= sameCauseMs) {
+        count += 1;
+        lastAtMs = atMs;
+      }
+    }
+    return count;
+  }
+
   /** How much would be lost with this record. */
   get weight(): number {
     return this.#crashes * maxPresences + this.#candidateCrashes + this.#presences.size + this.#reasons.size;
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -158,6 +158,11 @@
     const crash = known ?? new CrashRecord(key, report, nowMs);
     this.#crashes.set(key, crash);
     this.#revision += known === undefined ? 1 : 0;
+    for (const { key: request, answeredMs } of requests) {
+      if (answeredMs !== undefined) {
+        this.#noteAnswered(request, nowMs - ageMs - answeredMs, nowMs);
+      }
+    }
     const isNews = requests.some((request) => !crash.requests.has(request.key));
     // Attributed again here, the crash would count twice for its part.
     crash.add(report);
@@ -174,9 +179,7 @@
       record.notePresence(crash.key, crash.atMs);
     });
     const relapsed = records.filter((record) => record.isRelapseAt(crash.atMs));
-    const repeated = records.filter(
-      ({ key, presences }) => presences >= crashesOfFew && presences > this.#countOthers(key, crash),
-    );
+    const repeated = records.filter((record) => this.#isRepeated(record, crash, nowMs));
     const isNarrow = repeated.length <= fewSuspects;
     const shown = isNarrow ? repeated : repeated.filter(({ presences }) => presences >= crashesOfMany);
     const isNew = (record: CauseRecord): boolean => !record.isSuspectedAt(nowMs, nowMs);
@@ -187,6 +190,17 @@
     }
   }
 
+  /**
+   * Whether crashes show more than that the request was there by chance. One that was answered before is likely to be sound,
+   * and may come so often that it is at each crash of a rack.
+   */
+  #isRepeated(record: CauseRecord, crash: CrashRecord, nowMs: number): boolean {
+    const { key, presences, separatePresences } = record;
+    const isProved = this.#answered.find(key, nowMs) !== null;
+    const count = isProved ? separatePresences : presences;
+    return count >= crashesOfFew && presences > this.#countOthers(key, crash);
+  }
+
   /** Ends the suspicion of a request that was sent again within a mass crash, of which the first two crashes looked like its work. */
   #withdrawInMassCrash(crash: CrashRecord, nowMs: number): void {
     const near = [...this.#crashes.values()].filter((other) => isNear(other, crash));
--- a/packages/crashes/test/deadlyRequests.test.ts
+++ b/packages/crashes/test/deadlyRequests.test.ts
@@ -246,3 +246,21 @@
   t.same(listSuspects(ledger, 5000 + attributedMs), ["a"]);
   t.end();
 });
+
+// Guards against a request in wide use that is refused to all since two targets of a rack crashed while it was at both.
+t.test("a request that was answered before needs crashes at different times", (t) => {
+  const ledger = new CrashLedger();
+  const popular = { ...request("popular"), answeredMs: 200 };
+  crash(ledger, { id: "t-1", atMs: 0, requests: [popular] });
+  crash(ledger, { id: "t-2", atMs: 60, requests: [popular] });
+  crash(ledger, { id: "t-3", atMs: 900, requests: [popular] });
+  t.same(listSuspects(ledger, 900 + attributedMs), [], "a rack");
+  clear(ledger, "request/popular", 3000);
+  crash(ledger, { id: "t-4", atMs: 8000, requests: [request("popular")] });
+  t.same(listSuspects(ledger, 8000 + attributedMs), [], "answered in between");
+  crash(ledger, { id: "t-5", atMs: 8060, requests: [request("popular")] });
+  t.same(listSuspects(ledger, 8060 + attributedMs), []);
+  crash(ledger, { id: "t-6", atMs: 12_000, requests: [request("popular")] });
+  t.same(listSuspects(ledger, 12_000), ["popular"], "sound before, and deadly now");
+  t.end();
+});
--- a/packages/entry/CrashGuard.ts
+++ b/packages/entry/CrashGuard.ts
@@ -57,12 +57,15 @@
       return;
     }
     this.#options.log("target crashed at a request", { target, request: key });
+    const nowMs = this.#now();
+    const answeredAtMs = this.#answered.find(key, nowMs);
+    const answered = answeredAtMs === null ? {} : { answeredMs: nowMs - answeredAtMs };
     const report: CrashReport = {
       // The agent keeps its incarnation when its target crashes.
       target: { id: `${target}/${incarnation}/${crash}`, bornMs: 0 },
       ageMs: 0,
       parts: [],
-      requests: [{ key, parts: [], hasBegun: false }],
+      requests: [{ key, parts: [], hasBegun: false, ...answered }],
       service,
       isIsolated: true,
     };
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -251,7 +251,13 @@
 
   #createReport({ target, atMs, requests }: SeenCrash, nowMs: number): CrashReport {
     const { id, bornMs, service } = target;
-    const list = [...requests.values()];
+    const list = [...requests.values()].map((request) => {
+      const answeredAtMs = this.#answeredRequests.find(request.key, nowMs);
+      // An answer after the crash is told with the watched causes.
+      return answeredAtMs === null || answeredAtMs > atMs
+        ? request
+        : { ...request, answeredMs: atMs - answeredAtMs };
+    });
     const parts = list.filter(({ hasBegun }) => !hasBegun).flatMap((request) => request.parts);
     return {
       target: { id, bornMs },
