Keep what is suspected of crashing targets over a restart of all processes

Suspicions were in memory only: gateways return them to a coordinator that has restarted, but after a restart of all processes each suspect crashed its targets anew, as the soak shows after kill_all. Coordinators with a disk now keep theirs in the file suspicions of the data folder, replaced as a whole at each change; their ends go by the time of day. A file that cannot be read or written costs the suspicions only.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -82,7 +82,8 @@
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.#startedAtMs = clock.monotonicMs();
     const onChanged = (): void => this.#exchange?.sendSoon();
-    this.crashes = new CrashFeed({ incarnation: this.#incarnation, clock, onChanged, logger });
+    const { dataFolder } = options;
+    this.crashes = new CrashFeed({ incarnation: this.#incarnation, clock, onChanged, logger, dataFolder });
     this.#peers = new PeerTable(this.address);
     const { host, metricsPort: port } = options;
     const render = (): string => this.metrics.render() + renderStatus(this.getStatus());
@@ -144,6 +145,7 @@
       isLeading: () => group.hasLease,
       clock,
     });
+    await this.crashes.load();
     await this.#server.listen(host, framePort);
     await this.#metricsPage.start();
     this.#peers.addHints(seeds, clock.monotonicMs());
--- a/packages/control/routes/CrashFeed.ts
+++ b/packages/control/routes/CrashFeed.ts
@@ -1,3 +1,4 @@
+import { join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
@@ -7,6 +8,8 @@
 import { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { AwaitFindingsRequest } from "@clementinemux/registry/AwaitFindingsRequest";
 import type { AwaitFindingsResponse } from "@clementinemux/registry/AwaitFindingsResponse";
+import { systemDisk } from "@clementinemux/storage/systemDisk";
+import { SuspicionFile } from "./SuspicionFile";
 
 interface CrashFeedOptions {
   readonly incarnation: string;
@@ -14,6 +17,8 @@
   /** Called when the findings have changed, for the other coordinators. */
   readonly onChanged: () => void;
   readonly logger: Logger;
+  /** Null for a coordinator without a disk. */
+  readonly dataFolder: string | null;
 }
 
 /** Longest delay of a response while nothing changes. */
@@ -21,6 +26,7 @@
 /** Rounds of responses that may follow each other at once; many crashes together change the findings as often. */
 const maxBurst = 8;
 const roundsPerS = 20;
+const fileName = "suspicions";
 
 /**
  * The crash ledger of a coordinator, and the gateways that wait for a change of its findings. A caller may repeat a request
@@ -31,15 +37,27 @@
   readonly #ledger = new CrashLedger();
   readonly #waiting = new Set<() => void>();
   readonly #rounds: TokenBucket;
+  readonly #file: SuspicionFile | null;
+  /** Tells whether the suspicions have changed since they were saved. */
+  #savedText = "";
   #publishedRevision = 0;
   #timer: NodeJS.Timeout | null = null;
 
   constructor(options: CrashFeedOptions) {
     this.#options = options;
+    const { dataFolder, clock, logger } = options;
+    const path = dataFolder === null ? null : join(dataFolder, fileName);
+    this.#file = path === null ? null : new SuspicionFile({ path, disk: systemDisk, clock, logger });
     const fullSinceMs = this.#now() - (maxBurst / roundsPerS) * 1000;
     this.#rounds = new TokenBucket(roundsPerS, maxBurst, fullSinceMs);
   }
 
+  /** Takes over what was suspected before a restart. */
+  async load(): Promise<void> {
+    const suspicions = (await this.#file?.load()) ?? [];
+    this.merge({ reports: [], answered: [], suspicions });
+  }
+
   merge(evidence: CrashEvidence): void {
     this.#ledger.merge(evidence, this.#now());
     this.#publish();
@@ -99,9 +117,19 @@
     this.#rounds.take(1, this.#now());
     this.#publishedRevision = this.#ledger.revision;
     this.#release();
+    this.#save();
     this.#options.onChanged();
   }
 
+  #save(): void {
+    const suspicions = this.getFindings().suspicions.filter(({ isLifted }) => !isLifted);
+    const text = suspicions.map(({ part, crashes }) => `${part} ${crashes}`).join("\n");
+    if (text !== this.#savedText) {
+      this.#savedText = text;
+      this.#file?.save(suspicions);
+    }
+  }
+
   #release(): void {
     const waiting = [...this.#waiting];
     this.#waiting.clear();
