Count only crashes of targets to which a request was sent after the crash before

Cause: two crashes at the same time count as two experiments. A request that was at both targets before the first of them crashed shows nothing; only one that is sent after a crash does. Candidates now carry the time since they were sent. The new test of the ledger fails without it.

--- a/packages/crashes/CauseRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -21,9 +21,18 @@
 const liftedMs = 20_000;
 /** A request that was suspected within this time is suspected again at its first crash. */
 const relapseMs = 3_600_000;
+/** Reports of two crashes may take times to arrive that differ by this much. */
+const transitMs = 10;
 const maxPresences = 8;
 const maxReasons = 8;
 
+interface Presence {
+  /** When the target crashed. */
+  readonly atMs: number;
+  /** When the request was sent to it. */
+  readonly sentAtMs: number;
+}
+
 /** What is known of one prompt part or request. Pure: the caller passes the current time. */
 export class CauseRecord {
   readonly key: string;
@@ -35,8 +44,8 @@
   #withdrawnAtMs = -Infinity;
   #candidateCrashes = 0;
   #candidateAtMs = -Infinity;
-  /** Crashes since the last answer at which the cause was present, with their times. */
-  readonly #presences = new Map<string, number>();
+  /** Crashes since the last answer at which the cause was present. */
+  readonly #presences = new Map<string, Presence>();
   /** Crashes that the suspicion rests on. */
   readonly #supports = new Set<string>();
   /** Requests with this part, or crashes with many of them, that are different reasons to suspect it; since the last answer. */
@@ -52,23 +61,17 @@
     return this.#crashes;
   }
 
-  /** Crashes since the last answer at which the cause was present. */
+  /**
+   * Crashes since the last answer at which the cause was present. Of crashes at the same time only one counts: only a request
+   * that was sent after a crash shows anew whether it was the cause.
+   */
   get presences(): number {
-    return this.#presences.size;
+    return this.#countPresences(({ sentAtMs }, lastAtMs) => sentAtMs >= lastAtMs - transitMs);
   }
 
   /** The same, where crashes that may have one cause count once. */
   get separatePresences(): number {
-    const times = [...this.#presences.values()].sort((left, right) => left - right);
-    let lastAtMs = -Infinity;
-    let count = 0;
-    for (const atMs of times) {
-      if (atMs - lastAtMs >= sameCauseMs) {
-        count += 1;
-        lastAtMs = atMs;
-      }
-    }
-    return count;
+    return this.#countPresences(({ atMs }, lastAtMs) => atMs - lastAtMs >= sameCauseMs);
   }
 
   /** How much would be lost with this record. */
@@ -86,9 +89,10 @@
   }
 
   /** Notes that the cause was at a target that has crashed. */
-  notePresence(crash: string, atMs: number): void {
-    if (atMs > this.#answeredAtMs && this.#presences.size < maxPresences) {
-      this.#presences.set(crash, atMs);
+  notePresence(crash: string, atMs: number, sentMs: number): void {
+    if (atMs > this.#answeredAtMs && (this.#presences.size < maxPresences || this.#presences.has(crash))) {
+      const sentAtMs = Math.max(atMs - sentMs, this.#presences.get(crash)?.sentAtMs ?? -Infinity);
+      this.#presences.set(crash, { atMs, sentAtMs });
     }
   }
 
@@ -121,8 +125,8 @@
     }
     this.#answeredAtMs = atMs;
     this.#reasons.clear();
-    for (const [crash, crashedAtMs] of this.#presences) {
-      if (crashedAtMs < atMs) {
+    for (const [crash, presence] of this.#presences) {
+      if (presence.atMs < atMs) {
         this.#presences.delete(crash);
       }
     }
@@ -178,6 +182,19 @@
     return { part: this.key, crashes: this.#crashes, ageMs: nowMs - this.#sinceMs, leftMs, isLifted };
   }
 
+  #countPresences(isSeparate: (presence: Presence, lastAtMs: number) => boolean): number {
+    const presences = [...this.#presences.values()].sort((left, right) => left.atMs - right.atMs);
+    let lastAtMs = -Infinity;
+    let count = 0;
+    for (const presence of presences) {
+      if (isSeparate(presence, lastAtMs)) {
+        count += 1;
+        lastAtMs = presence.atMs;
+      }
+    }
+    return count;
+  }
+
   /** A target that begins to answer what crashes targets does not go on. */
   get #isLifted(): boolean {
     return this.#liftedAtMs > this.#sinceMs;
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -174,9 +174,10 @@
 
   /** Suspects the requests that were at several targets when these crashed, without an answer in between. */
   #judgeRepeatedRequests(crash: CrashRecord, nowMs: number): void {
-    const records = [...crash.requests.keys()].map((key) => this.#getRecord(key));
-    records.forEach((record) => {
-      record.notePresence(crash.key, crash.atMs);
+    const records = [...crash.requests.values()].map(({ key, sentMs = 0 }) => {
+      const record = this.#getRecord(key);
+      record.notePresence(crash.key, crash.atMs, sentMs);
+      return record;
     });
     const relapsed = records.filter((record) => record.isRelapseAt(crash.atMs));
     const repeated = records.filter((record) => this.#isRepeated(record, crash, nowMs));
--- a/packages/crashes/CrashRecord.ts
+++ b/packages/crashes/CrashRecord.ts
@@ -38,7 +38,9 @@
       const known = this.requests.get(request.key);
       if (known !== undefined || this.requests.size < maxRequests) {
         const hasBegun = request.hasBegun && known?.hasBegun !== false;
-        this.requests.set(request.key, { ...request, parts: request.parts.slice(0, maxParts), hasBegun });
+        const sentMs = Math.min(request.sentMs ?? 0, known?.sentMs ?? Infinity);
+        const parts = request.parts.slice(0, maxParts);
+        this.requests.set(request.key, { ...request, parts, hasBegun, sentMs });
       }
     }
   }
--- a/packages/crashes/test/deadlyRequests.test.ts
+++ b/packages/crashes/test/deadlyRequests.test.ts
@@ -264,3 +264,15 @@
   t.same(listSuspects(ledger, 12_000), ["popular"], "sound before, and deadly now");
   t.end();
 });
+
+// Guards against a request in wide use that is suspected since two others crashed their targets at the same time.
+t.test("a request that was at two targets before the first of them crashed is no suspect", (t) => {
+  const ledger = new CrashLedger();
+  const popular = { ...request("popular"), sentMs: 40 };
+  crash(ledger, { id: "t-1", atMs: 0, requests: [{ ...request("a"), sentMs: 60 }, popular] });
+  crash(ledger, { id: "t-2", atMs: 15, requests: [{ ...request("b"), sentMs: 60 }, popular] });
+  t.same(listSuspects(ledger, 15), []);
+  crash(ledger, { id: "t-3", atMs: 90, requests: [{ ...request("a"), sentMs: 60 }] });
+  t.same(listSuspects(ledger, 90), ["a"], "it was sent after its first crash");
+  t.end();
+});
--- a/packages/entry/CrashGuard.ts
+++ b/packages/entry/CrashGuard.ts
@@ -50,7 +50,8 @@
   }
 
   /** Resolves when it is known whether an attempt broke since its target has crashed. */
-  async examine(key: string, link: TargetLink): Promise<void> {
+  async examine(key: string, link: TargetLink, sentAtMs: number): Promise<void> {
+    const brokeAtMs = this.#now();
     const { target, incarnation, service } = link.announcement;
     const crash = await link.findCrash(askMs);
     if (crash === null) {
@@ -63,9 +64,9 @@
     const report: CrashReport = {
       // The agent keeps its incarnation when its target crashes.
       target: { id: `${target}/${incarnation}/${crash}`, bornMs: 0 },
-      ageMs: 0,
+      ageMs: nowMs - brokeAtMs,
       parts: [],
-      requests: [{ key, parts: [], hasBegun: false, ...answered }],
+      requests: [{ key, parts: [], hasBegun: false, sentMs: brokeAtMs - sentAtMs, ...answered }],
       service,
       isIsolated: true,
     };
--- a/packages/entry/RequestSession.ts
+++ b/packages/entry/RequestSession.ts
@@ -36,7 +36,8 @@
   readonly request: PolicyRequest;
   /** Equal for all attempts and repeats of the request, at any entry. */
   readonly #key: string;
-  readonly #links = new Map<string, TargetLink>();
+  /** Attempts that have been sent, and when. */
+  readonly #sent = new Map<string, { readonly link: TargetLink; readonly atMs: number }>();
   protected readonly context: SessionContext;
   /** Nothing more is sent to the caller: it has disconnected or has received an error. */
   protected callerDetached = false;
@@ -158,9 +159,9 @@
       void this.fail(RefusalReason.DeadlinePassed, Outcome.NotRun, 0);
       return;
     }
-    const link = this.#links.get(attemptId);
-    if (link !== undefined && brokenEnds.has(end)) {
-      void this.context.crashes.examine(this.#key, link).then(() => {
+    const sent = this.#sent.get(attemptId);
+    if (sent !== undefined && brokenEnds.has(end)) {
+      void this.context.crashes.examine(this.#key, sent.link, sent.atMs).then(() => {
         this.#endAttempt(attemptId, end);
       });
     } else {
@@ -169,7 +170,7 @@
   }
 
   #endAttempt(attemptId: string, end: AttemptEndKind): void {
-    this.#links.delete(attemptId);
+    this.#sent.delete(attemptId);
     const waitMs = end === AttemptEndKind.Completed ? 0 : this.context.crashes.getWaitMs(this.#key);
     if (waitMs > 0 && !this.#ended) {
       this.context.dispatcher.onCallerGone(this.request.requestId);
@@ -246,7 +247,7 @@
       this.reportEnd(action.attemptId, AttemptEndKind.ConnectFailed);
       return;
     }
-    this.#links.set(action.attemptId, link);
+    this.#sent.set(action.attemptId, { link, atMs: this.context.clock.monotonicMs() });
     this.context.crashes.noteSent(this.#key);
     this.launch(action, link);
   }
--- a/packages/gateway/AttemptWatch.ts
+++ b/packages/gateway/AttemptWatch.ts
@@ -5,6 +5,7 @@
 interface AttemptWatchOptions {
   readonly target: TargetRecord;
   readonly causes: RequestCauses;
+  readonly sentAtMs: number;
   /** The target has begun to answer a request with these parts and went on. */
   readonly onPartsAnswered: (parts: readonly string[], nowMs: number) => void;
   /** The target has answered the request completely. */
@@ -28,9 +29,10 @@
   }
 
   /** The request as a candidate, if the target crashes now. */
-  get candidate(): CandidateRequest {
-    const { request, parts } = this.#options.causes;
-    return { key: request, parts, hasBegun: this.#hasBegun };
+  getCandidate(nowMs: number): CandidateRequest {
+    const { causes, sentAtMs } = this.#options;
+    const { request, parts } = causes;
+    return { key: request, parts, hasBegun: this.#hasBegun, sentMs: nowMs - sentAtMs };
   }
 
   noteEvent(nowMs: number): void {
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -92,6 +92,7 @@
     return new AttemptWatch({
       target,
       causes,
+      sentAtMs: this.#now(),
       onPartsAnswered: (parts, nowMs) => {
         this.#noteAnswered(target, this.#answeredParts, parts, nowMs);
       },
@@ -107,8 +108,11 @@
    * Finds out whether a connection broke since its target has crashed. Resolves when this is known here and at the
    * coordinators, or takes too long; `isWaiting` also waits for the attribution of a crash of a group.
    */
-  async examine({ target, candidate }: AttemptWatch, isWaiting: boolean): Promise<void> {
-    const openCase = { target, candidate, atMs: this.#now() };
+  async examine(watch: AttemptWatch, isWaiting: boolean): Promise<void> {
+    const atMs = this.#now();
+    const { target } = watch;
+    const candidate = watch.getCandidate(atMs);
+    const openCase = { target, candidate, atMs };
     if (!(await this.#isCrash(openCase))) {
       this.#keepOpen(openCase);
       return;
@@ -227,8 +231,10 @@
     }
     const crash = known ?? { target, atMs, requests: new Map<string, CandidateRequest>() };
     this.#crashes.set(key, crash);
-    if (crash.requests.size < maxRequestsPerCrash) {
-      crash.requests.set(candidate.key, candidate);
+    const earlier = crash.requests.get(candidate.key);
+    if (earlier !== undefined || crash.requests.size < maxRequestsPerCrash) {
+      const sentMs = Math.min(candidate.sentMs ?? 0, earlier?.sentMs ?? Infinity);
+      crash.requests.set(candidate.key, { ...candidate, sentMs });
     }
     const { key: request, hasBegun } = candidate;
     const report = this.#createReport(crash, this.#now());
