Test heads of responses that are cut off, at the gateway and at the entry

Reported by another operator: a target that stopped within the head of its answer, and clients that got a 200 with an empty or short body.

--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -19,6 +19,8 @@
   disconnectAfterExecution = false;
   /** Injected fault: the target crashes, and no longer listens, as it executes a call with this body. */
   deadlyBody: string | null = null;
+  /** Injected fault: the next response ends after this many bytes of its head. */
+  cutHeadAt: number | null = null;
   /** Injected fault: executes requests, but never responds. */
   frozen = false;
   /**
@@ -94,6 +96,12 @@
       this.close();
       return;
     }
+    if (this.cutHeadAt !== null) {
+      const head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n";
+      response.socket?.end(head.slice(0, this.cutHeadAt));
+      this.cutHeadAt = null;
+      return;
+    }
     if (this.frozen) {
       return;
     }
