Wait for a disk that is full as a coordinator starts with an empty folder

From the report of disks that were full in turn: a process whose folder is empty, as after a lost disk, ended by itself when its disk had no room for the first files. It now waits for room, as for all later writes. The new test failed with ENOSPC before.

--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -86,7 +86,7 @@
     }
     const identityFile = join(folder, "identity");
     if (!existsSync(identityFile)) {
-      await createGroupFiles(folder, disk);
+      await retryWhileFull(() => createGroupFiles(folder, disk));
     }
     const identity = await readSingleRecord<Identity>(identityFile);
     const snapshotFile = join(folder, "snapshot");
@@ -208,19 +208,10 @@
   }
 
   async #retryWhileFull(write: () => Promise<void>): Promise<void> {
-    for (;;) {
-      try {
-        await write();
-        this.#isFull = false;
-        return;
-      } catch (error) {
-        if ((error as NodeJS.ErrnoException).code !== "ENOSPC" || this.#isFailed) {
-          throw error;
-        }
-        this.#isFull = true;
-        await delay(fullDiskRetryMs);
-      }
-    }
+    await retryWhileFull(write, (isFull) => {
+      this.#isFull = isFull;
+      return !this.#isFailed;
+    });
   }
 
   async #removeOldSegments(): Promise<void> {
@@ -232,6 +223,25 @@
   }
 }
 
+/** Repeats a write until the disk has space for it. `onTried` is told whether the disk is full, and returns whether to go on. */
+async function retryWhileFull(
+  write: () => Promise<void>,
+  onTried: (isFull: boolean) => boolean = () => true,
+): Promise<void> {
+  for (;;) {
+    try {
+      await write();
+      onTried(false);
+      return;
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code !== "ENOSPC" || !onTried(true)) {
+        throw error;
+      }
+      await delay(fullDiskRetryMs);
+    }
+  }
+}
+
 async function createGroupFiles(folder: string, disk: DiskOperations): Promise<void> {
   const existing = (await readdir(folder)).filter(
     (name) => !name.endsWith(".tmp") && name !== firstSegmentName,
--- a/packages/storage/test/groupStorage.test.ts
+++ b/packages/storage/test/groupStorage.test.ts
@@ -151,6 +151,23 @@
   t.equal((await GroupStorage.open(folder, fail)).state.entries.length, 1);
 });
 
+// Guards against a process that ends, since its disk is full just as it starts with an empty folder.
+t.test("a disk that is full at the start delays the start", async (t) => {
+  let rejected = 0;
+  const disk = {
+    ...systemDisk,
+    write: (...parts: Parameters<typeof systemDisk.write>) => {
+      rejected += 1;
+      return rejected <= 3
+        ? Promise.reject(Object.assign(new Error("full"), { code: "ENOSPC" }))
+        : systemDisk.write(...parts);
+    },
+  };
+  const storage = await GroupStorage.open(createFolder(), fail, disk);
+  await store(storage, { entries: [entry(1)] });
+  t.ok(rejected > 3);
+});
+
 // Guards against two replicas without a disk with one identity, and against acknowledgements out of order or within the call.
 t.test("storage without a disk", async (t) => {
   const storage = new MemoryStorage();
