Test a planned stop in calm with requests that come late

Reported by another operator: requests that came late in the grace time were passed on and cut off at its end. It does not happen here: calls that may run once, repeatable calls and streams that take 600 ms come until the gateway has ended; each one that was passed on is answered in full, the others get 503.

--- a/packages/gateway/test/stopping.test.ts
+++ b/packages/gateway/test/stopping.test.ts
@@ -132,3 +132,53 @@
   t.ok(rejected.every(({ canReturn }) => canReturn));
   await stop();
 });
+
+// Guards against requests that come late in the grace time, are passed on, and are cut off without an answer at its end.
+t.test("in calm, a stop ends no request that it has passed on, whenever it came", async (t) => {
+  const workMs = 600;
+  const target = new TestTarget(({ id, head }, socket) => {
+    const response = head.includes("/p2/")
+      ? responses.streamHead(id) + responses.chunk(responses.event(1)) + responses.streamEnd
+      : responses.whole(id, "ok");
+    setTimeout(() => socket.write(response), workMs);
+  });
+  const routes = [
+    { ...call, timeoutMs: 1500 },
+    { kind: RouteKind.Idempotent, attempts: 2, timeoutMs: 1500 },
+    { ...stream, timeoutMs: 1500 },
+  ];
+  const { gateway, call: send, stop } = await startGateway(createDocument(1, routes), [target]);
+  const ends = new Map<string, { status: number; isComplete: boolean }>();
+  const pending: Promise<void>[] = [];
+  const state = { isStopped: false };
+  const stopped = gateway.shutDown().then(() => {
+    state.isStopped = true;
+  });
+  for (let index = 0; !state.isStopped; index += 1) {
+    const id = `r${index}`;
+    const sent = send({ path: `/p${index % 3}/`, method: "POST" }, id, "x")
+      .then(({ status, isComplete }) => {
+        ends.set(id, { status, isComplete });
+      })
+      .catch(() => {
+        ends.set(id, { status: 0, isComplete: false });
+      });
+    pending.push(sent);
+    await delay(150);
+  }
+  await stopped;
+  gateway.close();
+  await Promise.all(pending);
+  const passedOn = target.requests.map(({ id }) => ({ id, ...ends.get(id) }));
+  t.ok(passedOn.length >= 5, `${passedOn.length} passed on`);
+  t.same(
+    passedOn.filter(({ status, isComplete }) => status !== 200 || !isComplete),
+    [],
+  );
+  const others = [...ends].filter(([id]) => target.requests.every((request) => request.id !== id));
+  t.ok(
+    others.length > 0 && others.every(([, { status }]) => status === 503),
+    "the others are told that they have not run",
+  );
+  await stop();
+});
