Do not suspect a request for crashes that a suspected one explains

Cause: the second verdict rested on crashes that the first one explains. The new test fails without the rule.

--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -180,7 +180,12 @@
       return record;
     });
     const relapsed = records.filter((record) => record.isRelapseAt(crash.atMs));
-    const repeated = records.filter((record) => this.#isRepeated(record, crash, nowMs));
+    const explained = this.#listExplained(nowMs);
+    const repeated = records.filter(
+      (record) =>
+        this.#isRepeated(record, crash, nowMs) &&
+        [...record.listPresences()].some((presence) => !explained.has(presence)),
+    );
     const isNarrow = repeated.length <= fewSuspects;
     const shown = isNarrow ? repeated : repeated.filter(({ presences }) => presences >= crashesOfMany);
     const isNew = (record: CauseRecord): boolean => !record.isSuspectedAt(nowMs, nowMs);
@@ -191,6 +196,14 @@
     }
   }
 
+  /** Crashes at which a request was present that is suspected for several. */
+  #listExplained(nowMs: number): ReadonlySet<string> {
+    const causes = [...this.#records.values()].filter(
+      (record) => record.presences >= crashesOfFew && record.isSuspectedAt(nowMs, nowMs),
+    );
+    return new Set(causes.flatMap((record) => [...record.listPresences()]));
+  }
+
   /**
    * Whether crashes show more than that the request was there by chance. One that was answered before is likely to be sound,
    * and may come so often that it is at each crash of a rack.
--- a/packages/crashes/test/deadlyRequests.test.ts
+++ b/packages/crashes/test/deadlyRequests.test.ts
@@ -276,3 +276,16 @@
   t.same(listSuspects(ledger, 90), ["a"], "it was sent after its first crash");
   t.end();
 });
+
+// Guards against a request in wide use that was at both crashes of a deadly one, and is suspected after it was found.
+t.test("a request at crashes that a suspected one explains is no suspect", (t) => {
+  const ledger = new CrashLedger();
+  crash(ledger, { id: "t-1", atMs: 0, requests: [request("a")] });
+  crash(ledger, { id: "t-2", atMs: 60, requests: [request("a")] });
+  crash(ledger, { id: "t-1", atMs: 70, requests: [request("popular")] });
+  crash(ledger, { id: "t-2", atMs: 80, requests: [request("popular")] });
+  t.same(listSuspects(ledger, 80), ["a"]);
+  crash(ledger, { id: "t-3", atMs: 5000, requests: [request("popular")] });
+  t.same(listSuspects(ledger, 5000), ["popular"], "a further crash that the other does not explain");
+  t.end();
+});
