Count no crashes from before an answer at a coordinator that has just started

It learns of the answers and of the crashes in one message; the answers came first, when no record of the request existed that could note them, so that crashes from before them counted. Records now begin with the last answer that is known. A crash reported late no longer renews a suspicion that has just begun on it. The new test fails without the change.

--- a/packages/crashes/CauseRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -21,6 +21,8 @@
 const liftedMs = 20_000;
 /** A request that was suspected within this time is suspected again at its first crash. */
 const relapseMs = 3_600_000;
+/** A crash within this time after the suspicion began may be one that it rests on, reported late. */
+const settlingMs = 500;
 /** Reports of two crashes may take times to arrive that differ by this much. */
 const transitMs = 10;
 const maxPresences = 8;
@@ -160,7 +162,8 @@
 
   /** Whether the cause was suspected before a crash at `atMs`, and has not been answered since. */
   isRelapseAt(atMs: number): boolean {
-    return this.#crashes > 0 && !this.#isLifted && atMs > this.#sinceMs && atMs < this.#untilMs + relapseMs;
+    const isLater = atMs > this.#sinceMs + settlingMs && atMs < this.#untilMs + relapseMs;
+    return this.#crashes > 0 && !this.#isLifted && isLater;
   }
 
   mergeSuspicion({ crashes, ageMs, leftMs }: Suspicion, nowMs: number): void {
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -176,6 +176,8 @@
   #judgeRepeatedRequests(crash: CrashRecord, nowMs: number): void {
     const records = [...crash.requests.values()].map(({ key, sentMs = 0 }) => {
       const record = this.#getRecord(key);
+      // A process that has just started learns of answers before it learns of the crashes.
+      record.noteAnswered(this.#answered.find(key, nowMs) ?? -Infinity);
       record.notePresence(crash.key, crash.atMs, sentMs);
       return record;
     });
--- a/packages/crashes/test/deadlyRequests.test.ts
+++ b/packages/crashes/test/deadlyRequests.test.ts
@@ -289,3 +289,18 @@
   t.same(listSuspects(ledger, 5000), ["popular"], "a further crash that the other does not explain");
   t.end();
 });
+
+// Guards against a restarted coordinator that suspects what was answered between the crashes that it is told of.
+t.test("a coordinator that starts anew counts no crashes from before an answer", (t) => {
+  const first = new CrashLedger();
+  const requests = [request("popular")];
+  crash(first, { id: "t-1", atMs: 0, requests });
+  clear(first, "request/popular", 1000);
+  crash(first, { id: "t-2", atMs: 3000, requests });
+  clear(first, "request/popular", 3500);
+  t.same(listSuspects(first, 3500), []);
+  const second = new CrashLedger();
+  second.merge(first.getEvidence(4000), 4000);
+  t.same(listSuspects(second, 4000), []);
+  t.end();
+});
