Test that a stream that has begun ends at once when its rank crashes

Callers of such a stream waited 1.7 s for the attribution of the crash, although it cannot go on while its group is down.

--- a/packages/gateway/test/crashes.test.ts
+++ b/packages/gateway/test/crashes.test.ts
@@ -223,3 +223,27 @@
   t.equal(countRequests(targets), 2);
   await stop();
 });
+
+// Guards against callers of a stream that has begun who wait for an attribution, although it cannot go on.
+t.test("a stream that has begun and whose rank crashes is ended at once", async (t) => {
+  const { streamHead, chunk, event, notRun } = responses;
+  let sends = 0;
+  const targets: TestTarget[] = [0, 1].map(
+    (index) =>
+      new TestTarget(({ id }, socket) => {
+        sends += 1;
+        if (sends === 1) {
+          socket.write(streamHead(id) + chunk(event(1)));
+          setTimeout(() => targets[index]?.close(), 50);
+        } else {
+          socket.write(notRun(id));
+        }
+      }),
+  );
+  const { call, stop } = await startGateway(document, targets);
+  const startedAtMs = performance.now();
+  const { body, isComplete } = await call(post("shared"), "r1", "x");
+  t.same({ body, isComplete }, { body: event(1), isComplete: false });
+  t.ok(performance.now() - startedAtMs < 1000, "not after the 1.7 s of an attribution");
+  await stop();
+});
--- a/packages/gateway/test/repeatedId.test.ts
+++ b/packages/gateway/test/repeatedId.test.ts
@@ -1,22 +1,12 @@
 import type { Socket } from "node:net";
 import t from "tap";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
-import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import { createDocument } from "../../routes/test/createDocument";
 import { TestTarget } from "./TestTarget";
+import { rankService } from "./rankService";
 import { responses } from "./responses";
 import { startGateway } from "./startGateway";
 
-const experts = {
-  ...{ layerSets: 4, expertsPerSet: 64, placements: 11, spare: 2, expertMb: 2500, expertShare: 0.8 },
-  ...{ linkMbps: 180_000, formMs: 600 },
-};
-const engine = {
-  ...{ slots: 8, kvCapacityTokens: 100_000, stride: 4, stepMs: 4.5, perSequenceMs: 1 },
-  ...{ perThousandContextMs: 0, readPerSecond: 60_000, chunkTokens: 512 },
-  ...{ meanPromptTokens: 800, meanAnswerTokens: 100, experts },
-};
-const service: RoutedService = { name: "app", healthPath: "/health", maxConnections: 100, engine };
 /** Targets reject this many requests, after which the group has recovered. */
 const rejections = 2;
 
@@ -42,7 +32,7 @@
       }),
   );
   const document = createDocument(1, [{ kind: RouteKind.NonIdempotent, timeoutMs: 8000, attempts: 6 }]);
-  const { call, stop } = await startGateway({ ...document, services: [service] }, targets);
+  const { call, stop } = await startGateway({ ...document, services: [rankService] }, targets);
   t.teardown(stop);
   await call({ path: "/p0/", headers: { "x-left": "8000" } }, "warm");
   const { status } = await call({ path: "/p0/", method: "POST", headers: { "x-left": "7000" } }, "r1", "x");
