Look for explained crashes among suspects only

Each report of a crash counted the presences of all 1,024 records, though only suspects matter; in a mass crash of a large fleet a coordinator gets thousands of reports in a second. A suspicion that has been withdrawn is not withdrawn again. No verdict changes: the tests of crashes pass.

--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -201,7 +201,7 @@
   /** Crashes at which a request was present that is suspected for several. */
   #listExplained(nowMs: number): ReadonlySet<string> {
     const causes = [...this.#records.values()].filter(
-      (record) => record.presences >= crashesOfFew && record.isSuspectedAt(nowMs, nowMs),
+      (record) => record.isSuspectedAt(nowMs, nowMs) && record.presences >= crashesOfFew,
     );
     return new Set(causes.flatMap((record) => [...record.listPresences()]));
   }
@@ -223,7 +223,8 @@
     for (const other of near) {
       for (const key of other.requests.keys()) {
         const record = this.#records.get(key);
-        if (record?.crashes === 1 && record.presences <= this.#countOthers(key, other)) {
+        const isFresh = record?.crashes === 1 && record.isSuspectedAt(nowMs, nowMs);
+        if (isFresh && record.presences <= this.#countOthers(key, other)) {
           record.withdraw(nowMs);
           this.#revision += 1;
         }
