Tell an agent's 502 for a broken target from an answer of the target

Found while reading the change: an agent answers a call whose target has crashed with a 502 of its own, which the entry passed on as the service's response. Callers of repeatable calls got it without another try, it was recorded for a claimed call as its response, and it counted as an answer, so that no crash behind an agent was attributed to a service call. The agent marks it now, and the entry takes it for a broken connection: repeatable calls are tried again, claimed ones end as unknown. A response with a 5xx is no answer that clears a request. The new test fails without the change of the entry; 221 tests of entry, agent, system, demo and cli pass.

--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -1,6 +1,7 @@
 import { Agent as HttpAgent, request as requestHttp } from "node:http";
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from "node:http";
 import { Outcome } from "@clementinemux/common/Outcome";
+import { headerNames } from "@clementinemux/common/headerNames";
 import type { Address } from "@clementinemux/wire/Address";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
 import { limitAbandonedCall } from "./limitAbandonedCall";
@@ -158,6 +159,10 @@
 }
 
 function respondUnknown(response: ServerResponse, headers: Readonly<Record<string, string>>): void {
-  response.writeHead(502, { ...headers, "content-type": "application/json" });
+  response.writeHead(502, {
+    ...headers,
+    "content-type": "application/json",
+    [headerNames.targetLost]: "1",
+  });
   response.end(JSON.stringify({ outcome: Outcome.Unknown, reason: "target_connection_lost" }));
 }
--- a/packages/common/headerNames.ts
+++ b/packages/common/headerNames.ts
@@ -11,6 +11,8 @@
   deadlineMs: "clementinemux-deadline-ms",
   /** Set by an agent on a response of its own, to distinguish it from a response of the target. */
   refusedBy: "clementinemux-refused-by",
+  /** Set by an agent on its response to a request whose connection to the target broke. */
+  targetLost: "clementinemux-target-lost",
   idempotencyKey: "idempotency-key",
   idempotencyMode: "idempotency-mode",
   idempotencyCreated: "idempotency-created",
--- a/packages/entry/RequestSession.ts
+++ b/packages/entry/RequestSession.ts
@@ -196,13 +196,18 @@
     };
   }
 
-  /** Ends the request after the full response was passed to the caller's connection. */
-  protected succeed(record: RecordedResponse | null, target: string): void {
+  /**
+   * Ends the request after the full response was passed to the caller's connection. `isAnswered` states whether the target
+   * has run it without a failure.
+   */
+  protected succeed(record: RecordedResponse | null, target: string, isAnswered = true): void {
     if (this.#ended) {
       return;
     }
     void this.#claim?.complete(record);
-    this.context.crashes.noteAnswered(this.#key);
+    if (isAnswered) {
+      this.context.crashes.noteAnswered(this.#key);
+    }
     this.#close("completed", target);
   }
 
--- a/packages/entry/ServiceSession.ts
+++ b/packages/entry/ServiceSession.ts
@@ -15,6 +15,8 @@
 import type { UpstreamListener } from "./UpstreamListener";
 import { sendProblem } from "./sendProblem";
 
+const firstFailureStatus = 500;
+
 interface ServiceSessionOptions {
   readonly request: PolicyRequest;
   readonly key: string;
@@ -78,6 +80,11 @@
       this.#refusal = AttemptEndKind.AgentRefused;
       return;
     }
+    if (headers[headerNames.targetLost] !== undefined) {
+      running.call.abort();
+      this.#end(AttemptEndKind.StreamBroken);
+      return;
+    }
     const echoedAttemptId = headers[headerNames.attemptId];
     if (echoedAttemptId !== undefined && echoedAttemptId !== running.attemptId) {
       running.call.abort();
@@ -119,7 +126,7 @@
     this.#running = null;
     this.#response?.end();
     this.reportEnd(running.attemptId, AttemptEndKind.Completed);
-    this.succeed(this.#getRecord(), running.link.announcement.target);
+    this.succeed(this.#getRecord(), running.link.announcement.target, this.#status < firstFailureStatus);
   }
 
   onError(written: boolean): void {
--- a/packages/entry/test/deadlyRequests.test.ts
+++ b/packages/entry/test/deadlyRequests.test.ts
@@ -14,13 +14,14 @@
   return { status: reply.statusCode, retryAfterS: Number(reply.headers["retry-after"] ?? 0), reason };
 }
 
-async function start(repeatable: boolean) {
+async function start(repeatable: boolean, hasAgent = false) {
   const orders = { ...services.orders, repeatable };
   const fleet = await startFleet({
     ...{ entryCount: 2, serviceCount: 5, defaults: { ...defaults, services: { orders } } },
   });
   fleet.services.forEach((service) => {
     service.deadlyBody = deadly;
+    service.hasAgent = hasAgent;
   });
   const countCrashes = (): number => fleet.services.filter(({ executions }) => executions.has(deadly)).length;
   return { fleet, countCrashes };
@@ -56,3 +57,14 @@
   t.equal(countCrashes(), 2);
   await fleet.stop();
 });
+
+// Guards against a crash that counts as an answer, since the agent before the target goes on and answers in its place.
+t.test("crashes behind an agent count as crashes", async (t) => {
+  const { fleet, countCrashes } = await start(true, true);
+  const [first = ""] = fleet.urls;
+  t.match(await order(first, deadly), { status: 502, reason: "targets_failed" });
+  t.equal(countCrashes(), 2);
+  t.match(await order(first, deadly), { status: 503, reason: "suspect_request" });
+  t.equal(countCrashes(), 2);
+  await fleet.stop();
+});
--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -19,6 +19,9 @@
   disconnectAfterExecution = false;
   /** Injected fault: the target crashes, and no longer listens, as it executes a call with this body. */
   deadlyBody: string | null = null;
+  /** Whether only the target crashes, and the agent before it goes on and reports that. */
+  hasAgent = false;
+  #crashedAtMs: number | null = null;
   /** Injected fault: the next response ends after this many bytes of its head. */
   cutHeadAt: number | null = null;
   /** Injected fault: executes requests, but never responds. */
@@ -64,6 +67,10 @@
         inFlight: 0,
         load: null,
         revision: 0,
+        lastCrash:
+          this.#crashedAtMs === null
+            ? null
+            : { number: 1, ageMs: Math.round(performance.now() - this.#crashedAtMs) },
         group: null,
       };
       response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(state));
@@ -92,6 +99,12 @@
     const count = (this.executions.get(key) ?? 0) + 1;
     this.executions.set(key, count);
     await delay(this.#settings.executionMs);
+    if (key === this.deadlyBody && this.hasAgent) {
+      this.#crashedAtMs = performance.now();
+      response.writeHead(502, { "content-type": "application/json", [headerNames.targetLost]: "1" });
+      response.end(JSON.stringify({ outcome: "unknown", reason: "target_connection_lost" }));
+      return;
+    }
     if (key === this.deadlyBody) {
       this.close();
       return;
