Share the looks at a target that may have crashed, and one constant of crashes

The gateway and the agent each looked three times whether a target has stopped listening, by a loop and a table of their own; hasStoppedListening serves both. The time within which crashes may have one cause stood in CauseRecord and in CrashLedger.

--- a/packages/agent/TargetCrashes.ts
+++ b/packages/agent/TargetCrashes.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import { hasStoppedListening } from "@clementinemux/wire/hasStoppedListening";
 import type { TargetCrash } from "./TargetCrash";
 
 interface TargetCrashesOptions {
@@ -7,8 +8,6 @@
   readonly isRefusing: () => Promise<boolean>;
 }
 
-/** Times from a break until the looks at the target, which may close its connections before it stops listening. */
-const looksMs: readonly number[] = [0, 10, 20];
 /** Requests that broke within this time were at the same crash. */
 const sameCrashMs = 200;
 
@@ -31,13 +30,9 @@
   /** To be called when the connection of a request breaks; resolves when it is known whether the target has crashed. */
   async examine(): Promise<void> {
     const atMs = this.#options.clock.monotonicMs();
-    for (const lookMs of looksMs) {
-      await new Promise((resolve) => setTimeout(resolve, lookMs));
-      if (await this.#options.isRefusing()) {
-        this.#count += atMs - this.#lastAtMs > sameCrashMs ? 1 : 0;
-        this.#lastAtMs = atMs;
-        return;
-      }
+    if (await hasStoppedListening(this.#options.isRefusing)) {
+      this.#count += atMs - this.#lastAtMs > sameCrashMs ? 1 : 0;
+      this.#lastAtMs = atMs;
     }
   }
 }
--- a/packages/crashes/CauseRecord.ts
+++ b/packages/crashes/CauseRecord.ts
@@ -1,6 +1,7 @@
 import { CauseKind } from "./CauseKind";
 import type { Suspicion } from "./Suspicion";
 import { getCauseKind } from "./getCauseKind";
+import { sameCauseMs } from "./sameCauseMs";
 
 /**
  * How long a cause is suspected, by the crashes that are attributed to it. The end of a right suspicion costs another crash.
@@ -15,8 +16,6 @@
  * answer tells them apart.
  */
 const ambiguousMs = 15_000;
-/** Crashes within this time may have one cause, as those of several targets at once. */
-const sameCauseMs = 2000;
 /** A suspicion that was lifted is reported for this long, so that all processes learn of it. */
 const liftedMs = 20_000;
 /** A request that was suspected within this time is suspected again at its first crash. */
--- a/packages/crashes/CrashLedger.ts
+++ b/packages/crashes/CrashLedger.ts
@@ -6,6 +6,7 @@
 import { CrashRecord } from "./CrashRecord";
 import type { CrashReport } from "./CrashReport";
 import { getCauseKind } from "./getCauseKind";
+import { sameCauseMs } from "./sameCauseMs";
 
 interface CrashLedgerOptions {
   /**
@@ -31,8 +32,6 @@
 const reportedMs = 10_000;
 /** Longer, so that no other process still reports a crash that was forgotten here, which would count it again. */
 const rememberedMs = 20_000;
-/** Crashes of one service within this time may have a cause outside of the requests, as the loss of a rack. */
-const sameCauseMs = 2000;
 const maxCrashes = 64;
 const maxRecords = 1024;
 /** Gateways are asked for no more causes than this. */
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -10,6 +10,7 @@
 import type { CrashReport } from "@clementinemux/crashes/CrashReport";
 import { SuspectTable } from "@clementinemux/crashes/SuspectTable";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { hasStoppedListening } from "@clementinemux/wire/hasStoppedListening";
 import { AttemptWatch } from "./AttemptWatch";
 import type { RequestCauses } from "./RequestCauses";
 
@@ -44,8 +45,6 @@
 const reportedMs = 3000;
 const maxCrashes = 64;
 const maxRequestsPerCrash = 64;
-/** Times from a break until the next looks at its target, which may close its connections before it stops listening. */
-const looksMs: readonly number[] = [0, 10, 20];
 /** The last look, for which the request does not wait. */
 const lastLookMs = 250;
 /** Time within which the registry shows that a target was replaced. */
@@ -113,7 +112,7 @@
     const { target } = watch;
     const candidate = watch.getCandidate(atMs);
     const openCase = { target, candidate, atMs };
-    if (!(await this.#isCrash(openCase))) {
+    if (!(await hasStoppedListening(() => this.#look(openCase)))) {
       this.#keepOpen(openCase);
       return;
     }
@@ -175,16 +174,6 @@
     });
   }
 
-  async #isCrash(openCase: OpenCase): Promise<boolean> {
-    for (const pauseMs of looksMs) {
-      await delay(pauseMs, undefined, { ref: false });
-      if (await this.#look(openCase)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   async #look({ target }: OpenCase): Promise<boolean> {
     const { isRefusing, isReplaced } = this.#options;
     const timeout = delay(askMs, false, { ref: false });
