--- a/review/lib/callApi.ts
+++ b/review/lib/callApi.ts
@@ -6,8 +6,11 @@
 }
 
 const timeoutMs = 1000;
+/** Callers wait longer for an answer to a large body. */
+const largeBodyBytes = 100_000;
+const largeTimeoutMs = 5000;
 
-/** Sends one call to a coordinator on a new connection. Resolves with null without an answer within a second. */
+/** Sends one call to a coordinator on a new connection. Resolves with null without an answer in time. */
 export function callApi(
   address: { readonly host: string; readonly port: number },
   method: string,
@@ -17,7 +20,8 @@
   return new Promise((resolve) => {
     const headers = body === null ? {} : { "Content-Type": "application/json" };
     const call = request({ ...address, method, path, headers, agent: false });
-    call.setTimeout(timeoutMs, () => call.destroy());
+    const isLarge = (body?.length ?? 0) > largeBodyBytes;
+    call.setTimeout(isLarge ? largeTimeoutMs : timeoutMs, () => call.destroy());
     call.on("error", () => {
       resolve(null);
     });
