--- a/review/lib/Runner.ts
+++ b/review/lib/Runner.ts
@@ -7,7 +7,7 @@
 interface RunnerOptions {
   readonly id: string;
   readonly service: string;
-  /** How long a request takes, in ms. */
+  /** How long a request takes on average, in ms. */
   readonly workMs: number;
   readonly control: readonly { readonly host: string; readonly port: number }[];
   readonly recorder: Recorder;
@@ -23,6 +23,8 @@
 
 const heartbeatMs = 1200;
 const slots = 6;
+/** Shortest and longest time of a request, as a share of the mean. */
+const workRange: readonly [number, number] = [0.5, 1.5];
 
 /** Stand-in of a runner of a plain service: registers, runs requests, and answers 421 to those for another runner. */
 export class Runner {
@@ -45,6 +47,11 @@
     return this.#options.id;
   }
 
+  get place(): { readonly host: string; readonly port: number } {
+    const { port } = this.#server.address() as AddressInfo;
+    return { host: "127.0.0.1", port };
+  }
+
   async start(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.#server.listen(0, "127.0.0.1", resolve);
@@ -59,10 +66,10 @@
   /** Body of its next heartbeat. */
   createHeartbeat(): string {
     this.#sequence += 1;
-    const { port } = this.#server.address() as AddressInfo;
+    const { host, port } = this.place;
     return JSON.stringify({
       service: this.#options.service,
-      address: `127.0.0.1:${port}`,
+      address: `${host}:${port}`,
       zone: "edge-1",
       version: "v1",
       slots,
@@ -121,13 +128,15 @@
         atMs: recorder.nowMs,
       });
       recorder.note(`${id}: runs ${attempt}`);
+      const [least, most] = workRange;
+      const share = least + (most - least) * Math.random();
       setTimeout(() => {
         if (response.destroyed || answer?.(request, response) === true) {
           return;
         }
         const headers = { "Attempt-Id": attempt, "Response-Stamp": `stamp-${attempt}`, "Content-Length": 3 };
         response.writeHead(200, headers).end("ok\n");
-      }, workMs);
+      }, workMs * share);
     });
   }
 }
--- a/review/lib/StreamClient.ts
+++ b/review/lib/StreamClient.ts
@@ -8,6 +8,8 @@
   readonly key: string;
   readonly deadlineMs: number;
   readonly recorder: Recorder;
+  /** Id of the runner that the client calls itself, without a gateway. */
+  readonly runner?: string;
 }
 
 interface StreamOutcome {
@@ -34,9 +36,9 @@
     this.#options = options;
   }
 
-  /** Sends requests until `stop` is called; resolves after the last one. */
-  async run(): Promise<void> {
-    while (!this.#isStopping) {
+  /** Sends requests until `stop` is called, `most` at most; resolves after the last one. */
+  async run(most = Infinity): Promise<void> {
+    while (!this.#isStopping && this.#sent < most) {
       const outcome = await this.#send();
       this.outcomes.push(outcome);
       const { status, isComplete, events } = outcome;
@@ -51,7 +53,7 @@
   }
 
   #send(): Promise<StreamOutcome> {
-    const { name, gateway, path, key, deadlineMs } = this.#options;
+    const { name, gateway, path, key, deadlineMs, runner } = this.#options;
     this.#sent += 1;
     const id = `${name}-${this.#sent}`;
     const headers = {
@@ -59,6 +61,7 @@
       "Attempt-Id": id,
       "Deadline-Ms": String(deadlineMs),
       Authorization: `Bearer ${key}`,
+      ...(runner === undefined ? {} : { "Target-Instance": runner }),
     };
     return new Promise((resolve) => {
       let text = "";
--- a/review/lib/playLoss.ts
+++ b/review/lib/playLoss.ts
@@ -15,7 +15,7 @@
 
 /** `contact_ms` of the sites, with a margin: from then on all machines are in touch. */
 const contactMs = 3500;
-const watchedMs = 12_000;
+const watchedMs = 10_000;
 const clientsPerGateway = 12;
 /** LOST is broken by more than this many requests of one machine. */
 const allowedLosses = 3;
