--- a/review/lib/Client.ts
+++ b/review/lib/Client.ts
@@ -57,6 +57,7 @@
     this.#sent += 1;
     const id = `${name}-${this.#sent}`;
     const sentAtMs = recorder.nowMs;
+    recorder.note(`${id}: sent to ${gateway.host}`);
     return new Promise((resolve) => {
       const headers = {
         Host: "shop.example",
--- a/review/lib/Fleet.ts
+++ b/review/lib/Fleet.ts
@@ -26,9 +26,11 @@
   readonly machines: readonly Machine[];
   readonly #folder = mkdtempSync(join(tmpdir(), "review-"));
   readonly #ports: readonly number[];
+  readonly #recorder: Recorder;
 
   private constructor(ports: readonly number[], recorder: Recorder) {
     this.#ports = ports;
+    this.#recorder = recorder;
     this.machines = hosts.map((host, index) => {
       const place = { folder: this.#folder, recorder };
       return {
@@ -84,6 +86,7 @@
       for (const address of this.controlAddresses) {
         const response = await callApi(address, "PUT", "/config", body);
         if (response?.status === 200) {
+          this.#recorder.note(`operator: ${body} acknowledged by ${address.host}`);
           return;
         }
       }
--- a/review/lib/StreamClient.ts
+++ b/review/lib/StreamClient.ts
@@ -53,9 +53,10 @@
   }
 
   #send(): Promise<StreamOutcome> {
-    const { name, gateway, path, key, deadlineMs, runner } = this.#options;
+    const { name, gateway, path, key, deadlineMs, runner, recorder } = this.#options;
     this.#sent += 1;
     const id = `${name}-${this.#sent}`;
+    recorder.note(`${id}: sent to ${gateway.host}`);
     const headers = {
       Host: "shop.example",
       "Attempt-Id": id,
--- a/review/lib/runCase.ts
+++ b/review/lib/runCase.ts
@@ -21,6 +21,10 @@
   const recorder = new Recorder();
   let code = failedExitCode;
   let fleet: Fleet | null = null;
+  // `timeout` in run.sh ends the case in this way.
+  process.once("SIGTERM", () => {
+    void (fleet?.stop() ?? Promise.resolve()).then(() => process.exit(failedExitCode));
+  });
   try {
     fleet = await Fleet.start(recorder);
     const context = { fleet, recorder, hasTrouble };
