Refuse heartbeats whose id no header can carry

Cause: only the length of an id was checked. The gateway writes it in a header, and Node's writer throws ERR_INVALID_CHAR there, in a timer or an event handler.

Change: an id is 1 to 256 characters of visible ASCII.

--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -1,5 +1,6 @@
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { isTargetId } from "@clementinemux/registry/isTargetId";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
 import { matchAddress } from "@clementinemux/wire/matchAddress";
 import type { FleetState } from "./FleetState";
@@ -87,8 +88,10 @@
    * lists them as gone.
    */
   #updateTargets(targets: readonly TargetRecord[], isComplete: boolean): void {
-    // Coordinators of earlier releases also list targets whose address cannot be used.
-    const present = targets.filter(({ isGone, address }) => !isGone && matchAddress(address) !== null);
+    // Coordinators of earlier releases also list targets whose id or address cannot be used.
+    const present = targets.filter(
+      ({ id, isGone, address }) => !isGone && isTargetId(id) && matchAddress(address) !== null,
+    );
     const listedBornMs = new Map(targets.map(({ id, bornMs }) => [id, bornMs]));
     const addresses = new Set(present.map(({ address }) => address));
     const kept = isComplete
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -9,6 +9,7 @@
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import { createSyncResponse } from "@clementinemux/standins/gateway/createSyncResponse";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
@@ -35,13 +36,15 @@
   const leaving: SyncRequest["leaving"] = [];
   const crashes = null as CrashEvidence | null;
   const findings = null as CrashFindings | null;
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings };
+  /** Targets that the coordinator lists besides `targets`. */
+  const otherTargets: TargetRecord[] = [];
+  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
     state.crashes = crashes ?? null;
     const { version } = state.document;
-    const response = createSyncResponse({
+    const listed = createSyncResponse({
       service: "app",
       addresses: targets.map(({ address }) => address),
       slots: 4,
@@ -49,6 +52,7 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
+    const response = { ...listed, targets: [...(listed.targets ?? []), ...state.otherTargets] };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -2,6 +2,7 @@
 import type { RegistryRecord } from "./RegistryRecord";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetRecord } from "./TargetRecord";
+import { isTargetId } from "./isTargetId";
 
 /**
  * A target without a heartbeat for this long is no longer listed to gateways: three intervals of 1.2 s and a
@@ -23,8 +24,8 @@
 
   /** Applies a record received from the target or from another coordinator. Returns whether it is new. */
   put(received: TargetRecord, seenAtMs: number, via: string | null = null): boolean {
-    // A coordinator of an earlier release may pass on a target whose address cannot be used.
-    if (matchAddress(received.address) === null) {
+    // A coordinator of an earlier release may pass on a target whose id or address cannot be used.
+    if (!isTargetId(received.id) || matchAddress(received.address) === null) {
       return false;
     }
     const known = this.#records.get(received.id);
