Look up loads and paces of targets by own properties only

An id like "constructor" found an inherited property in place of a number, so that the pace of its target was a function and the target got no requests. Records by id are read with getOwn, and sums are collected in a Map.

Measured: the new test of gateway/test/oddTargets fails before (four of five targets get none of 60 requests) and passes now.

--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -1,3 +1,4 @@
+import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
@@ -203,7 +204,7 @@
   /** Slow groups are left out, since the time of a pass sets the concurrency limit of the whole service. */
   #notePass(gapMs: number): void {
     const { getPassMeter, view } = this.#context;
-    const slowdown = view.state.slowdowns[this.#attempt?.targetId ?? ""] ?? 1;
+    const slowdown = getOwn(view.state.slowdowns, this.#attempt?.targetId ?? "") ?? 1;
     if (slowdown < slowGroupThreshold) {
       getPassMeter(this.#routed.service.name).note(gapMs, this.#now());
     }
--- a/packages/gateway/RequestLog.ts
+++ b/packages/gateway/RequestLog.ts
@@ -1,3 +1,4 @@
+import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { RoutedRequest } from "./RoutedRequest";
 import type { ServiceLoad } from "./ServiceLoad";
@@ -35,7 +36,7 @@
         target: target.id,
         attempt,
         load: loads.getLoad(target),
-        pace: view.state.slowdowns[target.id] ?? 1,
+        pace: getOwn(view.state.slowdowns, target.id) ?? 1,
         resumeAfter: this.#relay.lastEventId,
         waitedMs: Math.round(waitedMs),
         ...this.#describeLoad(serviceLoad),
--- a/packages/gateway/TargetLoads.ts
+++ b/packages/gateway/TargetLoads.ts
@@ -1,3 +1,4 @@
+import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { FleetState } from "./FleetState";
 
@@ -27,7 +28,7 @@
   }
 
   getLoad({ id }: TargetRecord): number {
-    return (this.#own.get(id) ?? 0) + (this.#getState().othersInFlight[id] ?? 0);
+    return (this.#own.get(id) ?? 0) + (getOwn(this.#getState().othersInFlight, id) ?? 0);
   }
 
   listOwn(): Record<string, number> {
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -1,3 +1,4 @@
+import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ServiceLoad } from "./ServiceLoad";
@@ -41,7 +42,7 @@
     id: target.id,
     slots: service.engine?.slots ?? target.slots,
     load: loads.getLoad(target),
-    weight: health.getWeight(target.id) / (view.state.slowdowns[target.id] ?? 1) ** slowdownPower,
+    weight: health.getWeight(target.id) / (getOwn(view.state.slowdowns, target.id) ?? 1) ** slowdownPower,
     isNear: target.failureDomain === options.failureDomain,
   }));
   const id = chooseByFreeSlots(candidates, queueSlots, options.random);
--- a/packages/gateway/splitBySlowdown.ts
+++ b/packages/gateway/splitBySlowdown.ts
@@ -1,3 +1,4 @@
+import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { slowGroupThreshold } from "./slowGroupThreshold";
 
@@ -24,13 +25,13 @@
   targets: readonly TargetRecord[],
   slowdowns: Readonly<Record<string, number>>,
 ): SplitTargets {
-  const healthy = targets.filter(({ id }) => (slowdowns[id] ?? 1) < slowGroupThreshold);
+  const healthy = targets.filter(({ id }) => (getOwn(slowdowns, id) ?? 1) < slowGroupThreshold);
   const isGroup = targets.length - healthy.length >= targets.length * minSlowShare;
   if (!isGroup || healthy.length === 0) {
     return { healthy: targets, slow: [] };
   }
   const slow = targets.filter(({ id }) => {
-    const slowdown = slowdowns[id] ?? 1;
+    const slowdown = getOwn(slowdowns, id) ?? 1;
     return slowdown >= slowGroupThreshold && slowdown < maxUsableSlowdown;
   });
   return { healthy, slow };
--- a/packages/gateway/test/oddTargets.test.ts
+++ b/packages/gateway/test/oddTargets.test.ts
@@ -8,6 +8,8 @@
 import { startGateway } from "./startGateway";
 
 const oddIds = ["\n", "i\u0000", "i\u007f", "i-\u2019", "i-\u{1f600}"];
+/** Ids that may name a target, and that objects inherit properties for. */
+const inheritedIds = ["constructor", "toString", "__proto__", "hasOwnProperty"];
 
 function createRecord(id: string, address: string): TargetRecord {
   return {
@@ -29,6 +31,20 @@
   await stop();
 });
 
+// Guards against an id for which records have an inherited property in place of a number: its target got no requests.
+t.test("a target may be named like an inherited property", async (t) => {
+  const target = new TestTarget(({ id }, socket) => socket.write(responses.whole(id, "ok")));
+  const { state, call, stop } = await startGateway(createDocument(1), [target]);
+  state.otherTargets.push(...inheritedIds.map((id) => createRecord(id, target.address)));
+  await delay(500);
+  for (let request = 0; request < 60; request += 1) {
+    t.equal((await call({ path: "/p0/" }, `r${request}`)).status, 200);
+  }
+  const chosen = target.requests.map(({ head }) => /x-target: (\S+)/.exec(head)?.[1]);
+  t.same([...new Set(chosen)].sort(), ["t-0", ...inheritedIds].sort());
+  await stop();
+});
+
 // Guards against an odd id that one coordinator passes on to the others.
 t.test("the registry takes no id that no header can carry", (t) => {
   const registry = new TargetRegistry();
--- a/packages/registry/EntryRegistry.ts
+++ b/packages/registry/EntryRegistry.ts
@@ -45,15 +45,15 @@
 
   /** Requests in flight by target, summed over all entries except `except`. */
   sumInFlight(except: string, nowMs: number): Record<string, number> {
-    const sums: Record<string, number> = {};
+    const sums = new Map<string, number>();
     for (const { entry } of this.#listLive(nowMs)) {
       if (entry.name !== except) {
         for (const [id, count] of Object.entries(entry.inFlight)) {
-          sums[id] = (sums[id] ?? 0) + count;
+          sums.set(id, (sums.get(id) ?? 0) + count);
         }
       }
     }
-    return sums;
+    return Object.fromEntries(sums);
   }
 
   /** Entries that report directly to this coordinator, with the age of their last report. */
--- a/packages/registry/SlowdownTable.ts
+++ b/packages/registry/SlowdownTable.ts
@@ -29,14 +29,14 @@
   }
 
   list(nowMs: number): Record<string, number> {
-    const slowdowns: Record<string, number> = {};
+    const slowdowns = new Map<string, number>();
     for (const [id, { slowdown, reportedAtMs }] of this.#slowdowns) {
       if (nowMs - reportedAtMs < maxAgeMs) {
-        slowdowns[id] = slowdown;
+        slowdowns.set(id, slowdown);
       } else {
         this.#slowdowns.delete(id);
       }
     }
-    return slowdowns;
+    return Object.fromEntries(slowdowns);
   }
 }
