Send names of tenants in UTF-8, and refuse those with control characters

Cause: the name went into a header as it was, and Node's writer throws for it in the handler of the request's end.

Change: targets get the UTF-8 bytes of the name. A gateway with such a document answers requests of that tenant with 503, which it counts as unusable_team, and serves the others.

--- a/packages/gateway/RequestOutcome.ts
+++ b/packages/gateway/RequestOutcome.ts
@@ -10,6 +10,8 @@
   /** The gateway's state is too old, or it has none yet. */
   NotFresh = "not_fresh",
   NoTarget = "no_target",
+  /** The name of the team in the document has control characters, which no target could be told; nothing was sent. */
+  UnusableTeam = "unusable_team",
   /** The gateway is at its limit of requests in flight or buffered bytes. */
   Overloaded = "overloaded",
   /** The gateway stops before the request could complete; nothing was sent. */
--- a/packages/gateway/RequestReceiver.ts
+++ b/packages/gateway/RequestReceiver.ts
@@ -3,6 +3,7 @@
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { RouteTeam } from "@clementinemux/routes/RouteTeam";
 import { chooseService } from "@clementinemux/routes/chooseService";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 import type { RoutedRequest } from "./RoutedRequest";
 import { ResponseWriter } from "./ResponseWriter";
 import type { GatewayContext } from "./GatewayContext";
@@ -34,6 +35,7 @@
   [RequestOutcome.TooLarge]: { status: 413, text: "the body is too large" },
   [RequestOutcome.NotFresh]: { status: 503, text: "the configuration is not known to be current" },
   [RequestOutcome.NoTarget]: { status: 503, text: "the service of the route is not known" },
+  [RequestOutcome.UnusableTeam]: { status: 503, text: "no header can carry the name of the team" },
   [RequestOutcome.Overloaded]: { status: 503, text: "this gateway holds as much as it may" },
   [RequestOutcome.Stopping]: { status: 503, text: "this gateway stops before the request could end" },
 } as const;
@@ -125,7 +127,11 @@
       return;
     }
     const priority = team === "public" ? route.priority : (team.priority ?? route.priority);
-    const teamName = team === "public" ? null : team.name;
+    const teamName = team === "public" ? null : encodeHeaderText(team.name);
+    if (team !== "public" && teamName === null) {
+      this.#reject(response, RequestOutcome.UnusableTeam, request);
+      return;
+    }
     const routed = {
       request,
       response,
--- a/packages/gateway/RoutedRequest.ts
+++ b/packages/gateway/RoutedRequest.ts
@@ -11,6 +11,7 @@
   readonly body: Buffer;
   readonly route: Route;
   readonly service: RoutedService;
+  /** Name of the team as the value of a header; null for none. */
   readonly team: string | null;
   readonly priority: number;
   readonly arrivedAtMs: number;
