Treat a response head that cannot be passed on as a failure of its target

Cause: Node's parser accepts such heads, and its writer throws for them (ERR_INVALID_HTTP_TOKEN, ERR_HTTP_INVALID_STATUS_CODE) in the handler of the response, where nothing caught it.

Change: TargetCall asks Node's own checks before a response is used. The attempt fails as malformed: the request may have run, so it is sent once more only if it may be repeated.

--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -1,5 +1,6 @@
 import { request as sendRequest } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 import { CallFailure } from "./CallFailure";
 import type { TargetCallListener } from "./TargetCallListener";
 import type { TargetCallOptions } from "./TargetCallOptions";
@@ -116,6 +117,11 @@
     }
     clearTimeout(this.#timer);
     this.#response = response;
+    const fault = findResponseFault(response);
+    if (fault !== null) {
+      this.#fail(CallFailure.Malformed, fault);
+      return;
+    }
     const { codec, requestId } = this.#options;
     const targetResponse = codec.readResponse(response.statusCode ?? 0, response.rawHeaders);
     // A misdirected response may have no id; on a kept connection it may be a late copy, as one with another request's id.
