Answer 400 to a request that cannot be passed on

Callers saw their connections closed without an answer: one request with a tab or a form feed in its path, or a space in a header's name, ended the gateway that took it.

Cause: Node's server accepts such requests, and its client throws for them (ERR_UNESCAPED_CHARACTERS, ERR_INVALID_HTTP_TOKEN) when the request is sent on.

Change: a request whose path or headers Node would not write gets 400 before it is routed, counted as bad_request, with the cause in the log.

Measured: the new test sends each of the 256 bytes in path, query, header name, header value, id and method. It fails before with ERR_UNESCAPED_CHARACTERS and passes now.

--- a/packages/gateway/RequestReceiver.ts
+++ b/packages/gateway/RequestReceiver.ts
@@ -4,6 +4,7 @@
 import type { RouteTeam } from "@clementinemux/routes/RouteTeam";
 import { chooseService } from "@clementinemux/routes/chooseService";
 import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
+import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import type { RoutedRequest } from "./RoutedRequest";
 import { ResponseWriter } from "./ResponseWriter";
 import type { GatewayContext } from "./GatewayContext";
@@ -30,6 +31,10 @@
 const startPollMs = 20;
 
 const localResponses = {
+  [RequestOutcome.BadRequest]: {
+    status: 400,
+    text: "the path or a header has characters that HTTP does not allow",
+  },
   [RequestOutcome.NoRoute]: { status: 404, text: "no route for this host and path" },
   [RequestOutcome.UnknownKey]: { status: 401, text: "the key is missing or unknown" },
   [RequestOutcome.TooLarge]: { status: 413, text: "the body is too large" },
@@ -96,6 +101,11 @@
   }
 
   #route(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMs: number): void {
+    const fault = findRequestFault(request);
+    if (fault !== null) {
+      this.#reject(response, RequestOutcome.BadRequest, request, fault);
+      return;
+    }
     if (this.#isStarting(arrivedAtMs)) {
       setTimeout(() => {
         if (!response.destroyed) {
@@ -171,12 +181,23 @@
     return window.admits(predictDuration({ route, caller, stride, meanGapMs }), nowMs);
   }
 
-  #reject(response: ServerResponse, end: LocalOutcome, request: IncomingMessage): void {
+  #reject(
+    response: ServerResponse,
+    end: LocalOutcome,
+    request: IncomingMessage,
+    fault: string | null = null,
+  ): void {
     const { metrics, options, view } = this.#context;
     const { status, text } = localResponses[end];
     metrics.outcomes.add(end);
     options.logger.info(
-      { host: getHostName(request), end, status, version: view.version },
+      {
+        host: getHostName(request),
+        end,
+        status,
+        version: view.version,
+        ...(fault === null ? {} : { fault }),
+      },
       "request refused",
     );
     const retryMs = status === 503 ? this.#getRetryMs(end) : null;
