Do not resume a stream after an event whose id no header can carry

A runner that wrote an id with a control byte and then broke off ended the gateway, with the requests of all its callers: the id goes into Last-Event-Id of the next attempt, and Node's writer throws for it (ERR_INVALID_CHAR).

Change: such an event is passed on, and its stream can no longer be resumed, since no target could be told where. The caller sees the break.

Measured: the new test fails before with ERR_INVALID_CHAR and passes now.

--- a/packages/gateway/EventRelay.ts
+++ b/packages/gateway/EventRelay.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import { isHeaderValue } from "@clementinemux/wire/isHeaderValue";
 import type { ResponseWriter } from "./ResponseWriter";
 import type { EventPacer } from "./EventPacer";
 
@@ -45,6 +46,7 @@
   #longestGapMs = 0;
   #events = 0;
   #lastEventId: string | null = null;
+  #isResumable = true;
 
   constructor(options: EventRelayOptions) {
     this.#options = options;
@@ -55,6 +57,11 @@
     return this.#lastEventId;
   }
 
+  /** Whether a target can be told the id after which to resume; false after an id that no header can carry. */
+  get isResumable(): boolean {
+    return this.#isResumable;
+  }
+
   /** What the caller has received, for the log; `firstEventAtMs` is null when there was no event. */
   get summary() {
     return {
@@ -82,6 +89,7 @@
     this.#arrivedAtMs = nowMs;
     this.#events += 1;
     this.#lastEventId = id ?? this.#lastEventId;
+    this.#isResumable = id === null ? this.#isResumable : isHeaderValue(id);
     this.#source = source;
     this.#buffered.push({ bytes, atMs: this.#options.pacer.schedule(nowMs) });
     this.#bufferedBytes += bytes.length;
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -299,7 +299,7 @@
       leftMs: this.#endMs - this.#now(),
     });
     const reason = this.#writer.hasStarted ? AttemptRetryReason.Resume : retryReasons[outcome];
-    const isUseful = step === NextStep.Retry && this.#chooseTarget() !== null;
+    const isUseful = step === NextStep.Retry && this.#relay.isResumable && this.#chooseTarget() !== null;
     if (this.#isEnded || !isUseful || !this.#takeRetry(reason)) {
       return false;
     }
--- a/packages/gateway/test/brokenStreams.test.ts
+++ b/packages/gateway/test/brokenStreams.test.ts
@@ -110,3 +110,22 @@
   t.notOk(broken.text.endsWith("\r\n0\r\n\r\n"));
   await stop();
 });
+
+// Guards against an id of an event that ends the gateway when its stream is resumed, as no header can carry it.
+t.test("a stream is not resumed after an event whose id no header can carry", async (t) => {
+  for (const id of ["\u0000", "1\u00012", "\u007f", "3\r4"]) {
+    const targets = [0, 1].map(
+      () =>
+        new TestTarget((request, socket) => {
+          socket.write(streamHead(request.id) + chunk(event(1)) + chunk(`id: ${id}\ndata: x\n\n`));
+          setTimeout(() => socket.resetAndDestroy(), 50);
+        }),
+    );
+    const { call, stop } = await startGateway(document, targets);
+    const { status, body, isComplete } = await call({ method: "POST", path: "/p0/x" }, "r1", "x");
+    t.same([status, isComplete], [200, false], JSON.stringify(id));
+    t.equal(body, `${event(1)}id: ${id}\ndata: x\n\n`);
+    t.equal(targets.flatMap(({ requests }) => requests).length, 1);
+    await stop();
+  }
+});
