End only what a failed handler works for, and count the exception

An exception in any handler of a gateway's events or timers ended the process, with the requests of all its callers.

Change: ErrorBoundary runs the handlers of requests (receiver, forwarder, call to a target, relay of events, their timers), of readiness checks, reports to coordinators, looks at crashed targets, and housekeeping. An exception is logged with its stack and counted in clementinemux_gateway_handler_errors{handler}. A request ends with 502 if a target may have it, with 503 otherwise, or with its connection if its response has begun or was not routed yet; its slot, bytes and timers are released. A coordinator whose responses cannot be applied counts as not current, so that another one is asked.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -34,8 +34,10 @@
     this.#reservation = new ByteReservation(options.byteBudget);
     const { stallTimeoutMs } = options;
     const onStalled = (): void => {
-      this.#call?.cancel();
-      this.#fail(CallFailure.Stalled, `no event within ${stallTimeoutMs} ms`);
+      options.call.guard(() => {
+        this.#call?.cancel();
+        this.#fail(CallFailure.Stalled, `no event within ${stallTimeoutMs} ms`);
+      });
     };
     this.#stallTimer =
       stallTimeoutMs === null ? null : new StallTimer({ limitMs: stallTimeoutMs, onStalled });
--- a/packages/gateway/CrashWatch.ts
+++ b/packages/gateway/CrashWatch.ts
@@ -9,9 +9,11 @@
 import { CrashLedger } from "@clementinemux/crashes/CrashLedger";
 import type { CrashReport } from "@clementinemux/crashes/CrashReport";
 import { SuspectTable } from "@clementinemux/crashes/SuspectTable";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { hasStoppedListening } from "@clementinemux/wire/hasStoppedListening";
 import { AttemptWatch } from "./AttemptWatch";
+import { GatewayHandler } from "./GatewayHandler";
 import type { RequestCauses } from "./RequestCauses";
 
 interface CrashWatchOptions {
@@ -25,6 +27,7 @@
   readonly isIsolated: (service: string) => boolean;
   /** Sends the evidence to the coordinators; resolves when they have answered, or are out of reach. */
   readonly onNews: () => Promise<void>;
+  readonly errors: ErrorBoundary<GatewayHandler>;
   readonly logger: Logger;
 }
 
@@ -130,7 +133,7 @@
     this.#named = new Set(suspicions.map(({ part }) => part));
     this.#suspects.update(suspicions, this.#now());
     if (hasNews) {
-      void this.#options.onNews();
+      this.#runUnattended(() => this.#options.onNews());
     }
   }
 
@@ -185,8 +188,8 @@
     if (this.#openCases.length < maxOpenCases) {
       this.#openCases.push(openCase);
       setTimeout(() => {
-        void this.#look(openCase).then((isCrash) => {
-          if (isCrash) {
+        this.#runUnattended(async () => {
+          if (await this.#look(openCase)) {
             this.#close(openCase);
           }
         });
@@ -197,10 +200,14 @@
   #close(openCase: OpenCase): void {
     if (this.#openCases.includes(openCase)) {
       this.#openCases = this.#openCases.filter((other) => other !== openCase);
-      void this.#addCrash(openCase);
+      this.#runUnattended(() => this.#addCrash(openCase));
     }
   }
 
+  #runUnattended(action: () => Promise<void>): void {
+    void this.#options.errors.runAsync(GatewayHandler.CrashWatch, action);
+  }
+
   #reviewOpenCases(nowMs: number): void {
     for (const openCase of this.#openCases) {
       if (this.#options.isReplaced(openCase.target)) {
--- a/packages/gateway/EventRelay.ts
+++ b/packages/gateway/EventRelay.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import { isHeaderValue } from "@clementinemux/wire/isHeaderValue";
+import type { Guard } from "./Guard";
 import type { ResponseWriter } from "./ResponseWriter";
 import type { EventPacer } from "./EventPacer";
 
@@ -7,6 +8,8 @@
   readonly writer: ResponseWriter;
   readonly pacer: EventPacer;
   readonly clock: Clock;
+  /** Runs the handlers of the relay. */
+  readonly guard: Guard;
   /** Receives the time between the arrivals of two events, in ms. */
   readonly onGap: (gapMs: number) => void;
 }
@@ -129,7 +132,9 @@
     }
     if (next !== undefined) {
       this.#timer = setTimeout(() => {
-        this.#forward();
+        this.#options.guard(() => {
+          this.#forward();
+        });
       }, next.atMs - nowMs);
     } else if (this.#onEnd !== null) {
       const onEnd = this.#onEnd;
@@ -144,7 +149,9 @@
     this.#longestGapMs = Math.max(this.#longestGapMs, nowMs - (this.#forwardedAtMs ?? nowMs));
     this.#forwardedAtMs = nowMs;
     this.#firstAtMs ??= nowMs;
-    const canContinue = this.#options.writer.write(bytes, () => source?.resume());
+    const canContinue = this.#options.writer.write(bytes, () => {
+      this.#options.guard(() => source?.resume());
+    });
     if (!canContinue) {
       source?.pause();
     }
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -1,5 +1,6 @@
 import { periodic } from "most";
 import type { Logger } from "roarr";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
@@ -14,6 +15,7 @@
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { FleetView } from "./FleetView";
+import { GatewayHandler } from "./GatewayHandler";
 
 interface FleetSyncOptions {
   readonly view: FleetView;
@@ -28,6 +30,7 @@
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
+  readonly errors: ErrorBoundary<GatewayHandler>;
   readonly logger: Logger;
 }
 
@@ -101,7 +104,7 @@
   async #reportAll(): Promise<void> {
     do {
       this.#isSyncPending = false;
-      await this.#report();
+      await this.#options.errors.runAsync(GatewayHandler.Sync, () => this.#report());
     } while (this.#hasPendingSync());
   }
 
@@ -139,16 +142,7 @@
     const result = await client.call(MessageName.SyncEntry, request, callTimeoutMs);
     const isUseful = result.caseOf({
       Left: () => false,
-      Right: (body) => {
-        const response = body as SyncResponse;
-        this.#addCoordinators(response.coordinators);
-        const isCurrent = this.#update(response, sentAtMs);
-        if (response.crashes !== undefined) {
-          this.#options.onCrashFindings(response.crashes);
-        }
-        this.#preferNearest(response.nearest, sentAtMs);
-        return isCurrent;
-      },
+      Right: (body) => this.#apply(body as SyncResponse, sentAtMs),
     });
     if (isUseful !== this.#isConnected) {
       this.#isConnected = isUseful;
@@ -158,7 +152,7 @@
     }
     this.#uselessResponses = isUseful ? 0 : this.#uselessResponses + 1;
     if (isUseful) {
-      void this.#awaitFindings(client);
+      void this.#options.errors.runAsync(GatewayHandler.Sync, () => this.#awaitFindings(client));
     }
     const isUnresponsive = result.isLeft();
     if (isUnresponsive || this.#uselessResponses >= maxUselessResponses) {
@@ -189,6 +183,22 @@
     }
   }
 
+  /** Returns whether the response was useful; one that cannot be applied counts like one without current state. */
+  #apply(response: SyncResponse, sentAtMs: number): boolean {
+    try {
+      this.#addCoordinators(response.coordinators);
+      const isCurrent = this.#update(response, sentAtMs);
+      if (response.crashes !== undefined) {
+        this.#options.onCrashFindings(response.crashes);
+      }
+      this.#preferNearest(response.nearest, sentAtMs);
+      return isCurrent;
+    } catch (error) {
+      this.#options.errors.note(GatewayHandler.Sync, error);
+      return false;
+    }
+  }
+
   #update(response: SyncResponse, sentAtMs: number): boolean {
     try {
       return this.#options.view.update(response, sentAtMs);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { periodic } from "most";
+import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
@@ -15,6 +16,7 @@
 import { FleetView } from "./FleetView";
 import { CrashWatch } from "./CrashWatch";
 import type { GatewayContext } from "./GatewayContext";
+import { GatewayHandler } from "./GatewayHandler";
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { RequestReceiver } from "./RequestReceiver";
@@ -51,6 +53,7 @@
 export class Gateway {
   readonly view: FleetView;
   readonly metrics = new GatewayMetrics();
+  readonly #errors: ErrorBoundary<GatewayHandler>;
   readonly #options: GatewayOptions;
   readonly #sync: FleetSync;
   readonly #loads: TargetLoads;
@@ -76,6 +79,11 @@
   constructor(options: GatewayOptions) {
     const { clock, leaseClock, random, logger, seeds, codec } = options;
     this.#options = options;
+    this.#errors = new ErrorBoundary({
+      name: "clementinemux_gateway_handler_errors",
+      handlers: Object.values(GatewayHandler),
+      logger,
+    });
     this.#byteBudget = new ByteBudget(options.maxHeldBytes);
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
@@ -91,6 +99,7 @@
       isIsolated: (service) =>
         (this.view.state.table?.findService(service)?.engine?.experts ?? null) === null,
       onNews: () => this.#sync.sync(),
+      errors: this.#errors,
       logger,
     });
     this.#sync = new FleetSync({
@@ -103,6 +112,7 @@
       },
       seeds,
       clock: leaseClock,
+      errors: this.#errors,
       logger,
     });
     this.#receiver = new RequestReceiver(this.#createContext(), () => this.#getLimits().maxBodyBytes);
@@ -123,15 +133,20 @@
     this.#server = this.#createServer();
     await listen(this.#server, callerPort, host);
     this.#readiness = createServer((request, response) => {
-      const isKnown = request.url?.split("?")[0] === readyPath;
-      response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
+      const answer = (): void => {
+        const isKnown = request.url?.split("?")[0] === readyPath;
+        response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
+      };
+      this.#errors.run(GatewayHandler.Readiness, answer, () => response.destroy());
     });
     await listen(this.#readiness, readyPort, host);
     await this.#metricsPage.start();
     void periodic(housekeepingMs)
       .takeWhile(() => !this.#isClosed)
       .observe(() => {
-        this.#runHousekeeping();
+        this.#errors.run(GatewayHandler.Housekeeping, () => {
+          this.#runHousekeeping();
+        });
       });
     logger.info({ name, address: `${host}:${callerPort}` }, "gateway started");
   }
@@ -149,7 +164,7 @@
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    return this.metrics.render() + renderGauges(gauges);
+    return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
   }
 
   /** Stops being ready, completes the requests that were read, and resolves when the process may exit. */
@@ -207,6 +222,7 @@
       deadlines: this.#deadlines,
       crashes: this.#crashes,
       metrics: this.metrics,
+      errors: this.#errors,
       byteBudget: this.#byteBudget,
       getRetryBudget: (service) => {
         const known = this.#retryBudgets.get(service);
@@ -249,7 +265,10 @@
         insecureHTTPParser: false,
       },
       (request: IncomingMessage, response: ServerResponse) => {
-        this.#receiver.receive(request, response);
+        const receive = (): void => {
+          this.#receiver.receive(request, response);
+        };
+        this.#errors.run(GatewayHandler.Request, receive, () => response.destroy());
       },
     );
     server.on("connection", (socket) => {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,8 +1,10 @@
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
 import type { CrashWatch } from "./CrashWatch";
 import type { FleetView } from "./FleetView";
+import type { GatewayHandler } from "./GatewayHandler";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import type { GroupRecovery } from "./GroupRecovery";
@@ -24,6 +26,7 @@
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
+  readonly errors: ErrorBoundary<GatewayHandler>;
   /** Limits the bytes of uploads and responses that are buffered until they are complete. */
   readonly byteBudget: ByteBudget;
   readonly getRetryBudget: (service: string) => RetryBudget;
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -1,4 +1,3 @@
-import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
@@ -13,6 +12,7 @@
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
 import type { GroupRecovery } from "./GroupRecovery";
+import { GatewayHandler } from "./GatewayHandler";
 import { NextStep } from "./NextStep";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import type { RequestCauses } from "./RequestCauses";
@@ -26,9 +26,10 @@
 import { getRequestKey } from "./getRequestKey";
 import { isRetryable } from "./isRetryable";
 import { measureServiceLoad } from "./measureServiceLoad";
+import { notePass } from "./notePass";
 import { retryReasons } from "./retryReasons";
 import { sendFailure } from "./sendFailure";
-import { slowGroupThreshold } from "./slowGroupThreshold";
+import { takeRetry } from "./takeRetry";
 
 const waitPollMs = 20;
 /** Sends without a connection that do not count as attempts. */
@@ -72,6 +73,12 @@
       this.#onFailure(failed);
     },
   };
+  /** An exception ends the request: what was sent may have run. */
+  readonly #guard = (action: () => void): void => {
+    this.#context.errors.run(GatewayHandler.Request, action, () => {
+      this.#endBroken();
+    });
+  };
   #load: ServiceLoad | null = null;
   #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
@@ -99,9 +106,10 @@
       writer: this.#writer,
       pacer: new EventPacer({ maxHoldMs, gapObjectiveMs: route.gapObjectiveMs }),
       clock,
+      guard: this.#guard,
       onGap: (gapMs) => {
         context.metrics.pauses.observeMs(gapMs);
-        this.#notePass(gapMs);
+        notePass(context, routed.service.name, this.#attempt?.targetId ?? "", gapMs);
       },
     });
     this.#log = new RequestLog(context, routed, this.#relay, this.#causes.request);
@@ -109,21 +117,27 @@
     this.#waitedBeforeMs = context.deadlines.note(route.name, caller.leftMs, arrivedAtMs);
     this.#timer = setTimeout(
       () => {
-        this.#onTimeout();
+        this.#guard(() => {
+          this.#onTimeout();
+        });
       },
       Math.max(0, this.#endMs - this.#now()),
     );
     response.on("close", () => {
-      if (!response.writableFinished) {
-        this.#end(RequestOutcome.CallerDisconnected, null);
-      }
+      this.#guard(() => {
+        if (!response.writableFinished) {
+          this.#end(RequestOutcome.CallerDisconnected, null);
+        }
+      });
     });
     context.getRetryBudget(routed.service.name).noteRequest(this.#now());
   }
 
   /** Sends the request to a target, waits for a slot, or rejects it. */
   start(): void {
-    this.#admit();
+    this.#guard(() => {
+      this.#admit();
+    });
   }
 
   /** Sends the request when a slot is free; waits a short while for one, as its objective allows. */
@@ -137,10 +151,14 @@
     const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
     const hasSlot = this.#hasSlot() && this.#takeProbe();
     if (hasSlot || waitLeftMs <= (this.#load?.pauseMs ?? 0)) {
-      this.#send(hasSlot && (this.#sends === 0 || this.#takeRetry(AttemptRetryReason.NotRun)));
+      this.#send(
+        hasSlot &&
+          (this.#sends === 0 ||
+            takeRetry(this.#context, this.#routed.service.name, AttemptRetryReason.NotRun)),
+      );
     } else {
       this.#waitTimer = setTimeout(() => {
-        this.#admit();
+        this.start();
       }, waitPollMs);
     }
   }
@@ -190,6 +208,7 @@
       resumeAfter: this.#relay.lastEventId,
       isSameTarget: this.#sends > this.#tried.size,
       canRetry: this.#isRetryable && this.#sends < route.attempts,
+      guard: this.#guard,
     };
     this.#attempt = createAttempt(this.#context, this.#routed, input, this.#listener);
     this.#attempt.start();
@@ -201,15 +220,6 @@
     return chooseTarget(this.#context, { service, tried: this.#tried, isFirst, serviceLoad: this.#load });
   }
 
-  /** Slow groups are left out, since the time of a pass sets the concurrency limit of the whole service. */
-  #notePass(gapMs: number): void {
-    const { getPassMeter, view } = this.#context;
-    const slowdown = getOwn(view.state.slowdowns, this.#attempt?.targetId ?? "") ?? 1;
-    if (slowdown < slowGroupThreshold) {
-      getPassMeter(this.#routed.service.name).note(gapMs, this.#now());
-    }
-  }
-
   #onFullResponse(attempt: Attempt, full: FullResponse): void {
     const { health } = this.#context;
     this.#mayHaveRun = true;
@@ -275,9 +285,14 @@
       return;
     }
     const isWaiting = this.#isRetryable && !this.#writer.hasStarted;
-    void this.#context.crashes.examine(watch, isWaiting).then(() => {
-      this.#retryOrFail(outcome, failure);
-    });
+    const { errors, crashes } = this.#context;
+    void errors
+      .runAsync(GatewayHandler.CrashWatch, () => crashes.examine(watch, isWaiting))
+      .then(() => {
+        this.#guard(() => {
+          this.#retryOrFail(outcome, failure);
+        });
+      });
   }
 
   #retryOrFail(outcome: AttemptOutcome, failure: CallFailure): void {
@@ -300,22 +315,13 @@
     });
     const reason = this.#writer.hasStarted ? AttemptRetryReason.Resume : retryReasons[outcome];
     const isUseful = step === NextStep.Retry && this.#relay.isResumable && this.#chooseTarget() !== null;
-    if (this.#isEnded || !isUseful || !this.#takeRetry(reason)) {
+    if (this.#isEnded || !isUseful || !takeRetry(this.#context, this.#routed.service.name, reason)) {
       return false;
     }
     this.#send(true);
     return true;
   }
 
-  #takeRetry(reason: AttemptRetryReason): boolean {
-    const { view, getRetryBudget, metrics } = this.#context;
-    const isTaken = getRetryBudget(this.#routed.service.name).take(view.state.liveEntries, this.#now());
-    if (isTaken) {
-      metrics.retries.add(reason);
-    }
-    return isTaken;
-  }
-
   #onTimeout(): void {
     this.#relay.flush();
     this.#attempt?.cancel();
@@ -355,6 +361,17 @@
     this.#end(end, status);
   }
 
+  #endBroken(): void {
+    this.#mayHaveRun ||= this.#attempt?.isSent ?? false;
+    try {
+      this.#fail(RequestOutcome.Unknown, "internal error");
+    } finally {
+      if (!this.#routed.response.writableEnded) {
+        this.#routed.response.destroy();
+      }
+    }
+  }
+
   #abort(): void {
     this.#relay.flush();
     this.#end(RequestOutcome.StreamBroken, null);
--- a/packages/gateway/RequestReceiver.ts
+++ b/packages/gateway/RequestReceiver.ts
@@ -8,6 +8,7 @@
 import type { RoutedRequest } from "./RoutedRequest";
 import { ResponseWriter } from "./ResponseWriter";
 import type { GatewayContext } from "./GatewayContext";
+import { GatewayHandler } from "./GatewayHandler";
 import { ByteReservation } from "./ByteReservation";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestForwarder } from "./RequestForwarder";
@@ -72,7 +73,10 @@
       this.#inFlight -= 1;
       reservation.release();
     });
-    response.on("error", () => undefined);
+    const noteError = (error: Error): void => {
+      this.#context.options.logger.debug({ error: error.message }, "connection of a caller failed");
+    };
+    response.on("error", noteError);
     let chunks: Buffer[] = [];
     let sizeBytes = 0;
     let isOverloaded = this.#inFlight > this.#context.options.maxInFlight;
@@ -88,8 +92,8 @@
         chunks.push(chunk);
       }
     });
-    request.on("error", () => undefined);
-    request.on("end", () => {
+    request.on("error", noteError);
+    const onEnd = (): void => {
       if (sizeBytes > this.#getMaxBodyBytes()) {
         this.#reject(response, RequestOutcome.TooLarge, request);
       } else if (isOverloaded) {
@@ -97,9 +101,17 @@
       } else if (!response.destroyed) {
         this.#route(request, response, Buffer.concat(chunks), arrivedAtMs);
       }
+    };
+    request.on("end", () => {
+      this.#guard(response, onEnd);
     });
   }
 
+  /** Runs a handler of a request of which nothing was sent yet; an exception closes its connection. */
+  #guard(response: ServerResponse, action: () => void): void {
+    this.#context.errors.run(GatewayHandler.Request, action, () => response.destroy());
+  }
+
   #route(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMs: number): void {
     const fault = findRequestFault(request);
     if (fault !== null) {
@@ -107,10 +119,13 @@
       return;
     }
     if (this.#isStarting(arrivedAtMs)) {
-      setTimeout(() => {
+      const routeAgain = (): void => {
         if (!response.destroyed) {
           this.#route(request, response, body, arrivedAtMs);
         }
+      };
+      setTimeout(() => {
+        this.#guard(response, routeAgain);
       }, startPollMs);
       return;
     }
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -1,5 +1,7 @@
+import type { EventEmitter } from "node:events";
 import { request as sendRequest } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 import { CallFailure } from "./CallFailure";
 import type { TargetCallListener } from "./TargetCallListener";
@@ -48,32 +50,31 @@
       setHost: false,
       maxHeaderSize: maxHeadBytes,
     });
-    this.#timer = setTimeout(
-      () => {
-        this.#fail(CallFailure.NotConnected, `no connection within ${connectTimeoutMs} ms`);
-      },
+    this.#timer = this.#startTimer(
+      CallFailure.NotConnected,
+      "connection",
       Math.min(connectTimeoutMs, responseTimeoutMs),
     );
-    this.#request.on("socket", (socket) => {
+    this.#on(this.#request, "socket", (socket: Socket) => {
       if (socket.connecting) {
         socket.setNoDelay(true);
-        socket.once("connect", () => {
+        this.#on(socket, "connect", () => {
           this.#onConnected();
         });
       } else {
         this.#onConnected();
       }
     });
-    this.#request.on("information", () => {
+    this.#on(this.#request, "information", () => {
       this.#provisional += 1;
       if (this.#provisional > maxProvisional) {
         this.#fail(CallFailure.TooLarge, "too many provisional responses");
       }
     });
-    this.#request.on("response", (response) => {
+    this.#on(this.#request, "response", (response: IncomingMessage) => {
       this.#onResponse(response);
     });
-    this.#request.on("error", (error: NodeJS.ErrnoException) => {
+    this.#on(this.#request, "error", (error: NodeJS.ErrnoException) => {
       this.#fail(this.#getFailure(error), error.message);
     });
     this.#request.end(body);
@@ -105,9 +106,23 @@
     this.#isConnected = true;
     const { responseTimeoutMs } = this.#options;
     clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#fail(CallFailure.ResponseTimeout, `no response within ${responseTimeoutMs} ms`);
-    }, responseTimeoutMs);
+    this.#timer = this.#startTimer(CallFailure.ResponseTimeout, "response", responseTimeoutMs);
+  }
+
+  #startTimer(failure: CallFailure, awaited: string, timeoutMs: number): NodeJS.Timeout {
+    return setTimeout(() => {
+      this.#options.guard(() => {
+        this.#fail(failure, `no ${awaited} within ${timeoutMs} ms`);
+      });
+    }, timeoutMs);
+  }
+
+  #on<Args extends unknown[]>(emitter: EventEmitter, name: string, handler: (...args: Args) => void): void {
+    emitter.on(name, (...args: Args) => {
+      this.#options.guard(() => {
+        handler(...args);
+      });
+    });
   }
 
   #onResponse(response: IncomingMessage): void {
@@ -136,21 +151,21 @@
       );
       return;
     }
-    response.on("data", (chunk: Buffer) => {
+    this.#on(response, "data", (chunk: Buffer) => {
       if (!this.#isDone) {
         this.#listener.onData(chunk);
       }
     });
-    response.on("end", () => {
+    this.#on(response, "end", () => {
       if (!this.#isDone) {
         this.#finish();
         this.#listener.onEnd();
       }
     });
-    response.on("error", (error) => {
+    this.#on(response, "error", (error: Error) => {
       this.#fail(CallFailure.Broken, error.message);
     });
-    response.on("close", () => {
+    this.#on(response, "close", () => {
       this.#fail(CallFailure.Broken, "connection closed before the end of the response");
     });
     this.#limitFraming(response);
@@ -169,7 +184,9 @@
       this.#framingBytes = hasBody || response.readableLength > 0 ? 0 : this.#framingBytes + length;
       hasBody = false;
       if (this.#framingBytes > maxFramingBytes) {
-        this.#fail(CallFailure.TooLarge, "too many framing bytes without body data");
+        this.#options.guard(() => {
+          this.#fail(CallFailure.TooLarge, "too many framing bytes without body data");
+        });
       }
     };
     socket.on("data", onBytes);
--- a/packages/gateway/TargetCallOptions.ts
+++ b/packages/gateway/TargetCallOptions.ts
@@ -1,3 +1,4 @@
+import type { Guard } from "./Guard";
 import type { TargetConnectionPool } from "./TargetConnectionPool";
 import type { WireCodec } from "./WireCodec";
 
@@ -15,4 +16,6 @@
   readonly body: Buffer;
   /** Longest wait for the head of the response, in ms. */
   readonly responseTimeoutMs: number;
+  /** Runs the handlers of the call and of its listener. */
+  readonly guard: Guard;
 }
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -4,6 +4,7 @@
 import type { AttemptListener } from "./AttemptListener";
 import type { AttemptWatch } from "./AttemptWatch";
 import type { GatewayContext } from "./GatewayContext";
+import type { Guard } from "./Guard";
 import type { RoutedRequest } from "./RoutedRequest";
 import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
 import { createCallOptions } from "./createCallOptions";
@@ -19,6 +20,7 @@
   /** Whether the target has been tried before. */
   readonly isSameTarget: boolean;
   readonly canRetry: boolean;
+  readonly guard: Guard;
 }
 
 /** Creates an attempt that occupies a slot of its target, and tells what it shows of the target and the request. */
@@ -31,13 +33,14 @@
   const { options, loads, byteBudget } = context;
   const { route } = routed;
   const now = (): number => options.clock.monotonicMs();
+  const callOptions = createCallOptions(context, routed, { target, ...call });
   loads.begin(target.id);
   const attempt: Attempt = new Attempt({
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
     stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
     byteBudget,
-    call: createCallOptions(context, routed, { target, ...call }),
+    call: callOptions,
     onResponse: (response) => {
       recordNotice(context, target, response);
     },
--- a/packages/gateway/createCallOptions.ts
+++ b/packages/gateway/createCallOptions.ts
@@ -2,6 +2,7 @@
 import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { GatewayContext } from "./GatewayContext";
+import type { Guard } from "./Guard";
 import type { RoutedRequest } from "./RoutedRequest";
 import type { TargetCallOptions } from "./TargetCallOptions";
 import { createTargetRequestHeaders } from "./createTargetRequestHeaders";
@@ -15,6 +16,7 @@
   /** Whether the target has been tried before, so that it may send a late copy of its rejection on a kept connection. */
   readonly isSameTarget: boolean;
   readonly canRetry: boolean;
+  readonly guard: Guard;
 }
 
 /** An idempotent request waits for an unresponsive target no longer than this share of its time. */
@@ -26,7 +28,7 @@
 export function createCallOptions(
   { options, getConnectionPool }: GatewayContext,
   routed: RoutedRequest,
-  { target, leftMs, resumeAfter, isSameTarget, canRetry }: CallInput,
+  { target, leftMs, resumeAfter, isSameTarget, canRetry, guard }: CallInput,
 ): TargetCallOptions {
   const { caller, request, body, team, route } = routed;
   const context = { targetId: target.id, team, leftMs, resumeAfter, urgency: null };
@@ -43,5 +45,6 @@
       canRetry && route.kind === RouteKind.Idempotent
         ? leftMs * responseTimeoutShare
         : leftMs + deadlineMarginMs,
+    guard,
   };
 }
--- a/packages/gateway/test/TestCodec.ts
+++ b/packages/gateway/test/TestCodec.ts
@@ -10,11 +10,15 @@
 
 /** Codec with plain header names and CBOR documents. */
 export class TestCodec implements WireCodec {
+  /** Throws in place of translating, as a fault in a handler would. */
+  throwIf: (method: keyof WireCodec, headers: readonly string[]) => void = () => undefined;
+
   decodeDocument(bytes: Uint8Array): Either<string, RouteDocument> {
     return Right(decode(bytes) as RouteDocument);
   }
 
   readRequest(headers: readonly string[]): CallerRequest {
+    this.throwIf("readRequest", headers);
     const get = (name: string): string | null => find(headers, name);
     return {
       requestId: get("x-id"),
@@ -29,6 +33,7 @@
   }
 
   createTargetHeaders(headers: readonly string[], context: SendContext): string[] {
+    this.throwIf("createTargetHeaders", headers);
     const passed = selectEndToEndHeaders(headers).filter(
       (_, at, all) => !["x-key", "x-left"].includes((all[at - (at % 2)] ?? "").toLowerCase()),
     );
@@ -38,6 +43,7 @@
   }
 
   readResponse(status: number, headers: readonly string[]): TargetResponse {
+    this.throwIf("readResponse", headers);
     return {
       status,
       requestId: find(headers, "x-id"),
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -156,7 +156,15 @@
     },
   } as unknown as ResponseWriter;
   const pacer = new EventPacer({ maxHoldMs: 80, gapObjectiveMs: 500 });
-  const relay = new EventRelay({ writer, pacer, clock: new SystemClock(), onGap: () => undefined });
+  const relay = new EventRelay({
+    writer,
+    pacer,
+    clock: new SystemClock(),
+    guard: (action) => {
+      action();
+    },
+    onGap: () => undefined,
+  });
   let pauses = 0;
   const source = { pause: () => (pauses += 1), resume: () => undefined };
   const event = Buffer.from(`data: ${"x".repeat(1000)}\n\n`);
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -3,6 +3,8 @@
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { GatewayHandler } from "@clementinemux/gateway/GatewayHandler";
+import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { FleetSync } from "@clementinemux/gateway/FleetSync";
 import { FleetView } from "@clementinemux/gateway/FleetView";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -25,7 +27,13 @@
     isReady: false,
     inFlight: {},
   };
+  const errors = new ErrorBoundary({
+    name: "errors",
+    handlers: Object.values(GatewayHandler),
+    logger: createLogger("test", {}),
+  });
   const sync = new FleetSync({
+    errors,
     view: new FleetView(new TestCodec()),
     getEntry: () => entry,
     listLeaving: () => [],
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -61,6 +61,7 @@
   const framePort = await coordinator.listen("127.0.0.1", 0);
   const [callerPort = 0, readyPort = 0] = await findFreePorts(2);
   await Promise.all(targets.map((target) => target.listen()));
+  const codec = new TestCodec();
   const gateway = new Gateway({
     name: "g-1",
     host: "127.0.0.1",
@@ -78,7 +79,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
-    codec: new TestCodec(),
+    codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
     random: createRandom(1),
@@ -118,5 +119,5 @@
     });
     await coordinator.close();
   };
-  return { gateway, state, call, open, callerPort, readyPort, stop };
+  return { gateway, codec, state, call, open, callerPort, readyPort, stop };
 }
