Keep an odd entry from stopping the leader's steps of all rank groups

Change: the host is written in brackets. An exception at one target or one group ends its part of the step only.

--- a/packages/control/ranks/RankGroupManager.ts
+++ b/packages/control/ranks/RankGroupManager.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { FencingTokens } from "@clementinemux/experts/hold/FencingTokens";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { InspectionPart } from "@clementinemux/ranker/InspectionPart";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
@@ -9,8 +10,10 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { ExpertParameters } from "@clementinemux/routes/ExpertParameters";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
+import { formatAddress } from "@clementinemux/wire/formatAddress";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { CoordinatorHandler } from "../routes/CoordinatorHandler";
 import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { GroupController } from "./GroupController";
 import type { GroupPassState } from "./GroupPassState";
@@ -30,6 +33,7 @@
   readonly activate: (request: ActivateRequest) => Promise<boolean>;
   readonly recordSlowdown: (target: string, slowdown: number) => void;
   readonly metrics: CoordinatorMetrics;
+  readonly errors: ErrorBoundary<CoordinatorHandler>;
   readonly clock: Clock;
   readonly logger: Logger;
 }
@@ -152,8 +156,9 @@
     }
     this.#linksByGroup.set(group, links);
     const controller = this.#getController(group, service, experts);
-    await controller.step(links, inspections);
-    return controller;
+    // An exception concerns this group only; the others are stepped on.
+    const step = (): Promise<void> => controller.step(links, inspections);
+    return (await this.#options.errors.runAsync(CoordinatorHandler.Ranks, step)) ? controller : null;
   }
 
   #getController(group: string, service: string, experts: ExpertParameters): GroupController {
@@ -180,15 +185,23 @@
   }
 
   async #inspect(target: TargetRecord, term: number): Promise<InspectedTarget | null> {
-    const link = this.#getLink(target.address);
-    const inspection = await link.inspect(term, InspectionPart.Counts);
-    if (inspection === null) {
-      void this.#silentRanks.recordMissedResponse(target.id, link);
-      void this.#findGroup(link);
-      return null;
-    }
-    this.#silentRanks.recordResponse(target.id);
-    return { id: target.id, link, inspection };
+    const { errors } = this.#options;
+    let inspected: InspectedTarget | null = null;
+    // An exception concerns this target only; the others are inspected on.
+    await errors.runAsync(CoordinatorHandler.Ranks, async () => {
+      const link = this.#getLink(target.address);
+      const inspection = await link.inspect(term, InspectionPart.Counts);
+      if (inspection === null) {
+        void errors.runAsync(CoordinatorHandler.Ranks, () =>
+          this.#silentRanks.recordMissedResponse(target.id, link),
+        );
+        void errors.runAsync(CoordinatorHandler.Ranks, () => this.#findGroup(link));
+      } else {
+        this.#silentRanks.recordResponse(target.id);
+        inspected = { id: target.id, link, inspection };
+      }
+    });
+    return inspected;
   }
 
   /** Queries a rank directly for its group, which a new leader cannot learn from a silent ranker. */
@@ -213,7 +226,10 @@
       return known;
     }
     const { links, framePort, openRank, metrics, clock, logger } = this.#options;
-    const endpoints = { address, rankerAddress: `${parseAddress(address).host}:${framePort}` };
+    const endpoints = {
+      address,
+      rankerAddress: formatAddress({ host: parseAddress(address).host, port: framePort }),
+    };
     const { orders, refusedOrders } = metrics;
     const direct = openRank(address);
     const link = new RankLink({ links, endpoints, direct, orders, refusedOrders, clock, logger });
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,5 +1,6 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { periodic } from "most";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
 import { MapActivator } from "@clementinemux/ranker/MapActivator";
@@ -15,10 +16,10 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
-import { ControlSettings } from "../ControlSettings";
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
+import { CoordinatorHandler } from "./CoordinatorHandler";
 import { CoordinatorMetrics } from "./CoordinatorMetrics";
 import { CrashFeed } from "./CrashFeed";
 import type { CoordinatorOptions } from "./CoordinatorOptions";
@@ -30,6 +31,8 @@
 import { RouteStateMachine } from "./RouteStateMachine";
 import { MembershipManager } from "./MembershipManager";
 import { SyncService } from "./SyncService";
+import { createCoordinatorErrors } from "./createCoordinatorErrors";
+import { createLogSettings } from "./createLogSettings";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -58,6 +61,7 @@
   readonly crashes: CrashFeed;
   readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
+  readonly #errors: ErrorBoundary<CoordinatorHandler>;
   readonly #host: GroupHost;
   readonly #links = new PeerLinks(undefined);
   readonly #peers: PeerTable;
@@ -79,6 +83,7 @@
   constructor(options: CoordinatorOptions) {
     this.#options = options;
     const { clock, random, logger, onFatal } = options;
+    this.#errors = createCoordinatorErrors(logger);
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.#startedAtMs = clock.monotonicMs();
     const onChanged = (): void => this.#exchange?.sendSoon();
@@ -86,7 +91,8 @@
     this.crashes = new CrashFeed({ incarnation: this.#incarnation, clock, onChanged, logger, dataFolder });
     this.#peers = new PeerTable(this.address);
     const { host, metricsPort: port } = options;
-    const render = (): string => this.metrics.render() + renderStatus(this.getStatus());
+    const render = (): string =>
+      this.metrics.render() + this.#errors.render() + renderStatus(this.getStatus());
     this.#metricsPage = new MetricsEndpoint({ role: "coordinator", host, port, clock, render });
     const settings = createLogSettings(options);
     const links = this.#links;
@@ -115,6 +121,9 @@
       onRefused: (reason, peer) => {
         logger.warn({ reason, peer }, "connection refused");
       },
+      onFailed: (_, error) => {
+        this.#errors.note(CoordinatorHandler.Message, error);
+      },
     });
   }
 
@@ -150,14 +159,14 @@
     await this.#metricsPage.start();
     this.#peers.addHints(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
-    this.#runPeriodically(tickIntervalMs, "tick", () => {
+    this.#runPeriodically(tickIntervalMs, () => {
       this.#tick();
     });
-    this.#runPeriodically(exchangeIntervalMs, "exchange", () => this.#runExchange());
+    this.#runPeriodically(exchangeIntervalMs, () => this.#runExchange());
     const manager = this.#createGroupManager(group);
     void this.#manageGroups(manager);
     if (isBootstrap && dataFolder !== null && group.core.isUnused) {
-      this.#runPeriodically(bootstrapIntervalMs, "bootstrap", () => this.#host.bootstrap());
+      this.#runPeriodically(bootstrapIntervalMs, () => this.#host.bootstrap());
     }
     logger.info({ address: this.address, replicaId: group.core.id, isBootstrap }, "coordinator started");
   }
@@ -267,6 +276,7 @@
         this.slowdowns.set(id, slowdown, clock.monotonicMs());
       },
       metrics: this.metrics,
+      errors: this.#errors,
       clock,
       logger,
     });
@@ -308,7 +318,7 @@
       this.#host.tick();
     }
     if (this.#documents?.getAgeMs() === null) {
-      void this.#run("confirmation", () => this.#documents?.confirm());
+      void this.#run(() => this.#documents?.confirm());
     }
   }
 
@@ -317,8 +327,8 @@
     const members = this.#listMembers();
     this.#peers.addHints(members, nowMs);
     this.#peers.removeStale([...members, ...this.#options.seeds], nowMs);
-    void this.#run("membership", () => this.#membership?.step() ?? Promise.resolve());
-    void this.#run("confirmation", () => this.#documents?.confirm() ?? Promise.resolve());
+    void this.#run(() => this.#membership?.step() ?? Promise.resolve());
+    void this.#run(() => this.#documents?.confirm() ?? Promise.resolve());
     await this.#exchange?.send();
   }
 
@@ -356,44 +366,22 @@
   async #manageGroups(manager: RankGroupManager): Promise<void> {
     while (!this.#isClosed) {
       let waitMs = groupStepRetryMs;
-      await this.#run("rank groups", async () => {
+      await this.#run(async () => {
         waitMs = await manager.step();
       });
       await delay(waitMs);
     }
   }
 
-  #runPeriodically(intervalMs: number, what: string, action: () => void | Promise<void>): void {
+  #runPeriodically(intervalMs: number, action: () => void | Promise<void>): void {
     void periodic(intervalMs)
       .takeWhile(() => !this.#isClosed)
       .observe(() => {
-        void this.#run(what, action);
+        void this.#run(action);
       });
   }
 
-  /** Logs exceptions, since one inside an observer would end its stream. */
-  #run(what: string, action: () => void | Promise<void>): Promise<void> {
-    return Promise.resolve()
-      .then(action)
-      .catch((error: unknown) => {
-        const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
-        this.#options.logger.error({ error: text }, what);
-      });
+  async #run(action: () => void | Promise<void>): Promise<void> {
+    await this.#errors.runAsync(CoordinatorHandler.Round, action);
   }
 }
-
-function createLogSettings({ name, host, framePort, seeds, isBootstrap }: CoordinatorOptions) {
-  const own = `${host}:${framePort}`;
-  return ControlSettings.parse({
-    name,
-    host,
-    port: framePort,
-    failureDomain: name,
-    region: name,
-    replicas: seeds.length === 0 ? [own] : seeds,
-    bootstrap: isBootstrap,
-    electionTimeoutMs: 500,
-    heartbeatMs: 80,
-    snapshotEntries: 200,
-  });
-}
--- a/packages/control/test/rankGroups.test.ts
+++ b/packages/control/test/rankGroups.test.ts
@@ -13,6 +13,7 @@
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { createCoordinatorErrors } from "../routes/createCoordinatorErrors";
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import { GroupController } from "../ranks/GroupController";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
@@ -243,6 +244,7 @@
     activate: () => Promise.resolve(false),
     recordSlowdown: () => undefined,
     metrics: new CoordinatorMetrics(),
+    errors: createCoordinatorErrors(logger),
     clock,
     logger,
   });
--- a/packages/control/test/unknownRank.test.ts
+++ b/packages/control/test/unknownRank.test.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { createCoordinatorErrors } from "../routes/createCoordinatorErrors";
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { StandInRankChannel } from "./StandInRankChannel";
@@ -72,6 +73,7 @@
     activate: () => Promise.resolve(false),
     recordSlowdown: () => undefined,
     metrics: new CoordinatorMetrics(),
+    errors: createCoordinatorErrors(logger),
     clock,
     logger,
   });
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -55,28 +55,43 @@
       "connection",
       Math.min(connectTimeoutMs, responseTimeoutMs),
     );
-    this.#on(this.#request, "socket", (socket: Socket) => {
-      if (socket.connecting) {
-        socket.setNoDelay(true);
-        this.#on(socket, "connect", () => {
+    this.#request.on(
+      "socket",
+      this.#guarded((socket: Socket) => {
+        if (socket.connecting) {
+          socket.setNoDelay(true);
+          socket.once(
+            "connect",
+            this.#guarded(() => {
+              this.#onConnected();
+            }),
+          );
+        } else {
           this.#onConnected();
-        });
-      } else {
-        this.#onConnected();
-      }
-    });
-    this.#on(this.#request, "information", () => {
-      this.#provisional += 1;
-      if (this.#provisional > maxProvisional) {
-        this.#fail(CallFailure.TooLarge, "too many provisional responses");
-      }
-    });
-    this.#on(this.#request, "response", (response: IncomingMessage) => {
-      this.#onResponse(response);
-    });
-    this.#on(this.#request, "error", (error: NodeJS.ErrnoException) => {
-      this.#fail(this.#getFailure(error), error.message);
-    });
+        }
+      }),
+    );
+    this.#request.on(
+      "information",
+      this.#guarded(() => {
+        this.#provisional += 1;
+        if (this.#provisional > maxProvisional) {
+          this.#fail(CallFailure.TooLarge, "too many provisional responses");
+        }
+      }),
+    );
+    this.#request.on(
+      "response",
+      this.#guarded((response: IncomingMessage) => {
+        this.#onResponse(response);
+      }),
+    );
+    this.#request.on(
+      "error",
+      this.#guarded((error: NodeJS.ErrnoException) => {
+        this.#fail(this.#getFailure(error), error.message);
+      }),
+    );
     this.#request.end(body);
   }
 
@@ -117,12 +132,13 @@
     }, timeoutMs);
   }
 
-  #on<Args extends unknown[]>(emitter: EventEmitter, name: string, handler: (...args: Args) => void): void {
-    emitter.on(name, (...args: Args) => {
+  /** Runs an event handler so that an exception ends the request only. */
+  #guarded<Args extends unknown[]>(handler: (...args: Args) => void): (...args: Args) => void {
+    return (...args) => {
       this.#options.guard(() => {
         handler(...args);
       });
-    });
+    };
   }
 
   #onResponse(response: IncomingMessage): void {
@@ -151,23 +167,35 @@
       );
       return;
     }
-    this.#on(response, "data", (chunk: Buffer) => {
-      if (!this.#isDone) {
-        this.#listener.onData(chunk);
-      }
-    });
-    this.#on(response, "end", () => {
-      if (!this.#isDone) {
-        this.#finish();
-        this.#listener.onEnd();
-      }
-    });
-    this.#on(response, "error", (error: Error) => {
-      this.#fail(CallFailure.Broken, error.message);
-    });
-    this.#on(response, "close", () => {
-      this.#fail(CallFailure.Broken, "connection closed before the end of the response");
-    });
+    response.on(
+      "data",
+      this.#guarded((chunk: Buffer) => {
+        if (!this.#isDone) {
+          this.#listener.onData(chunk);
+        }
+      }),
+    );
+    response.on(
+      "end",
+      this.#guarded(() => {
+        if (!this.#isDone) {
+          this.#finish();
+          this.#listener.onEnd();
+        }
+      }),
+    );
+    response.on(
+      "error",
+      this.#guarded((error: Error) => {
+        this.#fail(CallFailure.Broken, error.message);
+      }),
+    );
+    response.on(
+      "close",
+      this.#guarded(() => {
+        this.#fail(CallFailure.Broken, "connection closed before the end of the response");
+      }),
+    );
     this.#limitFraming(response);
     this.#listener.onResponse(targetResponse, response.rawHeaders);
   }
--- a/packages/metrics/ErrorBoundary.ts
+++ b/packages/metrics/ErrorBoundary.ts
@@ -36,12 +36,14 @@
     }
   }
 
-  /** Resolves when the action has ended, whether or not it has failed. */
-  async runAsync(handler: Handler, action: () => void | Promise<void>): Promise<void> {
+  /** Resolves with whether the action has ended without an exception. */
+  async runAsync(handler: Handler, action: () => void | Promise<void>): Promise<boolean> {
     try {
       await action();
+      return true;
     } catch (error) {
       this.note(handler, error);
+      return false;
     }
   }
 
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -18,6 +18,8 @@
   readonly tls?: TlsFiles | undefined;
   /** Called with the reason when a connection is closed because of an invalid or incomplete frame. */
   readonly onRefused?: (reason: string, peer: string, code: WireErrorCode) => void;
+  /** Called with an exception of a handler that is no answer to the peer (`RemoteError`). */
+  readonly onFailed?: (name: string, error: unknown) => void;
   readonly frameTimeoutMs?: number;
 }
 
@@ -135,17 +137,24 @@
         this.#send(socket, { kind: FrameKind.Response, id: frame.id, name: frame.name, body });
       }
     } catch (error) {
+      if (!(error instanceof RemoteError)) {
+        this.#options.onFailed?.(frame.name, error);
+      }
       if (frame.kind === FrameKind.Request) {
-        this.#send(socket, {
-          kind: FrameKind.Error,
-          id: frame.id,
-          name: frame.name,
-          body: getErrorBody(error),
-        });
+        this.#sendError(socket, frame, getErrorBody(error));
       }
     }
   }
 
+  #sendError(socket: Socket, { id, name }: Frame, body: RemoteErrorBody): void {
+    try {
+      this.#send(socket, { kind: FrameKind.Error, id, name, body });
+    } catch (error) {
+      this.#options.onFailed?.(name, error);
+      socket.destroy();
+    }
+  }
+
   #send(socket: Socket, frame: Frame): void {
     if (socket.destroyed) {
       return;
