Always state the end of a response, so that one that broke off never looks complete

Cause: the gateway left out length and chunks where the runner had, so that the end of the connection was the end of the response. It showed a break by resetAndDestroy, which ends the connection in order first while written bytes are on their way, and a killed process's connections are closed in order.

Change: a response has a length where its whole body is known, and chunks otherwise. A break ends the connection without the last chunk, after what was written; a slow reader gets at most 1 s for that, or what is left of its time. A caller of HTTP/1.0 knows no chunks: it gets a stream as a whole with its length, or 502. Responses to HEAD keep the target's length, where it was 0 before.

Two tests stated the old framing and change with it, as strictly: forwarding expects the length and a complete response where it expected neither length nor chunks, and brokenStreams asks for the connection's end and also checks the last chunk of a complete stream.

--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -375,7 +375,7 @@
   #abort(): void {
     this.#relay.flush();
     this.#end(RequestOutcome.StreamBroken, null);
-    this.#writer.abort();
+    this.#writer.abort(this.#endMs - this.#now());
   }
 
   #end(end: RequestOutcome, status: number | null): void {
--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -1,16 +1,33 @@
 import type { ServerResponse } from "node:http";
+import { CollectedBody } from "./CollectedBody";
 import type { GatewayContext } from "./GatewayContext";
 import { selectEndToEndHeaders } from "./selectEndToEndHeaders";
 
-const framingNames = ["content-length", "transfer-encoding"];
+const contentLength = "content-length";
+const badGatewayStatus = 502;
+/** Statuses whose responses have no body. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
+/** Responses with this status state no length. */
+const noContentStatus = 204;
+/** Longest time for a caller to read what was written before its response broke off. */
+const maxAbortMs = 1000;
 
-/** Writes the response to one caller. A response that cannot be completed ends with a visible break. */
+interface CollectedResponse {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: CollectedBody;
+}
+
+/**
+ * Writes the response to one caller, always with a length or in chunks: a response that cannot be completed then ends
+ * with a visible break, also when the process is killed.
+ */
 export class ResponseWriter {
   readonly #response: ServerResponse;
   readonly #context: GatewayContext;
   #isDrainPending = false;
-  /** Whether the end of the connection is the end of the response. */
-  #endsWithConnection = false;
+  /** Stream to a caller of HTTP/1.0, which knows no chunks: sent as a whole, with its length; null for any other. */
+  #collected: CollectedResponse | null = null;
 
   constructor(response: ServerResponse, context: GatewayContext) {
     this.#response = response;
@@ -19,30 +36,27 @@
   }
 
   get hasStarted(): boolean {
-    return this.#response.headersSent;
+    return this.#response.headersSent || this.#collected !== null;
   }
 
   /** Sends a target's complete response unchanged. */
   sendFull(status: number, headers: readonly string[], body: Buffer): void {
     const list = selectEndToEndHeaders(headers);
-    if (isFramed(headers)) {
-      this.#writeHead(status, [...list, "Content-Length", String(body.length)]);
-      this.#response.end(body);
-    } else {
-      this.begin(status, headers);
-      this.#response.write(body);
-      this.#response.end();
-    }
+    const isBodiless = this.#response.req.method === "HEAD" || bodilessStatuses.has(status);
+    const length = isBodiless ? findStatedLength(status, headers) : String(body.length);
+    this.#writeHead(status, length === null ? list : [...list, "Content-Length", length]);
+    this.#response.end(body);
   }
 
   /** Starts a response whose length is not known yet. */
   begin(status: number, headers: readonly string[]): void {
-    if (!isFramed(headers)) {
-      // The end of such a response looks like a break of the connection; chunked framing would present a
-      // break as a complete response.
-      this.#endsWithConnection = true;
-      this.#response.useChunkedEncodingByDefault = false;
-      this.#response.shouldKeepAlive = false;
+    if (isBeforeHttp11(this.#response)) {
+      const body = new CollectedBody(this.#context.byteBudget);
+      this.#response.once("close", () => {
+        body.release();
+      });
+      this.#collected = { status, headers, body };
+      return;
     }
     this.#writeHead(status, selectEndToEndHeaders(headers));
     this.#response.flushHeaders();
@@ -53,6 +67,10 @@
    * writes.
    */
   write(bytes: Buffer, onDrain: () => void): boolean {
+    if (this.#collected !== null) {
+      this.#collected.body.add(bytes);
+      return true;
+    }
     const canContinue = this.#response.write(bytes);
     if (!canContinue && !this.#isDrainPending) {
       this.#isDrainPending = true;
@@ -65,19 +83,39 @@
   }
 
   end(): void {
-    this.#response.end();
+    if (this.#collected === null) {
+      this.#response.end();
+      return;
+    }
+    const { status, headers, body } = this.#collected;
+    const bytes = body.take();
+    if (bytes === null) {
+      this.sendLocal(badGatewayStatus, "the response is too large for HTTP/1.0", null);
+    } else {
+      this.sendFull(status, headers, bytes);
+    }
   }
 
-  /** Destroys the connection, so that the caller sees an incomplete response. */
-  abort(): void {
-    // Node flushes what was written in this turn only after the turn; destroying the connection earlier loses
-    // it.
-    setImmediate(() => {
-      if (this.#endsWithConnection) {
-        // A connection that is closed in order would present the response as complete.
-        this.#response.socket?.resetAndDestroy();
-      }
+  /**
+   * Ends the response so that the caller sees it as incomplete, after what was written. A caller that reads slowly gets
+   * up to `leftMs` for that.
+   */
+  abort(leftMs: number): void {
+    const { socket } = this.#response;
+    if (this.#collected !== null) {
+      this.sendLocal(badGatewayStatus, "the response broke off", null);
+      return;
+    }
+    if (socket === null) {
+      // The response waits for those to earlier requests of the connection.
       this.#response.destroy();
+      return;
+    }
+    // What was written is still sent; the missing end of the body shows the break.
+    socket.destroySoon();
+    const timer = setTimeout(() => socket.destroy(), Math.min(leftMs, maxAbortMs));
+    socket.once("close", () => {
+      clearTimeout(timer);
     });
   }
 
@@ -100,7 +138,12 @@
   }
 }
 
-/** Whether a response states its end other than by closing the connection. */
-function isFramed(headers: readonly string[]): boolean {
-  return headers.some((name, at) => at % 2 === 0 && framingNames.includes(name.toLowerCase()));
+function isBeforeHttp11({ req }: ServerResponse): boolean {
+  return req.httpVersionMajor < 1 || (req.httpVersionMajor === 1 && req.httpVersionMinor < 1);
+}
+
+/** Length that a response without a body states for the body that it stands for; null for none. */
+function findStatedLength(status: number, headers: readonly string[]): string | null {
+  const at = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === contentLength);
+  return status === noContentStatus || at < 0 ? null : (headers[at + 1] ?? null);
 }
--- a/packages/gateway/test/brokenStreams.test.ts
+++ b/packages/gateway/test/brokenStreams.test.ts
@@ -69,7 +69,7 @@
     socket.on("close", () => {
       resolve({ text, isReset });
     });
-    const headers = `host: app.test\r\nx-id: ${id}\r\nx-key: key-a\r\ncontent-length: 1`;
+    const headers = `host: app.test\r\nx-id: ${id}\r\nx-key: key-a\r\nconnection: close\r\ncontent-length: 1`;
     socket.write(`POST /p0/x HTTP/1.1\r\n${headers}\r\n\r\nx`);
   });
 }
@@ -102,6 +102,7 @@
   bytes = event(1) + event(2);
   const whole = await callRaw(callerPort, "r1");
   t.equal(whole.isReset, false);
+  t.ok(whole.text.endsWith("\r\n0\r\n\r\n"), "the end of the body");
   t.ok(whole.text.includes(event(2)));
   bytes = event(1) + "id: 2\ndata: e";
   const broken = await callRaw(callerPort, "r2");
--- a/packages/gateway/test/forwarding.test.ts
+++ b/packages/gateway/test/forwarding.test.ts
@@ -176,15 +176,16 @@
   await stop();
 });
 
-t.test("a response without a length is forwarded without one", async (t) => {
+// Guards against a response whose end is that of its connection, as an ended gateway would look like a complete one.
+t.test("a response without a length is forwarded with one once it has ended in order", async (t) => {
   const target = new TestTarget(({ id }, socket) => {
     socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\nperhaps half`);
   });
   const { call, stop } = await startGateway(createDocument(1), [target]);
   const response = await call({ path: "/p0/" }, "r1");
   t.equal(response.body, "perhaps half");
-  t.equal(response.headers["content-length"], undefined, "guards against a break that looks complete");
-  t.equal(response.headers["transfer-encoding"], undefined);
+  t.equal(response.headers["content-length"], "12");
+  t.equal(response.isComplete, true);
   await stop();
 });
 
