Keep odd requests and answers from ending an agent, and show its broken answers

One answer of the target with a status below 100 or a space in a header's name ended the agent, as did one request with a tab or form feed in its path, or with a byte in its attempt id that the agent echoes in its own answers. An answer without a length that the target reset looked complete to the entry, since Node ends it in order after it has reported the reset.

Change: such an answer is told as an unknown outcome, as a broken connection is; such a request gets 400 (request_malformed). The broken answer is taken off the caller's response before Node ends it. Exceptions in handlers of requests, orders, heartbeats and polls cost only these, with a log line and clementinemux_agent_handler_errors{handler}; errors of orders were dropped without a line.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -5,11 +5,15 @@
 import { Outcome } from "@clementinemux/common/Outcome";
 import { TargetKind } from "@clementinemux/common/TargetKind";
 import { headerNames } from "@clementinemux/common/headerNames";
+import { createLogger } from "@clementinemux/logging/createLogger";
 import { Counters } from "@clementinemux/metrics/Counters";
+import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { AdmissionGate } from "./AdmissionGate";
+import { AgentHandler } from "./AgentHandler";
 import { AgentRefusal } from "./AgentRefusal";
 import type { AgentSettings } from "./AgentSettings";
 import type { AgentState } from "./AgentState";
@@ -44,6 +48,7 @@
   );
 
   readonly #settings: z.output<typeof AgentSettings>;
+  readonly #errors: ErrorBoundary<AgentHandler>;
   readonly #clock: Clock;
   readonly #configView: ConfigView;
   readonly #admissionGate: AdmissionGate;
@@ -71,6 +76,11 @@
     logLead: LogLeader = () => undefined,
   ) {
     this.#settings = settings;
+    this.#errors = new ErrorBoundary({
+      name: "clementinemux_agent_handler_errors",
+      handlers: Object.values(AgentHandler),
+      logger: createLogger("clementinemux-agent", { target: settings.target }),
+    });
     this.#logState = logState;
     this.#logLeader = logLead;
     this.#clock = clock;
@@ -111,7 +121,10 @@
     const server = await createAgentServer(
       { maxConnections, tls: readTlsFiles(tls) },
       (request, response) => {
-        this.#handle(request, response);
+        const handle = (): void => {
+          this.#handle(request, response);
+        };
+        this.#errors.run(AgentHandler.Request, handle, () => response.destroy());
       },
     );
     this.#server = server;
@@ -124,17 +137,19 @@
     void periodic(heartbeatIntervalMs)
       .takeWhile(isRunning)
       .observe(() => {
-        void this.#relays.sendHeartbeats().then(() => {
+        void this.#errors.runAsync(AgentHandler.Heartbeat, async () => {
+          await this.#relays.sendHeartbeats();
           this.#logStateChange();
         });
       });
     void periodic(loadIntervalMs)
       .takeWhile(isRunning)
       .observe(() => {
-        void this.#loadPoller.poll().then(() => {
+        void this.#errors.runAsync(AgentHandler.Poll, async () => {
+          await this.#loadPoller.poll();
           this.#admissionGate.setTargetFailed(this.#loadPoller.hasFailed);
         });
-        void this.#cacheEventPoller?.poll();
+        void this.#errors.runAsync(AgentHandler.Poll, () => this.#cacheEventPoller?.poll());
       });
     const bound = server.address();
     return typeof bound === "object" && bound !== null ? bound.port : port;
@@ -241,6 +256,11 @@
   }
 
   #handle(request: IncomingMessage, response: ServerResponse): void {
+    if (findRequestFault(request) !== null) {
+      this.counters.add(AgentRefusal.RequestMalformed);
+      response.writeHead(400).end();
+      return;
+    }
     const [url = "", query = ""] = (request.url ?? "").split("?", 2);
     const routes: Readonly<Record<string, () => void>> = {
       "/agent/state": () => {
@@ -249,10 +269,15 @@
           .end(JSON.stringify(this.#createState(query)));
       },
       "/agent/metrics": () => {
-        response.writeHead(200, { "content-type": "text/plain" }).end(renderCounters(this.counters));
+        response
+          .writeHead(200, { "content-type": "text/plain" })
+          .end(renderCounters(this.counters) + this.#errors.render());
       },
       "/agent/order": () => {
-        this.#orderQueue.handle(request, response).catch(() => response.destroy());
+        this.#orderQueue.handle(request, response).catch((error: unknown) => {
+          this.#errors.note(AgentHandler.Order, error);
+          response.destroy();
+        });
       },
     };
     if (url.startsWith("/agent/")) {
@@ -286,7 +311,12 @@
       onUnreachable: () => {
         this.#refuse(response, AgentRefusal.TargetUnreachable, headers);
       },
-      onBroken: () => this.#crashes.examine(),
+      onBroken: async () => {
+        await this.#errors.runAsync(AgentHandler.Request, () => this.#crashes.examine());
+      },
+      guard: (action) => {
+        this.#errors.run(AgentHandler.Request, action, () => response.destroy());
+      },
     });
   }
 
--- a/packages/agent/AgentRefusal.ts
+++ b/packages/agent/AgentRefusal.ts
@@ -15,6 +15,8 @@
   TargetLeaving = "target_leaving",
   /** No connection to the target could be made, so nothing was sent to it. */
   TargetUnreachable = "target_unreachable",
+  /** The path or a header has characters that HTTP does not allow; answered with 400. */
+  RequestMalformed = "request_malformed",
   OrderMalformed = "order_malformed",
   EpochTooOld = "epoch_too_old",
 }
--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -4,6 +4,7 @@
 import { headerNames } from "@clementinemux/common/headerNames";
 import type { Address } from "@clementinemux/wire/Address";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
+import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 import { limitAbandonedCall } from "./limitAbandonedCall";
 
 interface ForwardOptions {
@@ -14,6 +15,8 @@
   readonly onUnreachable: () => void;
   /** Called when the connection of a request breaks; the caller is told once the promise resolves. */
   readonly onBroken: () => Promise<void>;
+  /** Runs the handlers of the request; an exception ends that request only. */
+  readonly guard: (action: () => void) => void;
 }
 
 const connectTimeoutMs = 500;
@@ -53,7 +56,7 @@
   }
 
   forward(request: IncomingMessage, response: ServerResponse, options: ForwardOptions): void {
-    const { repeatable, headers, onUnreachable, onBroken } = options;
+    const { repeatable, headers, onUnreachable, onBroken, guard } = options;
     let sent = false;
     let openSides = 2;
     const closeSide = (): void => {
@@ -61,6 +64,28 @@
       this.#inFlight -= openSides === 0 ? 1 : 0;
     };
     this.#inFlight += 1;
+    let unpipeResponse = (): void => undefined;
+    const relayResponse = (targetResponse: IncomingMessage): void => {
+      if (response.destroyed) {
+        // The caller has disconnected. The response is still read to its end, so that the target can
+        // finish.
+        targetResponse.on("error", () => undefined);
+        targetResponse.resume();
+        return;
+      }
+      response.writeHead(targetResponse.statusCode ?? 502, {
+        ...selectEndToEndHeaders(targetResponse.headers),
+        ...headers,
+      });
+      // The headers are sent immediately, since the first token may take seconds.
+      response.flushHeaders();
+      targetResponse.pipe(response);
+      unpipeResponse = () => targetResponse.unpipe(response);
+      targetResponse.once("error", () => {
+        void onBroken().finally(() => response.destroy());
+      });
+      response.once("close", () => targetResponse.resume());
+    };
     const upstream = requestHttp(
       {
         ...this.#address,
@@ -72,24 +97,14 @@
         agent: repeatable ? this.#httpAgent : false,
       },
       (targetResponse) => {
-        if (response.destroyed) {
-          // The caller has disconnected. The response is still read to its end, so that the target can
-          // finish.
-          targetResponse.on("error", () => undefined);
-          targetResponse.resume();
-          return;
-        }
-        response.writeHead(targetResponse.statusCode ?? 502, {
-          ...selectEndToEndHeaders(targetResponse.headers),
-          ...headers,
+        guard(() => {
+          const fault = findResponseFault(targetResponse);
+          if (fault !== null) {
+            upstream.destroy(new Error(fault));
+            return;
+          }
+          relayResponse(targetResponse);
         });
-        // The headers are sent immediately, since the first token may take seconds.
-        response.flushHeaders();
-        targetResponse.pipe(response);
-        targetResponse.once("error", () => {
-          void onBroken().finally(() => response.destroy());
-        });
-        response.once("close", () => targetResponse.resume());
       },
     );
     upstream.once("socket", (socket) => {
@@ -114,8 +129,10 @@
       }
     });
     upstream.once("close", closeSide);
-    upstream.on("error", () => {
+    const endBroken = (): void => {
       request.unpipe(upstream);
+      // Node ends a response without a length in order when its connection is reset, after it has reported the error.
+      unpipeResponse();
       if (response.destroyed) {
         return;
       }
@@ -124,12 +141,17 @@
         return;
       }
       void onBroken().finally(() => {
-        if (response.headersSent) {
-          response.destroy();
-        } else if (!response.destroyed) {
-          respondUnknown(response, headers);
-        }
+        guard(() => {
+          if (response.headersSent) {
+            response.destroy();
+          } else if (!response.destroyed) {
+            respondUnknown(response, headers);
+          }
+        });
       });
+    };
+    upstream.on("error", () => {
+      guard(endBroken);
     });
     response.once("close", () => {
       closeSide();
--- a/packages/agent/test/endless.test.ts
+++ b/packages/agent/test/endless.test.ts
@@ -59,6 +59,9 @@
       repeatable,
       headers: {},
       onBroken: () => Promise.resolve(),
+      guard: (action) => {
+        action();
+      },
       onUnreachable: () => response.destroy(),
     });
   });
--- a/packages/agent/test/targetCrashes.test.ts
+++ b/packages/agent/test/targetCrashes.test.ts
@@ -28,7 +28,15 @@
   const agent: Server = createHttpServer((request, response) => {
     const onUnreachable = (): unknown => response.writeHead(503).end();
     const onBroken = (): Promise<void> => crashes.examine();
-    forwarder.forward(request, response, { repeatable: true, headers: {}, onUnreachable, onBroken });
+    forwarder.forward(request, response, {
+      repeatable: true,
+      headers: {},
+      onUnreachable,
+      onBroken,
+      guard: (action) => {
+        action();
+      },
+    });
   });
   await new Promise<void>((resolve) => agent.listen(0, "127.0.0.1", resolve));
   t.teardown(() => {
