Answer 400 for odd requests at an entry, and count what its handlers throw

A path with a tab or form feed, or a header with a space in its name, counted as a failed connection of each target in turn, where the caller is at fault. A name of a team or target outside Latin-1 failed every request of its team or at that target, an answer with status 101 closed the caller's connection, and exceptions in the handling of a request were dropped without a line.

Change: such a request gets 400 before anything else. Names go out in UTF-8; settings with control characters in a team's name are refused at the start. A head that the entry could not pass on ends the attempt like a broken connection. Exceptions are logged and counted in clementinemux_entry_handler_errors{handler}.

The other heads are guarded already: the HTTP library catches what a handler throws.

--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -14,6 +14,7 @@
 import { ControlClient } from "@clementinemux/control/ControlClient";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { Policy } from "@clementinemux/policy/Policy";
@@ -24,6 +25,7 @@
 import { ControlClaimClient } from "./ControlClaimClient";
 import { CrashGuard } from "./CrashGuard";
 import { Dispatcher } from "./Dispatcher";
+import { EntryHandler } from "./EntryHandler";
 import { EntryMetrics } from "./EntryMetrics";
 import type { EntrySettings } from "./EntrySettings";
 import { ExplainLog } from "./ExplainLog";
@@ -68,6 +70,7 @@
 /** Entry process: accepts callers' requests and forwards each to a target. */
 export class EntryServer {
   readonly #settings: z.output<typeof EntrySettings>;
+  readonly #errors: ErrorBoundary<EntryHandler>;
   readonly #clock: Clock;
   readonly #incarnation: string;
   readonly #relays: RelayCaller;
@@ -88,6 +91,11 @@
 
   constructor(settings: z.output<typeof EntrySettings>, options: EntryServerOptions = {}) {
     this.#settings = settings;
+    this.#errors = new ErrorBoundary({
+      name: "clementinemux_entry_handler_errors",
+      handlers: Object.values(EntryHandler),
+      logger: createLogger("clementinemux-entry", { entry: settings.name }),
+    });
     this.#url = settings.url;
     this.#clock = options.clock ?? new SystemClock();
     this.#incarnation = createIncarnation(this.#clock.wallMs());
@@ -258,7 +266,10 @@
         // The caller's next request then connects to another entry.
         response.setHeader("connection", "close");
       }
-      this.#api.handle(request, response).catch(() => response.destroy());
+      this.#api.handle(request, response).catch((error: unknown) => {
+        this.#errors.note(EntryHandler.Request, error);
+        response.destroy();
+      });
     };
     const server =
       tls === undefined
@@ -344,20 +355,12 @@
     this.#dispatcher.applyTargets(this.#fleet.getTargets(this.#lease.config.defaults.permitMaxAgeMs));
   }
 
-  /** Runs a task periodically. Exceptions are caught and logged, because they would end the event stream. */
+  /** Runs a task periodically. An exception ends one round only. */
   #runPeriodically(intervalMs: number, task: () => Promise<void> | void): void {
-    const logger = createLogger("clementinemux-entry", { entry: this.#settings.name });
-    const run = async (): Promise<void> => {
-      try {
-        await task();
-      } catch (error) {
-        logger.error({ error: String(error) }, "periodic task failed");
-      }
-    };
     void periodic(intervalMs)
       .takeWhile(() => this.#running)
       .observe(() => {
-        void run();
+        void this.#errors.runAsync(EntryHandler.Round, task);
       });
   }
 }
--- a/packages/entry/EntrySettings.ts
+++ b/packages/entry/EntrySettings.ts
@@ -1,9 +1,14 @@
 import * as z from "zod";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 
 const port = z.number().int().min(0).max(65_535);
 
 const caller = z.strictObject({
-  team: z.string().min(1).max(128),
+  team: z
+    .string()
+    .min(1)
+    .max(128)
+    .refine((name) => encodeHeaderText(name) !== null, "must have no control characters"),
   /** Bearer token. A team may have several, so that one can be rotated without downtime. */
   token: z.string().min(8).max(512),
 });
--- a/packages/entry/HttpApi.ts
+++ b/packages/entry/HttpApi.ts
@@ -3,6 +3,7 @@
 import { Outcome } from "@clementinemux/common/Outcome";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
 import { TargetKind } from "@clementinemux/common/TargetKind";
+import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import type { IncomingRequest } from "./IncomingRequest";
 import type { CallerTable } from "./CallerTable";
 import type { RequestReceiver } from "./RequestReceiver";
@@ -84,6 +85,10 @@
       return;
     }
     const requestId = randomUUID();
+    if (findRequestFault(request) !== null) {
+      this.#refuse(requestId, response, RefusalReason.BadRequest);
+      return;
+    }
     const { callers, anonymousTeam, context } = this.#options;
     const { authorization } = request.headers;
     const team =
--- a/packages/entry/JsonSink.ts
+++ b/packages/entry/JsonSink.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import { headerNames } from "@clementinemux/common/headerNames";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 import type { RecordedResponse } from "@clementinemux/messages/RecordedResponse";
 import type { ResponseSink } from "./ResponseSink";
 import type { Problem } from "./Problem";
@@ -66,7 +67,7 @@
       "content-type": contentType,
       "content-length": this.#document.length,
       [headerNames.requestId]: requestId,
-      "clementinemux-target": target,
+      "clementinemux-target": encodeHeaderText(target) ?? "",
     });
     this.#response.end(this.#document);
   }
--- a/packages/entry/RequestSession.ts
+++ b/packages/entry/RequestSession.ts
@@ -8,6 +8,7 @@
 import type { PolicyAction } from "@clementinemux/policy/PolicyAction";
 import type { PolicyActionKind } from "@clementinemux/policy/PolicyActionKind";
 import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 import type { ClaimGuard } from "./ClaimGuard";
 import type { Problem } from "./Problem";
 import type { Session } from "./Session";
@@ -190,7 +191,7 @@
       [headerNames.requestId]: this.request.requestId,
       [headerNames.attemptId]: action.attemptId,
       [headerNames.revision]: String(this.context.getConfig().revision),
-      [headerNames.team]: this.request.team,
+      [headerNames.team]: encodeHeaderText(this.request.team) ?? "",
       [headerNames.priority]: String(action.enginePriority),
       [headerNames.deadlineMs]: String(Math.max(0, Math.floor(remainingMs))),
     };
--- a/packages/entry/ServiceSession.ts
+++ b/packages/entry/ServiceSession.ts
@@ -5,6 +5,7 @@
 import type { PolicyAction } from "@clementinemux/policy/PolicyAction";
 import type { PolicyActionKind } from "@clementinemux/policy/PolicyActionKind";
 import type { PolicyRequest } from "@clementinemux/policy/PolicyRequest";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 import type { Dispatcher as UndiciDispatcher } from "undici";
 import type { ClaimGuard } from "./ClaimGuard";
 import type { Problem } from "./Problem";
@@ -96,7 +97,7 @@
     this.#response?.writeHead(status, {
       "content-type": this.#contentType,
       [headerNames.requestId]: this.request.requestId,
-      "clementinemux-target": running.link.announcement.target,
+      "clementinemux-target": encodeHeaderText(running.link.announcement.target) ?? "",
     });
   }
 
--- a/packages/entry/SseSink.ts
+++ b/packages/entry/SseSink.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import { headerNames } from "@clementinemux/common/headerNames";
+import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
 import type { RecordedResponse } from "@clementinemux/messages/RecordedResponse";
 import type { ResponseSink } from "./ResponseSink";
 import type { Problem } from "./Problem";
@@ -105,7 +106,7 @@
         "content-type": contentType,
         "cache-control": "no-store",
         [headerNames.requestId]: this.#options.requestId,
-        "clementinemux-target": target,
+        "clementinemux-target": encodeHeaderText(target) ?? "",
       });
     }
     return response;
--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -1,5 +1,6 @@
 import type { Client, Dispatcher } from "undici";
 import type { TargetLink } from "./TargetLink";
+import { findHeadFault } from "./findHeadFault";
 import type { UpstreamListener } from "./UpstreamListener";
 
 interface UpstreamCallOptions {
@@ -87,6 +88,7 @@
     this.#controller?.abort(new Error("request was aborted by the entry"));
   }
 
+  /** The HTTP library catches what a handler throws, and ends the exchange with `onResponseError`. */
   #createHandler(mayWrite: () => boolean): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (controller) => {
@@ -98,6 +100,10 @@
         this.#written = true;
       },
       onResponseStart: (_controller, status, headers) => {
+        const fault = findHeadFault(status, headers);
+        if (fault !== null) {
+          throw new Error(fault);
+        }
         this.#notifyIfOpen(() => {
           this.#listener.onHead(status, headers);
         });
--- a/packages/standins/service/ServiceServer.ts
+++ b/packages/standins/service/ServiceServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import type { AgentState } from "@clementinemux/agent/AgentState";
 import { headerNames } from "@clementinemux/common/headerNames";
@@ -24,6 +25,8 @@
   #crashedAtMs: number | null = null;
   /** Injected fault: the next response ends after this many bytes of its head. */
   cutHeadAt: number | null = null;
+  /** Injected fault: answers the next request with raw bytes. */
+  answerRaw: ((socket: Socket) => void) | null = null;
   /** Injected fault: executes requests, but never responds. */
   frozen = false;
   /**
@@ -109,6 +112,12 @@
       this.close();
       return;
     }
+    const { answerRaw } = this;
+    if (answerRaw !== null && response.socket !== null) {
+      this.answerRaw = null;
+      answerRaw(response.socket);
+      return;
+    }
     if (this.cutHeadAt !== null) {
       const head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\r\n";
       response.socket?.end(head.slice(0, this.cutHeadAt));
