--- a/packages/entry/test/oddBytes.test.ts
+++ b/packages/entry/test/oddBytes.test.ts
@@ -1,4 +1,5 @@
 import { connect } from "node:net";
+import type { Socket } from "node:net";
 import t from "tap";
 import { request as requestHttp } from "undici";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
@@ -63,3 +64,37 @@
   t.equal(await callRaw(url, "/services/orders/a"), "200");
   await fleet.stop();
 });
+
+// Guards against an answer that was cut by a reset or an early end and looks complete.
+const cuts: Readonly<Record<string, { readonly head: string }>> = {
+  "without a length": { head: "HTTP/1.1 200 OK\r\n\r\nhalf" },
+  "in chunks": { head: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n" },
+  "in chunks, on a connection to be closed": {
+    head: "HTTP/1.1 200 OK\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+  },
+  "with a length": { head: "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 9\r\n\r\nhalf" },
+};
+const ends: Readonly<Record<string, (socket: Socket) => void>> = {
+  "an end": (socket) => socket.end(),
+  "a reset": (socket) => socket.resetAndDestroy(),
+};
+for (const [name, { head }] of Object.entries(cuts)) {
+  for (const [ending, end] of Object.entries(ends)) {
+    t.test(`an answer ${name} that is cut by ${ending} does not look complete`, async (t) => {
+      const fleet = await startFleet({ serviceCount: 1, defaults: { ...defaults, services } });
+      const url = `${fleet.urls[0] ?? ""}/services/orders/place`;
+      fleet.services[0]!.answerRaw = (socket) => {
+        socket.write(head);
+        setTimeout(end, 30, socket);
+      };
+      const outcome = await requestHttp(url, { method: "POST", body: "cut" })
+        .then(async ({ statusCode, body }) => {
+          await body.text();
+          return statusCode;
+        })
+        .catch(() => 0);
+      t.ok(outcome === 0 || outcome === 502, `${outcome}`);
+      await fleet.stop();
+    });
+  }
+}
