Ask for length or chunks in answers of services only

A stream of tokens has an end of its own, [DONE], which the entry asks for already.

Change: the check moves to the sessions of services, whose bodies have no such mark.

--- a/packages/entry/ServiceSession.ts
+++ b/packages/entry/ServiceSession.ts
@@ -14,6 +14,7 @@
 import type { TargetLink } from "./TargetLink";
 import { UpstreamCall } from "./UpstreamCall";
 import type { UpstreamListener } from "./UpstreamListener";
+import { statesItsEnd } from "./statesItsEnd";
 import { sendProblem } from "./sendProblem";
 
 const firstFailureStatus = 500;
@@ -87,7 +88,9 @@
       return;
     }
     const echoedAttemptId = headers[headerNames.attemptId];
-    if (echoedAttemptId !== undefined && echoedAttemptId !== running.attemptId) {
+    const isForeign = echoedAttemptId !== undefined && echoedAttemptId !== running.attemptId;
+    // Unlike a stream of tokens, the body of a service has no mark of its own at its end.
+    if (isForeign || !statesItsEnd(this.#options.method, status, headers)) {
       running.call.abort();
       this.#end(AttemptEndKind.StreamBroken);
       return;
--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -43,7 +43,7 @@
     try {
       dispatcher.dispatch(
         { method, path, headers, body, idempotent: false, headersTimeout: 0, bodyTimeout: 0 },
-        this.#createHandler(method, options.mayWrite),
+        this.#createHandler(options.mayWrite),
       );
     } catch (error) {
       queueMicrotask(() => {
@@ -89,7 +89,7 @@
   }
 
   /** The HTTP library catches what a handler throws, and ends the exchange with `onResponseError`. */
-  #createHandler(method: string, mayWrite: () => boolean): Dispatcher.DispatchHandler {
+  #createHandler(mayWrite: () => boolean): Dispatcher.DispatchHandler {
     return {
       onRequestStart: (controller) => {
         this.#controller = controller;
@@ -100,7 +100,7 @@
         this.#written = true;
       },
       onResponseStart: (_controller, status, headers) => {
-        const fault = findHeadFault(method, status, headers);
+        const fault = findHeadFault(status, headers);
         if (fault !== null) {
           throw new Error(fault);
         }
