Limit the bytes before the head of a response

A faulty target that sent line ends without end in place of a response was read until the request's time was over: Node's parser skips line ends before a head, and the limit of framing bytes counted from the head on. The other requests of the gateway shared its processor with that.

Change: limitFramingBytes counts from the connection on and ends a call after 65,536 bytes without any byte of a body. It moves from TargetCall to packages/wire, and also serves the calls to ranks and the agent's calls and polls.

--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -5,6 +5,7 @@
 import type { Address } from "@clementinemux/wire/Address";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
+import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 import { limitAbandonedCall } from "./limitAbandonedCall";
 
 interface ForwardOptions {
@@ -121,6 +122,9 @@
         clearTimeout(timer);
       });
     });
+    limitFramingBytes(upstream, () => {
+      upstream.destroy(new Error("too many framing bytes without body data"));
+    });
     let provisionalCount = 0;
     upstream.on("information", () => {
       provisionalCount += 1;
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest } from "node:http";
 import type { Address } from "@clementinemux/wire/Address";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
+import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 
 interface TargetRequest {
   readonly method: string;
@@ -62,6 +63,9 @@
           });
         },
       );
+      limitFramingBytes(outgoing, () => {
+        outgoing.destroy(new Error("too many framing bytes without body data"));
+      });
       const timer = setTimeout(() => {
         outgoing.destroy(new Error(`target did not respond within ${timeoutMs} ms`));
       }, timeoutMs);
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -3,6 +3,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
+import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 import { CallFailure } from "./CallFailure";
 import type { TargetCallListener } from "./TargetCallListener";
 import type { TargetCallOptions } from "./TargetCallOptions";
@@ -12,12 +13,6 @@
 const maxHeadBytes = 16_384;
 /** Limit for provisional (1xx) responses before the final one; a healthy target sends at most one. */
 const maxProvisional = 8;
-/**
- * Limit for framing bytes without any byte of the body; Node reads the digits of a chunk size without a
- * limit.
- */
-const maxFramingBytes = 65_536;
-
 /** Node's code for a connection that ends within the head of a response. */
 const endWithinHeadCode = "HPE_INVALID_EOF_STATE";
 
@@ -30,8 +25,6 @@
   #isConnected = false;
   #isDone = false;
   #provisional = 0;
-  /** Bytes read since the last byte of the body. */
-  #framingBytes = 0;
   #timer: NodeJS.Timeout;
 
   constructor(options: TargetCallOptions, listener: TargetCallListener) {
@@ -92,6 +85,12 @@
         this.#fail(this.#getFailure(error), error.message);
       }),
     );
+    limitFramingBytes(
+      this.#request,
+      this.#guarded(() => {
+        this.#fail(CallFailure.TooLarge, "too many framing bytes without body data");
+      }),
+    );
     this.#request.end(body);
   }
 
@@ -196,33 +195,9 @@
         this.#fail(CallFailure.Broken, "connection closed before the end of the response");
       }),
     );
-    this.#limitFraming(response);
     this.#listener.onResponse(targetResponse, response.rawHeaders);
   }
 
-  /** Ends a call whose connection keeps delivering framing bytes without any byte of the body. */
-  #limitFraming(response: IncomingMessage): void {
-    const { socket } = response;
-    let hasBody = false;
-    response.on("data", () => {
-      hasBody = true;
-    });
-    // Runs after the parser for the same bytes, so any body data in them has already been seen.
-    const onBytes = ({ length }: Buffer): void => {
-      this.#framingBytes = hasBody || response.readableLength > 0 ? 0 : this.#framingBytes + length;
-      hasBody = false;
-      if (this.#framingBytes > maxFramingBytes) {
-        this.#options.guard(() => {
-          this.#fail(CallFailure.TooLarge, "too many framing bytes without body data");
-        });
-      }
-    };
-    socket.on("data", onBytes);
-    response.once("end", () => {
-      socket.off("data", onBytes);
-    });
-  }
-
   #getFailure({ code = "" }: NodeJS.ErrnoException): CallFailure {
     if (!this.#isConnected) {
       return CallFailure.NotConnected;
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -56,6 +56,7 @@
     slow: "x-more: 1\r\n",
   },
   "one header": { first: () => "HTTP/1.1 200 OK\r\nx-long: ", text: block, slow: "x" },
+  "line ends before the head": { first: () => "", text: "\r\n".repeat(32_768), slow: "\r\n" },
   "a status line": { first: () => "HTTP/1.1 200 ", text: block, slow: "x" },
   "no HTTP at all": { first: () => "", text: block, slow: "x" },
   "provisional responses": {
--- a/packages/wire/test/helpers/endlessResponses.ts
+++ b/packages/wire/test/helpers/endlessResponses.ts
@@ -13,6 +13,7 @@
 
 /** Responses that never end, by the part that is endless. */
 export const endlessResponses: Readonly<Record<string, EndlessResponse>> = {
+  "line ends before the head": { first: "", full: "\r\n".repeat(32_768), slow: "\r\n" },
   "a status line": { first: "HTTP/1.1 200 ", full: block, slow: "x" },
   "one header": { first: `${head}x-long: `, full: block, slow: "x" },
   "header lines": { first: head, full: "x-more: 1\r\n".repeat(500), slow: "x-more: 1\r\n" },
