--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -1,4 +1,3 @@
-import type { EventEmitter } from "node:events";
 import { request as sendRequest } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
