Tell a reset that Node reports as an end from the end of a response

Cause: when bytes and a reset arrive at once, libuv reads the bytes and then reports an end for the hang-up, without reading the error.

Change: the gateway and the agent ask the socket when a response that ends with its connection ends. A target that ends in order and resets at the same moment counts as reset.

--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -6,6 +6,7 @@
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
+import { onHiddenReset } from "@clementinemux/wire/onHiddenReset";
 import { limitAbandonedCall } from "./limitAbandonedCall";
 
 interface ForwardOptions {
@@ -82,6 +83,10 @@
       response.flushHeaders();
       targetResponse.pipe(response);
       unpipeResponse = () => targetResponse.unpipe(response);
+      onHiddenReset(targetResponse, () => {
+        upstream.destroy(new Error("connection reset"));
+        guard(endBroken);
+      });
       targetResponse.once("error", () => {
         void onBroken().finally(() => response.destroy());
       });
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
+import { onHiddenReset } from "@clementinemux/wire/onHiddenReset";
 import { CallFailure } from "./CallFailure";
 import type { TargetCallListener } from "./TargetCallListener";
 import type { TargetCallOptions } from "./TargetCallOptions";
@@ -194,6 +195,12 @@
         this.#fail(CallFailure.Broken, "connection closed before the end of the response");
       }),
     );
+    onHiddenReset(
+      response,
+      this.#guarded(() => {
+        this.#fail(CallFailure.Broken, "connection reset");
+      }),
+    );
     this.#listener.onResponse(targetResponse, response.rawHeaders);
   }
 
