Record ends of targets in the replicated log, so that restarts do not forget them

Cause: the acknowledgement of a drain or removal meant that a majority of the voters had it in memory. A restart of all coordinators forgot it, restarts in turn could, and the removal of a target that the coordinator did not know stored nothing.

Change: control/ends. An end is a record of the `routes` log, acknowledged when a majority of the voters has synced it. The removal of an unknown target is recorded for all incarnations that started up to 5 s before it. Reports that arrive together share an entry; a state is written once. Calls to replicate the registry share rounds, since each of 200 drains at once sent all changes to all peers. Coordinator's periodic tasks move to RoundRunner.

--- /dev/null
+++ b/packages/control/ends/EndRecorder.ts
@@ -0,0 +1,143 @@
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { ReplicatedGroup } from "../ReplicatedGroup";
+import type { DocumentCommand } from "../routes/DocumentCommand";
+import type { EndReport } from "./EndReport";
+import type { EndTable } from "./EndTable";
+import type { TargetEnd } from "./TargetEnd";
+
+interface EndRecorderOptions {
+  readonly group: Pick<ReplicatedGroup, "isLeader" | "propose" | "getLeaderAddress" | "createNotLeaderError">;
+  readonly table: EndTable;
+  readonly targets: TargetRegistry;
+  readonly links: PeerLinks;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+interface QueuedReport {
+  readonly report: EndReport;
+  readonly resolve: (isRecorded: boolean) => void;
+}
+
+// Targets call another coordinator after a second without a response.
+const recordTimeoutMs = 900;
+/** While a write is in flight, reports are collected for this long, so that they share an entry of the log. */
+const batchIntervalMs = 20;
+/** At 300 bytes for the longest ids, a batch fits into a frame. */
+const maxBatchReports = 500;
+/**
+ * Largest difference between the times of day of a target's machine and of the leader's. An incarnation that started within it
+ * before the removal of an unknown target may be the next one.
+ */
+const maxClockDifferenceMs = 5000;
+
+/** Records ends of targets in the `routes` log; followers forward them to the leader. Reports that arrive together share an entry. */
+export class EndRecorder {
+  readonly #options: EndRecorderOptions;
+  #queue: QueuedReport[] = [];
+  #inFlight = 0;
+  #isScheduled = false;
+
+  constructor(options: EndRecorderOptions) {
+    this.#options = options;
+  }
+
+  /** Resolves with whether the end is known to be on the disks of a majority. Never rejects. */
+  record(report: EndReport): Promise<boolean> {
+    return new Promise((resolve) => {
+      this.#queue.push({ report, resolve });
+      this.#schedule();
+    });
+  }
+
+  /** Commits ends that are not recorded yet. Throws an error when this replica does not lead, or the outcome is unknown. */
+  async recordAsLeader(reports: readonly EndReport[]): Promise<void> {
+    const { group, table, clock } = this.#options;
+    if (!group.isLeader) {
+      throw group.createNotLeaderError();
+    }
+    const nowMs = clock.wallMs();
+    const ends = reports
+      .map((report) => this.#identify(report, nowMs))
+      .filter((end) => !table.covers(end, nowMs) || this.#isTakenBack(end, nowMs));
+    if (ends.length === 0) {
+      return;
+    }
+    const command: DocumentCommand = { version: 0, bytes: new Uint8Array(), ends };
+    const result = await group.propose(command);
+    result.ifLeft((error) => {
+      throw error;
+    });
+  }
+
+  /** Names the incarnation that has ended, and stamps the end. */
+  #identify({ id, bornMs, isGone, sequence }: EndReport, nowMs: number): TargetEnd {
+    const known = bornMs === null ? this.#options.targets.find(id) : null;
+    return {
+      id,
+      bornMs: bornMs ?? known?.bornMs ?? nowMs - maxClockDifferenceMs,
+      isGone,
+      sequence: known?.sequence ?? sequence,
+      recordedAtWallMs: nowMs,
+    };
+  }
+
+  #isTakenBack(end: TargetEnd, nowMs: number): boolean {
+    const drainSequence = this.#options.table.getDrainSequence(end, nowMs);
+    return drainSequence !== null && end.sequence > drainSequence;
+  }
+
+  #schedule(): void {
+    if (this.#isScheduled || this.#queue.length === 0) {
+      return;
+    }
+    this.#isScheduled = true;
+    const flush = (): void => {
+      this.#isScheduled = false;
+      void this.#flush();
+    };
+    if (this.#inFlight === 0) {
+      setImmediate(flush);
+    } else {
+      setTimeout(flush, batchIntervalMs);
+    }
+  }
+
+  async #flush(): Promise<void> {
+    const batch = this.#queue.splice(0, maxBatchReports);
+    this.#inFlight += 1;
+    this.#schedule();
+    const isRecorded = await this.#submit(batch.map(({ report }) => report));
+    this.#inFlight -= 1;
+    for (const { resolve } of batch) {
+      resolve(isRecorded);
+    }
+  }
+
+  async #submit(reports: readonly EndReport[]): Promise<boolean> {
+    const { group, links, logger } = this.#options;
+    try {
+      if (group.isLeader) {
+        await this.recordAsLeader(reports);
+        return true;
+      }
+      const leader = group.getLeaderAddress();
+      if (leader === null) {
+        throw group.createNotLeaderError();
+      }
+      const answer = await links.call(leader, MessageName.RecordEnds, reports, recordTimeoutMs);
+      answer.ifLeft((error) => {
+        throw error;
+      });
+      return true;
+    } catch (error) {
+      const ids = reports.map(({ id }) => id);
+      logger.warn({ ids, error: String(error) }, "ends of targets not recorded");
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/ends/TargetReports.ts
@@ -0,0 +1,160 @@
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Counters } from "@clementinemux/metrics/Counters";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { EndReport } from "./EndReport";
+import { EndOutcome } from "./EndOutcome";
+import { EndState } from "./EndState";
+import type { EndTable } from "./EndTable";
+
+interface TargetReportsOptions {
+  readonly targets: TargetRegistry;
+  readonly ends: EndTable;
+  /** Resolves with whether the end is on the disks of a majority of the voters. */
+  readonly record: (report: EndReport) => Promise<boolean>;
+  /** Resolves with whether a majority of the voters has the current registry. */
+  readonly replicate: () => Promise<boolean>;
+  /** Whether this process has applied, since its start, all that was committed before; asked until it is true. */
+  readonly isCaughtUp: () => boolean;
+  /** Whether every live target has reported to this process. */
+  readonly isComplete: () => boolean;
+  /** Whether this process is in contact with the leader. */
+  readonly isCurrent: () => boolean;
+  readonly outcomes: Counters<EndOutcome>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/**
+ * Receives what targets report of themselves, directly or through other coordinators, and holds it against the recorded ends
+ * before it reaches the registry.
+ */
+export class TargetReports {
+  readonly #options: TargetReportsOptions;
+  /** Heartbeats received before the recorded ends were known; null since then. */
+  #early: TargetRegistry | null = new TargetRegistry();
+
+  constructor(options: TargetReportsOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the recorded ends are known, so that what targets report reaches the registry. */
+  get isCaughtUp(): boolean {
+    this.update();
+    return this.#early === null;
+  }
+
+  /** Receives a target's heartbeat. Resolves with whether the call may be acknowledged. */
+  async register(target: TargetRecord): Promise<boolean> {
+    const { targets, ends, isCurrent, clock, logger } = this.#options;
+    if (this.#hold(target, clock.monotonicMs(), null)) {
+      return false;
+    }
+    const known = targets.find(target.id);
+    const before = targets.lastChangeNumber;
+    const state = this.#put(target, clock.monotonicMs(), null);
+    const { id, service, address, isDraining, bornMs, sequence } = target;
+    if (targets.lastChangeNumber !== before) {
+      logger.info({ id, service, address, isDraining, bornMs }, "target changed");
+    }
+    if (!isDraining || state === EndState.Ended) {
+      if (state !== EndState.Open) {
+        logger.info({ id, bornMs, sequence, state }, "late heartbeat of a target that has left");
+      }
+      // A partitioned coordinator does not acknowledge heartbeats, so that targets register with the others.
+      return isCurrent();
+    }
+    const report = { id, bornMs, isGone: false, sequence };
+    const wallMs = clock.wallMs();
+    const drainSequence = ends.getDrainSequence(target, wallMs);
+    const wasTakenBack =
+      drainSequence !== null &&
+      known?.bornMs === bornMs &&
+      !known.isDraining &&
+      known.sequence > drainSequence;
+    return ends.covers(report, wallMs) && !wasTakenBack ? this.#noteKnown() : this.#record(report, true);
+  }
+
+  /**
+   * Removes a target. Resolves with whether the call may be acknowledged. While this process has just started
+   * or is partitioned, a target that it does not know may be in use elsewhere.
+   */
+  async remove(id: string): Promise<boolean> {
+    const { targets, ends, isComplete, isCurrent, clock, logger } = this.#options;
+    if (!this.isCaughtUp) {
+      return false;
+    }
+    const removed = targets.remove(id, clock.monotonicMs());
+    if (removed === null) {
+      const isAllowed = isComplete() && isCurrent();
+      return isAllowed && this.#record({ id, bornMs: null, isGone: true, sequence: 0 }, false);
+    }
+    logger.info({ id }, "target removed");
+    const { bornMs, sequence } = removed;
+    const report = { id, bornMs, isGone: true, sequence };
+    return ends.covers(report, clock.wallMs()) ? this.#noteKnown() : this.#record(report, true);
+  }
+
+  /** Receives a record that another coordinator passes on. */
+  receive(target: TargetRecord, seenAtMs: number, via: string): void {
+    if (!this.#hold(target, seenAtMs, via)) {
+      this.#put(target, seenAtMs, via);
+    }
+  }
+
+  /** Passes on what was received too early, as soon as the recorded ends are known. */
+  update(): void {
+    const early = this.#early;
+    if (early === null || !this.#options.isCaughtUp()) {
+      early?.expire(this.#options.clock.monotonicMs());
+      return;
+    }
+    this.#early = null;
+    for (const { target, lastSeenAtMs, via } of early.changedSince(0)) {
+      this.#put(target, lastSeenAtMs, via);
+    }
+  }
+
+  /** Records of targets that have ended, for gateways whose list is older than this process; later incarnations are left out. */
+  listEnded(): TargetRecord[] {
+    const { targets, ends, clock } = this.#options;
+    return ends
+      .listValid(clock.wallMs())
+      .filter(({ id, bornMs }) => (targets.find(id)?.bornMs ?? -Infinity) < bornMs)
+      .map(({ id, bornMs, sequence }) => {
+        const unknown = { service: "", address: "", failureDomain: "", slots: 1 };
+        return { id, ...unknown, isDraining: true, isLeaving: false, isGone: true, bornMs, sequence };
+      });
+  }
+
+  /** Keeps a record aside while the recorded ends are not known yet. Returns whether it did. */
+  #hold(target: TargetRecord, seenAtMs: number, via: string | null): boolean {
+    this.update();
+    this.#early?.put(target, seenAtMs, via);
+    return this.#early !== null;
+  }
+
+  #put(target: TargetRecord, seenAtMs: number, via: string | null): EndState {
+    const { targets, ends, clock } = this.#options;
+    const state = ends.getState(target, clock.wallMs());
+    if (state !== EndState.Ended) {
+      targets.put(state === EndState.Draining ? { ...target, isDraining: true } : target, seenAtMs, via);
+    }
+    return state;
+  }
+
+  #noteKnown(): boolean {
+    this.#options.outcomes.add(EndOutcome.Known);
+    return true;
+  }
+
+  /** Records an end. `isListed` tells whether the registry has changed, so that the others must be told. */
+  async #record(report: EndReport, isListed: boolean): Promise<boolean> {
+    const { record, replicate, outcomes } = this.#options;
+    const results = await Promise.all([record(report), isListed ? replicate() : true]);
+    const isRecorded = !results.includes(false);
+    outcomes.add(isRecorded ? EndOutcome.Recorded : EndOutcome.Unknown);
+    return isRecorded;
+  }
+}
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,5 +1,3 @@
-import { setTimeout as delay } from "node:timers/promises";
-import { periodic } from "most";
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
@@ -17,6 +15,9 @@
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { RankGroupManager } from "../ranks/RankGroupManager";
+import type { EndReport } from "../ends/EndReport";
+import { EndRecorder } from "../ends/EndRecorder";
+import { TargetReports } from "../ends/TargetReports";
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import { CoordinatorHandler } from "./CoordinatorHandler";
@@ -28,6 +29,7 @@
 import { DocumentService } from "./DocumentService";
 import { RegistryExchange } from "./RegistryExchange";
 import { PeerTable } from "./PeerTable";
+import { RoundRunner } from "./RoundRunner";
 import { RouteStateMachine } from "./RouteStateMachine";
 import { MembershipManager } from "./MembershipManager";
 import { SyncService } from "./SyncService";
@@ -62,10 +64,16 @@
   readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
   readonly #errors: ErrorBoundary<CoordinatorHandler>;
+  readonly #rounds: RoundRunner;
   readonly #host: GroupHost;
   readonly #links = new PeerLinks(undefined);
   readonly #peers: PeerTable;
-  readonly #machine = new RouteStateMachine();
+  readonly #machine = new RouteStateMachine((ends) => {
+    for (const end of ends) {
+      this.targets.end(end);
+    }
+  });
+  readonly #reports: TargetReports;
   readonly #server: RpcServer;
   readonly #metricsPage: MetricsEndpoint;
   readonly #activator: MapActivator;
@@ -74,16 +82,17 @@
   readonly #startedAtMs: number;
   #group: ReplicatedGroup | null = null;
   #documents: DocumentService | null = null;
+  #recorder: EndRecorder | null = null;
   #exchange: RegistryExchange | null = null;
   #membership: MembershipManager | null = null;
   #table: RouteTable | null = null;
   #tickedAtMs = 0;
-  #isClosed = false;
 
   constructor(options: CoordinatorOptions) {
     this.#options = options;
     const { clock, random, logger, onFatal } = options;
     this.#errors = createCoordinatorErrors(logger);
+    this.#rounds = new RoundRunner(this.#errors);
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.#startedAtMs = clock.monotonicMs();
     const onChanged = (): void => this.#exchange?.sendSoon();
@@ -101,17 +110,30 @@
     this.#activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
     const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null };
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, ...replicas });
+    this.#reports = new TargetReports({
+      targets: this.targets,
+      ends: this.#machine.ends,
+      record: (report) => this.#recorder?.record(report) ?? Promise.resolve(false),
+      replicate: () => this.#replicateToMajority(),
+      isCaughtUp: () => this.#getAgeMs() !== null,
+      isComplete: () => this.#isComplete(),
+      isCurrent: () => this.#isCurrent(),
+      outcomes: this.metrics.ends,
+      clock,
+      logger,
+    });
     this.#sync = new SyncService({
       address: this.address,
       failureDomain: options.failureDomain,
       incarnation: this.#incarnation,
       targets: this.targets,
+      listEnded: () => this.#reports.listEnded(),
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
       peers: this.#peers,
       getDocument: () => this.#machine,
-      getAgeMs: () => this.#documents?.getAgeMs() ?? null,
+      getAgeMs: () => this.#getAgeMs(),
       isComplete: () => this.#isComplete(),
       clock,
       logger,
@@ -137,6 +159,15 @@
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
+    const { targets } = this;
+    this.#recorder = new EndRecorder({
+      group,
+      table: machine.ends,
+      targets,
+      links: this.#links,
+      clock,
+      logger,
+    });
     this.#membership = new MembershipManager({ group, peers: this.#peers, clock, logger, targetVoters });
     this.#exchange = new RegistryExchange({
       name: this.#options.name,
@@ -148,6 +179,7 @@
       links: this.#links,
       peers: this.#peers,
       targets: this.targets,
+      reports: this.#reports,
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
@@ -159,21 +191,21 @@
     await this.#metricsPage.start();
     this.#peers.addHints(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
-    this.#runPeriodically(tickIntervalMs, () => {
+    this.#rounds.runPeriodically(tickIntervalMs, () => {
       this.#tick();
     });
-    this.#runPeriodically(exchangeIntervalMs, () => this.#runExchange());
+    this.#rounds.runPeriodically(exchangeIntervalMs, () => this.#runExchange());
     const manager = this.#createGroupManager(group);
-    void this.#manageGroups(manager);
+    void this.#rounds.repeat(groupStepRetryMs, () => manager.step());
     if (isBootstrap && dataFolder !== null && group.core.isUnused) {
-      this.#runPeriodically(bootstrapIntervalMs, () => this.#host.bootstrap());
+      this.#rounds.runPeriodically(bootstrapIntervalMs, () => this.#host.bootstrap());
     }
     logger.info({ address: this.address, replicaId: group.core.id, isBootstrap }, "coordinator started");
   }
 
   /** Closes at once and without cleanup, as a killed process would. */
   async close(): Promise<void> {
-    this.#isClosed = true;
+    this.#rounds.close();
     this.#sync.close();
     this.crashes.close();
     this.#links.close();
@@ -200,30 +232,14 @@
     return this.#requireDocuments().read();
   }
 
-  /** Records a target's heartbeat. Resolves with whether the call may be acknowledged. */
-  async registerTarget(target: TargetRecord): Promise<boolean> {
-    const { clock, logger } = this.#options;
-    const before = this.targets.lastChangeNumber;
-    this.targets.put(target, clock.monotonicMs());
-    if (this.targets.lastChangeNumber !== before) {
-      const { id, service, address, isDraining, bornMs } = target;
-      logger.info({ id, service, address, isDraining, bornMs }, "target changed");
-    }
-    // A partitioned coordinator does not acknowledge heartbeats, so that targets register with the others.
-    return target.isDraining ? this.#replicateDrain() : this.#isCurrent();
+  /** Receives a target's heartbeat. Resolves with whether the call may be acknowledged. */
+  registerTarget(target: TargetRecord): Promise<boolean> {
+    return this.#reports.register(target);
   }
 
-  /**
-   * Removes a target. Resolves with whether the call may be acknowledged. While this process has just started
-   * or is partitioned, a target that it does not know may be in use elsewhere.
-   */
-  async removeTarget(id: string): Promise<boolean> {
-    const { clock, logger } = this.#options;
-    if (this.targets.remove(id, clock.monotonicMs()) === null) {
-      return this.#isComplete() && this.#isCurrent();
-    }
-    logger.info({ id }, "target removed");
-    return this.#replicateDrain();
+  /** Removes a target. Resolves with whether the call may be acknowledged. */
+  removeTarget(id: string): Promise<boolean> {
+    return this.#reports.remove(id);
   }
 
   /** Addresses of entries for a caller in a failure domain; empty when none is known. */
@@ -242,8 +258,9 @@
       isVoter: core !== null && core.id in core.membership.voters,
       voters: Object.keys(core?.membership.voters ?? {}).length,
       documentVersion: this.#machine.version,
-      ageMs: this.#documents?.getAgeMs() ?? null,
+      ageMs: this.#getAgeMs(),
       targets: this.targets.list(nowMs).length,
+      recordedEnds: this.#machine.ends.size,
       entries: this.entries.countLive(nowMs),
     };
   }
@@ -294,15 +311,20 @@
 
   /** Whether every live target has reported to this process. */
   #isComplete(): boolean {
-    return this.#options.clock.monotonicMs() - this.#startedAtMs > registryCompleteAfterMs;
+    const runsForMs = this.#options.clock.monotonicMs() - this.#startedAtMs;
+    return this.#reports.isCaughtUp && runsForMs > registryCompleteAfterMs;
   }
 
   #isCurrent(): boolean {
-    const ageMs = this.#documents?.getAgeMs() ?? null;
-    return ageMs !== null && ageMs < maxConfirmationAgeMs;
+    return (this.#getAgeMs() ?? Infinity) < maxConfirmationAgeMs;
   }
 
-  #replicateDrain(): Promise<boolean> {
+  /** Age of the latest confirmation that this process has applied all that is committed; null when there is none. */
+  #getAgeMs(): number | null {
+    return this.#documents?.getAgeMs() ?? null;
+  }
+
+  #replicateToMajority(): Promise<boolean> {
     const voterIds = Object.keys(this.#group?.membership.voters ?? {});
     return this.#exchange?.replicateToMajority(voterIds) ?? Promise.resolve(false);
   }
@@ -311,6 +333,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const isStalled = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
     this.targets.expire(nowMs);
+    this.#reports.update();
     this.crashes.review();
     this.#tickedAtMs = nowMs;
     // Skipped after a stall, so that messages received meanwhile are read before timeouts are checked.
@@ -318,7 +341,7 @@
       this.#host.tick();
     }
     if (this.#documents?.getAgeMs() === null) {
-      void this.#run(() => this.#documents?.confirm());
+      void this.#rounds.run(() => this.#documents?.confirm());
     }
   }
 
@@ -327,8 +350,8 @@
     const members = this.#listMembers();
     this.#peers.addHints(members, nowMs);
     this.#peers.removeStale([...members, ...this.#options.seeds], nowMs);
-    void this.#run(() => this.#membership?.step() ?? Promise.resolve());
-    void this.#run(() => this.#documents?.confirm() ?? Promise.resolve());
+    void this.#rounds.run(() => this.#membership?.step() ?? Promise.resolve());
+    void this.#rounds.run(() => this.#documents?.confirm() ?? Promise.resolve());
     await this.#exchange?.send();
   }
 
@@ -351,6 +374,10 @@
         await this.#requireDocuments().proposeAsLeader(body as StoredDocument);
         return null;
       },
+      [MessageName.RecordEnds]: async (body) => {
+        await this.#recorder?.recordAsLeader(body as readonly EndReport[]);
+        return null;
+      },
       [MessageName.ReadDocument]: () => this.#requireDocuments().readAsLeader(),
       [MessageName.ConfirmDocument]: () => this.#requireDocuments().confirmAsLeader(),
     };
@@ -362,26 +389,4 @@
     }
     return this.#documents;
   }
-
-  async #manageGroups(manager: RankGroupManager): Promise<void> {
-    while (!this.#isClosed) {
-      let waitMs = groupStepRetryMs;
-      await this.#run(async () => {
-        waitMs = await manager.step();
-      });
-      await delay(waitMs);
-    }
-  }
-
-  #runPeriodically(intervalMs: number, action: () => void | Promise<void>): void {
-    void periodic(intervalMs)
-      .takeWhile(() => !this.#isClosed)
-      .observe(() => {
-        void this.#run(action);
-      });
-  }
-
-  async #run(action: () => void | Promise<void>): Promise<void> {
-    await this.#errors.runAsync(CoordinatorHandler.Round, action);
-  }
 }
--- a/packages/control/routes/CoordinatorMetrics.ts
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -3,6 +3,7 @@
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
+import { EndOutcome } from "../ends/EndOutcome";
 import { MapOutcome } from "../ranks/MapOutcome";
 import { DocumentOutcome } from "./DocumentOutcome";
 
@@ -13,6 +14,7 @@
     "outcome",
     Object.values(DocumentOutcome),
   );
+  readonly ends = new Counters("clementinemux_coordinator_target_ends", "outcome", Object.values(EndOutcome));
   readonly maps = new Counters("clementinemux_coordinator_maps", "outcome", Object.values(MapOutcome));
   readonly orders = new Counters("clementinemux_coordinator_orders", "outcome", Object.values(OrderOutcome));
   readonly refusedOrders = new Counters(
@@ -28,6 +30,7 @@
   render(): string {
     return [
       renderCounters(this.documents),
+      renderCounters(this.ends),
       renderCounters(this.maps),
       renderCounters(this.orders),
       renderCounters(this.refusedOrders),
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -4,6 +4,7 @@
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { TargetReports } from "../ends/TargetReports";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { CrashFeed } from "./CrashFeed";
@@ -19,6 +20,7 @@
   readonly links: PeerLinks;
   readonly peers: PeerTable;
   readonly targets: TargetRegistry;
+  readonly reports: TargetReports;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
@@ -38,6 +40,8 @@
   readonly #options: ExchangeOptions;
   /** Peers that get another call as soon as the one in flight has ended. */
   readonly #pending = new Set<Peer>();
+  #round: Promise<boolean> = Promise.resolve(true);
+  #nextRound: Promise<boolean> | null = null;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -62,9 +66,39 @@
 
   /**
    * Sends changes to all peers at once. Resolves with whether a majority of `voterIds` has the current state.
-   * Learners do not count, since any number of them may be lost at once.
+   * Learners do not count, since any number of them may be lost at once. Calls during a round share the next one.
    */
-  async replicateToMajority(voterIds: readonly string[]): Promise<boolean> {
+  replicateToMajority(voterIds: readonly string[]): Promise<boolean> {
+    this.#nextRound ??= this.#round.then(() => {
+      this.#nextRound = null;
+      const round = this.#replicate(voterIds);
+      this.#round = round;
+      return round;
+    });
+    return this.#nextRound;
+  }
+
+  /** Applies the changes sent by a peer. */
+  receive(request: ExchangeRequest): ExchangeResponse {
+    const { name, incarnation, replicaId, failureDomain, isDurable } = this.#options;
+    const { peers, reports, entries, clock } = this.#options;
+    const nowMs = clock.monotonicMs();
+    peers.recordMessage(request.address, request, nowMs);
+    peers.addHints(request.coordinators, nowMs);
+    for (const { item, ageMs } of request.targets) {
+      reports.receive(item, nowMs - ageMs, request.from);
+    }
+    this.#options.slowdowns.merge(request.paces, nowMs);
+    if (request.crashes !== undefined) {
+      this.#options.crashes.merge(request.crashes);
+    }
+    for (const { item, ageMs } of request.entries) {
+      entries.put(item, nowMs - ageMs, request.from);
+    }
+    return { from: name, incarnation, replicaId, failureDomain, isDurable, coordinators: this.#listSeen() };
+  }
+
+  async #replicate(voterIds: readonly string[]): Promise<boolean> {
     const majority = Math.floor(voterIds.length / 2) + 1;
     const confirmed = new Set(voterIds.filter((id) => id === this.#options.replicaId));
     if (confirmed.size >= majority) {
@@ -90,26 +124,6 @@
     });
   }
 
-  /** Applies the changes sent by a peer. */
-  receive(request: ExchangeRequest): ExchangeResponse {
-    const { name, incarnation, replicaId, failureDomain, isDurable } = this.#options;
-    const { peers, targets, entries, clock } = this.#options;
-    const nowMs = clock.monotonicMs();
-    peers.recordMessage(request.address, request, nowMs);
-    peers.addHints(request.coordinators, nowMs);
-    for (const { item, ageMs } of request.targets) {
-      targets.put(item, nowMs - ageMs, request.from);
-    }
-    this.#options.slowdowns.merge(request.paces, nowMs);
-    if (request.crashes !== undefined) {
-      this.#options.crashes.merge(request.crashes);
-    }
-    for (const { item, ageMs } of request.entries) {
-      entries.put(item, nowMs - ageMs, request.from);
-    }
-    return { from: name, incarnation, replicaId, failureDomain, isDurable, coordinators: this.#listSeen() };
-  }
-
   async #sendTo(peer: Peer): Promise<boolean> {
     const { name, address, incarnation, replicaId, failureDomain, isDurable } = this.#options;
     const { links, peers, targets, entries, slowdowns, isLeading, clock } = this.#options;
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -5,6 +5,7 @@
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { CrashFeed } from "./CrashFeed";
 import type { PeerTable } from "./PeerTable";
@@ -15,6 +16,8 @@
   readonly failureDomain: string;
   readonly incarnation: string;
   readonly targets: TargetRegistry;
+  /** Records of targets whose end is recorded, and that the registry does not hold. */
+  readonly listEnded: () => readonly TargetRecord[];
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
@@ -58,7 +61,7 @@
     targets.markSilent(nowMs);
     const state = `${incarnation}:${targets.lastChangeNumber}`;
     const isComplete = this.#options.isComplete();
-    const gone = isComplete ? [] : targets.listGone();
+    const gone = isComplete ? [] : [...targets.listGone(), ...this.#options.listEnded()];
     return {
       ageMs: getAgeMs(),
       documentVersion: version,
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -4,6 +4,13 @@
 import type { TargetRecord } from "./TargetRecord";
 import { isTargetId } from "./isTargetId";
 
+interface EndedIncarnation extends TargetIncarnation {
+  /** Whether the target has unregistered; otherwise it is draining. */
+  readonly isGone: boolean;
+  /** Sequence of the heartbeat that reported the drain. */
+  readonly sequence: number;
+}
+
 /**
  * A target without a heartbeat for this long is no longer listed to gateways: three intervals of 1.2 s and a
  * margin.
@@ -84,6 +91,21 @@
     return target;
   }
 
+  /** Applies a recorded end to the known incarnation of a target, unless that started later. */
+  end({ id, bornMs, isGone, sequence }: EndedIncarnation): void {
+    const known = this.#records.get(id);
+    if (known === undefined || known.target.bornMs > bornMs || known.target.isGone) {
+      return;
+    }
+    const isOver = isGone || known.target.bornMs < bornMs;
+    if (!isOver && (known.target.isDraining || known.target.sequence > sequence)) {
+      return;
+    }
+    this.#lastChangeNumber += 1;
+    const target = { ...known.target, isDraining: true, isGone: isOver };
+    this.#records.set(id, { ...known, target, changeNumber: this.#lastChangeNumber });
+  }
+
   /**
    * Marks targets that have timed out, each of which is a change. `lastChangeNumber` must be read afterwards
    * to identify the list.
@@ -110,6 +132,11 @@
     return [...this.#records.values()].filter(({ target }) => target.isGone).map(({ target }) => target);
   }
 
+  /** The incarnation of a target that is known, also when it has timed out or unregistered. */
+  find(id: string): TargetRecord | null {
+    return this.#records.get(id)?.target ?? null;
+  }
+
   /** Records changed after change number `change`, including those of targets that have timed out. */
   changedSince(change: number): RegistryRecord[] {
     return [...this.#records.values()].filter(({ changeNumber: recordChange }) => recordChange > change);
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -34,6 +34,7 @@
   ProposeDocument = "proposeDocument",
   ConfirmDocument = "confirmDocument",
   ReadDocument = "readDocument",
+  RecordEnds = "recordEnds",
   InspectRank = "inspectRank",
   OrderRank = "orderRank",
   PrepareRank = "prepareRank",
