--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -25,7 +25,7 @@
 
 // Targets call another coordinator after a second without a response.
 const recordTimeoutMs = 900;
-/** While a write is in flight, reports are collected for this long, so that they share an entry of the log. */
+/** Reports that arrive during a write are collected until it ends, so that they share an entry; behind a disk that hangs, for this long. */
 const batchIntervalMs = 20;
 /** At 300 bytes for the longest ids, a batch fits into a frame. */
 const maxBatchReports = 500;
@@ -40,7 +40,7 @@
   readonly #options: EndRecorderOptions;
   #queue: QueuedReport[] = [];
   #inFlight = 0;
-  #isScheduled = false;
+  #timer: NodeJS.Timeout | null = null;
 
   constructor(options: EndRecorderOptions) {
     this.#options = options;
@@ -91,31 +91,40 @@
     return drainSequence !== null && end.sequence > drainSequence;
   }
 
+  /** Sends what is queued when no write is in flight any more, or after `batchIntervalMs`. */
   #schedule(): void {
-    if (this.#isScheduled || this.#queue.length === 0) {
+    if (this.#queue.length === 0) {
       return;
     }
-    this.#isScheduled = true;
-    const flush = (): void => {
-      this.#isScheduled = false;
-      void this.#flush();
-    };
     if (this.#inFlight === 0) {
-      setImmediate(flush);
+      setImmediate(() => {
+        this.#flush();
+      });
     } else {
-      setTimeout(flush, batchIntervalMs);
+      this.#timer ??= setTimeout(() => {
+        this.#flush();
+      }, batchIntervalMs);
     }
   }
 
-  async #flush(): Promise<void> {
+  #flush(): void {
+    clearTimeout(this.#timer ?? undefined);
+    this.#timer = null;
     const batch = this.#queue.splice(0, maxBatchReports);
-    this.#inFlight += 1;
+    if (batch.length > 0) {
+      this.#inFlight += 1;
+      void this.#send(batch);
+    }
     this.#schedule();
+  }
+
+  async #send(batch: readonly QueuedReport[]): Promise<void> {
     const isRecorded = await this.#submit(batch.map(({ report }) => report));
     this.#inFlight -= 1;
     for (const { resolve } of batch) {
       resolve(isRecorded);
     }
+    this.#schedule();
   }
 
   async #submit(reports: readonly EndReport[]): Promise<boolean> {
--- a/packages/control/ends/EndTable.ts
+++ b/packages/control/ends/EndTable.ts
@@ -8,6 +8,8 @@
 const retentionMs = 600_000;
 /** Without a start time, a target's next incarnation looks like the one that has ended. */
 const unbornRetentionMs = 60_000;
+/** The registry keeps records of unregistered targets as long. */
+const recentMs = 60_000;
 /** Twice the number of targets that the design is for. The oldest ends are dropped beyond it. */
 const maxEnds = 24_000;
 
@@ -44,9 +46,9 @@
     return [...this.#ends.values()];
   }
 
-  /** Ends that are still in force. */
-  listValid(nowWallMs: number): TargetEnd[] {
-    return this.list().filter((end) => isValid(end, end, nowWallMs));
+  /** Ends that were recorded within the last minute. */
+  listRecent(nowWallMs: number): TargetEnd[] {
+    return this.list().filter(({ recordedAtWallMs }) => nowWallMs - recordedAtWallMs <= recentMs);
   }
 
   /** Whether a reported end, or a later one of the same target, is recorded. */
--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -116,11 +116,11 @@
     }
   }
 
-  /** Records of targets that have ended, for gateways whose list is older than this process; later incarnations are left out. */
+  /** Records of targets that have ended lately, for gateways whose list is older than this process; later incarnations are left out. */
   listEnded(): TargetRecord[] {
     const { targets, ends, clock } = this.#options;
     return ends
-      .listValid(clock.wallMs())
+      .listRecent(clock.wallMs())
       .filter(({ id, bornMs }) => (targets.find(id)?.bornMs ?? -Infinity) < bornMs)
       .map(({ id, bornMs, sequence }) => {
         const unknown = { service: "", address: "", failureDomain: "", slots: 1 };
--- a/packages/control/routes/RouteStateMachine.ts
+++ b/packages/control/routes/RouteStateMachine.ts
@@ -49,12 +49,14 @@
     return encode(state);
   }
 
-  /** Loads a snapshot; those of earlier releases hold no ends. */
+  /** Loads a snapshot. One of an earlier release holds no ends, so those that are known stay. */
   restore(snapshot: Uint8Array): void {
-    const { version, bytes, ends = [] } = decode(snapshot) as DocumentCommand;
+    const { version, bytes, ends } = decode(snapshot) as DocumentCommand;
     this.#version = version;
     this.#bytes = Uint8Array.from(bytes);
-    this.ends.restore(ends);
-    this.#onEnded(ends);
+    if (ends !== undefined) {
+      this.ends.restore(ends);
+      this.#onEnded(ends);
+    }
   }
 }
--- a/packages/control/test/endTable.test.ts
+++ b/packages/control/test/endTable.test.ts
@@ -78,6 +78,8 @@
   next.restore(machine.createSnapshot());
   t.equal(next.ends.getState(heartbeat(), nowMs), EndState.Ended);
   t.same(restored, [end(), end()], "both are passed on to the registry");
+  next.restore(encode({ version: 8, bytes: Buffer.from("y") }));
+  t.match([next.version, next.ends.size], [8, 1], "a snapshot of an earlier leader");
   const { version, bytes } = decode(machine.createSnapshot()) as { version: number; bytes: Uint8Array };
   t.same([version, Buffer.from(bytes).toString()], [7, "x"], "what an earlier release reads");
   t.end();
