Measure the time to acknowledge the removal of targets

`npm run bench -- removals` removes 100 targets one after the other and five times 200 at once, at three coordinators of this machine, and reads as often at once for comparison.

--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -81,6 +81,10 @@
       return parts[args[0] ?? ""]?.() ?? runPolicyBench({ seed, only: args });
     };
   },
+  removals: async () => {
+    const { runRemovalBench } = await import("../../platform/bench/runRemovalBench");
+    return () => runRemovalBench();
+  },
   /** `--seed=N --seconds=N --out=FOLDER`: days with shifts of expert popularity. */
   shifts: async () => {
     const { runShiftBench } = await import("./shifts/runShiftBench");
