Record the removal of an unknown target for the incarnation that was last seen draining

Cause, by reading: when only the recorded drain of an incarnation that started less than 5 s ago is known, its removal counted as recorded already, so that a later `ready` could still take the drain back.

Change: the leader takes the start of the recorded incarnation where it is later than its time of day less 5 s.

Measured: control/test/endOrders, endTable, targetEnds and coordinators pass.

--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -76,10 +76,12 @@
 
   /** Names the incarnation that has ended, and stamps the end. */
   #identify({ id, bornMs, isGone, sequence }: EndReport, nowMs: number): TargetEnd {
-    const known = bornMs === null ? this.#options.targets.find(id) : null;
+    const { targets, table } = this.#options;
+    const known = bornMs === null ? targets.find(id) : null;
+    const unknownBornMs = Math.max(nowMs - maxClockDifferenceMs, table.getBornMs(id));
     return {
       id,
-      bornMs: bornMs ?? known?.bornMs ?? nowMs - maxClockDifferenceMs,
+      bornMs: bornMs ?? known?.bornMs ?? unknownBornMs,
       isGone,
       sequence: known?.sequence ?? sequence,
       recordedAtWallMs: nowMs,
--- a/packages/control/ends/EndTable.ts
+++ b/packages/control/ends/EndTable.ts
@@ -63,6 +63,11 @@
     return known.bornMs > bornMs || (known.bornMs === bornMs && (known.isGone || !isGone));
   }
 
+  /** Start of the incarnation whose end is recorded for an id, the latest one that has ended; -Infinity if there is none. */
+  getBornMs(id: string): number {
+    return this.#ends.get(id)?.bornMs ?? -Infinity;
+  }
+
   /** Sequence of the heartbeat that reported the recorded drain of a target's incarnation; null if there is none. */
   getDrainSequence(incarnation: TargetIncarnation, nowWallMs: number): number | null {
     const known = this.#find(incarnation, nowWallMs);
