Share the target records and gateway reports of the control tests

Records of targets were written out in coordinators, oddRanks, unknownRank and the three tests of ends, a gateway's report in two of them. They are made by createTargetRecord and createSyncRequest now; the records keep the fields that the tests depend on. No product code changes.

--- a/packages/control/test/coordinators.test.ts
+++ b/packages/control/test/coordinators.test.ts
@@ -1,12 +1,12 @@
 import t from "tap";
-import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
-import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { CoordinatorFleet } from "./CoordinatorFleet";
+import { createSyncRequest } from "./createSyncRequest";
+import { createTargetRecord } from "./createTargetRecord";
 
 // Reached only when the test hangs.
 t.setTimeout(90_000);
@@ -21,12 +21,6 @@
   return condition ? true : null;
 }
 
-function createSyncRequest(): SyncRequest {
-  const location = { address: "e:1", failureDomain: "d-0" };
-  const entry = { name: "e", incarnation: "1", ...location, isReady: true, inFlight: {} };
-  return { entry, documentVersion: 0, registryState: "", leaving: [] };
-}
-
 async function hasLeader(fleet: CoordinatorFleet): Promise<void> {
   await waitUntil("a leader is there", () => isTrue(fleet.leader >= 0), limitMs);
 }
@@ -62,15 +56,7 @@
   await new Promise((resolve) => setTimeout(resolve, 800));
   await t.rejects(fleet.coordinators[leader]!.readDocument(), "guards against a stale read");
   await t.rejects(fleet.coordinators[leader]!.submitDocument({ version: 2, bytes: bytes("two") }));
-  const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const record: TargetRecord = {
-    ...target,
-    isDraining: true,
-    isLeaving: false,
-    isGone: false,
-    bornMs: 1,
-    sequence: 1,
-  };
+  const record = createTargetRecord({ isDraining: true });
   t.equal(
     await fleet.coordinators[leader]?.registerTarget(record),
     false,
@@ -116,15 +102,7 @@
 t.test("targets and entries that are reported to one coordinator are known to all", async (t) => {
   const fleet = await CoordinatorFleet.start(3);
   await hasLeader(fleet);
-  const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const record: TargetRecord = {
-    ...target,
-    isDraining: false,
-    isLeaving: false,
-    isGone: false,
-    bornMs: 1,
-    sequence: 1,
-  };
+  const record = createTargetRecord();
   await waitUntil(
     "heartbeats are acknowledged",
     async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
@@ -183,9 +161,7 @@
   const fleet = await CoordinatorFleet.start(3);
   await hasLeader(fleet);
   const incarnation = { id: "t-1", bornMs: 5 };
-  const target = { service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const state = { isDraining: false, isLeaving: false, isGone: false };
-  const record: TargetRecord = { ...incarnation, ...target, ...state, sequence: 1 };
+  const record = createTargetRecord(incarnation);
   await waitUntil(
     "heartbeats are acknowledged",
     async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
@@ -212,15 +188,10 @@
     t.equal(await fleet.coordinators[0]?.removeTarget("t-unknown"), false);
     const response = await fleet.sync(0, createSyncRequest());
     t.equal(response.isComplete, false);
-    const target = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-    const state = { isDraining: false, isLeaving: false, isGone: false };
+    const record = createTargetRecord({ bornMs: 5 });
     await waitUntil(
       "heartbeats are acknowledged",
-      async () =>
-        isTrue(
-          (await fleet.coordinators[0]?.registerTarget({ ...target, ...state, bornMs: 5, sequence: 1 })) ===
-            true,
-        ),
+      async () => isTrue((await fleet.coordinators[0]?.registerTarget(record)) === true),
       limitMs,
     );
     t.equal(await fleet.coordinators[0]?.removeTarget("t-1"), true);
--- a/packages/control/test/endOrders.test.ts
+++ b/packages/control/test/endOrders.test.ts
@@ -11,6 +11,7 @@
 import { EndRecorder } from "../ends/EndRecorder";
 import { TargetReports } from "../ends/TargetReports";
 import { RouteStateMachine } from "../routes/RouteStateMachine";
+import { createTargetRecord } from "./createTargetRecord";
 
 enum StepKind {
   Heartbeat = "heartbeat",
@@ -150,10 +151,9 @@
   }
 
   #startTarget(at: number, offsetMs: number): TargetRecord {
-    const place = { id: `t-${at}`, service: "s", address: `h:${at + 1}`, failureDomain: "d", slots: 1 };
-    const state = { isDraining: false, isLeaving: false, isGone: false };
     this.#timeMs += 1;
-    return { ...place, ...state, bornMs: startMs + this.#timeMs + offsetMs, sequence: 0 };
+    const bornMs = startMs + this.#timeMs + offsetMs;
+    return createTargetRecord({ id: `t-${at}`, address: `h:${at + 1}`, bornMs, sequence: 0 });
   }
 
   #startCoordinator(offsetMs: number) {
--- a/packages/control/test/endTable.test.ts
+++ b/packages/control/test/endTable.test.ts
@@ -1,10 +1,10 @@
 import { decode, encode } from "cbor-x";
 import t from "tap";
-import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { EndState } from "../ends/EndState";
 import { EndTable } from "../ends/EndTable";
 import type { TargetEnd } from "../ends/TargetEnd";
 import { RouteStateMachine } from "../routes/RouteStateMachine";
+import { createTargetRecord } from "./createTargetRecord";
 
 const nowMs = 1_800_000_000_000;
 const minuteMs = 60_000;
@@ -13,10 +13,8 @@
   return { id: "t-1", bornMs: 1000, isGone: true, sequence: 5, recordedAtWallMs: nowMs, ...fields };
 }
 
-function heartbeat(fields: Partial<TargetRecord> = {}): TargetRecord {
-  const place = { id: "t-1", service: "s", address: "h:1", failureDomain: "d", slots: 1 };
-  const state = { isDraining: false, isLeaving: false, isGone: false };
-  return { ...place, ...state, bornMs: 1000, sequence: 9, ...fields };
+function heartbeat(fields: Parameters<typeof createTargetRecord>[0] = {}) {
+  return createTargetRecord({ bornMs: 1000, sequence: 9, ...fields });
 }
 
 // Guards against a late heartbeat that restores a target, and against an end that also refuses the next incarnation.
--- a/packages/control/test/oddRanks.test.ts
+++ b/packages/control/test/oddRanks.test.ts
@@ -3,26 +3,19 @@
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import { Ranker } from "@clementinemux/ranker/Ranker";
-import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { createCoordinatorErrors } from "../routes/createCoordinatorErrors";
+import { createTargetRecord } from "./createTargetRecord";
 import { expertParameters as experts } from "./expertParameters";
 
 const logger = createLogger("test", {});
 const clock = new SystemClock();
 const unusableAddress = "127.0.0.8:9";
 
-function createRecord(id: string, address: string): TargetRecord {
-  return {
-    ...{ id, service: "s", address, failureDomain: "fd-1", slots: 8, bornMs: 1, sequence: 1 },
-    ...{ isDraining: false, isLeaving: false, isGone: false },
-  };
-}
-
 // Guards against one heartbeat, with an IPv6 address or any other that causes an exception, that stops the steps of all groups.
 t.test("an entry that causes an exception does not stop the inspection of the others", async (t) => {
   const silent = (): Promise<null> => Promise.resolve(null);
@@ -59,9 +52,9 @@
     ...{ framePort, links, errors, clock, logger, metrics: new CoordinatorMetrics() },
     getTable: () => table,
     listTargets: () => [
-      createRecord("odd-1", "[::1]:9"),
-      createRecord("odd-2", unusableAddress),
-      createRecord("t-0", "127.0.0.1:9"),
+      createTargetRecord({ id: "odd-1", address: "[::1]:9", slots: 8 }),
+      createTargetRecord({ id: "odd-2", address: unusableAddress, slots: 8 }),
+      createTargetRecord({ id: "t-0", address: "127.0.0.1:9", slots: 8 }),
     ],
     getTerm: () => 2,
     openRank: (address) => {
--- a/packages/control/test/targetEnds.test.ts
+++ b/packages/control/test/targetEnds.test.ts
@@ -1,9 +1,10 @@
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
-import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { CoordinatorFleet } from "./CoordinatorFleet";
+import { createSyncRequest } from "./createSyncRequest";
+import { createTargetRecord } from "./createTargetRecord";
 
 // Reached only when the test hangs.
 t.setTimeout(120_000);
@@ -16,9 +17,7 @@
 const all = [0, 1, 2];
 
 function target(id: string, fields: Partial<TargetRecord> = {}): TargetRecord {
-  const place = { id, service: "s", address: `${id}:1`, failureDomain: "d", slots: 1 };
-  const state = { isDraining: false, isLeaving: false, isGone: false };
-  return { ...place, ...state, bornMs: Date.now() - 60_000, sequence: 5, ...fields };
+  return createTargetRecord({ id, address: `${id}:1`, bornMs: Date.now() - 60_000, sequence: 5, ...fields });
 }
 
 async function register(fleet: CoordinatorFleet, record: TargetRecord, indexes = all): Promise<void> {
@@ -41,12 +40,6 @@
   return listed.filter(({ isDraining }) => !isDraining).map(({ id, bornMs }) => `${id} ${bornMs}`);
 }
 
-function createSyncRequest(): SyncRequest {
-  const location = { address: "e:1", failureDomain: "d-0" };
-  const entry = { name: "e", incarnation: "1", ...location, isReady: true, inFlight: {} };
-  return { entry, documentVersion: 0, registryState: "", leaving: [] };
-}
-
 // Guards against a restart that forgets an acknowledged end, so that a late heartbeat brings the target back.
 t.test("an acknowledged end outlives restarts of all coordinators", async (t) => {
   const fleet = await CoordinatorFleet.start(3);
--- a/packages/control/test/unknownRank.test.ts
+++ b/packages/control/test/unknownRank.test.ts
@@ -12,6 +12,7 @@
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
 import { StandInRankChannel } from "./StandInRankChannel";
+import { createTargetRecord } from "./createTargetRecord";
 import { expertParameters as experts } from "./expertParameters";
 
 const ranks = 2;
@@ -56,18 +57,9 @@
     links,
     getTable: () => table,
     listTargets: () =>
-      group.ranks.map(({ rank: index }) => ({
-        id: `t-${index}`,
-        service: "s",
-        address: `127.0.0.${index + 1}:9`,
-        failureDomain: "fd-1",
-        slots: 8,
-        isDraining: false,
-        isLeaving: false,
-        isGone: false,
-        bornMs: 1,
-        sequence: 1,
-      })),
+      group.ranks.map(({ rank: index }) =>
+        createTargetRecord({ id: `t-${index}`, address: `127.0.0.${index + 1}:9`, slots: 8 }),
+      ),
     getTerm: () => 2,
     openRank: (address) => createClient(address === `127.0.0.${silentRank + 1}:9` ? silentRank : 0),
     activate: () => Promise.resolve(false),
