--- a/packages/control/test/endTable.test.ts
+++ b/packages/control/test/endTable.test.ts
@@ -1,5 +1,6 @@
 import { decode, encode } from "cbor-x";
 import t from "tap";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { EndState } from "../ends/EndState";
 import { EndTable } from "../ends/EndTable";
 import type { TargetEnd } from "../ends/TargetEnd";
@@ -13,7 +14,7 @@
   return { id: "t-1", bornMs: 1000, isGone: true, sequence: 5, recordedAtWallMs: nowMs, ...fields };
 }
 
-function heartbeat(fields: Parameters<typeof createTargetRecord>[0] = {}) {
+function heartbeat(fields: Partial<TargetRecord> = {}): TargetRecord {
   return createTargetRecord({ bornMs: 1000, sequence: 9, ...fields });
 }
 
