Find targets by address without a search of all records

Cause: each put of a new or changed target searched all records twice for its address. A coordinator that starts receives all targets from its peers at once: at 12,000 it stalled for many seconds, longer than the leader's lease and its own time until it is complete.

Change: TargetRegistry keeps the ids of each address.

--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -22,6 +22,8 @@
 /** Soft state of the registered targets. Has no I/O and takes the current time as a parameter. */
 export class TargetRegistry {
   readonly #records = new Map<string, RegistryRecord>();
+  /** Ids of the records, since a search of all of them for each new target takes seconds with thousands of targets. */
+  readonly #idsByAddress = new Map<string, Set<string>>();
   #lastChangeNumber = 0;
 
   /** Number of the last change that must be sent to gateways. */
@@ -51,6 +53,7 @@
       return true;
     }
     this.#lastChangeNumber += 1;
+    this.#moveAddress(target, known?.target.address ?? null);
     this.#records.set(target.id, {
       target,
       lastSeenAtMs: seenAtMs,
@@ -152,9 +155,10 @@
   /** Marks targets that have timed out and drops old records. */
   expire(nowMs: number): void {
     this.markSilent(nowMs);
-    for (const [id, { lastSeenAtMs: seenAtMs }] of this.#records) {
+    for (const [id, { target, lastSeenAtMs: seenAtMs }] of this.#records) {
       if (nowMs - seenAtMs > tombstoneRetentionMs) {
         this.#records.delete(id);
+        this.#removeAddress(id, target.address);
       }
     }
   }
@@ -177,16 +181,16 @@
    * and use the address as unregistered.
    */
   #isSuperseded({ id, address, bornMs }: TargetRecord): boolean {
-    for (const { target } of this.#records.values()) {
-      if (target.id !== id && target.address === address && target.bornMs > bornMs) {
-        return true;
-      }
+    const others = [...(this.#idsByAddress.get(address) ?? [])].filter((otherId) => otherId !== id);
+    const records = others.flatMap((otherId) => this.#records.get(otherId) ?? []);
+    if (records.some(({ target }) => target.bornMs > bornMs)) {
+      return true;
     }
-    for (const [otherId, record] of this.#records) {
+    for (const record of records) {
       const { target } = record;
-      if (otherId !== id && target.address === address && target.bornMs < bornMs && !target.isGone) {
+      if (target.bornMs < bornMs && !target.isGone) {
         this.#lastChangeNumber += 1;
-        this.#records.set(otherId, {
+        this.#records.set(target.id, {
           ...record,
           target: { ...target, isGone: true },
           changeNumber: this.#lastChangeNumber,
@@ -195,6 +199,22 @@
     }
     return false;
   }
+
+  #moveAddress({ id, address }: TargetRecord, previousAddress: string | null): void {
+    if (previousAddress !== null) {
+      this.#removeAddress(id, previousAddress);
+    }
+    const ids = this.#idsByAddress.get(address) ?? new Set();
+    this.#idsByAddress.set(address, ids.add(id));
+  }
+
+  #removeAddress(id: string, address: string): void {
+    const ids = this.#idsByAddress.get(address);
+    ids?.delete(id);
+    if (ids?.size === 0) {
+      this.#idsByAddress.delete(address);
+    }
+  }
 }
 
 function isNewer(left: TargetRecord, right: TargetRecord): boolean {
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -166,3 +166,21 @@
   );
   t.end();
 });
+
+// Guards against a restarted process that stalls while it receives thousands of targets, and against an address that is looked up where
+// its target no longer is.
+t.test("an address belongs to the target that announced it last", (t) => {
+  const registry = new TargetRegistry();
+  registry.put(target({ id: "moved", address: "10.0.0.1:80", bornMs: 5 }), 0);
+  registry.put(target({ id: "moved", address: "10.0.0.2:80", bornMs: 6 }), 0);
+  t.ok(registry.put(target({ id: "earlier", address: "10.0.0.1:80", bornMs: 4 }), 0), "the address is free");
+  t.notOk(registry.put(target({ id: "late", address: "10.0.0.2:80", bornMs: 5 }), 0));
+  registry.put(target({ id: "next", address: "10.0.0.2:80", bornMs: 7 }), 0);
+  t.same(
+    registry.list(1).map(({ id }) => id),
+    ["earlier", "next"],
+  );
+  registry.expire(70_000);
+  t.ok(registry.put(target({ id: "late", address: "10.0.0.2:80", bornMs: 5 }), 70_000));
+  t.end();
+});
