Expire early heartbeats in intervals only

Cause: while a coordinator that has just started keeps heartbeats aside, each of them dropped old records, which walks all of them.

Change: records are dropped with the tick, as those of the registry are.

--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -107,7 +107,6 @@
   update(): void {
     const early = this.#early;
     if (early === null || !this.#options.isCaughtUp()) {
-      early?.expire(this.#options.clock.monotonicMs());
       return;
     }
     this.#early = null;
@@ -116,6 +115,14 @@
     }
   }
 
+  /** Drops old records. Takes time for each of them, so it is called in intervals. */
+  expire(): void {
+    this.update();
+    const nowMs = this.#options.clock.monotonicMs();
+    this.#options.targets.expire(nowMs);
+    this.#early?.expire(nowMs);
+  }
+
   /** Records of targets that have ended lately, for gateways whose list is older than this process; later incarnations are left out. */
   listEnded(): TargetRecord[] {
     const { targets, ends, clock } = this.#options;
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -332,8 +332,7 @@
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const isStalled = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
-    this.targets.expire(nowMs);
-    this.#reports.update();
+    this.#reports.expire();
     this.crashes.review();
     this.#tickedAtMs = nowMs;
     // Skipped after a stall, so that messages received meanwhile are read before timeouts are checked.
