Forward calls to the leader in one place, and decide once whether an end is recorded

DocumentService forwarded two kinds of calls to the leader, and EndRecorder a third one, each with its own time limit and unwrapping: they call callLeader now. EndTable.covers compares the sequence of a drain, so that EndRecorder does not ask a second time whether a recorded drain was taken back. Behaviour stays as it is.

--- /dev/null
+++ b/packages/control/callLeader.ts
@@ -0,0 +1,26 @@
+import type { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { ReplicatedGroup } from "./ReplicatedGroup";
+
+// Operators and targets call another coordinator after a second without a response.
+const forwardTimeoutMs = 900;
+
+/** Forwards a request to the leader of a group. Rejects when none is known, or without its response in time. */
+export async function callLeader(
+  group: Pick<ReplicatedGroup, "getLeaderAddress" | "createNotLeaderError">,
+  links: PeerLinks,
+  name: MessageName,
+  body: unknown,
+): Promise<unknown> {
+  const leader = group.getLeaderAddress();
+  if (leader === null) {
+    throw group.createNotLeaderError();
+  }
+  const answer = await links.call(leader, name, body, forwardTimeoutMs);
+  return answer.caseOf({
+    Left: (error) => {
+      throw error;
+    },
+    Right: (response) => response,
+  });
+}
--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -4,6 +4,7 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
+import { callLeader } from "../callLeader";
 import type { DocumentCommand } from "../routes/DocumentCommand";
 import type { EndReport } from "./EndReport";
 import type { EndTable } from "./EndTable";
@@ -23,8 +24,6 @@
   readonly resolve: (isRecorded: boolean) => void;
 }
 
-// Targets call another coordinator after a second without a response.
-const recordTimeoutMs = 900;
 /** Reports that arrive during a write are collected until it ends, so that they share an entry; behind a disk that hangs, for this long. */
 const batchIntervalMs = 20;
 /** At 300 bytes for the longest ids, a batch fits into a frame. */
@@ -63,7 +62,7 @@
     const nowMs = clock.wallMs();
     const ends = reports
       .map((report) => this.#identify(report, nowMs))
-      .filter((end) => !table.covers(end, nowMs) || this.#isTakenBack(end, nowMs));
+      .filter((end) => !table.covers(end, nowMs));
     if (ends.length === 0) {
       return;
     }
@@ -88,11 +87,6 @@
     };
   }
 
-  #isTakenBack(end: TargetEnd, nowMs: number): boolean {
-    const drainSequence = this.#options.table.getDrainSequence(end, nowMs);
-    return drainSequence !== null && end.sequence > drainSequence;
-  }
-
   /** Sends what is queued when no write is in flight any more, or after `batchIntervalMs`. */
   #schedule(): void {
     if (this.#queue.length === 0) {
@@ -134,16 +128,9 @@
     try {
       if (group.isLeader) {
         await this.recordAsLeader(reports);
-        return true;
+      } else {
+        await callLeader(group, links, MessageName.RecordEnds, reports);
       }
-      const leader = group.getLeaderAddress();
-      if (leader === null) {
-        throw group.createNotLeaderError();
-      }
-      const answer = await links.call(leader, MessageName.RecordEnds, reports, recordTimeoutMs);
-      answer.ifLeft((error) => {
-        throw error;
-      });
       return true;
     } catch (error) {
       const ids = reports.map(({ id }) => id);
--- a/packages/control/ends/EndTable.ts
+++ b/packages/control/ends/EndTable.ts
@@ -52,7 +52,7 @@
   }
 
   /** Whether a reported end, or a later one of the same target, is recorded. */
-  covers({ id, bornMs, isGone }: EndReport, nowWallMs: number): boolean {
+  covers({ id, bornMs, isGone, sequence }: EndReport, nowWallMs: number): boolean {
     if (bornMs === null) {
       return false;
     }
@@ -60,7 +60,11 @@
     if (known === null) {
       return false;
     }
-    return known.bornMs > bornMs || (known.bornMs === bornMs && (known.isGone || !isGone));
+    if (known.bornMs !== bornMs) {
+      return known.bornMs > bornMs;
+    }
+    // A drain that is reported later may follow one that was taken back.
+    return known.isGone || (!isGone && sequence <= known.sequence);
   }
 
   /** Start of the incarnation whose end is recorded for an id, the latest one that has ended; -Infinity if there is none. */
--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -65,15 +65,15 @@
       // A partitioned coordinator does not acknowledge heartbeats, so that targets register with the others.
       return isCurrent();
     }
-    const report = { id, bornMs, isGone: false, sequence };
-    const wallMs = clock.wallMs();
-    const drainSequence = ends.getDrainSequence(target, wallMs);
+    const drainSequence = ends.getDrainSequence(target, clock.wallMs());
     const wasTakenBack =
       drainSequence !== null &&
       known?.bornMs === bornMs &&
       !known.isDraining &&
       known.sequence > drainSequence;
-    return ends.covers(report, wallMs) && !wasTakenBack ? this.#noteKnown() : this.#record(report, true);
+    return drainSequence !== null && !wasTakenBack
+      ? this.#noteKnown()
+      : this.#record({ id, bornMs, isGone: false, sequence }, true);
   }
 
   /**
--- a/packages/control/routes/DocumentService.ts
+++ b/packages/control/routes/DocumentService.ts
@@ -5,6 +5,7 @@
 import { ControlError } from "../ControlError";
 import { ControlErrorCode } from "../ControlErrorCode";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
+import { callLeader } from "../callLeader";
 import type { DocumentConfirmation } from "./DocumentConfirmation";
 import type { RouteStateMachine } from "./RouteStateMachine";
 import type { StoredDocument } from "./StoredDocument";
@@ -17,8 +18,6 @@
   readonly logger: Logger;
 }
 
-// Operators' clients try another coordinator after a second without a response.
-const forwardTimeoutMs = 900;
 const confirmTimeoutMs = 400;
 
 /**
@@ -50,17 +49,9 @@
     const { group, links } = this.#options;
     if (group.isLeader) {
       await this.proposeAsLeader(document);
-      return;
+    } else {
+      await callLeader(group, links, MessageName.ProposeDocument, document);
     }
-    const answer = await links.call(
-      this.#getLeader(),
-      MessageName.ProposeDocument,
-      document,
-      forwardTimeoutMs,
-    );
-    answer.ifLeft((error) => {
-      throw error;
-    });
   }
 
   async proposeAsLeader({ version, bytes }: StoredDocument): Promise<void> {
@@ -84,13 +75,7 @@
     if (group.hasLease) {
       return this.readAsLeader();
     }
-    const answer = await links.call(this.#getLeader(), MessageName.ReadDocument, null, forwardTimeoutMs);
-    return answer.caseOf({
-      Left: (error) => {
-        throw error;
-      },
-      Right: (document) => document as StoredDocument,
-    });
+    return (await callLeader(group, links, MessageName.ReadDocument, null)) as StoredDocument;
   }
 
   readAsLeader(): StoredDocument {
@@ -138,12 +123,4 @@
       throw new ControlError(ControlErrorCode.NoLease, "the leader has no valid lease");
     }
   }
-
-  #getLeader(): string {
-    const leader = this.#options.group.getLeaderAddress();
-    if (leader === null) {
-      throw this.#options.group.createNotLeaderError();
-    }
-    return leader;
-  }
 }
