--- a/packages/entry/findHeadFault.ts
+++ b/packages/entry/findHeadFault.ts
@@ -1,11 +1,7 @@
 import type { IncomingHttpHeaders } from "node:http";
-import { findHeaderFault } from "@clementinemux/wire/findHeaderFault";
-
-const minFinalStatus = 200;
+import { findResponseFault } from "@clementinemux/wire/findResponseFault";
 
 /** Returns why a response head cannot be the one of an agent, or null if it can. */
-export function findHeadFault(status: number, headers: IncomingHttpHeaders): string | null {
-  return status < minFinalStatus
-    ? `Invalid status ${status}`
-    : findHeaderFault(["content-type", headers["content-type"] ?? ""]);
+export function findHeadFault(statusCode: number, headers: IncomingHttpHeaders): string | null {
+  return findResponseFault({ statusCode, rawHeaders: ["content-type", headers["content-type"] ?? ""] });
 }
