Store a vote with one sync, and create a replica's folder with two

Cause: the start made five syncs in a row (folder, segment and its name, identity and its name), each vote two (file and name), and a vote and the entries of one batch were synced one after the other: 14 syncs up to the first acknowledgement.

The identity file now holds a record for each vote, of which the last one counts, so that a vote is one appended record; it is replaced when it reaches 64 KiB. Votes and entries of a batch are synced at the same time. If a crash keeps only the entries, their term counts as that of the replica, without a vote: a vote that was answered had been synced. The files of a new folder are synced together before the identity gets its name.

--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import { existsSync } from "node:fs";
-import { mkdir, open, readFile, readdir, unlink } from "node:fs/promises";
+import { mkdir, open, readFile, readdir, rename, unlink } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
 import { dirname, join } from "node:path";
 import { setTimeout as delay } from "node:timers/promises";
@@ -14,7 +14,6 @@
 import { encodeRecord } from "./encodeRecord";
 import { readRecords } from "./readRecords";
 import { replaceFile } from "./replaceFile";
-import { syncFolder } from "./syncFolder";
 import { systemDisk } from "./systemDisk";
 
 interface Identity {
@@ -29,6 +28,12 @@
   readonly segment: string;
 }
 
+interface OpenedRecords {
+  readonly values: readonly unknown[];
+  readonly file: FileHandle;
+  readonly sizeBytes: number;
+}
+
 interface QueuedPersist {
   readonly request: PersistRequest;
   readonly onSynced: () => void;
@@ -36,9 +41,13 @@
 
 const firstSegmentName = "log-1";
 const fullDiskRetryMs = 200;
+/** Size from which the identity file is replaced by one with its last record only. */
+const maxIdentityBytes = 65_536;
 
 /**
- * Durable state of one replica of a log group: a folder with files for identity, snapshot and log segment.
+ * Durable state of one replica of a log group: a folder with files for identity, snapshot and log segment. The identity file
+ * holds a record for each term and vote, of which the last one counts: appending one takes a single sync, replacing the
+ * file takes two.
  */
 export class GroupStorage implements ReplicaStorage {
   /** State that was read when the folder was opened. */
@@ -46,7 +55,9 @@
   readonly #folder: string;
   readonly #disk: DiskOperations;
   readonly #onFatal: (error: Error) => void;
+  #identityFile: FileHandle;
   #identity: Identity;
+  #identityBytes: number;
   #segment: string;
   #segmentFile: FileHandle;
   #sizeBytes: number;
@@ -59,17 +70,27 @@
     folder: string,
     disk: DiskOperations,
     onFatal: (error: Error) => void,
-    opened: { identity: Identity; stored: StoredSnapshot | null; file: FileHandle; sizeBytes: number },
+    opened: {
+      readonly identity: OpenedRecords;
+      readonly stored: StoredSnapshot | null;
+      readonly segment: OpenedRecords;
+    },
     entries: readonly LogEntry[],
   ) {
     this.#folder = folder;
     this.#disk = disk;
     this.#onFatal = onFatal;
-    this.#identity = opened.identity;
+    this.#identity = opened.identity.values.at(-1) as Identity;
+    this.#identityFile = opened.identity.file;
+    this.#identityBytes = opened.identity.sizeBytes;
     this.#segment = opened.stored?.segment ?? firstSegmentName;
-    this.#segmentFile = opened.file;
-    this.#sizeBytes = opened.sizeBytes;
-    this.state = { ...opened.identity, snapshot: opened.stored?.snapshot ?? null, entries };
+    this.#segmentFile = opened.segment.file;
+    this.#sizeBytes = opened.segment.sizeBytes;
+    this.state = {
+      ...raiseTerm(this.#identity, entries, opened.stored?.snapshot ?? null),
+      snapshot: opened.stored?.snapshot ?? null,
+      entries,
+    };
   }
 
   /**
@@ -80,31 +101,26 @@
     onFatal: (error: Error) => void,
     disk: DiskOperations = systemDisk,
   ): Promise<GroupStorage> {
-    if (!existsSync(folder)) {
+    const identityPath = join(folder, "identity");
+    if (!existsSync(identityPath)) {
       await mkdir(folder, { recursive: true });
-      await syncFolder(dirname(folder));
-    }
-    const identityFile = join(folder, "identity");
-    if (!existsSync(identityFile)) {
       await retryWhileFull(() => createGroupFiles(folder, disk));
     }
-    const identity = await readSingleRecord<Identity>(identityFile);
+    const identity = await openRecords(identityPath, disk);
+    if (identity.values.length === 0) {
+      throw new StorageError(identityPath, 0, "corrupt record");
+    }
     const snapshotFile = join(folder, "snapshot");
     const stored = existsSync(snapshotFile) ? await readSingleRecord<StoredSnapshot>(snapshotFile) : null;
-    const segment = join(folder, stored?.segment ?? firstSegmentName);
-    if (!existsSync(segment)) {
+    const segmentPath = join(folder, stored?.segment ?? firstSegmentName);
+    if (!existsSync(segmentPath)) {
       // Starting with an empty log under the old identity could lose entries that this replica acknowledged.
-      throw new StorageError(segment, null, "log segment is missing");
+      throw new StorageError(segmentPath, null, "log segment is missing");
     }
-    const bytes = await readFile(segment);
-    const { values, validBytes } = readRecords(segment, bytes);
-    const file = await open(segment, "r+");
-    if (validBytes < bytes.length) {
-      await file.truncate(validBytes);
-      await disk.sync(file);
-    }
-    const entries = replayEntries(values as LogEntry[], segment, (stored?.snapshot.index ?? 0) + 1);
-    const opened = { identity, stored, file, sizeBytes: validBytes };
+    const segment = await openRecords(segmentPath, disk);
+    const firstIndex = (stored?.snapshot.index ?? 0) + 1;
+    const entries = replayEntries(segment.values as LogEntry[], segmentPath, firstIndex);
+    const opened = { identity, stored, segment };
     const storage = new GroupStorage(folder, disk, onFatal, opened, entries);
     await storage.#removeOldSegments();
     return storage;
@@ -131,7 +147,7 @@
 
   async close(): Promise<void> {
     this.#isFailed = true;
-    await this.#segmentFile.close();
+    await Promise.all([this.#segmentFile.close(), this.#identityFile.close()]);
   }
 
   async #processQueue(): Promise<void> {
@@ -154,39 +170,65 @@
     this.#isBusy = false;
   }
 
+  /**
+   * Stores requests that are acknowledged together. Their last vote and their entries are synced at the same time: if only
+   * the entries survive a crash, their term counts as that of the replica, which has not voted in it.
+   */
   async #storeBatch(requests: readonly PersistRequest[]): Promise<void> {
+    const vote = requests.findLast((request) => request.vote !== null)?.vote ?? null;
+    await Promise.all([this.#storeVote(vote), this.#storeEntries(requests)]);
+  }
+
+  async #storeVote(vote: PersistRequest["vote"]): Promise<void> {
+    if (vote === null) {
+      return;
+    }
+    this.#identity = { ...this.#identity, ...vote };
+    const bytes = encodeRecord(this.#identity);
+    if (this.#identityBytes < maxIdentityBytes) {
+      await this.#append(this.#identityFile, bytes, this.#identityBytes);
+      this.#identityBytes += bytes.length;
+      return;
+    }
+    const path = join(this.#folder, "identity");
+    await this.#retryWhileFull(() => replaceFile(path, bytes, this.#disk));
+    await this.#identityFile.close();
+    this.#identityFile = await open(path, "r+");
+    this.#identityBytes = bytes.length;
+  }
+
+  async #storeEntries(requests: readonly PersistRequest[]): Promise<void> {
     let unsynced: Buffer[] = [];
-    for (const { vote, snapshot, entries } of requests) {
+    for (const { snapshot, entries } of requests) {
       if (snapshot !== null) {
-        await this.#appendBytes(Buffer.concat(unsynced));
+        await this.#appendToSegment(Buffer.concat(unsynced));
         unsynced = [];
         await this.#startSegment(snapshot, entries);
       } else {
         unsynced.push(...entries.map(encodeRecord));
       }
-      if (vote !== null) {
-        this.#identity = { ...this.#identity, ...vote };
-        const bytes = encodeRecord(this.#identity);
-        await this.#retryWhileFull(() => replaceFile(join(this.#folder, "identity"), bytes, this.#disk));
-      }
     }
-    await this.#appendBytes(Buffer.concat(unsynced));
+    await this.#appendToSegment(Buffer.concat(unsynced));
   }
 
-  async #appendBytes(bytes: Buffer): Promise<void> {
+  async #appendToSegment(bytes: Buffer): Promise<void> {
     if (bytes.length === 0) {
       return;
     }
+    await this.#append(this.#segmentFile, bytes, this.#sizeBytes);
+    this.#sizeBytes += bytes.length;
+  }
+
+  async #append(file: FileHandle, bytes: Buffer, offset: number): Promise<void> {
     await this.#retryWhileFull(async () => {
       try {
-        await this.#disk.write(this.#segmentFile, bytes, this.#sizeBytes);
+        await this.#disk.write(file, bytes, offset);
       } catch (error) {
-        await this.#segmentFile.truncate(this.#sizeBytes);
+        await file.truncate(offset);
         throw error;
       }
     });
-    await this.#disk.sync(this.#segmentFile);
-    this.#sizeBytes += bytes.length;
+    await this.#disk.sync(file);
   }
 
   /**
@@ -249,9 +291,43 @@
   if (existing.length > 0) {
     throw new StorageError(folder, null, `identity file is missing but ${existing.join(", ")} exist`);
   }
-  await replaceFile(join(folder, firstSegmentName), Buffer.alloc(0), disk);
   const identity: Identity = { replicaId: randomUUID(), term: 0, vote: null };
-  await replaceFile(join(folder, "identity"), encodeRecord(identity), disk);
+  const path = join(folder, "identity");
+  const temporary = await open(`${path}.tmp`, "w");
+  const segment = await open(join(folder, firstSegmentName), "w");
+  try {
+    await disk.write(temporary, encodeRecord(identity), 0);
+    // The syncs run at the same time, so that the start on a slow disk takes two of them in a row: without the segment's
+    // name, a replica with an identity could not start.
+    await Promise.all([
+      disk.sync(temporary),
+      disk.sync(segment),
+      disk.syncFolder(folder),
+      disk.syncFolder(dirname(folder)),
+    ]);
+  } finally {
+    await Promise.all([temporary.close(), segment.close()]);
+  }
+  await rename(`${path}.tmp`, path);
+  await disk.syncFolder(folder);
+}
+
+/** Opens a file of records and removes a torn record at its end. */
+async function openRecords(path: string, disk: DiskOperations): Promise<OpenedRecords> {
+  const bytes = await readFile(path);
+  const { values, validBytes } = readRecords(path, bytes);
+  const file = await open(path, "r+");
+  if (validBytes < bytes.length) {
+    await file.truncate(validBytes);
+    await disk.sync(file);
+  }
+  return { values, file, sizeBytes: validBytes };
+}
+
+/** The identity of a replica whose vote was not synced together with its entries: it has not voted in the term of these. */
+function raiseTerm(identity: Identity, entries: readonly LogEntry[], snapshot: LogSnapshot | null): Identity {
+  const storedTerm = entries.at(-1)?.term ?? snapshot?.term ?? 0;
+  return storedTerm > identity.term ? { ...identity, term: storedTerm, vote: null } : identity;
 }
 
 async function readSingleRecord<Value>(file: string): Promise<Value> {
--- a/packages/storage/replaceFile.ts
+++ b/packages/storage/replaceFile.ts
@@ -1,7 +1,6 @@
 import { open, rename } from "node:fs/promises";
 import { dirname } from "node:path";
 import type { DiskOperations } from "./DiskOperations";
-import { syncFolder } from "./syncFolder";
 
 /** Replaces a file atomically: after a crash it has either the old or the new content in full. */
 export async function replaceFile(path: string, bytes: Buffer, disk: DiskOperations): Promise<void> {
@@ -15,5 +14,5 @@
   }
   await rename(temporary, path);
   // The rename itself is durable only after the sync of the folder.
-  await syncFolder(dirname(path));
+  await disk.syncFolder(dirname(path));
 }
--- a/packages/storage/systemDisk.ts
+++ b/packages/storage/systemDisk.ts
@@ -1,4 +1,5 @@
 import type { DiskOperations } from "./DiskOperations";
+import { syncFolder } from "./syncFolder";
 
 /** Writes and syncs on the file system of this machine. */
 export const systemDisk: DiskOperations = {
@@ -12,4 +13,5 @@
   async sync(file) {
     await file.datasync();
   },
+  syncFolder,
 };
