Acknowledge ends of targets during an election and over slow disks

With syncs of 0.5 to 1 s each of its calls wrote the record anew and waited for its own write.

Cause: without a leader a coordinator answered 503 at once and dropped the report; a report that was in flight was not found by the next call; and the answer also waited for a majority's memory, though each coordinator applies the record.

A coordinator now keeps a report until it is recorded, for 10 s after the last call, and answers as soon as that is known, or with 503 after 0.9 s. The leader joins equal reports that are being written. An attempt at the leader ends after 0.3 s, so that one that stands still holds nothing back. The registry is still sent to the others at once, but not waited for. The removal of an unknown target needs no recent confirmation any more: its record needs the leader.

--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -6,6 +6,7 @@
 import type { RaftMessage } from "@clementinemux/consensus/RaftMessage";
 import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
 import { Counters } from "@clementinemux/metrics/Counters";
+import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
 import { GroupStorage } from "@clementinemux/storage/GroupStorage";
 import { MemoryStorage } from "@clementinemux/storage/MemoryStorage";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -27,6 +28,8 @@
   readonly refusesWhenFull?: boolean;
   /** Whether this machine has a disk; true by default. Without one, nothing is written to the file system. */
   readonly isDurable?: boolean;
+  /** The disk of this machine by default. */
+  readonly disk?: DiskOperations;
 }
 
 interface RaftEnvelope {
@@ -74,9 +77,9 @@
     onLead: () => void,
     folder = join(this.#options.settings.dataFolder ?? "", name),
   ): Promise<ReplicatedGroup> {
-    const { settings, clock, random, logger, links, onFatal } = this.#options;
+    const { settings, clock, random, logger, links, onFatal, disk } = this.#options;
     const { electionTimeoutMs, heartbeatMs, maxClockDriftShare, snapshotEntries } = settings;
-    const storage = this.#isDurable ? await GroupStorage.open(folder, onFatal) : new MemoryStorage();
+    const storage = this.#isDurable ? await GroupStorage.open(folder, onFatal, disk) : new MemoryStorage();
     const { replicaId } = storage.state;
     const group = new ReplicatedGroup({
       name,
--- a/packages/control/callLeader.ts
+++ b/packages/control/callLeader.ts
@@ -11,12 +11,13 @@
   links: PeerLinks,
   name: MessageName,
   body: unknown,
+  timeoutMs = forwardTimeoutMs,
 ): Promise<unknown> {
   const leader = group.getLeaderAddress();
   if (leader === null) {
     throw group.createNotLeaderError();
   }
-  const answer = await links.call(leader, name, body, forwardTimeoutMs);
+  const answer = await links.call(leader, name, body, timeoutMs);
   return answer.caseOf({
     Left: (error) => {
       throw error;
--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -1,3 +1,4 @@
+import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
@@ -19,46 +20,95 @@
   readonly logger: Logger;
 }
 
-interface QueuedReport {
+/** A report that is not recorded yet. */
+interface PendingReport {
   readonly report: EndReport;
-  readonly resolve: (isRecorded: boolean) => void;
+  readonly receivedAtMs: number;
+  /** Calls that wait for the record. */
+  readonly callers: Set<(isRecorded: boolean) => void>;
 }
 
 /** Reports that arrive during a write are collected until it ends, so that they share an entry; behind a disk that hangs, for this long. */
 const batchIntervalMs = 20;
 /** At 300 bytes for the longest ids, a batch fits into a frame. */
 const maxBatchReports = 500;
+/** Callers ask another coordinator after a second without a response. */
+const answerTimeoutMs = 900;
+/**
+ * Time of one attempt. A leader that stands still must not hold a report back until the next one leads; the next attempt waits
+ * for a write that is slow.
+ */
+const attemptTimeoutMs = 300;
+/** Interval of attempts while no leader is known, or after one that failed. */
+const retryIntervalMs = 50;
+/**
+ * A report is sent to the leader for this long after the last call for it: an election over slow disks takes seconds, and a
+ * target that gets no acknowledgement ends all the same.
+ */
+const giveUpAfterMs = 10_000;
 /**
  * Largest difference between the times of day of a target's machine and of the leader's. An incarnation that started within it
  * before the removal of an unknown target may be the next one.
  */
 const maxClockDifferenceMs = 5000;
 
-/** Records ends of targets in the `routes` log; followers forward them to the leader. Reports that arrive together share an entry. */
+/**
+ * Records ends of targets in the `routes` log; followers forward them to the leader. Reports that arrive together share an
+ * entry. A report outlasts the call that brought it, so that a call at another coordinator, or a repeated one, finds the end
+ * recorded or on its way.
+ */
 export class EndRecorder {
   readonly #options: EndRecorderOptions;
-  #queue: QueuedReport[] = [];
+  /** Reports that are not recorded yet, by their content. */
+  readonly #pending = new Map<string, PendingReport>();
+  #queue: PendingReport[] = [];
   #inFlight = 0;
   #timer: NodeJS.Timeout | null = null;
+  /** Proposals of this replica as the leader, by the content of their reports. */
+  readonly #proposals = new Map<string, Promise<void>>();
+  #isClosed = false;
 
   constructor(options: EndRecorderOptions) {
     this.#options = options;
   }
 
-  /** Resolves with whether the end is known to be on the disks of a majority. Never rejects. */
+  /** Resolves within `answerTimeoutMs` with whether the end is known to be on the disks of a majority. Never rejects. */
   record(report: EndReport): Promise<boolean> {
     return new Promise((resolve) => {
-      this.#queue.push({ report, resolve });
-      this.#schedule();
+      const pending = this.#enqueue(report);
+      const answer = (isRecorded: boolean): void => {
+        clearTimeout(timer);
+        pending.callers.delete(answer);
+        resolve(isRecorded);
+      };
+      const timer = setTimeout(() => {
+        answer(false);
+      }, answerTimeoutMs);
+      pending.callers.add(answer);
     });
   }
 
-  /** Commits ends that are not recorded yet. Throws an error when this replica does not lead, or the outcome is unknown. */
+  close(): void {
+    this.#isClosed = true;
+    clearTimeout(this.#timer ?? undefined);
+  }
+
+  /**
+   * Commits ends that are not recorded yet; those that are being written are waited for. Throws an error when this replica
+   * does not lead, or the outcome is unknown.
+   */
   async recordAsLeader(reports: readonly EndReport[]): Promise<void> {
-    const { group, table, clock } = this.#options;
+    const { group } = this.#options;
     if (!group.isLeader) {
       throw group.createNotLeaderError();
     }
+    const proposed = new Set(reports.flatMap((report) => this.#proposals.get(getKey(report)) ?? []));
+    const unproposed = reports.filter((report) => !this.#proposals.has(getKey(report)));
+    await Promise.all([...proposed, this.#proposeEnds(unproposed)]);
+  }
+
+  async #proposeEnds(reports: readonly EndReport[]): Promise<void> {
+    const { group, table, clock } = this.#options;
     const nowMs = clock.wallMs();
     const ends = reports
       .map((report) => this.#identify(report, nowMs))
@@ -67,10 +117,22 @@
       return;
     }
     const command: DocumentCommand = { version: 0, bytes: new Uint8Array(), ends };
-    const result = await group.propose(command);
-    result.ifLeft((error) => {
-      throw error;
+    const proposal = group.propose(command).then((result) => {
+      result.ifLeft((error) => {
+        throw error;
+      });
     });
+    const keys = reports.map(getKey);
+    for (const key of keys) {
+      this.#proposals.set(key, proposal);
+    }
+    try {
+      await proposal;
+    } finally {
+      for (const key of keys) {
+        this.#proposals.delete(key);
+      }
+    }
   }
 
   /** Names the incarnation that has ended, and stamps the end. */
@@ -87,55 +149,120 @@
     };
   }
 
+  #enqueue(report: EndReport): PendingReport {
+    const key = getKey(report);
+    const known = this.#pending.get(key);
+    const receivedAtMs = this.#options.clock.monotonicMs();
+    const pending = { report, receivedAtMs, callers: known?.callers ?? new Set() };
+    this.#pending.set(key, pending);
+    if (known === undefined) {
+      this.#queue.push(pending);
+      this.#schedule();
+    }
+    return pending;
+  }
+
   /** Sends what is queued when no write is in flight any more, or after `batchIntervalMs`. */
   #schedule(): void {
-    if (this.#queue.length === 0) {
+    if (this.#queue.length === 0 || this.#isClosed) {
       return;
     }
-    if (this.#inFlight === 0) {
+    if (!this.#hasLeader()) {
+      this.#flushAfter(retryIntervalMs);
+    } else if (this.#inFlight === 0) {
       setImmediate(() => {
         this.#flush();
       });
     } else {
-      this.#timer ??= setTimeout(() => {
-        this.#flush();
-      }, batchIntervalMs);
+      this.#flushAfter(batchIntervalMs);
     }
   }
 
+  #flushAfter(delayMs: number): void {
+    this.#timer ??= setTimeout(() => {
+      this.#flush();
+    }, delayMs);
+  }
+
+  #hasLeader(): boolean {
+    const { group } = this.#options;
+    return group.isLeader || group.getLeaderAddress() !== null;
+  }
+
   #flush(): void {
     clearTimeout(this.#timer ?? undefined);
     this.#timer = null;
-    const batch = this.#queue.splice(0, maxBatchReports);
-    if (batch.length > 0) {
-      this.#inFlight += 1;
-      void this.#send(batch);
+    this.#queue = this.#queue.filter((pending) => !this.#giveUp(pending));
+    if (this.#hasLeader() && !this.#isClosed) {
+      const batch = this.#queue.splice(0, maxBatchReports);
+      if (batch.length > 0) {
+        this.#inFlight += 1;
+        void this.#send(batch);
+      }
     }
     this.#schedule();
   }
 
-  async #send(batch: readonly QueuedReport[]): Promise<void> {
+  async #send(batch: readonly PendingReport[]): Promise<void> {
     const isRecorded = await this.#submit(batch.map(({ report }) => report));
     this.#inFlight -= 1;
-    for (const { resolve } of batch) {
-      resolve(isRecorded);
+    if (!isRecorded) {
+      setTimeout(() => {
+        this.#queue.push(...batch);
+        this.#schedule();
+      }, retryIntervalMs);
+      return;
+    }
+    const { clock, logger } = this.#options;
+    const waitedMs = Math.round(clock.monotonicMs() - Math.min(...batch.map(({ receivedAtMs: at }) => at)));
+    logger.info({ ids: batch.map(({ report }) => report.id), waitedMs }, "ends of targets recorded");
+    for (const { report } of batch) {
+      this.#finish(report, true);
     }
     this.#schedule();
   }
 
+  /** Drops a report after too many failed attempts. Returns whether it did. */
+  #giveUp({ report }: PendingReport): boolean {
+    const { clock, logger } = this.#options;
+    const receivedAtMs = this.#pending.get(getKey(report))?.receivedAtMs ?? -Infinity;
+    if (clock.monotonicMs() - receivedAtMs <= giveUpAfterMs) {
+      return false;
+    }
+    logger.warn({ id: report.id, bornMs: report.bornMs }, "end of a target given up");
+    this.#finish(report, false);
+    return true;
+  }
+
+  #finish(report: EndReport, isRecorded: boolean): void {
+    const key = getKey(report);
+    const callers = [...(this.#pending.get(key)?.callers ?? [])];
+    this.#pending.delete(key);
+    for (const answer of callers) {
+      answer(isRecorded);
+    }
+  }
+
   async #submit(reports: readonly EndReport[]): Promise<boolean> {
     const { group, links, logger } = this.#options;
     try {
       if (group.isLeader) {
-        await this.recordAsLeader(reports);
-      } else {
-        await callLeader(group, links, MessageName.RecordEnds, reports);
+        return await Promise.race([
+          this.recordAsLeader(reports).then(() => true),
+          delay(attemptTimeoutMs, false, { ref: false }),
+        ]);
       }
+      await callLeader(group, links, MessageName.RecordEnds, reports, attemptTimeoutMs);
       return true;
     } catch (error) {
       const ids = reports.map(({ id }) => id);
-      logger.warn({ ids, error: String(error) }, "ends of targets not recorded");
+      logger.info({ ids, error: String(error) }, "ends of targets not recorded yet");
       return false;
     }
   }
 }
+
+/** Identifies reports of the same end. */
+function getKey({ id, bornMs, isGone, sequence }: EndReport): string {
+  return `${id} ${bornMs} ${isGone} ${sequence}`;
+}
--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -13,8 +13,8 @@
   readonly ends: EndTable;
   /** Resolves with whether the end is on the disks of a majority of the voters. */
   readonly record: (report: EndReport) => Promise<boolean>;
-  /** Resolves with whether a majority of the voters has the current registry. */
-  readonly replicate: () => Promise<boolean>;
+  /** Sends the registry to the other coordinators at once. */
+  readonly replicate: () => void;
   /** Whether this process has applied, since its start, all that was committed before; asked until it is true. */
   readonly isCaughtUp: () => boolean;
   /** Whether every live target has reported to this process. */
@@ -77,18 +77,17 @@
   }
 
   /**
-   * Removes a target. Resolves with whether the call may be acknowledged. While this process has just started
-   * or is partitioned, a target that it does not know may be in use elsewhere.
+   * Removes a target. Resolves with whether the call may be acknowledged. While this process has just started, a target that
+   * it does not know may be in use elsewhere.
    */
   async remove(id: string): Promise<boolean> {
-    const { targets, ends, isComplete, isCurrent, clock, logger } = this.#options;
+    const { targets, ends, isComplete, clock, logger } = this.#options;
     if (!this.isCaughtUp) {
       return false;
     }
     const removed = targets.remove(id, clock.monotonicMs());
     if (removed === null) {
-      const isAllowed = isComplete() && isCurrent();
-      return isAllowed && this.#record({ id, bornMs: null, isGone: true, sequence: 0 }, false);
+      return isComplete() && this.#record({ id, bornMs: null, isGone: true, sequence: 0 }, false);
     }
     logger.info({ id }, "target removed");
     const { bornMs, sequence } = removed;
@@ -110,6 +109,8 @@
       return;
     }
     this.#early = null;
+    const { ends, clock, logger } = this.#options;
+    logger.info({ recent: ends.listRecent(clock.wallMs()).length, all: ends.size }, "recorded ends known");
     for (const { target, lastSeenAtMs, via } of early.changedSince(0)) {
       this.#put(target, lastSeenAtMs, via);
     }
@@ -156,11 +157,16 @@
     return true;
   }
 
-  /** Records an end. `isListed` tells whether the registry has changed, so that the others must be told. */
+  /**
+   * Records an end. `isListed` tells whether the registry has changed, so that the others are told without a wait for the
+   * log. The acknowledgement doesn't depend on that: every coordinator applies the record.
+   */
   async #record(report: EndReport, isListed: boolean): Promise<boolean> {
     const { record, replicate, outcomes } = this.#options;
-    const results = await Promise.all([record(report), isListed ? replicate() : true]);
-    const isRecorded = !results.includes(false);
+    if (isListed) {
+      replicate();
+    }
+    const isRecorded = await record(report);
     outcomes.add(isRecorded ? EndOutcome.Recorded : EndOutcome.Unknown);
     return isRecorded;
   }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -9,6 +9,7 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import { systemDisk } from "@clementinemux/storage/systemDisk";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -108,13 +109,14 @@
     const { orders, refusedOrders } = this.metrics;
     const { openRank } = options;
     this.#activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
-    const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null };
+    const { disk = systemDisk } = options;
+    const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null, disk };
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, ...replicas });
     this.#reports = new TargetReports({
       targets: this.targets,
       ends: this.#machine.ends,
       record: (report) => this.#recorder?.record(report) ?? Promise.resolve(false),
-      replicate: () => this.#replicateToMajority(),
+      replicate: () => this.#exchange?.sendSoon(),
       isCaughtUp: () => this.#getAgeMs() !== null,
       isComplete: () => this.#isComplete(),
       isCurrent: () => this.#isCurrent(),
@@ -207,6 +209,7 @@
   async close(): Promise<void> {
     this.#rounds.close();
     this.#sync.close();
+    this.#recorder?.close();
     this.crashes.close();
     this.#links.close();
     this.#metricsPage.stop();
@@ -324,11 +327,6 @@
     return this.#documents?.getAgeMs() ?? null;
   }
 
-  #replicateToMajority(): Promise<boolean> {
-    const voterIds = Object.keys(this.#group?.membership.voters ?? {});
-    return this.#exchange?.replicateToMajority(voterIds) ?? Promise.resolve(false);
-  }
-
   #tick(): void {
     const nowMs = this.#options.clock.monotonicMs();
     const isStalled = nowMs - this.#tickedAtMs > tickIntervalMs + stallMs;
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
+import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import type { Either } from "purify-ts/Either";
 import type { Logger } from "roarr";
@@ -15,6 +16,8 @@
   readonly failureDomain: string;
   /** Folder of the replica's files; null on an instance without a disk, whose replica stays a learner. */
   readonly dataFolder: string | null;
+  /** The disk of this machine by default. */
+  readonly disk?: DiskOperations;
   /** Whether this is the first start of the fleet, so that a new log may be created. */
   readonly isBootstrap: boolean;
   /** Addresses of coordinators for frames; hints that may be outdated. */
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -40,8 +40,6 @@
   readonly #options: ExchangeOptions;
   /** Peers that get another call as soon as the one in flight has ended. */
   readonly #pending = new Set<Peer>();
-  #round: Promise<boolean> = Promise.resolve(true);
-  #nextRound: Promise<boolean> | null = null;
 
   constructor(options: ExchangeOptions) {
     this.#options = options;
@@ -64,20 +62,6 @@
     }
   }
 
-  /**
-   * Sends changes to all peers at once. Resolves with whether a majority of `voterIds` has the current state.
-   * Learners do not count, since any number of them may be lost at once. Calls during a round share the next one.
-   */
-  replicateToMajority(voterIds: readonly string[]): Promise<boolean> {
-    this.#nextRound ??= this.#round.then(() => {
-      this.#nextRound = null;
-      const round = this.#replicate(voterIds);
-      this.#round = round;
-      return round;
-    });
-    return this.#nextRound;
-  }
-
   /** Applies the changes sent by a peer. */
   receive(request: ExchangeRequest): ExchangeResponse {
     const { name, incarnation, replicaId, failureDomain, isDurable } = this.#options;
@@ -98,33 +82,7 @@
     return { from: name, incarnation, replicaId, failureDomain, isDurable, coordinators: this.#listSeen() };
   }
 
-  async #replicate(voterIds: readonly string[]): Promise<boolean> {
-    const majority = Math.floor(voterIds.length / 2) + 1;
-    const confirmed = new Set(voterIds.filter((id) => id === this.#options.replicaId));
-    if (confirmed.size >= majority) {
-      return true;
-    }
-    return new Promise((resolve) => {
-      const { peers } = this.#options.peers;
-      let left = peers.length;
-      for (const peer of peers) {
-        void this.#sendTo(peer).then((isConfirmed) => {
-          if (isConfirmed && peer.replicaId !== null && voterIds.includes(peer.replicaId)) {
-            confirmed.add(peer.replicaId);
-          }
-          left -= 1;
-          if (confirmed.size >= majority || left === 0) {
-            resolve(confirmed.size >= majority);
-          }
-        });
-      }
-      if (peers.length === 0) {
-        resolve(false);
-      }
-    });
-  }
-
-  async #sendTo(peer: Peer): Promise<boolean> {
+  async #sendTo(peer: Peer): Promise<void> {
     const { name, address, incarnation, replicaId, failureDomain, isDurable } = this.#options;
     const { links, peers, targets, entries, slowdowns, isLeading, clock } = this.#options;
     const sentAtMs = clock.monotonicMs();
@@ -154,20 +112,16 @@
     if (this.#pending.delete(peer) && answer.isRight()) {
       void this.#sendTo(peer);
     }
-    return answer.caseOf({
-      Left: () => false,
-      Right: (body) => {
-        const response = body as ExchangeResponse;
-        const nowMs = clock.monotonicMs();
-        const isSameIncarnation = peer.incarnation === null || peer.incarnation === response.incarnation;
-        peers.recordMessage(peer.address, response, nowMs);
-        peers.addHints(response.coordinators, nowMs);
-        if (isSameIncarnation) {
-          peer.confirmedChange = Math.max(peer.confirmedChange, change);
-          peer.forwardedUntilMs = Math.max(peer.forwardedUntilMs, sentAtMs);
-        }
-        return true;
-      },
+    answer.ifRight((body) => {
+      const response = body as ExchangeResponse;
+      const nowMs = clock.monotonicMs();
+      const isSameIncarnation = peer.incarnation === null || peer.incarnation === response.incarnation;
+      peers.recordMessage(peer.address, response, nowMs);
+      peers.addHints(response.coordinators, nowMs);
+      if (isSameIncarnation) {
+        peer.confirmedChange = Math.max(peer.confirmedChange, change);
+        peer.forwardedUntilMs = Math.max(peer.forwardedUntilMs, sentAtMs);
+      }
     });
   }
 
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -8,6 +8,8 @@
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
+import { systemDisk } from "@clementinemux/storage/systemDisk";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
@@ -18,6 +20,8 @@
   readonly targetVoters?: number;
   /** Indexes of coordinators without a disk. */
   readonly diskless?: readonly number[];
+  /** Disk of all coordinators; that of this machine by default. */
+  readonly disk?: DiskOperations;
 }
 
 /** Coordinators of one log on the loopback interface, each with its own folder. */
@@ -51,6 +55,7 @@
       metricsPort: null,
       failureDomain: `d-${index}`,
       dataFolder: this.#options.diskless?.includes(index) === true ? null : this.#folders[index],
+      disk: this.#options.disk ?? systemDisk,
       isBootstrap,
       seeds: this.seeds,
       targetVoters: this.#options.targetVoters ?? 3,
