Write a document once that is sent again during its write

With syncs of 1 s, each call of an operator (1 s) wrote the same document anew and waited for its own write. The leader now lets a document that is sent again wait for the write in flight.

--- a/packages/control/routes/DocumentService.ts
+++ b/packages/control/routes/DocumentService.ts
@@ -29,6 +29,8 @@
   #confirmedAtMs: number | null = null;
   #pending: { readonly sentAtMs: number; readonly index: number } | null = null;
   #isConfirming = false;
+  /** The document that is being written. A caller without an answer sends it again, and then waits for the same write. */
+  #proposal: { readonly document: StoredDocument; readonly outcome: Promise<void> } | null = null;
 
   constructor(options: DocumentServiceOptions) {
     this.#options = options;
@@ -54,14 +56,32 @@
     }
   }
 
-  async proposeAsLeader({ version, bytes }: StoredDocument): Promise<void> {
-    const { group, machine, logger } = this.#options;
+  async proposeAsLeader(document: StoredDocument): Promise<void> {
+    const { group, machine } = this.#options;
     if (!group.isLeader) {
       throw group.createNotLeaderError();
     }
-    if (group.hasLease && version <= machine.version) {
+    if (group.hasLease && document.version <= machine.version) {
       return;
     }
+    const known = this.#proposal;
+    const isProposed =
+      known?.document.version === document.version &&
+      Buffer.compare(known.document.bytes, document.bytes) === 0;
+    const outcome = isProposed ? known.outcome : this.#commit(document);
+    const proposal = { document, outcome };
+    this.#proposal = proposal;
+    try {
+      await outcome;
+    } finally {
+      if (this.#proposal === proposal) {
+        this.#proposal = null;
+      }
+    }
+  }
+
+  async #commit({ version, bytes }: StoredDocument): Promise<void> {
+    const { group, machine, logger } = this.#options;
     const result = await group.propose({ version, bytes });
     result.ifLeft((error) => {
       throw error;
