Keep what a gateway has learned of ends of targets against every later list

Callers' requests reached a target that had left as soon as a coordinator listed it again: gateways held nothing of their own against a list, although they had been told of the end. All rested on the coordinators' records.

A coordinator now lists the incarnations that have unregistered in the last minute beside its targets, also while its list is complete and before the record is synced. Metrics: clementinemux_gateway_learned_ends and _ended_targets_listed; the latter, and a log line, show that a coordinator has forgotten an end.

--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -1,6 +1,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Counters } from "@clementinemux/metrics/Counters";
+import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { EndReport } from "./EndReport";
@@ -136,6 +137,14 @@
       });
   }
 
+  /** Incarnations that have unregistered lately, also if that is not recorded yet; those that were only superseded are left out. */
+  listUnregistered(): TargetIncarnation[] {
+    const { targets, ends, clock } = this.#options;
+    const recorded = ends.listRecent(clock.wallMs()).filter(({ isGone }) => isGone);
+    const removed = targets.listGone().filter(({ isDraining }) => isDraining);
+    return [...recorded, ...removed].map(({ id, bornMs }) => ({ id, bornMs }));
+  }
+
   /** Keeps a record aside while the recorded ends are not known yet. Returns whether it did. */
   #hold(target: TargetRecord, seenAtMs: number, via: string | null): boolean {
     this.update();
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -130,6 +130,8 @@
       incarnation: this.#incarnation,
       targets: this.targets,
       listEnded: () => this.#reports.listEnded(),
+      listUnregistered: () => this.#reports.listUnregistered(),
+      getEndsRevision: () => this.#machine.ends.revision,
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -5,6 +5,7 @@
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
+import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { CrashFeed } from "./CrashFeed";
@@ -18,6 +19,10 @@
   readonly targets: TargetRegistry;
   /** Records of targets whose end is recorded, and that the registry does not hold. */
   readonly listEnded: () => readonly TargetRecord[];
+  /** Incarnations that have unregistered lately. */
+  readonly listUnregistered: () => readonly TargetIncarnation[];
+  /** Number that changes with the recorded ends. */
+  readonly getEndsRevision: () => number;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
@@ -59,7 +64,7 @@
     const nowMs = clock.monotonicMs();
     const { version, bytes } = getDocument();
     targets.markSilent(nowMs);
-    const state = `${incarnation}:${targets.lastChangeNumber}`;
+    const state = `${incarnation}:${targets.lastChangeNumber}:${this.#options.getEndsRevision()}`;
     const isComplete = this.#options.isComplete();
     const gone = isComplete ? [] : [...targets.listGone(), ...this.#options.listEnded()];
     return {
@@ -68,6 +73,7 @@
       document: version > documentVersion ? bytes : null,
       registryState: state,
       targets: state === registryState ? null : [...targets.list(nowMs), ...gone],
+      ended: state === registryState ? [] : this.#options.listUnregistered(),
       isComplete,
       inFlight: entries.sumInFlight(entry.name, nowMs),
       paces: slowdowns.list(nowMs),
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -200,10 +200,16 @@
   }
 
   #update(response: SyncResponse, sentAtMs: number): boolean {
+    const { view, logger } = this.#options;
+    const endedListed = view.endedListed;
     try {
-      return this.#options.view.update(response, sentAtMs);
+      const isCurrent = view.update(response, sentAtMs);
+      if (view.endedListed !== endedListed) {
+        logger.info({ endedListed: view.endedListed }, "list with targets that have ended");
+      }
+      return isCurrent;
     } catch (error) {
-      this.#options.logger.error({ error: String(error) }, "document cannot be decoded");
+      logger.error({ error: String(error) }, "document cannot be decoded");
       return false;
     }
   }
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -3,6 +3,7 @@
 import { isTargetId } from "@clementinemux/registry/isTargetId";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
 import { matchAddress } from "@clementinemux/wire/matchAddress";
+import { EndedTargets } from "./EndedTargets";
 import type { FleetState } from "./FleetState";
 import type { WireCodec } from "./WireCodec";
 
@@ -20,9 +21,11 @@
  */
 export class FleetView {
   readonly #codec: WireCodec;
+  readonly #ended = new EndedTargets();
   #state: FleetState = { table: null, targets: [], othersInFlight: {}, slowdowns: {}, liveEntries: 1 };
   #openTargets = new Map<string, TargetRecord[]>();
   #registryState = "";
+  #endedListed = 0;
   #confirmedAtMs = -Infinity;
 
   constructor(codec: WireCodec) {
@@ -41,6 +44,16 @@
     return this.#registryState;
   }
 
+  /** Number of targets whose end this gateway remembers. */
+  get learnedEnds(): number {
+    return this.#ended.size;
+  }
+
+  /** Targets of the last list that this gateway does not use, since it has learned of their end. */
+  get endedListed(): number {
+    return this.#endedListed;
+  }
+
   /** Targets of a service that accept requests. */
   listOpenTargets(service: string): readonly TargetRecord[] {
     return this.#openTargets.get(service) ?? [];
@@ -77,7 +90,10 @@
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs - ageMs);
     this.#state = { ...this.#state, othersInFlight: inFlight, slowdowns: paces, liveEntries };
     if (isCurrent && targets !== null) {
-      this.#updateTargets(targets, isComplete);
+      for (const incarnation of response.ended ?? []) {
+        this.#ended.learnGone(incarnation, sentAtMs);
+      }
+      this.#updateTargets(targets, isComplete, sentAtMs);
       this.#registryState = isComplete ? response.registryState : "";
     }
     return isCurrent;
@@ -85,21 +101,26 @@
 
   /**
    * A coordinator that has just started does not know every target yet, so known targets are kept unless it
-   * lists them as gone.
+   * lists them as gone. What this gateway has learned of ends holds against every list.
    */
-  #updateTargets(targets: readonly TargetRecord[], isComplete: boolean): void {
+  #updateTargets(targets: readonly TargetRecord[], isComplete: boolean, nowMs: number): void {
     // Coordinators of earlier releases also list targets whose id or address cannot be used.
-    const present = targets.filter(
+    const listed = targets.filter(
       ({ id, isGone, address }) => !isGone && isTargetId(id) && matchAddress(address) !== null,
     );
+    const present = listed.flatMap((target) => this.#ended.check(target, nowMs) ?? []);
+    const listedOpen = listed.filter(({ isDraining }) => !isDraining);
+    this.#endedListed = listedOpen.length - present.filter(({ isDraining }) => !isDraining).length;
     const listedBornMs = new Map(targets.map(({ id, bornMs }) => [id, bornMs]));
     const addresses = new Set(present.map(({ address }) => address));
     const kept = isComplete
       ? []
-      : this.#state.targets.filter(
-          ({ id, address, bornMs }) =>
-            (listedBornMs.get(id) ?? -Infinity) < bornMs && !addresses.has(address),
-        );
+      : this.#state.targets
+          .filter(
+            ({ id, address, bornMs }) =>
+              (listedBornMs.get(id) ?? -Infinity) < bornMs && !addresses.has(address),
+          )
+          .flatMap((target) => this.#ended.check(target, nowMs) ?? []);
     const keptIds = new Set(kept.map(({ id }) => id));
     this.#state = { ...this.#state, targets: [...present.filter(({ id }) => !keptIds.has(id)), ...kept] };
     this.#openTargets = new Map();
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -160,6 +160,8 @@
       clementinemux_gateway_view_age_seconds:
         this.view.getAgeMs(this.#options.leaseClock.monotonicMs()) / 1000,
       clementinemux_gateway_targets: state.targets.length,
+      clementinemux_gateway_learned_ends: this.view.learnedEnds,
+      clementinemux_gateway_ended_targets_listed: this.view.endedListed,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,4 +1,5 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetRecord } from "./TargetRecord";
 
 /** The state that a gateway lacks, and the age of its confirmation. */
@@ -14,6 +15,8 @@
    * list already.
    */
   readonly targets: readonly TargetRecord[] | null;
+  /** Incarnations that have unregistered lately, sent with `targets`. Missing from coordinators of earlier releases. */
+  readonly ended?: readonly TargetIncarnation[];
   /** Whether the coordinator has run long enough to have received a heartbeat of every target. */
   readonly isComplete: boolean;
   /** Requests in flight by target, summed over all other entries. */
