--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -8,6 +8,7 @@
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
+import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
@@ -271,7 +272,7 @@
       "/agent/metrics": () => {
         response
           .writeHead(200, { "content-type": "text/plain" })
-          .end(renderCounters(this.counters) + this.#errors.render());
+          .end(renderBuildInfo() + renderCounters(this.counters) + this.#errors.render());
       },
       "/agent/order": () => {
         this.#orderQueue.handle(request, response).catch((error: unknown) => {
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -3,6 +3,7 @@
 import { periodic } from "most";
 import type { Logger } from "roarr";
 import type * as z from "zod";
+import { buildId } from "@clementinemux/common/buildId";
 import type { Clock } from "@clementinemux/common/Clock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { MembershipChange } from "@clementinemux/consensus/MembershipChange";
@@ -19,6 +20,7 @@
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import { Counters } from "@clementinemux/metrics/Counters";
+import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -204,6 +206,7 @@
         getTargets: () => this.#directory.handlers[MessageName.FetchTargets]?.({}, "api"),
       }),
       renderMetrics: () =>
+        renderBuildInfo() +
         [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
     });
     await api.listen(host, apiPort);
@@ -301,6 +304,7 @@
 
   #getStatus(): unknown {
     return {
+      build: buildId,
       name: this.#settings.name,
       confirmed: this.#relay.isConfirmed,
       revision: this.#relay.view.config.revision,
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,3 +1,4 @@
+import { buildId } from "@clementinemux/common/buildId";
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
@@ -256,6 +257,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const core = this.#group?.core ?? null;
     return {
+      build: buildId,
       role: core?.role ?? null,
       term: core?.term ?? null,
       commitIndex: core?.commitIndex ?? null,
--- a/packages/control/routes/CoordinatorStatus.ts
+++ b/packages/control/routes/CoordinatorStatus.ts
@@ -1,5 +1,7 @@
 /** State of a coordinator, exported as metrics. */
 export interface CoordinatorStatus {
+  /** Hash of the sources of the running build. */
+  readonly build: string;
   readonly role: string | null;
   readonly term: number | null;
   readonly isVoter: boolean;
--- a/packages/entry/EntryMetrics.ts
+++ b/packages/entry/EntryMetrics.ts
@@ -4,6 +4,7 @@
 import { RequestClass } from "@clementinemux/common/RequestClass";
 import { RetryReason } from "@clementinemux/common/RetryReason";
 import { Counters } from "@clementinemux/metrics/Counters";
+import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { StreamFault } from "./StreamFault";
 
@@ -54,6 +55,7 @@
 
   render(inFlightCount: number): string {
     return [
+      renderBuildInfo(),
       renderCounters(this.refusals),
       renderCounters(this.retries),
       renderCounters(this.streamFaults),
--- a/packages/metrics/MetricsEndpoint.ts
+++ b/packages/metrics/MetricsEndpoint.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import type { Clock } from "@clementinemux/common/Clock";
 import { LoopDelayMeter } from "./LoopDelayMeter";
+import { renderBuildInfo } from "./renderBuildInfo";
 import { serveMetrics } from "./serveMetrics";
 
 interface MetricsPageOptions {
@@ -32,7 +33,7 @@
       this.#server = await serveMetrics({
         host,
         port,
-        render: () => render() + this.#loopDelay.histogram.render(),
+        render: () => renderBuildInfo() + render() + this.#loopDelay.histogram.render(),
       });
       this.#loopDelay.start();
     }
--- a/packages/settings/startFromSettings.ts
+++ b/packages/settings/startFromSettings.ts
@@ -1,4 +1,6 @@
 import type * as z from "zod";
+import { buildId } from "@clementinemux/common/buildId";
+import { createLogger } from "@clementinemux/logging/createLogger";
 import { loadSettings } from "./loadSettings";
 
 /** Exit code for an invalid command line or invalid settings. */
@@ -29,6 +31,7 @@
         process.stdout.write(`${file}: settings are valid\n`);
         return;
       }
+      createLogger(name, {}).info({ build: buildId, node: process.version }, "starting");
       start(settings).catch((error: unknown) => {
         process.stderr.write(`${name}: ${error instanceof Error ? error.message : String(error)}\n`);
         process.exit(1);
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -37,7 +37,7 @@
   banner: { js: "(function (require) {" },
   footer: { js: "})" },
   // cbor-x reads it only where there is no require.
-  define: { "import.meta.url": "undefined" },
+  define: { ...bundleOptions.define, "import.meta.url": "undefined" },
 });
 await build({
   ...commonOptions,
--- a/scripts/bundleOptions.mjs
+++ b/scripts/bundleOptions.mjs
@@ -1,3 +1,5 @@
+import { hashSources } from "./hashSources.mjs";
+
 /** Options that all bundles of this repository share. */
 export const bundleOptions = {
   outExtension: { ".js": ".mjs" },
@@ -10,6 +12,7 @@
   minifySyntax: true,
   sourcemap: true,
   logLevel: "warning",
+  define: { BUILD_ID: JSON.stringify(hashSources()) },
   // Bundled CommonJS dependencies call require for Node's own modules.
   banner: {
     js: 'import { createRequire as createRequireForBundle } from "node:module"; const require = createRequireForBundle(import.meta.url);',
