Send no second list for the record of an end

The list of targets was sent again to every gateway when the record of an end was committed, in addition to the one for the removal: with 12,000 targets, 1.8 MB to each of 350 gateways. The removal's own list names the incarnation already, since unregistered targets are listed before their record is synced. endedTargets, forgottenEnds and targetEnds pass.

--- a/packages/control/ends/EndTable.ts
+++ b/packages/control/ends/EndTable.ts
@@ -17,20 +17,13 @@
 export class EndTable {
   /** By id, the earliest recorded first. */
   readonly #ends = new Map<string, TargetEnd>();
-  #revision = 0;
 
   get size(): number {
     return this.#ends.size;
   }
 
-  /** Changes whenever ends were applied or restored. */
-  get revision(): number {
-    return this.#revision;
-  }
-
   /** Applies committed ends in the order of the log, and drops those that are too old by the stamps of the new ones. */
   apply(ends: readonly TargetEnd[]): void {
-    this.#revision += 1;
     for (const end of ends) {
       const known = this.#ends.get(end.id);
       if (known === undefined || !isValid(known, end, end.recordedAtWallMs) || isLater(end, known)) {
@@ -43,7 +36,6 @@
 
   /** Replaces all ends by those of a snapshot. */
   restore(ends: readonly TargetEnd[]): void {
-    this.#revision += 1;
     this.#ends.clear();
     for (const end of ends) {
       this.#ends.set(end.id, end);
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -132,7 +132,6 @@
       targets: this.targets,
       listEnded: () => this.#reports.listEnded(),
       listUnregistered: () => this.#reports.listUnregistered(),
-      getEndsRevision: () => this.#machine.ends.revision,
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -21,8 +21,6 @@
   readonly listEnded: () => readonly TargetRecord[];
   /** Incarnations that have unregistered lately. */
   readonly listUnregistered: () => readonly TargetIncarnation[];
-  /** Number that changes with the recorded ends. */
-  readonly getEndsRevision: () => number;
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
@@ -64,7 +62,7 @@
     const nowMs = clock.monotonicMs();
     const { version, bytes } = getDocument();
     targets.markSilent(nowMs);
-    const state = `${incarnation}:${targets.lastChangeNumber}:${this.#options.getEndsRevision()}`;
+    const state = `${incarnation}:${targets.lastChangeNumber}`;
     const isComplete = this.#options.isComplete();
     const gone = isComplete ? [] : [...targets.listGone(), ...this.#options.listEnded()];
     return {
