Do not let the removal of an unknown target outlast its call

Found by reading the diff. A removal of an unknown target names no incarnation; the leader takes the one that it knows. It is now given up with its call; a report that names its incarnation is retried as before.

--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -222,11 +222,15 @@
     this.#schedule();
   }
 
-  /** Drops a report after too many failed attempts. Returns whether it did. */
+  /**
+   * Drops a report after too many failed attempts. Returns whether it did. The removal of an unknown target does not outlast
+   * its call: the leader would take it for that of the incarnation that it knows by then.
+   */
   #giveUp({ report }: PendingReport): boolean {
     const { clock, logger } = this.#options;
     const receivedAtMs = this.#pending.get(getKey(report))?.receivedAtMs ?? -Infinity;
-    if (clock.monotonicMs() - receivedAtMs <= giveUpAfterMs) {
+    const limitMs = report.bornMs === null ? answerTimeoutMs : giveUpAfterMs;
+    if (clock.monotonicMs() - receivedAtMs <= limitMs) {
       return false;
     }
     logger.warn({ id: report.id, bornMs: report.bornMs }, "end of a target given up");
