Keep ends of targets by the same bounds in coordinators and gateways

EndedTargets had its own copy of EndTable's retention, of the shorter one for targets without a start time, of the limit in number and of the loop that drops old ends; a change of one would have let gateways and coordinators forget at different times. RecentEnds holds them for both. The condition of learnGone was the negation of the one in check, and is one function now.

--- a/packages/control/ends/EndTable.ts
+++ b/packages/control/ends/EndTable.ts
@@ -1,22 +1,16 @@
+import { RecentEnds } from "@clementinemux/registry/RecentEnds";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { EndReport } from "./EndReport";
 import { EndState } from "./EndState";
 import type { TargetEnd } from "./TargetEnd";
 
-/** Longer than a call is held up by a partition or a power loss of some minutes. */
-const retentionMs = 600_000;
-/** Without a start time, a target's next incarnation looks like the one that has ended. */
-const unbornRetentionMs = 60_000;
 /** The registry keeps records of unregistered targets as long. */
 const recentMs = 60_000;
-/** Twice the number of targets that the design is for. The oldest ends are dropped beyond it. */
-const maxEnds = 24_000;
 
 /** Recorded ends of targets: part of the state machine of the `routes` log. Has no I/O and takes the time of day as a parameter. */
 export class EndTable {
-  /** By id, the earliest recorded first. */
-  readonly #ends = new Map<string, TargetEnd>();
+  readonly #ends = new RecentEnds<TargetEnd>(({ recordedAtWallMs }) => recordedAtWallMs);
 
   get size(): number {
     return this.#ends.size;
@@ -25,12 +19,11 @@
   /** Applies committed ends in the order of the log, and drops those that are too old by the stamps of the new ones. */
   apply(ends: readonly TargetEnd[]): void {
     for (const end of ends) {
-      const known = this.#ends.get(end.id);
-      if (known === undefined || !isValid(known, end, end.recordedAtWallMs) || isLater(end, known)) {
-        this.#ends.delete(end.id);
-        this.#ends.set(end.id, end);
+      const known = this.#ends.find(end, end.recordedAtWallMs);
+      if (known === null || isLater(end, known)) {
+        this.#ends.put(end.id, end);
       }
-      this.#drop(end.recordedAtWallMs);
+      this.#ends.dropOld(end.recordedAtWallMs);
     }
   }
 
@@ -38,12 +31,12 @@
   restore(ends: readonly TargetEnd[]): void {
     this.#ends.clear();
     for (const end of ends) {
-      this.#ends.set(end.id, end);
+      this.#ends.put(end.id, end);
     }
   }
 
   list(): TargetEnd[] {
-    return [...this.#ends.values()];
+    return this.#ends.list();
   }
 
   /** Ends that were recorded within the last minute. */
@@ -56,7 +49,7 @@
     if (bornMs === null) {
       return false;
     }
-    const known = this.#find({ id, bornMs }, nowWallMs);
+    const known = this.#ends.find({ id, bornMs }, nowWallMs);
     if (known === null) {
       return false;
     }
@@ -74,13 +67,13 @@
 
   /** Sequence of the heartbeat that reported the recorded drain of a target's incarnation; null if there is none. */
   getDrainSequence(incarnation: TargetIncarnation, nowWallMs: number): number | null {
-    const known = this.#find(incarnation, nowWallMs);
+    const known = this.#ends.find(incarnation, nowWallMs);
     return known?.bornMs === incarnation.bornMs && !known.isGone ? known.sequence : null;
   }
 
   /** State of a target by its heartbeat, which may be late. */
   getState({ id, bornMs, sequence }: TargetRecord, nowWallMs: number): EndState {
-    const known = this.#find({ id, bornMs }, nowWallMs);
+    const known = this.#ends.find({ id, bornMs }, nowWallMs);
     if (known === null || known.bornMs < bornMs) {
       return EndState.Open;
     }
@@ -90,21 +83,6 @@
     // A target may take a drain back with a later heartbeat.
     return sequence <= known.sequence ? EndState.Draining : EndState.Open;
   }
-
-  /** The end of a target, if it is in force for the incarnation. */
-  #find(incarnation: TargetIncarnation, nowWallMs: number): TargetEnd | null {
-    const known = this.#ends.get(incarnation.id);
-    return known !== undefined && isValid(known, incarnation, nowWallMs) ? known : null;
-  }
-
-  #drop(nowWallMs: number): void {
-    for (const [id, { recordedAtWallMs }] of this.#ends) {
-      if (this.#ends.size <= maxEnds && nowWallMs - recordedAtWallMs <= retentionMs) {
-        return;
-      }
-      this.#ends.delete(id);
-    }
-  }
 }
 
 function isLater(left: TargetEnd, right: TargetEnd): boolean {
@@ -116,8 +94,3 @@
   }
   return left.sequence > right.sequence || left.isGone;
 }
-
-function isValid(end: TargetEnd, { bornMs }: TargetIncarnation, nowWallMs: number): boolean {
-  const isUnborn = end.bornMs === 0 || bornMs === 0;
-  return nowWallMs - end.recordedAtWallMs <= (isUnborn ? unbornRetentionMs : retentionMs);
-}
--- a/packages/gateway/EndedTargets.ts
+++ b/packages/gateway/EndedTargets.ts
@@ -1,3 +1,4 @@
+import { RecentEnds } from "@clementinemux/registry/RecentEnds";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 
@@ -9,21 +10,13 @@
   readonly learnedAtMs: number;
 }
 
-/** As long as the coordinators keep their records of ends. */
-const retentionMs = 600_000;
-/** Without a start time, a target's next incarnation looks like the one that has ended. */
-const unbornRetentionMs = 60_000;
-/** Twice the number of targets that the design is for. The oldest ends are dropped beyond it. */
-const maxEnds = 24_000;
-
 /**
  * Ends of targets that this gateway has learned. They hold against every later list, so that coordinators that have lost their
  * records cannot bring a target back. A later incarnation, or a drain that is taken back, passes at once. Takes the current
  * time as a parameter.
  */
 export class EndedTargets {
-  /** By id, the one learned first at the start. */
-  readonly #ends = new Map<string, LearnedEnd>();
+  readonly #ends = new RecentEnds<LearnedEnd>(({ learnedAtMs }) => learnedAtMs);
 
   get size(): number {
     return this.#ends.size;
@@ -31,12 +24,7 @@
 
   /** Learns that an incarnation has unregistered. */
   learnGone({ id, bornMs }: TargetIncarnation, nowMs: number): void {
-    const known = this.#find({ id, bornMs }, nowMs);
-    if (
-      known === null ||
-      known.bornMs < bornMs ||
-      (known.bornMs === bornMs && known.drainSequence !== null)
-    ) {
+    if (!hasEnded(this.#ends.find({ id, bornMs }, nowMs), bornMs)) {
       this.#put(id, { bornMs, drainSequence: null, learnedAtMs: nowMs });
     }
   }
@@ -47,11 +35,8 @@
    */
   check(target: TargetRecord, nowMs: number): TargetRecord | null {
     const { id, bornMs, sequence, isDraining } = target;
-    const known = this.#find(target, nowMs);
-    if (
-      known !== null &&
-      (known.bornMs > bornMs || (known.bornMs === bornMs && known.drainSequence === null))
-    ) {
+    const known = this.#ends.find(target, nowMs);
+    if (hasEnded(known, bornMs)) {
       return null;
     }
     const drainSequence = known?.bornMs === bornMs ? (known.drainSequence ?? -Infinity) : -Infinity;
@@ -61,23 +46,15 @@
     return isDraining || sequence > drainSequence ? target : { ...target, isDraining: true };
   }
 
-  #find({ id, bornMs }: TargetIncarnation, nowMs: number): LearnedEnd | null {
-    const known = this.#ends.get(id);
-    if (known === undefined) {
-      return null;
-    }
-    const isUnborn = known.bornMs === 0 || bornMs === 0;
-    return nowMs - known.learnedAtMs <= (isUnborn ? unbornRetentionMs : retentionMs) ? known : null;
-  }
-
   #put(id: string, end: LearnedEnd): void {
-    this.#ends.delete(id);
-    this.#ends.set(id, end);
-    for (const [oldId, { learnedAtMs }] of this.#ends) {
-      if (this.#ends.size <= maxEnds && end.learnedAtMs - learnedAtMs <= retentionMs) {
-        return;
-      }
-      this.#ends.delete(oldId);
-    }
+    this.#ends.put(id, end);
+    this.#ends.dropOld(end.learnedAtMs);
   }
 }
+
+/** Whether the incarnation that started at `bornMs`, or a later one, is known to have ended. */
+function hasEnded(known: LearnedEnd | null, bornMs: number): boolean {
+  return (
+    known !== null && (known.bornMs > bornMs || (known.bornMs === bornMs && known.drainSequence === null))
+  );
+}
