Hold a pending report of an end in one object, and default the disk in one place

Each repeated call for a report made a new object, while the queue held an older one, so that its time had to be looked up by key again. It is one object whose time of the last call is updated. The disk of the machine was the default of both the coordinator and the storage; the storage's is left. No change of behaviour: control/test/end*, targetEnds pass.

--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -29,7 +29,7 @@
   /** Whether this machine has a disk; true by default. Without one, nothing is written to the file system. */
   readonly isDurable?: boolean;
   /** The disk of this machine by default. */
-  readonly disk?: DiskOperations;
+  readonly disk?: DiskOperations | undefined;
 }
 
 interface RaftEnvelope {
--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -24,6 +24,7 @@
 interface PendingReport {
   readonly report: EndReport;
   readonly receivedAtMs: number;
+  lastCallAtMs: number;
   /** Calls that wait for the record. */
   readonly callers: Set<(isRecorded: boolean) => void>;
 }
@@ -151,14 +152,16 @@
 
   #enqueue(report: EndReport): PendingReport {
     const key = getKey(report);
+    const nowMs = this.#options.clock.monotonicMs();
     const known = this.#pending.get(key);
-    const receivedAtMs = this.#options.clock.monotonicMs();
-    const pending = { report, receivedAtMs, callers: known?.callers ?? new Set() };
-    this.#pending.set(key, pending);
-    if (known === undefined) {
-      this.#queue.push(pending);
-      this.#schedule();
+    if (known !== undefined) {
+      known.lastCallAtMs = nowMs;
+      return known;
     }
+    const pending: PendingReport = { report, receivedAtMs: nowMs, lastCallAtMs: nowMs, callers: new Set() };
+    this.#pending.set(key, pending);
+    this.#queue.push(pending);
+    this.#schedule();
     return pending;
   }
 
@@ -216,8 +219,8 @@
     const { clock, logger } = this.#options;
     const waitedMs = Math.round(clock.monotonicMs() - Math.min(...batch.map(({ receivedAtMs: at }) => at)));
     logger.info({ ids: batch.map(({ report }) => report.id), waitedMs }, "ends of targets recorded");
-    for (const { report } of batch) {
-      this.#finish(report, true);
+    for (const pending of batch) {
+      this.#finish(pending, true);
     }
     this.#schedule();
   }
@@ -226,23 +229,21 @@
    * Drops a report after too many failed attempts. Returns whether it did. The removal of an unknown target does not outlast
    * its call: the leader would take it for that of the incarnation that it knows by then.
    */
-  #giveUp({ report }: PendingReport): boolean {
+  #giveUp(pending: PendingReport): boolean {
     const { clock, logger } = this.#options;
-    const receivedAtMs = this.#pending.get(getKey(report))?.receivedAtMs ?? -Infinity;
+    const { report, lastCallAtMs } = pending;
     const limitMs = report.bornMs === null ? answerTimeoutMs : giveUpAfterMs;
-    if (clock.monotonicMs() - receivedAtMs <= limitMs) {
+    if (clock.monotonicMs() - lastCallAtMs <= limitMs) {
       return false;
     }
     logger.warn({ id: report.id, bornMs: report.bornMs }, "end of a target given up");
-    this.#finish(report, false);
+    this.#finish(pending, false);
     return true;
   }
 
-  #finish(report: EndReport, isRecorded: boolean): void {
-    const key = getKey(report);
-    const callers = [...(this.#pending.get(key)?.callers ?? [])];
-    this.#pending.delete(key);
-    for (const answer of callers) {
+  #finish({ report, callers }: PendingReport, isRecorded: boolean): void {
+    this.#pending.delete(getKey(report));
+    for (const answer of [...callers]) {
       answer(isRecorded);
     }
   }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -10,7 +10,6 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
-import { systemDisk } from "@clementinemux/storage/systemDisk";
 import { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -110,7 +109,7 @@
     const { orders, refusedOrders } = this.metrics;
     const { openRank } = options;
     this.#activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
-    const { disk = systemDisk } = options;
+    const { disk } = options;
     const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null, disk };
     this.#host = new GroupHost({ settings, links, clock, random, logger, onFatal, ...replicas });
     this.#reports = new TargetReports({
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -17,7 +17,7 @@
   /** Folder of the replica's files; null on an instance without a disk, whose replica stays a learner. */
   readonly dataFolder: string | null;
   /** The disk of this machine by default. */
-  readonly disk?: DiskOperations;
+  readonly disk?: DiskOperations | undefined;
   /** Whether this is the first start of the fleet, so that a new log may be created. */
   readonly isBootstrap: boolean;
   /** Addresses of coordinators for frames; hints that may be outdated. */
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -9,7 +9,6 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
-import { systemDisk } from "@clementinemux/storage/systemDisk";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
@@ -55,7 +54,7 @@
       metricsPort: null,
       failureDomain: `d-${index}`,
       dataFolder: this.#options.diskless?.includes(index) === true ? null : this.#folders[index],
-      disk: this.#options.disk ?? systemDisk,
+      disk: this.#options.disk,
       isBootstrap,
       seeds: this.seeds,
       targetVoters: this.#options.targetVoters ?? 3,
