Accept the connections in the queue before a server stops listening

Cause: a stopping gateway, entry or agent closed its listener at once. The system then resets the connections that were established but not accepted yet, and their callers cannot tell whether their requests have run. Load makes the first one likelier, as the timers of a late event loop run before it accepts.

Change: acceptPending waits for rounds of the event loop until one accepts nothing, then the listener closes.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -10,6 +10,7 @@
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
@@ -169,6 +170,9 @@
       await new Promise((resolve) => setTimeout(resolve, drainCheckIntervalMs));
     }
     const isDone = this.inFlight === 0;
+    if (this.#server !== null) {
+      await acceptPending(this.#server);
+    }
     await this.stop();
     return isDone;
   }
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -6,6 +6,7 @@
 import { periodic } from "most";
 import type * as z from "zod";
 import { createIncarnation } from "@clementinemux/agent/createIncarnation";
+import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { installConnectionErrorHandlers } from "@clementinemux/wire/installConnectionErrorHandlers";
 import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 import type { Clock } from "@clementinemux/common/Clock";
@@ -174,6 +175,7 @@
    */
   async shutDown(): Promise<void> {
     await this.#shutdown.begin();
+    await acceptPending(this.#server);
     const closed = new Promise((resolve) => this.#server.close(resolve));
     const timer = setTimeout(() => {
       this.#server.closeAllConnections();
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -9,6 +9,7 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
+import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
@@ -182,8 +183,11 @@
     logger.info({ inFlight: this.inFlight }, "gateway stopping");
     void this.#sync.sync();
     await this.#pollUntil(() => window.isOver(this.inFlight, clock.monotonicMs()));
-    // Idle connections are closed here; a connection with a request in flight stays open for it.
-    this.#server?.close();
+    if (this.#server !== null) {
+      await acceptPending(this.#server);
+      // Idle connections are closed here; a connection with a request in flight stays open for it.
+      this.#server.close();
+    }
     const lingerEndMs = Math.min(endAtMs, clock.monotonicMs() + lingerMs);
     await this.#pollUntil(() => {
       const isIdle = this.inFlight === 0 && (this.#sockets.size === 0 || clock.monotonicMs() >= lingerEndMs);
