Elect a leader and record waiting ends with two syncs in a row

Cause: an election over slow disks took four syncs in a row: the candidate stored its vote before it requested others, the voters stored theirs, then came the first entry of the term and after its reply the ends that waited for a leader.

Change: votes are requested while the own one is being synced; it counts once it is stored, as before. A replica could lose a term that it has announced, take it again after a restart with a shorter log, and count a vote for its earlier run. So its first candidacy after a restart leaves out one term and is stored before it is announced; an announced term is at most one above the stored one. A new leader proposes the ends that wait with it in the turn in which it is elected, and entries of one turn are sent in one message, with the first entry of the term. Messages keep their form.

Tests: raftRules drew its terms from term + 1 after a restart; they use the new term, with the same checks.

--- a/packages/consensus/Election.ts
+++ b/packages/consensus/Election.ts
@@ -41,6 +41,12 @@
    * restart, the replica could lack entries that it had not stored.
    */
   #candidacyTerm = 0;
+  /**
+   * Whether an earlier run of this replica may have requested votes for the next term without having stored that term. A vote
+   * of then, granted to a log that may have had more entries, must not count now, so the next candidacy takes the term after
+   * it and is stored before it is announced.
+   */
+  #mayRepeatTerm: boolean;
   /** Votes for this replica in the current term. */
   #votes = new Set<string>();
   #resendAtMs = 0;
@@ -54,6 +60,7 @@
     this.#outbox = outbox;
     this.#term = state.term;
     this.#vote = state.vote;
+    this.#mayRepeatTerm = state.term > 0;
     // A restarted replica does not know when it last acknowledged a leader, so it counts from its start. If
     // it voted earlier, a second leader could be elected while the first one holds a lease.
     this.#lastLeaderContactMs = nowMs;
@@ -117,7 +124,7 @@
     this.#leader = null;
     this.#setRole(RaftRole.PreCandidate);
     this.#preVotes = new Set([this.#id]);
-    this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1, nowMs);
+    this.#sendToVoters(RaftMessageKind.PreVote, this.#nextTerm, nowMs);
     if (this.#canStartElection(nowMs)) {
       this.#startElection(nowMs);
     }
@@ -162,7 +169,7 @@
   }
 
   onPreVoteReply(from: string, message: VoteReply, nowMs: number): void {
-    if (this.#role !== RaftRole.PreCandidate || !message.granted || message.term !== this.#term + 1) {
+    if (this.#role !== RaftRole.PreCandidate || !message.granted || message.term !== this.#nextTerm) {
       return;
     }
     this.#preVotes.add(from);
@@ -207,6 +214,11 @@
     return true;
   }
 
+  /** Term of the next candidacy. */
+  get #nextTerm(): number {
+    return this.#term + (this.#mayRepeatTerm ? 2 : 1);
+  }
+
   /** A majority suffices after an election timeout without a leader; before that, all voters must be cold. */
   #canStartElection(nowMs: number): boolean {
     if (!this.#isMajority(this.#preVotes)) {
@@ -220,12 +232,18 @@
     return nowMs - this.#lastLeaderContactMs < this.#options.electionTimeoutMs;
   }
 
+  /**
+   * Requests votes while the own one is being synced, so that an election over slow disks takes one sync less. An announced
+   * term is at most one above the stored one.
+   */
   #startElection(nowMs: number): void {
-    this.setTerm(this.#term + 1, nowMs);
+    const isStoredFirst = this.#mayRepeatTerm || this.#outbox.isVotePending;
+    this.setTerm(this.#nextTerm, nowMs);
+    this.#mayRepeatTerm = false;
     this.#vote = this.#id;
     this.#candidacyTerm = this.#term;
     this.#setRole(RaftRole.Candidate);
-    this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs);
+    this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs, isStoredFirst);
     // The replica's own vote counts only once it is stored, like any other vote.
     const message: RaftMessage = { kind: RaftMessageKind.VoteReply, term: this.#term, granted: true };
     this.#outbox.sendAfterPersist(this.#id, message);
@@ -258,13 +276,18 @@
       return;
     }
     if (this.#role === RaftRole.PreCandidate) {
-      this.#sendToVoters(RaftMessageKind.PreVote, this.#term + 1, nowMs);
+      this.#sendToVoters(RaftMessageKind.PreVote, this.#nextTerm, nowMs);
     } else if (this.#role === RaftRole.Candidate && this.#votes.has(this.#id)) {
       this.#sendToVoters(RaftMessageKind.Vote, this.#term, nowMs);
     }
   }
 
-  #sendToVoters(kind: RaftMessageKind.PreVote | RaftMessageKind.Vote, term: number, nowMs: number): void {
+  #sendToVoters(
+    kind: RaftMessageKind.PreVote | RaftMessageKind.Vote,
+    term: number,
+    nowMs: number,
+    isStoredFirst = false,
+  ): void {
     this.#resendAtMs = nowMs + this.#options.heartbeatMs;
     const { lastIndex, lastTerm } = this.#log;
     const answered = kind === RaftMessageKind.PreVote ? this.#preVotes : this.#votes;
@@ -272,10 +295,14 @@
       if (id !== this.#id && !answered.has(id)) {
         const message = { kind, term, lastIndex, lastTerm };
         const coldLife = this.#coldStart.isCold ? this.#coldStart.getColdIncarnation(id) : undefined;
-        if (kind === RaftMessageKind.PreVote) {
-          this.#outbox.send(id, { ...message, isCold: this.#coldStart.isCold });
+        const request =
+          kind === RaftMessageKind.PreVote
+            ? { ...message, isCold: this.#coldStart.isCold }
+            : { ...message, ...(coldLife === undefined ? {} : { coldLife }) };
+        if (isStoredFirst) {
+          this.#outbox.sendAfterPersist(id, request);
         } else {
-          this.#outbox.sendAfterPersist(id, coldLife === undefined ? message : { ...message, coldLife });
+          this.#outbox.send(id, request);
         }
       }
     }
--- a/packages/consensus/RaftCore.ts
+++ b/packages/consensus/RaftCore.ts
@@ -41,6 +41,8 @@
   #nextHeartbeatMs = 0;
   #replication: Replication | null = null;
   #termStartIndex = 0;
+  /** When entries were appended that have not been sent to the members yet; null for none. */
+  #replicateAtMs: number | null = null;
 
   constructor(state: DurableState, options: RaftOptions, nowMs: number) {
     this.id = state.replicaId;
@@ -132,8 +134,15 @@
     return ackedMs + electionTimeoutMs * (1 - 2 * maxClockDriftShare);
   }
 
-  /** Returns and clears the pending actions. Entries proposed since the last call share one persist. */
+  /**
+   * Returns and clears the pending actions. Entries proposed since the last call share one persist and one message to each
+   * member, as does the first entry of a leader's term.
+   */
   takeActions(): RaftAction[] {
+    if (this.#replicateAtMs !== null) {
+      this.#replication?.replicate(this.#commitIndex, this.#replicateAtMs);
+      this.#replicateAtMs = null;
+    }
     this.#apply();
     return this.#outbox.takeActions(this.#election.term, this.#election.vote);
   }
@@ -279,11 +288,12 @@
     this.#replicate(nowMs);
   }
 
+  /** Lets the members get the new entries with the next actions. */
   #replicate(nowMs: number): void {
     const { voters, learners } = this.membership;
     const others = [...Object.keys(voters), ...Object.keys(learners)].filter((id) => id !== this.id);
     this.#replication?.setMembers(others, nowMs);
-    this.#replication?.replicate(this.#commitIndex, nowMs);
+    this.#replicateAtMs = nowMs;
   }
 
   #tickLeader(nowMs: number): void {
--- a/packages/consensus/test/raftCore.test.ts
+++ b/packages/consensus/test/raftCore.test.ts
@@ -215,8 +215,8 @@
 // Guards against checks that do not detect a replica that keeps its id, and so remains a voter, after it has
 // lost its disk.
 t.test("checks find an id kept after disk loss", (t) => {
-  const loseTwoDisks = (keepsIdAfterDiskLoss: boolean): void => {
-    const cluster = new Cluster({ seed: 11, lossShare: 0, keepsIdAfterDiskLoss });
+  const loseTwoDisks = (seed: number, keepsIdAfterDiskLoss: boolean): void => {
+    const cluster = new Cluster({ seed, lossShare: 0, keepsIdAfterDiskLoss });
     cluster.run(2000);
     cluster.cut([3, 4]);
     cluster.run(3000);
@@ -228,11 +228,16 @@
     cluster.run(4000);
     cluster.heal();
   };
+  // Which replica leads when the disks are lost, and so whether the entry is missed, depends on the seed.
   t.throws(() => {
-    loseTwoDisks(true);
+    for (let seed = 1; seed <= 20; seed += 1) {
+      loseTwoDisks(seed, true);
+    }
   }, /lacks committed entry/);
   t.doesNotThrow(() => {
-    loseTwoDisks(false);
+    for (let seed = 1; seed <= 20; seed += 1) {
+      loseTwoDisks(seed, false);
+    }
   });
   t.end();
 });
--- a/packages/consensus/test/raftRules.test.ts
+++ b/packages/consensus/test/raftRules.test.ts
@@ -39,18 +39,21 @@
   return sent;
 }
 
+/** A restarted replica leaves out the term for which its earlier run may have requested votes. */
+const candidacyTerm = 4;
+
 function createLeader(): RaftCore {
   const core = createCore();
   core.tick(500);
-  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 510);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm, granted: true }, 510);
   settle(core, 510);
-  core.receive("b", { kind: RaftMessageKind.VoteReply, term: 3, granted: true }, 520);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: candidacyTerm, granted: true }, 520);
   settle(core, 520);
   return core;
 }
 
 function acknowledge(core: RaftCore, matchIndex: number, sentAtMs: number, nowMs: number): void {
-  const reply = { kind: RaftMessageKind.AppendReply as const, term: 3, round: 1, success: true };
+  const reply = { kind: RaftMessageKind.AppendReply as const, term: candidacyTerm, round: 1, success: true };
   core.receive("b", { ...reply, matchIndex, sentAtMs }, nowMs);
 }
 
@@ -146,11 +149,11 @@
 t.test("late vote counts while its term lasts", (t) => {
   const core = createCore();
   core.tick(500);
-  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 510);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm, granted: true }, 510);
   settle(core, 510);
   core.tick(1100);
   t.equal(core.role, RaftRole.PreCandidate);
-  core.receive("b", { kind: RaftMessageKind.VoteReply, term: 3, granted: true }, 1110);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: candidacyTerm, granted: true }, 1110);
   t.equal(core.role, RaftRole.Leader);
   t.end();
 });
@@ -193,6 +196,72 @@
   t.end();
 });
 
+// Guards against an election over slow disks that waits for the sync of the own vote before it requests others, and against a
+// own vote that counts before it is stored.
+t.test("votes are requested while the own vote is being synced", (t) => {
+  const core = createLeader();
+  core.tick(1100);
+  t.equal(core.role, RaftRole.Follower, "no majority has replied for an election timeout");
+  core.tick(1700);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm + 1, granted: true }, 1710);
+  const actions = core.takeActions();
+  const requests = actions.flatMap((action) => (action.kind === RaftActionKind.Send ? [action.message] : []));
+  t.match(requests.slice(-2), [
+    { kind: RaftMessageKind.Vote, term: candidacyTerm + 1 },
+    { kind: RaftMessageKind.Vote, term: candidacyTerm + 1 },
+  ]);
+  t.equal(core.role, RaftRole.Candidate);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: candidacyTerm + 1, granted: true }, 1720);
+  t.equal(core.role, RaftRole.Candidate, "the own vote is not stored yet");
+  const persist = actions.find(({ kind }) => kind === RaftActionKind.Persist);
+  core.persisted(persist?.kind === RaftActionKind.Persist ? persist.id : 0, 1730);
+  t.equal(core.role, RaftRole.Leader);
+  t.end();
+});
+
+// Guards against a vote for an earlier run of a replica, which had announced a term without storing it and has lost entries.
+t.test(
+  "the first candidacy after a restart takes a term that was not announced, and stores it first",
+  (t) => {
+    const core = createCore();
+    core.tick(500);
+    settle(core, 500);
+    core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm - 1, granted: true }, 505);
+    t.equal(core.role, RaftRole.PreCandidate);
+    core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm, granted: true }, 510);
+    t.equal(core.term, candidacyTerm);
+    core.receive("c", { kind: RaftMessageKind.VoteReply, term: candidacyTerm - 1, granted: true }, 515);
+    core.receive("b", { kind: RaftMessageKind.VoteReply, term: candidacyTerm - 1, granted: true }, 515);
+    t.equal(core.role, RaftRole.Candidate);
+    t.same(
+      core.takeActions().filter((action) => action.kind === RaftActionKind.Send),
+      [],
+    );
+    t.end();
+  },
+);
+
+// Guards against a message of its own for each proposal of a turn, which waits for the reply to the first one.
+t.test("entries of one turn are sent in one message, with the first one of a leader's term", (t) => {
+  const core = createCore();
+  core.tick(500);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm, granted: true }, 510);
+  settle(core, 510);
+  core.receive("b", { kind: RaftMessageKind.VoteReply, term: candidacyTerm, granted: true }, 520);
+  core.propose(data, 520);
+  core.propose(data, 520);
+  core.tick(521);
+  const sizes = core
+    .takeActions()
+    .flatMap((action) =>
+      action.kind === RaftActionKind.Send && action.message.kind === RaftMessageKind.Append
+        ? [action.message.entries.length]
+        : [],
+    );
+  t.same(sizes, [3, 3]);
+  t.end();
+});
+
 // Guards against waiting for a whole timeout when one request is lost or ignored.
 t.test("requests are sent again to the voters that have not replied", (t) => {
   const core = createCore();
@@ -202,7 +271,7 @@
   t.equal(settle(core, 590).length, 0);
   core.tick(600);
   t.equal(settle(core, 600).length, 2);
-  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: 3, granted: true }, 610);
+  core.receive("b", { kind: RaftMessageKind.PreVoteReply, term: candidacyTerm, granted: true }, 610);
   settle(core, 610);
   core.tick(710);
   t.same(settle(core, 710), [
--- a/packages/control/ReplicatedGroup.ts
+++ b/packages/control/ReplicatedGroup.ts
@@ -33,7 +33,10 @@
   readonly refusesWhenFull: boolean;
   /** The address is null when the receiver is not in this replica's membership. */
   readonly send: (address: string | null, to: string, message: RaftMessage) => void;
-  /** Called when this replica has become the leader, before it handles any request. */
+  /**
+   * Called when this replica has become the leader, before it handles any request. What it proposes is synced and sent
+   * together with the first entry of the term.
+   */
   readonly onElected: () => void;
 }
 
@@ -52,6 +55,8 @@
   readonly #core: RaftCore;
   readonly #waiters = new Map<number, Waiter>();
   #snapshotIndex: number;
+  /** Latest term in which this replica has become the leader. */
+  #electedTerm = 0;
   #isScheduled = false;
 
   constructor(options: ReplicatedGroupOptions) {
@@ -180,6 +185,10 @@
   }
 
   #flush(): void {
+    if (this.isLeader && this.#core.term !== this.#electedTerm) {
+      this.#electedTerm = this.#core.term;
+      this.#options.onElected();
+    }
     for (const action of this.#core.takeActions()) {
       this.#perform(action);
     }
@@ -214,9 +223,6 @@
         break;
       case RaftActionKind.Role:
         logger.info({ group: this.name, role: action.role, term: action.term }, "role changed");
-        if (action.role === RaftRole.Leader) {
-          this.#options.onElected();
-        }
         break;
     }
   }
--- a/packages/control/ends/EndRecorder.ts
+++ b/packages/control/ends/EndRecorder.ts
@@ -89,6 +89,11 @@
     });
   }
 
+  /** Proposes the reports that wait for a leader, now that this replica leads. */
+  onElected(): void {
+    this.#flush();
+  }
+
   close(): void {
     this.#isClosed = true;
     clearTimeout(this.#timer ?? undefined);
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -158,7 +158,8 @@
 
   async start(): Promise<void> {
     const { host, framePort, dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
-    const group = await this.#host.open(groupName, this.#machine, () => undefined, dataFolder ?? undefined);
+    const onElected = (): void => this.#recorder?.onElected();
+    const group = await this.#host.open(groupName, this.#machine, onElected, dataFolder ?? undefined);
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
--- a/packages/control/test/endAcknowledgements.test.ts
+++ b/packages/control/test/endAcknowledgements.test.ts
@@ -88,6 +88,25 @@
   });
 }
 
+// Guards against an election whose syncs in a row outlast the calls of a target that leaves.
+for (const ms of [300, 500, 1000]) {
+  t.test(`an end is acknowledged during an election over disks with syncs of ${ms} ms`, async (t) => {
+    const disk = createSlowDisk(0);
+    const fleet = await CoordinatorFleet.start(3, { disk });
+    t.teardown(() => fleet.close());
+    await registerEverywhere(fleet, createTarget("gone"));
+    await delay(spreadMs);
+    disk.ms = ms;
+    const { leader } = fleet;
+    await fleet.stop(leader);
+    await delay(20);
+    const startedAtMs = performance.now();
+    const others = all.filter((index) => index !== leader);
+    const isAcknowledged = await callEach(others, (index) => fleet.coordinators[index]!.removeTarget("gone"));
+    t.ok(isAcknowledged, `after ${(performance.now() - startedAtMs).toFixed(0)} ms`);
+  });
+}
+
 // Guards against an end that each of three calls writes anew, so that none is acknowledged in time.
 t.test("an end is acknowledged within three calls over slow disks", async (t) => {
   const disk = createSlowDisk(0);
