--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -9,9 +9,16 @@
 import { platformAliases } from "./platformAliases.mjs";
 import { readRoles } from "./readRoles.mjs";
 
-const [folder = "target"] = process.argv.slice(2);
+// Programs that are named after the folder are built from platform/standins.
+const [folder = "target", ...standIns] = process.argv.slice(2);
 const staging = `${folder}/build-${process.pid}`;
-const names = readdirSync("platform/bin").map((file) => basename(file, ".ts"));
+const programs = [
+  ...readdirSync("platform/bin").map((file) => ({
+    name: basename(file, ".ts"),
+    source: `platform/bin/${file}`,
+  })),
+  ...standIns.map((name) => ({ name, source: `platform/standins/${name}.ts` })),
+];
 const commonOptions = {
   ...bundleOptions,
   // Node loads a CommonJS file with less work than a module, and a script may have a code cache.
@@ -31,7 +38,7 @@
 mkdirSync(`${folder}/programs`, { recursive: true });
 await build({
   ...commonOptions,
-  entryPoints: names.map((name) => `platform/bin/${name}.ts`),
+  entryPoints: programs.map(({ name, source }) => ({ in: source, out: name })),
   outdir: `${staging}/programs`,
   outExtension: { ".js": ".js" },
   banner: { js: "(function (require) {" },
@@ -45,8 +52,9 @@
   outdir: staging,
   outExtension: { ".js": ".cjs" },
 });
-for (const name of names) {
-  const { flags } = readRoles().find(({ role }) => role === name);
+for (const { name } of programs) {
+  // A stand-in is no role of the deploy file and has no flags.
+  const { flags } = readRoles().find(({ role }) => role === name) ?? { flags: [] };
   const program = `${staging}/programs/${name}.js`;
   const cache = `${staging}/programs/${name}.cache`;
   execFileSync(process.execPath, [...flags, `${staging}/createCodeCache.cjs`, program, cache]);
