Count requests that the HTTP parser refuses as bad requests

On Node 20.20.2 the parser itself refuses a tab or form feed in a path and a space in a header's name, which 20.19.0 passed on to the gateway. The parser's 400 and 431 are counted as bad_request and too_large now.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -23,6 +23,7 @@
 import { RequestReceiver } from "./RequestReceiver";
 import { GroupRecovery } from "./GroupRecovery";
 import { PassMeter } from "./PassMeter";
+import { RequestOutcome } from "./RequestOutcome";
 import { RetryBudget } from "./RetryBudget";
 import { StopWindow } from "./StopWindow";
 import { TargetConnectionPool } from "./TargetConnectionPool";
@@ -295,8 +296,9 @@
   #closeMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
     this.#options.logger.warn({ code: error.code ?? "", error: error.message }, "malformed request");
     if (socket.writable && error.code !== "ECONNRESET") {
-      const status =
-        error.code === "HPE_HEADER_OVERFLOW" ? "431 Request Header Fields Too Large" : "400 Bad Request";
+      const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
+      const status = isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request";
+      this.metrics.outcomes.add(isOverflow ? RequestOutcome.TooLarge : RequestOutcome.BadRequest);
       socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     } else {
       socket.destroy();
