Open a data folder without changing it, and fence it against a second process

Seen: a coordinator ended by itself (74, "storage failed", ENOENT) after a second copy had been started beside it, and never started again ("log segment is missing").

The running copy had just begun the next segment. Temporary files had one name in both copies. A segment that was gone already made its removal fatal.

Change: opening reads only. The first write puts a random id into the file `owner`, compares the files with those that were read, and then cuts off torn ends and removes what is left over. The id is read again before and after each write, and just before a file is replaced or removed; a process that has lost its folder acknowledges nothing more and ends with a clear line. Temporary names are unique, leftovers are removed, and a file that can't be removed is logged.

Why it works: the copy that only opens the folder, or can't take its ports, no longer touches anything. Of two that write, the one that claims the folder has either read everything the other acknowledged, or finds it changed and writes nothing. Not covered: a process that is suspended between the read of the id and its write (docs/design.md).

--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -79,7 +79,9 @@
   ): Promise<ReplicatedGroup> {
     const { settings, clock, random, logger, links, onFatal, disk } = this.#options;
     const { electionTimeoutMs, heartbeatMs, maxClockDriftShare, snapshotEntries } = settings;
-    const storage = this.#isDurable ? await GroupStorage.open(folder, onFatal, disk) : new MemoryStorage();
+    const storage = this.#isDurable
+      ? await GroupStorage.open(folder, onFatal, disk, logger)
+      : new MemoryStorage();
     const { replicaId } = storage.state;
     const group = new ReplicatedGroup({
       name,
--- a/packages/control/routes/SuspicionFile.ts
+++ b/packages/control/routes/SuspicionFile.ts
@@ -1,9 +1,11 @@
 import { readFile } from "node:fs/promises";
+import { basename, dirname } from "node:path";
 import { decode, encode } from "cbor-x";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Suspicion } from "@clementinemux/crashes/Suspicion";
 import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
+import { removeFiles } from "@clementinemux/storage/removeFiles";
 import { replaceFile } from "@clementinemux/storage/replaceFile";
 
 interface SuspicionFileOptions {
@@ -26,6 +28,7 @@
   readonly #options: SuspicionFileOptions;
   #unsaved: readonly Suspicion[] | null = null;
   #isSaving = false;
+  #hasRemovedLeftOvers = false;
 
   constructor(options: SuspicionFileOptions) {
     this.#options = options;
@@ -63,6 +66,7 @@
     for (let next = this.#takeUnsaved(); next !== null; next = this.#takeUnsaved()) {
       const saved: SavedSuspicions = { savedAtWallMs: clock.wallMs(), suspicions: next };
       try {
+        await this.#removeLeftOvers();
         await replaceFile(path, encode(saved), disk);
       } catch (error) {
         logger.warn({ path, error: String(error) }, "suspicions cannot be saved");
@@ -71,6 +75,16 @@
     this.#isSaving = false;
   }
 
+  /** Removes temporary files that a crash left, before this process writes its first one. */
+  async #removeLeftOvers(): Promise<void> {
+    if (!this.#hasRemovedLeftOvers) {
+      this.#hasRemovedLeftOvers = true;
+      const { path, logger } = this.#options;
+      const prefix = `${basename(path)}.`;
+      await removeFiles(dirname(path), (name) => name.startsWith(prefix) && name.endsWith(".tmp"), logger);
+    }
+  }
+
   #takeUnsaved(): readonly Suspicion[] | null {
     const unsaved = this.#unsaved;
     this.#unsaved = null;
--- a/packages/control/test/suspicionFile.test.ts
+++ b/packages/control/test/suspicionFile.test.ts
@@ -1,4 +1,4 @@
-import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, readdirSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import t from "tap";
@@ -77,3 +77,14 @@
   writeFileSync(path, "no suspicions");
   t.same(await file.load(), []);
 });
+
+// Guards against temporary files of crashed processes that pile up.
+t.test("left temporary files are removed", async (t) => {
+  const folder = createFolder(t);
+  const path = join(folder, "suspicions");
+  writeFileSync(`${path}.tmp`, "x");
+  writeFileSync(`${path}.1.tmp`, "x");
+  new SuspicionFile({ path, disk: systemDisk, clock, logger }).save([suspicion]);
+  await waitUntil("file", () => (existsSync(path) ? true : null), 2000);
+  t.same(readdirSync(folder), ["suspicions"]);
+});
--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -1,27 +1,32 @@
 import { randomUUID } from "node:crypto";
 import { existsSync } from "node:fs";
-import { mkdir, open, readFile, readdir, rename, unlink } from "node:fs/promises";
+import { mkdir, open, readFile } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
-import { dirname, join } from "node:path";
-import { setTimeout as delay } from "node:timers/promises";
+import { join } from "node:path";
+import { isDeepStrictEqual } from "node:util";
+import type { Logger } from "roarr";
 import type { DurableState } from "@clementinemux/consensus/DurableState";
 import type { LogEntry } from "@clementinemux/consensus/LogEntry";
 import type { LogSnapshot } from "@clementinemux/consensus/LogSnapshot";
 import type { DiskOperations } from "./DiskOperations";
+import type { FileSignature } from "./FileSignature";
+import { FolderFence } from "./FolderFence";
+import { FolderLostError } from "./FolderLostError";
 import type { PersistRequest } from "./PersistRequest";
 import type { ReplicaStorage } from "./ReplicaStorage";
+import type { Identity } from "./Identity";
 import { StorageError } from "./StorageError";
+import { createGroupFiles } from "./createGroupFiles";
 import { encodeRecord } from "./encodeRecord";
+import { firstSegmentName } from "./firstSegmentName";
+import { raiseTerm } from "./raiseTerm";
 import { readRecords } from "./readRecords";
+import { readSignature } from "./readSignature";
+import { removeFiles } from "./removeFiles";
 import { replaceFile } from "./replaceFile";
+import { retryWhileFull } from "./retryWhileFull";
 import { systemDisk } from "./systemDisk";
 
-interface Identity {
-  readonly replicaId: string;
-  readonly term: number;
-  readonly vote: string | null;
-}
-
 interface StoredSnapshot {
   readonly snapshot: LogSnapshot;
   /** File name of the log segment that continues the snapshot. */
@@ -31,30 +36,50 @@
 interface OpenedRecords {
   readonly values: readonly unknown[];
   readonly file: FileHandle;
+  /** Size without a torn record at the end. */
   readonly sizeBytes: number;
 }
 
+interface OpenedFolder {
+  readonly identity: OpenedRecords;
+  readonly stored: StoredSnapshot | null;
+  readonly segment: OpenedRecords;
+  readonly entries: readonly LogEntry[];
+  /** Signatures before the files were read. */
+  readonly signatures: FolderSignatures;
+}
+
+/** Signatures of identity, snapshot and segment; null for a file that does not exist. */
+type FolderSignatures = readonly (FileSignature | null)[];
+
+interface GroupStorageOptions {
+  readonly folder: string;
+  readonly disk: DiskOperations;
+  readonly onFatal: (error: Error) => void;
+  readonly logger: Logger | null;
+}
+
 interface QueuedPersist {
   readonly request: PersistRequest;
   readonly onSynced: () => void;
 }
 
-const firstSegmentName = "log-1";
-const fullDiskRetryMs = 200;
 /** Size from which the identity file is replaced by one with its last record only. */
 const maxIdentityBytes = 65_536;
 
 /**
  * Durable state of one replica of a log group: a folder with files for identity, snapshot and log segment. The identity file
  * holds a record for each term and vote, of which the last one counts: appending one takes a single sync, replacing the
- * file takes two.
+ * file takes two. Opening a folder changes none of its files: another process may still use it. The first write takes it over,
+ * unless its files have changed since they were read; the process that had it finds that out before its next write, and
+ * acknowledges nothing after it.
  */
 export class GroupStorage implements ReplicaStorage {
   /** State that was read when the folder was opened. */
   readonly state: DurableState;
-  readonly #folder: string;
-  readonly #disk: DiskOperations;
-  readonly #onFatal: (error: Error) => void;
+  readonly #options: GroupStorageOptions;
+  readonly #fence: FolderFence;
+  readonly #signatures: FolderSignatures;
   #identityFile: FileHandle;
   #identity: Identity;
   #identityBytes: number;
@@ -66,31 +91,19 @@
   #isFull = false;
   #isFailed = false;
 
-  private constructor(
-    folder: string,
-    disk: DiskOperations,
-    onFatal: (error: Error) => void,
-    opened: {
-      readonly identity: OpenedRecords;
-      readonly stored: StoredSnapshot | null;
-      readonly segment: OpenedRecords;
-    },
-    entries: readonly LogEntry[],
-  ) {
-    this.#folder = folder;
-    this.#disk = disk;
-    this.#onFatal = onFatal;
-    this.#identity = opened.identity.values.at(-1) as Identity;
-    this.#identityFile = opened.identity.file;
-    this.#identityBytes = opened.identity.sizeBytes;
-    this.#segment = opened.stored?.segment ?? firstSegmentName;
-    this.#segmentFile = opened.segment.file;
-    this.#sizeBytes = opened.segment.sizeBytes;
-    this.state = {
-      ...raiseTerm(this.#identity, entries, opened.stored?.snapshot ?? null),
-      snapshot: opened.stored?.snapshot ?? null,
-      entries,
-    };
+  private constructor(options: GroupStorageOptions, opened: OpenedFolder) {
+    const { identity, stored, segment, entries, signatures } = opened;
+    this.#options = options;
+    this.#fence = new FolderFence(options.folder, options.disk);
+    this.#signatures = signatures;
+    this.#identity = identity.values.at(-1) as Identity;
+    this.#identityFile = identity.file;
+    this.#identityBytes = identity.sizeBytes;
+    this.#segment = stored?.segment ?? firstSegmentName;
+    this.#segmentFile = segment.file;
+    this.#sizeBytes = segment.sizeBytes;
+    const snapshot = stored?.snapshot ?? null;
+    this.state = { ...raiseTerm(this.#identity, entries, snapshot), snapshot, entries };
   }
 
   /**
@@ -100,30 +113,13 @@
     folder: string,
     onFatal: (error: Error) => void,
     disk: DiskOperations = systemDisk,
+    logger: Logger | null = null,
   ): Promise<GroupStorage> {
-    const identityPath = join(folder, "identity");
-    if (!existsSync(identityPath)) {
+    if (!existsSync(join(folder, "identity"))) {
       await mkdir(folder, { recursive: true });
       await retryWhileFull(() => createGroupFiles(folder, disk));
     }
-    const identity = await openRecords(identityPath, disk);
-    if (identity.values.length === 0) {
-      throw new StorageError(identityPath, 0, "corrupt record");
-    }
-    const snapshotFile = join(folder, "snapshot");
-    const stored = existsSync(snapshotFile) ? await readSingleRecord<StoredSnapshot>(snapshotFile) : null;
-    const segmentPath = join(folder, stored?.segment ?? firstSegmentName);
-    if (!existsSync(segmentPath)) {
-      // Starting with an empty log under the old identity could lose entries that this replica acknowledged.
-      throw new StorageError(segmentPath, null, "log segment is missing");
-    }
-    const segment = await openRecords(segmentPath, disk);
-    const firstIndex = (stored?.snapshot.index ?? 0) + 1;
-    const entries = replayEntries(segment.values as LogEntry[], segmentPath, firstIndex);
-    const opened = { identity, stored, segment };
-    const storage = new GroupStorage(folder, disk, onFatal, opened, entries);
-    await storage.#removeOldSegments();
-    return storage;
+    return new GroupStorage({ folder, disk, onFatal, logger }, await openFolder(folder));
   }
 
   /** Whether the disk is full; no request is acknowledged until it has space again. */
@@ -147,7 +143,7 @@
 
   async close(): Promise<void> {
     this.#isFailed = true;
-    await Promise.all([this.#segmentFile.close(), this.#identityFile.close()]);
+    await Promise.all([this.#segmentFile.close(), this.#identityFile.close(), this.#fence.close()]);
   }
 
   async #processQueue(): Promise<void> {
@@ -165,7 +161,7 @@
       // After a failed write or sync, the content of the file is unknown and a second sync could report
       // success.
       this.#isFailed = true;
-      this.#onFatal(error instanceof Error ? error : new Error(String(error)));
+      this.#options.onFatal(error instanceof Error ? error : new Error(String(error)));
     }
     this.#isBusy = false;
   }
@@ -175,8 +171,25 @@
    * the entries survive a crash, their term counts as that of the replica, which has not voted in it.
    */
   async #storeBatch(requests: readonly PersistRequest[]): Promise<void> {
+    if (!this.#fence.isClaimed) {
+      await this.#takeOver();
+    }
     const vote = requests.findLast((request) => request.vote !== null)?.vote ?? null;
     await Promise.all([this.#storeVote(vote), this.#storeEntries(requests)]);
+    // What was stored after another process has read the files must not be acknowledged.
+    await this.#fence.check();
+  }
+
+  /** Makes this process the owner of the folder before its first write, and removes torn records at the end of the files. */
+  async #takeOver(): Promise<void> {
+    const { folder } = this.#options;
+    await this.#retryWhileFull(() => this.#fence.claim());
+    if (!isDeepStrictEqual(await readSignatures(folder, this.#segment), this.#signatures)) {
+      throw new FolderLostError(folder, "was written by another process since it was read");
+    }
+    await this.#identityFile.truncate(this.#identityBytes);
+    await this.#segmentFile.truncate(this.#sizeBytes);
+    await this.#removeUnusedFiles(isLeftOver);
   }
 
   async #storeVote(vote: PersistRequest["vote"]): Promise<void> {
@@ -190,8 +203,8 @@
       this.#identityBytes += bytes.length;
       return;
     }
-    const path = join(this.#folder, "identity");
-    await this.#retryWhileFull(() => replaceFile(path, bytes, this.#disk));
+    const path = join(this.#options.folder, "identity");
+    await this.#replace(path, bytes);
     await this.#identityFile.close();
     this.#identityFile = await open(path, "r+");
     this.#identityBytes = bytes.length;
@@ -220,15 +233,22 @@
   }
 
   async #append(file: FileHandle, bytes: Buffer, offset: number): Promise<void> {
+    const { disk } = this.#options;
     await this.#retryWhileFull(async () => {
+      await this.#fence.check();
       try {
-        await this.#disk.write(file, bytes, offset);
+        await disk.write(file, bytes, offset);
       } catch (error) {
         await file.truncate(offset);
         throw error;
       }
     });
-    await this.#disk.sync(file);
+    await disk.sync(file);
+  }
+
+  async #replace(path: string, bytes: Buffer): Promise<void> {
+    const { disk } = this.#options;
+    await this.#retryWhileFull(() => replaceFile(path, bytes, disk, () => this.#fence.checkPath()));
   }
 
   /**
@@ -237,16 +257,15 @@
   async #startSegment(snapshot: LogSnapshot, entries: readonly LogEntry[]): Promise<void> {
     const segment = `log-${snapshot.index + 1}-${randomUUID().slice(0, 8)}`;
     const bytes = Buffer.concat(entries.map(encodeRecord));
-    const path = join(this.#folder, segment);
-    await this.#retryWhileFull(() => replaceFile(path, bytes, this.#disk));
+    const path = join(this.#options.folder, segment);
+    await this.#replace(path, bytes);
     const stored: StoredSnapshot = { snapshot, segment };
-    const snapshotBytes = encodeRecord(stored);
-    await this.#retryWhileFull(() => replaceFile(join(this.#folder, "snapshot"), snapshotBytes, this.#disk));
+    await this.#replace(join(this.#options.folder, "snapshot"), encodeRecord(stored));
     await this.#segmentFile.close();
     this.#segmentFile = await open(path, "r+");
     this.#segment = segment;
     this.#sizeBytes = bytes.length;
-    await this.#removeOldSegments();
+    await this.#removeUnusedFiles(() => false);
   }
 
   async #retryWhileFull(write: () => Promise<void>): Promise<void> {
@@ -256,78 +275,51 @@
     });
   }
 
-  async #removeOldSegments(): Promise<void> {
-    for (const name of await readdir(this.#folder)) {
-      if (name.startsWith("log-") && name !== this.#segment) {
-        await unlink(join(this.#folder, name));
-      }
-    }
+  /** Removes older segments and other unused files. */
+  async #removeUnusedFiles(isUnused: (name: string) => boolean): Promise<void> {
+    const { folder, logger } = this.#options;
+    await this.#fence.checkPath();
+    const isOld = (name: string): boolean => name.startsWith("log-") && name !== this.#segment;
+    await removeFiles(folder, (name) => isOld(name) || isUnused(name), logger);
   }
 }
 
-/** Repeats a write until the disk has space for it. `onTried` is told whether the disk is full, and returns whether to go on. */
-async function retryWhileFull(
-  write: () => Promise<void>,
-  onTried: (isFull: boolean) => boolean = () => true,
-): Promise<void> {
-  for (;;) {
-    try {
-      await write();
-      onTried(false);
-      return;
-    } catch (error) {
-      if ((error as NodeJS.ErrnoException).code !== "ENOSPC" || !onTried(true)) {
-        throw error;
-      }
-      await delay(fullDiskRetryMs);
-    }
-  }
+/** Whether this is a temporary file that a crash left. */
+function isLeftOver(name: string): boolean {
+  return /^(identity|snapshot)\..*tmp$/.test(name);
 }
 
-async function createGroupFiles(folder: string, disk: DiskOperations): Promise<void> {
-  const existing = (await readdir(folder)).filter(
-    (name) => !name.endsWith(".tmp") && name !== firstSegmentName,
-  );
-  if (existing.length > 0) {
-    throw new StorageError(folder, null, `identity file is missing but ${existing.join(", ")} exist`);
+async function openFolder(folder: string): Promise<OpenedFolder> {
+  const identityPath = join(folder, "identity");
+  const snapshotPath = join(folder, "snapshot");
+  const snapshotSignature = await readSignature(snapshotPath);
+  const stored = snapshotSignature === null ? null : await readSingleRecord<StoredSnapshot>(snapshotPath);
+  const segmentName = stored?.segment ?? firstSegmentName;
+  const segmentPath = join(folder, segmentName);
+  const [identitySignature = null, , segmentSignature = null] = await readSignatures(folder, segmentName);
+  const signatures = [identitySignature, snapshotSignature, segmentSignature];
+  const identity = await openRecords(identityPath);
+  if (identity.values.length === 0) {
+    throw new StorageError(identityPath, 0, "corrupt record");
   }
-  const identity: Identity = { replicaId: randomUUID(), term: 0, vote: null };
-  const path = join(folder, "identity");
-  const temporary = await open(`${path}.tmp`, "w");
-  const segment = await open(join(folder, firstSegmentName), "w");
-  try {
-    await disk.write(temporary, encodeRecord(identity), 0);
-    // The syncs run at the same time, so that the start on a slow disk takes two of them in a row: without the segment's
-    // name, a replica with an identity could not start.
-    await Promise.all([
-      disk.sync(temporary),
-      disk.sync(segment),
-      disk.syncFolder(folder),
-      disk.syncFolder(dirname(folder)),
-    ]);
-  } finally {
-    await Promise.all([temporary.close(), segment.close()]);
+  if (!existsSync(segmentPath)) {
+    // Starting with an empty log under the old identity could lose entries that this replica acknowledged.
+    throw new StorageError(segmentPath, null, "log segment is missing");
   }
-  await rename(`${path}.tmp`, path);
-  await disk.syncFolder(folder);
+  const segment = await openRecords(segmentPath);
+  const firstIndex = (stored?.snapshot.index ?? 0) + 1;
+  const entries = replayEntries(segment.values as LogEntry[], segmentPath, firstIndex);
+  return { identity, stored, segment, entries, signatures };
 }
 
-/** Opens a file of records and removes a torn record at its end. */
-async function openRecords(path: string, disk: DiskOperations): Promise<OpenedRecords> {
-  const bytes = await readFile(path);
-  const { values, validBytes } = readRecords(path, bytes);
-  const file = await open(path, "r+");
-  if (validBytes < bytes.length) {
-    await file.truncate(validBytes);
-    await disk.sync(file);
-  }
-  return { values, file, sizeBytes: validBytes };
+function readSignatures(folder: string, segment: string): Promise<FolderSignatures> {
+  return Promise.all(["identity", "snapshot", segment].map((name) => readSignature(join(folder, name))));
 }
 
-/** The identity of a replica whose vote was not synced together with its entries: it has not voted in the term of these. */
-function raiseTerm(identity: Identity, entries: readonly LogEntry[], snapshot: LogSnapshot | null): Identity {
-  const storedTerm = entries.at(-1)?.term ?? snapshot?.term ?? 0;
-  return storedTerm > identity.term ? { ...identity, term: storedTerm, vote: null } : identity;
+async function openRecords(path: string): Promise<OpenedRecords> {
+  const bytes = await readFile(path);
+  const { values, validBytes } = readRecords(path, bytes);
+  return { values, file: await open(path, "r+"), sizeBytes: validBytes };
 }
 
 async function readSingleRecord<Value>(file: string): Promise<Value> {
