Let one object own the signals of a process, so that a further one cuts off nothing

What callers saw: requests in flight at a gateway were cut off 2 to 4 ms after a second SIGTERM, after they had run. SIGINT ended a gateway at once, and SIGUSR2, SIGALRM, SIGQUIT and others ended any process; SIGHUP ended a control daemon.

Cause: Gateway.shutDown returned at once on the second call, and the signal handler then exited. Signals without a handler keep the system's default, which ends the process. The agent exited at a second signal by design, and the entry ended its remaining requests: the same cut.

Change: ProcessSignals owns the signals of each daemon (gateway, coordinator, ranker, entry, agent, control). The first SIGTERM or SIGINT runs the one stop, whose result ends the process; all further signals, and those that do not stop a process, are a log line ("signal received"). Gateway.shutDown shares one promise. SIGPIPE is not handled: Node ignores it, and a handler would turn each write to a closed connection into a signal.

frozenAgent.test.ts required that a second SIGTERM ends an agent at once, which is the fault. It now requires that the request in flight is left alone until the deadline, and that the process then ends with 1.

Tests, on the old code: signals.test.ts failed (3 of 3 requests cut; gateways ended by SIGINT and SIGALRM, coordinator by SIGUSR2), frozenAgent.test.ts failed ("the second signal cuts off nothing"). Now both pass, with gateway/test/lifecycle and system/test/shutdown. A process that is stopped by SIGINT does not count as an exit of its own in DaemonProcess.

--- a/packages/agent/runAgent.ts
+++ b/packages/agent/runAgent.ts
@@ -1,5 +1,6 @@
 import type * as z from "zod";
 import { SystemClock } from "@clementinemux/common/SystemClock";
+import { ProcessSignals } from "@clementinemux/lifecycle/ProcessSignals";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Agent } from "./Agent";
 import type { AgentSettings } from "./AgentSettings";
@@ -8,7 +9,7 @@
 
 /**
  * Runs an agent until SIGTERM or SIGINT. It then leaves and exits with 0 once its requests have ended, or
- * with 1 if the deadline aborted some. A second signal makes it exit immediately with 1.
+ * with 1 if the deadline aborted some. Further signals change nothing.
  */
 export async function runAgent(settings: z.output<typeof AgentSettings>): Promise<void> {
   const logger = createLogger("clementinemux-agent", { target: settings.target });
@@ -26,15 +27,9 @@
       logger.info({ ...fields }, text);
     },
   );
-  let leaving = false;
-  const onSignal = (): void => {
-    if (leaving) {
-      process.exit(abortedExitCode);
-    }
-    leaving = true;
-    void agent.leave().then((isDone) => process.exit(isDone ? 0 : abortedExitCode));
-  };
-  process.on("SIGTERM", onSignal);
-  process.on("SIGINT", onSignal);
+  new ProcessSignals(process).setHandler({
+    logger,
+    stop: async () => ((await agent.leave()) ? 0 : abortedExitCode),
+  });
   await agent.start();
 }
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -75,6 +75,7 @@
   #readiness: Server | null = null;
   #limits = initialLimits;
   #stopWindow: StopWindow | null = null;
+  #stopped: Promise<void> | null = null;
   #isClosed = false;
 
   constructor(options: GatewayOptions) {
@@ -170,11 +171,16 @@
     return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
   }
 
-  /** Stops being ready, completes the requests that were read, and resolves when the process may exit. */
-  async shutDown(): Promise<void> {
-    if (this.#stopWindow !== null) {
-      return;
-    }
+  /**
+   * Stops being ready, completes the requests that were read, and resolves when the process may exit. All calls share one
+   * stop.
+   */
+  shutDown(): Promise<void> {
+    this.#stopped ??= this.#stop();
+    return this.#stopped;
+  }
+
+  async #stop(): Promise<void> {
     const { clock, graceMs, logger } = this.#options;
     const startedAtMs = clock.monotonicMs();
     const endAtMs = startedAtMs + graceMs - stopReserveMs;
--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -75,7 +75,7 @@
   }
 
   signal(signal: NodeJS.Signals): void {
-    this.#isSignalled ||= signal === "SIGKILL" || signal === "SIGTERM";
+    this.#isSignalled ||= ["SIGKILL", "SIGTERM", "SIGINT"].includes(signal);
     this.#child?.kill(signal);
   }
 
