Excuse an end in the soak only by the signal that asked for it

The soak's own_exit left out each process that had ever got SIGTERM or SIGKILL in its life, so that a process that was being stopped could end in any way: with another code, by the signal itself, by a later SIGHUP, or after its grace.

A process that has written nothing to its log may end by these two signals, since Node's own start cannot be covered. Every other end is a violation, and so is one that needs SIGKILL after its grace.

--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -1,7 +1,6 @@
-import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
-import { closeSync, openSync, writeFileSync } from "node:fs";
+import { writeFileSync } from "node:fs";
 import { join } from "node:path";
+import { DaemonLife } from "./DaemonLife";
 
 interface DaemonOptions {
   /** File name of the program in `programs`. */
@@ -17,75 +16,70 @@
   readonly flags?: readonly string[];
 }
 
-interface ExitStatus {
-  readonly code: number | null;
-  readonly signal: NodeJS.Signals | null;
-}
-
 /**
- * One process of a fleet, with files for its settings and its log. It can be restarted after it has exited.
+ * One process of a fleet, with files for its settings and its log. It can be restarted after it has exited, and copies of it
+ * can be started beside it.
  */
 export class DaemonProcess {
   readonly name: string;
   readonly logFile: string;
   readonly settingsFile: string;
+  readonly settings: string;
   readonly #options: DaemonOptions;
-  /** Exits that no signal of ours had asked for. */
-  readonly ownExits: ExitStatus[] = [];
-  #child: ChildProcess | null = null;
-  #isSignalled = false;
-  #exited: Promise<ExitStatus> = Promise.resolve({ code: null, signal: null });
+  /** Why each exit that no signal of ours had asked for is none that one asks for. */
+  readonly ownExits: string[] = [];
+  /** The process and its copies, in the order of their starts. */
+  #lives: readonly DaemonLife[] = [];
+  /** The process or copy that was started last. */
+  #last: DaemonLife | null = null;
 
   constructor(options: DaemonOptions) {
     this.#options = options;
     this.name = options.name;
+    this.settings = options.settings;
     this.logFile = join(options.folder, `${options.name}.log`);
     this.settingsFile = join(options.folder, `${options.name}.jsonc`);
     writeFileSync(this.settingsFile, options.settings);
   }
 
   get isRunning(): boolean {
-    return this.#child !== null;
+    return this.#lives.length > 0;
   }
 
-  start(): void {
+  /** Starts the process, or a copy beside the one that runs. */
+  start(logFile = this.logFile): DaemonLife {
     const { programs, program, flags = [] } = this.#options;
-    const log = openSync(this.logFile, "a");
-    const args = [...flags, join(programs, program), "--settings", this.settingsFile];
-    const child = spawn(process.execPath, args, {
-      stdio: ["ignore", log, log],
-      env: { ...process.env, ROARR_LOG: "true" },
-    });
-    closeSync(log);
-    this.#child = child;
-    this.#isSignalled = false;
-    this.#exited = new Promise((resolve) => {
-      const onExit = (code: number | null, signal: NodeJS.Signals | null): void => {
-        this.#child = null;
-        if (!this.#isSignalled) {
-          this.ownExits.push({ code, signal });
+    const life = new DaemonLife({
+      args: [...flags, join(programs, program), "--settings", this.settingsFile],
+      logFile,
+      onExit: (fault) => {
+        this.#lives = this.#lives.filter((other) => other !== life);
+        if (fault !== null) {
+          this.ownExits.push(fault);
         }
-        resolve({ code, signal });
-      };
-      child.once("error", () => {
-        onExit(null, null);
-      });
-      child.once("exit", onExit);
+      },
     });
+    this.#lives = [...this.#lives, life];
+    this.#last = life;
+    return life;
   }
 
+  /** Signals the process that was started first. */
   signal(signal: NodeJS.Signals): void {
-    this.#isSignalled ||= signal === "SIGKILL" || signal === "SIGTERM";
-    this.#child?.kill(signal);
+    this.#lives[0]?.signal(signal);
   }
 
-  /** Resolves when the process has exited; at once when it is not running. */
-  waitForExit(): Promise<ExitStatus> {
-    return this.#exited;
+  /** Resolves when the process that was started first has exited, with its status; at once when none is running. */
+  waitForExit(): DaemonLife["exited"] {
+    return (this.#lives[0] ?? this.#last)?.exited ?? Promise.resolve({ code: null, signal: null });
   }
 
+  /** Kills the process and its copies. */
   async kill(): Promise<void> {
-    this.signal("SIGKILL");
-    await this.#exited;
+    const lives = this.#lives;
+    for (const life of lives) {
+      life.signal("SIGKILL");
+    }
+    await Promise.all(lives.map(({ exited }) => exited));
   }
 }
