--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -2,6 +2,12 @@
 import { join } from "node:path";
 import { DaemonLife } from "./DaemonLife";
 
+interface OwnExit {
+  readonly fault: string;
+  /** Time of the exit, on the clock of `performance`. */
+  readonly atMs: number;
+}
+
 interface DaemonOptions {
   /** File name of the program in `programs`. */
   readonly program: string;
@@ -27,7 +33,7 @@
   readonly settings: string;
   readonly #options: DaemonOptions;
   /** Why each exit that no signal of ours had asked for is none that one asks for. */
-  readonly ownExits: string[] = [];
+  readonly ownExits: OwnExit[] = [];
   /** The process and its copies, in the order of their starts. */
   #lives: readonly DaemonLife[] = [];
   /** The process or copy that was started last. */
@@ -55,7 +61,7 @@
       onExit: (fault) => {
         this.#lives = this.#lives.filter((other) => other !== life);
         if (fault !== null) {
-          this.ownExits.push(fault);
+          this.ownExits.push({ fault, atMs: performance.now() });
         }
       },
     });
