Handle the signals of a process from its first line on

What callers saw: a gateway, coordinator or ranker that got SIGHUP while it started ended by that signal, without a line in its log, and SIGTERM in that time ended it by the signal.

Cause: the handlers were installed by the program, after the loader had read it and its code cache and had evaluated it.

The loader and its program share one ProcessSignals. Signals that come before the program has its stop handler are kept and delivered then; the program goes on after one round of the event loop, so that a stop ends it before it listens, with 0. Gateway.shutDown before it listens resolves at once.

Not covered: Node's own start, which resets the dispositions that a process inherits.

--- a/packages/agent/runAgent.ts
+++ b/packages/agent/runAgent.ts
@@ -1,6 +1,6 @@
 import type * as z from "zod";
 import { SystemClock } from "@clementinemux/common/SystemClock";
-import { ProcessSignals } from "@clementinemux/lifecycle/ProcessSignals";
+import { getProcessSignals } from "@clementinemux/lifecycle/getProcessSignals";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Agent } from "./Agent";
 import type { AgentSettings } from "./AgentSettings";
@@ -27,7 +27,7 @@
       logger.info({ ...fields }, text);
     },
   );
-  new ProcessSignals(process).setHandler({
+  await getProcessSignals().setHandler({
     logger,
     stop: async () => ((await agent.leave()) ? 0 : abortedExitCode),
   });
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -76,6 +76,7 @@
   #limits = initialLimits;
   #stopWindow: StopWindow | null = null;
   #stopped: Promise<void> | null = null;
+  #isServing = false;
   #isClosed = false;
 
   constructor(options: GatewayOptions) {
@@ -134,6 +135,7 @@
     this.#sync.start();
     this.#server = this.#createServer();
     await listen(this.#server, callerPort, host);
+    this.#isServing = true;
     this.#readiness = createServer((request, response) => {
       const answer = (): void => {
         const isKnown = request.url?.split("?")[0] === readyPath;
@@ -182,6 +184,10 @@
 
   async #stop(): Promise<void> {
     const { clock, graceMs, logger } = this.#options;
+    if (!this.#isServing) {
+      logger.info({}, "gateway stopped before it served");
+      return;
+    }
     const startedAtMs = clock.monotonicMs();
     const endAtMs = startedAtMs + graceMs - stopReserveMs;
     const window = new StopWindow({ startedAtMs, endAtMs, advertisedMs });
--- a/packages/lifecycle/ProcessSignals.ts
+++ b/packages/lifecycle/ProcessSignals.ts
@@ -1,3 +1,4 @@
+import { setImmediate as nextRound } from "node:timers/promises";
 import { SignalAction } from "./SignalAction";
 import type { SignalSource } from "./SignalSource";
 import type { StopHandler } from "./StopHandler";
@@ -30,12 +31,17 @@
     }
   }
 
-  /** Sets how the program stops. Called once, before the program serves anything. */
-  setHandler(handler: StopHandler): void {
+  /**
+   * Sets how the program stops. Called once, before the program serves anything. Resolves when the signals that have
+   * arrived are delivered.
+   */
+  async setHandler(handler: StopHandler): Promise<void> {
     this.#handler = handler;
     for (const signal of this.#kept.splice(0)) {
       this.#receive(signal);
     }
+    // Signals that arrive while a program is evaluated wait for the next round of the event loop.
+    await nextRound();
   }
 
   #receive(signal: NodeJS.Signals): void {
