Take the ports before the files, and wait while they are taken

What callers saw: a second copy of a coordinator, started beside the running one, deleted the log segment that the first had just begun; the running one ended with 74, and never started again. Copies of all roles ended with 1 (EADDRINUSE), and the restart of a gateway that was still stopping never got its port.

Cause: the data folder was opened before the frame port was taken, and a taken port ended the process.

Change: listenWhenFree waits for a port. A gateway takes its readiness port first, which its predecessor keeps to its end, and is ready only once it listens.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -13,6 +13,7 @@
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { findRequestFault } from "@clementinemux/wire/findRequestFault";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
+import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import { AdmissionGate } from "./AdmissionGate";
 import { AgentHandler } from "./AgentHandler";
@@ -130,10 +131,8 @@
       },
     );
     this.#server = server;
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(port, host, resolve);
-    });
+    const logger = createLogger("clementinemux-agent", { target: this.#settings.target });
+    await listenWhenFree(server, { host, port, logger });
     await this.#joinRankGroup();
     const isRunning = (): boolean => !this.#stopped;
     void periodic(heartbeatIntervalMs)
--- a/packages/control/ApiServer.ts
+++ b/packages/control/ApiServer.ts
@@ -2,6 +2,8 @@
 import { createServer as createHttpServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
+import type { Logger } from "roarr";
+import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 
 interface ApiServerOptions {
   /** Author by bearer token. */
@@ -40,11 +42,9 @@
       options.tls === null ? createHttpServer(listener) : createHttpsServer(options.tls, listener);
   }
 
-  listen(host: string, port: number): Promise<void> {
-    return new Promise((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, resolve);
-    });
+  /** Listens once the port is free. */
+  listen(host: string, port: number, logger: Logger): Promise<void> {
+    return listenWhenFree(this.#server, { host, port, logger });
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -129,6 +129,8 @@
 
   async start(): Promise<void> {
     const settings = this.#settings;
+    // The port is the lock of the data folder: until it is free, another process may still write there.
+    await this.#server.reserve(settings.host, settings.port, this.#logger);
     for (const name of settings.dataFolder === undefined ? [] : settings.groups) {
       if (name === "config") {
         await this.#host.open(name, this.#configMachine, () => {
@@ -140,7 +142,7 @@
         await this.#host.open(name, machine, () => undefined);
       }
     }
-    await this.#server.listen(settings.host, settings.port);
+    this.#server.open();
     this.#directory.start();
     await this.#startApi();
     this.#tickedAtMs = this.#clock.monotonicMs();
@@ -209,7 +211,7 @@
         renderBuildInfo() +
         [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
     });
-    await api.listen(host, apiPort);
+    await api.listen(host, apiPort, this.#logger);
   }
 
   #createHandlers(): Record<string, MessageHandler> {
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -10,7 +10,6 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
-import { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -31,6 +30,7 @@
 import { RegistryExchange } from "./RegistryExchange";
 import { PeerTable } from "./PeerTable";
 import { RoundRunner } from "./RoundRunner";
+import { RouteTableCache } from "./RouteTableCache";
 import { RouteStateMachine } from "./RouteStateMachine";
 import { MembershipManager } from "./MembershipManager";
 import { SyncService } from "./SyncService";
@@ -74,6 +74,7 @@
       this.targets.end(end);
     }
   });
+  readonly #table: RouteTableCache;
   readonly #reports: TargetReports;
   readonly #server: RpcServer;
   readonly #metricsPage: MetricsEndpoint;
@@ -86,7 +87,7 @@
   #recorder: EndRecorder | null = null;
   #exchange: RegistryExchange | null = null;
   #membership: MembershipManager | null = null;
-  #table: RouteTable | null = null;
+  #reserved: Promise<void> | null = null;
   #tickedAtMs = 0;
 
   constructor(options: CoordinatorOptions) {
@@ -103,11 +104,12 @@
     const { host, metricsPort: port } = options;
     const render = (): string =>
       this.metrics.render() + this.#errors.render() + renderStatus(this.getStatus());
-    this.#metricsPage = new MetricsEndpoint({ role: "coordinator", host, port, clock, render });
+    this.#metricsPage = new MetricsEndpoint({ role: "coordinator", host, port, clock, logger, render });
     const settings = createLogSettings(options);
     const links = this.#links;
     const { orders, refusedOrders } = this.metrics;
-    const { openRank } = options;
+    const { openRank, decodeDocument } = options;
+    this.#table = new RouteTableCache(this.#machine, decodeDocument);
     this.#activator = new MapActivator({ links, openRank, orders, refusedOrders, clock, logger });
     const { disk } = options;
     const replicas = { refusesWhenFull: false, isDurable: options.dataFolder !== null, disk };
@@ -156,8 +158,16 @@
     return `${this.#options.host}:${this.#options.framePort}`;
   }
 
+  /** Takes the port for frames, once it is free; it is the lock of the data folder. What peers send waits until `start`. */
+  reserve(): Promise<void> {
+    const { host, framePort, logger } = this.#options;
+    this.#reserved ??= this.#server.reserve(host, framePort, logger);
+    return this.#reserved;
+  }
+
   async start(): Promise<void> {
-    const { host, framePort, dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
+    await this.reserve();
+    const { dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
     const onElected = (): void => this.#recorder?.onElected();
     const group = await this.#host.open(groupName, this.#machine, onElected, dataFolder ?? undefined);
     const machine = this.#machine;
@@ -191,7 +201,7 @@
       clock,
     });
     await this.crashes.load();
-    await this.#server.listen(host, framePort);
+    this.#server.open();
     await this.#metricsPage.start();
     this.#peers.addHints(seeds, clock.monotonicMs());
     this.#tickedAtMs = clock.monotonicMs();
@@ -290,7 +300,7 @@
     return new RankGroupManager({
       framePort,
       links: this.#links,
-      getTable: () => this.#getTable(),
+      getTable: () => this.#table.get(),
       listTargets: () => this.targets.list(clock.monotonicMs()),
       getTerm: () => (group.hasLease ? group.core.term : null),
       openRank,
@@ -305,16 +315,6 @@
     });
   }
 
-  #getTable(): RouteTable | null {
-    const { version, bytes } = this.#machine;
-    if (version > 0 && this.#table?.document.version !== version) {
-      this.#options.decodeDocument(bytes).ifRight((document) => {
-        this.#table = new RouteTable(document);
-      });
-    }
-    return this.#table;
-  }
-
   /** Whether every live target has reported to this process. */
   #isComplete(): boolean {
     const runsForMs = this.#options.clock.monotonicMs() - this.#startedAtMs;
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -8,6 +8,7 @@
 import { createIncarnation } from "@clementinemux/agent/createIncarnation";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { installConnectionErrorHandlers } from "@clementinemux/wire/installConnectionErrorHandlers";
+import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { readTlsFiles } from "@clementinemux/wire/readTlsFiles";
 import type { Clock } from "@clementinemux/common/Clock";
 import { RefusalReason } from "@clementinemux/common/RefusalReason";
@@ -147,13 +148,10 @@
   /** Resolves with the bound port. */
   async start(): Promise<number> {
     const { host, tls } = this.#settings;
-    const port = await new Promise<number>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(this.#settings.port, host, () => {
-        const bound = this.#server.address();
-        resolve(typeof bound === "object" && bound !== null ? bound.port : 0);
-      });
-    });
+    const logger = createLogger("clementinemux-entry", { entry: this.#settings.name });
+    await listenWhenFree(this.#server, { host, port: this.#settings.port, logger });
+    const bound = this.#server.address();
+    const port = typeof bound === "object" && bound !== null ? bound.port : 0;
     this.#url ||= `${tls === undefined ? "http" : "https"}://${host}:${port}`;
     this.#runPeriodically(tickIntervalMs, () => {
       this.#tick();
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -10,6 +10,7 @@
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
+import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
@@ -92,7 +93,7 @@
     this.view = new FleetView(codec);
     const { host, metricsPort: port } = options;
     const render = (): string => this.renderMetrics();
-    this.#metricsPage = new MetricsEndpoint({ role: "gateway", host, port, clock, render });
+    this.#metricsPage = new MetricsEndpoint({ role: "gateway", host, port, clock, logger, render });
     this.#loads = new TargetLoads(() => this.view.state);
     this.#crashes = new CrashWatch({
       clock,
@@ -123,7 +124,8 @@
 
   /** Whether callers should send requests to this gateway. */
   get isReady(): boolean {
-    return this.#stopWindow === null && this.view.isFresh(this.#options.leaseClock.monotonicMs());
+    const isServing = this.#isServing && this.#stopWindow === null;
+    return isServing && this.view.isFresh(this.#options.leaseClock.monotonicMs());
   }
 
   get inFlight(): number {
@@ -132,10 +134,6 @@
 
   async start(): Promise<void> {
     const { host, callerPort, readyPort, readyPath, name, logger } = this.#options;
-    this.#sync.start();
-    this.#server = this.#createServer();
-    await listen(this.#server, callerPort, host);
-    this.#isServing = true;
     this.#readiness = createServer((request, response) => {
       const answer = (): void => {
         const isKnown = request.url?.split("?")[0] === readyPath;
@@ -143,7 +141,12 @@
       };
       this.#errors.run(GatewayHandler.Readiness, answer, () => response.destroy());
     });
-    await listen(this.#readiness, readyPort, host);
+    // A predecessor has this port until it exits, so that no two gateways of one name are announced.
+    await listenWhenFree(this.#readiness, { host, port: readyPort, logger });
+    this.#sync.start();
+    this.#server = this.#createServer();
+    await listenWhenFree(this.#server, { host, port: callerPort, logger });
+    this.#isServing = true;
     await this.#metricsPage.start();
     void periodic(housekeepingMs)
       .takeWhile(() => !this.#isClosed)
@@ -366,10 +369,3 @@
     };
   }
 }
-
-function listen(server: Server, port: number, host: string): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(port, host, 1024, resolve);
-  });
-}
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -53,17 +53,18 @@
 
   constructor(options: RankerOptions) {
     this.#options = options;
-    const { host, metricsPort: port, clock } = options;
+    const { host, metricsPort: port, clock, logger } = options;
     this.#countEncoder = new CountEncoder(clock.wallMs());
     this.#preparedDigest = new PreparedDigestCache(options.rank);
     const render = (): string => this.#renderMetrics();
-    this.#metricsPage = new MetricsEndpoint({ role: "ranker", host, port, clock, render });
+    this.#metricsPage = new MetricsEndpoint({ role: "ranker", host, port, clock, logger, render });
     this.#server = new RpcServer({ handlers: this.#createHandlers() });
   }
 
   async start(): Promise<void> {
     const { host, framePort, logger } = this.#options;
-    await this.#server.listen(host, framePort);
+    await this.#server.reserve(host, framePort, logger);
+    this.#server.open();
     await this.#metricsPage.start();
     logger.info({ address: `${host}:${framePort}` }, "ranker started");
   }
--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
-import { closeSync, openSync, writeFileSync } from "node:fs";
+import { closeSync, openSync, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 
 interface DaemonOptions {
@@ -44,6 +44,15 @@
     writeFileSync(this.settingsFile, options.settings);
   }
 
+  /** Another process with the same settings, which has its own log. */
+  createCopy(name: string): DaemonProcess {
+    return new DaemonProcess({ ...this.#options, name });
+  }
+
+  readLog(): string {
+    return readFileSync(this.logFile, "utf8");
+  }
+
   get isRunning(): boolean {
     return this.#child !== null;
   }
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -1,6 +1,7 @@
 import { createServer as createTcpServer } from "node:net";
 import { createServer as createTlsServer } from "node:tls";
 import type { Server, Socket } from "node:net";
+import type { Logger } from "roarr";
 import type { Frame } from "./Frame";
 import { FrameDecoder } from "./FrameDecoder";
 import { FrameKind } from "./FrameKind";
@@ -11,6 +12,7 @@
 import { WireError } from "./WireError";
 import { WireErrorCode } from "./WireErrorCode";
 import { encodeFrame } from "./encodeFrame";
+import { listenWhenFree } from "./listenWhenFree";
 import { wireLimits } from "./wireLimits";
 
 interface RpcServerOptions {
@@ -28,6 +30,7 @@
   readonly #options: RpcServerOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  #isOpen = true;
 
   constructor(options: RpcServerOptions) {
     this.#options = options;
@@ -62,6 +65,23 @@
     });
   }
 
+  /**
+   * Listens once the port is free. Connections are accepted, and what they send waits until `open`: the port of a process
+   * is also the lock of its files.
+   */
+  async reserve(host: string, port: number, logger: Logger): Promise<void> {
+    this.#isOpen = false;
+    await listenWhenFree(this.#server, { host, port, logger });
+  }
+
+  /** Reads the connections that wait since `reserve`, and those that follow. */
+  open(): void {
+    this.#isOpen = true;
+    for (const socket of this.#sockets) {
+      this.#read(socket);
+    }
+  }
+
   close(): Promise<void> {
     for (const socket of this.#sockets) {
       socket.destroy();
@@ -74,6 +94,17 @@
   }
 
   #accept(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => {
+      this.#sockets.delete(socket);
+    });
+    if (this.#isOpen) {
+      this.#read(socket);
+    }
+  }
+
+  #read(socket: Socket): void {
     const peer = `${socket.remoteAddress ?? "?"}:${socket.remotePort ?? 0}`;
     const decoder = new FrameDecoder();
     const rejectPeer = (error: unknown): void => {
@@ -96,10 +127,7 @@
       }
     };
     socket.setNoDelay(true);
-    this.#sockets.add(socket);
-    socket.on("error", () => socket.destroy());
     socket.on("close", () => {
-      this.#sockets.delete(socket);
       if (frameTimer !== null) {
         clearTimeout(frameTimer);
       }
