--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -1,4 +1,4 @@
-import { writeFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { DaemonLife } from "./DaemonLife";
 
@@ -48,6 +48,15 @@
     writeFileSync(this.settingsFile, options.settings);
   }
 
+  /** Another process with the same settings, which has its own log. */
+  createCopy(name: string): DaemonProcess {
+    return new DaemonProcess({ ...this.#options, name });
+  }
+
+  readLog(): string {
+    return readFileSync(this.logFile, "utf8");
+  }
+
   get isRunning(): boolean {
     return this.#lives.length > 0;
   }
