Set damaged files aside, so that the replica returns as a new one

Seen: a coordinator with a damaged or missing file ended with 1 at each start for ever ("corrupt record", "log segment is missing"), and a data folder with any other file in it (as lost+found) was refused, too.

Cause: damage was an error of the start. An error that passes (permissions, descriptors, the device) ended the process as well, and one while looking for the identity file counted as damage.

Change: after three reads with the same result the files are renamed, the identity first, and none is removed. The replica gets a new identity, and joins as after the loss of its disk. The new identity says for good that it is a replacement: such a replica never creates a group, and counts as used when another one wants to, although isBootstrap is true. Other errors are logged, and the folder is opened again after 1 s. The status has isReplacement, the metrics clementinemux_coordinator_replacement.

Why it works: nothing votes under the old identity without its log and votes, in whatever order the renames survive a loss of power. New replicas aren't voters, so that those of a damaged majority elect no leader and serve nothing.

--- a/packages/control/GroupHost.ts
+++ b/packages/control/GroupHost.ts
@@ -7,8 +7,8 @@
 import type { ReplicaInfo } from "@clementinemux/messages/ReplicaInfo";
 import { Counters } from "@clementinemux/metrics/Counters";
 import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
-import { GroupStorage } from "@clementinemux/storage/GroupStorage";
 import { MemoryStorage } from "@clementinemux/storage/MemoryStorage";
+import { openGroupStorage } from "@clementinemux/storage/openGroupStorage";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import { ControlError } from "./ControlError";
@@ -80,7 +80,7 @@
     const { settings, clock, random, logger, links, onFatal, disk } = this.#options;
     const { electionTimeoutMs, heartbeatMs, maxClockDriftShare, snapshotEntries } = settings;
     const storage = this.#isDurable
-      ? await GroupStorage.open(folder, onFatal, disk, logger)
+      ? await openGroupStorage({ folder, onFatal, disk, clock, logger })
       : new MemoryStorage();
     const { replicaId } = storage.state;
     const group = new ReplicatedGroup({
@@ -134,11 +134,13 @@
   }
 
   getInfo(name: string): ReplicaInfo {
-    const core = this.#groups.get(name)?.core;
+    const group = this.#groups.get(name);
+    const core = group?.core;
     return {
       name: this.#options.settings.name,
       replicaId: core?.id ?? null,
-      isUnused: core?.isUnused ?? true,
+      // The files of a replacement were used, though nothing of them is left in it.
+      isUnused: core?.isUnused !== false && group?.isReplacement !== true,
       isDurable: this.#isDurable,
     };
   }
@@ -162,12 +164,12 @@
   /**
    * Creates the groups that do not exist yet. Only the first listed replica with a disk creates a group, and
    * only when every listed process responds and none has ever voted or stored an entry. A replica that lost
-   * its disk therefore cannot create a second group. Replicas without a disk do not become voters.
+   * its disk, or whose files were set aside, therefore cannot create a second group. Replicas without a disk do not become voters.
    */
   async bootstrap(): Promise<void> {
     const { replicas } = this.#options.settings;
     for (const group of this.#groups.values()) {
-      if (group.core.isUnused) {
+      if (group.core.isUnused && !group.isReplacement) {
         const infos = await Promise.all(replicas.map((address) => this.fetchInfo(address, group.name)));
         this.#create(group, infos);
       }
--- a/packages/control/ReplicatedGroup.ts
+++ b/packages/control/ReplicatedGroup.ts
@@ -88,6 +88,11 @@
     return this.#options.storage.isFull;
   }
 
+  /** Whether this replica took the place of one whose files were set aside. */
+  get isReplacement(): boolean {
+    return this.#options.storage.isReplacement;
+  }
+
   get membership(): Membership {
     return this.#core.membership;
   }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -263,6 +263,7 @@
       appliedIndex: core?.appliedIndex ?? null,
       isVoter: core !== null && core.id in core.membership.voters,
       voters: Object.keys(core?.membership.voters ?? {}).length,
+      isReplacement: this.#group?.isReplacement === true,
       documentVersion: this.#machine.version,
       ageMs: this.#getAgeMs(),
       targets: this.targets.list(nowMs).length,
--- a/packages/control/routes/renderStatus.ts
+++ b/packages/control/routes/renderStatus.ts
@@ -11,6 +11,7 @@
     clementinemux_coordinator_term: term,
     clementinemux_coordinator_voter: isVoter ? 1 : 0,
     clementinemux_coordinator_voters: voters,
+    clementinemux_coordinator_replacement: status.isReplacement ? 1 : 0,
     clementinemux_coordinator_commit_index: commitIndex,
     clementinemux_coordinator_applied_index: appliedIndex,
     clementinemux_coordinator_document_version: documentVersion,
--- a/packages/control/test/CoordinatorFleet.ts
+++ b/packages/control/test/CoordinatorFleet.ts
@@ -84,6 +84,10 @@
     }
   }
 
+  getFolder(index: number): string {
+    return this.#folders[index] ?? "";
+  }
+
   wipe(index: number): void {
     rmSync(this.#folders[index] ?? "", { recursive: true, force: true });
     this.#folders[index] = "";
--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -1,5 +1,4 @@
 import { randomUUID } from "node:crypto";
-import { existsSync } from "node:fs";
 import { mkdir, open, readFile } from "node:fs/promises";
 import type { FileHandle } from "node:fs/promises";
 import { join } from "node:path";
@@ -33,13 +32,16 @@
   readonly segment: string;
 }
 
-interface OpenedRecords {
+interface StoredRecords {
   readonly values: readonly unknown[];
-  readonly file: FileHandle;
   /** Size without a torn record at the end. */
   readonly sizeBytes: number;
 }
 
+interface OpenedRecords extends StoredRecords {
+  readonly file: FileHandle;
+}
+
 interface OpenedFolder {
   readonly identity: OpenedRecords;
   readonly stored: StoredSnapshot | null;
@@ -115,7 +117,7 @@
     disk: DiskOperations = systemDisk,
     logger: Logger | null = null,
   ): Promise<GroupStorage> {
-    if (!existsSync(join(folder, "identity"))) {
+    if ((await readSignature(join(folder, "identity"))) === null) {
       await mkdir(folder, { recursive: true });
       await retryWhileFull(() => createGroupFiles(folder, disk));
     }
@@ -127,6 +129,10 @@
     return this.#isFull;
   }
 
+  get isReplacement(): boolean {
+    return this.#identity.isReplacement === true;
+  }
+
   get sizeBytes(): number {
     return this.#sizeBytes;
   }
@@ -298,28 +304,44 @@
   const segmentPath = join(folder, segmentName);
   const [identitySignature = null, , segmentSignature = null] = await readSignatures(folder, segmentName);
   const signatures = [identitySignature, snapshotSignature, segmentSignature];
-  const identity = await openRecords(identityPath);
+  const identity = await readRecordFile(identityPath);
   if (identity.values.length === 0) {
     throw new StorageError(identityPath, 0, "corrupt record");
   }
-  if (!existsSync(segmentPath)) {
+  if (segmentSignature === null) {
     // Starting with an empty log under the old identity could lose entries that this replica acknowledged.
     throw new StorageError(segmentPath, null, "log segment is missing");
   }
-  const segment = await openRecords(segmentPath);
+  const segment = await readRecordFile(segmentPath);
   const firstIndex = (stored?.snapshot.index ?? 0) + 1;
   const entries = replayEntries(segment.values as LogEntry[], segmentPath, firstIndex);
-  return { identity, stored, segment, entries, signatures };
+  const [identityFile, segmentFile] = await openBoth(identityPath, segmentPath);
+  return {
+    identity: { ...identity, file: identityFile },
+    segment: { ...segment, file: segmentFile },
+    stored,
+    entries,
+    signatures,
+  };
+}
+
+async function openBoth(first: string, second: string): Promise<[FileHandle, FileHandle]> {
+  const file = await open(first, "r+");
+  try {
+    return [file, await open(second, "r+")];
+  } catch (error) {
+    await file.close();
+    throw error;
+  }
 }
 
 function readSignatures(folder: string, segment: string): Promise<FolderSignatures> {
   return Promise.all(["identity", "snapshot", segment].map((name) => readSignature(join(folder, name))));
 }
 
-async function openRecords(path: string): Promise<OpenedRecords> {
-  const bytes = await readFile(path);
-  const { values, validBytes } = readRecords(path, bytes);
-  return { values, file: await open(path, "r+"), sizeBytes: validBytes };
+async function readRecordFile(path: string): Promise<StoredRecords> {
+  const { values, validBytes } = readRecords(path, await readFile(path));
+  return { values, sizeBytes: validBytes };
 }
 
 async function readSingleRecord<Value>(file: string): Promise<Value> {
--- a/packages/storage/MemoryStorage.ts
+++ b/packages/storage/MemoryStorage.ts
@@ -16,6 +16,7 @@
     entries: [],
   };
   readonly isFull = false;
+  readonly isReplacement = false;
 
   persist(_request: PersistRequest, onStored: () => void): void {
     setImmediate(onStored);
