Keep processes running when their log cannot be written

Cause: the log library listens for errors of standard output and throws all but EPIPE. Other writes to standard error (the loader's note on the code cache, faults of the settings) had no listener at all, so that any error of standard error, EPIPE included, was an uncaught exception.

Change: the library's listener is removed. Lines go to a file or device with a write that reports its error and continues a partial write, and to pipes, sockets and terminals with the stream, whose errors come later. After an error, lines are refused and counted for 1 s, then writing is tried again. The next report of lines left out has the lost ones, and the metric clementinemux_log_lines_lost counts them by cause. Standard error is written by one function that outlives its errors.

It works because no error of either descriptor reaches a listener that throws, or is without a listener: Node's own warnings and its report of an exception don't use these streams.

The stand-in sink of boundedLogs got the new field.

Remains: a file on a disk that blocks and a terminal whose output is stopped block the process, since Node writes to both with blocking calls. EIO was only played with a stand-in target.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -8,7 +8,7 @@
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
-import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
+import { renderProcess } from "@clementinemux/metrics/renderProcess";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { findRequestFault } from "@clementinemux/wire/findRequestFault";
@@ -276,7 +276,7 @@
       "/agent/metrics": () => {
         response
           .writeHead(200, { "content-type": "text/plain" })
-          .end(renderBuildInfo() + renderCounters(this.counters) + this.#errors.render());
+          .end(renderProcess() + renderCounters(this.counters) + this.#errors.render());
       },
       "/agent/order": () => {
         this.#orderQueue.handle(request, response).catch((error: unknown) => {
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -20,7 +20,7 @@
 import { LeaseholderKind } from "@clementinemux/messages/LeaseholderKind";
 import type { RenewRequest } from "@clementinemux/messages/RenewRequest";
 import { Counters } from "@clementinemux/metrics/Counters";
-import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
+import { renderProcess } from "@clementinemux/metrics/renderProcess";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -206,7 +206,7 @@
         getTargets: () => this.#directory.handlers[MessageName.FetchTargets]?.({}, "api"),
       }),
       renderMetrics: () =>
-        renderBuildInfo() +
+        renderProcess() +
         [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
     });
     await api.listen(host, apiPort);
--- a/packages/entry/EntryMetrics.ts
+++ b/packages/entry/EntryMetrics.ts
@@ -4,7 +4,7 @@
 import { RequestClass } from "@clementinemux/common/RequestClass";
 import { RetryReason } from "@clementinemux/common/RetryReason";
 import { Counters } from "@clementinemux/metrics/Counters";
-import { renderBuildInfo } from "@clementinemux/metrics/renderBuildInfo";
+import { renderProcess } from "@clementinemux/metrics/renderProcess";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { StreamFault } from "./StreamFault";
 
@@ -55,7 +55,7 @@
 
   render(inFlightCount: number): string {
     return [
-      renderBuildInfo(),
+      renderProcess(),
       renderCounters(this.refusals),
       renderCounters(this.retries),
       renderCounters(this.streamFaults),
--- a/packages/logging/LogBudget.ts
+++ b/packages/logging/LogBudget.ts
@@ -1,4 +1,5 @@
 import { TokenBucket } from "@clementinemux/common/TokenBucket";
+import { LogLossCause } from "./LogLossCause";
 
 /** Properties that decide whether a line is written. */
 interface LogLine {
@@ -31,16 +32,14 @@
   #omitted = new Map<string, number>();
   #reportedAtMs = -Infinity;
 
-  /** Whether a line may be written while `pendingBytes` wait to be read; counts it as omitted if not. */
-  admit({ level, event }: LogLine, pendingBytes: number, nowMs: number): boolean {
+  /** Returns why a line may not be written while `pendingBytes` wait to be read; null when it may. */
+  admit({ level, event }: LogLine, pendingBytes: number, nowMs: number): LogLossCause | null {
     const isWarning = level >= warningLevel;
-    const limitBytes = maxPendingBytes * (isWarning ? warningPendingFactor : 1);
-    const buckets = this.#selectBuckets(isWarning, event, nowMs);
-    const isAdmitted = pendingBytes < limitBytes && buckets.every((bucket) => bucket.canTake(1, nowMs));
-    if (!isAdmitted) {
-      this.#omitted.set(event, (this.#omitted.get(event) ?? 0) + 1);
+    if (pendingBytes >= maxPendingBytes * (isWarning ? warningPendingFactor : 1)) {
+      return LogLossCause.Unread;
     }
-    return isAdmitted;
+    const buckets = this.#selectBuckets(isWarning, event, nowMs);
+    return buckets.every((bucket) => bucket.canTake(1, nowMs)) ? null : LogLossCause.Budget;
   }
 
   /** Charges a line that was admitted. */
@@ -50,6 +49,13 @@
     }
   }
 
+  /** Adds lines by event that were not written, for the next report. */
+  addOmitted(counts: Readonly<Record<string, number>>): void {
+    for (const [event, count] of Object.entries(counts)) {
+      this.#omitted.set(event, (this.#omitted.get(event) ?? 0) + count);
+    }
+  }
+
   /**
    * Omitted lines by event since the last report; null when there are none or the last report is too recent.
    */
--- a/packages/logging/test/boundedLogs.test.ts
+++ b/packages/logging/test/boundedLogs.test.ts
@@ -4,6 +4,7 @@
 import t from "tap";
 import { build } from "esbuild";
 import { BoundedLogWriter } from "@clementinemux/logging/BoundedLogWriter";
+import { logLosses } from "@clementinemux/logging/logLosses";
 
 // Reached only when a test hangs.
 t.setTimeout(90_000);
@@ -17,12 +18,13 @@
     get pendingBytes() {
       return state.pendingBytes;
     },
+    isFailing: false,
     write: (text: string) => {
       state.lines.push(text);
     },
   };
   const clock = { monotonicMs: () => state.nowMs, wallMs: () => state.nowMs };
-  const writer = new BoundedLogWriter(sink, clock);
+  const writer = new BoundedLogWriter(sink, clock, logLosses);
   const log = (event: string, logLevel: number, padding = 200): void => {
     const context = { logLevel, padding: "x".repeat(padding) };
     writer.write(writer.serialize({ context, message: event, sequence: "1", time: 1, version: "2" }));
--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -2,6 +2,7 @@
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import type { TargetAnnouncement } from "@clementinemux/common/TargetAnnouncement";
 import type { EntryAnnouncement } from "@clementinemux/messages/EntryAnnouncement";
+import { writeDiagnostic } from "@clementinemux/logging/writeDiagnostic";
 import { Counters } from "@clementinemux/metrics/Counters";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
@@ -79,7 +80,7 @@
       rpcTimeoutMs: 1000,
       suspectWeight: 0.1,
       onError: (error) => {
-        process.stderr.write(
+        writeDiagnostic(
           `relay: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`,
         );
       },
--- a/packages/metrics/MetricsEndpoint.ts
+++ b/packages/metrics/MetricsEndpoint.ts
@@ -1,7 +1,7 @@
 import type { Server } from "node:http";
 import type { Clock } from "@clementinemux/common/Clock";
 import { LoopDelayMeter } from "./LoopDelayMeter";
-import { renderBuildInfo } from "./renderBuildInfo";
+import { renderProcess } from "./renderProcess";
 import { serveMetrics } from "./serveMetrics";
 
 interface MetricsPageOptions {
@@ -33,7 +33,7 @@
       this.#server = await serveMetrics({
         host,
         port,
-        render: () => renderBuildInfo() + render() + this.#loopDelay.histogram.render(),
+        render: () => renderProcess() + render() + this.#loopDelay.histogram.render(),
       });
       this.#loopDelay.start();
     }
--- a/packages/settings/startFromSettings.ts
+++ b/packages/settings/startFromSettings.ts
@@ -1,6 +1,7 @@
 import type * as z from "zod";
 import { buildId } from "@clementinemux/common/buildId";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import { writeDiagnostic } from "@clementinemux/logging/writeDiagnostic";
 import { loadSettings } from "./loadSettings";
 
 /** Exit code for an invalid command line or invalid settings. */
@@ -18,12 +19,12 @@
   const args = process.argv.slice(2);
   const file = args[args.indexOf("--settings") + 1];
   if (!args.includes("--settings") || file === undefined) {
-    process.stderr.write(`usage: ${name} --settings FILE [--check]\n`);
+    writeDiagnostic(`usage: ${name} --settings FILE [--check]\n`);
     process.exit(badSettingsExitCode);
   }
   loadSettings(file, schema).caseOf({
     Left: (errors) => {
-      process.stderr.write(`${errors.map(({ message }) => message).join("\n")}\n`);
+      writeDiagnostic(`${errors.map(({ message }) => message).join("\n")}\n`);
       process.exit(badSettingsExitCode);
     },
     Right: (settings) => {
@@ -33,7 +34,7 @@
       }
       createLogger(name, {}).info({ build: buildId, node: process.version }, "starting");
       start(settings).catch((error: unknown) => {
-        process.stderr.write(`${name}: ${error instanceof Error ? error.message : String(error)}\n`);
+        writeDiagnostic(`${name}: ${error instanceof Error ? error.message : String(error)}\n`);
         process.exit(1);
       });
     },
