--- a/packages/settings/parseSettings.ts
+++ b/packages/settings/parseSettings.ts
@@ -6,12 +6,18 @@
 import { SettingsError } from "./SettingsError";
 import { describeIssue } from "./describeIssue";
 
-/** Parses JSON with comments and validates it against a schema. Reports every error with its line. */
+const byteOrderMark = "\uFEFF";
+
+/**
+ * Parses JSON with comments, with or without a byte-order mark, and validates it against a schema. Reports every error
+ * with its line.
+ */
 export function parseSettings<Schema extends z.ZodType>(
   file: string,
-  text: string,
+  markedText: string,
   schema: Schema,
 ): Either<readonly SettingsError[], z.output<Schema>> {
+  const text = markedText.startsWith(byteOrderMark) ? markedText.slice(byteOrderMark.length) : markedText;
   const parseErrors: ParseError[] = [];
   const tree = parseTree(text, parseErrors, { allowTrailingComma: true });
   if (parseErrors.length > 0 || tree === undefined) {
