--- a/packages/metrics/MetricsEndpoint.ts
+++ b/packages/metrics/MetricsEndpoint.ts
@@ -2,7 +2,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import { LoopDelayMeter } from "./LoopDelayMeter";
-import { renderBuildInfo } from "./renderBuildInfo";
+import { renderProcess } from "./renderProcess";
 import { serveMetrics } from "./serveMetrics";
 
 const retryMs = 1000;
@@ -46,7 +46,7 @@
       this.#server = await serveMetrics({
         host,
         port,
-        render: () => renderBuildInfo() + render() + this.#loopDelay.histogram.render(),
+        render: () => renderProcess() + render() + this.#loopDelay.histogram.render(),
       });
     } catch (error) {
       if (isFirst) {
