--- a/packages/system/DaemonLife.ts
+++ b/packages/system/DaemonLife.ts
@@ -19,6 +19,7 @@
 export class DaemonLife {
   /** Resolves when the process has exited. */
   readonly exited: Promise<ExitStatus>;
+  isRunning = true;
   /** Whether it was sent any signal. */
   isSignalled = false;
   readonly #child: ChildProcess;
@@ -40,6 +41,7 @@
     closeSync(log);
     this.exited = new Promise((resolve) => {
       const end = (code: number | null, signal: NodeJS.Signals | null): void => {
+        this.isRunning = false;
         this.#resume();
         const stoppingMs = this.#stopAtMs === null ? null : performance.now() - this.#stopAtMs;
         const isKilled = this.#isKilled;
--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -52,6 +52,11 @@
     return this.#lives.length > 0;
   }
 
+  /** The one that was started first of the process and its copies; null while none runs. */
+  get first(): DaemonLife | null {
+    return this.#lives[0] ?? null;
+  }
+
   /** Starts the process, or a copy beside the one that runs. */
   start(logFile = this.logFile): DaemonLife {
     const { programs, program, flags = [] } = this.#options;
