--- /dev/null
+++ b/packages/control/limits/PermitOutcome.ts
@@ -0,0 +1,5 @@
+/** Outcome of a request for a permit at the leader. */
+export enum PermitOutcome {
+  Granted = "granted",
+  Refused = "refused",
+}
