Keep to the limit that a target names, over all gateways together

A target that names a Server-Limit got far more than that: no gateway read the header, each chose by load. Now each send to such a target needs a permit of one schedule, which the leading coordinator keeps; without a permit nothing is sent. Statements of limits and of their end travel with the reports of the gateways. When all targets of a service are limited and none has a permit in time, a request gets 503 at once, with the time at which it may return.

--- a/packages/bench/gateway/PlainCodec.ts
+++ b/packages/bench/gateway/PlainCodec.ts
@@ -43,6 +43,7 @@
       isMisdirected: false,
       isLeaving: false,
       pauseMs: null,
+      limitPerS: null,
       faultyTarget: null,
     };
   }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -5,6 +5,8 @@
 import { MapActivator } from "@clementinemux/ranker/MapActivator";
 import type { AwaitFindingsRequest } from "@clementinemux/registry/AwaitFindingsRequest";
 import { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import { LimitTable } from "@clementinemux/registry/LimitTable";
+import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
@@ -19,6 +21,7 @@
 import type { EndReport } from "../ends/EndReport";
 import { EndRecorder } from "../ends/EndRecorder";
 import { TargetReports } from "../ends/TargetReports";
+import { PermitService } from "../limits/PermitService";
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import { CoordinatorHandler } from "./CoordinatorHandler";
@@ -61,6 +64,7 @@
   readonly targets = new TargetRegistry();
   readonly entries = new EntryRegistry();
   readonly slowdowns = new SlowdownTable();
+  readonly limits = new LimitTable();
   readonly crashes: CrashFeed;
   readonly metrics = new CoordinatorMetrics();
   readonly #options: CoordinatorOptions;
@@ -84,6 +88,7 @@
   #group: ReplicatedGroup | null = null;
   #documents: DocumentService | null = null;
   #recorder: EndRecorder | null = null;
+  #permits: PermitService | null = null;
   #exchange: RegistryExchange | null = null;
   #membership: MembershipManager | null = null;
   #table: RouteTable | null = null;
@@ -134,6 +139,7 @@
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
+      limits: this.limits,
       peers: this.#peers,
       getDocument: () => this.#machine,
       getAgeMs: () => this.#getAgeMs(),
@@ -163,15 +169,11 @@
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
-    const { targets } = this;
-    this.#recorder = new EndRecorder({
-      group,
-      table: machine.ends,
-      targets,
-      links: this.#links,
-      clock,
-      logger,
-    });
+    const { targets, limits, metrics } = this;
+    const links = this.#links;
+    const outcomes = metrics.permits;
+    this.#recorder = new EndRecorder({ group, table: machine.ends, targets, links, clock, logger });
+    this.#permits = new PermitService({ group, limits, targets, links, outcomes, clock });
     this.#membership = new MembershipManager({ group, peers: this.#peers, clock, logger, targetVoters });
     this.#exchange = new RegistryExchange({
       name: this.#options.name,
@@ -187,6 +189,7 @@
       entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
+      limits: this.limits,
       isLeading: () => group.hasLease,
       clock,
     });
@@ -349,6 +352,7 @@
     const nowMs = this.#options.clock.monotonicMs();
     const members = this.#listMembers();
     this.#peers.addHints(members, nowMs);
+    this.#permits?.retain(nowMs);
     this.#peers.removeStale([...members, ...this.#options.seeds], nowMs);
     void this.#rounds.run(() => this.#membership?.step() ?? Promise.resolve());
     void this.#rounds.run(() => this.#documents?.confirm() ?? Promise.resolve());
@@ -370,6 +374,7 @@
       [MessageName.ActivateMap]: (body) => this.#activator.activate(body as ActivateRequest),
       [MessageName.SyncEntry]: (body) => this.#sync.sync(body as SyncRequest),
       [MessageName.AwaitFindings]: (body) => this.crashes.awaitFindings(body as AwaitFindingsRequest),
+      [MessageName.TakePermits]: (body) => this.#permits?.take(body as PermitRequest),
       [MessageName.ProposeDocument]: async (body) => {
         await this.#requireDocuments().proposeAsLeader(body as StoredDocument);
         return null;
--- a/packages/control/routes/CoordinatorMetrics.ts
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -4,6 +4,7 @@
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import { EndOutcome } from "../ends/EndOutcome";
+import { PermitOutcome } from "../limits/PermitOutcome";
 import { MapOutcome } from "../ranks/MapOutcome";
 import { DocumentOutcome } from "./DocumentOutcome";
 
@@ -15,6 +16,12 @@
     Object.values(DocumentOutcome),
   );
   readonly ends = new Counters("clementinemux_coordinator_target_ends", "outcome", Object.values(EndOutcome));
+  /** Requests for permits of limited targets that this process answered as the leader. */
+  readonly permits = new Counters(
+    "clementinemux_coordinator_permits",
+    "outcome",
+    Object.values(PermitOutcome),
+  );
   readonly maps = new Counters("clementinemux_coordinator_maps", "outcome", Object.values(MapOutcome));
   readonly orders = new Counters("clementinemux_coordinator_orders", "outcome", Object.values(OrderOutcome));
   readonly refusedOrders = new Counters(
@@ -31,6 +38,7 @@
     return [
       renderCounters(this.documents),
       renderCounters(this.ends),
+      renderCounters(this.permits),
       renderCounters(this.maps),
       renderCounters(this.orders),
       renderCounters(this.refusedOrders),
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -2,6 +2,7 @@
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
+import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { TargetReports } from "../ends/TargetReports";
@@ -24,6 +25,7 @@
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
+  readonly limits: LimitTable;
   readonly isLeading: () => boolean;
   readonly clock: Clock;
 }
@@ -76,6 +78,7 @@
     if (request.crashes !== undefined) {
       this.#options.crashes.merge(request.crashes);
     }
+    this.#options.limits.merge(request.limits ?? [], nowMs);
     for (const { item, ageMs } of request.entries) {
       entries.put(item, nowMs - ageMs, request.from);
     }
@@ -104,6 +107,7 @@
       entries: entries.listDirect(sentAtMs).map(({ entry, ageMs }) => ({ item: entry, ageMs })),
       paces: isLeading() ? slowdowns.list(sentAtMs) : {},
       crashes: this.#options.crashes.getEvidence(),
+      limits: this.#options.limits.listOwn(sentAtMs),
       coordinators: this.#listSeen(),
     };
     peer.isCallInFlight = true;
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
@@ -24,6 +25,7 @@
   readonly entries: EntryRegistry;
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
+  readonly limits: LimitTable;
   readonly peers: PeerTable;
   readonly getDocument: () => StoredDocument;
   /** Age of the confirmation that no newer document exists, in ms; null when there is none. */
@@ -49,11 +51,14 @@
 
   async sync(request: SyncRequest): Promise<SyncResponse> {
     const { entry, documentVersion, registryState, leaving } = request;
-    const { targets, entries, slowdowns, crashes, peers, clock, logger } = this.#options;
+    const { targets, entries, slowdowns, crashes, limits, peers, clock, logger } = this.#options;
     entries.put(entry, clock.monotonicMs(), null);
     if (request.crashes !== undefined) {
       crashes.merge(request.crashes);
     }
+    for (const { id, limitPerS } of limits.mergeOwn(request.limits ?? [], clock.monotonicMs())) {
+      logger.info({ id, limitPerS, entry: entry.name }, "limit of a target");
+    }
     for (const { id } of leaving.filter((incarnation) => targets.markLeaving(incarnation))) {
       logger.info({ id, entry: entry.name }, "target leaves by its answers");
     }
@@ -77,6 +82,7 @@
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
       crashes: crashes.getFindings(),
+      limits: limits.list(nowMs),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -7,6 +7,9 @@
 import type { AwaitFindingsRequest } from "@clementinemux/registry/AwaitFindingsRequest";
 import type { AwaitFindingsResponse } from "@clementinemux/registry/AwaitFindingsResponse";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
+import type { LimitTable } from "@clementinemux/registry/LimitTable";
+import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
+import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
@@ -27,6 +30,9 @@
   readonly listLeaving: () => readonly TargetIncarnation[];
   readonly getCrashEvidence: () => CrashEvidence;
   readonly onCrashFindings: (findings: CrashFindings) => void;
+  readonly limits: LimitTable;
+  /** Called for each target whose limit has changed by what the coordinator knows. */
+  readonly onLimit: (id: string, limitPerS: number | null) => void;
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
@@ -41,6 +47,7 @@
  */
 const retryMs = 40;
 const callTimeoutMs = 350;
+const permitTimeoutMs = 300;
 /** Longer than a coordinator holds its response while its findings do not change. */
 const findingsTimeoutMs = 6000;
 /** After this many responses in a row without current state, the gateway switches to the next coordinator. */
@@ -101,6 +108,13 @@
     return this.#syncing;
   }
 
+  /** Asks the coordinators for permits. Resolves with null when none of them can grant any. Never rejects. */
+  async takePermits(request: PermitRequest): Promise<PermitResponse | null> {
+    const client = this.#getClient();
+    const result = await client?.call(MessageName.TakePermits, request, permitTimeoutMs);
+    return (result?.toMaybe().extractNullable() ?? null) as PermitResponse | null;
+  }
+
   async #reportAll(): Promise<void> {
     do {
       this.#isSyncPending = false;
@@ -126,7 +140,7 @@
   }
 
   async #report(): Promise<void> {
-    const { view, clock, getEntry, listLeaving, getCrashEvidence, logger } = this.#options;
+    const { view, clock, getEntry, listLeaving, getCrashEvidence, limits, logger } = this.#options;
     const client = this.#getClient();
     if (client === null) {
       return;
@@ -138,6 +152,7 @@
       registryState: view.registryState,
       leaving: listLeaving(),
       crashes: getCrashEvidence(),
+      limits: limits.listOwn(sentAtMs),
     };
     const result = await client.call(MessageName.SyncEntry, request, callTimeoutMs);
     const isUseful = result.caseOf({
@@ -191,6 +206,10 @@
       if (response.crashes !== undefined) {
         this.#options.onCrashFindings(response.crashes);
       }
+      // What is known of limits is at least as new as the report.
+      for (const { id, limitPerS } of this.#options.limits.merge(response.limits ?? [], sentAtMs)) {
+        this.#options.onLimit(id, limitPerS);
+      }
       this.#preferNearest(response.nearest, sentAtMs);
       return isCurrent;
     } catch (error) {
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -6,6 +6,7 @@
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
+import { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
@@ -23,6 +24,7 @@
 import { RequestReceiver } from "./RequestReceiver";
 import { GroupRecovery } from "./GroupRecovery";
 import { PassMeter } from "./PassMeter";
+import { PermitClient } from "./PermitClient";
 import { RetryBudget } from "./RetryBudget";
 import { StopWindow } from "./StopWindow";
 import { TargetConnectionPool } from "./TargetConnectionPool";
@@ -60,6 +62,8 @@
   readonly #loads: TargetLoads;
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
+  readonly #limits = new LimitTable();
+  readonly #permits: PermitClient;
   readonly #deadlines = new CallerDeadlines();
   readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
@@ -73,7 +77,7 @@
   readonly #metricsPage: MetricsEndpoint;
   #server: Server | null = null;
   #readiness: Server | null = null;
-  #limits = initialLimits;
+  #callerLimits = initialLimits;
   #stopWindow: StopWindow | null = null;
   #isClosed = false;
 
@@ -111,11 +115,24 @@
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
       },
+      limits: this.#limits,
+      onLimit: (id, limitPerS) => {
+        this.#permits.reset(id);
+        logger.info({ target: id, limitPerS }, "limit of a target");
+      },
       seeds,
       clock: leaseClock,
       errors: this.#errors,
       logger,
     });
+    this.#permits = new PermitClient({
+      limits: this.#limits,
+      call: (request) => this.#sync.takePermits(request),
+      getLiveEntries: () => this.view.state.liveEntries,
+      outcomes: this.metrics.permits,
+      clock: leaseClock,
+      random,
+    });
     this.#receiver = new RequestReceiver(this.#createContext(), () => this.#getLimits().maxBodyBytes);
   }
 
@@ -163,6 +180,7 @@
       clementinemux_gateway_targets: state.targets.length,
       clementinemux_gateway_learned_ends: this.view.learnedEnds,
       clementinemux_gateway_ended_targets_listed: this.view.endedListed,
+      clementinemux_gateway_limited_targets: this.#limits.size,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
@@ -225,6 +243,8 @@
       loads: this.#loads,
       health: this.#health,
       notices: this.#notices,
+      limits: this.#limits,
+      permits: this.#permits,
       deadlines: this.#deadlines,
       crashes: this.#crashes,
       metrics: this.metrics,
@@ -262,9 +282,9 @@
   #createServer(): Server {
     const server = createServer(
       {
-        maxHeaderSize: this.#limits.maxHeaderBytes,
-        keepAliveTimeout: this.#limits.idleTimeoutMs,
-        headersTimeout: this.#limits.headerTimeoutMs,
+        maxHeaderSize: this.#callerLimits.maxHeaderBytes,
+        keepAliveTimeout: this.#callerLimits.idleTimeoutMs,
+        headersTimeout: this.#callerLimits.headerTimeoutMs,
         requestTimeout: 0,
         connectionsCheckingInterval: housekeepingMs,
         noDelay: true,
@@ -305,8 +325,8 @@
 
   #runHousekeeping(): void {
     const limits = this.#getLimits();
-    if (this.#server !== null && limits !== this.#limits) {
-      this.#limits = limits;
+    if (this.#server !== null && limits !== this.#callerLimits) {
+      this.#callerLimits = limits;
       this.#server.keepAliveTimeout = limits.idleTimeoutMs;
       this.#server.headersTimeout = limits.headerTimeoutMs;
     }
@@ -322,6 +342,8 @@
     }
     this.#health.retain(new Set(targets.map(({ id }) => id)));
     this.#notices.retain(targets, this.#options.clock.monotonicMs());
+    this.#limits.retain(targets, this.#options.leaseClock.monotonicMs());
+    this.#permits.retain();
   }
 
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,4 +1,5 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
+import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
@@ -9,6 +10,7 @@
 import type { GatewayOptions } from "./GatewayOptions";
 import type { GroupRecovery } from "./GroupRecovery";
 import type { PassMeter } from "./PassMeter";
+import type { PermitClient } from "./PermitClient";
 import type { RetryBudget } from "./RetryBudget";
 import type { StopWindow } from "./StopWindow";
 import type { TargetConnectionPool } from "./TargetConnectionPool";
@@ -23,6 +25,9 @@
   readonly loads: TargetLoads;
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
+  /** What targets have stated about the requests that they take from all gateways together. */
+  readonly limits: LimitTable;
+  readonly permits: PermitClient;
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -2,6 +2,7 @@
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { AttemptRetryReason } from "./AttemptRetryReason";
+import { PermitOutcome } from "./PermitOutcome";
 import { RequestOutcome } from "./RequestOutcome";
 
 /** Counters and histograms of a gateway's requests. */
@@ -12,6 +13,7 @@
     "reason",
     Object.values(AttemptRetryReason),
   );
+  readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -28,6 +30,7 @@
     return [
       renderCounters(this.outcomes),
       renderCounters(this.retries),
+      renderCounters(this.permits),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- /dev/null
+++ b/packages/gateway/PermitClient.ts
@@ -0,0 +1,223 @@
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Random } from "@clementinemux/common/Random";
+import type { Counters } from "@clementinemux/metrics/Counters";
+import type { LimitTable } from "@clementinemux/registry/LimitTable";
+import type { PermitAnswer } from "@clementinemux/registry/PermitAnswer";
+import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
+import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
+import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { Permit } from "./Permit";
+import { PermitOutcome } from "./PermitOutcome";
+
+interface PermitClientOptions {
+  readonly limits: LimitTable;
+  /** Resolves with null when no permits can be had. Never rejects. */
+  readonly call: (request: PermitRequest) => Promise<PermitResponse | null>;
+  /** Gateways that share the permits. */
+  readonly getLiveEntries: () => number;
+  readonly outcomes: Counters<PermitOutcome>;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+interface PendingAsk {
+  readonly targets: readonly TargetRecord[];
+  readonly maxWaitMs: number;
+  readonly resolve: (permit: Permit | null) => void;
+}
+
+/** What this gateway knows of the permits of one target. */
+interface PermitState {
+  /** Until then the leader has no permit that nobody holds. */
+  freeAtMs: number;
+  probedAtMs: number;
+  /** Until when the permits are booked for callers that this gateway has told to return. */
+  bookedUntilMs: number;
+}
+
+/** A permit may be used this long after its start. */
+/** Longest time that a request waits for a permit; the leader promises none for later. */
+const maxWaitMs = 1000;
+const permitValidMs = 100;
+/** An answer that took longer, since this process stood still, grants nothing. */
+const maxAnswerMs = 400;
+/** The leader is asked again after this time, though it has named a later one. */
+const maxMemoryMs = 5000;
+/** Time until the next call after one that failed. */
+const failedPauseMs = 100;
+/** A limited target that nothing was heard of for this long gets a request, so that the end of its limit is learned. */
+const probeAgeMs = 1000;
+const maxReturnMs = 10_000;
+const minReturnMs = 300;
+/** Callers that are rejected together return spread over this share of the delay. */
+const returnSpread = 0.25;
+
+/**
+ * Fetches permits for sends to limited targets from the leading coordinator, and remembers for which targets there are none,
+ * so that a crowd of requests makes few calls. Without a permit nothing may be sent.
+ */
+export class PermitClient {
+  readonly #options: PermitClientOptions;
+  readonly #states = new Map<string, PermitState>();
+  #queue: PendingAsk[] = [];
+  /** After a failed call, the coordinators are left alone until then. */
+  #blockedUntilMs = -Infinity;
+
+  constructor(options: PermitClientOptions) {
+    this.#options = options;
+  }
+
+  /** Whether no permit can be had for the moment, as no coordinator grants any. */
+  get isBlocked(): boolean {
+    return this.#now() < this.#blockedUntilMs;
+  }
+
+  /** Asks for a permit of any of the targets that can be used within `waitMs`. Resolves with null when there is none. */
+  take(targets: readonly TargetRecord[], waitMs: number): Promise<Permit | null> {
+    return new Promise((resolve) => {
+      this.#queue.push({ targets, maxWaitMs: Math.min(maxWaitMs, waitMs), resolve });
+      if (this.#queue.length === 1) {
+        setImmediate(() => void this.#flush());
+      }
+    });
+  }
+
+  /** Time until a permit may be used, in ms. */
+  getStartInMs({ startAtMs }: Permit): number {
+    return Math.max(0, startAtMs - this.#now());
+  }
+
+  /** Whether a permit may still be used; counts those that may not. */
+  checkValid({ endAtMs }: Permit): boolean {
+    const isValid = this.#now() <= endAtMs;
+    if (!isValid) {
+      this.#options.outcomes.add(PermitOutcome.Expired);
+    }
+    return isValid;
+  }
+
+  /** Whether the leader may have a permit of a target within `waitMs`, as far as this gateway knows. */
+  mayHave({ id }: TargetIncarnation, waitMs: number): boolean {
+    const freeInMs = (this.#states.get(id)?.freeAtMs ?? -Infinity) - this.#now();
+    return !this.isBlocked && freeInMs <= Math.min(maxWaitMs, Math.max(0, waitMs));
+  }
+
+  /** Whether a request should go to the target to learn whether its limit still applies; then true once in a while. */
+  takeProbe(target: TargetIncarnation): boolean {
+    const nowMs = this.#now();
+    const state = this.#getState(target);
+    const isDue =
+      this.#options.limits.getAgeMs(target, nowMs) > probeAgeMs &&
+      nowMs - state.probedAtMs > probeAgeMs &&
+      this.mayHave(target, 0);
+    if (isDue) {
+      state.probedAtMs = nowMs;
+    }
+    return isDue;
+  }
+
+  /**
+   * Time after which a rejected caller may return, in ms, when all targets of its service are limited. Each one books the
+   * next permit of this gateway's share.
+   */
+  bookReturnMs(targets: readonly TargetIncarnation[]): number {
+    const nowMs = this.#now();
+    const gateways = Math.max(1, this.#options.getLiveEntries());
+    const returns = targets.map((target) => {
+      const state = this.#getState(target);
+      const limitPerS = this.#options.limits.getLimitPerS(target) ?? 0;
+      const spacingMs = limitPerS === 0 ? Infinity : (1000 * gateways) / limitPerS;
+      const atMs = Math.max(nowMs + minReturnMs, state.freeAtMs, state.bookedUntilMs);
+      return { state, atMs, spacingMs };
+    });
+    const [first] = returns
+      .filter(({ spacingMs }) => Number.isFinite(spacingMs))
+      .sort((a, b) => a.atMs - b.atMs);
+    const inMs = Math.min(maxReturnMs, (first?.atMs ?? Infinity) - nowMs);
+    if (first !== undefined) {
+      first.state.bookedUntilMs = nowMs + Math.min(maxReturnMs, inMs + first.spacingMs);
+    }
+    return inMs * (1 + this.#options.random() * returnSpread);
+  }
+
+  /** Forgets what the leader has said of a target whose limit has changed. */
+  reset(id: string): void {
+    this.#states.delete(id);
+  }
+
+  /** Removes the state of targets without a limit. */
+  retain(): void {
+    const { limits } = this.#options;
+    const known = new Set(limits.list(this.#now()).map(({ id }) => id));
+    for (const id of this.#states.keys()) {
+      if (!known.has(id)) {
+        this.#states.delete(id);
+      }
+    }
+  }
+
+  async #flush(): Promise<void> {
+    const batch = this.#queue;
+    this.#queue = [];
+    const sentAtMs = this.#now();
+    const response = await this.#options.call(this.#createRequest(batch));
+    const answers = this.#now() - sentAtMs > maxAnswerMs ? [] : (response?.answers ?? []);
+    for (const [index, ask] of batch.entries()) {
+      ask.resolve(this.#apply(ask, answers[index] ?? null));
+    }
+  }
+
+  #createRequest(batch: readonly PendingAsk[]): PermitRequest {
+    const { limits } = this.#options;
+    const nowMs = this.#now();
+    const targets = new Map(batch.flatMap((ask) => ask.targets).map((target) => [target.id, target]));
+    return {
+      asks: batch.map(({ targets, maxWaitMs }) => ({ targets: targets.map(getIncarnation), maxWaitMs })),
+      limits: [...targets.values()].map((target) => ({
+        ...getIncarnation(target),
+        limitPerS: limits.getLimitPerS(target),
+        ageMs: limits.getAgeMs(target, nowMs),
+      })),
+      isForwarded: false,
+    };
+  }
+
+  #apply({ targets }: PendingAsk, answer: PermitAnswer | null): Permit | null {
+    const nowMs = this.#now();
+    if (answer === null) {
+      this.#blockedUntilMs = nowMs + failedPauseMs;
+      this.#options.outcomes.add(PermitOutcome.Failed);
+      return null;
+    }
+    for (const target of targets) {
+      const freeInMs = answer.freeInMs[target.id] ?? Infinity;
+      this.#getState(target).freeAtMs = nowMs + Math.min(maxMemoryMs, freeInMs);
+    }
+    const target = targets.find(({ id }) => id === answer.target);
+    this.#options.outcomes.add(target === undefined ? PermitOutcome.Refused : PermitOutcome.Granted);
+    if (target === undefined) {
+      return null;
+    }
+    const startAtMs = nowMs + answer.startInMs;
+    return { target, startAtMs, endAtMs: startAtMs + permitValidMs };
+  }
+
+  #getState({ id }: TargetIncarnation): PermitState {
+    const known = this.#states.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const state = { freeAtMs: -Infinity, probedAtMs: -Infinity, bookedUntilMs: -Infinity };
+    this.#states.set(id, state);
+    return state;
+  }
+
+  #now(): number {
+    return this.#options.clock.monotonicMs();
+  }
+}
+
+function getIncarnation({ id, bornMs }: TargetIncarnation): TargetIncarnation {
+  return { id, bornMs };
+}
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -5,28 +5,26 @@
 import type { AttemptListener } from "./AttemptListener";
 import { AttemptOutcome } from "./AttemptOutcome";
 import { CallFailure } from "./CallFailure";
-import { EventPacer } from "./EventPacer";
-import { EventRelay } from "./EventRelay";
+import type { EventRelay } from "./EventRelay";
 import type { FailedAttempt } from "./FailedAttempt";
 import type { FullResponse } from "./FullResponse";
-import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
 import type { GroupRecovery } from "./GroupRecovery";
 import { GatewayHandler } from "./GatewayHandler";
 import { NextStep } from "./NextStep";
+import { PermitWait } from "./PermitWait";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import type { RequestCauses } from "./RequestCauses";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestLog } from "./RequestLog";
+import { SlotCheck } from "./SlotCheck";
 import { chooseTarget } from "./chooseTarget";
-import { computeWaitLimitMs } from "./computeWaitLimitMs";
 import { createAttempt } from "./createAttempt";
+import { createEventRelay } from "./createEventRelay";
 import { decideNextStep } from "./decideNextStep";
 import { getPartKeys } from "./getPartKeys";
 import { getRequestKey } from "./getRequestKey";
 import { isRetryable } from "./isRetryable";
-import { measureServiceLoad } from "./measureServiceLoad";
-import { notePass } from "./notePass";
 import { retryReasons } from "./retryReasons";
 import { sendFailure } from "./sendFailure";
 import { takeRetry } from "./takeRetry";
@@ -34,6 +32,8 @@
 const waitPollMs = 20;
 /** Sends without a connection that do not count as attempts. */
 const maxUnsent = 4;
+/** Time that a retry waits for a permit at most; an answer that has begun must not pause for longer. */
+const maxRetryWaitMs = 500;
 
 /** Handles one request until its end: chooses targets, retries, and relays the response to the caller. */
 export class RequestForwarder {
@@ -44,10 +44,9 @@
   readonly #log: RequestLog;
   readonly #recovery: GroupRecovery | null;
   readonly #endMs: number;
-  /** How long the caller had waited before this request, in ms. */
-  readonly #waitedBeforeMs: number;
+  readonly #slots: SlotCheck;
+  readonly #permits: PermitWait;
   readonly #causes: RequestCauses;
-  readonly #isRetryable: boolean;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   readonly #listener: AttemptListener = {
@@ -79,7 +78,6 @@
       this.#endBroken();
     });
   };
-  #load: ServiceLoad | null = null;
   #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
   #sends = 0;
@@ -95,26 +93,31 @@
     this.#context = context;
     this.#routed = routed;
     this.#recovery = context.getGroupRecovery(routed.service);
-    this.#isRetryable = isRetryable(route);
     this.#causes = {
       request: getRequestKey(routed),
       parts: getPartKeys(routed.caller, routed.service.name),
     };
     this.#writer = new ResponseWriter(response, context);
-    const { maxHoldMs, clock } = context.options;
-    this.#relay = new EventRelay({
+    this.#relay = createEventRelay(context, routed, {
       writer: this.#writer,
-      pacer: new EventPacer({ maxHoldMs, gapObjectiveMs: route.gapObjectiveMs }),
-      clock,
       guard: this.#guard,
-      onGap: (gapMs) => {
-        context.metrics.pauses.observeMs(gapMs);
-        notePass(context, routed.service.name, this.#attempt?.targetId ?? "", gapMs);
-      },
+      getTargetId: () => this.#attempt?.targetId ?? "",
     });
     this.#log = new RequestLog(context, routed, this.#relay, this.#causes.request);
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
-    this.#waitedBeforeMs = context.deadlines.note(route.name, caller.leftMs, arrivedAtMs);
+    this.#slots = new SlotCheck(context, routed, this.#endMs);
+    this.#permits = new PermitWait({
+      context,
+      service: routed.service,
+      tried: this.#tried,
+      guard: this.#guard,
+      admit: this.start.bind(this),
+      send: (target) => {
+        if (!this.#rejectSuspect()) {
+          this.#sendTo(target);
+        }
+      },
+    });
     this.#timer = setTimeout(
       () => {
         this.#guard(() => {
@@ -142,20 +145,18 @@
 
   /** Sends the request when a slot is free; waits a short while for one, as its objective allows. */
   #admit(): void {
-    if (this.#isEnded || this.#rejectSuspect()) {
+    if (this.#isEnded || this.#rejectSuspect() || (this.#sends === 0 && this.#permits.probe())) {
       return;
     }
-    const { route, arrivedAtMs } = this.#routed;
-    const elapsedMs = this.#now() - arrivedAtMs;
-    const limits = { elapsedMs, usedMs: this.#waitedBeforeMs, endMs: this.#endMs - arrivedAtMs };
-    const waitLeftMs = computeWaitLimitMs({ ...limits, objectiveMs: route.objectiveMs }) - elapsedMs;
-    const hasSlot = this.#hasSlot() && this.#takeProbe();
-    if (hasSlot || waitLeftMs <= (this.#load?.pauseMs ?? 0)) {
-      this.#send(
-        hasSlot &&
-          (this.#sends === 0 ||
-            takeRetry(this.#context, this.#routed.service.name, AttemptRetryReason.NotRun)),
-      );
+    const waitLeftMs = this.#slots.getWaitLeftMs();
+    const hasSlot = this.#slots.hasSlot();
+    const candidates = hasSlot || this.#sends > 0 ? [] : this.#permits.listCandidates(waitLeftMs);
+    const isRefused = this.#slots.hasLimitedTargetsOnly && !this.#context.permits.isBlocked;
+    const isHopeless = isRefused || waitLeftMs <= (this.#slots.load?.pauseMs ?? 0);
+    if (candidates.length > 0) {
+      this.#permits.take(candidates, waitLeftMs);
+    } else if (hasSlot || isHopeless) {
+      this.#send(hasSlot && (this.#sends === 0 || this.#takeRetry(AttemptRetryReason.NotRun)));
     } else {
       this.#waitTimer = setTimeout(() => {
         this.start();
@@ -167,47 +168,34 @@
   #rejectSuspect(): boolean {
     const waitMs = this.#context.crashes.getWaitMs(this.#causes);
     if (waitMs > 0) {
-      this.#fail(
-        RequestOutcome.Suspect,
-        "the request or a part of it is suspected of crashing targets",
-        waitMs,
-      );
+      const text = "the request or a part of it is suspected of crashing targets";
+      this.#fail(RequestOutcome.Suspect, text, waitMs);
     }
     return waitMs > 0;
   }
 
-  /** Whether the service as a whole may run one more request. */
-  #hasSlot(): boolean {
-    const serviceLoad = measureServiceLoad(this.#context, this.#routed);
-    this.#load = serviceLoad;
-    return serviceLoad.meanLoad < serviceLoad.cap || serviceLoad.slowPlaces >= 1;
-  }
-
-  /** Whether a group in recovery may get the request; always true while other groups are healthy. */
-  #takeProbe(): boolean {
-    const open = this.#context.view.listOpenTargets(this.#routed.service.name);
-    const isSplit = (this.#load?.targets ?? 0) < open.length;
-    return isSplit || (this.#recovery?.takeProbe(this.#now()) ?? true);
-  }
-
   #send(hasSlot: boolean): void {
     const target = hasSlot ? this.#chooseTarget() : null;
     if (target === null) {
       const isFull = this.#sends === 0 && this.#recovery?.isRecovering !== true;
-      this.#fail(isFull ? RequestOutcome.Full : RequestOutcome.Rejected, "no target has a place");
-      return;
+      this.#fail(isFull ? this.#slots.fullOutcome : RequestOutcome.Rejected, "no target has a place");
+    } else {
+      this.#sendTo(target);
     }
+  }
+
+  #sendTo(target: TargetRecord): void {
     const { route } = this.#routed;
     this.#tried.add(target.id);
     this.#sends += 1;
-    this.#log.logSend(target, this.#sends, this.#load);
+    this.#log.logSend(target, this.#sends, this.#slots.load);
     const input = {
       target,
       watch: this.#context.crashes.begin(target, this.#causes),
       leftMs: this.#endMs - this.#now(),
       resumeAfter: this.#relay.lastEventId,
       isSameTarget: this.#sends > this.#tried.size,
-      canRetry: this.#isRetryable && this.#sends < route.attempts,
+      canRetry: isRetryable(this.#routed.route) && this.#sends < route.attempts,
       guard: this.#guard,
     };
     this.#attempt = createAttempt(this.#context, this.#routed, input, this.#listener);
@@ -216,8 +204,8 @@
 
   #chooseTarget(): TargetRecord | null {
     const { service } = this.#routed;
-    const isFirst = this.#sends === 0;
-    return chooseTarget(this.#context, { service, tried: this.#tried, isFirst, serviceLoad: this.#load });
+    const choice = { service, tried: this.#tried, isFirst: this.#sends === 0, serviceLoad: this.#slots.load };
+    return chooseTarget(this.#context, choice);
   }
 
   #onFullResponse(attempt: Attempt, full: FullResponse): void {
@@ -284,7 +272,7 @@
       this.#retryOrFail(outcome, failure);
       return;
     }
-    const isWaiting = this.#isRetryable && !this.#writer.hasStarted;
+    const isWaiting = isRetryable(this.#routed.route) && !this.#writer.hasStarted;
     const { errors, crashes } = this.#context;
     void errors
       .runAsync(GatewayHandler.CrashWatch, () => crashes.examine(watch, isWaiting))
@@ -308,20 +296,33 @@
     }
     const step = decideNextStep({
       outcome,
-      isRetryable: this.#isRetryable,
+      isRetryable: isRetryable(this.#routed.route),
       mayHaveRun: this.#mayHaveRun,
       attemptsLeft: this.#routed.route.attempts - this.#sends + Math.min(this.#unsent, maxUnsent),
       leftMs: this.#endMs - this.#now(),
     });
     const reason = this.#writer.hasStarted ? AttemptRetryReason.Resume : retryReasons[outcome];
-    const isUseful = step === NextStep.Retry && this.#relay.isResumable && this.#chooseTarget() !== null;
-    if (this.#isEnded || !isUseful || !takeRetry(this.#context, this.#routed.service.name, reason)) {
+    const isPossible = step === NextStep.Retry && this.#relay.isResumable;
+    const target = isPossible ? this.#chooseTarget() : null;
+    const limited = isPossible && target === null ? this.#permits.listCandidates(maxRetryWaitMs) : [];
+    if (this.#isEnded || (target === null && limited.length === 0) || !this.#takeRetry(reason)) {
       return false;
     }
-    this.#send(true);
+    if (target !== null) {
+      this.#sendTo(target);
+      return true;
+    }
+    this.#permits.take(limited, maxRetryWaitMs, () => {
+      const end = this.#mayHaveRun ? RequestOutcome.Unknown : RequestOutcome.Rejected;
+      this.#fail(end, "no permit for a retry in time");
+    });
     return true;
   }
 
+  #takeRetry(reason: AttemptRetryReason): boolean {
+    return takeRetry(this.#context, this.#routed.service.name, reason);
+  }
+
   #onTimeout(): void {
     this.#relay.flush();
     this.#attempt?.cancel();
@@ -385,9 +386,10 @@
     this.#isEnded = true;
     clearTimeout(this.#timer);
     clearTimeout(this.#waitTimer ?? undefined);
+    this.#permits.cancel();
     this.#attempt?.cancel();
     this.#relay.cancel();
-    const serviceLoad = end === RequestOutcome.Full ? this.#load : null;
+    const serviceLoad = end === RequestOutcome.Full ? this.#slots.load : null;
     this.#log.logOutcome(end, status, this.#tried, serviceLoad);
   }
 
--- a/packages/gateway/ServiceLoad.ts
+++ b/packages/gateway/ServiceLoad.ts
@@ -9,6 +9,8 @@
   readonly cap: number;
   /** Free slots at ranks of slow groups. */
   readonly slowPlaces: number;
+  /** Targets that take requests with a permit only; not among `targets`. */
+  readonly limited: number;
   /**
    * Time until the first target accepts requests again, in ms; null while a target accepts them, or without
    * targets.
--- a/packages/gateway/TargetResponse.ts
+++ b/packages/gateway/TargetResponse.ts
@@ -16,6 +16,11 @@
    * states none.
    */
   readonly pauseMs: number | null;
+  /**
+   * Requests per second that the target states it takes from all gateways together; null when it names no limit, undefined
+   * when what it names cannot be read.
+   */
+  readonly limitPerS: number | null | undefined;
   /** Target that the response names as the cause of the failure; null for none. */
   readonly faultyTarget: string | null;
 }
--- a/packages/gateway/UsableTargets.ts
+++ b/packages/gateway/UsableTargets.ts
@@ -6,6 +6,8 @@
   readonly healthy: readonly TargetRecord[];
   /** Ranks of slow groups, for requests that find no slot at `healthy`. */
   readonly slow: readonly TargetRecord[];
+  /** Targets that take a limited number of requests, each of which needs a permit. */
+  readonly limited: readonly TargetRecord[];
   /**
    * Time until the first target accepts requests again, in ms; null while a target accepts them, or without
    * targets.
--- a/packages/gateway/measureServiceLoad.ts
+++ b/packages/gateway/measureServiceLoad.ts
@@ -10,7 +10,7 @@
 /** Current load of the service of a request. */
 export function measureServiceLoad(context: GatewayContext, { service, route }: RoutedRequest): ServiceLoad {
   const { loads, getPassMeter, options } = context;
-  const { healthy, slow, pauseMs } = listUsableTargets(context, service.name);
+  const { healthy, slow, limited, pauseMs } = listUsableTargets(context, service.name);
   const load = healthy.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const meanLoad = load / Math.max(1, healthy.length);
   const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
@@ -25,5 +25,14 @@
   });
   const slowLimit = slots * slowSlotShare;
   const slowPlaces = slow.reduce((sum, target) => sum + Math.max(0, slowLimit - loads.getLoad(target)), 0);
-  return { targets: healthy.length, meanLoad, slots, cap, slowPlaces, pauseMs, meanGapMs };
+  return {
+    targets: healthy.length,
+    meanLoad,
+    slots,
+    cap,
+    slowPlaces,
+    limited: limited.length,
+    pauseMs,
+    meanGapMs,
+  };
 }
--- a/packages/gateway/roundServiceLoad.ts
+++ b/packages/gateway/roundServiceLoad.ts
@@ -7,6 +7,7 @@
   slots,
   cap,
   slowPlaces,
+  limited,
   pauseMs,
   meanGapMs,
 }: ServiceLoad): ServiceLoad {
@@ -16,6 +17,7 @@
     slots,
     cap: round(cap),
     slowPlaces: Math.floor(slowPlaces),
+    limited,
     pauseMs: pauseMs === null ? null : Math.round(pauseMs),
     meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
   };
--- a/packages/gateway/sendFailure.ts
+++ b/packages/gateway/sendFailure.ts
@@ -3,6 +3,7 @@
 import type { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
 import { estimateRetryAfterMs } from "./estimateRetryAfterMs";
+import { listUsableTargets } from "./listUsableTargets";
 import { measureServiceLoad } from "./measureServiceLoad";
 
 interface Failure {
@@ -36,6 +37,9 @@
 }
 
 function estimateRetryMs(context: GatewayContext, routed: RoutedRequest, end: RequestOutcome): number {
+  if (end === RequestOutcome.Limited) {
+    return context.permits.bookReturnMs(listUsableTargets(context, routed.service.name).limited);
+  }
   const serviceLoad = measureServiceLoad(context, routed);
   const isRejected = end === RequestOutcome.Rejected;
   return estimateRetryAfterMs(routed.service, serviceLoad, isRejected, context.options.random);
--- a/packages/gateway/test/TestCodec.ts
+++ b/packages/gateway/test/TestCodec.ts
@@ -52,6 +52,7 @@
       isMisdirected: status === 421,
       isLeaving: find(headers, "x-leaving") !== null,
       pauseMs: find(headers, "x-pause-ms") === null ? null : Number(find(headers, "x-pause-ms")),
+      limitPerS: find(headers, "x-limit") === null ? null : Number(find(headers, "x-limit")),
       faultyTarget: null,
     };
   }
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -75,6 +75,7 @@
     cap: 4.8,
     meanGapMs: 130,
     slowPlaces: 0,
+    limited: 0,
     pauseMs: null,
   };
   const waits = Array.from({ length: 200 }, () => estimateRetryAfterMs(model, slow, false, random));
@@ -102,7 +103,16 @@
   };
   const [service] = createDocument(1).services;
   const engine = { slots: 8, experts } as never;
-  const idle = { targets: 16, meanLoad: 0, slots: 8, cap: 8, meanGapMs: null, slowPlaces: 0, pauseMs: null };
+  const idle = {
+    targets: 16,
+    meanLoad: 0,
+    slots: 8,
+    cap: 8,
+    meanGapMs: null,
+    slowPlaces: 0,
+    limited: 0,
+    pauseMs: null,
+  };
   const wait = (isRejected: boolean): number =>
     estimateRetryAfterMs({ ...service!, engine }, idle, isRejected, random);
   const waits = Array.from({ length: 200 }, () => wait(true));
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -7,6 +7,7 @@
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { FleetSync } from "@clementinemux/gateway/FleetSync";
 import { FleetView } from "@clementinemux/gateway/FleetView";
+import { LimitTable } from "@clementinemux/registry/LimitTable";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { TestCodec } from "./TestCodec";
 
@@ -39,6 +40,8 @@
     listLeaving: () => [],
     getCrashEvidence: () => ({ reports: [], answered: [], suspicions: [] }),
     onCrashFindings: () => undefined,
+    limits: new LimitTable(),
+    onLimit: () => undefined,
     seeds: [`127.0.0.1:${port}`],
     clock: new SystemClock(),
     logger: createLogger("test", {}),
--- a/packages/gateway/test/notices.test.ts
+++ b/packages/gateway/test/notices.test.ts
@@ -18,6 +18,7 @@
   isMisdirected: false,
   isLeaving: false,
   pauseMs: null,
+  limitPerS: null,
   faultyTarget: null,
 };
 const incarnation = { id: "t-1", bornMs: 10 };
--- a/packages/registry/ExchangeRequest.ts
+++ b/packages/registry/ExchangeRequest.ts
@@ -1,5 +1,6 @@
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { EntryRecord } from "./EntryRecord";
+import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
 
 interface Aged<Item> {
@@ -23,5 +24,7 @@
   readonly paces: Readonly<Record<string, number>>;
   /** Missing from coordinators of earlier releases. */
   readonly crashes?: CrashEvidence;
+  /** What the gateways of this coordinator know of limits. Missing from coordinators of earlier releases. */
+  readonly limits?: readonly TargetLimit[];
   readonly coordinators: readonly string[];
 }
--- a/packages/registry/SyncRequest.ts
+++ b/packages/registry/SyncRequest.ts
@@ -1,6 +1,7 @@
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { EntryRecord } from "./EntryRecord";
 import type { TargetIncarnation } from "./TargetIncarnation";
+import type { TargetLimit } from "./TargetLimit";
 
 /** A gateway's report to its coordinator, with the versions of the state that it has. */
 export interface SyncRequest {
@@ -15,4 +16,6 @@
   readonly leaving: readonly TargetIncarnation[];
   /** Missing from gateways of earlier releases. */
   readonly crashes?: CrashEvidence;
+  /** What targets have stated to this gateway about their limits. Missing from gateways of earlier releases. */
+  readonly limits?: readonly TargetLimit[];
 }
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,5 +1,6 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import type { TargetIncarnation } from "./TargetIncarnation";
+import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
 
 /** The state that a gateway lacks, and the age of its confirmation. */
@@ -26,6 +27,8 @@
   readonly liveEntries: number;
   /** Missing from coordinators of earlier releases. */
   readonly crashes?: CrashFindings;
+  /** What targets have stated about their limits. Missing from coordinators of earlier releases. */
+  readonly limits?: readonly TargetLimit[];
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -30,6 +30,7 @@
   ExchangeCrashes = "exchangeCrashes",
   SyncEntry = "syncEntry",
   AwaitFindings = "awaitFindings",
+  TakePermits = "takePermits",
   ExchangeRegistry = "exchangeRegistry",
   ProposeDocument = "proposeDocument",
   ConfirmDocument = "confirmDocument",
