--- a/packages/logging/writeDiagnostic.ts
+++ b/packages/logging/writeDiagnostic.ts
@@ -1,9 +1,9 @@
-/** Writes a text for operators to standard error. It is lost when standard error cannot be written. */
-export function writeDiagnostic(text: string): void {
-  if (!process.stderr.listeners("error").includes(ignoreError)) {
-    process.stderr.on("error", ignoreError);
+/** Writes a text for operators to standard error or output. It is lost when the stream cannot be written. */
+export function writeDiagnostic(text: string, stream: NodeJS.WriteStream = process.stderr): void {
+  if (!stream.listeners("error").includes(ignoreError)) {
+    stream.on("error", ignoreError);
   }
-  process.stderr.write(text);
+  stream.write(text);
 }
 
 /** Without a listener, a write that fails would end the process. */
--- a/packages/settings/startFromSettings.ts
+++ b/packages/settings/startFromSettings.ts
@@ -28,7 +28,7 @@
   const isCheck = args.includes("--check");
   const run = (settings: z.output<Schema>): void => {
     if (isCheck) {
-      process.stdout.write(`${path}: settings are valid\n`);
+      writeDiagnostic(`${path}: settings are valid\n`, process.stdout);
       return;
     }
     createLogger(name, {}).info({ build: buildId, node: process.version }, "starting");
