Keep coordinators running when a peer responds oddly to an exchange

Cause: when a target ends, the registry is sent to the other coordinators at once, in promises that nobody waits for. A response of another shape rejects such a promise, and an unhandled rejection ends the process. The same call in the periodic round was guarded.

Change: every exchange runs in the coordinator's error boundary, which logs and counts the exception, so that one odd peer costs only the exchange with it, in the round, too.

Failed before: oddPeers with real processes on the old code: a coordinator ended with code 1 at a peer that responds with null.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -188,6 +188,7 @@
       slowdowns: this.slowdowns,
       crashes: this.crashes,
       isLeading: () => group.hasLease,
+      errors: this.#errors,
       clock,
     });
     await this.crashes.load();
--- a/packages/control/routes/RegistryExchange.ts
+++ b/packages/control/routes/RegistryExchange.ts
@@ -1,4 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { ExchangeRequest } from "@clementinemux/registry/ExchangeRequest";
 import type { ExchangeResponse } from "@clementinemux/registry/ExchangeResponse";
@@ -7,6 +8,7 @@
 import type { TargetReports } from "../ends/TargetReports";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import { CoordinatorHandler } from "./CoordinatorHandler";
 import type { CrashFeed } from "./CrashFeed";
 import type { PeerTable } from "./PeerTable";
 
@@ -25,6 +27,7 @@
   readonly slowdowns: SlowdownTable;
   readonly crashes: CrashFeed;
   readonly isLeading: () => boolean;
+  readonly errors: ErrorBoundary<CoordinatorHandler>;
   readonly clock: Clock;
 }
 
@@ -48,7 +51,7 @@
   /** Sends changes to every peer without a call in flight. */
   async send(): Promise<void> {
     const idlePeers = this.#options.peers.peers.filter(({ isCallInFlight }) => !isCallInFlight);
-    await Promise.all(idlePeers.map((peer) => this.#sendTo(peer)));
+    await Promise.all(idlePeers.map((peer) => this.#sendSafely(peer)));
   }
 
   /** Sends changes to every peer now, or after the call that is in flight to it. */
@@ -57,7 +60,7 @@
       if (peer.isCallInFlight) {
         this.#pending.add(peer);
       } else {
-        void this.#sendTo(peer);
+        void this.#sendSafely(peer);
       }
     }
   }
@@ -82,6 +85,11 @@
     return { from: name, incarnation, replicaId, failureDomain, isDurable, coordinators: this.#listSeen() };
   }
 
+  /** Sends changes to a peer. An odd response costs only this exchange. */
+  async #sendSafely(peer: Peer): Promise<void> {
+    await this.#options.errors.runAsync(CoordinatorHandler.Message, () => this.#sendTo(peer));
+  }
+
   async #sendTo(peer: Peer): Promise<void> {
     const { name, address, incarnation, replicaId, failureDomain, isDurable } = this.#options;
     const { links, peers, targets, entries, slowdowns, isLeading, clock } = this.#options;
@@ -110,7 +118,7 @@
     const answer = await links.call(peer.address, MessageName.ExchangeRegistry, request, callTimeoutMs);
     peer.isCallInFlight = false;
     if (this.#pending.delete(peer) && answer.isRight()) {
-      void this.#sendTo(peer);
+      void this.#sendSafely(peer);
     }
     answer.ifRight((body) => {
       const response = body as ExchangeResponse;
