--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -201,6 +201,7 @@
       crashes: this.crashes,
       limits: this.limits,
       isLeading: () => group.hasLease,
+      errors: this.#errors,
       clock,
     });
     await this.crashes.load();
