--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -29,6 +29,8 @@
 export class DaemonProcess {
   readonly name: string;
   readonly logFile: string;
+  /** Log of the copies that are started beside the process. */
+  readonly copyLogFile: string;
   readonly settingsFile: string;
   readonly settings: string;
   readonly #options: DaemonOptions;
@@ -44,6 +46,7 @@
     this.name = options.name;
     this.settings = options.settings;
     this.logFile = join(options.folder, `${options.name}.log`);
+    this.copyLogFile = join(options.folder, `${options.name}-copies.log`);
     this.settingsFile = join(options.folder, `${options.name}.jsonc`);
     writeFileSync(this.settingsFile, options.settings);
   }
