Let an odd answer of a coordinator cost only the requests that asked for permits

An exception while a gateway applied such an answer was an unhandled rejection, which ends the process; the requests of that batch would have had no permit and no end but their timeout. Found by reading; no play showed it.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -130,6 +130,7 @@
       call: (request) => this.#sync.takePermits(request),
       getLiveEntries: () => this.view.state.liveEntries,
       outcomes: this.metrics.permits,
+      errors: this.#errors,
       clock: leaseClock,
       random,
     });
--- a/packages/gateway/GatewayHandler.ts
+++ b/packages/gateway/GatewayHandler.ts
@@ -10,5 +10,7 @@
   Sync = "sync",
   /** One look at a target that may have crashed. */
   CrashWatch = "crash_watch",
+  /** One call for permits of limited targets. */
+  Permits = "permits",
   Housekeeping = "housekeeping",
 }
--- a/packages/gateway/PermitClient.ts
+++ b/packages/gateway/PermitClient.ts
@@ -1,12 +1,14 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { Counters } from "@clementinemux/metrics/Counters";
+import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { PermitAnswer } from "@clementinemux/registry/PermitAnswer";
 import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
 import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { GatewayHandler } from "./GatewayHandler";
 import type { Permit } from "./Permit";
 import { PermitOutcome } from "./PermitOutcome";
 
@@ -17,6 +19,7 @@
   /** Gateways that share the permits. */
   readonly getLiveEntries: () => number;
   readonly outcomes: Counters<PermitOutcome>;
+  readonly errors: ErrorBoundary<GatewayHandler>;
   readonly clock: Clock;
   readonly random: Random;
 }
@@ -78,7 +81,9 @@
     return new Promise((resolve) => {
       this.#queue.push({ targets, maxWaitMs: Math.min(maxWaitMs, waitMs), resolve });
       if (this.#queue.length === 1) {
-        setImmediate(() => void this.#flush());
+        setImmediate(() => {
+          this.#flush();
+        });
       }
     });
   }
@@ -157,9 +162,21 @@
     }
   }
 
-  async #flush(): Promise<void> {
+  #flush(): void {
     const batch = this.#queue;
     this.#queue = [];
+    const { errors } = this.#options;
+    void errors
+      .runAsync(GatewayHandler.Permits, () => this.#send(batch))
+      .finally(() => {
+        for (const { resolve } of batch) {
+          resolve(null);
+        }
+      });
+  }
+
+  /** Asks for the permits of a batch. What an exception leaves without an answer gets no permit. */
+  async #send(batch: readonly PendingAsk[]): Promise<void> {
     const sentAtMs = this.#now();
     const response = await this.#options.call(this.#createRequest(batch));
     const answers = this.#now() - sentAtMs > maxAnswerMs ? [] : (response?.answers ?? []);
