--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -63,6 +63,11 @@
     const { measureLeaderMemory } = await import("./experts/measureLeaderMemory");
     return ({ programs, options }) => measureLeaderMemory(programs, readFlags(options.flags));
   },
+  /** `--seconds=N`. */
+  limits: async () => {
+    const { runLimitsBench } = await import("./limits/runLimitsBench");
+    return ({ options }) => runLimitsBench(Number(options.seconds ?? 5));
+  },
   membership: async () => {
     const { runMembershipBench } = await import("./membership/runMembershipBench");
     return () => runMembershipBench();
