Answer the calls that a coordinator or ranker has read before it stops

What callers saw: a coordinator that got SIGTERM ended at once. A change of the configuration that it had read, committed or forwarded to the leader got no answer, and neither did calls from gateways, rankers' leaders and other coordinators.

Cause: the handler exited without regard to calls in flight. The control daemon had no handler.

Change: on a stop, the API answers what comes over kept connections for 250 ms with Connection: close, accepts what is in its queue, stops listening and completes the calls that it has read (HttpDrain); then the frame server completes its calls and answers further ones with the error "stopping" (RpcServer.drain), which callers take for a process that is gone. Notifications of the log are handled until the end, so that a change can commit. The frame port stays taken until the process has ended. The same for the ranker, and for control with a bound of 5 s.

A leader does not resign: the others elect one after its end, as after a kill.

--- a/bin/clementinemux-control.ts
+++ b/bin/clementinemux-control.ts
@@ -7,9 +7,13 @@
 import { startFromSettings } from "@clementinemux/settings/startFromSettings";
 
 startFromSettings("clementinemux-control", ControlSettings, async (settings) => {
+  const control = new ControlServer(settings, new SystemClock());
   await getProcessSignals().setHandler({
     logger: createLogger("clementinemux-control", { name: settings.name }),
-    stop: () => Promise.resolve(0),
+    stop: async () => {
+      await control.shutDown();
+      return 0;
+    },
   });
-  await new ControlServer(settings, new SystemClock()).start();
+  await control.start();
 });
--- a/packages/control/ApiServer.ts
+++ b/packages/control/ApiServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
 import type { Logger } from "roarr";
+import { HttpDrain } from "@clementinemux/wire/HttpDrain";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 
 interface ApiServerOptions {
@@ -27,6 +28,7 @@
 export class ApiServer {
   readonly #options: ApiServerOptions;
   readonly #server: Server;
+  readonly #drain: HttpDrain;
   /** Stored as digests of equal length, so that the comparison takes the same time for every token. */
   readonly #tokens: readonly { readonly digest: Buffer; readonly author: string }[];
 
@@ -40,6 +42,12 @@
     };
     this.#server =
       options.tls === null ? createHttpServer(listener) : createHttpsServer(options.tls, listener);
+    this.#drain = new HttpDrain(this.#server);
+  }
+
+  /** Stops once the calls that were read are answered; at `endAtMs` of `performance.now()` in any case. */
+  drain(endAtMs: number): Promise<void> {
+    return this.#drain.drain(endAtMs);
   }
 
   /** Listens once the port is free. */
@@ -48,6 +56,7 @@
   }
 
   async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#drain.track(response);
     const url = new URL(request.url ?? "/", "http://control");
     const route = `${request.method ?? "GET"} ${url.pathname}`;
     if (route === "GET /metrics") {
--- a/packages/control/ControlServer.ts
+++ b/packages/control/ControlServer.ts
@@ -46,6 +46,7 @@
 const stallMs = 200;
 const expiryIntervalMs = 500;
 const bootstrapIntervalMs = 300;
+const shutdownDeadlineMs = 5000;
 const fatalExitCode = 74;
 
 /**
@@ -70,6 +71,7 @@
     "reason",
     Object.values(ControlErrorCode),
   );
+  #api: ApiServer | null = null;
   #tickedAtMs = 0;
 
   constructor(settings: z.output<typeof ControlSettings>, clock: Clock) {
@@ -166,6 +168,13 @@
     this.#logger.info({ port: settings.port, groups: this.#host.groups.map(({ name }) => name) }, "started");
   }
 
+  /** Answers the calls that were read. Resolves when the process may exit. */
+  async shutDown(): Promise<void> {
+    const endAtMs = performance.now() + shutdownDeadlineMs;
+    await this.#api?.drain(endAtMs);
+    await this.#server.drain(endAtMs);
+  }
+
   /** Skips a tick after a stall, so that messages received meanwhile are read before timeouts are checked. */
   #tick(): void {
     const nowMs = this.#clock.monotonicMs();
@@ -212,6 +221,7 @@
         [this.#refusals, this.#host.dropped, this.#directory.counters].map(renderCounters).join(""),
     });
     await api.listen(host, apiPort, this.#logger);
+    this.#api = api;
   }
 
   #createHandlers(): Record<string, MessageHandler> {
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -36,6 +36,7 @@
 import { SyncService } from "./SyncService";
 import { createCoordinatorErrors } from "./createCoordinatorErrors";
 import { createLogSettings } from "./createLogSettings";
+import { delegateActivation } from "./delegateActivation";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -49,8 +50,6 @@
 const stallMs = 200;
 /** After this time since its start, a coordinator has received a heartbeat of every live target. */
 const registryCompleteAfterMs = 3000;
-/** The orders hold, arm and go take about 30 ms together; the group may be paused until the response. */
-const activateTimeoutMs = 70;
 /** A coordinator whose last confirmation by the leader is older than this acknowledges no heartbeats. */
 const maxConfirmationAgeMs = 1500;
 /** With at least this many addresses in the caller's own failure domain, no others are listed. */
@@ -217,6 +216,18 @@
     logger.info({ address: this.address, replicaId: group.core.id, isBootstrap }, "coordinator started");
   }
 
+  /**
+   * Answers the calls of other processes that were read, and rejects further ones; resolves when the process may exit, at
+   * `endAtMs` of `performance.now()` in any case. The frame port stays taken until the process has ended.
+   */
+  async drain(endAtMs: number): Promise<void> {
+    const drained = this.#server.drain(endAtMs);
+    // Calls that wait for news are answered, and come again to another coordinator.
+    this.#sync.close();
+    this.crashes.close();
+    await drained;
+  }
+
   /** Closes at once and without cleanup, as a killed process would. */
   async close(): Promise<void> {
     this.#rounds.close();
@@ -281,20 +292,6 @@
     };
   }
 
-  /** Delegates the orders of an activation to the most recently seen peer. */
-  async #delegateActivation(request: ActivateRequest): Promise<boolean> {
-    const { clock, logger } = this.#options;
-    const peer = this.#peers.findMostRecent(clock.monotonicMs());
-    if (peer === null) {
-      return false;
-    }
-    const answer = await this.#links.call(peer, MessageName.ActivateMap, request, activateTimeoutMs);
-    answer.ifLeft(({ message }) => {
-      logger.warn({ peer, version: request.version, why: message }, "map not activated by the peer");
-    });
-    return answer.orDefault(false) === true;
-  }
-
   #createGroupManager(group: ReplicatedGroup): RankGroupManager {
     const { framePort, openRank, clock, logger } = this.#options;
     return new RankGroupManager({
@@ -304,7 +301,8 @@
       listTargets: () => this.targets.list(clock.monotonicMs()),
       getTerm: () => (group.hasLease ? group.core.term : null),
       openRank,
-      activate: (request) => this.#delegateActivation(request),
+      activate: (request) =>
+        delegateActivation({ peers: this.#peers, links: this.#links, clock, logger }, request),
       recordSlowdown: (id, slowdown) => {
         this.slowdowns.set(id, slowdown, clock.monotonicMs());
       },
--- a/packages/ranker/Ranker.ts
+++ b/packages/ranker/Ranker.ts
@@ -69,6 +69,11 @@
     logger.info({ address: `${host}:${framePort}` }, "ranker started");
   }
 
+  /** Answers the calls that were read, and rejects further ones; at `endAtMs` of `performance.now()` it is over. */
+  drain(endAtMs: number): Promise<void> {
+    return this.#server.drain(endAtMs);
+  }
+
   /** Closes the server without draining. */
   async close(): Promise<void> {
     this.#metricsPage.stop();
--- a/packages/wire/RpcClient.ts
+++ b/packages/wire/RpcClient.ts
@@ -14,6 +14,9 @@
 import { encodeFrame } from "./encodeFrame";
 import { wireLimits } from "./wireLimits";
 
+/** Code as it comes from the peer. */
+const stoppingCode: string = WireErrorCode.Stopping;
+
 interface RpcClientOptions {
   readonly address: Address;
   readonly tls?: TlsFiles | undefined;
@@ -149,7 +152,10 @@
     }
     if (frame.kind === FrameKind.Error) {
       const { code, message, detail } = frame.body as RemoteErrorBody;
-      pending.resolve(Left(new WireError(WireErrorCode.Remote, message, { code, detail })));
+      // A peer that is stopping counts as one that is gone: its error is no answer of a handler.
+      const isStopping = code === stoppingCode;
+      const kind = isStopping ? WireErrorCode.Stopping : WireErrorCode.Remote;
+      pending.resolve(Left(new WireError(kind, message, { code, detail })));
       return;
     }
     pending.resolve(Right(frame.body));
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -1,6 +1,7 @@
 import { createServer as createTcpServer } from "node:net";
 import { createServer as createTlsServer } from "node:tls";
 import type { Server, Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Frame } from "./Frame";
 import { FrameDecoder } from "./FrameDecoder";
@@ -11,10 +12,13 @@
 import type { TlsFiles } from "./TlsFiles";
 import { WireError } from "./WireError";
 import { WireErrorCode } from "./WireErrorCode";
+import { acceptPending } from "./acceptPending";
 import { encodeFrame } from "./encodeFrame";
 import { listenWhenFree } from "./listenWhenFree";
 import { wireLimits } from "./wireLimits";
 
+const drainPollMs = 10;
+
 interface RpcServerOptions {
   readonly handlers: Readonly<Record<string, MessageHandler>>;
   readonly tls?: TlsFiles | undefined;
@@ -31,6 +35,8 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #isOpen = true;
+  #isDraining = false;
+  #calls = 0;
 
   constructor(options: RpcServerOptions) {
     this.#options = options;
@@ -82,6 +88,18 @@
     }
   }
 
+  /**
+   * Answers the calls that were read, and those that follow with the error `stopping`; notifications are still handled.
+   * Resolves when no call is left, at `endAtMs` of `performance.now()` in any case. The port stays taken.
+   */
+  async drain(endAtMs: number): Promise<void> {
+    this.#isDraining = true;
+    await acceptPending(this.#server);
+    while ((this.#calls > 0 || this.#hasUnsent()) && performance.now() < endAtMs) {
+      await delay(drainPollMs);
+    }
+  }
+
   close(): Promise<void> {
     for (const socket of this.#sockets) {
       socket.destroy();
@@ -153,6 +171,24 @@
   }
 
   async #handleFrame(socket: Socket, frame: Frame, peer: string): Promise<void> {
+    const isCall = frame.kind === FrameKind.Request;
+    if (isCall && this.#isDraining) {
+      this.#sendError(socket, frame, { code: WireErrorCode.Stopping, message: "the process is stopping" });
+      return;
+    }
+    this.#calls += isCall ? 1 : 0;
+    try {
+      await this.#dispatch(socket, frame, peer);
+    } finally {
+      this.#calls -= isCall ? 1 : 0;
+    }
+  }
+
+  #hasUnsent(): boolean {
+    return [...this.#sockets].some((socket) => !socket.destroyed && socket.writableLength > 0);
+  }
+
+  async #dispatch(socket: Socket, frame: Frame, peer: string): Promise<void> {
     const { handlers } = this.#options;
     // The name comes from the peer; inherited properties such as "constructor" are not handlers.
     const handler = Object.hasOwn(handlers, frame.name) ? handlers[frame.name] : undefined;
--- a/packages/wire/test/rpc.test.ts
+++ b/packages/wire/test/rpc.test.ts
@@ -1,6 +1,8 @@
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
+import { createLogger } from "@clementinemux/logging/createLogger";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
@@ -80,3 +82,51 @@
   client.close();
   await server.close();
 });
+
+// Guards against calls that a stopping process has read and does not answer.
+t.test("a draining server answers what it has read and rejects the rest", async (t) => {
+  let finish: () => void = () => undefined;
+  const wait = (): Promise<string> =>
+    new Promise((resolve) => {
+      finish = () => {
+        resolve("done");
+      };
+    });
+  let notes = 0;
+  const server = new RpcServer({ handlers: { wait, note: () => (notes += 1) } });
+  const client = new RpcClient({ address: { host, port: await server.listen(host, 0) } });
+  const running = client.call("wait", null, 2000);
+  await delay(50);
+  let isOver = false;
+  const drained = server.drain(performance.now() + 2000).then(() => (isOver = true));
+  await delay(50);
+  t.match((await client.call("wait", null, 1000)).swap().extract(), { code: WireErrorCode.Stopping });
+  client.notify("note", null);
+  await delay(50);
+  t.same([isOver, notes], [false, 1]);
+  finish();
+  t.equal((await running).extract(), "done");
+  await drained;
+  client.close();
+  await server.close();
+});
+
+// Guards against frames that are handled before the files of a process are open, or that are lost.
+t.test("frames wait until a reserved server is open", async (t) => {
+  const logger = createLogger("test", {});
+  const first = new RpcServer({ handlers });
+  const port = await first.listen(host, 0);
+  const server = new RpcServer({ handlers });
+  const reserved = server.reserve(host, port, logger);
+  await delay(150);
+  await first.close();
+  await reserved;
+  const client = new RpcClient({ address: { host, port } });
+  t.ok((await client.call("echo", 1, 100)).isLeft());
+  const waiting = client.call("echo", 2, 1000);
+  await delay(50);
+  server.open();
+  t.equal((await waiting).extract(), 2);
+  client.close();
+  await server.close();
+});
