Keep relays running when another relay responds oddly

Change: exceptions of these tasks go to the relay's error handler, which logs them.

Failed before: oddPeers with real processes on the old code: control ended with 1 at a relay that responds with {}; entry and agent lived. Now oddPeers and the tests of membership, 28 passed, 0 failed.

--- a/packages/membership/RelayService.ts
+++ b/packages/membership/RelayService.ts
@@ -150,7 +150,7 @@
       const delayMs = syncIntervalMs * (0.75 + random() / 2);
       setTimeout(() => {
         if (!this.#isStopped) {
-          void this.syncNext();
+          this.#runSafely(this.syncNext());
           schedule();
         }
       }, delayMs).unref();
@@ -205,6 +205,13 @@
     }
   }
 
+  /** Reports an exception of a task that nobody waits for, such as one over an odd response. */
+  #runSafely(task: Promise<void>): void {
+    task.catch((error: unknown) => {
+      this.#options.onError(error);
+    });
+  }
+
   #onAnnounce({ leaving = false, ...announcement }: AnnounceRequest): AnnounceResult {
     const nowMs = this.#options.clock.monotonicMs();
     const result = this.#directory.announceTarget(announcement, leaving, nowMs);
@@ -291,8 +298,12 @@
   #execute(actions: readonly FailureDetectorAction[]): void {
     const nowMs = this.#options.clock.monotonicMs();
     const handlers: Readonly<Record<FailureDetectorActionKind, (action: FailureDetectorAction) => void>> = {
-      [FailureDetectorActionKind.Probe]: (action) => void this.#probe(action),
-      [FailureDetectorActionKind.RequestPeerProbe]: (action) => void this.#requestPeerProbe(action),
+      [FailureDetectorActionKind.Probe]: (action) => {
+        this.#runSafely(this.#probe(action));
+      },
+      [FailureDetectorActionKind.RequestPeerProbe]: (action) => {
+        this.#runSafely(this.#requestPeerProbe(action));
+      },
       [FailureDetectorActionKind.Remove]: ({ target, incarnation }) => {
         this.#directory.remove(RecordKind.Target, target, incarnation, nowMs);
       },
