Cut off a torn record only where there is one

A first write after each start set the length of both files, also when nothing was torn: two operations that a slow disk may hold up. No fault of a caller.

--- a/packages/storage/GroupStorage.ts
+++ b/packages/storage/GroupStorage.ts
@@ -18,6 +18,7 @@
 import { SyncedMark } from "./SyncedMark";
 import type { SyncedState } from "./SyncedState";
 import { createGroupFiles } from "./createGroupFiles";
+import { cutTornRecord } from "./cutTornRecord";
 import { encodeRecord } from "./encodeRecord";
 import { findLostState } from "./findLostState";
 import { firstSegmentName } from "./firstSegmentName";
@@ -202,8 +203,9 @@
     if (!isDeepStrictEqual(await readSignatures(folder, this.#segment), this.#signatures)) {
       throw new FolderLostError(folder, "was written by another process since it was read");
     }
-    await this.#identityFile.truncate(this.#identityBytes);
-    await this.#segmentFile.truncate(this.#sizeBytes);
+    const [identity = null, , segment = null] = this.#signatures;
+    await cutTornRecord(this.#identityFile, identity, this.#identityBytes);
+    await cutTornRecord(this.#segmentFile, segment, this.#sizeBytes);
     await this.#removeUnusedFiles(isLeftOver);
   }
 
