Keep agents running when a relay responds oddly to a renewal

Cause: a request that names a newer configuration makes the agent renew at once, in a promise that nobody waits for; a response of another shape rejects it. The periodic renewal was guarded.

Change: this renewal runs in the agent's error boundary, too.

Failed before: oddPeers with real processes on the old code: the agent ended with 1 within 1 s.

--- a/packages/agent/Agent.ts
+++ b/packages/agent/Agent.ts
@@ -300,7 +300,7 @@
   #forward(request: IncomingMessage, response: ServerResponse): void {
     const { revision, repeatable } = this.#configView.config;
     if (Number(getHeader(request, headerNames.revision)) > revision) {
-      void this.#relays.renew();
+      void this.#errors.runAsync(AgentHandler.Heartbeat, () => this.#relays.renew());
     }
     const attemptId = getHeader(request, headerNames.attemptId);
     const permit = { stamp: getHeader(request, headerNames.stamp), attemptId };
