Let one object own the signals during the wait for settings, too

startFromSettings had listeners of its own beside those of ProcessSignals. A stop that was kept before the wait would have been delivered only after it; a test of that passed on the old code as well, as the loader and the program run in one turn of the event loop, so no caller could see it. ProcessSignals writes its diagnostic with writeDiagnostic, as a failing standard error would end the process there. A comment in PermitClient stood above the wrong constant.

--- a/packages/gateway/PermitClient.ts
+++ b/packages/gateway/PermitClient.ts
@@ -39,9 +39,9 @@
   bookedUntilMs: number;
 }
 
-/** A permit may be used this long after its start. */
 /** Longest time that a request waits for a permit; the leader promises none for later. */
 const maxWaitMs = 1000;
+/** A permit may be used this long after its start. */
 const permitValidMs = 100;
 /** An answer that took longer, since this process stood still, grants nothing. */
 const maxAnswerMs = 400;
--- a/packages/lifecycle/ProcessSignals.ts
+++ b/packages/lifecycle/ProcessSignals.ts
@@ -1,4 +1,5 @@
 import { setImmediate as nextRound } from "node:timers/promises";
+import { writeDiagnostic } from "@clementinemux/logging/writeDiagnostic";
 import { SignalAction } from "./SignalAction";
 import type { SignalSource } from "./SignalSource";
 import type { StopHandler } from "./StopHandler";
@@ -26,14 +27,14 @@
           this.#receive(signal);
         });
       } catch (error) {
-        process.stderr.write(`${signal} is not handled: ${String(error)}\n`);
+        writeDiagnostic(`${signal} is not handled: ${String(error)}\n`);
       }
     }
   }
 
   /**
-   * Sets how the program stops. Called once, before the program serves anything. Resolves when the signals that have
-   * arrived are delivered.
+   * Sets how the program stops, in place of an earlier handler. Called before the program serves anything. Resolves when the
+   * signals that have arrived are delivered.
    */
   async setHandler(handler: StopHandler): Promise<void> {
     this.#handler = handler;
--- a/packages/settings/startFromSettings.ts
+++ b/packages/settings/startFromSettings.ts
@@ -1,5 +1,6 @@
 import type * as z from "zod";
 import { buildId } from "@clementinemux/common/buildId";
+import { getProcessSignals } from "@clementinemux/lifecycle/getProcessSignals";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { writeDiagnostic } from "@clementinemux/logging/writeDiagnostic";
 import { SettingsFile } from "./SettingsFile";
@@ -7,7 +8,6 @@
 
 /** Exit code for an invalid command line or invalid settings. */
 const badSettingsExitCode = 78;
-const stopSignals: readonly NodeJS.Signals[] = ["SIGTERM", "SIGINT"];
 
 /**
  * Entry point of a daemon: `NAME --settings FILE [--check]`. Settings that are not valid are read again for a while, since
@@ -54,18 +54,11 @@
   file: SettingsFile<Schema>,
   run: (settings: z.output<Schema>) => void,
 ): Promise<void> {
-  const stop = (): void => {
-    process.exit(0);
-  };
-  for (const signal of stopSignals) {
-    process.on(signal, stop);
-  }
+  const stop = (): Promise<number> => Promise.resolve(0);
+  await getProcessSignals().setHandler({ logger: createLogger(name, {}), stop });
   const result = await file.readUntilValid((faults) => {
     writeDiagnostic(`${faults}\n${name}: waiting for valid settings\n`);
   });
-  for (const signal of stopSignals) {
-    process.off(signal, stop);
-  }
   result.caseOf({
     Left: (errors) => {
       refuse(describeErrors(errors));
