Reject calls until a process has its files, in place of keeping their connections

What callers would see: a coordinator that waits for its data folder (full or failing disk) kept each connection to its reserved frame port unread. Peers time out and connect again, so descriptors ran out, and the folder could never be opened (EMFILE), also after the disk was sound again.

Cause: RpcServer.reserve accepted connections and read none before open, so that their end was not seen either.

Change: connections are read from the start.

--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -60,6 +60,11 @@
     this.#server.maxConnections = wireLimits.maxConnections;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
   /** Resolves with the bound port. */
   listen(host: string, port: number): Promise<number> {
     return new Promise((resolve, reject) => {
@@ -72,20 +77,17 @@
   }
 
   /**
-   * Listens once the port is free. Connections are accepted, and what they send waits until `open`: the port of a process
-   * is also the lock of its files.
+   * Listens once the port is free: the port of a process is also the lock of its files. Until `open`, calls get the error
+   * `stopping` and notifications are dropped, as at a process that is gone.
    */
   async reserve(host: string, port: number, logger: Logger): Promise<void> {
     this.#isOpen = false;
     await listenWhenFree(this.#server, { host, port, logger });
   }
 
-  /** Reads the connections that wait since `reserve`, and those that follow. */
+  /** Handles the frames that come from now on. */
   open(): void {
     this.#isOpen = true;
-    for (const socket of this.#sockets) {
-      this.#read(socket);
-    }
   }
 
   /**
@@ -117,12 +119,6 @@
     socket.on("close", () => {
       this.#sockets.delete(socket);
     });
-    if (this.#isOpen) {
-      this.#read(socket);
-    }
-  }
-
-  #read(socket: Socket): void {
     const peer = `${socket.remoteAddress ?? "?"}:${socket.remotePort ?? 0}`;
     const decoder = new FrameDecoder();
     const rejectPeer = (error: unknown): void => {
@@ -172,8 +168,12 @@
 
   async #handleFrame(socket: Socket, frame: Frame, peer: string): Promise<void> {
     const isCall = frame.kind === FrameKind.Request;
-    if (isCall && this.#isDraining) {
-      this.#sendError(socket, frame, { code: WireErrorCode.Stopping, message: "the process is stopping" });
+    if (isCall && (this.#isDraining || !this.#isOpen)) {
+      const message = this.#isDraining ? "the process is stopping" : "the process has not started yet";
+      this.#sendError(socket, frame, { code: WireErrorCode.Stopping, message });
+      return;
+    }
+    if (!this.#isOpen) {
       return;
     }
     this.#calls += isCall ? 1 : 0;
--- a/packages/wire/WireErrorCode.ts
+++ b/packages/wire/WireErrorCode.ts
@@ -11,6 +11,6 @@
   /** The peer responded with an error. */
   Remote = "remote",
   UnknownMessage = "unknown_message",
-  /** The peer is stopping and has not run the call. */
+  /** The peer is stopping, or has not started yet, and has not run the call. */
   Stopping = "stopping",
 }
