Grant no permit for an earlier incarnation of a limited target

What a target would see: after a restart under the same id, each ask of one gateway that still listed the earlier incarnation cleared the schedule of the later one and was granted without a limit.

Cause: FleetLimiter replaced its schedule whenever the incarnation differed, and LimitTable knows no limit of an earlier one, which counted as none.

Change: an ask for an incarnation that is known to be replaced gets no permit. Besides, a statement of another process that raises a limit counts as older by 400 ms, as one that lifts it: on its way it may have been overtaken by a lower one. A statement that is held up for longer still wins until the next answer.

--- a/packages/control/limits/FleetLimiter.ts
+++ b/packages/control/limits/FleetLimiter.ts
@@ -76,6 +76,10 @@
 
   /** When the next permit may be used: after the last one, and with at most `burstMs` made up for. */
   #getNextStartMs(target: TargetIncarnation, nowMs: number): number {
+    if (this.#isReplaced(target)) {
+      // A gateway that does not know of the restart yet: its request would reach the later incarnation, under the same id.
+      return Infinity;
+    }
     const limitPerS = this.#limits.getLimitPerS(target);
     const { lastStartMs } = this.#getSchedule(target, nowMs);
     if (limitPerS === null) {
@@ -85,6 +89,11 @@
     return limitPerS === 0 ? Infinity : Math.max(nowMs - burstMs, lastStartMs + 1000 / limitPerS);
   }
 
+  #isReplaced(target: TargetIncarnation): boolean {
+    const schedule = this.#schedules.get(target.id);
+    return this.#limits.isReplaced(target) || (schedule !== undefined && schedule.bornMs > target.bornMs);
+  }
+
   #getSchedule({ id, bornMs }: TargetIncarnation, nowMs: number): PermitSchedule {
     const known = this.#schedules.get(id);
     if (known?.bornMs === bornMs) {
--- a/packages/control/test/fleetLimiter.test.ts
+++ b/packages/control/test/fleetLimiter.test.ts
@@ -108,6 +108,35 @@
   t.end();
 });
 
+// Guards against a gateway that still lists a target's earlier incarnation and gets permits without a limit, or frees the schedule.
+t.test("asks for an earlier incarnation get no permit and leave the schedule as it is", (t) => {
+  const table = new LimitTable();
+  const limiter = new FleetLimiter(table);
+  const restarted = { ...target, bornMs: 2 };
+  table.note(restarted, 1.4, 0);
+  const grants = { later: 0, earlier: 0 };
+  for (let nowMs = 0; nowMs < windowMs; nowMs += 20) {
+    const isGranted = (asked: typeof target): number =>
+      limiter.take({ targets: [asked], maxWaitMs: 0 }, 1, nowMs).target === null ? 0 : 1;
+    grants.later += isGranted(restarted);
+    grants.earlier += isGranted(target);
+  }
+  t.ok(grants.later >= 4 && grants.later <= 6, `${grants.later} permits`);
+  t.equal(grants.earlier, 0);
+  t.end();
+});
+
+t.test("a statement that was on its way does not raise a lower limit", (t) => {
+  const table = new LimitTable();
+  table.note(target, 1.4, 1000);
+  t.same(table.merge([{ ...target, limitPerS: 20, ageMs: 0 }], 1300), []);
+  t.equal(table.getLimitPerS(target), 1.4);
+  t.equal(table.merge([{ ...target, limitPerS: 20, ageMs: 0 }], 1500).length, 1);
+  t.equal(table.merge([{ ...target, limitPerS: 0.5, ageMs: 0 }], 1510).length, 1);
+  t.equal(table.getLimitPerS(target), 0.5);
+  t.end();
+});
+
 t.test("the newest statement about a limit applies, and it ends with the incarnation", (t) => {
   const table = new LimitTable();
   t.ok(table.note(target, 1.5, 1000));
--- a/packages/registry/LimitTable.ts
+++ b/packages/registry/LimitTable.ts
@@ -13,8 +13,8 @@
 /** Statements of a target that is not listed are kept as long as the registry keeps its record. */
 const maxUnlistedMs = 60_000;
 /**
- * The age of a statement leaves out its time on the way, so it looks newer than it is. One that lifts a limit counts as
- * older by this much, so that it never hides a later one that names the limit.
+ * The age of a statement leaves out its time on the way, so it looks newer than it is. One that lifts or raises a limit counts
+ * as older by this much, so that it does not hide a later one that names the limit, or a lower one.
  */
 const transitMarginMs = 400;
 
@@ -41,12 +41,16 @@
 
   /** Applies statements that another process has heard itself. Returns those that changed a limit. */
   mergeOwn(limits: readonly TargetLimit[], nowMs: number): TargetLimit[] {
-    return limits.filter((limit) => this.#put(limit, limit.limitPerS, getStatedAtMs(limit, nowMs), true));
+    return limits.filter((limit) =>
+      this.#put(limit, limit.limitPerS, this.#getStatedAtMs(limit, nowMs), true),
+    );
   }
 
   /** Applies the statements that another process knows of. Returns those that changed a limit. */
   merge(limits: readonly TargetLimit[], nowMs: number): TargetLimit[] {
-    return limits.filter((limit) => this.#put(limit, limit.limitPerS, getStatedAtMs(limit, nowMs), false));
+    return limits.filter((limit) =>
+      this.#put(limit, limit.limitPerS, this.#getStatedAtMs(limit, nowMs), false),
+    );
   }
 
   /** Limit of an incarnation in requests per second; null when it has none. */
@@ -55,6 +59,11 @@
     return statement?.bornMs === bornMs ? statement.limitPerS : null;
   }
 
+  /** Whether a later incarnation of the target has stated something. */
+  isReplaced({ id, bornMs }: TargetIncarnation): boolean {
+    return (this.#statements.get(id)?.bornMs ?? -Infinity) > bornMs;
+  }
+
   /** Time since the last statement of an incarnation, in ms; infinite when there is none. */
   getAgeMs({ id, bornMs }: TargetIncarnation, nowMs: number): number {
     const statement = this.#statements.get(id);
@@ -84,6 +93,13 @@
     }
   }
 
+  /** When another process's statement was made at the latest, with a margin for its time on the way where it allows more. */
+  #getStatedAtMs(limit: TargetLimit, nowMs: number): number {
+    const known = this.getLimitPerS(limit);
+    const allowsMore = limit.limitPerS === null || (known !== null && limit.limitPerS > known);
+    return nowMs - limit.ageMs - (allowsMore ? transitMarginMs : 0);
+  }
+
   #put(
     { id, bornMs }: TargetIncarnation,
     limitPerS: number | null,
@@ -109,10 +125,6 @@
   return bornMs === known.bornMs && statedAtMs < known.statedAtMs;
 }
 
-function getStatedAtMs({ limitPerS, ageMs }: TargetLimit, nowMs: number): number {
-  return nowMs - ageMs - (limitPerS === null ? transitMarginMs : 0);
-}
-
 function describe(statements: ReadonlyMap<string, LimitStatement>, nowMs: number): TargetLimit[] {
   return [...statements].map(([id, { bornMs, limitPerS, statedAtMs }]) => ({
     id,
