End an entry that waits for its port when it is told to stop

What operators would see: an entry that waits for the port of its predecessor did not end after SIGTERM (9 s and more, until SIGKILL).

Cause: an orderly stop waits for ticks, which begin once the server listens.

Change: an entry that does not listen has nothing to complete and stops at once. The test plays gateway, coordinator, ranker, entry, agent and control: entry failed before, all pass now.

--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -169,9 +169,13 @@
   /**
    * Shuts down gracefully: leaves the address list and keeps serving until no caller uses this address and
    * the last request has ended. A second call ends the remaining requests with an error. Resolves when the
-   * server has stopped.
+   * server has stopped; at once when it does not listen yet.
    */
   async shutDown(): Promise<void> {
+    if (!this.#server.listening) {
+      await this.#stop();
+      return;
+    }
     await this.#shutdown.begin();
     await acceptPending(this.#server);
     const closed = new Promise((resolve) => this.#server.close(resolve));
