--- a/packages/system/DaemonProcess.ts
+++ b/packages/system/DaemonProcess.ts
@@ -29,8 +29,8 @@
 export class DaemonProcess {
   readonly name: string;
   readonly logFile: string;
-  /** Log of the copies that are started beside the process. */
-  readonly copyLogFile: string;
+  /** Logs of the process, and of each copy that was started beside it. */
+  readonly logFiles: string[];
   readonly settingsFile: string;
   readonly settings: string;
   readonly #options: DaemonOptions;
@@ -46,7 +46,7 @@
     this.name = options.name;
     this.settings = options.settings;
     this.logFile = join(options.folder, `${options.name}.log`);
-    this.copyLogFile = join(options.folder, `${options.name}-copies.log`);
+    this.logFiles = [this.logFile];
     this.settingsFile = join(options.folder, `${options.name}.jsonc`);
     writeFileSync(this.settingsFile, options.settings);
   }
@@ -60,7 +60,7 @@
     return this.#lives[0] ?? null;
   }
 
-  /** Starts the process, or a copy beside the one that runs. */
+  /** Starts the process. */
   start(logFile = this.logFile): DaemonLife {
     const { programs, program, flags = [] } = this.#options;
     const life = new DaemonLife({
@@ -78,6 +78,13 @@
     return life;
   }
 
+  /** Starts a copy beside the process that runs, with a log of its own. */
+  startCopy(): DaemonLife {
+    const logFile = join(this.#options.folder, `${this.name}-copy-${this.logFiles.length}.log`);
+    this.logFiles.push(logFile);
+    return this.start(logFile);
+  }
+
   /** Signals the process that was started first. */
   signal(signal: NodeJS.Signals): void {
     this.#lives[0]?.signal(signal);
