--- a/packages/routes/RouteTable.ts
+++ b/packages/routes/RouteTable.ts
@@ -10,6 +10,8 @@
   readonly #services = new Map<string, RoutedService>();
   readonly #teams = new Map<string, RouteTeam>();
   readonly #gapObjectivesMs = new Map<string, number>();
+  /** Priorities and objectives of the routes to each service. */
+  readonly #demands = new Map<string, Set<string>>();
 
   constructor(document: RouteDocument) {
     this.document = document;
@@ -19,6 +21,7 @@
       prefixes.set(route.pathPrefix, route);
       this.#hosts.set(host, prefixes);
       this.#addGapObjective(route);
+      this.#addDemand(route);
     }
     for (const service of document.services) {
       this.#services.set(service.name, service);
@@ -56,10 +59,22 @@
     return this.#gapObjectivesMs.get(service) ?? 0;
   }
 
+  /** Whether the routes to the service differ in priority or objective, so that the order of its requests matters. */
+  hasMixedDemand(service: string): boolean {
+    return (this.#demands.get(service)?.size ?? 0) > 1;
+  }
+
   findTeam(key: string): RouteTeam | null {
     return this.#teams.get(key) ?? null;
   }
 
+  #addDemand({ priority, objectiveMs, split }: Route): void {
+    for (const { service } of split) {
+      const demands = this.#demands.get(service) ?? new Set();
+      this.#demands.set(service, demands.add(`${priority} ${objectiveMs}`));
+    }
+  }
+
   #addGapObjective({ gapObjectiveMs, split }: Route): void {
     for (const { service } of gapObjectiveMs > 0 ? split : []) {
       const known = this.#gapObjectivesMs.get(service) ?? Infinity;
--- a/packages/routes/test/routes.test.ts
+++ b/packages/routes/test/routes.test.ts
@@ -68,3 +68,13 @@
   t.equal(table.getGapObjectiveMs("other"), 0);
   t.end();
 });
+
+t.test("demand is mixed where routes to one service differ in priority or objective", (t) => {
+  const isMixed = (...routes: Parameters<typeof createDocument>[1] & object) =>
+    new RouteTable(createDocument(1, routes)).hasMixedDemand("app");
+  t.equal(isMixed({}, {}), false);
+  t.equal(isMixed({}, { priority: 2 }), true);
+  t.equal(isMixed({}, { objectiveMs: 1000 }), true);
+  t.equal(isMixed({}, { priority: 2, split: [{ service: "other", weight: 1 }] }), false);
+  t.end();
+});
