Report fewer voters than the tolerated losses need

A deployment of three coordinators ran with the promise to survive two lost disks, and nothing told so. The status has the number of voters that is needed, and the leader warns when no replica is there to complete them.

--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -288,6 +288,7 @@
       appliedIndex: core?.appliedIndex ?? null,
       isVoter: core !== null && core.id in core.membership.voters,
       voters: Object.keys(core?.membership.voters ?? {}).length,
+      targetVoters: this.#options.targetVoters,
       isReplacement: this.#group?.isReplacement === true,
       documentVersion: this.#machine.version,
       ageMs: this.#getAgeMs(),
--- a/packages/control/routes/CoordinatorStatus.ts
+++ b/packages/control/routes/CoordinatorStatus.ts
@@ -6,6 +6,8 @@
   readonly term: number | null;
   readonly isVoter: boolean;
   readonly voters: number;
+  /** Voters that the tolerated losses need. */
+  readonly targetVoters: number;
   /** Whether the files of an earlier replica are set aside in the data folder. */
   readonly isReplacement: boolean;
   readonly commitIndex: number | null;
--- a/packages/control/routes/MembershipManager.ts
+++ b/packages/control/routes/MembershipManager.ts
@@ -18,6 +18,8 @@
 export class MembershipManager {
   readonly #options: MembershipManagerOptions;
   #isBusy = false;
+  /** Number of voters of the last warning; null while there are enough. */
+  #warnedVoters: number | null = null;
 
   constructor(options: MembershipManagerOptions) {
     this.#options = options;
@@ -42,6 +44,7 @@
       targetVoters,
     });
     if (change === null) {
+      this.#checkVoters(Object.keys(membership.voters).length);
       return;
     }
     this.#isBusy = true;
@@ -53,4 +56,13 @@
       "member changed",
     );
   }
+  /** Warns when there are fewer voters than the tolerated losses need, and no replica that could become one. */
+  #checkVoters(voters: number): void {
+    const { logger, targetVoters } = this.#options;
+    const missing = voters < targetVoters ? voters : null;
+    if (missing !== null && missing !== this.#warnedVoters) {
+      logger.warn({ voters, targetVoters }, "too few coordinators with a disk for the tolerated losses");
+    }
+    this.#warnedVoters = missing;
+  }
 }
--- a/packages/control/routes/renderStatus.ts
+++ b/packages/control/routes/renderStatus.ts
@@ -5,12 +5,14 @@
 
 /** Renders the state of a coordinator as gauges in Prometheus text format. */
 export function renderStatus(status: CoordinatorStatus): string {
-  const { role, term, isVoter, voters, commitIndex, appliedIndex, documentVersion, ageMs } = status;
+  const { role, term, isVoter, voters, targetVoters, commitIndex, appliedIndex, documentVersion, ageMs } =
+    status;
   return renderGauges({
     clementinemux_coordinator_leader: role === "leader" ? 1 : 0,
     clementinemux_coordinator_term: term,
     clementinemux_coordinator_voter: isVoter ? 1 : 0,
     clementinemux_coordinator_voters: voters,
+    clementinemux_coordinator_target_voters: targetVoters,
     clementinemux_coordinator_replacement: status.isReplacement ? 1 : 0,
     clementinemux_coordinator_commit_index: commitIndex,
     clementinemux_coordinator_applied_index: appliedIndex,
--- a/packages/control/test/membershipChanges.test.ts
+++ b/packages/control/test/membershipChanges.test.ts
@@ -1,7 +1,11 @@
+import type { Logger } from "roarr";
 import t from "tap";
 import type { Membership } from "@clementinemux/consensus/Membership";
 import { MembershipChangeKind } from "@clementinemux/consensus/MembershipChangeKind";
+import type { ReplicatedGroup } from "@clementinemux/control/ReplicatedGroup";
+import { MembershipManager } from "@clementinemux/control/routes/MembershipManager";
 import type { MembershipState } from "@clementinemux/control/routes/MembershipState";
+import type { PeerTable } from "@clementinemux/control/routes/PeerTable";
 import { chooseMembershipChange } from "@clementinemux/control/routes/chooseMembershipChange";
 
 function member(address: string) {
@@ -100,3 +104,33 @@
   t.equal(chooseMembershipChange(input({ voters, learners }, silent)), null, "it replaces no silent voter");
   t.end();
 });
+
+// Guards against a deployment with too few disks for the losses that it promises to survive, which nobody notices
+// before the losses.
+t.test("too few voters are reported once, and again after they were complete", async (t) => {
+  const warnings: unknown[] = [];
+  const logger = { warn: (context: unknown) => warnings.push(context), info: () => undefined };
+  const state = { voters: voters as Record<string, { address: string }> };
+  const group = {
+    hasLease: true,
+    core: { id: "a", commitIndex: 100, getSilenceMs: () => 0, getMatchIndex: () => 100 },
+    get membership() {
+      return { voters: state.voters, learners: {} };
+    },
+  };
+  const manager = new MembershipManager({
+    group: group as unknown as ReplicatedGroup,
+    peers: { listAnnounced: () => new Map() } as unknown as PeerTable,
+    clock: { monotonicMs: () => 0, wallMs: () => 0 },
+    logger: logger as unknown as Logger,
+    targetVoters: 5,
+  });
+  await manager.step();
+  await manager.step();
+  t.strictSame(warnings, [{ voters: 3, targetVoters: 5 }]);
+  state.voters = { ...voters, d: member("D"), e: member("E") };
+  await manager.step();
+  state.voters = voters;
+  await manager.step();
+  t.equal(warnings.length, 2);
+});
