Add replicated evacuations of failure domains, and apply them at gateways

Operators could not ask that nothing more be sent to a failure domain: POST and DELETE /evacuation/ZONE got 404.

The routes log holds the set of evacuated failure domains with a revision. Each command is conditional on the revision that its receiver has read from the leader, and raises it, also if the set stays the same, so that a late repeat is refused. Gateways take the set over with the highest revision, send nothing more to its targets, and answer 503 with the outcome 'evacuated' if a service has no other targets.

--- /dev/null
+++ b/packages/control/evacuation/EvacuationControl.ts
@@ -0,0 +1,102 @@
+import type { Logger } from "roarr";
+import type { Clock } from "@clementinemux/common/Clock";
+import type { Counters } from "@clementinemux/metrics/Counters";
+import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
+import { MessageName } from "@clementinemux/wire/MessageName";
+import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
+import type { ReplicatedGroup } from "../ReplicatedGroup";
+import type { PeerTable } from "../routes/PeerTable";
+import type { EvacuationChange } from "./EvacuationChange";
+import { EvacuationOutcome } from "./EvacuationOutcome";
+import type { EvacuationReadRequest } from "./EvacuationReadRequest";
+import { EvacuationService } from "./EvacuationService";
+import type { EvacuationTable } from "./EvacuationTable";
+import { KnownFailureDomains } from "./KnownFailureDomains";
+
+interface EvacuationControlOptions {
+  /** Failure domain of this process. */
+  readonly failureDomain: string;
+  readonly targets: TargetRegistry;
+  readonly entries: EntryRegistry;
+  readonly peers: PeerTable;
+  readonly table: EvacuationTable;
+  /** Whether this process knows all targets. */
+  readonly isComplete: () => boolean;
+  readonly links: PeerLinks;
+  readonly outcomes: Counters<EvacuationOutcome>;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** Registries keep each record for longer than this. */
+const noteIntervalMs = 1000;
+
+/** Evacuations of failure domains at one coordinator: calls of operators, and messages of other processes. */
+export class EvacuationControl {
+  readonly handlers: Readonly<Record<string, MessageHandler>> = {
+    [MessageName.ReadEvacuations]: (body) => this.#requireService().read(body as EvacuationReadRequest),
+    [MessageName.ProposeEvacuation]: (body) => this.#requireService().propose(body),
+  };
+  readonly #options: EvacuationControlOptions;
+  readonly #failureDomains = new KnownFailureDomains();
+  #service: EvacuationService | null = null;
+  #notedAtMs = -Infinity;
+
+  constructor(options: EvacuationControlOptions) {
+    this.#options = options;
+    options.table.listen(({ revision, failureDomains }) => {
+      options.logger.info({ revision, failureDomains }, "evacuated failure domains changed");
+    });
+  }
+
+  /** Serves calls with a replica of the `routes` log from now on. */
+  open(group: ReplicatedGroup): void {
+    const { table, links, isComplete, clock, logger } = this.#options;
+    const isKnown = (failureDomain: string): boolean => this.listFailureDomains().includes(failureDomain);
+    this.#service = new EvacuationService({ group, table, isKnown, isComplete, links, clock, logger });
+  }
+
+  /**
+   * Starts or ends the evacuation of a failure domain; only while the caller is connected, since one that has left may have
+   * sent a later change elsewhere. Never rejects.
+   */
+  async change(change: EvacuationChange, isCallerConnected: () => boolean): Promise<EvacuationOutcome> {
+    const outcome = (await this.#service?.change(change, isCallerConnected)) ?? EvacuationOutcome.Unavailable;
+    this.#options.outcomes.add(outcome);
+    this.#options.logger.info({ ...change, outcome }, "evacuation called for");
+    return outcome;
+  }
+
+  /** Failure domains of the targets, gateways and coordinators that this process has heard of since its start. */
+  listFailureDomains(): readonly string[] {
+    this.#note();
+    return this.#failureDomains.names;
+  }
+
+  /** Remembers the failure domains of the registries before these forget them. */
+  noteFailureDomains(): void {
+    if (this.#options.clock.monotonicMs() - this.#notedAtMs >= noteIntervalMs) {
+      this.#note();
+    }
+  }
+
+  #note(): void {
+    const { failureDomain, targets, entries, peers, clock } = this.#options;
+    this.#notedAtMs = clock.monotonicMs();
+    this.#failureDomains.note([
+      failureDomain,
+      ...targets.listFailureDomains(),
+      ...entries.listFailureDomains(this.#notedAtMs),
+      ...peers.peers.map((peer) => peer.failureDomain),
+    ]);
+  }
+
+  #requireService(): EvacuationService {
+    if (this.#service === null) {
+      throw new Error("the coordinator has not started");
+    }
+    return this.#service;
+  }
+}
--- /dev/null
+++ b/packages/control/evacuation/KnownFailureDomains.ts
@@ -0,0 +1,33 @@
+/** Failure domains that are remembered; the one that was not heard of for the longest time is forgotten first. */
+const maxNames = 1000;
+
+/**
+ * Failure domains that this process has heard of since its start. Longer memory than that of the registries, so that a failure
+ * domain that has been cut off for minutes can still be evacuated.
+ */
+export class KnownFailureDomains {
+  readonly #names = new Set<string>();
+
+  get names(): readonly string[] {
+    return [...this.#names];
+  }
+
+  note(names: Iterable<string | null>): void {
+    for (const name of new Set(names)) {
+      if (name !== null && name !== "") {
+        this.#names.delete(name);
+        this.#names.add(name);
+      }
+    }
+    for (const name of this.#names) {
+      if (this.#names.size <= maxNames) {
+        return;
+      }
+      this.#names.delete(name);
+    }
+  }
+
+  has(name: string): boolean {
+    return this.#names.has(name);
+  }
+}
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -1,4 +1,3 @@
-import { buildId } from "@clementinemux/common/buildId";
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import { MetricsEndpoint } from "@clementinemux/metrics/MetricsEndpoint";
 import type { ActivateRequest } from "@clementinemux/ranker/ActivateRequest";
@@ -19,6 +18,7 @@
 import { RankGroupManager } from "../ranks/RankGroupManager";
 import type { EndReport } from "../ends/EndReport";
 import { EndRecorder } from "../ends/EndRecorder";
+import { EvacuationControl } from "../evacuation/EvacuationControl";
 import { TargetReports } from "../ends/TargetReports";
 import { PermitService } from "../limits/PermitService";
 import { GroupHost } from "../GroupHost";
@@ -40,6 +40,7 @@
 import { createCoordinatorErrors } from "./createCoordinatorErrors";
 import { createLogSettings } from "./createLogSettings";
 import { delegateActivation } from "./delegateActivation";
+import { readStatus } from "./readStatus";
 import { renderStatus } from "./renderStatus";
 import type { StoredDocument } from "./StoredDocument";
 
@@ -66,6 +67,7 @@
   readonly limits = new LimitTable();
   readonly crashes: CrashFeed;
   readonly metrics = new CoordinatorMetrics();
+  readonly evacuations: EvacuationControl;
   readonly #options: CoordinatorOptions;
   readonly #errors: ErrorBoundary<CoordinatorHandler>;
   readonly #rounds: RoundRunner;
@@ -130,19 +132,28 @@
       clock,
       logger,
     });
+    const { targets, entries } = this;
+    const registries = { failureDomain: options.failureDomain, targets, entries, peers: this.#peers };
+    this.evacuations = new EvacuationControl({
+      ...registries,
+      table: this.#machine.evacuations,
+      isComplete: () => this.#isComplete(),
+      outcomes: this.metrics.evacuations,
+      links,
+      clock,
+      logger,
+    });
     this.#sync = new SyncService({
+      ...registries,
       address: this.address,
-      failureDomain: options.failureDomain,
       incarnation: this.#incarnation,
-      targets: this.targets,
       listEnded: () => this.#reports.listEnded(),
       listUnregistered: () => this.#reports.listUnregistered(),
-      entries: this.entries,
       slowdowns: this.slowdowns,
       crashes: this.crashes,
       limits: this.limits,
-      peers: this.#peers,
       getDocument: () => this.#machine,
+      getEvacuated: () => this.#machine.evacuations.state,
       getAgeMs: () => this.#getAgeMs(),
       isComplete: () => this.#isComplete(),
       clock,
@@ -178,6 +189,7 @@
     const machine = this.#machine;
     this.#group = group;
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
+    this.evacuations.open(group);
     const { targets, limits, metrics } = this;
     const links = this.#links;
     const outcomes = metrics.permits;
@@ -278,23 +290,10 @@
   }
 
   getStatus(): CoordinatorStatus {
+    const { targets, entries } = this;
     const nowMs = this.#options.clock.monotonicMs();
-    const core = this.#group?.core ?? null;
-    return {
-      build: buildId,
-      role: core?.role ?? null,
-      term: core?.term ?? null,
-      commitIndex: core?.commitIndex ?? null,
-      appliedIndex: core?.appliedIndex ?? null,
-      isVoter: core !== null && core.id in core.membership.voters,
-      voters: Object.keys(core?.membership.voters ?? {}).length,
-      isReplacement: this.#group?.isReplacement === true,
-      documentVersion: this.#machine.version,
-      ageMs: this.#getAgeMs(),
-      targets: this.targets.list(nowMs).length,
-      recordedEnds: this.#machine.ends.size,
-      entries: this.entries.countLive(nowMs),
-    };
+    const ageMs = this.#getAgeMs();
+    return readStatus({ group: this.#group, machine: this.#machine, targets, entries, ageMs, nowMs });
   }
 
   #createGroupManager(group: ReplicatedGroup): RankGroupManager {
@@ -353,6 +352,7 @@
     const members = this.#listMembers();
     this.#peers.addHints(members, nowMs);
     this.#permits?.retain(nowMs);
+    this.evacuations.noteFailureDomains();
     this.#peers.removeStale([...members, ...this.#options.seeds], nowMs);
     void this.#rounds.run(() => this.#membership?.step() ?? Promise.resolve());
     void this.#rounds.run(() => this.#documents?.confirm() ?? Promise.resolve());
@@ -383,6 +383,7 @@
         await this.#recorder?.recordAsLeader(body as readonly EndReport[]);
         return null;
       },
+      ...this.evacuations.handlers,
       [MessageName.ReadDocument]: () => this.#requireDocuments().readAsLeader(),
       [MessageName.ConfirmDocument]: () => this.#requireDocuments().confirmAsLeader(),
     };
--- a/packages/control/routes/CoordinatorMetrics.ts
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -4,6 +4,7 @@
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { OrderOutcome } from "@clementinemux/ranker/OrderOutcome";
 import { EndOutcome } from "../ends/EndOutcome";
+import { EvacuationOutcome } from "../evacuation/EvacuationOutcome";
 import { PermitOutcome } from "../limits/PermitOutcome";
 import { MapOutcome } from "../ranks/MapOutcome";
 import { DocumentOutcome } from "./DocumentOutcome";
@@ -16,6 +17,11 @@
     Object.values(DocumentOutcome),
   );
   readonly ends = new Counters("clementinemux_coordinator_target_ends", "outcome", Object.values(EndOutcome));
+  readonly evacuations = new Counters(
+    "clementinemux_coordinator_evacuation_calls",
+    "outcome",
+    Object.values(EvacuationOutcome),
+  );
   /** Requests for permits of limited targets that this process answered as the leader. */
   readonly permits = new Counters(
     "clementinemux_coordinator_permits",
@@ -38,6 +44,7 @@
     return [
       renderCounters(this.documents),
       renderCounters(this.ends),
+      renderCounters(this.evacuations),
       renderCounters(this.permits),
       renderCounters(this.maps),
       renderCounters(this.orders),
--- a/packages/control/routes/CoordinatorStatus.ts
+++ b/packages/control/routes/CoordinatorStatus.ts
@@ -17,4 +17,6 @@
   /** Ends of targets that the log holds. */
   readonly recordedEnds: number;
   readonly entries: number;
+  readonly evacuationRevision: number;
+  readonly evacuatedFailureDomains: readonly string[];
 }
--- /dev/null
+++ b/packages/control/routes/RouteSnapshot.ts
@@ -0,0 +1,12 @@
+import type { TargetEnd } from "../ends/TargetEnd";
+import type { EvacuationState } from "../evacuation/EvacuationState";
+
+/** Snapshot of the `routes` log. */
+export interface RouteSnapshot {
+  readonly version: number;
+  readonly bytes: Uint8Array;
+  /** Missing from earlier releases. */
+  readonly ends?: readonly TargetEnd[];
+  /** Missing from earlier releases. */
+  readonly evacuations?: EvacuationState;
+}
--- a/packages/control/routes/RouteStateMachine.ts
+++ b/packages/control/routes/RouteStateMachine.ts
@@ -1,15 +1,18 @@
 import { decode, encode } from "cbor-x";
 import { EndTable } from "../ends/EndTable";
 import type { TargetEnd } from "../ends/TargetEnd";
+import { EvacuationTable } from "../evacuation/EvacuationTable";
 import type { StateMachine } from "../StateMachine";
 import type { DocumentCommand } from "./DocumentCommand";
+import type { RouteSnapshot } from "./RouteSnapshot";
 
 /**
- * State machine of the `routes` log: holds the newest route document, whose bytes are opaque to it, and the ends of
- * targets.
+ * State machine of the `routes` log: holds the newest route document, whose bytes are opaque to it, the ends of
+ * targets, and the evacuated failure domains.
  */
 export class RouteStateMachine implements StateMachine {
   readonly ends = new EndTable();
+  readonly evacuations = new EvacuationTable();
   readonly #onEnded: (ends: readonly TargetEnd[]) => void;
   #version = 0;
   #bytes: Uint8Array = new Uint8Array();
@@ -28,9 +31,15 @@
     return this.#bytes;
   }
 
-  /** Returns whether a document was accepted; one whose version is not higher is ignored. */
+  /**
+   * Returns whether a document was accepted; one whose version is not higher is ignored. For a change of the evacuations,
+   * returns whether it was applied.
+   */
   apply(command: unknown): boolean {
-    const { version, bytes, ends } = command as DocumentCommand;
+    const { version, bytes, ends, evacuation } = command as DocumentCommand;
+    if (evacuation !== undefined) {
+      return this.evacuations.apply(evacuation);
+    }
     if (ends !== undefined) {
       this.ends.apply(ends);
       this.#onEnded(ends);
@@ -45,18 +54,26 @@
   }
 
   createSnapshot(): Uint8Array {
-    const state: DocumentCommand = { version: this.#version, bytes: this.#bytes, ends: this.ends.list() };
+    const state: RouteSnapshot = {
+      version: this.#version,
+      bytes: this.#bytes,
+      ends: this.ends.list(),
+      evacuations: this.evacuations.state,
+    };
     return encode(state);
   }
 
-  /** Loads a snapshot. One of an earlier release holds no ends, so those that are known stay. */
+  /** Loads a snapshot. One of an earlier release holds no ends or no evacuations, so those that are known stay. */
   restore(snapshot: Uint8Array): void {
-    const { version, bytes, ends } = decode(snapshot) as DocumentCommand;
+    const { version, bytes, ends, evacuations } = decode(snapshot) as RouteSnapshot;
     this.#version = version;
     this.#bytes = Uint8Array.from(bytes);
     if (ends !== undefined) {
       this.ends.restore(ends);
       this.#onEnded(ends);
     }
+    if (evacuations !== undefined) {
+      this.evacuations.restore(evacuations);
+    }
   }
 }
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -1,6 +1,7 @@
 import { setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
 import type { Clock } from "@clementinemux/common/Clock";
+import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { SlowdownTable } from "@clementinemux/registry/SlowdownTable";
@@ -28,6 +29,7 @@
   readonly limits: LimitTable;
   readonly peers: PeerTable;
   readonly getDocument: () => StoredDocument;
+  readonly getEvacuated: () => EvacuatedDomains;
   /** Age of the confirmation that no newer document exists, in ms; null when there is none. */
   readonly getAgeMs: () => number | null;
   /** Whether every live target has reported to this process. */
@@ -66,6 +68,7 @@
     const { address, failureDomain, incarnation, getDocument, getAgeMs } = this.#options;
     const nowMs = clock.monotonicMs();
     const { version, bytes } = getDocument();
+    const { revision, failureDomains } = this.#options.getEvacuated();
     targets.markSilent(nowMs);
     const state = `${incarnation}:${targets.lastChangeNumber}`;
     const isComplete = this.#options.isComplete();
@@ -83,6 +86,7 @@
       liveEntries: entries.countLive(nowMs),
       crashes: crashes.getFindings(),
       limits: limits.list(nowMs),
+      ...(revision > (request.evacuationRevision ?? 0) ? { evacuated: { revision, failureDomains } } : {}),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- /dev/null
+++ b/packages/control/routes/readStatus.ts
@@ -0,0 +1,39 @@
+import { buildId } from "@clementinemux/common/buildId";
+import type { EntryRegistry } from "@clementinemux/registry/EntryRegistry";
+import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import type { ReplicatedGroup } from "../ReplicatedGroup";
+import type { CoordinatorStatus } from "./CoordinatorStatus";
+import type { RouteStateMachine } from "./RouteStateMachine";
+
+interface StatusInput {
+  /** Null until the coordinator has started. */
+  readonly group: ReplicatedGroup | null;
+  readonly machine: RouteStateMachine;
+  readonly targets: TargetRegistry;
+  readonly entries: EntryRegistry;
+  readonly ageMs: number | null;
+  readonly nowMs: number;
+}
+
+/** Reads the state of a coordinator. */
+export function readStatus({ group, machine, ageMs, nowMs, ...registries }: StatusInput): CoordinatorStatus {
+  const core = group?.core ?? null;
+  const { revision, failureDomains } = machine.evacuations.state;
+  return {
+    build: buildId,
+    role: core?.role ?? null,
+    term: core?.term ?? null,
+    commitIndex: core?.commitIndex ?? null,
+    appliedIndex: core?.appliedIndex ?? null,
+    isVoter: core !== null && core.id in core.membership.voters,
+    voters: Object.keys(core?.membership.voters ?? {}).length,
+    isReplacement: group?.isReplacement === true,
+    documentVersion: machine.version,
+    ageMs,
+    targets: registries.targets.list(nowMs).length,
+    recordedEnds: machine.ends.size,
+    entries: registries.entries.countLive(nowMs),
+    evacuationRevision: revision,
+    evacuatedFailureDomains: failureDomains,
+  };
+}
--- a/packages/control/routes/renderStatus.ts
+++ b/packages/control/routes/renderStatus.ts
@@ -1,12 +1,13 @@
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
+import { renderMembers } from "@clementinemux/metrics/renderMembers";
 import type { CoordinatorStatus } from "./CoordinatorStatus";
 
 const msPerS = 1000;
 
-/** Renders the state of a coordinator as gauges in Prometheus text format. */
+/** Renders the state of a coordinator as gauges in Prometheus text format, with the evacuated failure domains as labels. */
 export function renderStatus(status: CoordinatorStatus): string {
   const { role, term, isVoter, voters, commitIndex, appliedIndex, documentVersion, ageMs } = status;
-  return renderGauges({
+  const gauges = renderGauges({
     clementinemux_coordinator_leader: role === "leader" ? 1 : 0,
     clementinemux_coordinator_term: term,
     clementinemux_coordinator_voter: isVoter ? 1 : 0,
@@ -19,5 +20,11 @@
     clementinemux_coordinator_targets: status.targets,
     clementinemux_coordinator_recorded_ends: status.recordedEnds,
     clementinemux_coordinator_gateways: status.entries,
+    clementinemux_coordinator_evacuation_revision: status.evacuationRevision,
+    clementinemux_coordinator_evacuated_failure_domains: status.evacuatedFailureDomains.length,
   });
+  const { evacuatedFailureDomains } = status;
+  return (
+    gauges + renderMembers("clementinemux_coordinator_evacuated", "failure_domain", evacuatedFailureDomains)
+  );
 }
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -153,6 +153,7 @@
       leaving: listLeaving(),
       crashes: getCrashEvidence(),
       limits: limits.listOwn(sentAtMs),
+      evacuationRevision: view.evacuated.revision,
     };
     const result = await client.call(MessageName.SyncEntry, request, callTimeoutMs);
     const isUseful = result.caseOf({
@@ -220,7 +221,7 @@
 
   #update(response: SyncResponse, sentAtMs: number): boolean {
     const { view, logger } = this.#options;
-    const endedListed = view.endedListed;
+    const { endedListed, evacuated } = view;
     try {
       const isCurrent = view.update(response, sentAtMs);
       if (view.endedListed !== endedListed) {
@@ -230,6 +231,10 @@
     } catch (error) {
       logger.error({ error: String(error) }, "document cannot be decoded");
       return false;
+    } finally {
+      if (view.evacuated !== evacuated) {
+        logger.info({ ...view.evacuated }, "evacuated failure domains changed");
+      }
     }
   }
 
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -1,3 +1,4 @@
+import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { isTargetId } from "@clementinemux/registry/isTargetId";
@@ -24,6 +25,9 @@
   readonly #ended = new EndedTargets();
   #state: FleetState = { table: null, targets: [], othersInFlight: {}, slowdowns: {}, liveEntries: 1 };
   #openTargets = new Map<string, TargetRecord[]>();
+  #evacuated: EvacuatedDomains = { revision: 0, failureDomains: [] };
+  /** Targets that accept requests but are in evacuated failure domains, by service. */
+  #evacuatedTargets = new Map<string, TargetRecord[]>();
   #registryState = "";
   #endedListed = 0;
   #confirmedAtMs = -Infinity;
@@ -54,7 +58,16 @@
     return this.#endedListed;
   }
 
-  /** Targets of a service that accept requests. */
+  get evacuated(): EvacuatedDomains {
+    return this.#evacuated;
+  }
+
+  /** Whether all targets of a service that would accept requests are in evacuated failure domains. */
+  isEvacuated(service: string): boolean {
+    return this.#evacuatedTargets.has(service) && !this.#openTargets.has(service);
+  }
+
+  /** Targets of a service that accept requests, except for those in evacuated failure domains. */
   listOpenTargets(service: string): readonly TargetRecord[] {
     return this.#openTargets.get(service) ?? [];
   }
@@ -72,6 +85,11 @@
     return nowMs - this.#confirmedAtMs;
   }
 
+  /** Targets of a service that accept requests, also those in evacuated failure domains. */
+  listReadyTargets(service: string): readonly TargetRecord[] {
+    return [...this.listOpenTargets(service), ...(this.#evacuatedTargets.get(service) ?? [])];
+  }
+
   /**
    * Applies the response to a report that was sent at `sentAtMs`. Returns whether the coordinator is useful:
    * its state is confirmed as current, and its document is no older than ours. Throws when the document
@@ -79,6 +97,7 @@
    */
   update(response: SyncResponse, sentAtMs: number): boolean {
     const { ageMs, documentVersion, document, targets, isComplete, inFlight, paces, liveEntries } = response;
+    this.#updateEvacuated(response.evacuated);
     if (document !== null && documentVersion > this.version) {
       const decoded = this.#codec.decodeDocument(document).mapLeft((fault) => new Error(fault));
       this.#state = { ...this.#state, table: new RouteTable(decoded.unsafeCoerce()) };
@@ -123,11 +142,36 @@
           .flatMap((target) => this.#ended.check(target, nowMs) ?? []);
     const keptIds = new Set(kept.map(({ id }) => id));
     this.#state = { ...this.#state, targets: [...present.filter(({ id }) => !keptIds.has(id)), ...kept] };
-    this.#openTargets = new Map();
+    this.#splitTargets();
+  }
+
+  /** The highest revision counts: a coordinator that lags, or one of an earlier release, does not take an evacuation back. */
+  #updateEvacuated(evacuated: EvacuatedDomains | undefined): void {
+    if (evacuated !== undefined && evacuated.revision > this.#evacuated.revision) {
+      this.#evacuated = evacuated;
+      this.#splitTargets();
+    }
+  }
+
+  /** Sorts the targets that accept requests by service, and by whether their failure domain is evacuated. */
+  #splitTargets(): void {
+    const failureDomains = new Set(this.#evacuated.failureDomains);
     const open = this.#state.targets.filter(({ isDraining, isLeaving }) => !isDraining && !isLeaving);
-    for (const target of open) {
-      const known = this.#openTargets.get(target.service) ?? [];
-      this.#openTargets.set(target.service, [...known, target]);
+    const isEvacuated = ({ failureDomain }: TargetRecord): boolean => failureDomains.has(failureDomain);
+    this.#openTargets = groupByService(open.filter((target) => !isEvacuated(target)));
+    this.#evacuatedTargets = groupByService(open.filter(isEvacuated));
+  }
+}
+
+function groupByService(targets: readonly TargetRecord[]): Map<string, TargetRecord[]> {
+  const groups = new Map<string, TargetRecord[]>();
+  for (const target of targets) {
+    const known = groups.get(target.service);
+    if (known === undefined) {
+      groups.set(target.service, [target]);
+    } else {
+      known.push(target);
     }
   }
+  return groups;
 }
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -188,6 +188,8 @@
       clementinemux_gateway_targets: state.targets.length,
       clementinemux_gateway_learned_ends: this.view.learnedEnds,
       clementinemux_gateway_ended_targets_listed: this.view.endedListed,
+      clementinemux_gateway_evacuated_failure_domains: this.view.evacuated.failureDomains.length,
+      clementinemux_gateway_evacuation_revision: this.view.evacuated.revision,
       clementinemux_gateway_limited_targets: this.#limits.size,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
@@ -367,7 +369,7 @@
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
     const isSuccessor = (other: TargetRecord): boolean =>
       other.address === address && (other.id !== id || other.bornMs > bornMs);
-    return !isDraining && !isLeaving && this.view.listOpenTargets(service).some(isSuccessor);
+    return !isDraining && !isLeaving && this.view.listReadyTargets(service).some(isSuccessor);
   }
 
   /** Targets that reported that they are leaving, but that the coordinators do not list as leaving. */
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -151,7 +151,8 @@
     const waitLeftMs = this.#slots.getWaitLeftMs();
     const hasSlot = this.#slots.hasSlot();
     const candidates = hasSlot || this.#sends > 0 ? [] : this.#permits.listCandidates(waitLeftMs);
-    const isRefused = this.#slots.hasLimitedTargetsOnly && !this.#context.permits.isBlocked;
+    const { hasLimitedTargetsOnly, isEvacuated } = this.#slots;
+    const isRefused = isEvacuated || (hasLimitedTargetsOnly && !this.#context.permits.isBlocked);
     const isHopeless = isRefused || waitLeftMs <= (this.#slots.load?.pauseMs ?? 0);
     if (candidates.length > 0) {
       this.#permits.take(candidates, waitLeftMs);
--- a/packages/gateway/RequestOutcome.ts
+++ b/packages/gateway/RequestOutcome.ts
@@ -18,6 +18,8 @@
   Stopping = "stopping",
   /** No target has a free slot; nothing was sent. */
   Full = "full",
+  /** All targets are in evacuated failure domains; nothing was sent. */
+  Evacuated = "evacuated",
   /** All targets limit their requests, and none has a permit in time; nothing was sent. */
   Limited = "limited",
   /** The request or a part of its prompt is suspected of crashing targets; nothing was sent. */
--- a/packages/gateway/SlotCheck.ts
+++ b/packages/gateway/SlotCheck.ts
@@ -36,8 +36,16 @@
     return limited > 0 && targets === 0 && slowPlaces === 0;
   }
 
+  /** Whether all targets of the service are in evacuated failure domains, so that waiting is of no use. */
+  get isEvacuated(): boolean {
+    return this.#context.view.isEvacuated(this.#routed.service.name);
+  }
+
   /** Outcome of a request for which there is no slot. */
   get fullOutcome(): RequestOutcome {
+    if (this.isEvacuated) {
+      return RequestOutcome.Evacuated;
+    }
     return this.hasLimitedTargetsOnly ? RequestOutcome.Limited : RequestOutcome.Full;
   }
 
--- a/packages/gateway/sendFailure.ts
+++ b/packages/gateway/sendFailure.ts
@@ -15,6 +15,12 @@
   readonly retryAfterMs: number | null;
 }
 
+/** Nobody knows when an evacuation ends; gateways learn of it within half a second. */
+const evacuatedRetryMs = 1000;
+const evacuatedSpreadMs = 1000;
+/** Outcomes that have causes other than a lack of targets. */
+const otherOutcomes: readonly RequestOutcome[] = [RequestOutcome.Suspect, RequestOutcome.TimedOut];
+
 interface SentFailure {
   readonly end: RequestOutcome;
   readonly status: number;
@@ -32,10 +38,28 @@
     writer.sendLocal(status, text, null);
     return { end, status };
   }
+  if (isCausedByEvacuation(context, routed, end)) {
+    const evacuatedText = "all targets are in evacuated failure domains";
+    writer.sendLocal(503, evacuatedText, estimateEvacuationMs(context));
+    return { end: RequestOutcome.Evacuated, status: 503 };
+  }
   writer.sendLocal(503, text, retryAfterMs ?? estimateRetryMs(context, routed, end));
   return { end: end === RequestOutcome.Unknown ? RequestOutcome.Unreachable : end, status: 503 };
 }
 
+/** Whether no target is left for a request that has not run, since all of them are evacuated. */
+function isCausedByEvacuation(
+  context: GatewayContext,
+  { service }: RoutedRequest,
+  end: RequestOutcome,
+): boolean {
+  return context.view.isEvacuated(service.name) && !otherOutcomes.includes(end);
+}
+
+function estimateEvacuationMs({ options }: GatewayContext): number {
+  return evacuatedRetryMs + options.random() * evacuatedSpreadMs;
+}
+
 function estimateRetryMs(context: GatewayContext, routed: RoutedRequest, end: RequestOutcome): number {
   if (end === RequestOutcome.Limited) {
     return context.permits.bookReturnMs(listUsableTargets(context, routed.service.name).limited);
--- a/packages/metrics/renderCounters.ts
+++ b/packages/metrics/renderCounters.ts
@@ -1,4 +1,5 @@
 import type { Counters } from "./Counters";
+import { escapeLabel } from "./escapeLabel";
 
 /** Renders counters in Prometheus text format. */
 export function renderCounters(counters: Counters<string>): string {
@@ -7,7 +8,3 @@
   );
   return [`# TYPE ${counters.name} counter`, ...lines, ""].join("\n");
 }
-
-function escapeLabel(label: string): string {
-  return label.replaceAll("\\", "\\\\").replaceAll('"', '\\"').replaceAll("\n", "\\n");
-}
--- a/packages/registry/EntryRegistry.ts
+++ b/packages/registry/EntryRegistry.ts
@@ -39,6 +39,11 @@
     return selected.map(({ entry }) => entry.address);
   }
 
+  /** Failure domains of the entries that are live. */
+  listFailureDomains(nowMs: number): string[] {
+    return this.#listLive(nowMs).map(({ entry }) => entry.failureDomain);
+  }
+
   countLive(nowMs: number): number {
     return this.#listLive(nowMs).length;
   }
--- a/packages/registry/SyncRequest.ts
+++ b/packages/registry/SyncRequest.ts
@@ -18,4 +18,6 @@
   readonly crashes?: CrashEvidence;
   /** What targets have stated to this gateway about their limits. Missing from gateways of earlier releases. */
   readonly limits?: readonly TargetLimit[];
+  /** Revision of the evacuated failure domains that the gateway has. Missing from gateways of earlier releases. */
+  readonly evacuationRevision?: number;
 }
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,4 +1,5 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import type { EvacuatedDomains } from "./EvacuatedDomains";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
@@ -29,6 +30,11 @@
   readonly crashes?: CrashFindings;
   /** What targets have stated about their limits. Missing from coordinators of earlier releases. */
   readonly limits?: readonly TargetLimit[];
+  /**
+   * Evacuated failure domains; missing if the gateway has this revision or a later one, and from coordinators of earlier
+   * releases.
+   */
+  readonly evacuated?: EvacuatedDomains;
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -140,6 +140,11 @@
     return this.#records.get(id)?.target ?? null;
   }
 
+  /** Failure domains of all targets that are remembered, also of those that have timed out or unregistered. */
+  listFailureDomains(): Set<string> {
+    return new Set([...this.#records.values()].map(({ target }) => target.failureDomain));
+  }
+
   /** Records changed after change number `change`, including those of targets that have timed out. */
   changedSince(change: number): RegistryRecord[] {
     return [...this.#records.values()].filter(({ changeNumber: recordChange }) => recordChange > change);
--- a/packages/wire/MessageName.ts
+++ b/packages/wire/MessageName.ts
@@ -36,6 +36,8 @@
   ConfirmDocument = "confirmDocument",
   ReadDocument = "readDocument",
   RecordEnds = "recordEnds",
+  ReadEvacuations = "readEvacuations",
+  ProposeEvacuation = "proposeEvacuation",
   InspectRank = "inspectRank",
   OrderRank = "orderRank",
   PrepareRank = "prepareRank",
