--- a/packages/control/evacuation/EvacuationService.ts
+++ b/packages/control/evacuation/EvacuationService.ts
@@ -124,7 +124,7 @@
       base: { ...base, failureDomains: [...base.failureDomains], ended: [...base.ended] },
       isForwarded: false,
     };
-    const result = await Promise.race([this.propose(proposal, leftMs), delay(leftMs, null, { ref: false })]);
+    const result = await Promise.race([this.propose(proposal, leftMs), delay(leftMs, null)]);
     return result?.isApplied === true ? EvacuationOutcome.Acknowledged : null;
   }
 
