Grant permits for cold targets at the leader

Heartbeats state for how long their target stays cold, and documents how much a cold target can take, but both were dropped. The registry now keeps the cold targets apart from its records, so that a change reaches gateways with the next report and without the list of all targets. The leader grants permits for them at a rate that keeps within the bound through a change of leader.

Type-checks; no test run yet.

--- a/packages/control/ends/TargetReports.ts
+++ b/packages/control/ends/TargetReports.ts
@@ -54,11 +54,17 @@
     }
     const known = targets.find(target.id);
     const before = targets.lastChangeNumber;
+    const coldBefore = targets.lastColdChangeNumber;
     const state = this.#put(target, clock.monotonicMs(), null);
     const { id, service, address, isDraining, bornMs, sequence } = target;
     if (targets.lastChangeNumber !== before) {
       logger.info({ id, service, address, isDraining, bornMs }, "target changed");
     }
+    if (targets.lastColdChangeNumber !== coldBefore) {
+      logger.info({ id, service, bornMs, coldLeftMs: target.coldLeftMs }, "cold time of a target changed");
+      // The other coordinators learn this at once, since their gateways may send requests until they know it.
+      this.#options.replicate();
+    }
     if (!isDraining || state === EndState.Ended) {
       if (state !== EndState.Open) {
         logger.info({ id, bornMs, sequence, state }, "late heartbeat of a target that has left");
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -12,6 +12,7 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
+import { defaultColdBounds } from "@clementinemux/routes/defaultColdBounds";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -182,7 +183,17 @@
     const links = this.#links;
     const outcomes = metrics.permits;
     this.#recorder = new EndRecorder({ group, table: machine.ends, targets, links, clock, logger });
-    this.#permits = new PermitService({ group, limits, targets, links, outcomes, clock });
+    this.#permits = new PermitService({
+      group,
+      limits,
+      targets,
+      links,
+      coldBounds: this.#options.coldBounds ?? defaultColdBounds,
+      getTable: () => this.#table.get(),
+      outcomes,
+      coldOutcomes: metrics.coldPermits,
+      clock,
+    });
     this.#membership = new MembershipManager({ group, peers: this.#peers, clock, logger, targetVoters });
     this.#exchange = new RegistryExchange({
       name: this.#options.name,
@@ -292,6 +303,7 @@
       documentVersion: this.#machine.version,
       ageMs: this.#getAgeMs(),
       targets: this.targets.list(nowMs).length,
+      coldTargets: this.targets.countCold(nowMs),
       recordedEnds: this.#machine.ends.size,
       entries: this.entries.countLive(nowMs),
     };
--- a/packages/control/routes/CoordinatorMetrics.ts
+++ b/packages/control/routes/CoordinatorMetrics.ts
@@ -22,6 +22,12 @@
     "outcome",
     Object.values(PermitOutcome),
   );
+  /** Those of them that named a cold target. */
+  readonly coldPermits = new Counters(
+    "clementinemux_coordinator_cold_permits",
+    "outcome",
+    Object.values(PermitOutcome),
+  );
   readonly maps = new Counters("clementinemux_coordinator_maps", "outcome", Object.values(MapOutcome));
   readonly orders = new Counters("clementinemux_coordinator_orders", "outcome", Object.values(OrderOutcome));
   readonly refusedOrders = new Counters(
@@ -39,6 +45,7 @@
       renderCounters(this.documents),
       renderCounters(this.ends),
       renderCounters(this.permits),
+      renderCounters(this.coldPermits),
       renderCounters(this.maps),
       renderCounters(this.orders),
       renderCounters(this.refusedOrders),
--- a/packages/control/routes/CoordinatorOptions.ts
+++ b/packages/control/routes/CoordinatorOptions.ts
@@ -2,6 +2,7 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { RankClient } from "@clementinemux/ranker/RankClient";
 import type { DiskOperations } from "@clementinemux/storage/DiskOperations";
+import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import type { Either } from "purify-ts/Either";
 import type { Logger } from "roarr";
@@ -24,6 +25,8 @@
   readonly seeds: readonly string[];
   /** Desired number of voters; odd. */
   readonly targetVoters: number;
+  /** What cold targets may get; 1.5 times their rate and 5 requests more by default. */
+  readonly coldBounds?: ColdBounds | undefined;
   readonly decodeDocument: (bytes: Uint8Array) => Either<string, RouteDocument>;
   /** Opens a direct connection to the rank at an address. */
   readonly openRank: (address: string) => RankClient;
--- a/packages/control/routes/CoordinatorStatus.ts
+++ b/packages/control/routes/CoordinatorStatus.ts
@@ -14,6 +14,7 @@
   /** Age of the latest confirmation that no newer document exists, in ms; null when there is none. */
   readonly ageMs: number | null;
   readonly targets: number;
+  readonly coldTargets: number;
   /** Ends of targets that the log holds. */
   readonly recordedEnds: number;
   readonly entries: number;
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -83,6 +83,7 @@
       liveEntries: entries.countLive(nowMs),
       crashes: crashes.getFindings(),
       limits: limits.list(nowMs),
+      cold: targets.listCold(nowMs),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- a/packages/control/routes/renderStatus.ts
+++ b/packages/control/routes/renderStatus.ts
@@ -17,6 +17,7 @@
     clementinemux_coordinator_document_version: documentVersion,
     clementinemux_coordinator_knowledge_age_seconds: ageMs === null ? null : ageMs / msPerS,
     clementinemux_coordinator_targets: status.targets,
+    clementinemux_coordinator_cold_targets: status.coldTargets,
     clementinemux_coordinator_recorded_ends: status.recordedEnds,
     clementinemux_coordinator_gateways: status.entries,
   });
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,4 +1,5 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import type { ColdTarget } from "./ColdTarget";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
@@ -29,6 +30,8 @@
   readonly crashes?: CrashFindings;
   /** What targets have stated about their limits. Missing from coordinators of earlier releases. */
   readonly limits?: readonly TargetLimit[];
+  /** Targets that are cold, or were until just now. Missing from coordinators of earlier releases. */
+  readonly cold?: readonly ColdTarget[];
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
--- a/packages/registry/TargetRecord.ts
+++ b/packages/registry/TargetRecord.ts
@@ -15,4 +15,9 @@
   readonly bornMs: number;
   /** Increases with each heartbeat of one incarnation. */
   readonly sequence: number;
+  /**
+   * Time for which the target stays cold, in ms, counted from the arrival of its heartbeat; 0 when it is warm. Missing if the
+   * heartbeat does not state it, and from coordinators of earlier releases.
+   */
+  readonly coldLeftMs?: number;
 }
--- a/packages/registry/TargetRegistry.ts
+++ b/packages/registry/TargetRegistry.ts
@@ -1,4 +1,6 @@
 import { matchAddress } from "@clementinemux/wire/matchAddress";
+import { ColdTable } from "./ColdTable";
+import type { ColdTarget } from "./ColdTarget";
 import type { RegistryRecord } from "./RegistryRecord";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetRecord } from "./TargetRecord";
@@ -24,6 +26,9 @@
   readonly #records = new Map<string, RegistryRecord>();
   /** Ids of the records, since a search of all of them for each new target takes seconds with thousands of targets. */
   readonly #idsByAddress = new Map<string, Set<string>>();
+  /** Cold targets are listed apart from the records, so that a change is sent without the list of all targets. */
+  readonly #cold = new ColdTable();
+  #lastColdChangeNumber = 0;
   #lastChangeNumber = 0;
 
   /** Number of the last change that must be sent to gateways. */
@@ -31,6 +36,11 @@
     return this.#lastChangeNumber;
   }
 
+  /** Number of the last change of a target from warm to cold, or of its cold time. */
+  get lastColdChangeNumber(): number {
+    return this.#lastColdChangeNumber;
+  }
+
   /** Applies a record received from the target or from another coordinator. Returns whether it is new. */
   put(received: TargetRecord, seenAtMs: number, via: string | null = null): boolean {
     // A coordinator of an earlier release may pass on a target whose id or address cannot be used.
@@ -48,6 +58,7 @@
     if (this.#isSuperseded(target)) {
       return false;
     }
+    this.#noteCold(target, seenAtMs);
     if (known !== undefined && hasSameState(known.target, target)) {
       this.#refresh({ ...known, target, via }, seenAtMs);
       return true;
@@ -130,6 +141,21 @@
       .map(({ target }) => target);
   }
 
+  /** Targets that are cold, or were until just now. */
+  listCold(nowMs: number): ColdTarget[] {
+    return this.#cold.list(nowMs);
+  }
+
+  /** Number of cold targets. */
+  countCold(nowMs: number): number {
+    return this.#cold.count(nowMs);
+  }
+
+  /** Time for which an incarnation stays cold, in ms; 0 when it is warm. */
+  getColdLeftMs(target: TargetIncarnation, nowMs: number): number {
+    return this.#cold.getLeftMs(target, nowMs);
+  }
+
   /** Targets that have unregistered, or whose address is used by a later target. */
   listGone(): TargetRecord[] {
     return [...this.#records.values()].filter(({ target }) => target.isGone).map(({ target }) => target);
@@ -163,6 +189,12 @@
     }
   }
 
+  #noteCold({ id, bornMs, sequence, coldLeftMs }: TargetRecord, seenAtMs: number): void {
+    const hasChanged =
+      coldLeftMs !== undefined && this.#cold.note({ id, bornMs, sequence, leftMs: coldLeftMs }, seenAtMs);
+    this.#lastColdChangeNumber += hasChanged ? 1 : 0;
+  }
+
   /**
    * Stores a record whose target was seen. A target that had timed out is listed again, which is a change.
    */
--- a/packages/routes/RoutedService.ts
+++ b/packages/routes/RoutedService.ts
@@ -1,3 +1,4 @@
+import type { ColdStart } from "./ColdStart";
 import type { EngineParameters } from "./EngineParameters";
 
 /** A service that routes can refer to. */
@@ -8,4 +9,6 @@
   readonly maxConnections: number;
   /** Null for plain services. */
   readonly engine: EngineParameters | null;
+  /** Null or missing if cold targets are used like warm ones. */
+  readonly coldStart?: ColdStart | null;
 }
