Send cold targets nothing without a permit, and let their share grow afterwards

Gateways knew nothing of cold targets. Cold targets now take requests with a permit only, after the warm ones. Where targets may become cold, an empty target gets at most three times the share of a usual one, since it may be empty because it has restarted.

--- a/packages/bench/limits/runLimitsBench.ts
+++ b/packages/bench/limits/runLimitsBench.ts
@@ -122,6 +122,7 @@
   const getLiveEntries = (): number => gateways;
   return new PermitClient({
     limits,
+    cold: null,
     call,
     getLiveEntries,
     outcomes,
--- a/packages/control/limits/ColdRates.ts
+++ b/packages/control/limits/ColdRates.ts
@@ -2,11 +2,13 @@
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
 import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
+import { defaultColdBounds } from "@clementinemux/routes/defaultColdBounds";
 import { computeColdRatePerS } from "@clementinemux/routes/computeColdRatePerS";
 
 interface ColdRatesOptions {
   readonly targets: Pick<TargetRegistry, "find" | "getColdLeftMs">;
-  readonly bounds: ColdBounds;
+  /** 1.5 times the rate of a cold target and 5 requests more by default. */
+  readonly bounds?: ColdBounds | undefined;
   /** Null until there is a document. */
   readonly getTable: () => RouteTable | null;
 }
@@ -36,7 +38,7 @@
   }
 
   #getKnownPerS(target: TargetIncarnation, nowMs: number): number | null {
-    const { targets, bounds, getTable } = this.#options;
+    const { targets, bounds = defaultColdBounds, getTable } = this.#options;
     if (targets.getColdLeftMs(target, nowMs) === 0) {
       return null;
     }
--- a/packages/control/limits/PermitService.ts
+++ b/packages/control/limits/PermitService.ts
@@ -1,6 +1,5 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import { getOwn } from "@clementinemux/common/getOwn";
-import type { Counters } from "@clementinemux/metrics/Counters";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { PermitAnswer } from "@clementinemux/registry/PermitAnswer";
 import type { PermitAsk } from "@clementinemux/registry/PermitAsk";
@@ -8,13 +7,12 @@
 import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
-import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
-import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
 import { callLeader } from "../callLeader";
-import { ColdRates } from "./ColdRates";
+import type { CoordinatorMetrics } from "../routes/CoordinatorMetrics";
+import type { ColdRates } from "./ColdRates";
 import { FleetLimiter } from "./FleetLimiter";
 import { PermitOutcome } from "./PermitOutcome";
 
@@ -23,12 +21,8 @@
   readonly limits: LimitTable;
   readonly targets: TargetRegistry;
   readonly links: PeerLinks;
-  readonly coldBounds: ColdBounds;
-  /** Null until there is a document. */
-  readonly getTable: () => RouteTable | null;
-  readonly outcomes: Counters<PermitOutcome>;
-  /** Outcomes of the requests for permits of which a cold target was named. */
-  readonly coldOutcomes: Counters<PermitOutcome>;
+  readonly coldRates: ColdRates;
+  readonly metrics: Pick<CoordinatorMetrics, "permits" | "coldPermits">;
   readonly clock: Clock;
 }
 
@@ -39,13 +33,10 @@
 export class PermitService {
   readonly #options: PermitServiceOptions;
   readonly #limiter: FleetLimiter;
-  readonly #coldRates: ColdRates;
 
   constructor(options: PermitServiceOptions) {
     this.#options = options;
     this.#limiter = new FleetLimiter(options.limits);
-    const { targets, coldBounds: bounds, getTable } = options;
-    this.#coldRates = new ColdRates({ targets, bounds, getTable });
   }
 
   /** Rejects when no leader is known, or it does not answer in time: then no permits are granted. */
@@ -73,11 +64,11 @@
   }
 
   #takeAsLeader({ asks, limits: stated, coldRatesPerS = {} }: PermitRequest): PermitResponse {
-    const { group, limits, clock } = this.#options;
+    const { group, limits, coldRates, clock } = this.#options;
     const nowMs = clock.monotonicMs();
     limits.merge(stated, nowMs);
     const getColdRatePerS = (target: TargetIncarnation): number | null =>
-      this.#coldRates.getRatePerS(target, getOwn(coldRatesPerS, target.id) ?? null, nowMs);
+      coldRates.getRatePerS(target, getOwn(coldRatesPerS, target.id) ?? null, nowMs);
     const answers = asks.map((ask) => {
       const answer = this.#limiter.take(ask, group.core.term, nowMs, getColdRatePerS);
       this.#count(ask, answer, coldRatesPerS);
@@ -92,11 +83,12 @@
     { target }: PermitAnswer,
     coldRatesPerS: Readonly<Record<string, number>>,
   ): void {
+    const { metrics } = this.#options;
     const outcome = target === null ? PermitOutcome.Refused : PermitOutcome.Granted;
     const ids = target === null ? targets.map(({ id }) => id) : [target];
-    this.#options.outcomes.add(outcome);
+    metrics.permits.add(outcome);
     if (ids.some((id) => getOwn(coldRatesPerS, id) !== undefined)) {
-      this.#options.coldOutcomes.add(outcome);
+      metrics.coldPermits.add(outcome);
     }
   }
 }
--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -12,7 +12,6 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import { TargetRegistry } from "@clementinemux/registry/TargetRegistry";
-import { defaultColdBounds } from "@clementinemux/routes/defaultColdBounds";
 import type { MessageHandler } from "@clementinemux/wire/MessageHandler";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -21,6 +20,7 @@
 import type { EndReport } from "../ends/EndReport";
 import { EndRecorder } from "../ends/EndRecorder";
 import { TargetReports } from "../ends/TargetReports";
+import { ColdRates } from "../limits/ColdRates";
 import { PermitService } from "../limits/PermitService";
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
@@ -173,7 +173,7 @@
 
   async start(): Promise<void> {
     await this.reserve();
-    const { dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
+    const { dataFolder, clock, logger, seeds, targetVoters, isBootstrap, coldBounds } = this.#options;
     const onElected = (): void => this.#recorder?.onElected();
     const group = await this.#host.open(groupName, this.#machine, onElected, dataFolder ?? undefined);
     const machine = this.#machine;
@@ -181,19 +181,9 @@
     this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
     const { targets, limits, metrics } = this;
     const links = this.#links;
-    const outcomes = metrics.permits;
+    const coldRates = new ColdRates({ targets, bounds: coldBounds, getTable: () => this.#table.get() });
     this.#recorder = new EndRecorder({ group, table: machine.ends, targets, links, clock, logger });
-    this.#permits = new PermitService({
-      group,
-      limits,
-      targets,
-      links,
-      coldBounds: this.#options.coldBounds ?? defaultColdBounds,
-      getTable: () => this.#table.get(),
-      outcomes,
-      coldOutcomes: metrics.coldPermits,
-      clock,
-    });
+    this.#permits = new PermitService({ group, limits, targets, links, coldRates, metrics, clock });
     this.#membership = new MembershipManager({ group, peers: this.#peers, clock, logger, targetVoters });
     this.#exchange = new RegistryExchange({
       name: this.#options.name,
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -33,6 +33,8 @@
   readonly limits: LimitTable;
   /** Called for each target whose limit has changed by what the coordinator knows. */
   readonly onLimit: (id: string, limitPerS: number | null) => void;
+  /** Called with each response that was applied. */
+  readonly onApplied: (response: SyncResponse) => void;
   /** Frame addresses of coordinators, the nearest first; hints that may be outdated. */
   readonly seeds: readonly string[];
   readonly clock: Clock;
@@ -210,6 +212,7 @@
       for (const { id, limitPerS } of this.#options.limits.merge(response.limits ?? [], sentAtMs)) {
         this.#options.onLimit(id, limitPerS);
       }
+      this.#options.onApplied(response);
       this.#preferNearest(response.nearest, sentAtMs);
       return isCurrent;
     } catch (error) {
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -17,17 +17,16 @@
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
+import { ColdWatch } from "./ColdWatch";
 import { CrashWatch } from "./CrashWatch";
 import type { GatewayContext } from "./GatewayContext";
 import { GatewayHandler } from "./GatewayHandler";
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { RequestReceiver } from "./RequestReceiver";
-import { GroupRecovery } from "./GroupRecovery";
-import { PassMeter } from "./PassMeter";
 import { RequestOutcome } from "./RequestOutcome";
 import { PermitClient } from "./PermitClient";
-import { RetryBudget } from "./RetryBudget";
+import { ServiceStates } from "./ServiceStates";
 import { StopWindow } from "./StopWindow";
 import { TargetConnectionPool } from "./TargetConnectionPool";
 import { TargetHealth } from "./TargetHealth";
@@ -65,13 +64,12 @@
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
   readonly #limits = new LimitTable();
+  readonly #cold: ColdWatch;
   readonly #permits: PermitClient;
   readonly #deadlines = new CallerDeadlines();
   readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
-  readonly #retryBudgets = new Map<string, RetryBudget>();
-  readonly #passMeters = new Map<string, PassMeter>();
-  readonly #recoveries = new Map<string, GroupRecovery>();
+  readonly #services: ServiceStates;
   readonly #sockets = new Set<Socket>();
   readonly #byteBudget: ByteBudget;
   readonly #incarnation: string;
@@ -93,6 +91,7 @@
       handlers: Object.values(GatewayHandler),
       logger,
     });
+    this.#services = new ServiceStates(options);
     this.#byteBudget = new ByteBudget(options.maxHeldBytes);
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
@@ -111,6 +110,7 @@
       errors: this.#errors,
       logger,
     });
+    this.#cold = new ColdWatch(this.view, options, this.metrics.coldPermits);
     this.#sync = new FleetSync({
       view: this.view,
       getEntry: () => this.#getEntry(),
@@ -124,6 +124,9 @@
         this.#permits.reset(id);
         logger.info({ target: id, limitPerS }, "limit of a target");
       },
+      onApplied: ({ cold }) => {
+        this.#cold.update(cold);
+      },
       seeds,
       clock: leaseClock,
       errors: this.#errors,
@@ -131,6 +134,7 @@
     });
     this.#permits = new PermitClient({
       limits: this.#limits,
+      cold: this.#cold,
       call: (request) => this.#sync.takePermits(request),
       getLiveEntries: () => this.view.state.liveEntries,
       outcomes: this.metrics.permits,
@@ -189,6 +193,7 @@
       clementinemux_gateway_learned_ends: this.view.learnedEnds,
       clementinemux_gateway_ended_targets_listed: this.view.endedListed,
       clementinemux_gateway_limited_targets: this.#limits.size,
+      ...this.#cold.gauges,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
@@ -253,7 +258,6 @@
   }
 
   #createContext(): GatewayContext {
-    const { repeatRatio, repeatSlack, repeatWindowMs } = this.#options;
     return {
       options: this.#options,
       view: this.view,
@@ -261,32 +265,17 @@
       health: this.#health,
       notices: this.#notices,
       limits: this.#limits,
+      cold: this.#cold.targets,
+      ramps: this.#cold.ramps,
       permits: this.#permits,
       deadlines: this.#deadlines,
       crashes: this.#crashes,
       metrics: this.metrics,
       errors: this.#errors,
       byteBudget: this.#byteBudget,
-      getRetryBudget: (service) => {
-        const known = this.#retryBudgets.get(service);
-        const budget =
-          known ?? new RetryBudget({ ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs });
-        this.#retryBudgets.set(service, budget);
-        return budget;
-      },
-      getPassMeter: (service) => {
-        const meter = this.#passMeters.get(service) ?? new PassMeter();
-        this.#passMeters.set(service, meter);
-        return meter;
-      },
-      getGroupRecovery: ({ name, engine }) => {
-        if ((engine?.experts ?? null) === null) {
-          return null;
-        }
-        const recovery = this.#recoveries.get(name) ?? new GroupRecovery();
-        this.#recoveries.set(name, recovery);
-        return recovery;
-      },
+      getRetryBudget: (service) => this.#services.getRetryBudget(service),
+      getPassMeter: (service) => this.#services.getPassMeter(service),
+      getGroupRecovery: (service) => this.#services.getGroupRecovery(service),
       getConnectionPool: (address) => {
         const agent = this.#connectionPools.get(address) ?? new TargetConnectionPool();
         this.#connectionPools.set(address, agent);
@@ -362,6 +351,7 @@
     this.#notices.retain(targets, this.#options.clock.monotonicMs());
     this.#limits.retain(targets, this.#options.leaseClock.monotonicMs());
     this.#permits.retain();
+    this.#cold.retain();
   }
 
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
+import type { ColdTargets } from "./ColdTargets";
 import type { CrashWatch } from "./CrashWatch";
 import type { FleetView } from "./FleetView";
 import type { GatewayHandler } from "./GatewayHandler";
@@ -17,6 +18,7 @@
 import type { TargetHealth } from "./TargetHealth";
 import type { TargetLoads } from "./TargetLoads";
 import type { TargetNotices } from "./TargetNotices";
+import type { TargetRamps } from "./TargetRamps";
 
 /** State that all requests of a gateway share. */
 export interface GatewayContext {
@@ -27,6 +29,10 @@
   readonly notices: TargetNotices;
   /** What targets have stated about the requests that they take from all gateways together. */
   readonly limits: LimitTable;
+  /** Which targets are cold, so that they take few requests from all gateways together. */
+  readonly cold: ColdTargets;
+  /** Shares of the targets that have just appeared, returned or warmed up. */
+  readonly ramps: TargetRamps;
   readonly permits: PermitClient;
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -2,6 +2,7 @@
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { AttemptRetryReason } from "./AttemptRetryReason";
+import { ColdPermitOutcome } from "./ColdPermitOutcome";
 import { PermitOutcome } from "./PermitOutcome";
 import { RequestOutcome } from "./RequestOutcome";
 
@@ -14,6 +15,12 @@
     Object.values(AttemptRetryReason),
   );
   readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
+  /** Those of the permits that were asked for cold targets. */
+  readonly coldPermits = new Counters(
+    "clementinemux_gateway_cold_permits",
+    "outcome",
+    Object.values(ColdPermitOutcome),
+  );
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -31,6 +38,7 @@
       renderCounters(this.outcomes),
       renderCounters(this.retries),
       renderCounters(this.permits),
+      renderCounters(this.coldPermits),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -1,5 +1,6 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
+import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { Logger } from "roarr";
 import type { WireCodec } from "./WireCodec";
 
@@ -28,6 +29,8 @@
   readonly maxHeldBytes: number;
   /** Requests that may be in flight at once; more are rejected. */
   readonly maxInFlight: number;
+  /** What cold targets may get; 1.5 times their rate and 5 requests more by default. */
+  readonly coldBounds?: ColdBounds;
   readonly codec: WireCodec;
   readonly clock: Clock;
   /** Clock that includes suspensions of the machine; used for how long the gateway may rely on its state. */
--- a/packages/gateway/PermitClient.ts
+++ b/packages/gateway/PermitClient.ts
@@ -8,12 +8,24 @@
 import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import { ColdPermitOutcome } from "./ColdPermitOutcome";
 import { GatewayHandler } from "./GatewayHandler";
 import type { Permit } from "./Permit";
 import { PermitOutcome } from "./PermitOutcome";
 
+/** What a gateway knows of cold targets. */
+interface ColdRates {
+  /** Requests per second that a cold target may get from all gateways together; null for a warm one. */
+  getRatePerS(target: TargetRecord): number | null;
+  /** Ids of the cold targets. */
+  listIds(): Iterable<string>;
+  readonly outcomes: Counters<ColdPermitOutcome>;
+}
+
 interface PermitClientOptions {
   readonly limits: LimitTable;
+  /** Null if no target is ever cold. */
+  readonly cold: ColdRates | null;
   /** Resolves with null when no permits can be had. Never rejects. */
   readonly call: (request: PermitRequest) => Promise<PermitResponse | null>;
   /** Gateways that share the permits. */
@@ -57,7 +69,7 @@
 const returnSpread = 0.25;
 
 /**
- * Fetches permits for sends to limited targets from the leading coordinator, and remembers for which targets there are none,
+ * Fetches permits for sends to limited and cold targets from the leading coordinator, and remembers for which targets there are none,
  * so that a crowd of requests makes few calls. Without a permit nothing may be sent.
  */
 export class PermitClient {
@@ -94,10 +106,12 @@
   }
 
   /** Whether a permit may still be used; counts those that may not. */
-  checkValid({ endAtMs }: Permit): boolean {
-    const isValid = this.#now() <= endAtMs;
+  checkValid({ target, isForCold, endAtMs }: Permit): boolean {
+    const isCold = this.#getColdRatePerS(target) !== null;
+    const isValid = this.#now() <= endAtMs && (isForCold || !isCold);
     if (!isValid) {
       this.#options.outcomes.add(PermitOutcome.Expired);
+      this.#countCold(isForCold || isCold, ColdPermitOutcome.Expired);
     }
     return isValid;
   }
@@ -113,6 +127,8 @@
     const nowMs = this.#now();
     const state = this.#getState(target);
     const isDue =
+      // The end of a cold time is known.
+      this.#options.limits.getLimitPerS(target) !== null &&
       this.#options.limits.getAgeMs(target, nowMs) > probeAgeMs &&
       nowMs - state.probedAtMs > probeAgeMs &&
       this.mayHave(target, 0);
@@ -126,12 +142,12 @@
    * Time after which a rejected caller may return, in ms, when all targets of its service are limited. Each one books the
    * next permit of this gateway's share.
    */
-  bookReturnMs(targets: readonly TargetIncarnation[]): number {
+  bookReturnMs(targets: readonly TargetRecord[]): number {
     const nowMs = this.#now();
     const gateways = Math.max(1, this.#options.getLiveEntries());
     const returns = targets.map((target) => {
       const state = this.#getState(target);
-      const limitPerS = this.#options.limits.getLimitPerS(target) ?? 0;
+      const limitPerS = this.#getRatePerS(target) ?? 0;
       const spacingMs = limitPerS === 0 ? Infinity : (1000 * gateways) / limitPerS;
       const atMs = Math.max(nowMs + minReturnMs, state.freeAtMs, state.bookedUntilMs);
       return { state, atMs, spacingMs };
@@ -153,8 +169,9 @@
 
   /** Removes the state of targets without a limit. */
   retain(): void {
-    const { limits } = this.#options;
-    const known = new Set(limits.list(this.#now()).map(({ id }) => id));
+    const { limits, cold } = this.#options;
+    const limited = limits.list(this.#now()).map(({ id }) => id);
+    const known = new Set([...limited, ...(cold?.listIds() ?? [])]);
     for (const id of this.#states.keys()) {
       if (!known.has(id)) {
         this.#states.delete(id);
@@ -178,10 +195,14 @@
   /** Asks for the permits of a batch. What an exception leaves without an answer gets no permit. */
   async #send(batch: readonly PendingAsk[]): Promise<void> {
     const sentAtMs = this.#now();
-    const response = await this.#options.call(this.#createRequest(batch));
+    const request = this.#createRequest(batch);
+    const response = await this.#options.call(request);
     const answers = this.#now() - sentAtMs > maxAnswerMs ? [] : (response?.answers ?? []);
+    const knowsCold = response?.knowsCold === true;
+    const coldIds = new Set(Object.keys(request.coldRatesPerS ?? {}));
     for (const [index, ask] of batch.entries()) {
-      ask.resolve(this.#apply(ask, answers[index] ?? null));
+      const isUsable = knowsCold || !ask.targets.some(({ id }) => coldIds.has(id));
+      ask.resolve(this.#apply(ask, isUsable ? (answers[index] ?? null) : null, coldIds));
     }
   }
 
@@ -196,13 +217,44 @@
         limitPerS: limits.getLimitPerS(target),
         ageMs: limits.getAgeMs(target, nowMs),
       })),
+      coldRatesPerS: this.#describeCold([...targets.values()]),
       isForwarded: false,
     };
   }
 
-  #apply({ targets }: PendingAsk, answer: PermitAnswer | null): Permit | null {
+  #describeCold(targets: readonly TargetRecord[]): Record<string, number> {
+    const rates: Record<string, number> = {};
+    for (const target of targets) {
+      const ratePerS = this.#getColdRatePerS(target);
+      if (ratePerS !== null) {
+        rates[target.id] = ratePerS;
+      }
+    }
+    return rates;
+  }
+
+  #getColdRatePerS(target: TargetRecord): number | null {
+    return this.#options.cold?.getRatePerS(target) ?? null;
+  }
+
+  /** Requests per second that a target may get from all gateways together; null if there is no limit. */
+  #getRatePerS(target: TargetRecord): number | null {
+    const limitPerS = this.#options.limits.getLimitPerS(target) ?? Infinity;
+    const ratePerS = Math.min(limitPerS, this.#getColdRatePerS(target) ?? Infinity);
+    return Number.isFinite(ratePerS) ? ratePerS : null;
+  }
+
+  #countCold(isCold: boolean, outcome: ColdPermitOutcome): void {
+    if (isCold) {
+      this.#options.cold?.outcomes.add(outcome);
+    }
+  }
+
+  #apply({ targets }: PendingAsk, answer: PermitAnswer | null, coldIds: ReadonlySet<string>): Permit | null {
     const nowMs = this.#now();
+    const hasCold = targets.some(({ id }) => coldIds.has(id));
     if (answer === null) {
+      this.#countCold(hasCold, ColdPermitOutcome.Failed);
       this.#blockedUntilMs = nowMs + failedPauseMs;
       this.#options.outcomes.add(PermitOutcome.Failed);
       return null;
@@ -214,10 +266,13 @@
     const target = targets.find(({ id }) => id === answer.target);
     this.#options.outcomes.add(target === undefined ? PermitOutcome.Refused : PermitOutcome.Granted);
     if (target === undefined) {
+      this.#countCold(hasCold, ColdPermitOutcome.Refused);
       return null;
     }
     const startAtMs = nowMs + answer.startInMs;
-    return { target, startAtMs, endAtMs: startAtMs + permitValidMs };
+    const isForCold = coldIds.has(target.id);
+    this.#countCold(isForCold, answer.startInMs > 0 ? ColdPermitOutcome.Waited : ColdPermitOutcome.Granted);
+    return { target, isForCold, startAtMs, endAtMs: startAtMs + permitValidMs };
   }
 
   #getState({ id }: TargetIncarnation): PermitState {
--- a/packages/gateway/ServiceLoad.ts
+++ b/packages/gateway/ServiceLoad.ts
@@ -11,6 +11,8 @@
   readonly slowPlaces: number;
   /** Targets that take requests with a permit only; not among `targets`. */
   readonly limited: number;
+  /** Targets that may get no request now, as their share still grows; not among `targets`. */
+  readonly held: number;
   /**
    * Time until the first target accepts requests again, in ms; null while a target accepts them, or without
    * targets.
--- a/packages/gateway/SlotCheck.ts
+++ b/packages/gateway/SlotCheck.ts
@@ -32,8 +32,8 @@
 
   /** Whether all targets that accept requests take them with a permit only. */
   get hasLimitedTargetsOnly(): boolean {
-    const { targets = 0, limited = 0, slowPlaces = 0 } = this.#load ?? {};
-    return limited > 0 && targets === 0 && slowPlaces === 0;
+    const { targets = 0, limited = 0, held = 0, slowPlaces = 0 } = this.#load ?? {};
+    return limited > 0 && targets === 0 && held === 0 && slowPlaces === 0;
   }
 
   /** Outcome of a request for which there is no slot. */
@@ -58,9 +58,9 @@
   }
 
   /** Whether a group in recovery may get the request; always true while other groups are healthy. */
-  #takeProbe({ targets, limited }: ServiceLoad): boolean {
+  #takeProbe({ targets, limited, held }: ServiceLoad): boolean {
     const open = this.#context.view.listOpenTargets(this.#routed.service.name);
-    const isSplit = targets + limited < open.length;
+    const isSplit = targets + limited + held < open.length;
     return isSplit || (this.#recovery?.takeProbe(this.#context.options.clock.monotonicMs()) ?? true);
   }
 }
--- a/packages/gateway/chooseByFreeSlots.ts
+++ b/packages/gateway/chooseByFreeSlots.ts
@@ -9,18 +9,21 @@
 /**
  * Picks a target at random, weighted by free slots. Gateways see each other's load up to half a second late,
  * so if all of them chose the emptiest target they would overload it. `queueSlots` more requests may wait at
- * each target. Null when no target has a slot.
+ * each target. No target gets more than `maxWeightRatio` times the weight of the median one. Null when no target has a
+ * slot.
  */
 export function chooseByFreeSlots(
   candidates: readonly TargetCandidate[],
   queueSlots: number,
   random: Random,
+  maxWeightRatio = Infinity,
 ): string | null {
   const open = candidates.filter(({ load, slots }) => load < slots + queueSlots);
-  const weights = open.map(({ load, slots, weight, isNear }) => {
+  const freeWeights = open.map(({ load, slots, weight, isNear }) => {
     const free = Math.max(slots + queueSlots - load, 0) / (slots + queueSlots);
     return free ** spreadPower * weight * (isNear ? nearFactor : 1);
   });
+  const weights = capWeights(freeWeights, maxWeightRatio);
   let remaining = random() * weights.reduce((sum, weight) => sum + weight, 0);
   for (const [index, weight] of weights.entries()) {
     remaining -= weight;
@@ -30,3 +33,12 @@
   }
   return open.at(-1)?.id ?? null;
 }
+
+function capWeights(weights: readonly number[], maxRatio: number): readonly number[] {
+  if (maxRatio === Infinity) {
+    return weights;
+  }
+  const sorted = [...weights].sort((a, b) => a - b);
+  const median = sorted[Math.floor(sorted.length / 2)] ?? 0;
+  return weights.map((weight) => Math.min(weight, median * maxRatio));
+}
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -26,6 +26,11 @@
  * it.
  */
 const slowdownPower = 3;
+/**
+ * Where targets may become cold, an empty one gets at most this multiple of the share of a usual one: it may be empty since it
+ * has restarted, and every gateway would choose it before it knows that.
+ */
+const maxColdWeightRatio = 3;
 
 /**
  * Chooses the target for a request by load, health, slowdown and free slots; null when no target has a slot.
@@ -45,7 +50,8 @@
     weight: health.getWeight(target.id) / (getOwn(view.state.slowdowns, target.id) ?? 1) ** slowdownPower,
     isNear: target.failureDomain === options.failureDomain,
   }));
-  const id = chooseByFreeSlots(candidates, queueSlots, options.random);
+  const maxRatio = (service.coldStart ?? null) === null ? Infinity : maxColdWeightRatio;
+  const id = chooseByFreeSlots(candidates, queueSlots, options.random, maxRatio);
   return targets.find((target) => target.id === id) ?? null;
 }
 
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -8,6 +8,7 @@
 import type { RoutedRequest } from "./RoutedRequest";
 import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
 import { createCallOptions } from "./createCallOptions";
+import { noteFailedConnection } from "./noteFailedConnection";
 import { recordNotice } from "./recordNotice";
 
 interface AttemptInput {
@@ -30,11 +31,12 @@
   { target, watch, ...call }: AttemptInput,
   listener: AttemptListener,
 ): Attempt {
-  const { options, loads, byteBudget } = context;
+  const { options, loads, ramps, byteBudget } = context;
   const { route } = routed;
   const now = (): number => options.clock.monotonicMs();
   const callOptions = createCallOptions(context, routed, { target, ...call });
   loads.begin(target.id);
+  ramps.noteSent(target.id, options.leaseClock.monotonicMs());
   const attempt: Attempt = new Attempt({
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
@@ -61,6 +63,7 @@
       listener.onNotRun(attempt, faultyTarget);
     },
     onFailure: (failure, isSent, detail) => {
+      noteFailedConnection(context, routed.service, target.id, failure);
       listener.onFailure({ attempt, watch, failure, isSent, detail });
     },
     onReleased: () => {
--- a/packages/gateway/listPermitCandidates.ts
+++ b/packages/gateway/listPermitCandidates.ts
@@ -13,8 +13,8 @@
   tried: ReadonlySet<string>,
   waitMs: number,
 ): readonly TargetRecord[] {
-  const { limits, loads, health, permits, options } = context;
-  if (limits.isEmpty) {
+  const { limits, cold, loads, health, permits, options } = context;
+  if (limits.isEmpty && cold.isEmpty) {
     return [];
   }
   const { limited } = listUsableTargets(context, service.name);
--- a/packages/gateway/measureServiceLoad.ts
+++ b/packages/gateway/measureServiceLoad.ts
@@ -10,7 +10,7 @@
 /** Current load of the service of a request. */
 export function measureServiceLoad(context: GatewayContext, { service, route }: RoutedRequest): ServiceLoad {
   const { loads, getPassMeter, options } = context;
-  const { healthy, slow, limited, pauseMs } = listUsableTargets(context, service.name);
+  const { healthy, slow, limited, held, pauseMs } = listUsableTargets(context, service.name);
   const load = healthy.reduce((sum, target) => sum + loads.getLoad(target), 0);
   const meanLoad = load / Math.max(1, healthy.length);
   const meanGapMs = getPassMeter(service.name).getMeanMs(options.clock.monotonicMs());
@@ -32,6 +32,7 @@
     cap,
     slowPlaces,
     limited: limited.length,
+    held,
     pauseMs,
     meanGapMs,
   };
--- a/packages/gateway/recordNotice.ts
+++ b/packages/gateway/recordNotice.ts
@@ -4,13 +4,17 @@
 
 /** Records and logs what a response states about its target. */
 export function recordNotice(context: GatewayContext, target: TargetRecord, response: TargetResponse): void {
-  const { notices, options } = context;
+  const { notices, cold, ramps, options } = context;
   const { clock, logger } = options;
   const { isLeaving, pauseMs } = response;
   const isNew = notices.note(target, response, clock.monotonicMs());
   if (isNew || pauseMs !== null) {
     logger.info({ target: target.id, isLeaving, pauseMs }, "target leaves or pauses");
   }
+  if (pauseMs !== null && cold.getServiceRatePerS(target.service) !== null) {
+    // After a pause the target is empty, so all gateways would choose it.
+    ramps.start(target.id, options.leaseClock.monotonicMs() + pauseMs, true);
+  }
   recordLimit(context, target, response);
 }
 
--- a/packages/gateway/roundServiceLoad.ts
+++ b/packages/gateway/roundServiceLoad.ts
@@ -8,6 +8,7 @@
   cap,
   slowPlaces,
   limited,
+  held,
   pauseMs,
   meanGapMs,
 }: ServiceLoad): ServiceLoad {
@@ -18,6 +19,7 @@
     cap: round(cap),
     slowPlaces: Math.floor(slowPlaces),
     limited,
+    held,
     pauseMs: pauseMs === null ? null : Math.round(pauseMs),
     meanGapMs: meanGapMs === null ? null : Math.round(meanGapMs),
   };
--- a/packages/gateway/test/cap.test.ts
+++ b/packages/gateway/test/cap.test.ts
@@ -76,6 +76,7 @@
     meanGapMs: 130,
     slowPlaces: 0,
     limited: 0,
+    held: 0,
     pauseMs: null,
   };
   const waits = Array.from({ length: 200 }, () => estimateRetryAfterMs(model, slow, false, random));
@@ -111,6 +112,7 @@
     meanGapMs: null,
     slowPlaces: 0,
     limited: 0,
+    held: 0,
     pauseMs: null,
   };
   const wait = (isRejected: boolean): number =>
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -42,6 +42,7 @@
     onCrashFindings: () => undefined,
     limits: new LimitTable(),
     onLimit: () => undefined,
+    onApplied: () => undefined,
     seeds: [`127.0.0.1:${port}`],
     clock: new SystemClock(),
     logger: createLogger("test", {}),
--- a/packages/gateway/test/permitClient.test.ts
+++ b/packages/gateway/test/permitClient.test.ts
@@ -32,6 +32,7 @@
   };
   const client = new PermitClient({
     limits,
+    cold: null,
     call,
     getLiveEntries: () => 4,
     outcomes,
