--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -20,6 +20,7 @@
 import { EndRecorder } from "../ends/EndRecorder";
 import { EvacuationControl } from "../evacuation/EvacuationControl";
 import { TargetReports } from "../ends/TargetReports";
+import { ColdRates } from "../limits/ColdRates";
 import { PermitService } from "../limits/PermitService";
 import { GroupHost } from "../GroupHost";
 import type { ReplicatedGroup } from "../ReplicatedGroup";
@@ -183,7 +184,7 @@
 
   async start(): Promise<void> {
     await this.reserve();
-    const { dataFolder, clock, logger, seeds, targetVoters, isBootstrap } = this.#options;
+    const { dataFolder, clock, logger, seeds, targetVoters, isBootstrap, coldBounds } = this.#options;
     const onElected = (): void => this.#recorder?.onElected();
     const group = await this.#host.open(groupName, this.#machine, onElected, dataFolder ?? undefined);
     const machine = this.#machine;
@@ -192,9 +193,9 @@
     this.evacuations.open(group);
     const { targets, limits, metrics } = this;
     const links = this.#links;
-    const outcomes = metrics.permits;
+    const coldRates = new ColdRates({ targets, bounds: coldBounds, getTable: () => this.#table.get() });
     this.#recorder = new EndRecorder({ group, table: machine.ends, targets, links, clock, logger });
-    this.#permits = new PermitService({ group, limits, targets, links, outcomes, clock });
+    this.#permits = new PermitService({ group, limits, targets, links, coldRates, metrics, clock });
     this.#membership = new MembershipManager({ group, peers: this.#peers, clock, logger, targetVoters });
     this.#exchange = new RegistryExchange({
       name: this.#options.name,
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -87,6 +87,7 @@
       crashes: crashes.getFindings(),
       limits: limits.list(nowMs),
       ...(revision > (request.evacuationRevision ?? 0) ? { evacuated: { revision, failureDomains } } : {}),
+      cold: targets.listCold(nowMs),
       nearest:
         entry.failureDomain === failureDomain
           ? address
--- a/packages/control/routes/readStatus.ts
+++ b/packages/control/routes/readStatus.ts
@@ -40,6 +40,7 @@
     documentVersion: machine.version,
     ageMs,
     targets: registries.targets.list(nowMs).length,
+    coldTargets: registries.targets.countCold(nowMs),
     recordedEnds: machine.ends.size,
     entries: registries.entries.countLive(nowMs),
     evacuationRevision: revision,
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -1,5 +1,6 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import type { EvacuatedDomains } from "./EvacuatedDomains";
+import type { ColdTarget } from "./ColdTarget";
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
@@ -35,6 +36,8 @@
    * releases.
    */
   readonly evacuated?: EvacuatedDomains;
+  /** Targets that are cold, or were until just now. Missing from coordinators of earlier releases. */
+  readonly cold?: readonly ColdTarget[];
   /** Coordinator in the gateway's failure domain; null if none is alive. */
   readonly nearest: string | null;
   /** Addresses of the coordinators' frame ports. */
