--- a/packages/control/routes/Coordinator.ts
+++ b/packages/control/routes/Coordinator.ts
@@ -189,10 +189,10 @@
     const group = await this.#host.open(groupName, this.#machine, onElected, dataFolder ?? undefined);
     const machine = this.#machine;
     this.#group = group;
-    this.#documents = new DocumentService({ group, machine, links: this.#links, clock, logger });
-    this.evacuations.open(group);
     const { targets, limits, metrics } = this;
     const links = this.#links;
+    this.#documents = new DocumentService({ group, machine, links, clock, logger });
+    this.evacuations.open(group);
     const coldRates = new ColdRates({ targets, bounds: coldBounds, getTable: () => this.#table.get() });
     this.#recorder = new EndRecorder({ group, table: machine.ends, targets, links, clock, logger });
     this.#permits = new PermitService({ group, limits, targets, links, coldRates, metrics, clock });
@@ -204,9 +204,9 @@
       replicaId: group.core.id,
       failureDomain: this.#options.failureDomain,
       isDurable: dataFolder !== null,
-      links: this.#links,
+      links,
       peers: this.#peers,
-      targets: this.targets,
+      targets,
       reports: this.#reports,
       entries: this.entries,
       slowdowns: this.slowdowns,
@@ -292,11 +292,9 @@
 
   getStatus(): CoordinatorStatus {
     const { targets, entries } = this;
-    const nowMs = this.#options.clock.monotonicMs();
-    const ageMs = this.#getAgeMs();
-    const { targetVoters } = this.#options;
-    const group = this.#group;
-    return readStatus({ group, targetVoters, machine: this.#machine, targets, entries, ageMs, nowMs });
+    const { targetVoters, clock } = this.#options;
+    const state = { group: this.#group, machine: this.#machine, targets, entries };
+    return readStatus({ ...state, targetVoters, ageMs: this.#getAgeMs(), nowMs: clock.monotonicMs() });
   }
 
   #createGroupManager(group: ReplicatedGroup): RankGroupManager {
