--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -7,6 +7,9 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
+import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
+import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
@@ -38,7 +41,12 @@
   const findings = null as CrashFindings | null;
   /** Targets that the coordinator lists besides `targets`. */
   const otherTargets: TargetRecord[] = [];
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets };
+  /** Failure domains of `targets`; "a" for those that are not listed. */
+  const failureDomains: string[] = [];
+  const evacuated: EvacuatedDomains = { revision: 0, failureDomains: [] };
+  const takePermits: (request: PermitRequest) => PermitResponse = () => ({ answers: [] });
+  const places = { otherTargets, failureDomains, evacuated, takePermits };
+  const state = { document, ageMs, isReady: true, leaving, crashes, findings, ...places };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
@@ -52,11 +60,19 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
-    const response = { ...listed, targets: [...(listed.targets ?? []), ...state.otherTargets] };
+    const own = (listed.targets ?? []).map((target, index) => ({
+      ...target,
+      failureDomain: state.failureDomains[index] ?? "a",
+    }));
+    const known = { targets: [...own, ...state.otherTargets], evacuated: state.evacuated };
+    const response = { ...listed, ...known };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
-    handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
+    handlers: {
+      [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest),
+      [MessageName.TakePermits]: (body) => state.takePermits(body as PermitRequest),
+    },
   });
   const framePort = await coordinator.listen("127.0.0.1", 0);
   const [callerPort = 0, readyPort = 0] = await findFreePorts(2);
