Bound the wait of requests in the test of evacuated services, and evacuate the preferred targets

Without a bound, the test passed with a gateway that held the requests for their whole wait; with the targets of the other failure domain, it passed with one that does not apply evacuations to waiting requests and resumed streams. Both changes of the gateway now fail the test.

--- a/packages/gateway/test/evacuations.test.ts
+++ b/packages/gateway/test/evacuations.test.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { setTimeout as delay } from "node:timers/promises";
 import { encode } from "cbor-x";
 import t from "tap";
 import type { Test } from "tap";
@@ -16,8 +17,12 @@
 
 const limitMs = 5000;
 const slots = 4;
-/** Requests wait up to two seconds for a slot. */
-const patient = { objectiveMs: 5000, timeoutMs: 10_000 };
+/** Requests wait up to eight seconds for a slot. */
+const patient = { objectiveMs: 20_000, timeoutMs: 30_000 };
+/** Well below the time for which requests wait. */
+const promptMs = 4000;
+/** Waiting requests look for a slot several times. */
+const pollMs = 150;
 const stream = { kind: RouteKind.Streaming, canResume: true, attempts: 2, ...patient };
 
 interface Held {
@@ -102,25 +107,28 @@
 
 // Guards against requests to an evacuated failure domain, and against responses that are cut off there.
 t.test("new requests go elsewhere, running ones are finished, until the evacuation ends", async (t) => {
+  // The gateway prefers targets of its own failure domain, "a".
   const { targets, evacuate, send, expectReceived, gateway } = await start(t, patient, ["a", "b"]);
   const [near, far] = targets as [HoldingTarget, HoldingTarget];
   const running = Array.from({ length: 2 * slots }, (_, at) => send(`r-${at}`));
   await expectReceived(2 * slots);
-  t.equal(far.received, slots);
-  await evacuate("b");
+  t.equal(near.received, slots);
+  await evacuate("a");
   t.match(gateway.renderMetrics(), /clementinemux_gateway_evacuated_failure_domains 1\n/);
   const waiting = send("w");
-  far.answerAll();
   near.answerAll();
+  await delay(pollMs);
+  await expectReceived(2 * slots);
+  far.answerAll();
   t.ok((await Promise.all(running)).every(({ status }) => status === 200));
   await expectReceived(2 * slots + 1);
-  near.answerAll();
+  far.answerAll();
   t.equal((await waiting).status, 200, "a request that waited for a slot");
-  t.equal(far.received, slots);
+  t.equal(near.received, slots);
   await evacuate();
   const again = Array.from({ length: 2 * slots }, (_, at) => send(`s-${at}`));
   await expectReceived(4 * slots + 1);
-  t.equal(far.received, 2 * slots);
+  t.equal(near.received, 2 * slots);
   targets.forEach((target) => {
     target.answerAll();
   });
@@ -129,21 +137,19 @@
 
 // Guards against retried requests and resumed streams that go to an evacuated failure domain.
 t.test("a stream that breaks is resumed elsewhere", async (t) => {
-  const { targets, evacuate, send, expectReceived } = await start(t, stream, ["b", "b", "a"]);
-  const [, , near] = targets as [HoldingTarget, HoldingTarget, HoldingTarget];
-  await evacuate("a");
+  const { targets, evacuate, send, expectReceived } = await start(t, stream, ["a", "a", "b"]);
+  const [, , far] = targets as [HoldingTarget, HoldingTarget, HoldingTarget];
+  await evacuate("b");
   const begun = send("s");
   await expectReceived(1);
   const source = targets.find(({ received }) => received > 0);
   const socket = source?.held[0]?.socket;
   socket?.write(responses.streamHead("s") + responses.chunk(responses.event(1)));
-  await evacuate("b");
+  await evacuate("a");
   socket?.resetAndDestroy();
   await expectReceived(2);
-  t.equal(near.received, 1);
-  near.answerAll(
-    (id) => responses.streamHead(id) + responses.chunk(responses.event(2)) + responses.streamEnd,
-  );
+  t.equal(far.received, 1);
+  far.answerAll((id) => responses.streamHead(id) + responses.chunk(responses.event(2)) + responses.streamEnd);
   t.match(await begun, { status: 200, body: responses.event(1) + responses.event(2), isComplete: true });
 });
 
@@ -155,10 +161,12 @@
   const waiting = send("w");
   await waitUntil("the request waits", () => isTrue(gateway.inFlight === 2 * slots + 1), limitMs);
   await evacuate("a", "b");
+  const evacuatedAtMs = performance.now();
   for (const rejected of [await waiting, await send("n")]) {
     t.match(rejected, { status: 503, body: /evacuated/ });
     t.ok(Number(rejected.headers["retry-after"]) >= 1);
   }
+  t.ok(performance.now() - evacuatedAtMs < promptMs);
   const [near, far] = targets as [HoldingTarget, HoldingTarget];
   near.answerAll(responses.notRun);
   far.answerAll();
