--- a/packages/cli/createCli.ts
+++ b/packages/cli/createCli.ts
@@ -4,6 +4,9 @@
 import { ConfigHistoryCommand } from "./commands/ConfigHistoryCommand";
 import { ConfigSetCommand } from "./commands/ConfigSetCommand";
 import { ConfigShowCommand } from "./commands/ConfigShowCommand";
+import { EvacuationEndCommand } from "./commands/EvacuationEndCommand";
+import { EvacuationListCommand } from "./commands/EvacuationListCommand";
+import { EvacuationStartCommand } from "./commands/EvacuationStartCommand";
 import { ExceptionAddCommand } from "./commands/ExceptionAddCommand";
 import { ExceptionListCommand } from "./commands/ExceptionListCommand";
 import { ExceptionRemoveCommand } from "./commands/ExceptionRemoveCommand";
@@ -23,6 +26,9 @@
   ConfigHistoryCommand,
   ConfigSetCommand,
   ConfigShowCommand,
+  EvacuationEndCommand,
+  EvacuationListCommand,
+  EvacuationStartCommand,
   ExceptionAddCommand,
   ExceptionListCommand,
   ExceptionRemoveCommand,
