Report waiting demand between gateways and order fair-queue items by due time

Cause: a gateway does not know what waits at the others, and the fair queue orders the items of a team by arrival only. Change: EntryRecord and SyncResponse carry optional counts of waiting requests by service and priority, summed by EntryRegistry; FairQueue takes any class key, an optional due time, and lists its order without serving.

--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -79,6 +79,7 @@
       ended: state === registryState ? [] : this.#options.listUnregistered(),
       isComplete,
       inFlight: entries.sumInFlight(entry.name, nowMs),
+      waiting: entries.sumWaiting(entry.name, nowMs),
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
       crashes: crashes.getFindings(),
--- a/packages/gateway/FleetState.ts
+++ b/packages/gateway/FleetState.ts
@@ -1,4 +1,5 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { WaitingDemand } from "@clementinemux/registry/WaitingDemand";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 
 /** Snapshot of the fleet's state, replaced as a whole. */
@@ -8,6 +9,8 @@
   readonly targets: readonly TargetRecord[];
   /** Requests in flight by target, from all other gateways. */
   readonly othersInFlight: Readonly<Record<string, number>>;
+  /** Requests that wait for a slot at all other gateways. */
+  readonly othersWaiting: WaitingDemand;
   /** Slowdown of slow targets by id: a multiple of the usual time for the same work. */
   readonly slowdowns: Readonly<Record<string, number>>;
   readonly liveEntries: number;
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -22,7 +22,14 @@
 export class FleetView {
   readonly #codec: WireCodec;
   readonly #ended = new EndedTargets();
-  #state: FleetState = { table: null, targets: [], othersInFlight: {}, slowdowns: {}, liveEntries: 1 };
+  #state: FleetState = {
+    table: null,
+    targets: [],
+    othersInFlight: {},
+    othersWaiting: {},
+    slowdowns: {},
+    liveEntries: 1,
+  };
   #openTargets = new Map<string, TargetRecord[]>();
   #registryState = "";
   #endedListed = 0;
@@ -88,7 +95,8 @@
     }
     const isCurrent = ageMs < maxCurrentAgeMs;
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs - ageMs);
-    this.#state = { ...this.#state, othersInFlight: inFlight, slowdowns: paces, liveEntries };
+    const othersWaiting = response.waiting ?? {};
+    this.#state = { ...this.#state, othersInFlight: inFlight, othersWaiting, slowdowns: paces, liveEntries };
     if (isCurrent && targets !== null) {
       for (const incarnation of response.ended ?? []) {
         this.#ended.learnGone(incarnation, sentAtMs);
--- a/packages/policy/admission/FairQueue.ts
+++ b/packages/policy/admission/FairQueue.ts
@@ -1,4 +1,3 @@
-import type { RequestClass } from "@clementinemux/common/RequestClass";
 import type { FairQueueItem } from "./FairQueueItem";
 
 interface Flow<Item> {
@@ -19,8 +18,8 @@
  * team weight. The cost of an item is its predicted service time, so a team cannot gain by sending longer
  * requests. A flow that was idle starts at the current virtual time: it has neither credit nor debt.
  */
-export class FairQueue<Item extends FairQueueItem> {
-  readonly #classes = new Map<RequestClass, ClassFlow<Item>>();
+export class FairQueue<Item extends FairQueueItem<string | number>> {
+  readonly #classes = new Map<Item["requestClass"], ClassFlow<Item>>();
   #virtualTime = 0;
   #size = 0;
   #costMs = 0;
@@ -42,7 +41,7 @@
     if (team.items.length === 0) {
       team.startTag = Math.max(team.startTag, classFlow.virtualTime);
     }
-    team.items.splice(front ? 0 : team.items.length, 0, item);
+    team.items.splice(front ? 0 : findPlace(team.items, item), 0, item);
     team.costMs += item.costMs;
     classFlow.costMs += item.costMs;
     this.#costMs += item.costMs;
@@ -54,7 +53,7 @@
    * considered.
    */
   pop(canRun: (item: Item) => boolean): Item | null {
-    const classes = [...this.#classes.values()].filter(({ costMs }) => costMs > 0).sort(compareTags);
+    const classes = this.#listActive().sort(compareTags);
     for (const classFlow of classes) {
       const team = findFirst(classFlow.teams.values());
       const item = team?.items[0];
@@ -99,6 +98,25 @@
       .flatMap((classFlow) => findFirst(classFlow.teams.values())?.items.slice(0, 1) ?? []);
   }
 
+  /** All items in the order in which they would be served if each could run. Changes nothing. */
+  listInOrder(): readonly Item[] {
+    const classes = this.#listActive().map(copyClass);
+    const order: Item[] = [];
+    while (order.length < this.#size) {
+      const classFlow = findFirst(classes);
+      const team = classFlow === null ? null : findFirst(classFlow.items);
+      const item = team?.items.shift();
+      if (classFlow === null || team === null || item === undefined) {
+        break;
+      }
+      order.push(item);
+      classFlow.startTag += item.costMs / classFlow.weight;
+      team.startTag += item.costMs / team.weight;
+      classFlow.items = classFlow.items.filter(({ items }) => items.length > 0);
+    }
+    return order;
+  }
+
   /** Visits each queued item with its predicted wait if `slotCount` items are served concurrently. */
   forEachWait(slotCount: number, visit: (item: Item, waitMs: number) => void): void {
     for (const classFlow of this.#classes.values()) {
@@ -113,7 +131,7 @@
   }
 
   /** Predicted wait of a new item. */
-  predictWaitMs(item: FairQueueItem, slotCount: number): number {
+  predictWaitMs(item: FairQueueItem<Item["requestClass"]>, slotCount: number): number {
     const classFlow = this.#classes.get(item.requestClass);
     if (classFlow === undefined) {
       return this.#getWaitMs(null, null, 0, item.classWeight, slotCount);
@@ -136,7 +154,7 @@
     newTeamWeight = 1,
   ): number {
     const slots = Math.max(slotCount, 1);
-    const active = [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
+    const active = this.#listActive();
     const ownClassWeight = classFlow?.weight ?? addedClassWeight;
     const classShare = ownClassWeight / (sumWeights(active) + addedClassWeight);
     const teams = [...(classFlow?.teams.values() ?? [])].filter(({ items }) => items.length > 0);
@@ -148,6 +166,10 @@
     return Math.min(this.#costMs / slots, (aheadMs / (classShare * teamShare) + meanCostMs) / slots);
   }
 
+  #listActive(): ClassFlow<Item>[] {
+    return [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
+  }
+
   #getClass(item: Item): ClassFlow<Item> {
     let flow = this.#classes.get(item.requestClass);
     if (flow === undefined) {
@@ -159,7 +181,10 @@
   }
 }
 
-function getTeam<Item extends FairQueueItem>(classFlow: ClassFlow<Item>, item: Item): Flow<Item> {
+function getTeam<Item extends FairQueueItem<string | number>>(
+  classFlow: ClassFlow<Item>,
+  item: Item,
+): Flow<Item> {
   let team = classFlow.teams.get(item.team);
   if (team === undefined) {
     team = { items: [], weight: 1, startTag: 0, costMs: 0 };
@@ -169,11 +194,32 @@
   return team;
 }
 
-function findFirst<Item>(teams: Iterable<Flow<Item>>): Flow<Item> | null {
-  let first: Flow<Item> | null = null;
-  for (const team of teams) {
-    if (team.items.length > 0 && (first === null || team.startTag < first.startTag)) {
-      first = team;
+/** Copies of a class and of its teams with items, for a dry run. */
+function copyClass<Item>({ teams, weight, startTag }: ClassFlow<Item>) {
+  const active = [...teams.values()].filter(({ items }) => items.length > 0);
+  const items = active.map((team) => ({ ...team, items: [...team.items] }));
+  return { items, weight, startTag };
+}
+
+/** Index for a new item: behind all that are due no later, so that items without a due time keep their order. */
+function findPlace(
+  items: readonly { dueAtMs?: number }[],
+  { dueAtMs = Infinity }: { dueAtMs?: number },
+): number {
+  let at = items.length;
+  while (at > 0 && (items[at - 1]?.dueAtMs ?? Infinity) > dueAtMs) {
+    at -= 1;
+  }
+  return at;
+}
+
+function findFirst<Some extends { readonly items: readonly unknown[]; readonly startTag: number }>(
+  flows: Iterable<Some>,
+): Some | null {
+  let first: Some | null = null;
+  for (const flow of flows) {
+    if (flow.items.length > 0 && (first === null || flow.startTag < first.startTag)) {
+      first = flow;
     }
   }
   return first;
--- a/packages/registry/EntryRecord.ts
+++ b/packages/registry/EntryRecord.ts
@@ -1,3 +1,5 @@
+import type { WaitingDemand } from "./WaitingDemand";
+
 /** An entry as reported by itself to its coordinator. */
 export interface EntryRecord {
   readonly name: string;
@@ -8,4 +10,6 @@
   readonly isReady: boolean;
   /** Requests in flight by target id. */
   readonly inFlight: Readonly<Record<string, number>>;
+  /** Requests that wait for a slot, by service and priority. Missing from gateways of earlier releases. */
+  readonly waiting?: WaitingDemand;
 }
--- a/packages/registry/EntryRegistry.ts
+++ b/packages/registry/EntryRegistry.ts
@@ -1,4 +1,5 @@
 import type { EntryRecord } from "./EntryRecord";
+import type { WaitingDemand } from "./WaitingDemand";
 
 interface KnownEntry {
   readonly entry: EntryRecord;
@@ -56,6 +57,20 @@
     return Object.fromEntries(sums);
   }
 
+  /** Requests that wait for a slot by service and priority, summed over all entries except `except`. */
+  sumWaiting(except: string, nowMs: number): WaitingDemand {
+    const sums = new Map<string, Map<string, number>>();
+    const others = this.#listLive(nowMs).filter(({ entry }) => entry.name !== except);
+    for (const [service, counts] of others.flatMap(({ entry }) => Object.entries(entry.waiting ?? {}))) {
+      const known = sums.get(service) ?? new Map<string, number>();
+      sums.set(service, known);
+      for (const [priority, count] of Object.entries(counts)) {
+        known.set(priority, (known.get(priority) ?? 0) + count);
+      }
+    }
+    return Object.fromEntries([...sums].map(([service, counts]) => [service, Object.fromEntries(counts)]));
+  }
+
   /** Entries that report directly to this coordinator, with the age of their last report. */
   listDirect(nowMs: number): { readonly entry: EntryRecord; readonly ageMs: number }[] {
     return this.#listLive(nowMs)
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -2,6 +2,7 @@
 import type { TargetIncarnation } from "./TargetIncarnation";
 import type { TargetLimit } from "./TargetLimit";
 import type { TargetRecord } from "./TargetRecord";
+import type { WaitingDemand } from "./WaitingDemand";
 
 /** The state that a gateway lacks, and the age of its confirmation. */
 export interface SyncResponse {
@@ -22,6 +23,8 @@
   readonly isComplete: boolean;
   /** Requests in flight by target, summed over all other entries. */
   readonly inFlight: Readonly<Record<string, number>>;
+  /** Requests that wait for a slot, summed over all other entries. Missing from coordinators of earlier releases. */
+  readonly waiting?: WaitingDemand;
   /** Slowdown of slow targets, as a multiple of the usual time; 1 for targets that are not listed. */
   readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
