Queue requests for scarce slots by priority, team and due time

Cause: without a queue, each request without a slot looks again every 20 ms, so luck decides and priority has no effect; gateways take the same free slots, which they see up to 0.5 s late. AdmissionLine serves the queue on events. Where no queue is in force, the polling stays. While slots are scarce, a gateway prefers targets where it has just freed a slot itself.

--- a/bin/bench-gateway-process.ts
+++ b/bin/bench-gateway-process.ts
@@ -2,6 +2,7 @@
 import { GatewayBenchSettings } from "@clementinemux/bench/gateway/GatewayBenchSettings";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { startFromSettings } from "@clementinemux/settings/startFromSettings";
@@ -27,6 +28,7 @@
     minStallTimeoutMs: 10_000,
     maxHeldBytes: 50_331_648,
     maxInFlight: 1000,
+    waitingLine: WaitingLineMode.Auto,
     codec: new PlainCodec(),
     clock,
     leaseClock: clock,
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -13,6 +13,7 @@
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
+import { AdmissionLines } from "./AdmissionLines";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -23,16 +24,15 @@
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { RequestReceiver } from "./RequestReceiver";
-import { GroupRecovery } from "./GroupRecovery";
-import { PassMeter } from "./PassMeter";
 import { RequestOutcome } from "./RequestOutcome";
 import { PermitClient } from "./PermitClient";
-import { RetryBudget } from "./RetryBudget";
+import { ServiceStates } from "./ServiceStates";
 import { StopWindow } from "./StopWindow";
 import { TargetConnectionPool } from "./TargetConnectionPool";
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { renderAdmissionLines } from "./renderAdmissionLines";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 /** Limits until the first document is known. */
@@ -66,12 +66,11 @@
   readonly #notices = new TargetNotices();
   readonly #limits = new LimitTable();
   readonly #permits: PermitClient;
+  readonly #admissions: AdmissionLines;
   readonly #deadlines = new CallerDeadlines();
   readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
-  readonly #retryBudgets = new Map<string, RetryBudget>();
-  readonly #passMeters = new Map<string, PassMeter>();
-  readonly #recoveries = new Map<string, GroupRecovery>();
+  readonly #services: ServiceStates;
   readonly #sockets = new Set<Socket>();
   readonly #byteBudget: ByteBudget;
   readonly #incarnation: string;
@@ -93,6 +92,8 @@
       handlers: Object.values(GatewayHandler),
       logger,
     });
+    const { repeatRatio: ratio, repeatSlack: slack, repeatWindowMs: windowMs } = options;
+    this.#services = new ServiceStates({ ratio, slack, windowMs });
     this.#byteBudget = new ByteBudget(options.maxHeldBytes);
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
@@ -119,9 +120,14 @@
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
       },
+      onUpdate: () => {
+        this.#loads.noteReport();
+        this.#admissions.noteReport();
+      },
       limits: this.#limits,
       onLimit: (id, limitPerS) => {
         this.#permits.reset(id);
+        this.#admissions.wake();
         logger.info({ target: id, limitPerS }, "limit of a target");
       },
       seeds,
@@ -138,6 +144,15 @@
       clock: leaseClock,
       random,
     });
+    this.#admissions = new AdmissionLines({
+      view: this.view,
+      mode: options.waitingLine,
+      clock,
+      random,
+      errors: this.#errors,
+      isPermitBlocked: () => this.#permits.isBlocked,
+      getRecovery: (service) => this.#services.getGroupRecovery(service),
+    });
     this.#receiver = new RequestReceiver(this.#createContext(), () => this.#getLimits().maxBodyBytes);
   }
 
@@ -193,7 +208,8 @@
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
+    const lines = renderAdmissionLines(this.#admissions);
+    return this.metrics.render() + this.#errors.render() + renderGauges(gauges) + lines;
   }
 
   /**
@@ -240,6 +256,7 @@
   /** Closes everything at once; callers see their connections close. */
   close(): void {
     this.#isClosed = true;
+    this.#admissions.close();
     this.#sync.close();
     this.#server?.close();
     this.#readiness?.close();
@@ -253,7 +270,6 @@
   }
 
   #createContext(): GatewayContext {
-    const { repeatRatio, repeatSlack, repeatWindowMs } = this.#options;
     return {
       options: this.#options,
       view: this.view,
@@ -262,31 +278,15 @@
       notices: this.#notices,
       limits: this.#limits,
       permits: this.#permits,
+      admissions: this.#admissions,
       deadlines: this.#deadlines,
       crashes: this.#crashes,
       metrics: this.metrics,
       errors: this.#errors,
       byteBudget: this.#byteBudget,
-      getRetryBudget: (service) => {
-        const known = this.#retryBudgets.get(service);
-        const budget =
-          known ?? new RetryBudget({ ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs });
-        this.#retryBudgets.set(service, budget);
-        return budget;
-      },
-      getPassMeter: (service) => {
-        const meter = this.#passMeters.get(service) ?? new PassMeter();
-        this.#passMeters.set(service, meter);
-        return meter;
-      },
-      getGroupRecovery: ({ name, engine }) => {
-        if ((engine?.experts ?? null) === null) {
-          return null;
-        }
-        const recovery = this.#recoveries.get(name) ?? new GroupRecovery();
-        this.#recoveries.set(name, recovery);
-        return recovery;
-      },
+      getRetryBudget: (service) => this.#services.getRetryBudget(service),
+      getPassMeter: (service) => this.#services.getPassMeter(service),
+      getGroupRecovery: (service) => this.#services.getGroupRecovery(service),
       getConnectionPool: (address) => {
         const agent = this.#connectionPools.get(address) ?? new TargetConnectionPool();
         this.#connectionPools.set(address, agent);
@@ -362,6 +362,7 @@
     this.#notices.retain(targets, this.#options.clock.monotonicMs());
     this.#limits.retain(targets, this.#options.leaseClock.monotonicMs());
     this.#permits.retain();
+    this.#admissions.retain();
   }
 
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
@@ -384,6 +385,7 @@
 
   #getEntry(): EntryRecord {
     const { name, host, callerPort, failureDomain } = this.#options;
+    const waiting = this.#admissions.listWaiting();
     return {
       name,
       incarnation: this.#incarnation,
@@ -391,6 +393,7 @@
       failureDomain,
       isReady: this.isReady,
       inFlight: this.#loads.listOwn(),
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 }
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import type { AdmissionLines } from "./AdmissionLines";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
 import type { CrashWatch } from "./CrashWatch";
@@ -28,6 +29,8 @@
   /** What targets have stated about the requests that they take from all gateways together. */
   readonly limits: LimitTable;
   readonly permits: PermitClient;
+  /** The queues of requests that wait for a slot. */
+  readonly admissions: AdmissionLines;
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/GatewayHandler.ts
+++ b/packages/gateway/GatewayHandler.ts
@@ -12,5 +12,7 @@
   CrashWatch = "crash_watch",
   /** One call for permits of limited targets. */
   Permits = "permits",
+  /** The queue of one service. */
+  Queue = "queue",
   Housekeeping = "housekeeping",
 }
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -3,6 +3,7 @@
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { PermitOutcome } from "./PermitOutcome";
+import { QueueEnd } from "./QueueEnd";
 import { RequestOutcome } from "./RequestOutcome";
 
 /** Counters and histograms of a gateway's requests. */
@@ -14,6 +15,13 @@
     Object.values(AttemptRetryReason),
   );
   readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
+  /** How requests left the queue of their service, by priority. */
+  readonly #queueEnds = new Map<QueueEnd, Counters<string>>(
+    Object.values(QueueEnd).map((end) => [
+      end,
+      new Counters(`clementinemux_gateway_queue_${end}`, "priority", ["0", "1", "2"]),
+    ]),
+  );
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -25,12 +33,17 @@
   /** From the arrival of a request to the first send to a target. */
   readonly slotWaits = new TimeHistogram("clementinemux_gateway_place_wait_seconds");
 
+  noteQueueEnd(end: QueueEnd, priority: number): void {
+    this.#queueEnds.get(end)?.add(String(priority));
+  }
+
   render(): string {
     const times = [this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits];
     return [
       renderCounters(this.outcomes),
       renderCounters(this.retries),
       renderCounters(this.permits),
+      ...[...this.#queueEnds.values()].map(renderCounters),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/gateway/GroupRecovery.ts
+++ b/packages/gateway/GroupRecovery.ts
@@ -28,6 +28,11 @@
     this.#rejections = 0;
   }
 
+  /** Time until the next probe is due, in ms; infinite while the service is not recovering. */
+  getProbeInMs(nowMs: number): number {
+    return this.isRecovering ? Math.max(0, this.#nextProbeAtMs - nowMs) : Infinity;
+  }
+
   /** Takes the next probe if one is due; always true while the service is not recovering. */
   takeProbe(nowMs: number): boolean {
     if (!this.isRecovering) {
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -1,4 +1,6 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { FailureTimes } from "./FailureTimes";
+import { RequestAdmission } from "./RequestAdmission";
 import { ResponseWriter } from "./ResponseWriter";
 import type { RoutedRequest } from "./RoutedRequest";
 import type { Attempt } from "./Attempt";
@@ -12,13 +14,10 @@
 import type { GroupRecovery } from "./GroupRecovery";
 import { GatewayHandler } from "./GatewayHandler";
 import { NextStep } from "./NextStep";
-import { PermitWait } from "./PermitWait";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import type { RequestCauses } from "./RequestCauses";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestLog } from "./RequestLog";
-import { SlotCheck } from "./SlotCheck";
-import { chooseTarget } from "./chooseTarget";
 import { createAttempt } from "./createAttempt";
 import { createEventRelay } from "./createEventRelay";
 import { decideNextStep } from "./decideNextStep";
@@ -29,7 +28,6 @@
 import { sendFailure } from "./sendFailure";
 import { takeRetry } from "./takeRetry";
 
-const waitPollMs = 20;
 /** Sends without a connection that do not count as attempts. */
 const maxUnsent = 4;
 /** Time that a retry waits for a permit at most; an answer that has begun must not pause for longer. */
@@ -44,8 +42,7 @@
   readonly #log: RequestLog;
   readonly #recovery: GroupRecovery | null;
   readonly #endMs: number;
-  readonly #slots: SlotCheck;
-  readonly #permits: PermitWait;
+  readonly #admission: RequestAdmission;
   readonly #causes: RequestCauses;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
@@ -54,7 +51,7 @@
       this.#onFullResponse(attempt, full);
     },
     onStreamStart: (status, headers) => {
-      this.#recovery?.noteAccepted();
+      this.#admission.noteAccepted();
       if (!this.#writer.hasStarted) {
         this.#writer.begin(status, headers);
       }
@@ -78,7 +75,6 @@
       this.#endBroken();
     });
   };
-  #waitTimer: NodeJS.Timeout | null = null;
   #attempt: Attempt | null = null;
   #sends = 0;
   /** Sends that ended before a connection was established, so that no target got the request. */
@@ -105,17 +101,20 @@
     });
     this.#log = new RequestLog(context, routed, this.#relay, this.#causes.request);
     this.#endMs = arrivedAtMs + Math.min(route.timeoutMs, caller.leftMs ?? Infinity);
-    this.#slots = new SlotCheck(context, routed, this.#endMs);
-    this.#permits = new PermitWait({
+    this.#admission = new RequestAdmission({
       context,
-      service: routed.service,
+      routed,
+      endMs: this.#endMs,
       tried: this.#tried,
       guard: this.#guard,
-      admit: this.start.bind(this),
+      countSends: () => this.#sends,
+      rejectSuspect: () => this.#isEnded || this.#rejectSuspect(),
+      takeRetry: () => this.#takeRetry(AttemptRetryReason.NotRun),
       send: (target) => {
-        if (!this.#rejectSuspect()) {
-          this.#sendTo(target);
-        }
+        this.#sendTo(target);
+      },
+      fail: (end, text, times) => {
+        this.#fail(end, text, times);
       },
     });
     this.#timer = setTimeout(
@@ -139,56 +138,25 @@
   /** Sends the request to a target, waits for a slot, or rejects it. */
   start(): void {
     this.#guard(() => {
-      this.#admit();
+      this.#admission.start();
     });
   }
 
-  /** Sends the request when a slot is free; waits a short while for one, as its objective allows. */
-  #admit(): void {
-    if (this.#isEnded || this.#rejectSuspect() || (this.#sends === 0 && this.#permits.probe())) {
-      return;
-    }
-    const waitLeftMs = this.#slots.getWaitLeftMs();
-    const hasSlot = this.#slots.hasSlot();
-    const candidates = hasSlot || this.#sends > 0 ? [] : this.#permits.listCandidates(waitLeftMs);
-    const isRefused = this.#slots.hasLimitedTargetsOnly && !this.#context.permits.isBlocked;
-    const isHopeless = isRefused || waitLeftMs <= (this.#slots.load?.pauseMs ?? 0);
-    if (candidates.length > 0) {
-      this.#permits.take(candidates, waitLeftMs);
-    } else if (hasSlot || isHopeless) {
-      this.#send(hasSlot && (this.#sends === 0 || this.#takeRetry(AttemptRetryReason.NotRun)));
-    } else {
-      this.#waitTimer = setTimeout(() => {
-        this.start();
-      }, waitPollMs);
-    }
-  }
-
   /** Ends a request that may crash its target, whether it has just arrived or was waiting. Returns whether it did. */
   #rejectSuspect(): boolean {
     const waitMs = this.#context.crashes.getWaitMs(this.#causes);
     if (waitMs > 0) {
       const text = "the request or a part of it is suspected of crashing targets";
-      this.#fail(RequestOutcome.Suspect, text, waitMs);
+      this.#fail(RequestOutcome.Suspect, text, { retryAfterMs: waitMs });
     }
     return waitMs > 0;
   }
 
-  #send(hasSlot: boolean): void {
-    const target = hasSlot ? this.#chooseTarget() : null;
-    if (target === null) {
-      const isFull = this.#sends === 0 && this.#recovery?.isRecovering !== true;
-      this.#fail(isFull ? this.#slots.fullOutcome : RequestOutcome.Rejected, "no target has a place");
-    } else {
-      this.#sendTo(target);
-    }
-  }
-
   #sendTo(target: TargetRecord): void {
     const { route } = this.#routed;
     this.#tried.add(target.id);
     this.#sends += 1;
-    this.#log.logSend(target, this.#sends, this.#slots.load);
+    this.#log.logSend(target, this.#sends, this.#admission.load);
     const input = {
       target,
       watch: this.#context.crashes.begin(target, this.#causes),
@@ -202,17 +170,11 @@
     this.#attempt.start();
   }
 
-  #chooseTarget(): TargetRecord | null {
-    const { service } = this.#routed;
-    const choice = { service, tried: this.#tried, isFirst: this.#sends === 0, serviceLoad: this.#slots.load };
-    return chooseTarget(this.#context, choice);
-  }
-
   #onFullResponse(attempt: Attempt, full: FullResponse): void {
     const { health } = this.#context;
     this.#mayHaveRun = true;
     if (full.status < 500) {
-      this.#recovery?.noteAccepted();
+      this.#admission.noteAccepted();
       health.noteSuccess(attempt.targetId);
       this.#deliver(full, RequestOutcome.Answered);
       return;
@@ -249,7 +211,7 @@
     if (this.#recovery?.isRecovering === true && !this.#mayHaveRun) {
       // All ranks reject requests until the group has recovered, so the next attempt excludes none of them.
       this.#tried.clear();
-      this.#admit();
+      this.#admission.start();
     } else {
       this.#fail(RequestOutcome.Rejected, "targets have turned the request away");
     }
@@ -303,8 +265,9 @@
     });
     const reason = this.#writer.hasStarted ? AttemptRetryReason.Resume : retryReasons[outcome];
     const isPossible = step === NextStep.Retry && this.#relay.isResumable;
-    const target = isPossible ? this.#chooseTarget() : null;
-    const limited = isPossible && target === null ? this.#permits.listCandidates(maxRetryWaitMs) : [];
+    const target = isPossible ? this.#admission.chooseTarget() : null;
+    const limited =
+      isPossible && target === null ? this.#admission.permits.listCandidates(maxRetryWaitMs) : [];
     if (this.#isEnded || (target === null && limited.length === 0) || !this.#takeRetry(reason)) {
       return false;
     }
@@ -312,7 +275,7 @@
       this.#sendTo(target);
       return true;
     }
-    this.#permits.take(limited, maxRetryWaitMs, () => {
+    this.#admission.permits.take(limited, maxRetryWaitMs, () => {
       const end = this.#mayHaveRun ? RequestOutcome.Unknown : RequestOutcome.Rejected;
       this.#fail(end, "no permit for a retry in time");
     });
@@ -334,7 +297,7 @@
    * Ends a request without success: by a target's failure, or by stating whether it may have run. The caller may return
    * after `retryAfterMs`, by default when a place is likely to be free.
    */
-  #fail(end: RequestOutcome, text: string, retryAfterMs: number | null = null): void {
+  #fail(end: RequestOutcome, text: string, times: FailureTimes = {}): void {
     if (this.#isEnded) {
       return;
     }
@@ -343,7 +306,8 @@
     } else if (this.#fallback !== null) {
       this.#deliver(this.#fallback, RequestOutcome.TargetFailure);
     } else {
-      const failure = { end, text, mayHaveRun: this.#mayHaveRun, retryAfterMs };
+      const { retryAfterMs = null, queueWaitMs = null } = times;
+      const failure = { end, text, mayHaveRun: this.#mayHaveRun, retryAfterMs, queueWaitMs };
       const sent = sendFailure(this.#context, this.#routed, this.#writer, failure);
       this.#end(sent.end, sent.status);
     }
@@ -385,12 +349,17 @@
     }
     this.#isEnded = true;
     clearTimeout(this.#timer);
-    clearTimeout(this.#waitTimer ?? undefined);
-    this.#permits.cancel();
+    this.#admission.cancel();
     this.#attempt?.cancel();
     this.#relay.cancel();
-    const serviceLoad = end === RequestOutcome.Full ? this.#slots.load : null;
-    this.#log.logOutcome(end, status, this.#tried, serviceLoad);
+    const serviceLoad = end === RequestOutcome.Full ? this.#admission.load : null;
+    this.#log.logOutcome({
+      end,
+      status,
+      tried: this.#tried,
+      serviceLoad,
+      queueEnd: this.#admission.queueEnd,
+    });
   }
 
   #now(): number {
--- a/packages/gateway/RequestLog.ts
+++ b/packages/gateway/RequestLog.ts
@@ -4,9 +4,20 @@
 import type { ServiceLoad } from "./ServiceLoad";
 import type { EventRelay } from "./EventRelay";
 import type { GatewayContext } from "./GatewayContext";
+import type { QueueEnd } from "./QueueEnd";
 import type { RequestOutcome } from "./RequestOutcome";
 import { roundServiceLoad } from "./roundServiceLoad";
 
+interface LoggedOutcome {
+  readonly end: RequestOutcome;
+  readonly status: number | null;
+  readonly tried: ReadonlySet<string>;
+  /** Given when it decided the outcome. */
+  readonly serviceLoad: ServiceLoad | null;
+  /** How the request left the queue of its service; null if it was not in it. */
+  readonly queueEnd: QueueEnd | null;
+}
+
 /** Log lines and metrics of one request: each send, and its outcome. */
 export class RequestLog {
   readonly #context: GatewayContext;
@@ -45,15 +56,10 @@
     );
   }
 
-  /** Logs the outcome of the request; `serviceLoad` is given when it decided the outcome. */
-  logOutcome(
-    end: RequestOutcome,
-    status: number | null,
-    tried: ReadonlySet<string>,
-    serviceLoad: ServiceLoad | null,
-  ): void {
+  /** Logs the outcome of the request. */
+  logOutcome({ end, status, tried, serviceLoad, queueEnd }: LoggedOutcome): void {
     const { metrics, options, view } = this.#context;
-    const { caller, route, service, arrivedAtMs } = this.#routed;
+    const { caller, route, service, priority, arrivedAtMs } = this.#routed;
     const { firstEventAtMs, ...summary } = this.#relay.summary;
     metrics.outcomes.add(end);
     if (firstEventAtMs !== null) {
@@ -73,6 +79,7 @@
         firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
         tookMs: Math.round(this.#getElapsedMs()),
         version: view.version,
+        ...(queueEnd === null ? {} : { priority, queueEnd }),
         ...(serviceLoad === null ? {} : this.#describeLoad(serviceLoad)),
       },
       "request ended",
--- a/packages/gateway/SlotCheck.ts
+++ b/packages/gateway/SlotCheck.ts
@@ -4,6 +4,8 @@
 import type { RoutedRequest } from "./RoutedRequest";
 import type { ServiceLoad } from "./ServiceLoad";
 import { computeWaitLimitMs } from "./computeWaitLimitMs";
+import { countFreeSlots } from "./countFreeSlots";
+import { hasLimitedTargetsOnly } from "./hasLimitedTargetsOnly";
 import { measureServiceLoad } from "./measureServiceLoad";
 
 /** Decides whether the service of one request may run it now, and for how long the request may wait otherwise. */
@@ -32,8 +34,7 @@
 
   /** Whether all targets that accept requests take them with a permit only. */
   get hasLimitedTargetsOnly(): boolean {
-    const { targets = 0, limited = 0, slowPlaces = 0 } = this.#load ?? {};
-    return limited > 0 && targets === 0 && slowPlaces === 0;
+    return this.#load !== null && hasLimitedTargetsOnly(this.#load);
   }
 
   /** Outcome of a request for which there is no slot. */
@@ -41,6 +42,17 @@
     return this.hasLimitedTargetsOnly ? RequestOutcome.Limited : RequestOutcome.Full;
   }
 
+  /** Measures the load. Returns the number of free slots; a recovering group may still reject a request. */
+  countFree(): number {
+    this.#load = measureServiceLoad(this.#context, this.#routed);
+    return countFreeSlots(this.#load);
+  }
+
+  /** Whether a group in recovery may get the request; counts as its probe. */
+  takeProbe(): boolean {
+    return this.#load !== null && this.#takeProbe(this.#load);
+  }
+
   /** Measures the load. Returns whether the service may run one more request without a permit. */
   hasSlot(): boolean {
     const load = measureServiceLoad(this.#context, this.#routed);
--- a/packages/gateway/TargetLoads.ts
+++ b/packages/gateway/TargetLoads.ts
@@ -8,6 +8,8 @@
  */
 export class TargetLoads {
   readonly #own = new Map<string, number>();
+  /** Own requests in flight at the last report. */
+  #reported: ReadonlyMap<string, number> = new Map();
   readonly #getState: () => FleetState;
 
   constructor(getState: () => FleetState) {
@@ -31,6 +33,16 @@
     return (this.#own.get(id) ?? 0) + (getOwn(this.#getState().othersInFlight, id) ?? 0);
   }
 
+  /** Begins the time until the next report. */
+  noteReport(): void {
+    this.#reported = new Map(this.#own);
+  }
+
+  /** Whether a slot of this gateway has become free since the last report, so that others do not see it yet. */
+  hasFreed(id: string): boolean {
+    return (this.#own.get(id) ?? 0) < (this.#reported.get(id) ?? 0);
+  }
+
   listOwn(): Record<string, number> {
     return Object.fromEntries(this.#own);
   }
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -4,6 +4,7 @@
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
 import { chooseByFreeSlots } from "./chooseByFreeSlots";
+import { selectFreed } from "./selectFreed";
 import { listUsableTargets } from "./listUsableTargets";
 
 interface TargetChoice {
@@ -44,8 +45,10 @@
     load: loads.getLoad(target),
     weight: health.getWeight(target.id) / (getOwn(view.state.slowdowns, target.id) ?? 1) ** slowdownPower,
     isNear: target.failureDomain === options.failureDomain,
+    hasFreed: loads.hasFreed(target.id),
   }));
-  const id = chooseByFreeSlots(candidates, queueSlots, options.random);
+  const isQueued = context.admissions.isInForce(service.name);
+  const id = chooseByFreeSlots(isQueued ? selectFreed(candidates) : candidates, queueSlots, options.random);
   return targets.find((target) => target.id === id) ?? null;
 }
 
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -30,11 +30,15 @@
   { target, watch, ...call }: AttemptInput,
   listener: AttemptListener,
 ): Attempt {
-  const { options, loads, byteBudget } = context;
-  const { route } = routed;
+  const { options, loads, admissions, byteBudget } = context;
+  const { route, service } = routed;
+  const line = admissions.get(service);
   const now = (): number => options.clock.monotonicMs();
   const callOptions = createCallOptions(context, routed, { target, ...call });
+  const startedAtMs = now();
+  let hasRun = false;
   loads.begin(target.id);
+  line.noteTaken();
   const attempt: Attempt = new Attempt({
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
@@ -45,11 +49,13 @@
       recordNotice(context, target, response);
     },
     onFullResponse: (status, headers, body) => {
+      hasRun = true;
       watch.noteResponse(status, now());
       listener.onFullResponse(attempt, { status, headers, body });
     },
     onStreamStart: listener.onStreamStart,
     onEvent: (bytes, id) => {
+      hasRun = true;
       watch.noteEvent(now());
       listener.onEvent(attempt, bytes, id);
     },
@@ -65,6 +71,7 @@
     },
     onReleased: () => {
       loads.end(target.id);
+      line.noteFreed(hasRun ? now() - startedAtMs : null);
     },
   });
   return attempt;
--- a/packages/gateway/sendFailure.ts
+++ b/packages/gateway/sendFailure.ts
@@ -1,3 +1,4 @@
+import type { FailureTimes } from "./FailureTimes";
 import type { GatewayContext } from "./GatewayContext";
 import { RequestOutcome } from "./RequestOutcome";
 import type { ResponseWriter } from "./ResponseWriter";
@@ -6,13 +7,11 @@
 import { listUsableTargets } from "./listUsableTargets";
 import { measureServiceLoad } from "./measureServiceLoad";
 
-interface Failure {
+interface Failure extends FailureTimes {
   readonly end: RequestOutcome;
   readonly text: string;
   /** Whether any target may have run the request. */
   readonly mayHaveRun: boolean;
-  /** When the caller of a request that has not run may return; null for when a place is likely to be free. */
-  readonly retryAfterMs: number | null;
 }
 
 interface SentFailure {
@@ -25,22 +24,27 @@
   context: GatewayContext,
   routed: RoutedRequest,
   writer: ResponseWriter,
-  { end, text, mayHaveRun, retryAfterMs }: Failure,
+  { end, text, mayHaveRun, retryAfterMs = null, queueWaitMs = null }: Failure,
 ): SentFailure {
   if (mayHaveRun) {
     const status = end === RequestOutcome.TimedOut ? 504 : 502;
     writer.sendLocal(status, text, null);
     return { end, status };
   }
-  writer.sendLocal(503, text, retryAfterMs ?? estimateRetryMs(context, routed, end));
+  writer.sendLocal(503, text, retryAfterMs ?? estimateRetryMs(context, routed, end, queueWaitMs));
   return { end: end === RequestOutcome.Unknown ? RequestOutcome.Unreachable : end, status: 503 };
 }
 
-function estimateRetryMs(context: GatewayContext, routed: RoutedRequest, end: RequestOutcome): number {
+function estimateRetryMs(
+  context: GatewayContext,
+  routed: RoutedRequest,
+  end: RequestOutcome,
+  queueWaitMs: number | null,
+): number {
   if (end === RequestOutcome.Limited) {
     return context.permits.bookReturnMs(listUsableTargets(context, routed.service.name).limited);
   }
   const serviceLoad = measureServiceLoad(context, routed);
   const isRejected = end === RequestOutcome.Rejected;
-  return estimateRetryAfterMs(routed.service, serviceLoad, isRejected, context.options.random);
+  return estimateRetryAfterMs(routed.service, serviceLoad, isRejected, context.options.random, queueWaitMs);
 }
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -41,6 +41,7 @@
     getCrashEvidence: () => ({ reports: [], answered: [], suspicions: [] }),
     onCrashFindings: () => undefined,
     limits: new LimitTable(),
+    onUpdate: () => undefined,
     onLimit: () => undefined,
     seeds: [`127.0.0.1:${port}`],
     clock: new SystemClock(),
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -5,6 +5,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
@@ -79,6 +80,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
+    waitingLine: WaitingLineMode.Auto,
     codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
--- a/packages/gateway/test/targetLimits.test.ts
+++ b/packages/gateway/test/targetLimits.test.ts
@@ -4,6 +4,7 @@
 import { encode } from "cbor-x";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
+import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
@@ -92,6 +93,7 @@
         minStallTimeoutMs: 400,
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
+        waitingLine: WaitingLineMode.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
         leaseClock: new SystemClock(),
--- a/packages/policy/admission/FairQueue.ts
+++ b/packages/policy/admission/FairQueue.ts
@@ -1,3 +1,4 @@
+import { ClassOrder } from "./ClassOrder";
 import type { FairQueueItem } from "./FairQueueItem";
 
 interface Flow<Item> {
@@ -13,6 +14,13 @@
   virtualTime: number;
 }
 
+/** A class and its teams with items, for a dry run. */
+interface ClassCopy<Item> {
+  teams: Flow<Item>[];
+  readonly weight: number;
+  startTag: number;
+}
+
 /**
  * Start-time fair queueing on two levels: among classes by class weight, and within a class among teams by
  * team weight. The cost of an item is its predicted service time, so a team cannot gain by sending longer
@@ -20,10 +28,15 @@
  */
 export class FairQueue<Item extends FairQueueItem<string | number>> {
   readonly #classes = new Map<Item["requestClass"], ClassFlow<Item>>();
+  readonly #order: ClassOrder;
   #virtualTime = 0;
   #size = 0;
   #costMs = 0;
 
+  constructor(order = ClassOrder.Start) {
+    this.#order = order;
+  }
+
   get size(): number {
     return this.#size;
   }
@@ -32,6 +45,13 @@
     return this.#costMs;
   }
 
+  /** The item that is served next if it can run; null without items. */
+  get first(): Item | null {
+    const classes = this.#listActive().map(({ teams, ...flow }) => ({ ...flow, teams: [...teams.values()] }));
+    const teams = this.#findNextClass(classes)?.teams ?? [];
+    return findFirst(teams)?.items[0] ?? null;
+  }
+
   push(item: Item, front = false): void {
     const classFlow = this.#getClass(item);
     const team = getTeam(classFlow, item);
@@ -53,8 +73,10 @@
    * considered.
    */
   pop(canRun: (item: Item) => boolean): Item | null {
-    const classes = this.#listActive().sort(compareTags);
-    for (const classFlow of classes) {
+    const classes = this.#listActive()
+      .map((classFlow) => ({ classFlow, tag: this.#getTag(classFlow, classFlow.teams.values()) }))
+      .sort((left, right) => left.tag - right.tag);
+    for (const { classFlow } of classes) {
       const team = findFirst(classFlow.teams.values());
       const item = team?.items[0];
       if (team === null || item === undefined || !canRun(item)) {
@@ -103,8 +125,8 @@
     const classes = this.#listActive().map(copyClass);
     const order: Item[] = [];
     while (order.length < this.#size) {
-      const classFlow = findFirst(classes);
-      const team = classFlow === null ? null : findFirst(classFlow.items);
+      const classFlow = this.#findNextClass(classes);
+      const team = classFlow === null ? null : findFirst(classFlow.teams);
       const item = team?.items.shift();
       if (classFlow === null || team === null || item === undefined) {
         break;
@@ -112,7 +134,7 @@
       order.push(item);
       classFlow.startTag += item.costMs / classFlow.weight;
       team.startTag += item.costMs / team.weight;
-      classFlow.items = classFlow.items.filter(({ items }) => items.length > 0);
+      classFlow.teams = classFlow.teams.filter(({ items }) => items.length > 0);
     }
     return order;
   }
@@ -170,6 +192,25 @@
     return [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
   }
 
+  #findNextClass(classes: readonly ClassCopy<Item>[]): ClassCopy<Item> | null {
+    let next: ClassCopy<Item> | null = null;
+    let nextTag = Infinity;
+    for (const classFlow of classes) {
+      const tag = this.#getTag(classFlow, classFlow.teams);
+      if (classFlow.teams.length > 0 && tag < nextTag) {
+        next = classFlow;
+        nextTag = tag;
+      }
+    }
+    return next;
+  }
+
+  /** Virtual time by which classes are ordered. */
+  #getTag({ startTag, weight }: { startTag: number; weight: number }, teams: Iterable<Flow<Item>>): number {
+    const costMs = this.#order === ClassOrder.End ? (findFirst(teams)?.items[0]?.costMs ?? 0) : 0;
+    return startTag + costMs / weight;
+  }
+
   #getClass(item: Item): ClassFlow<Item> {
     let flow = this.#classes.get(item.requestClass);
     if (flow === undefined) {
@@ -195,10 +236,9 @@
 }
 
 /** Copies of a class and of its teams with items, for a dry run. */
-function copyClass<Item>({ teams, weight, startTag }: ClassFlow<Item>) {
+function copyClass<Item>({ teams, weight, startTag }: ClassFlow<Item>): ClassCopy<Item> {
   const active = [...teams.values()].filter(({ items }) => items.length > 0);
-  const items = active.map((team) => ({ ...team, items: [...team.items] }));
-  return { items, weight, startTag };
+  return { teams: active.map((team) => ({ ...team, items: [...team.items] })), weight, startTag };
 }
 
 /** Index for a new item: behind all that are due no later, so that items without a due time keep their order. */
@@ -225,10 +265,6 @@
   return first;
 }
 
-function compareTags(left: { startTag: number }, right: { startTag: number }): number {
-  return left.startTag - right.startTag;
-}
-
 function sumWeights(flows: readonly { weight: number }[]): number {
   return flows.reduce((sum, { weight }) => sum + weight, 0);
 }
