Prefer freed slots only while slots are scarce, and count urgent arrivals in wait estimates

Cause: on targets with one slot, the preference for freed slots never let a target that had lost its limit get requests; less urgent requests waited to the end of their limit although urgent arrivals took every slot. Change: scarcity is a share of all slots, and an empty target is used like any other; estimates subtract the rate of more urgent arrivals.

--- a/packages/gateway/AdmissionLine.ts
+++ b/packages/gateway/AdmissionLine.ts
@@ -56,7 +56,7 @@
 
   /** Adds a request, and starts or rejects it at once if possible. */
   enter(request: QueuedRequest): void {
-    this.#queue.push(request);
+    this.#queue.push(request, this.#now());
     this.#serve();
   }
 
--- a/packages/gateway/selectFreed.ts
+++ b/packages/gateway/selectFreed.ts
@@ -5,8 +5,10 @@
   readonly hasFreed: boolean;
 }
 
-/** Free slots per target below which slots are scarce, so that gateways are likely to choose the same one. */
-const scarceSlots = 2;
+/** Share of free slots below which slots are scarce, so that gateways are likely to choose the same one. */
+const scarceShare = 0.3;
+/** A target with a larger share of free slots has just started, and is used like any other. */
+const emptyShare = 0.8;
 
 /**
  * Candidates for a choice by free slots: while slots are scarce, targets at which this gateway itself has just freed a
@@ -15,7 +17,13 @@
 export function selectFreed<Candidate extends FreedCandidate>(
   candidates: readonly Candidate[],
 ): readonly Candidate[] {
-  const free = candidates.reduce((sum, { load, slots }) => sum + Math.max(0, slots - load), 0);
-  const freed = candidates.filter(({ load, slots, hasFreed }) => hasFreed && load < slots);
-  return freed.length > 0 && free < candidates.length * scarceSlots ? freed : candidates;
+  const slots = candidates.reduce((sum, candidate) => sum + candidate.slots, 0);
+  const free = candidates.reduce((sum, candidate) => sum + countFree(candidate), 0);
+  const hasEmpty = candidates.some((candidate) => countFree(candidate) > candidate.slots * emptyShare);
+  const freed = candidates.filter((candidate) => candidate.hasFreed && countFree(candidate) > 0);
+  return freed.length > 0 && !hasEmpty && free < slots * scarceShare ? freed : candidates;
+}
+
+function countFree({ load, slots }: FreedCandidate): number {
+  return Math.max(0, slots - load);
 }
--- a/packages/policy/admission/SlotQueue.ts
+++ b/packages/policy/admission/SlotQueue.ts
@@ -1,4 +1,5 @@
 import type { Random } from "@clementinemux/common/Random";
+import { ArrivalRates } from "./ArrivalRates";
 import { ClassOrder } from "./ClassOrder";
 import { FairQueue } from "./FairQueue";
 import type { SlotReport } from "./SlotReport";
@@ -8,7 +9,9 @@
 
 /** Weight of the newest request in the mean time for which a request occupies a slot. */
 const newestWeight = 0.05;
-/** Bounds of how many slots one waiting request stands for. */
+/** Less urgent requests keep a twentieth of the slots that become free. */
+const lowerShare = 1 / 20;
+/** Most slots that one waiting request stands for. */
 const maxSlotsPerWaiting = 50;
 
 /**
@@ -18,6 +21,7 @@
  */
 export class SlotQueue<Item extends SlotRequest> {
   readonly #share: SlotShare;
+  readonly #arrivals = new ArrivalRates();
   #queue = new FairQueue<Item>(ClassOrder.End);
   readonly #items = new Set<Item>();
   /** Waiting requests by priority. */
@@ -44,7 +48,8 @@
     return this.#queue.first;
   }
 
-  push(item: Item): void {
+  push(item: Item, nowMs: number): void {
+    this.#arrivals.note(item.requestClass, nowMs);
     if (this.#items.size === 0) {
       // Ends the debts of the last busy period, which are small, so that the tags stay exact.
       this.#queue = new FairQueue<Item>(ClassOrder.End);
@@ -148,14 +153,15 @@
     return (ahead + 1) / Math.max(1e-6, this.#getFreeRate(item, nowMs));
   }
 
-  /** Slots that become free for this gateway, in slots per ms. */
+  /** Slots that become free for the priority at this gateway, in slots per ms, without those that more urgent arrivals take. */
   #getFreeRate({ requestClass, costMs }: Item, nowMs: number): number {
     const slotMs = Math.max(1, this.#meanSlotMs ?? costMs);
     const own = this.#ownInFlight;
     const { same } = this.#share.getOthers(requestClass, nowMs);
     const waiting = Math.max(1, this.#counts.get(requestClass) ?? 0);
     const shared = ((own + this.#othersInFlight) * waiting) / (waiting + same);
-    return Math.max(own, shared) / slotMs;
+    const rate = Math.max(own, shared) / slotMs;
+    return Math.max(rate - this.#arrivals.getMoreUrgent(requestClass, nowMs), rate * lowerShare);
   }
 
   #count({ requestClass }: Item, change: number): void {
--- a/packages/policy/test/SlotFleet.ts
+++ b/packages/policy/test/SlotFleet.ts
@@ -159,7 +159,7 @@
       enteredAtMs: this.#nowMs,
       dueAtMs: this.#nowMs + waitLimitMs,
     };
-    gateway.queue.push(request);
+    gateway.queue.push(request, this.#nowMs);
     this.#pump(gateway);
     this.#at(request.dueAtMs, () => {
       if (gateway.queue.remove(request)) {
