--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -13,6 +13,7 @@
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
+import { AdmissionLines } from "./AdmissionLines";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -32,6 +33,7 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { renderAdmissionLines } from "./renderAdmissionLines";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 /** Limits until the first document is known. */
@@ -66,6 +68,7 @@
   readonly #limits = new LimitTable();
   readonly #cold: ColdWatch;
   readonly #permits: PermitClient;
+  readonly #admissions: AdmissionLines;
   readonly #deadlines = new CallerDeadlines();
   readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
@@ -119,9 +122,14 @@
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
       },
+      onUpdate: () => {
+        this.#loads.noteReport();
+        this.#admissions.noteReport();
+      },
       limits: this.#limits,
       onLimit: (id, limitPerS) => {
         this.#permits.reset(id);
+        this.#admissions.wake();
         logger.info({ target: id, limitPerS }, "limit of a target");
       },
       onApplied: ({ cold }) => {
@@ -142,6 +150,15 @@
       clock: leaseClock,
       random,
     });
+    this.#admissions = new AdmissionLines({
+      view: this.view,
+      mode: options.waitingLine,
+      clock,
+      random,
+      errors: this.#errors,
+      isPermitBlocked: () => this.#permits.isBlocked,
+      getRecovery: (service) => this.#services.getGroupRecovery(service),
+    });
     this.#receiver = new RequestReceiver(this.#createContext(), () => this.#getLimits().maxBodyBytes);
   }
 
@@ -200,7 +217,8 @@
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
+    const lines = renderAdmissionLines(this.#admissions);
+    return this.metrics.render() + this.#errors.render() + renderGauges(gauges) + lines;
   }
 
   /**
@@ -247,6 +265,7 @@
   /** Closes everything at once; callers see their connections close. */
   close(): void {
     this.#isClosed = true;
+    this.#admissions.close();
     this.#sync.close();
     this.#server?.close();
     this.#readiness?.close();
@@ -270,6 +289,7 @@
       cold: this.#cold.targets,
       ramps: this.#cold.ramps,
       permits: this.#permits,
+      admissions: this.#admissions,
       deadlines: this.#deadlines,
       crashes: this.#crashes,
       metrics: this.metrics,
@@ -354,6 +374,7 @@
     this.#limits.retain(targets, this.#options.leaseClock.monotonicMs());
     this.#permits.retain();
     this.#cold.retain();
+    this.#admissions.retain();
   }
 
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
@@ -376,6 +397,7 @@
 
   #getEntry(): EntryRecord {
     const { name, host, callerPort, failureDomain } = this.#options;
+    const waiting = this.#admissions.listWaiting();
     return {
       name,
       incarnation: this.#incarnation,
@@ -383,6 +405,7 @@
       failureDomain,
       isReady: this.isReady,
       inFlight: this.#loads.listOwn(),
+      ...(waiting === undefined ? {} : { waiting }),
     };
   }
 }
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,6 +1,7 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import type { AdmissionLines } from "./AdmissionLines";
 import type { ByteBudget } from "./ByteBudget";
 import type { CallerDeadlines } from "./CallerDeadlines";
 import type { ColdTargets } from "./ColdTargets";
@@ -34,6 +35,8 @@
   /** Shares of the targets that have just appeared, returned or warmed up. */
   readonly ramps: TargetRamps;
   readonly permits: PermitClient;
+  /** The queues of requests that wait for a slot. */
+  readonly admissions: AdmissionLines;
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -4,6 +4,7 @@
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { ColdPermitOutcome } from "./ColdPermitOutcome";
 import { PermitOutcome } from "./PermitOutcome";
+import { QueueEnd } from "./QueueEnd";
 import { RequestOutcome } from "./RequestOutcome";
 
 /** Counters and histograms of a gateway's requests. */
@@ -21,6 +22,13 @@
     "outcome",
     Object.values(ColdPermitOutcome),
   );
+  /** How requests left the queue of their service, by priority. */
+  readonly #queueEnds = new Map<QueueEnd, Counters<string>>(
+    Object.values(QueueEnd).map((end) => [
+      end,
+      new Counters(`clementinemux_gateway_queue_${end}`, "priority", ["0", "1", "2"]),
+    ]),
+  );
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -32,6 +40,10 @@
   /** From the arrival of a request to the first send to a target. */
   readonly slotWaits = new TimeHistogram("clementinemux_gateway_place_wait_seconds");
 
+  noteQueueEnd(end: QueueEnd, priority: number): void {
+    this.#queueEnds.get(end)?.add(String(priority));
+  }
+
   render(): string {
     const times = [this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits];
     return [
@@ -39,6 +51,7 @@
       renderCounters(this.retries),
       renderCounters(this.permits),
       renderCounters(this.coldPermits),
+      ...[...this.#queueEnds.values()].map(renderCounters),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -2,6 +2,7 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { Logger } from "roarr";
+import type { WaitingLineMode } from "./WaitingLineMode";
 import type { WireCodec } from "./WireCodec";
 
 /** Configuration and dependencies of a gateway. */
@@ -31,6 +32,7 @@
   readonly maxInFlight: number;
   /** What cold targets may get; 1.5 times their rate and 5 requests more by default. */
   readonly coldBounds?: ColdBounds;
+  readonly waitingLine: WaitingLineMode;
   readonly codec: WireCodec;
   readonly clock: Clock;
   /** Clock that includes suspensions of the machine; used for how long the gateway may rely on its state. */
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -5,6 +5,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
+import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
@@ -95,6 +96,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
+    waitingLine: WaitingLineMode.On,
     codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
