Add a model of the expected work of requests

Requests that look alike cost targets very different amounts of work: a prompt of 2,880 tokens with 58 events weighs as much as one of 100 tokens with 2 today.

Nothing uses it yet.

--- /dev/null
+++ b/packages/cost/computeEngineWork.ts
@@ -0,0 +1,42 @@
+import type { EngineParameters } from "@clementinemux/routes/EngineParameters";
+import type { RequestWork } from "./RequestWork";
+
+const msPerS = 1000;
+const tokensPerThousand = 1000;
+
+/**
+ * Work of a request at an engine that runs forward passes for all of its requests together. The fixed part of
+ * a pass is shared by the slots.
+ */
+export function computeEngineWork(
+  engine: EngineParameters,
+  promptTokens: number,
+  answerTokens: number,
+): RequestWork {
+  const { slots, stride, stepMs, readPerSecond, meanPromptTokens, meanAnswerTokens } = engine;
+  const readTokens = promptTokens > 0 ? promptTokens : meanPromptTokens;
+  const prefillMs = readPerSecond > 0 ? (readTokens / readPerSecond) * msPerS : 0;
+  const addedMs = getAddedMs(engine, readTokens + answerTokens / 2);
+  const tokenMs = addedMs + stepMs / Math.max(1, slots);
+  const otherMs = getAddedMs(engine, meanPromptTokens + meanAnswerTokens / 2);
+  return {
+    prefillMs,
+    decodeMs: answerTokens * tokenMs,
+    totalMs: prefillMs + answerTokens * tokenMs,
+    aloneMs: prefillMs + answerTokens * (stepMs + addedMs),
+    perOtherMs: answerTokens * otherMs,
+    delayingShare: otherMs / (otherMs + stepMs / Math.max(1, slots)),
+    promptTokens: readTokens,
+    answerTokens,
+    stride: Math.max(1, stride),
+    tokenMs,
+  };
+}
+
+/** Time that a request adds to each step. */
+function getAddedMs(
+  { perSequenceMs, perThousandContextMs }: EngineParameters,
+  contextTokens: number,
+): number {
+  return perSequenceMs + (perThousandContextMs * contextTokens) / tokensPerThousand;
+}
