Report remaining work between gateways and track it per request

A gateway counts the expected work of its requests by target, lowers it with each event and reports it as one small integer per target, in hundredths of a second and in the order of the requests in flight. Coordinators sum it up; entries of earlier releases count with the mean of the others. Reported only where a service is routed by work.

The choice itself is not used yet.

--- a/bin/bench-gateway-process.ts
+++ b/bin/bench-gateway-process.ts
@@ -3,6 +3,7 @@
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { startFromSettings } from "@clementinemux/settings/startFromSettings";
 
@@ -27,6 +28,7 @@
     minStallTimeoutMs: 10_000,
     maxHeldBytes: 50_331_648,
     maxInFlight: 1000,
+    targetChoice: TargetChoiceKind.Auto,
     codec: new PlainCodec(),
     clock,
     leaseClock: clock,
--- a/packages/bench/benches.ts
+++ b/packages/bench/benches.ts
@@ -72,6 +72,22 @@
     const { runMembershipBench } = await import("./membership/runMembershipBench");
     return () => runMembershipBench();
   },
+  /**
+   * `[RULE]... --seed=N --gateways=N --load=REQUESTS_PER_S --error=OCTAVES|none --seconds=N`: rules for the choice
+   * of a target.
+   */
+  choice: async () => {
+    const { runChoiceBench } = await import("./policy/choice/runChoiceBench");
+    return ({ args, options }) =>
+      runChoiceBench({
+        seed: Number(options.seed ?? 1),
+        gateways: Number(options.gateways ?? 13),
+        requestsPerS: Number(options.load ?? 290),
+        hintError: options.error === "none" ? null : Number(options.error ?? 1),
+        durationMs: Number(options.seconds ?? 30) * 1000,
+        only: args,
+      });
+  },
   /** `[A|B] [SCENARIO] [POLICY] --seed=N`, `subset`, or `storm --seed=N`. */
   policy: async () => {
     const { runPolicyBench } = await import("./policy/runPolicyBench");
--- a/packages/bench/gateway/PlainCodec.ts
+++ b/packages/bench/gateway/PlainCodec.ts
@@ -23,6 +23,7 @@
       key: null,
       promptTokens: 0,
       maxAnswerTokens: 0,
+      hintTokens: 0,
       model: null,
       sharedParts: [],
       resumeAfter: null,
--- /dev/null
+++ b/packages/bench/policy/choice/SizeClass.ts
@@ -0,0 +1,6 @@
+/** Size of a modelled request by its number of events. */
+export enum SizeClass {
+  Short = "short",
+  Medium = "medium",
+  Long = "long",
+}
--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -69,6 +69,8 @@
     targets.markSilent(nowMs);
     const state = `${incarnation}:${targets.lastChangeNumber}`;
     const isComplete = this.#options.isComplete();
+    const inFlight = entries.sumInFlight(entry.name, nowMs);
+    const remainingCs = entries.sumRemaining(entry.name, Object.keys(inFlight), nowMs);
     const gone = isComplete ? [] : [...targets.listGone(), ...this.#options.listEnded()];
     return {
       ageMs: getAgeMs(),
@@ -78,7 +80,8 @@
       targets: state === registryState ? null : [...targets.list(nowMs), ...gone],
       ended: state === registryState ? [] : this.#options.listUnregistered(),
       isComplete,
-      inFlight: entries.sumInFlight(entry.name, nowMs),
+      inFlight,
+      ...(remainingCs === null ? {} : { remainingCs }),
       paces: slowdowns.list(nowMs),
       liveEntries: entries.countLive(nowMs),
       crashes: crashes.getFindings(),
--- a/packages/gateway/CallerRequest.ts
+++ b/packages/gateway/CallerRequest.ts
@@ -7,6 +7,8 @@
   readonly key: string | null;
   readonly promptTokens: number;
   readonly maxAnswerTokens: number;
+  /** The caller's estimate of the number of answer tokens; 0 for none. */
+  readonly hintTokens: number;
   /** Model that the caller names; null for none. */
   readonly model: string | null;
   /** Ids of the parts of the prompt, in order, without the last one, which other requests do not share. */
--- a/packages/gateway/FleetState.ts
+++ b/packages/gateway/FleetState.ts
@@ -8,6 +8,8 @@
   readonly targets: readonly TargetRecord[];
   /** Requests in flight by target, from all other gateways. */
   readonly othersInFlight: Readonly<Record<string, number>>;
+  /** Remaining work by target, from all other gateways, in ms; null when it is not reported. */
+  readonly othersRemainingMs: ReadonlyMap<string, number> | null;
   /** Slowdown of slow targets by id: a multiple of the usual time for the same work. */
   readonly slowdowns: Readonly<Record<string, number>>;
   readonly liveEntries: number;
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -6,6 +6,7 @@
 import { EndedTargets } from "./EndedTargets";
 import type { FleetState } from "./FleetState";
 import type { WireCodec } from "./WireCodec";
+import { readRemainingMs } from "./readRemainingMs";
 
 /**
  * Longest time that a gateway serves requests after it sent its last confirmed report. Revoked keys have to
@@ -22,7 +23,14 @@
 export class FleetView {
   readonly #codec: WireCodec;
   readonly #ended = new EndedTargets();
-  #state: FleetState = { table: null, targets: [], othersInFlight: {}, slowdowns: {}, liveEntries: 1 };
+  #state: FleetState = {
+    table: null,
+    targets: [],
+    othersInFlight: {},
+    othersRemainingMs: null,
+    slowdowns: {},
+    liveEntries: 1,
+  };
   #openTargets = new Map<string, TargetRecord[]>();
   #registryState = "";
   #endedListed = 0;
@@ -88,7 +96,14 @@
     }
     const isCurrent = ageMs < maxCurrentAgeMs;
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs - ageMs);
-    this.#state = { ...this.#state, othersInFlight: inFlight, slowdowns: paces, liveEntries };
+    const othersRemainingMs = readRemainingMs(response);
+    this.#state = {
+      ...this.#state,
+      othersInFlight: inFlight,
+      othersRemainingMs,
+      slowdowns: paces,
+      liveEntries,
+    };
     if (isCurrent && targets !== null) {
       for (const incarnation of response.ended ?? []) {
         this.#ended.learnGone(incarnation, sentAtMs);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -33,15 +33,10 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { WorkEstimates } from "./WorkEstimates";
+import { initialLimits } from "./initialLimits";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
-/** Limits until the first document is known. */
-const initialLimits: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
 const housekeepingMs = 1000;
 /**
  * After the stop signal, callers keep this address for this long: the time until they receive a new list of
@@ -62,6 +57,7 @@
   readonly #options: GatewayOptions;
   readonly #sync: FleetSync;
   readonly #loads: TargetLoads;
+  readonly #work: WorkEstimates;
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
   readonly #limits = new LimitTable();
@@ -100,6 +96,7 @@
     const render = (): string => this.renderMetrics();
     this.#metricsPage = new MetricsEndpoint({ role: "gateway", host, port, clock, logger, render });
     this.#loads = new TargetLoads(() => this.view.state);
+    this.#work = new WorkEstimates({ options, view: this.view, loads: this.#loads, metrics: this.metrics });
     this.#crashes = new CrashWatch({
       clock,
       random,
@@ -258,6 +255,7 @@
       options: this.#options,
       view: this.view,
       loads: this.#loads,
+      work: this.#work,
       health: this.#health,
       notices: this.#notices,
       limits: this.#limits,
@@ -362,6 +360,7 @@
     this.#notices.retain(targets, this.#options.clock.monotonicMs());
     this.#limits.retain(targets, this.#options.leaseClock.monotonicMs());
     this.#permits.retain();
+    this.#work.removeIdle();
   }
 
   #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
@@ -390,7 +389,7 @@
       address: `${host}:${callerPort}`,
       failureDomain,
       isReady: this.isReady,
-      inFlight: this.#loads.listOwn(),
+      ...this.#work.createReport(),
     };
   }
 }
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -17,12 +17,15 @@
 import type { TargetHealth } from "./TargetHealth";
 import type { TargetLoads } from "./TargetLoads";
 import type { TargetNotices } from "./TargetNotices";
+import type { WorkEstimates } from "./WorkEstimates";
 
 /** State that all requests of a gateway share. */
 export interface GatewayContext {
   readonly options: GatewayOptions;
   readonly view: FleetView;
   readonly loads: TargetLoads;
+  /** Expected work of requests, and when a slot of a service is likely to become free. */
+  readonly work: WorkEstimates;
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
   /** What targets have stated about the requests that they take from all gateways together. */
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -1,6 +1,7 @@
 import type { Clock } from "@clementinemux/common/Clock";
 import type { Random } from "@clementinemux/common/Random";
 import type { Logger } from "roarr";
+import type { TargetChoiceKind } from "./TargetChoiceKind";
 import type { WireCodec } from "./WireCodec";
 
 /** Configuration and dependencies of a gateway. */
@@ -28,6 +29,7 @@
   readonly maxHeldBytes: number;
   /** Requests that may be in flight at once; more are rejected. */
   readonly maxInFlight: number;
+  readonly targetChoice: TargetChoiceKind;
   readonly codec: WireCodec;
   readonly clock: Clock;
   /** Clock that includes suspensions of the machine; used for how long the gateway may rely on its state. */
--- /dev/null
+++ b/packages/gateway/RunningRequest.ts
@@ -0,0 +1,36 @@
+import type { RequestWork } from "@clementinemux/cost/RequestWork";
+import type { RunningWork } from "@clementinemux/cost/RunningWork";
+
+interface RunningRequestOptions {
+  readonly running: RunningWork;
+  readonly startedAtMs: number;
+  /** The response is complete. `answerTokens` is 0 if it was not a stream. */
+  readonly onComplete: (answerTokens: number, durationMs: number) => void;
+}
+
+/** Work of one attempt while it runs at its target. Takes the current time as a parameter. */
+export class RunningRequest {
+  readonly #options: RunningRequestOptions;
+
+  constructor(options: RunningRequestOptions) {
+    this.#options = options;
+  }
+
+  get work(): RequestWork {
+    return this.#options.running.work;
+  }
+
+  noteEvent(): void {
+    this.#options.running.noteEvent();
+  }
+
+  noteComplete(nowMs: number): void {
+    const { running, startedAtMs, onComplete } = this.#options;
+    onComplete(running.doneTokens, nowMs - startedAtMs);
+  }
+
+  /** The slot is free again; repeated calls change nothing. */
+  end(): void {
+    this.#options.running.end();
+  }
+}
--- /dev/null
+++ b/packages/gateway/WorkEstimates.ts
@@ -0,0 +1,162 @@
+import { getOwn } from "@clementinemux/common/getOwn";
+import { CostModel } from "@clementinemux/cost/CostModel";
+import type { CostRequest } from "@clementinemux/cost/CostRequest";
+import { MeanWork } from "@clementinemux/cost/MeanWork";
+import type { RequestWork } from "@clementinemux/cost/RequestWork";
+import type { TargetLoad } from "@clementinemux/cost/TargetLoad";
+import { WorkLedger } from "@clementinemux/cost/WorkLedger";
+import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
+import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import type { FleetView } from "./FleetView";
+import type { GatewayMetrics } from "./GatewayMetrics";
+import type { GatewayOptions } from "./GatewayOptions";
+import type { RoutedRequest } from "./RoutedRequest";
+import { RunningRequest } from "./RunningRequest";
+import { TargetChoiceKind } from "./TargetChoiceKind";
+import type { TargetLoads } from "./TargetLoads";
+
+interface WorkEstimatesOptions {
+  readonly options: Pick<GatewayOptions, "targetChoice" | "clock">;
+  readonly view: FleetView;
+  readonly loads: TargetLoads;
+  readonly metrics: GatewayMetrics;
+}
+
+/** On average, half of a running request's work remains. */
+const usualLeftShare = 0.5;
+/** Reports give work in hundredths of a second. */
+const msPerReportUnit = 10;
+
+/** Expected work of requests, and the work that remains at targets. */
+export class WorkEstimates {
+  readonly #options: WorkEstimatesOptions;
+  readonly #model = new CostModel();
+  readonly #ledger = new WorkLedger();
+  readonly #means = new Map<string, MeanWork>();
+
+  constructor(options: WorkEstimatesOptions) {
+    this.#options = options;
+  }
+
+  /** Routes of which something was learned. */
+  get learnedRoutes(): number {
+    return this.#model.routeCount;
+  }
+
+  /** Whether targets of the service are chosen by expected work. */
+  isInForce(service: string): boolean {
+    const { options, view } = this.#options;
+    return options.targetChoice === TargetChoiceKind.Auto
+      ? (view.state.table?.hasMixedDemand(service) ?? false)
+      : options.targetChoice === TargetChoiceKind.ExpectedWork;
+  }
+
+  /** Expected work of a request. Known for every service, also where it is not used for the choice of targets. */
+  estimateWork(routed: RoutedRequest): RequestWork {
+    return this.#model.estimate(this.#describe(routed));
+  }
+
+  /**
+   * Time until a slot of the service is likely to become free, in ms: 0 while one is free, infinite without
+   * targets. With all slots in use it is also the mean time between two releases.
+   */
+  estimateFreeInMs(service: RoutedService): number {
+    const targets = this.#options.view.listOpenTargets(service.name);
+    let requests = 0;
+    let leftMs = 0;
+    for (const target of targets) {
+      const load = this.getLoad(target, service);
+      if (load.requests < (service.engine?.slots ?? target.slots)) {
+        return 0;
+      }
+      requests += load.requests;
+      leftMs += load.leftMs;
+    }
+    // At a target whose slots are all in use, a request ends on average after the time of the work that remains there.
+    return targets.length === 0 ? Infinity : ((leftMs / targets.length) * 2) / (requests + 1);
+  }
+
+  /** Starts to count a request that is sent to a target; `isWhole` unless it resumes a broken stream. */
+  begin(routed: RoutedRequest, target: string, isWhole: boolean): RunningRequest {
+    const { clock } = this.#options.options;
+    const request = this.#describe(routed);
+    const work = this.#model.estimate(request);
+    const startedAtMs = clock.monotonicMs();
+    this.#getMean(routed.service.name).note(work.totalMs);
+    return new RunningRequest({
+      running: this.#ledger.begin(target, work, (doneTokens) =>
+        this.#model.estimateAnswerAbove(request, doneTokens),
+      ),
+      startedAtMs,
+      onComplete: (answerTokens, durationMs) => {
+        if (isWhole) {
+          this.#model.note(request, answerTokens, durationMs, clock.monotonicMs());
+        }
+      },
+    });
+  }
+
+  /** Requests and remaining work at a target, from all gateways. */
+  getLoad(target: TargetRecord, service: RoutedService): TargetLoad {
+    const { view, loads } = this.#options;
+    const { othersInFlight, othersRemainingMs } = view.state;
+    const { leftMs, prefillMs } = this.#ledger.get(target.id);
+    const others = getOwn(othersInFlight, target.id) ?? 0;
+    const othersMs =
+      others === 0
+        ? 0
+        : (othersRemainingMs?.get(target.id) ?? others * this.#getMeanMs(service) * usualLeftShare);
+    return { requests: loads.getLoad(target), leftMs: leftMs + othersMs, prefillMs };
+  }
+
+  /** Tokens that the requests at a target are expected to hold at their end. */
+  getHeldTokens({ id }: TargetRecord, { engine }: RoutedService): number {
+    const perRequest = (engine?.meanPromptTokens ?? 0) + (engine?.meanAnswerTokens ?? 0);
+    const others = getOwn(this.#options.view.state.othersInFlight, id) ?? 0;
+    return this.#ledger.get(id).heldTokens + others * perRequest;
+  }
+
+  /** Own requests in flight; with their remaining work where a service is routed by it. */
+  createReport(): Pick<EntryRecord, "inFlight" | "remainingCs"> {
+    const { view, loads } = this.#options;
+    const inFlight = loads.listOwn();
+    const services = view.state.table?.document.services ?? [];
+    if (!services.some(({ name }) => this.isInForce(name))) {
+      return { inFlight };
+    }
+    const getUnits = (id: string): number => Math.round(this.#ledger.get(id).leftMs / msPerReportUnit);
+    return { inFlight, remainingCs: Object.keys(inFlight).map((id) => Math.max(0, getUnits(id))) };
+  }
+
+  /** Remaining work of own requests by target, in ms. */
+  listOwnMs(): [string, number][] {
+    return [...this.#ledger.entries()].map(([id, { leftMs }]) => [id, Math.max(0, leftMs)]);
+  }
+
+  /** Forgets targets without requests. */
+  removeIdle(): void {
+    this.#ledger.removeIdle();
+  }
+
+  #describe({ route, service, caller }: RoutedRequest): CostRequest {
+    const { promptTokens, hintTokens, maxAnswerTokens } = caller;
+    const slots = service.engine?.slots ?? this.#options.view.listOpenTargets(service.name)[0]?.slots ?? 1;
+    return { route: route.name, engine: service.engine, slots, promptTokens, hintTokens, maxAnswerTokens };
+  }
+
+  #getMean(service: string): MeanWork {
+    const mean = this.#means.get(service) ?? new MeanWork();
+    this.#means.set(service, mean);
+    return mean;
+  }
+
+  /** Mean work of a request; before the first request, that of one without a hint. */
+  #getMeanMs(service: RoutedService): number {
+    const unknown = { route: "", promptTokens: 0, hintTokens: 0, maxAnswerTokens: 0 };
+    return (
+      this.#getMean(service.name).meanMs ??
+      this.#model.estimate({ ...unknown, engine: service.engine, slots: service.engine?.slots ?? 1 }).totalMs
+    );
+  }
+}
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -23,6 +23,8 @@
   readonly guard: Guard;
 }
 
+const firstFailureStatus = 400;
+
 /** Creates an attempt that occupies a slot of its target, and tells what it shows of the target and the request. */
 export function createAttempt(
   context: GatewayContext,
@@ -35,6 +37,7 @@
   const now = (): number => options.clock.monotonicMs();
   const callOptions = createCallOptions(context, routed, { target, ...call });
   loads.begin(target.id);
+  const running = context.work.begin(routed, target.id, call.resumeAfter === null);
   const attempt: Attempt = new Attempt({
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
@@ -46,15 +49,20 @@
     },
     onFullResponse: (status, headers, body) => {
       watch.noteResponse(status, now());
+      if (status < firstFailureStatus) {
+        running.noteComplete(now());
+      }
       listener.onFullResponse(attempt, { status, headers, body });
     },
     onStreamStart: listener.onStreamStart,
     onEvent: (bytes, id) => {
       watch.noteEvent(now());
+      running.noteEvent();
       listener.onEvent(attempt, bytes, id);
     },
     onStreamEnd: () => {
       watch.noteStreamEnd(now());
+      running.noteComplete(now());
       listener.onStreamEnd(attempt);
     },
     onNotRun: (faultyTarget) => {
@@ -65,6 +73,7 @@
     },
     onReleased: () => {
       loads.end(target.id);
+      running.end();
     },
   });
   return attempt;
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -6,6 +6,7 @@
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
@@ -79,6 +80,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
+    targetChoice: TargetChoiceKind.Auto,
     codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
--- a/packages/gateway/test/targetLimits.test.ts
+++ b/packages/gateway/test/targetLimits.test.ts
@@ -5,6 +5,7 @@
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { waitUntil } from "@clementinemux/system/waitUntil";
@@ -92,6 +93,7 @@
         minStallTimeoutMs: 400,
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
+        targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
         leaseClock: new SystemClock(),
--- a/packages/registry/EntryRecord.ts
+++ b/packages/registry/EntryRecord.ts
@@ -8,4 +8,9 @@
   readonly isReady: boolean;
   /** Requests in flight by target id. */
   readonly inFlight: Readonly<Record<string, number>>;
+  /**
+   * Remaining work of these requests, in hundredths of a second of the target's time, in the order of the keys of
+   * `inFlight`. Missing from entries of earlier releases, and from those that do not route by work.
+   */
+  readonly remainingCs?: readonly number[];
 }
--- a/packages/registry/EntryRegistry.ts
+++ b/packages/registry/EntryRegistry.ts
@@ -1,4 +1,5 @@
 import type { EntryRecord } from "./EntryRecord";
+import { sumRemainingWork } from "./sumRemainingWork";
 
 interface KnownEntry {
   readonly entry: EntryRecord;
@@ -56,6 +57,19 @@
     return Object.fromEntries(sums);
   }
 
+  /**
+   * Remaining work by target in hundredths of a second, in the order of `ids`, over the entries that
+   * `sumInFlight` counts. Requests of entries that do not report it count with the mean of the others. Null if
+   * no entry reports it.
+   */
+  sumRemaining(except: string, ids: readonly string[], nowMs: number): number[] | null {
+    const others = this.#listLive(nowMs).filter(({ entry }) => entry.name !== except);
+    return sumRemainingWork(
+      others.map(({ entry }) => entry),
+      ids,
+    );
+  }
+
   /** Entries that report directly to this coordinator, with the age of their last report. */
   listDirect(nowMs: number): { readonly entry: EntryRecord; readonly ageMs: number }[] {
     return this.#listLive(nowMs)
--- a/packages/registry/SyncResponse.ts
+++ b/packages/registry/SyncResponse.ts
@@ -22,6 +22,11 @@
   readonly isComplete: boolean;
   /** Requests in flight by target, summed over all other entries. */
   readonly inFlight: Readonly<Record<string, number>>;
+  /**
+   * Remaining work of these requests, in hundredths of a second of the target's time, in the order of the keys of
+   * `inFlight`. Missing from coordinators of earlier releases, and while no other entry reports work.
+   */
+  readonly remainingCs?: readonly number[];
   /** Slowdown of slow targets, as a multiple of the usual time; 1 for targets that are not listed. */
   readonly paces: Readonly<Record<string, number>>;
   readonly liveEntries: number;
