Choose targets by expected work where the routes to a service differ

Where the routes to a service differ in priority or objective, or the setting targetChoice asks for it, a gateway draws two targets with a free slot, weighted by health, slowdown and failure domain, and takes the one that is expected to complete the request first. Targets whose memory would be exceeded are used only if there are no others.

--- a/packages/bench/policy/choice/runChoiceBench.ts
+++ b/packages/bench/policy/choice/runChoiceBench.ts
@@ -9,6 +9,7 @@
   readonly requestsPerS: number;
   readonly hintError: number | null;
   readonly durationMs: number;
+  readonly ranksPerGroup: number;
   /** Rules to compare; empty for all. */
   readonly only: readonly string[];
 }
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -203,8 +203,8 @@
   }
 
   #chooseTarget(): TargetRecord | null {
-    const { service } = this.#routed;
-    const choice = { service, tried: this.#tried, isFirst: this.#sends === 0, serviceLoad: this.#slots.load };
+    const isFirst = this.#sends === 0;
+    const choice = { request: this.#routed, tried: this.#tried, isFirst, serviceLoad: this.#slots.load };
     return chooseTarget(this.#context, choice);
   }
 
--- a/packages/gateway/WorkEstimates.ts
+++ b/packages/gateway/WorkEstimates.ts
@@ -6,7 +6,6 @@
 import type { TargetLoad } from "@clementinemux/cost/TargetLoad";
 import { WorkLedger } from "@clementinemux/cost/WorkLedger";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
-import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { FleetView } from "./FleetView";
 import type { GatewayMetrics } from "./GatewayMetrics";
@@ -66,7 +65,7 @@
     let requests = 0;
     let leftMs = 0;
     for (const target of targets) {
-      const load = this.getLoad(target, service);
+      const load = this.getLoad(target.id, service);
       if (load.requests < (service.engine?.slots ?? target.slots)) {
         return 0;
       }
@@ -98,20 +97,18 @@
   }
 
   /** Requests and remaining work at a target, from all gateways. */
-  getLoad(target: TargetRecord, service: RoutedService): TargetLoad {
-    const { view, loads } = this.#options;
+  getLoad(id: string, service: RoutedService): TargetLoad {
+    const { view } = this.#options;
     const { othersInFlight, othersRemainingMs } = view.state;
-    const { leftMs, prefillMs } = this.#ledger.get(target.id);
-    const others = getOwn(othersInFlight, target.id) ?? 0;
+    const { requests, leftMs, prefillMs } = this.#ledger.get(id);
+    const others = getOwn(othersInFlight, id) ?? 0;
     const othersMs =
-      others === 0
-        ? 0
-        : (othersRemainingMs?.get(target.id) ?? others * this.#getMeanMs(service) * usualLeftShare);
-    return { requests: loads.getLoad(target), leftMs: leftMs + othersMs, prefillMs };
+      others === 0 ? 0 : (othersRemainingMs?.get(id) ?? others * this.#getMeanMs(service) * usualLeftShare);
+    return { requests: requests + others, leftMs: leftMs + othersMs, prefillMs };
   }
 
   /** Tokens that the requests at a target are expected to hold at their end. */
-  getHeldTokens({ id }: TargetRecord, { engine }: RoutedService): number {
+  getHeldTokens(id: string, { engine }: RoutedService): number {
     const perRequest = (engine?.meanPromptTokens ?? 0) + (engine?.meanAnswerTokens ?? 0);
     const others = getOwn(this.#options.view.state.othersInFlight, id) ?? 0;
     return this.#ledger.get(id).heldTokens + others * perRequest;
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -1,13 +1,15 @@
 import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
+import type { RoutedRequest } from "./RoutedRequest";
+import { chooseByFinish } from "./chooseByFinish";
 import { chooseByFreeSlots } from "./chooseByFreeSlots";
+import { estimateCandidates } from "./estimateCandidates";
 import { listUsableTargets } from "./listUsableTargets";
 
 interface TargetChoice {
-  readonly service: RoutedService;
+  readonly request: RoutedRequest;
   /** Targets to which the request was already sent. */
   readonly tried: ReadonlySet<string>;
   /** Whether the request has not been sent yet. */
@@ -28,11 +30,13 @@
 const slowdownPower = 3;
 
 /**
- * Chooses the target for a request by load, health, slowdown and free slots; null when no target has a slot.
+ * Chooses the target for a request by load, health, slowdown and free slots or expected work; null when no target
+ * has a slot.
  */
 export function chooseTarget(context: GatewayContext, choice: TargetChoice): TargetRecord | null {
   const { view, loads, health, options } = context;
-  const { service, tried, isFirst, serviceLoad } = choice;
+  const { request, tried, isFirst, serviceLoad } = choice;
+  const { service } = request;
   const { healthy, slow } = listUsableTargets(context, service.name);
   const { meanLoad = 0, cap = Infinity } = serviceLoad ?? {};
   const isHealthyFull = isFirst && slow.length > 0 && meanLoad >= cap;
@@ -45,7 +49,9 @@
     weight: health.getWeight(target.id) / (getOwn(view.state.slowdowns, target.id) ?? 1) ** slowdownPower,
     isNear: target.failureDomain === options.failureDomain,
   }));
-  const id = chooseByFreeSlots(candidates, queueSlots, options.random);
+  const id = context.work.isInForce(service.name)
+    ? chooseByFinish(estimateCandidates(context, request, candidates), options.random)
+    : chooseByFreeSlots(candidates, queueSlots, options.random);
   return targets.find((target) => target.id === id) ?? null;
 }
 
