Add metrics and log fields on expected work

Expected and actual work of completed requests, how they compare, remaining work by target, learned routes; log lines of requests name the work where the choice of targets uses it. A prompt or hint beyond what an engine can hold counts no further.

--- a/packages/cost/AnswerLengths.ts
+++ b/packages/cost/AnswerLengths.ts
@@ -13,6 +13,8 @@
 /** Hints are right at the median and often wrong by a factor of two or more. */
 const hintPrior = { priorMedian: 1, priorOctaves: 2, priorWeight: 8 };
 const usualPrior = { priorMedian: 1, priorOctaves: 4, priorWeight: 4 };
+/** A hint above this multiple of the usual length counts as this multiple. */
+const maxHintFactor = 64;
 /** Share of its length by which an answer goes on that is longer than all known ones. */
 const unknownGrowth = 0.25;
 
@@ -40,7 +42,7 @@
     }
     const hinted = this.#byHint.estimate;
     const hintWeight = usual.spread ** 2 / (usual.spread ** 2 + hinted.spread ** 2);
-    const hintedLength = limit(hintTokens, maxTokens) * hinted.mean;
+    const hintedLength = limit(Math.min(hintTokens, usualTokens * maxHintFactor), maxTokens) * hinted.mean;
     return limit(hintedLength ** hintWeight * usualLength ** (1 - hintWeight), maxTokens);
   }
 
--- a/packages/cost/CostModel.ts
+++ b/packages/cost/CostModel.ts
@@ -44,6 +44,17 @@
     return lengths.estimateAbove(getBasis(request), doneTokens);
   }
 
+  /** Work of a completed request. `answerTokens` is 0 if its response was not a stream. */
+  measure(
+    { engine, promptTokens, slots }: CostRequest,
+    answerTokens: number,
+    durationMs: number,
+  ): RequestWork {
+    return hasTokenCost(engine)
+      ? computeEngineWork(engine, promptTokens, answerTokens)
+      : computeDurationWork(durationMs, slots);
+  }
+
   /** Learns from a request that has completed. `answerTokens` is 0 if its response was not a stream. */
   note(request: CostRequest, answerTokens: number, durationMs: number, nowMs: number): void {
     const { lengths, durations } = this.#take(request.route);
@@ -72,7 +83,10 @@
 const unlearned = new AnswerLengths();
 
 function getBasis({ engine, hintTokens, maxAnswerTokens }: CostRequest) {
-  const usualTokens =
-    Math.max(1, engine?.meanAnswerTokens ?? 0) > 1 ? (engine?.meanAnswerTokens ?? 0) : defaultAnswerTokens;
-  return { hintTokens, usualTokens, maxTokens: maxAnswerTokens };
+  const meanTokens = engine?.meanAnswerTokens ?? 0;
+  return {
+    hintTokens,
+    usualTokens: meanTokens > 0 ? meanTokens : defaultAnswerTokens,
+    maxTokens: maxAnswerTokens,
+  };
 }
--- a/packages/cost/computeEngineWork.ts
+++ b/packages/cost/computeEngineWork.ts
@@ -3,6 +3,8 @@
 
 const msPerS = 1000;
 const tokensPerThousand = 1000;
+/** Longest prompt where the memory of the engine is not known. */
+const defaultMaxTokens = 1_000_000;
 
 /**
  * Work of a request at an engine that runs forward passes for all of its requests together. The fixed part of
@@ -14,7 +16,7 @@
   answerTokens: number,
 ): RequestWork {
   const { slots, stride, stepMs, readPerSecond, meanPromptTokens, meanAnswerTokens } = engine;
-  const readTokens = promptTokens > 0 ? promptTokens : meanPromptTokens;
+  const readTokens = Math.min(promptTokens > 0 ? promptTokens : meanPromptTokens, getMaxTokens(engine));
   const prefillMs = readPerSecond > 0 ? (readTokens / readPerSecond) * msPerS : 0;
   const addedMs = getAddedMs(engine, readTokens + answerTokens / 2);
   const tokenMs = addedMs + stepMs / Math.max(1, slots);
@@ -33,6 +35,11 @@
   };
 }
 
+/** No engine holds more tokens than its memory; a false statement of the caller counts no further. */
+function getMaxTokens({ kvCapacityTokens }: EngineParameters): number {
+  return kvCapacityTokens > 0 ? kvCapacityTokens : defaultMaxTokens;
+}
+
 /** Time that a request adds to each step. */
 function getAddedMs(
   { perSequenceMs, perThousandContextMs }: EngineParameters,
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -35,6 +35,7 @@
 import { TargetNotices } from "./TargetNotices";
 import { WorkEstimates } from "./WorkEstimates";
 import { initialLimits } from "./initialLimits";
+import { renderTargetWork } from "./renderTargetWork";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 const housekeepingMs = 1000;
@@ -187,10 +188,12 @@
       clementinemux_gateway_ended_targets_listed: this.view.endedListed,
       clementinemux_gateway_limited_targets: this.#limits.size,
       clementinemux_gateway_live_gateways: state.liveEntries,
+      clementinemux_gateway_learned_routes: this.#work.learnedRoutes,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
+    const work = renderTargetWork(this.#work.listMs());
+    return this.metrics.render() + this.#errors.render() + renderGauges(gauges) + work;
   }
 
   /**
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -4,6 +4,7 @@
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { PermitOutcome } from "./PermitOutcome";
 import { RequestOutcome } from "./RequestOutcome";
+import { WorkError } from "./WorkError";
 
 /** Counters and histograms of a gateway's requests. */
 export class GatewayMetrics {
@@ -14,6 +15,11 @@
     Object.values(AttemptRetryReason),
   );
   readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
+  /** Completed requests by how their work compares with what was expected. */
+  readonly workErrors = new Counters("clementinemux_gateway_work_errors", "error", Object.values(WorkError));
+  /** Work of completed requests, in the target's time, as expected when they were sent and as it was. */
+  readonly expectedWork = new TimeHistogram("clementinemux_gateway_expected_work_seconds");
+  readonly actualWork = new TimeHistogram("clementinemux_gateway_actual_work_seconds");
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -26,11 +32,15 @@
   readonly slotWaits = new TimeHistogram("clementinemux_gateway_place_wait_seconds");
 
   render(): string {
-    const times = [this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits];
+    const times = [
+      ...[this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits],
+      ...[this.expectedWork, this.actualWork],
+    ];
     return [
       renderCounters(this.outcomes),
       renderCounters(this.retries),
       renderCounters(this.permits),
+      renderCounters(this.workErrors),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/gateway/RequestLog.ts
+++ b/packages/gateway/RequestLog.ts
@@ -14,6 +14,8 @@
   readonly #relay: EventRelay;
   /** Tells whether two lines are about the same request, as `getRequestKey` defines it. */
   readonly #key: string;
+  /** Expected work when the request was first sent; null where it is not used. */
+  #expectedMs: number | null = null;
 
   constructor(context: GatewayContext, request: RoutedRequest, relay: EventRelay, key: string) {
     this.#context = context;
@@ -40,6 +42,7 @@
         resumeAfter: this.#relay.lastEventId,
         waitedMs: Math.round(waitedMs),
         ...this.#describeLoad(serviceLoad),
+        ...this.#describeExpectedWork(target),
       },
       "request sent",
     );
@@ -73,6 +76,7 @@
         firstEventMs: firstEventAtMs === null ? null : Math.round(firstEventAtMs - arrivedAtMs),
         tookMs: Math.round(this.#getElapsedMs()),
         version: view.version,
+        ...this.#describeWork(summary.events),
         ...(serviceLoad === null ? {} : this.#describeLoad(serviceLoad)),
       },
       "request ended",
@@ -86,6 +90,27 @@
     return { ...(serviceLoad === null ? {} : roundServiceLoad(serviceLoad)), viewAgeMs };
   }
 
+  /** The work on which the choice of the target was based; nothing where it is not used. */
+  #describeExpectedWork(target: TargetRecord): object {
+    const { work } = this.#context;
+    const { service } = this.#routed;
+    if (!work.isInForce(service.name)) {
+      return {};
+    }
+    this.#expectedMs ??= work.estimateWork(this.#routed).totalMs;
+    const targetWorkMs = Math.round(work.getLoad(target.id, service).leftMs);
+    return { expectedWorkMs: Math.round(this.#expectedMs), targetWorkMs };
+  }
+
+  /** Expected and actual work of a request that was sent. */
+  #describeWork(events: number): object {
+    if (this.#expectedMs === null) {
+      return {};
+    }
+    const { totalMs } = this.#context.work.measureWork(this.#routed, events, this.#getElapsedMs());
+    return { expectedWorkMs: Math.round(this.#expectedMs), workMs: Math.round(totalMs) };
+  }
+
   #getElapsedMs(): number {
     return this.#context.options.clock.monotonicMs() - this.#routed.arrivedAtMs;
   }
--- a/packages/gateway/WorkEstimates.ts
+++ b/packages/gateway/WorkEstimates.ts
@@ -14,6 +14,7 @@
 import { RunningRequest } from "./RunningRequest";
 import { TargetChoiceKind } from "./TargetChoiceKind";
 import type { TargetLoads } from "./TargetLoads";
+import { classifyWorkError } from "./classifyWorkError";
 
 interface WorkEstimatesOptions {
   readonly options: Pick<GatewayOptions, "targetChoice" | "clock">;
@@ -76,6 +77,12 @@
     return targets.length === 0 ? Infinity : ((leftMs / targets.length) * 2) / (requests + 1);
   }
 
+  /** Work of a request that has completed after `events` events. */
+  measureWork(routed: RoutedRequest, events: number, durationMs: number): RequestWork {
+    const request = this.#describe(routed);
+    return this.#model.measure(request, events * Math.max(1, request.engine?.stride ?? 1), durationMs);
+  }
+
   /** Starts to count a request that is sent to a target; `isWhole` unless it resumes a broken stream. */
   begin(routed: RoutedRequest, target: string, isWhole: boolean): RunningRequest {
     const { clock } = this.#options.options;
@@ -91,6 +98,7 @@
       onComplete: (answerTokens, durationMs) => {
         if (isWhole) {
           this.#model.note(request, answerTokens, durationMs, clock.monotonicMs());
+          this.#noteError(work.totalMs, this.#model.measure(request, answerTokens, durationMs).totalMs);
         }
       },
     });
@@ -126,9 +134,16 @@
     return { inFlight, remainingCs: Object.keys(inFlight).map((id) => Math.max(0, getUnits(id))) };
   }
 
-  /** Remaining work of own requests by target, in ms. */
-  listOwnMs(): [string, number][] {
-    return [...this.#ledger.entries()].map(([id, { leftMs }]) => [id, Math.max(0, leftMs)]);
+  /** Remaining work by target from all gateways, in ms, for the targets of services that are routed by it. */
+  listMs(): [string, number][] {
+    const services = this.#options.view.state.table?.document.services ?? [];
+    return services
+      .filter(({ name }) => this.isInForce(name))
+      .flatMap((service) =>
+        this.#options.view
+          .listOpenTargets(service.name)
+          .map(({ id }): [string, number] => [id, Math.max(0, this.getLoad(id, service).leftMs)]),
+      );
   }
 
   /** Forgets targets without requests. */
@@ -136,6 +151,13 @@
     this.#ledger.removeIdle();
   }
 
+  #noteError(expectedMs: number, actualMs: number): void {
+    const { metrics } = this.#options;
+    metrics.expectedWork.observeMs(expectedMs);
+    metrics.actualWork.observeMs(actualMs);
+    metrics.workErrors.add(classifyWorkError(expectedMs, actualMs));
+  }
+
   #describe({ route, service, caller }: RoutedRequest): CostRequest {
     const { promptTokens, hintTokens, maxAnswerTokens } = caller;
     const slots = service.engine?.slots ?? this.#options.view.listOpenTargets(service.name)[0]?.slots ?? 1;
