--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -8,6 +8,7 @@
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
@@ -39,9 +40,13 @@
   const findings = null as CrashFindings | null;
   /** Targets that the coordinator lists besides `targets`. */
   const otherTargets: TargetRecord[] = [];
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets };
+  /** What the coordinator knows of other gateways. */
+  const others: Partial<SyncResponse> = {};
+  const entry = null as EntryRecord | null;
+  const state = { document, ageMs, isReady: true, entry, leaving, crashes, findings, otherTargets, others };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
+    state.entry = entry;
     state.leaving = leaving;
     state.crashes = crashes ?? null;
     const { version } = state.document;
@@ -53,7 +58,11 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
-    const response = { ...listed, targets: [...(listed.targets ?? []), ...state.otherTargets] };
+    const response = {
+      ...listed,
+      ...state.others,
+      targets: [...(listed.targets ?? []), ...state.otherTargets],
+    };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -145,6 +145,22 @@
   t.end();
 });
 
+// Guards against targets that look idle because some gateways are of an earlier release, which reports no work.
+t.test("remaining work is summed, and requests without a report count with the mean", (t) => {
+  const registry = new EntryRegistry();
+  const entry = { incarnation: "1", isReady: true, address: "a", failureDomain: "a" };
+  registry.put({ ...entry, name: "e1", inFlight: { "t-1": 2, "t-2": 1 } }, 0, null);
+  t.equal(registry.sumRemaining("e9", ["t-1", "t-2"], 1), null, "nobody reports work");
+  registry.put({ ...entry, name: "e2", inFlight: { "t-2": 2, "t-1": 1 }, remainingCs: [30, 60] }, 0, "peer");
+  registry.put({ ...entry, name: "e3", inFlight: { "t-1": 3 }, remainingCs: [30] }, 0, null);
+  t.same(registry.sumRemaining("e9", ["t-1", "t-2", "t-3"], 1), [130, 50, 0]);
+  t.same(registry.sumRemaining("e1", ["t-1", "t-2"], 1), [90, 30]);
+  const cut = { ...entry, name: "e3", inFlight: { "t-1": 3, "t-2": 1 }, remainingCs: [30] };
+  registry.put(cut, 1, null);
+  t.same(registry.sumRemaining("e1", ["t-1"], 2), [150], "a report that does not fit counts as none");
+  t.end();
+});
+
 // Guards against sending callers to a stalled entry until it times out.
 t.test("an entry that has missed some reports is listed only if there are too few others", (t) => {
   const registry = new EntryRegistry();
