--- a/bin/bench-gateway-process.ts
+++ b/bin/bench-gateway-process.ts
@@ -4,6 +4,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { startFromSettings } from "@clementinemux/settings/startFromSettings";
 
@@ -29,6 +30,7 @@
     maxHeldBytes: 50_331_648,
     maxInFlight: 1000,
     waitingLine: WaitingLineMode.Auto,
+    targetChoice: TargetChoiceKind.Auto,
     codec: new PlainCodec(),
     clock,
     leaseClock: clock,
--- a/packages/gateway/FleetState.ts
+++ b/packages/gateway/FleetState.ts
@@ -11,6 +11,8 @@
   readonly othersInFlight: Readonly<Record<string, number>>;
   /** Requests that wait for a slot at all other gateways. */
   readonly othersWaiting: WaitingDemand;
+  /** Remaining work by target, from all other gateways, in ms; null when it is not reported. */
+  readonly othersRemainingMs: ReadonlyMap<string, number> | null;
   /** Slowdown of slow targets by id: a multiple of the usual time for the same work. */
   readonly slowdowns: Readonly<Record<string, number>>;
   readonly liveEntries: number;
--- a/packages/gateway/FleetView.ts
+++ b/packages/gateway/FleetView.ts
@@ -7,6 +7,7 @@
 import { EndedTargets } from "./EndedTargets";
 import type { FleetState } from "./FleetState";
 import type { WireCodec } from "./WireCodec";
+import { readRemainingMs } from "./readRemainingMs";
 
 /**
  * Longest time that a gateway serves requests after it sent its last confirmed report. Revoked keys have to
@@ -28,6 +29,7 @@
     targets: [],
     othersInFlight: {},
     othersWaiting: {},
+    othersRemainingMs: null,
     slowdowns: {},
     liveEntries: 1,
   };
@@ -114,8 +116,14 @@
     }
     const isCurrent = ageMs < maxCurrentAgeMs;
     this.#confirmedAtMs = Math.max(this.#confirmedAtMs, sentAtMs - ageMs);
-    const othersWaiting = response.waiting ?? {};
-    this.#state = { ...this.#state, othersInFlight: inFlight, othersWaiting, slowdowns: paces, liveEntries };
+    this.#state = {
+      ...this.#state,
+      othersInFlight: inFlight,
+      othersWaiting: response.waiting ?? {},
+      othersRemainingMs: readRemainingMs(response),
+      slowdowns: paces,
+      liveEntries,
+    };
     if (isCurrent && targets !== null) {
       for (const incarnation of response.ended ?? []) {
         this.#ended.learnGone(incarnation, sentAtMs);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -7,8 +7,6 @@
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
 import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import { LimitTable } from "@clementinemux/registry/LimitTable";
-import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import type { TargetIncarnation } from "@clementinemux/registry/TargetIncarnation";
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
@@ -34,15 +32,13 @@
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
 import { renderAdmissionLines } from "./renderAdmissionLines";
+import { WorkEstimates } from "./WorkEstimates";
+import { initialLimits } from "./initialLimits";
+import { isReplaced } from "./isReplaced";
+import { listUnlistedLeaving } from "./listUnlistedLeaving";
+import { renderTargetWork } from "./renderTargetWork";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
-/** Limits until the first document is known. */
-const initialLimits: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
 const housekeepingMs = 1000;
 /**
  * After the stop signal, callers keep this address for this long: the time until they receive a new list of
@@ -63,6 +59,7 @@
   readonly #options: GatewayOptions;
   readonly #sync: FleetSync;
   readonly #loads: TargetLoads;
+  readonly #work: WorkEstimates;
   readonly #health = new TargetHealth();
   readonly #notices = new TargetNotices();
   readonly #limits = new LimitTable();
@@ -102,11 +99,12 @@
     const render = (): string => this.renderMetrics();
     this.#metricsPage = new MetricsEndpoint({ role: "gateway", host, port, clock, logger, render });
     this.#loads = new TargetLoads(() => this.view.state);
+    this.#work = new WorkEstimates({ options, view: this.view, loads: this.#loads, metrics: this.metrics });
     this.#crashes = new CrashWatch({
       clock,
       random,
       isRefusing: isRefusingConnections,
-      isReplaced: (target) => this.#isReplaced(target),
+      isReplaced: (target) => isReplaced(this.view, target),
       isIsolated: (service) =>
         (this.view.state.table?.findService(service)?.engine?.experts ?? null) === null,
       onNews: () => this.#sync.sync(),
@@ -117,7 +115,7 @@
     this.#sync = new FleetSync({
       view: this.view,
       getEntry: () => this.#getEntry(),
-      listLeaving: () => this.#listLeaving(),
+      listLeaving: () => listUnlistedLeaving(this.view, this.#notices),
       getCrashEvidence: () => this.#crashes.getEvidence(),
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
@@ -214,10 +212,11 @@
       clementinemux_gateway_limited_targets: this.#limits.size,
       ...this.#cold.gauges,
       clementinemux_gateway_live_gateways: state.liveEntries,
+      clementinemux_gateway_learned_routes: this.#work.learnedRoutes,
       clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    const lines = renderAdmissionLines(this.#admissions);
+    const lines = renderAdmissionLines(this.#admissions) + renderTargetWork(this.#work.listMs());
     return this.metrics.render() + this.#errors.render() + renderGauges(gauges) + lines;
   }
 
@@ -283,6 +282,7 @@
       options: this.#options,
       view: this.view,
       loads: this.#loads,
+      work: this.#work,
       health: this.#health,
       notices: this.#notices,
       limits: this.#limits,
@@ -375,20 +375,7 @@
     this.#permits.retain();
     this.#cold.retain();
     this.#admissions.retain();
-  }
-
-  #isReplaced({ id, address, service, bornMs, isDraining, isLeaving }: TargetRecord): boolean {
-    const isSuccessor = (other: TargetRecord): boolean =>
-      other.address === address && (other.id !== id || other.bornMs > bornMs);
-    return !isDraining && !isLeaving && this.view.listReadyTargets(service).some(isSuccessor);
-  }
-
-  /** Targets that reported that they are leaving, but that the coordinators do not list as leaving. */
-  #listLeaving(): TargetIncarnation[] {
-    const listedIds = new Set(
-      this.view.state.targets.filter(({ isLeaving }) => isLeaving).map(({ id }) => id),
-    );
-    return this.#notices.listLeaving().filter(({ id }) => !listedIds.has(id));
+    this.#work.removeIdle();
   }
 
   #getLimits(): CallerLimits {
@@ -404,7 +391,7 @@
       address: `${host}:${callerPort}`,
       failureDomain,
       isReady: this.isReady,
-      inFlight: this.#loads.listOwn(),
+      ...this.#work.createReport(),
       ...(waiting === undefined ? {} : { waiting }),
     };
   }
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -6,6 +6,7 @@
 import { PermitOutcome } from "./PermitOutcome";
 import { QueueEnd } from "./QueueEnd";
 import { RequestOutcome } from "./RequestOutcome";
+import { WorkError } from "./WorkError";
 
 /** Counters and histograms of a gateway's requests. */
 export class GatewayMetrics {
@@ -29,6 +30,11 @@
       new Counters(`clementinemux_gateway_queue_${end}`, "priority", ["0", "1", "2"]),
     ]),
   );
+  /** Completed requests by how their work compares with what was expected. */
+  readonly workErrors = new Counters("clementinemux_gateway_work_errors", "error", Object.values(WorkError));
+  /** Work of completed requests, in the target's time, as expected when they were sent and as it was. */
+  readonly expectedWork = new TimeHistogram("clementinemux_gateway_expected_work_seconds");
+  readonly actualWork = new TimeHistogram("clementinemux_gateway_actual_work_seconds");
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -45,13 +51,17 @@
   }
 
   render(): string {
-    const times = [this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits];
+    const times = [
+      ...[this.firstEvents, this.responses, this.pauses, this.longestPauses, this.slotWaits],
+      ...[this.expectedWork, this.actualWork],
+    ];
     return [
       renderCounters(this.outcomes),
       renderCounters(this.retries),
       renderCounters(this.permits),
       renderCounters(this.coldPermits),
       ...[...this.#queueEnds.values()].map(renderCounters),
+      renderCounters(this.workErrors),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -3,6 +3,7 @@
 import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { Logger } from "roarr";
 import type { WaitingLineMode } from "./WaitingLineMode";
+import type { TargetChoiceKind } from "./TargetChoiceKind";
 import type { WireCodec } from "./WireCodec";
 
 /** Configuration and dependencies of a gateway. */
@@ -33,6 +34,7 @@
   /** What cold targets may get; 1.5 times their rate and 5 requests more by default. */
   readonly coldBounds?: ColdBounds;
   readonly waitingLine: WaitingLineMode;
+  readonly targetChoice: TargetChoiceKind;
   readonly codec: WireCodec;
   readonly clock: Clock;
   /** Clock that includes suspensions of the machine; used for how long the gateway may rely on its state. */
--- a/packages/gateway/RequestAdmission.ts
+++ b/packages/gateway/RequestAdmission.ts
@@ -106,8 +106,8 @@
 
   chooseTarget(): TargetRecord | null {
     const { context, routed, tried, countSends } = this.#options;
-    const choice = { tried, isFirst: countSends() === 0, serviceLoad: this.slots.load };
-    return chooseTarget(context, { service: routed.service, ...choice });
+    const choice = { request: routed, tried, isFirst: countSends() === 0, serviceLoad: this.slots.load };
+    return chooseTarget(context, choice);
   }
 
   /** A target has accepted the request, so that a recovering group accepts those that wait as well. */
--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -8,7 +8,6 @@
 import type { QueuedRequest } from "./QueuedRequest";
 import type { RoutedRequest } from "./RoutedRequest";
 import type { SlotCheck } from "./SlotCheck";
-import { getRequestCostMs } from "./getRequestCostMs";
 
 interface SlotWaitOptions {
   readonly context: GatewayContext;
@@ -70,13 +69,13 @@
 
   #createQueued(): QueuedRequest {
     const { context, routed, slots, guard } = this.#options;
-    const { service, caller, priority, team, arrivedAtMs } = routed;
+    const { priority, team, arrivedAtMs } = routed;
     return {
       requestClass: priority,
       classWeight: getPriorityWeight(priority),
       team: team ?? "",
       teamWeight: 1,
-      costMs: getRequestCostMs(service.engine, caller),
+      costMs: Math.max(1, context.work.estimateWork(routed).totalMs),
       enteredAtMs: arrivedAtMs,
       dueAtMs: context.options.clock.monotonicMs() + slots.getWaitLeftMs(),
       getLoad: () => slots.load,
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -1,14 +1,16 @@
 import { getOwn } from "@clementinemux/common/getOwn";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { ServiceLoad } from "./ServiceLoad";
 import type { GatewayContext } from "./GatewayContext";
+import type { RoutedRequest } from "./RoutedRequest";
+import { chooseByFinish } from "./chooseByFinish";
 import { chooseByFreeSlots } from "./chooseByFreeSlots";
 import { selectFreed } from "./selectFreed";
+import { estimateCandidates } from "./estimateCandidates";
 import { listUsableTargets } from "./listUsableTargets";
 
 interface TargetChoice {
-  readonly service: RoutedService;
+  readonly request: RoutedRequest;
   /** Targets to which the request was already sent. */
   readonly tried: ReadonlySet<string>;
   /** Whether the request has not been sent yet. */
@@ -34,11 +36,13 @@
 const maxColdWeightRatio = 3;
 
 /**
- * Chooses the target for a request by load, health, slowdown and free slots; null when no target has a slot.
+ * Chooses the target for a request by load, health, slowdown and free slots or expected work; null when no target
+ * has a slot.
  */
 export function chooseTarget(context: GatewayContext, choice: TargetChoice): TargetRecord | null {
   const { view, loads, health, options } = context;
-  const { service, tried, isFirst, serviceLoad } = choice;
+  const { request, tried, isFirst, serviceLoad } = choice;
+  const { service } = request;
   const { healthy, slow } = listUsableTargets(context, service.name);
   const { meanLoad = 0, cap = Infinity } = serviceLoad ?? {};
   const isHealthyFull = isFirst && slow.length > 0 && meanLoad >= cap;
@@ -55,7 +59,9 @@
   const isQueued = context.admissions.isInForce(service.name);
   const preferred = isQueued ? selectFreed(candidates) : candidates;
   const maxRatio = (service.coldStart ?? null) === null ? Infinity : maxColdWeightRatio;
-  const id = chooseByFreeSlots(preferred, queueSlots, options.random, maxRatio);
+  const id = context.work.isInForce(service.name)
+    ? chooseByFinish(estimateCandidates(context, request, preferred), options.random)
+    : chooseByFreeSlots(preferred, queueSlots, options.random, maxRatio);
   return targets.find((target) => target.id === id) ?? null;
 }
 
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -24,6 +24,8 @@
   readonly guard: Guard;
 }
 
+const firstFailureStatus = 400;
+
 /** Creates an attempt that occupies a slot of its target, and tells what it shows of the target and the request. */
 export function createAttempt(
   context: GatewayContext,
@@ -41,6 +43,7 @@
   loads.begin(target.id);
   ramps.noteSent(target.id, options.leaseClock.monotonicMs());
   line.noteTaken();
+  const running = context.work.begin(routed, target.id, call.resumeAfter === null);
   const attempt: Attempt = new Attempt({
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
@@ -53,16 +56,21 @@
     onFullResponse: (status, headers, body) => {
       hasRun = true;
       watch.noteResponse(status, now());
+      if (status < firstFailureStatus) {
+        running.noteComplete(now());
+      }
       listener.onFullResponse(attempt, { status, headers, body });
     },
     onStreamStart: listener.onStreamStart,
     onEvent: (bytes, id) => {
       hasRun = true;
       watch.noteEvent(now());
+      running.noteEvent();
       listener.onEvent(attempt, bytes, id);
     },
     onStreamEnd: () => {
       watch.noteStreamEnd(now());
+      running.noteComplete(now());
       listener.onStreamEnd(attempt);
     },
     onNotRun: (faultyTarget) => {
@@ -75,6 +83,7 @@
     onReleased: () => {
       loads.end(target.id);
       line.noteFreed(hasRun ? now() - startedAtMs : null);
+      running.end();
     },
   });
   return attempt;
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -7,10 +7,12 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
 import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
+import type { EntryRecord } from "@clementinemux/registry/EntryRecord";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
@@ -47,9 +49,13 @@
   const evacuated: EvacuatedDomains = { revision: 0, failureDomains: [] };
   const takePermits: (request: PermitRequest) => PermitResponse = () => ({ answers: [] });
   const places = { otherTargets, failureDomains, evacuated, takePermits };
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings, ...places };
+  /** What the coordinator knows of other gateways. */
+  const others: Partial<SyncResponse> = {};
+  const entry = null as EntryRecord | null;
+  const state = { document, ageMs, isReady: true, entry, leaving, crashes, findings, others, ...places };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
+    state.entry = entry;
     state.leaving = leaving;
     state.crashes = crashes ?? null;
     const { version } = state.document;
@@ -66,7 +72,7 @@
       failureDomain: state.failureDomains[index] ?? "a",
     }));
     const known = { targets: [...own, ...state.otherTargets], evacuated: state.evacuated };
-    const response = { ...listed, ...known };
+    const response = { ...listed, ...state.others, ...known };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
@@ -97,6 +103,7 @@
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
     waitingLine: WaitingLineMode.On,
+    targetChoice: TargetChoiceKind.Auto,
     codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
--- a/packages/gateway/test/targetLimits.test.ts
+++ b/packages/gateway/test/targetLimits.test.ts
@@ -6,6 +6,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { waitUntil } from "@clementinemux/system/waitUntil";
@@ -94,6 +95,7 @@
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
         waitingLine: WaitingLineMode.On,
+        targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
         leaseClock: new SystemClock(),
