--- a/packages/gateway/test/coldBound.test.ts
+++ b/packages/gateway/test/coldBound.test.ts
@@ -103,6 +103,20 @@
   );
 });
 
+// Guards against a crowd at a target that is empty and has not announced its restart yet.
+t.test("targets whose heartbeat after a restart comes up to 1.2 s late", (t) => {
+  checkAll(
+    t,
+    (model) => {
+      for (const id of [0, 24, 48, 71]) {
+        model.cool([id], 3000, true);
+        model.run(1500);
+      }
+    },
+    { maxHeartbeatMs: 1200, demandPerS: 1100 },
+  );
+});
+
 // Guards against permits of two leaders in one second.
 t.test("changes of the leader while targets are cold", (t) => {
   checkAll(t, (model) => {
