Test sends to cold targets with gateways, coordinators and stand-in targets

First sends, retries and resumed streams need a permit, also beside a leader of an earlier release; a service whose targets are all cold is served at the permitted rate through an election, and gets nothing without a leader.

--- a/packages/gateway/ColdTargets.ts
+++ b/packages/gateway/ColdTargets.ts
@@ -78,7 +78,8 @@
 
   /** Applies what a coordinator reports. Returns the targets that have become cold or warm since the last report. */
   update({ targets, cold, wallMs, nowMs }: ListUpdate): ColdChange[] {
-    if (targets !== this.#listed) {
+    const isFirstEmpty = this.#listedById === null && targets.length === 0;
+    if (targets !== this.#listed && !isFirstEmpty) {
       this.#noteList(targets, cold !== null, wallMs, nowMs);
     }
     for (const item of this.#table.merge(cold ?? [], nowMs)) {
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -7,6 +7,9 @@
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { ColdTarget } from "@clementinemux/registry/ColdTarget";
+import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
+import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
@@ -38,7 +41,12 @@
   const findings = null as CrashFindings | null;
   /** Targets that the coordinator lists besides `targets`. */
   const otherTargets: TargetRecord[] = [];
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets };
+  /** What the coordinator states of cold targets. */
+  const cold: readonly ColdTarget[] = [];
+  /** Answers asks for permits; null while no coordinator leads. */
+  const takePermits = null as ((request: PermitRequest) => PermitResponse) | null;
+  const reported = { isReady: true, leaving, crashes };
+  const state = { document, ageMs, findings, otherTargets, cold, takePermits, ...reported };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
@@ -52,11 +60,20 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
-    const response = { ...listed, targets: [...(listed.targets ?? []), ...state.otherTargets] };
+    const { cold } = state;
+    const response = { ...listed, cold, targets: [...(listed.targets ?? []), ...state.otherTargets] };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
-    handlers: { [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest) },
+    handlers: {
+      [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest),
+      [MessageName.TakePermits]: (body) => {
+        if (state.takePermits === null) {
+          throw new Error("no leader");
+        }
+        return state.takePermits(body as PermitRequest);
+      },
+    },
   });
   const framePort = await coordinator.listen("127.0.0.1", 0);
   const [callerPort = 0, readyPort = 0] = await findFreePorts(2);
