--- a/packages/control/test/fleetLimiter.test.ts
+++ b/packages/control/test/fleetLimiter.test.ts
@@ -126,6 +126,31 @@
   t.end();
 });
 
+// Guards against promises that are forgotten since the leader does not list the target, or in its earlier incarnation.
+t.test("the schedule of a target that is not listed is kept", (t) => {
+  const limiter = new FleetLimiter(new LimitTable());
+  const lists = [[], [target], [{ ...target, bornMs: 0 }]];
+  let grants = 0;
+  for (let nowMs = 0; nowMs < windowMs; nowMs += 50) {
+    limiter.retain(lists[nowMs % 3] ?? [], nowMs);
+    const ask = { targets: [target], maxWaitMs: 1000 };
+    grants += limiter.take(ask, 1, nowMs, () => 2).target === null ? 0 : 1;
+  }
+  t.ok(grants <= 11, `${grants} permits at 2 per second in 4 s, promised for 1 s ahead`);
+  t.end();
+});
+
+t.test("of a stated limit and the rate of a cold target, the lower one applies", (t) => {
+  const limiter = createLimiter(5);
+  const getFreeInMs = (coldPerS: number | null): unknown =>
+    limiter.take({ targets: [target], maxWaitMs: 0 }, 1, 0, () => coldPerS).freeInMs.t;
+  t.equal(getFreeInMs(2), 500);
+  t.equal(getFreeInMs(10), 200);
+  t.equal(getFreeInMs(null), 200);
+  t.equal(getFreeInMs(0), null);
+  t.end();
+});
+
 t.test("a statement that was on its way does not raise a lower limit", (t) => {
   const table = new LimitTable();
   table.note(target, 1.4, 1000);
--- a/packages/gateway/test/permitClient.test.ts
+++ b/packages/gateway/test/permitClient.test.ts
@@ -1,4 +1,5 @@
 import t from "tap";
+import { ColdPermitOutcome } from "@clementinemux/gateway/ColdPermitOutcome";
 import { GatewayHandler } from "@clementinemux/gateway/GatewayHandler";
 import { PermitClient } from "@clementinemux/gateway/PermitClient";
 import { PermitOutcome } from "@clementinemux/gateway/PermitOutcome";
@@ -12,7 +13,12 @@
 
 const target = createTargetRecord();
 
-function createClient(limitPerS = 2) {
+interface ColdState {
+  getRatePerS: () => number | null;
+  readonly outcomes: Counters<ColdPermitOutcome>;
+}
+
+function createClient(limitPerS = 2, cold: ColdState | null = null) {
   const state = {
     nowMs: 10_000,
     calls: [] as PermitRequest[],
@@ -32,7 +38,10 @@
   };
   const client = new PermitClient({
     limits,
-    cold: null,
+    cold:
+      cold === null
+        ? null
+        : { getRatePerS: () => cold.getRatePerS(), listIds: () => [target.id], outcomes: cold.outcomes },
     call,
     getLiveEntries: () => 4,
     outcomes,
@@ -117,3 +126,21 @@
   t.notOk(client.takeProbe(target), "heard of just now");
   t.end();
 });
+
+// Guards against permits of a high limit, or of a leader of an earlier release, that are used while the target is cold.
+t.test("only permits that were granted for a cold target are used while it is cold", async (t) => {
+  const outcomes = new Counters("cold", "outcome", Object.values(ColdPermitOutcome));
+  const cold: ColdState = { getRatePerS: () => null, outcomes };
+  const { state, client } = createClient(40, cold);
+  state.response = { answers: [answer("t-1", 0)], knowsCold: true };
+  const early = await client.take([target], 100);
+  cold.getRatePerS = () => 9.6;
+  t.notOk(early === null || client.checkValid(early));
+  t.equal(outcomes.get(ColdPermitOutcome.Expired), 1);
+  const permit = await client.take([target], 100);
+  t.same(state.calls.at(-1)?.coldRatesPerS, { "t-1": 9.6 });
+  t.ok(permit !== null && client.checkValid(permit));
+  state.response = { answers: [answer("t-1", 0)] };
+  t.equal(await client.take([target], 100), null);
+  t.equal(outcomes.get(ColdPermitOutcome.Failed), 1);
+});
