--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -9,6 +9,7 @@
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
+import type { ColdTarget } from "@clementinemux/registry/ColdTarget";
 import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
 import type { PermitResponse } from "@clementinemux/registry/PermitResponse";
@@ -47,8 +48,11 @@
   /** Failure domains of `targets`; "a" for those that are not listed. */
   const failureDomains: string[] = [];
   const evacuated: EvacuatedDomains = { revision: 0, failureDomains: [] };
-  const takePermits: (request: PermitRequest) => PermitResponse = () => ({ answers: [] });
-  const places = { otherTargets, failureDomains, evacuated, takePermits };
+  /** What the coordinator states of cold targets. */
+  const cold: readonly ColdTarget[] = [];
+  /** Answers asks for permits; null while no coordinator leads. */
+  const takePermits = null as ((request: PermitRequest) => PermitResponse) | null;
+  const places = { otherTargets, failureDomains, evacuated, cold, takePermits };
   /** What the coordinator knows of other gateways. */
   const others: Partial<SyncResponse> = {};
   const entry = null as EntryRecord | null;
@@ -71,14 +75,20 @@
       ...target,
       failureDomain: state.failureDomains[index] ?? "a",
     }));
-    const known = { targets: [...own, ...state.otherTargets], evacuated: state.evacuated };
+    const { cold, evacuated } = state;
+    const known = { targets: [...own, ...state.otherTargets], cold, evacuated };
     const response = { ...listed, ...state.others, ...known };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
     handlers: {
       [MessageName.SyncEntry]: (body) => createResponse(body as SyncRequest),
-      [MessageName.TakePermits]: (body) => state.takePermits(body as PermitRequest),
+      [MessageName.TakePermits]: (body) => {
+        if (state.takePermits === null) {
+          throw new Error("no leader");
+        }
+        return state.takePermits(body as PermitRequest);
+      },
     },
   });
   const framePort = await coordinator.listen("127.0.0.1", 0);
