--- a/packages/gateway/test/startGateways.ts
+++ b/packages/gateway/test/startGateways.ts
@@ -75,8 +75,6 @@
         maxInFlight: 100,
         waitingLine: WaitingLineMode.On,
         targetChoice: TargetChoiceKind.Auto,
-        waitingLine: WaitingLineMode.On,
-        targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
         leaseClock: new SystemClock(),
