Read one request of a connection at a time, and bound frames and connections

Node parses all pipelined requests of a chunk at once and holds their responses behind a socket that is not read: a crowd of such clients ended gateways. HttpGate feeds the parser one request at a time, bounds connections by descriptors, and closes stalled bodies and unread responses. Readiness and metrics read no bodies. Frame servers keep an incomplete frame in one buffer, bound all of them together, and stop reading from peers that do not read.

--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -1,5 +1,4 @@
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { periodic } from "most";
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
@@ -12,7 +11,7 @@
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
-import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
+import type { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -25,7 +24,6 @@
 import { RequestReceiver } from "./RequestReceiver";
 import { GroupRecovery } from "./GroupRecovery";
 import { PassMeter } from "./PassMeter";
-import { RequestOutcome } from "./RequestOutcome";
 import { PermitClient } from "./PermitClient";
 import { RetryBudget } from "./RetryBudget";
 import { StopWindow } from "./StopWindow";
@@ -33,6 +31,8 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { createCallerServer } from "./createCallerServer";
+import { createReadinessServer } from "./createReadinessServer";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 /** Limits until the first document is known. */
@@ -77,6 +77,9 @@
   readonly #incarnation: string;
   readonly #receiver: RequestReceiver;
   readonly #metricsPage: MetricsEndpoint;
+  readonly #noteClosed = (reason: ConnectionCloseReason): void => {
+    this.metrics.closedConnections.add(reason);
+  };
   #server: Server | null = null;
   #readiness: Server | null = null;
   #callerLimits = initialLimits;
@@ -153,12 +156,11 @@
 
   async start(): Promise<void> {
     const { host, callerPort, readyPort, readyPath, name, logger } = this.#options;
-    this.#readiness = createServer((request, response) => {
-      const answer = (): void => {
-        const isKnown = request.url?.split("?")[0] === readyPath;
-        response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
-      };
-      this.#errors.run(GatewayHandler.Readiness, answer, () => response.destroy());
+    this.#readiness = createReadinessServer({
+      path: readyPath,
+      isReady: () => this.isReady,
+      errors: this.#errors,
+      onClosed: this.#noteClosed,
     });
     // A predecessor has this port until it exits, so that no two gateways of one name are announced.
     await listenWhenFree(this.#readiness, { host, port: readyPort, logger });
@@ -297,50 +299,24 @@
   }
 
   #createServer(): Server {
-    const server = createServer(
-      {
-        maxHeaderSize: this.#callerLimits.maxHeaderBytes,
-        keepAliveTimeout: this.#callerLimits.idleTimeoutMs,
-        headersTimeout: this.#callerLimits.headerTimeoutMs,
-        requestTimeout: 0,
-        connectionsCheckingInterval: housekeepingMs,
-        noDelay: true,
-        insecureHTTPParser: false,
-      },
-      (request: IncomingMessage, response: ServerResponse) => {
-        const receive = (): void => {
-          this.#receiver.receive(request, response);
-        };
-        this.#errors.run(GatewayHandler.Request, receive, () => response.destroy());
-      },
-    );
+    const server = createCallerServer({
+      limits: this.#callerLimits,
+      getIdleTimeoutMs: () => this.#callerLimits.idleTimeoutMs,
+      receiver: this.#receiver,
+      metrics: this.metrics,
+      errors: this.#errors,
+      logger: this.#options.logger,
+      onClosed: this.#noteClosed,
+    });
     server.on("connection", (socket) => {
       this.#sockets.add(socket);
       socket.on("close", () => {
         this.#sockets.delete(socket);
       });
     });
-    postponeTimeouts(server, (error, socket) => {
-      const close = (): void => {
-        this.#closeMalformed(error, socket);
-      };
-      this.#errors.run(GatewayHandler.Connection, close, () => socket.destroy());
-    });
     return server;
   }
 
-  #closeMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    this.#options.logger.warn({ code: error.code ?? "", error: error.message }, "malformed request");
-    if (socket.writable && error.code !== "ECONNRESET") {
-      const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
-      const status = isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request";
-      this.metrics.outcomes.add(isOverflow ? RequestOutcome.TooLarge : RequestOutcome.BadRequest);
-      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    } else {
-      socket.destroy();
-    }
-  }
-
   #runHousekeeping(): void {
     const limits = this.#getLimits();
     if (this.#server !== null && limits !== this.#callerLimits) {
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { Counters } from "@clementinemux/metrics/Counters";
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { PermitOutcome } from "./PermitOutcome";
 import { RequestOutcome } from "./RequestOutcome";
@@ -14,6 +15,12 @@
     Object.values(AttemptRetryReason),
   );
   readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
+  /** Connections of callers and health checks that were closed because of a limit. */
+  readonly closedConnections = new Counters(
+    "clementinemux_gateway_closed_connections",
+    "reason",
+    Object.values(ConnectionCloseReason),
+  );
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -31,6 +38,7 @@
       renderCounters(this.outcomes),
       renderCounters(this.retries),
       renderCounters(this.permits),
+      renderCounters(this.closedConnections),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
--- a/packages/wire/FrameDecoder.ts
+++ b/packages/wire/FrameDecoder.ts
@@ -5,9 +5,14 @@
 import { WireErrorCode } from "./WireErrorCode";
 import { wireLimits } from "./wireLimits";
 
-/** Splits a byte stream into frames. */
+const minCapacityBytes = 256;
+
+/**
+ * Splits a byte stream into frames. Holds an incomplete frame in one buffer that grows with what has arrived: neither an
+ * announced length nor the number of pieces costs memory.
+ */
 export class FrameDecoder {
-  #chunks: Buffer[] = [];
+  #buffer: Buffer = Buffer.alloc(0);
   #bufferedBytes = 0;
 
   /** Whether an incomplete frame is buffered. */
@@ -15,58 +20,65 @@
     return this.#bufferedBytes > 0;
   }
 
+  /** Size of the memory that is held for an incomplete frame. */
+  get heldBytes(): number {
+    return this.#buffer.length;
+  }
+
   /**
    * Adds received bytes and returns the frames they complete. Throws `frame_too_large` or `frame_malformed`.
    */
   push(chunk: Buffer): Frame[] {
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
+    let rest = this.#join(chunk);
     const frames: Frame[] = [];
-    for (let frame = this.#readFrame(); frame !== null; frame = this.#readFrame()) {
-      frames.push(frame);
+    for (let endBytes = findFrameEnd(rest); endBytes !== null; endBytes = findFrameEnd(rest)) {
+      frames.push(parseFrame(rest.subarray(wireLimits.headerBytes, endBytes)));
+      rest = rest.subarray(endBytes);
+    }
+    if (frames.length > 0 || this.#bufferedBytes === 0) {
+      this.#keep(rest);
     }
     return frames;
   }
 
-  #readFrame(): Frame | null {
-    if (this.#bufferedBytes < wireLimits.headerBytes) {
-      return null;
-    }
-    const sizeBytes = this.#readBodySize();
-    if (sizeBytes > wireLimits.maxFrameBytes) {
-      throw new WireError(
-        WireErrorCode.FrameTooLarge,
-        `peer announced a frame of ${sizeBytes} bytes, the limit is ${wireLimits.maxFrameBytes}`,
-      );
+  /** Appends the chunk to what is buffered; returns both. */
+  #join(chunk: Buffer): Buffer {
+    if (this.#bufferedBytes === 0) {
+      return chunk;
     }
-    const frameBytes = wireLimits.headerBytes + sizeBytes;
-    if (this.#bufferedBytes < frameBytes) {
-      return null;
+    const sizeBytes = this.#bufferedBytes + chunk.length;
+    if (sizeBytes > this.#buffer.length) {
+      const grown = Buffer.allocUnsafeSlow(Math.max(sizeBytes, this.#buffer.length * 2));
+      this.#buffer.copy(grown, 0, 0, this.#bufferedBytes);
+      this.#buffer = grown;
     }
-    const buffered = this.#joinChunks();
-    const remaining = buffered.subarray(frameBytes);
-    this.#chunks = remaining.length > 0 ? [remaining] : [];
-    this.#bufferedBytes = remaining.length;
-    return parseFrame(buffered.subarray(wireLimits.headerBytes, frameBytes));
+    chunk.copy(this.#buffer, this.#bufferedBytes);
+    this.#bufferedBytes = sizeBytes;
+    return this.#buffer.subarray(0, sizeBytes);
   }
 
-  #readBodySize(): number {
-    const [first] = this.#chunks;
-    if (first !== undefined && first.length >= wireLimits.headerBytes) {
-      return first.readUInt32BE(0);
-    }
-    return this.#joinChunks().readUInt32BE(0);
+  /** Copies the rest, since decoded frames may refer to the bytes before it. */
+  #keep(rest: Buffer): void {
+    this.#buffer = Buffer.allocUnsafeSlow(rest.length === 0 ? 0 : Math.max(rest.length, minCapacityBytes));
+    rest.copy(this.#buffer);
+    this.#bufferedBytes = rest.length;
   }
+}
 
-  #joinChunks(): Buffer {
-    const [first] = this.#chunks;
-    if (first !== undefined && this.#chunks.length === 1) {
-      return first;
-    }
-    const joined = Buffer.concat(this.#chunks);
-    this.#chunks = [joined];
-    return joined;
+/** Number of bytes of the first frame with its header; null while it is incomplete. Throws `frame_too_large`. */
+function findFrameEnd(bytes: Buffer): number | null {
+  if (bytes.length < wireLimits.headerBytes) {
+    return null;
+  }
+  const sizeBytes = bytes.readUInt32BE(0);
+  if (sizeBytes > wireLimits.maxFrameBytes) {
+    throw new WireError(
+      WireErrorCode.FrameTooLarge,
+      `peer announced a frame of ${sizeBytes} bytes, the limit is ${wireLimits.maxFrameBytes}`,
+    );
   }
+  const frameBytes = wireLimits.headerBytes + sizeBytes;
+  return bytes.length < frameBytes ? null : frameBytes;
 }
 
 function parseFrame(bytes: Buffer): Frame {
--- /dev/null
+++ b/packages/wire/RequestFeeder.ts
@@ -0,0 +1,130 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+type Parse = (chunk: Buffer) => void;
+
+const headEnd = Buffer.from("\r\n\r\n");
+const noBytes = Buffer.alloc(0);
+/** Part of a head without an end that is parsed at a time; shorter than many heads with bare line feeds. */
+const maxHeadPartBytes = 1024;
+
+/**
+ * Feeds the bytes of one connection to Node's parser so that a request is parsed only when the one before it has been
+ * answered. Node parses all pipelined requests in a chunk at once, and holds them and their responses. Bytes that wait
+ * are one buffer, and the socket isn't read meanwhile.
+ */
+export class RequestFeeder {
+  readonly #socket: Socket;
+  readonly #parse: Parse;
+  /** Requests whose responses have not ended. */
+  #open = 0;
+  #latest: IncomingMessage | null = null;
+  /** Bytes of the latest request's body that have not been fed; null if its length is not announced. */
+  #leftBytes: number | null = 0;
+  #held: Buffer = noBytes;
+  /** Last bytes that were fed since the last end of a head or a chunked body. */
+  #tail: Buffer = noBytes;
+
+  /** Takes the place of Node's listener for the data of the socket. */
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    const [parse] = socket.listeners("data") as Parse[];
+    if (parse === undefined) {
+      throw new Error("the connection has no parser");
+    }
+    this.#parse = parse;
+    // A further listener ends Node's direct path from the system's buffers to the parser.
+    socket.on("data", (chunk: Buffer) => {
+      this.#onData(chunk);
+    });
+    socket.off("data", parse);
+  }
+
+  /** Whether a request has been read and not been answered. */
+  get isBusy(): boolean {
+    return this.#open > 0;
+  }
+
+  /** Whether a request has been read in part: its head is complete, its body isn't. */
+  get isUploading(): boolean {
+    return this.#latest?.complete === false;
+  }
+
+  /** Called with each request of the connection, before it is handled. */
+  begin(request: IncomingMessage, response: ServerResponse): void {
+    this.#latest = request;
+    this.#open += 1;
+    const isChunked = request.headers["transfer-encoding"] !== undefined;
+    this.#leftBytes = isChunked ? null : Number(request.headers["content-length"] ?? 0);
+    response.once("close", () => {
+      this.#open -= 1;
+      this.#continue();
+    });
+  }
+
+  #onData(chunk: Buffer): void {
+    if (this.#held.length === 0) {
+      this.#feed(chunk);
+      return;
+    }
+    // Node may resume the socket while the latest request is read.
+    this.#held = Buffer.concat([this.#held, chunk]);
+    this.#socket.pause();
+  }
+
+  #continue(): void {
+    if (this.#open === 0 && this.#held.length > 0 && !this.#socket.destroyed) {
+      const held = this.#held;
+      this.#held = noBytes;
+      this.#socket.resume();
+      this.#feed(held);
+    }
+  }
+
+  #feed(bytes: Buffer): void {
+    let rest = bytes;
+    while (rest.length > 0 && !this.#socket.destroyed) {
+      if (this.#open > 0 && !this.isUploading) {
+        this.#held = rest;
+        this.#socket.pause();
+        return;
+      }
+      const endBytes = this.#findEnd(rest);
+      const part = rest.subarray(0, endBytes);
+      rest = rest.subarray(endBytes);
+      this.#parse(part);
+    }
+  }
+
+  /** Number of bytes after which a request may end, or all. */
+  #findEnd(bytes: Buffer): number {
+    if (this.isUploading && this.#leftBytes !== null) {
+      const endBytes = Math.min(this.#leftBytes, bytes.length);
+      this.#leftBytes -= endBytes;
+      return endBytes;
+    }
+    const endBytes = this.#findMark(bytes);
+    if (endBytes !== null) {
+      this.#tail = noBytes;
+      return endBytes;
+    }
+    const partBytes = this.isUploading ? bytes.length : Math.min(bytes.length, maxHeadPartBytes);
+    this.#tail = Buffer.from(
+      Buffer.concat([this.#tail, bytes.subarray(0, partBytes)]).subarray(1 - headEnd.length),
+    );
+    return partBytes;
+  }
+
+  /** Heads and chunked bodies end with an empty line, which may be split between chunks. */
+  #findMark(bytes: Buffer): number | null {
+    if (this.#tail.length > 0) {
+      const joined = Buffer.concat([this.#tail, bytes.subarray(0, headEnd.length - 1)]);
+      const at = joined.indexOf(headEnd);
+      if (at >= 0) {
+        return at + headEnd.length - this.#tail.length;
+      }
+    }
+    const at = bytes.indexOf(headEnd);
+    return at < 0 || (!this.isUploading && at > maxHeadPartBytes) ? null : at + headEnd.length;
+  }
+}
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -5,8 +5,10 @@
 import type { Logger } from "roarr";
 import type { Frame } from "./Frame";
 import { FrameDecoder } from "./FrameDecoder";
+import { FrameFlow } from "./FrameFlow";
 import { FrameKind } from "./FrameKind";
 import type { MessageHandler } from "./MessageHandler";
+import { PartialFrames } from "./PartialFrames";
 import { RemoteError } from "./RemoteError";
 import type { RemoteErrorBody } from "./RemoteErrorBody";
 import type { TlsFiles } from "./TlsFiles";
@@ -34,6 +36,7 @@
   readonly #options: RpcServerOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #partialFrames = new PartialFrames();
   #isOpen = true;
   #isDraining = false;
   #calls = 0;
@@ -121,6 +124,8 @@
     });
     const peer = `${socket.remoteAddress ?? "?"}:${socket.remotePort ?? 0}`;
     const decoder = new FrameDecoder();
+    const flow = new FrameFlow(socket);
+    this.#partialFrames.add(socket);
     const rejectPeer = (error: unknown): void => {
       const code = error instanceof WireError ? error.code : WireErrorCode.FrameMalformed;
       this.#options.onRefused?.(error instanceof Error ? error.message : String(error), peer, code);
@@ -160,9 +165,14 @@
         frameTimer = null;
       }
       updateFrameTimer();
+      this.#partialFrames.note(socket, decoder.heldBytes);
       for (const frame of frames) {
-        void this.#handleFrame(socket, frame, peer);
+        flow.begin();
+        void this.#handleFrame(socket, frame, peer).finally(() => {
+          flow.end();
+        });
       }
+      flow.update();
     });
   }
 
--- a/packages/wire/wireLimits.ts
+++ b/packages/wire/wireLimits.ts
@@ -9,4 +9,11 @@
   frameTimeoutMs: 5000,
   /** Unsent bytes above which a connection is closed, since its peer has stopped reading. */
   maxUnsentBytes: 8_388_608,
+  /** Unsent bytes and calls in work of one connection above which a server reads no further frames from it. */
+  maxQueuedBytes: 262_144,
+  maxCallsInWork: 1024,
+  /** Time for a peer to read what is unsent while its frames are not read. */
+  unreadTimeoutMs: 15_000,
+  /** Incomplete frames of all connections of a server; above it, the connection with the largest one is closed. */
+  maxPartialBytes: 33_554_432,
 } as const;
