Bound unfinished uploads, and decide on a request before its body is collected

Bodies were collected before their route was known, and counted by payload, so that chunks of one byte cost far more than the budget saw. Uploads now have a share of maxHeldBytes, in which the largest gives way; small chunks are copied together; routes, keys and announced lengths are checked at the head; unread responses count until they are read.

--- a/packages/gateway/ByteBudget.ts
+++ b/packages/gateway/ByteBudget.ts
@@ -5,6 +5,7 @@
 export class ByteBudget {
   readonly #limitBytes: number;
   #usedBytes = 0;
+  #reclaim: () => boolean = () => false;
 
   constructor(limitBytes: number) {
     this.#limitBytes = limitBytes;
@@ -14,10 +15,22 @@
     return this.#usedBytes;
   }
 
+  /** Sets what frees bytes that are needed elsewhere; it returns whether it did. */
+  setReclaimer(reclaim: () => boolean): void {
+    this.#reclaim = reclaim;
+  }
+
+  /** Whether as many bytes are left within this share of the limit. */
+  hasRoom(bytes: number, share: number): boolean {
+    return this.#usedBytes + bytes <= this.#limitBytes * share;
+  }
+
   /** Reserves the bytes if all of them are available; returns whether it did. */
   reserve(bytes: number): boolean {
-    if (this.#usedBytes + bytes > this.#limitBytes) {
-      return false;
+    while (this.#usedBytes + bytes > this.#limitBytes) {
+      if (!this.#reclaim()) {
+        return false;
+      }
     }
     this.#usedBytes += bytes;
     return true;
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -11,7 +11,8 @@
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
-import type { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
+import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
+import { UploadPool } from "@clementinemux/wire/UploadPool";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -31,6 +32,8 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
+import { UnreadResponses } from "./UnreadResponses";
+import { getUploadShareBytes } from "./getUploadShareBytes";
 import { createCallerServer } from "./createCallerServer";
 import { createReadinessServer } from "./createReadinessServer";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
@@ -74,6 +77,8 @@
   readonly #recoveries = new Map<string, GroupRecovery>();
   readonly #sockets = new Set<Socket>();
   readonly #byteBudget: ByteBudget;
+  readonly #uploads: UploadPool;
+  readonly #unread: UnreadResponses;
   readonly #incarnation: string;
   readonly #receiver: RequestReceiver;
   readonly #metricsPage: MetricsEndpoint;
@@ -96,7 +101,16 @@
       handlers: Object.values(GatewayHandler),
       logger,
     });
-    this.#byteBudget = new ByteBudget(options.maxHeldBytes);
+    const uploadBytes = getUploadShareBytes(options.maxHeldBytes);
+    this.#uploads = new UploadPool(uploadBytes);
+    this.#byteBudget = new ByteBudget(options.maxHeldBytes - uploadBytes);
+    this.#unread = new UnreadResponses(
+      this.#byteBudget,
+      () => clock.monotonicMs(),
+      () => {
+        this.#noteClosed(ConnectionCloseReason.Budget);
+      },
+    );
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
     const { host, metricsPort: port } = options;
@@ -192,7 +206,11 @@
       clementinemux_gateway_ended_targets_listed: this.view.endedListed,
       clementinemux_gateway_limited_targets: this.#limits.size,
       clementinemux_gateway_live_gateways: state.liveEntries,
-      clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
+      clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes + this.#uploads.usedBytes,
+      clementinemux_gateway_upload_bytes: this.#uploads.usedBytes,
+      clementinemux_gateway_unfinished_uploads: this.#uploads.size,
+      clementinemux_gateway_unread_responses: this.#unread.size,
+      clementinemux_gateway_caller_connections: this.#sockets.size,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
     return this.metrics.render() + this.#errors.render() + renderGauges(gauges);
@@ -269,6 +287,8 @@
       metrics: this.metrics,
       errors: this.#errors,
       byteBudget: this.#byteBudget,
+      uploads: this.#uploads,
+      unread: this.#unread,
       getRetryBudget: (service) => {
         const known = this.#retryBudgets.get(service);
         const budget =
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,7 +1,9 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
+import type { UploadPool } from "@clementinemux/wire/UploadPool";
 import type { ByteBudget } from "./ByteBudget";
+import type { UnreadResponses } from "./UnreadResponses";
 import type { CallerDeadlines } from "./CallerDeadlines";
 import type { CrashWatch } from "./CrashWatch";
 import type { FleetView } from "./FleetView";
@@ -34,6 +36,9 @@
   readonly errors: ErrorBoundary<GatewayHandler>;
   /** Limits the bytes of uploads and responses that are buffered until they are complete. */
   readonly byteBudget: ByteBudget;
+  /** Uploads that are not complete. */
+  readonly uploads: UploadPool;
+  readonly unread: UnreadResponses;
   readonly getRetryBudget: (service: string) => RetryBudget;
   readonly getPassMeter: (service: string) => PassMeter;
   /** Null for services without rank groups. */
--- a/packages/gateway/RequestOutcome.ts
+++ b/packages/gateway/RequestOutcome.ts
@@ -7,6 +7,10 @@
   NoRoute = "no_route",
   UnknownKey = "unknown_key",
   TooLarge = "too_large",
+  /** The body was not complete within the timeout of the route; nothing was sent. */
+  UploadTooSlow = "upload_too_slow",
+  /** Unfinished uploads held more than their share, and this one held most; nothing was sent. */
+  UploadDropped = "upload_dropped",
   /** The gateway's state is too old, or it has none yet. */
   NotFresh = "not_fresh",
   NoTarget = "no_target",
--- a/packages/gateway/RequestReceiver.ts
+++ b/packages/gateway/RequestReceiver.ts
@@ -2,9 +2,13 @@
 import type { Route } from "@clementinemux/routes/Route";
 import type { RouteTable } from "@clementinemux/routes/RouteTable";
 import type { RouteTeam } from "@clementinemux/routes/RouteTeam";
+import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import { chooseService } from "@clementinemux/routes/chooseService";
 import { encodeHeaderText } from "@clementinemux/wire/encodeHeaderText";
+import { estimateHeadBytes } from "@clementinemux/wire/estimateHeadBytes";
 import { findRequestFault } from "@clementinemux/wire/findRequestFault";
+import { hasBody } from "@clementinemux/wire/hasBody";
+import type { CallerRequest } from "./CallerRequest";
 import type { RoutedRequest } from "./RoutedRequest";
 import { ResponseWriter } from "./ResponseWriter";
 import type { GatewayContext } from "./GatewayContext";
@@ -12,6 +16,7 @@
 import { ByteReservation } from "./ByteReservation";
 import { RequestOutcome } from "./RequestOutcome";
 import { RequestForwarder } from "./RequestForwarder";
+import { Upload } from "./Upload";
 import { predictDuration } from "./predictDuration";
 
 /** Retry-After of a gateway without current state. */
@@ -39,6 +44,8 @@
   [RequestOutcome.NoRoute]: { status: 404, text: "no route for this host and path" },
   [RequestOutcome.UnknownKey]: { status: 401, text: "the key is missing or unknown" },
   [RequestOutcome.TooLarge]: { status: 413, text: "the body is too large" },
+  [RequestOutcome.UploadTooSlow]: { status: 408, text: "the body came too slowly" },
+  [RequestOutcome.UploadDropped]: { status: 503, text: "unfinished uploads hold as much as they may" },
   [RequestOutcome.NotFresh]: { status: 503, text: "the configuration is not known to be current" },
   [RequestOutcome.NoTarget]: { status: 503, text: "the service of the route is not known" },
   [RequestOutcome.UnusableTeam]: { status: 503, text: "no header can carry the name of the team" },
@@ -48,6 +55,21 @@
 
 type LocalOutcome = keyof typeof localResponses;
 
+/** Part of the budget that requests in work may take; the rest is for responses. */
+const requestShare = 0.75;
+
+/** What the route table in force states about a request. */
+interface Resolution {
+  readonly table: RouteTable;
+  readonly caller: CallerRequest;
+  readonly route: Route;
+  readonly service: RoutedService;
+  readonly team: string | null;
+  readonly priority: number;
+}
+
+type ReceivedRequest = Pick<RoutedRequest, "request" | "response" | "body" | "arrivedAtMs">;
+
 /** Reads requests, determines their route and team, and starts them. */
 export class RequestReceiver {
   readonly #context: GatewayContext;
@@ -68,42 +90,76 @@
   receive(request: IncomingMessage, response: ServerResponse): void {
     const arrivedAtMs = this.#context.options.clock.monotonicMs();
     this.#inFlight += 1;
-    const reservation = new ByteReservation(this.#context.byteBudget);
     response.once("close", () => {
       this.#inFlight -= 1;
-      reservation.release();
     });
     const noteError = (error: Error): void => {
       this.#context.options.logger.debug({ error: error.message }, "connection of a caller failed");
     };
     response.on("error", noteError);
-    let chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    let isOverloaded = this.#inFlight > this.#context.options.maxInFlight;
-    request.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes > this.#getMaxBodyBytes() || isOverloaded) {
-        return;
-      }
-      isOverloaded = !reservation.set(sizeBytes);
-      if (isOverloaded) {
-        chunks = [];
-      } else {
-        chunks.push(chunk);
-      }
-    });
     request.on("error", noteError);
-    const onEnd = (): void => {
-      if (sizeBytes > this.#getMaxBodyBytes()) {
-        this.#reject(response, RequestOutcome.TooLarge, request);
-      } else if (isOverloaded) {
-        this.#reject(response, RequestOutcome.Overloaded, request);
-      } else if (!response.destroyed) {
-        this.#route(request, response, Buffer.concat(chunks), arrivedAtMs);
-      }
+    const headBytes = estimateHeadBytes(request);
+    const reservation = new ByteReservation(this.#context.byteBudget);
+    const refuse = (reason: LocalOutcome): void => {
+      this.#refuseLater(request, response, reason);
     };
-    request.on("end", () => {
-      this.#guard(response, onEnd);
+    const resolution = this.#resolveEarly(request, arrivedAtMs);
+    const upload = new Upload({
+      request,
+      pool: this.#context.uploads,
+      headBytes,
+      maxBodyBytes: this.#getMaxBodyBytes(),
+      onEnd: (body) => {
+        this.#guard(response, () => {
+          const bytes = headBytes + body.length;
+          if (!this.#context.byteBudget.hasRoom(bytes, requestShare) || !reservation.set(bytes)) {
+            this.#reject(response, RequestOutcome.Overloaded, request);
+          } else if (!response.destroyed) {
+            this.#route({ request, response, body, arrivedAtMs }, resolution);
+          }
+        });
+      },
+      onRefused: refuse,
+    });
+    response.once("close", () => {
+      upload.cancel();
+      reservation.release();
+    });
+    upload.start();
+    if (typeof resolution === "string") {
+      upload.cancel();
+      refuse(resolution);
+    } else if (resolution !== null && hasBody(request)) {
+      const limitMs = Math.min(resolution.route.timeoutMs, resolution.caller.leftMs ?? Infinity);
+      // A short body comes together with its head.
+      setImmediate(() => {
+        upload.limitMs(limitMs);
+      });
+    }
+  }
+
+  /** Decides on a request by its head. Null while the gateway waits for the state that it needs. */
+  #resolveEarly(request: IncomingMessage, arrivedAtMs: number): Resolution | LocalOutcome | null {
+    if (Number(request.headers["content-length"] ?? 0) > this.#getMaxBodyBytes()) {
+      return RequestOutcome.TooLarge;
+    }
+    if (this.#inFlight > this.#context.options.maxInFlight) {
+      return RequestOutcome.Overloaded;
+    }
+    if (findRequestFault(request) !== null) {
+      return RequestOutcome.BadRequest;
+    }
+    return this.#isStarting(arrivedAtMs) ? null : this.#resolve(request);
+  }
+
+  /** Rejects a request whose body may not have been read; bytes that came together with its head are read first. */
+  #refuseLater(request: IncomingMessage, response: ServerResponse, reason: LocalOutcome): void {
+    setImmediate(() => {
+      this.#guard(response, () => {
+        if (!response.destroyed && !response.headersSent) {
+          this.#reject(response, reason, request);
+        }
+      });
     });
   }
 
@@ -112,67 +168,64 @@
     this.#context.errors.run(GatewayHandler.Request, action, () => response.destroy());
   }
 
-  #route(request: IncomingMessage, response: ServerResponse, body: Buffer, arrivedAtMs: number): void {
-    const fault = findRequestFault(request);
-    if (fault !== null) {
-      this.#reject(response, RequestOutcome.BadRequest, request, fault);
-      return;
-    }
-    if (this.#isStarting(arrivedAtMs)) {
-      const routeAgain = (): void => {
-        if (!response.destroyed) {
-          this.#route(request, response, body, arrivedAtMs);
-        }
-      };
+  #route(received: ReceivedRequest, known: Resolution | LocalOutcome | null): void {
+    const { request, response, arrivedAtMs } = received;
+    if (known === null && this.#isStarting(arrivedAtMs)) {
       setTimeout(() => {
-        this.#guard(response, routeAgain);
+        this.#guard(response, () => {
+          if (!response.destroyed) {
+            this.#route(received, null);
+          }
+        });
       }, startPollMs);
       return;
     }
+    const resolution = this.#isCurrent(known) ? known : this.#resolve(request);
+    if (typeof resolution === "string") {
+      this.#reject(response, resolution, request);
+      return;
+    }
+    const { caller, route, service, team, priority } = resolution;
+    const routed = { ...received, caller, route, service, team, priority };
+    if (!this.#canComplete(routed)) {
+      this.#reject(response, RequestOutcome.Stopping, request);
+      return;
+    }
+    new RequestForwarder(this.#context, routed).start();
+  }
+
+  #isCurrent(known: Resolution | LocalOutcome | null): known is Resolution {
+    const { options, view } = this.#context;
+    const isSameTable = typeof known !== "string" && known?.table === view.state.table;
+    return isSameTable && view.isFresh(options.leaseClock.monotonicMs());
+  }
+
+  /** Finds the route, the team and the service of a request by its head. */
+  #resolve(request: IncomingMessage): Resolution | LocalOutcome {
     const { options, view } = this.#context;
     const { table } = view.state;
     if (table === null || !view.isFresh(options.leaseClock.monotonicMs())) {
-      this.#reject(response, RequestOutcome.NotFresh, request);
-      return;
+      return RequestOutcome.NotFresh;
     }
     const route = table.findRoute(getHostName(request), request.url ?? "/");
     if (route === null) {
-      this.#reject(response, RequestOutcome.NoRoute, request);
-      return;
+      return RequestOutcome.NoRoute;
     }
     const caller = options.codec.readRequest(request.rawHeaders);
     const team = findTeam(table, route, caller.key);
     if (team === null) {
-      this.#reject(response, RequestOutcome.UnknownKey, request);
-      return;
+      return RequestOutcome.UnknownKey;
     }
     const service = table.findService(chooseService(route, options.random) ?? "");
     if (service === null) {
-      this.#reject(response, RequestOutcome.NoTarget, request);
-      return;
+      return RequestOutcome.NoTarget;
     }
     const priority = team === "public" ? route.priority : (team.priority ?? route.priority);
     const teamName = team === "public" ? null : encodeHeaderText(team.name);
     if (team !== "public" && teamName === null) {
-      this.#reject(response, RequestOutcome.UnusableTeam, request);
-      return;
+      return RequestOutcome.UnusableTeam;
     }
-    const routed = {
-      request,
-      response,
-      caller,
-      body,
-      route,
-      service,
-      team: teamName,
-      priority,
-      arrivedAtMs,
-    };
-    if (!this.#canComplete(routed)) {
-      this.#reject(response, RequestOutcome.Stopping, request);
-      return;
-    }
-    new RequestForwarder(this.#context, routed).start();
+    return { table, caller, route, service, team: teamName, priority };
   }
 
   /** Whether a request waits for the state that a gateway needs before it can serve anything. */
@@ -196,27 +249,20 @@
     return window.admits(predictDuration({ route, caller, stride, meanGapMs }), nowMs);
   }
 
-  #reject(
-    response: ServerResponse,
-    end: LocalOutcome,
-    request: IncomingMessage,
-    fault: string | null = null,
-  ): void {
+  #reject(response: ServerResponse, end: LocalOutcome, request: IncomingMessage): void {
     const { metrics, options, view } = this.#context;
     const { status, text } = localResponses[end];
     metrics.outcomes.add(end);
-    options.logger.info(
-      {
-        host: getHostName(request),
-        end,
-        status,
-        version: view.version,
-        ...(fault === null ? {} : { fault }),
-      },
-      "request refused",
-    );
+    const fault = end === RequestOutcome.BadRequest ? { fault: findRequestFault(request) } : {};
+    const line = { host: getHostName(request), end, status, version: view.version, ...fault };
+    options.logger.info(line, "request refused");
     const retryMs = status === 503 ? this.#getRetryMs(end) : null;
-    new ResponseWriter(response, this.#context).sendLocal(status, text, retryMs);
+    const writer = new ResponseWriter(response, this.#context);
+    if (request.complete) {
+      writer.sendLocal(status, text, retryMs);
+    } else {
+      writer.sendEarly(status, text, retryMs);
+    }
   }
 
   #getRetryMs(end: LocalOutcome): number {
--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -13,6 +13,8 @@
 const minAbortMs = 20;
 /** Longest time for a caller to read what was written before its response broke off. */
 const maxAbortMs = 1000;
+/** Time for which the rest of a request is discarded after an early response. */
+const lingerMs = 500;
 
 interface CollectedResponse {
   readonly status: number;
@@ -48,6 +50,7 @@
     const length = isBodiless ? findStatedLength(status, headers) : String(body.length);
     this.#writeHead(status, length === null ? list : [...list, "Content-Length", length]);
     this.#response.end(body);
+    this.#context.unread.add(this.#response, body.length);
   }
 
   /** Starts a response whose length is not known yet. */
@@ -124,17 +127,40 @@
 
   /** Sends a response that the gateway generates itself. */
   sendLocal(status: number, text: string, retryAfterMs: number | null): void {
+    this.#writeLocal(status, text, retryAfterMs, []);
+    this.#response.end();
+  }
+
+  /**
+   * Sends a response that the gateway generates itself before the request was read as a whole. The rest is discarded for a
+   * moment, since closing a connection with unread bytes would keep the response from its caller.
+   */
+  sendEarly(status: number, text: string, retryAfterMs: number | null): void {
+    const { req } = this.#response;
+    const end = (): void => {
+      clearTimeout(timer);
+      this.#response.end();
+    };
+    const timer = setTimeout(end, lingerMs);
+    this.#response.once("close", () => {
+      clearTimeout(timer);
+    });
+    req.once("end", end);
+    this.#writeLocal(status, text, retryAfterMs, ["Connection", "close"]);
+  }
+
+  #writeLocal(status: number, text: string, retryAfterMs: number | null, headers: readonly string[]): void {
     const body = Buffer.from(`${text}\n`);
-    const headers = ["Content-Type", "text/plain", "Content-Length", String(body.length)];
+    const list = ["Content-Type", "text/plain", "Content-Length", String(body.length), ...headers];
     if (retryAfterMs !== null) {
-      headers.push("Retry-After", (Math.ceil(retryAfterMs) / 1000).toString());
+      list.push("Retry-After", (Math.ceil(retryAfterMs) / 1000).toString());
     }
-    this.#writeHead(status, headers);
-    this.#response.end(body);
+    this.#writeHead(status, list);
+    this.#response.write(body);
   }
 
   #writeHead(status: number, headers: string[]): void {
-    if (this.#context.getStopWindow() !== null) {
+    if (this.#context.getStopWindow() !== null && !headers.includes("Connection")) {
       headers.push("Connection", "close");
     }
     this.#response.writeHead(status, headers);
--- a/packages/wire/ConnectionCloseReason.ts
+++ b/packages/wire/ConnectionCloseReason.ts
@@ -6,4 +6,6 @@
   StalledBody = "stalled_body",
   /** The client read nothing of its response within the limit. */
   UnreadResponse = "unread_response",
+  /** The client did not read its response, and others needed the memory. */
+  Budget = "budget",
 }
