Parse chunked bodies in turns

60 connections with chunks of one byte kept a gateway parsing for more than 15 s after they had left. Longer parts of chunked bodies are now parsed 16 KB in a turn of the event loop.

--- a/packages/wire/HttpGate.ts
+++ b/packages/wire/HttpGate.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { ConnectionCloseReason } from "./ConnectionCloseReason";
 import { RequestFeeder } from "./RequestFeeder";
+import { TurnQueue } from "./TurnQueue";
 
 interface HttpGateOptions {
   readonly maxConnections: number;
@@ -29,6 +30,7 @@
 export class HttpGate {
   readonly #options: HttpGateOptions;
   readonly #connections = new Map<Socket, Connection>();
+  readonly #turns = new TurnQueue();
   readonly #timer: NodeJS.Timeout;
 
   constructor(server: Server, options: HttpGateOptions) {
@@ -59,7 +61,7 @@
 
   #add(socket: Socket): void {
     const connection: Connection = {
-      feeder: new RequestFeeder(socket),
+      feeder: new RequestFeeder(socket, this.#turns),
       latest: null,
       readBytes: 0,
       writtenBytes: 0,
--- a/packages/wire/RequestFeeder.ts
+++ b/packages/wire/RequestFeeder.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { TurnQueue } from "./TurnQueue";
 
 type Parse = (chunk: Buffer) => void;
 
@@ -7,6 +8,10 @@
 const noBytes = Buffer.alloc(0);
 /** Part of a head without an end that is parsed at a time; shorter than many heads with bare line feeds. */
 const maxHeadPartBytes = 1024;
+/** Part of a chunked body that is parsed in one turn; thousands of chunks may be in it. */
+const maxTurnBytes = 16_384;
+/** A chunked body that is no longer than this is parsed at once. */
+const maxDirectBytes = 2048;
 
 /**
  * Feeds the bytes of one connection to Node's parser so that a request is parsed only when the one before it has been
@@ -16,6 +21,8 @@
 export class RequestFeeder {
   readonly #socket: Socket;
   readonly #parse: Parse;
+  readonly #turns: TurnQueue;
+  #isInTurn = false;
   /** Requests whose responses have not ended. */
   #open = 0;
   #latest: IncomingMessage | null = null;
@@ -26,8 +33,9 @@
   #tail: Buffer = noBytes;
 
   /** Takes the place of Node's listener for the data of the socket. */
-  constructor(socket: Socket) {
+  constructor(socket: Socket, turns: TurnQueue) {
     this.#socket = socket;
+    this.#turns = turns;
     const [parse] = socket.listeners("data") as Parse[];
     if (parse === undefined) {
       throw new Error("the connection has no parser");
@@ -73,20 +81,58 @@
   }
 
   #continue(): void {
-    if (this.#open === 0 && this.#held.length > 0 && !this.#socket.destroyed) {
-      const held = this.#held;
+    if (this.#open === 0 && !this.#isInTurn) {
+      this.#feedHeld();
+    }
+  }
+
+  #feedHeld(): void {
+    const held = this.#held;
+    if (held.length > 0 && !this.#socket.destroyed) {
       this.#held = noBytes;
-      this.#socket.resume();
       this.#feed(held);
+      this.#resumeUnlessHeld();
+    }
+  }
+
+  /** Called after the held bytes were fed: a socket that is resumed before may report its end too early. */
+  #resumeUnlessHeld(): void {
+    if (this.#held.length === 0) {
+      this.#socket.resume();
     }
   }
 
-  #feed(bytes: Buffer): void {
+  /** Parses a part of a chunked body in a later turn, and the rest in further ones. */
+  #feedInTurns(bytes: Buffer): void {
+    this.#hold(bytes);
+    this.#isInTurn = true;
+    this.#turns.add(() => {
+      this.#isInTurn = false;
+      const part = this.#held.subarray(0, maxTurnBytes);
+      const rest = this.#held.subarray(maxTurnBytes);
+      this.#held = noBytes;
+      this.#feed(part, true);
+      const left = this.#held.length > 0 ? Buffer.concat([this.#held, rest]) : rest;
+      this.#held = noBytes;
+      this.#feed(left);
+      this.#resumeUnlessHeld();
+    });
+  }
+
+  #hold(bytes: Buffer): void {
+    this.#held = bytes;
+    this.#socket.pause();
+  }
+
+  #feed(bytes: Buffer, isTurn = false): void {
     let rest = bytes;
     while (rest.length > 0 && !this.#socket.destroyed) {
       if (this.#open > 0 && !this.isUploading) {
-        this.#held = rest;
-        this.#socket.pause();
+        this.#hold(rest);
+        return;
+      }
+      if (this.isUploading && this.#leftBytes === null && !isTurn && rest.length > maxDirectBytes) {
+        this.#feedInTurns(rest);
         return;
       }
       const endBytes = this.#findEnd(rest);
