--- a/packages/entry/test/oddBytes.test.ts
+++ b/packages/entry/test/oddBytes.test.ts
@@ -19,6 +19,8 @@
   "status 000": whole.replace("200", "000"),
   "status 099": whole.replace("200", "099"),
   "status 101": whole.replace("200", "101"),
+  "status 600": whole.replace("200", "600"),
+  "status 999": whole.replace("200", "999"),
   "a space in a header's name": whole.replace("content", "x a: 1\r\ncontent"),
   "a control byte in the type": whole.replace("content", "content-type: a\u0001b\r\ncontent"),
   "U+2019 in the type": whole.replace("content", "content-type: a\u2019b\r\ncontent"),
--- a/packages/gateway/test/oddResponses.test.ts
+++ b/packages/gateway/test/oddResponses.test.ts
@@ -11,11 +11,14 @@
   { kind: RouteKind.NonIdempotent, attempts: 3 },
   { kind: RouteKind.Streaming, canResume: true, attempts: 3, timeoutMs: 5000 },
 ]);
-/** Changes to a response that Node's parser accepts, but that its writer refuses. */
+/** Changes to a response that Node's parser accepts, but that make it invalid. */
 const spoiled: Readonly<Record<string, (response: string) => string>> = {
   "status 000": (response) => response.replace(" 200 ", " 000 "),
   "status 001": (response) => response.replace(" 200 ", " 001 "),
   "status 099": (response) => response.replace(" 200 ", " 099 "),
+  "status 600": (response) => response.replace(" 200 ", " 600 "),
+  "status 999": (response) => response.replace(" 200 ", " 999 "),
+  "status 999 of HTTP/1.0": (response) => response.replace("HTTP/1.1 200 ", "HTTP/1.0 999 "),
   "a space in a header's name": (response) => response.replace("\r\n\r\n", "\r\ncontent type: a\r\n\r\n"),
   "a space at the end of a header's name": (response) => response.replace("\r\n\r\n", "\r\nx-a : a\r\n\r\n"),
 };
