--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -1,5 +1,4 @@
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { periodic } from "most";
 import { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
@@ -10,8 +9,9 @@
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
-import { postponeTimeouts } from "@clementinemux/wire/postponeTimeouts";
 import { AdmissionLines } from "./AdmissionLines";
+import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
+import { UploadPool } from "@clementinemux/wire/UploadPool";
 import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
@@ -23,7 +23,6 @@
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { RequestReceiver } from "./RequestReceiver";
-import { RequestOutcome } from "./RequestOutcome";
 import { PermitClient } from "./PermitClient";
 import { ServiceStates } from "./ServiceStates";
 import { StopWindow } from "./StopWindow";
@@ -37,6 +36,10 @@
 import { isReplaced } from "./isReplaced";
 import { listUnlistedLeaving } from "./listUnlistedLeaving";
 import { renderTargetWork } from "./renderTargetWork";
+import { UnreadResponses } from "./UnreadResponses";
+import { getUploadShareBytes } from "./getUploadShareBytes";
+import { createCallerServer } from "./createCallerServer";
+import { createReadinessServer } from "./createReadinessServer";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
 const housekeepingMs = 1000;
@@ -72,9 +75,14 @@
   readonly #services: ServiceStates;
   readonly #sockets = new Set<Socket>();
   readonly #byteBudget: ByteBudget;
+  readonly #uploads: UploadPool;
+  readonly #unread: UnreadResponses;
   readonly #incarnation: string;
   readonly #receiver: RequestReceiver;
   readonly #metricsPage: MetricsEndpoint;
+  readonly #noteClosed = (reason: ConnectionCloseReason): void => {
+    this.metrics.closedConnections.add(reason);
+  };
   #server: Server | null = null;
   #readiness: Server | null = null;
   #callerLimits = initialLimits;
@@ -92,7 +100,16 @@
       logger,
     });
     this.#services = new ServiceStates(options);
-    this.#byteBudget = new ByteBudget(options.maxHeldBytes);
+    const uploadBytes = getUploadShareBytes(options.maxHeldBytes);
+    this.#uploads = new UploadPool(uploadBytes);
+    this.#byteBudget = new ByteBudget(options.maxHeldBytes - uploadBytes);
+    this.#unread = new UnreadResponses(
+      this.#byteBudget,
+      () => clock.monotonicMs(),
+      () => {
+        this.#noteClosed(ConnectionCloseReason.Budget);
+      },
+    );
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
     const { host, metricsPort: port } = options;
@@ -172,12 +189,11 @@
 
   async start(): Promise<void> {
     const { host, callerPort, readyPort, readyPath, name, logger } = this.#options;
-    this.#readiness = createServer((request, response) => {
-      const answer = (): void => {
-        const isKnown = request.url?.split("?")[0] === readyPath;
-        response.writeHead(isKnown ? (this.isReady ? 200 : 503) : 404).end();
-      };
-      this.#errors.run(GatewayHandler.Readiness, answer, () => response.destroy());
+    this.#readiness = createReadinessServer({
+      path: readyPath,
+      isReady: () => this.isReady,
+      errors: this.#errors,
+      onClosed: this.#noteClosed,
     });
     // A predecessor has this port until it exits, so that no two gateways of one name are announced.
     await listenWhenFree(this.#readiness, { host, port: readyPort, logger });
@@ -213,7 +229,11 @@
       ...this.#cold.gauges,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_learned_routes: this.#work.learnedRoutes,
-      clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes,
+      clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes + this.#uploads.usedBytes,
+      clementinemux_gateway_upload_bytes: this.#uploads.usedBytes,
+      clementinemux_gateway_unfinished_uploads: this.#uploads.size,
+      clementinemux_gateway_unread_responses: this.#unread.size,
+      clementinemux_gateway_caller_connections: this.#sockets.size,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
     const lines = renderAdmissionLines(this.#admissions) + renderTargetWork(this.#work.listMs());
@@ -295,6 +315,8 @@
       metrics: this.metrics,
       errors: this.#errors,
       byteBudget: this.#byteBudget,
+      uploads: this.#uploads,
+      unread: this.#unread,
       getRetryBudget: (service) => this.#services.getRetryBudget(service),
       getPassMeter: (service) => this.#services.getPassMeter(service),
       getGroupRecovery: (service) => this.#services.getGroupRecovery(service),
@@ -308,50 +330,24 @@
   }
 
   #createServer(): Server {
-    const server = createServer(
-      {
-        maxHeaderSize: this.#callerLimits.maxHeaderBytes,
-        keepAliveTimeout: this.#callerLimits.idleTimeoutMs,
-        headersTimeout: this.#callerLimits.headerTimeoutMs,
-        requestTimeout: 0,
-        connectionsCheckingInterval: housekeepingMs,
-        noDelay: true,
-        insecureHTTPParser: false,
-      },
-      (request: IncomingMessage, response: ServerResponse) => {
-        const receive = (): void => {
-          this.#receiver.receive(request, response);
-        };
-        this.#errors.run(GatewayHandler.Request, receive, () => response.destroy());
-      },
-    );
+    const server = createCallerServer({
+      limits: this.#callerLimits,
+      getIdleTimeoutMs: () => this.#callerLimits.idleTimeoutMs,
+      receiver: this.#receiver,
+      metrics: this.metrics,
+      errors: this.#errors,
+      logger: this.#options.logger,
+      onClosed: this.#noteClosed,
+    });
     server.on("connection", (socket) => {
       this.#sockets.add(socket);
       socket.on("close", () => {
         this.#sockets.delete(socket);
       });
     });
-    postponeTimeouts(server, (error, socket) => {
-      const close = (): void => {
-        this.#closeMalformed(error, socket);
-      };
-      this.#errors.run(GatewayHandler.Connection, close, () => socket.destroy());
-    });
     return server;
   }
 
-  #closeMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-    this.#options.logger.warn({ code: error.code ?? "", error: error.message }, "malformed request");
-    if (socket.writable && error.code !== "ECONNRESET") {
-      const isOverflow = error.code === "HPE_HEADER_OVERFLOW";
-      const status = isOverflow ? "431 Request Header Fields Too Large" : "400 Bad Request";
-      this.metrics.outcomes.add(isOverflow ? RequestOutcome.TooLarge : RequestOutcome.BadRequest);
-      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    } else {
-      socket.destroy();
-    }
-  }
-
   #runHousekeeping(): void {
     const limits = this.#getLimits();
     if (this.#server !== null && limits !== this.#callerLimits) {
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -1,6 +1,7 @@
 import { Counters } from "@clementinemux/metrics/Counters";
 import { TimeHistogram } from "@clementinemux/metrics/TimeHistogram";
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
+import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { AttemptRetryReason } from "./AttemptRetryReason";
 import { ColdPermitOutcome } from "./ColdPermitOutcome";
 import { PermitOutcome } from "./PermitOutcome";
@@ -35,6 +36,12 @@
   /** Work of completed requests, in the target's time, as expected when they were sent and as it was. */
   readonly expectedWork = new TimeHistogram("clementinemux_gateway_expected_work_seconds");
   readonly actualWork = new TimeHistogram("clementinemux_gateway_actual_work_seconds");
+  /** Connections of callers and health checks that were closed because of a limit. */
+  readonly closedConnections = new Counters(
+    "clementinemux_gateway_closed_connections",
+    "reason",
+    Object.values(ConnectionCloseReason),
+  );
   /** From the arrival of a request to the first event of its stream. */
   readonly firstEvents = new TimeHistogram("clementinemux_gateway_first_event_seconds");
   /** From the arrival of a request to its complete response. */
@@ -62,6 +69,7 @@
       renderCounters(this.coldPermits),
       ...[...this.#queueEnds.values()].map(renderCounters),
       renderCounters(this.workErrors),
+      renderCounters(this.closedConnections),
       ...times.map((histogram) => histogram.render()),
     ].join("");
   }
