Probe a recovering group whose ranks all take requests with permits only

While a group recovers, no permits were asked for, and the probes of the recovery went to ranks without a limit only. With all ranks limited or cold, the group was never found to have recovered. Now a request may ask for a permit when a probe is due.

--- a/packages/gateway/PermitWait.ts
+++ b/packages/gateway/PermitWait.ts
@@ -1,5 +1,6 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
 import type { GatewayContext } from "./GatewayContext";
+import type { GroupRecovery } from "./GroupRecovery";
 import type { Guard } from "./Guard";
 import type { Permit } from "./Permit";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
@@ -29,11 +30,13 @@
     this.#options = options;
   }
 
-  /** Limited targets that may have a permit within `waitMs`; none for a group in recovery, whose ranks reject requests. */
+  /**
+   * Limited targets that may have a permit within `waitMs`. The ranks of a group in recovery reject requests, so that it gets
+   * a probe now and then only.
+   */
   listCandidates(waitMs: number): readonly TargetRecord[] {
-    const { context, service, tried } = this.#options;
-    const isRecovering = context.getGroupRecovery(service)?.isRecovering === true;
-    return isRecovering ? [] : listPermitCandidates(context, service, tried, waitMs);
+    const candidates = this.#listLimited(waitMs);
+    return candidates.length > 0 && this.#takeRecoveryProbe() ? candidates : [];
   }
 
   /**
@@ -42,7 +45,9 @@
    */
   probe(): boolean {
     const { permits } = this.#options.context;
-    const targets = this.#hasProbed ? [] : this.listCandidates(0).filter((item) => permits.takeProbe(item));
+    const isRecovering = this.#recovery?.isRecovering === true;
+    const candidates = this.#hasProbed || isRecovering ? [] : this.#listLimited(0);
+    const targets = candidates.filter((item) => permits.takeProbe(item));
     if (targets.length === 0) {
       return false;
     }
@@ -70,6 +75,19 @@
     clearTimeout(this.#timer ?? undefined);
   }
 
+  get #recovery(): GroupRecovery | null {
+    return this.#options.context.getGroupRecovery(this.#options.service);
+  }
+
+  #listLimited(waitMs: number): readonly TargetRecord[] {
+    const { context, service, tried } = this.#options;
+    return listPermitCandidates(context, service, tried, waitMs);
+  }
+
+  #takeRecoveryProbe(): boolean {
+    return this.#recovery?.takeProbe(this.#options.context.options.clock.monotonicMs()) ?? true;
+  }
+
   #await(permit: Permit, onRefused: () => void): void {
     const { context, guard, send } = this.#options;
     const use = (): void => {
--- a/packages/gateway/test/coldSends.test.ts
+++ b/packages/gateway/test/coldSends.test.ts
@@ -7,6 +7,7 @@
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { TestTarget } from "./TestTarget";
 import { createColdDocument } from "./createColdDocument";
+import { rankService } from "./rankService";
 import { responses } from "./responses";
 import { startGateway } from "./startGateway";
 
@@ -33,7 +34,8 @@
 /** Grants a permit of the first target to each ask. */
 function grantAll({ asks }: PermitRequest): PermitResponse {
   const answers = asks.map(({ targets }) => {
-    return { target: targets[0]?.id ?? null, startInMs: 0, freeInMs: {} };
+    const freeInMs = Object.fromEntries(targets.map(({ id }) => [id, 0]));
+    return { target: targets[0]?.id ?? null, startInMs: 0, freeInMs };
   });
   return { answers, knowsCold: true };
 }
@@ -118,6 +120,28 @@
   });
 }
 
+// Guards against ranks that are cold after their restart, and whose group is never found to have recovered.
+t.test("a group whose ranks are all cold is probed while it recovers", async (t) => {
+  const document = createColdDocument(14);
+  const coldStart = { requestsPerS: 14, durationMs: 0 };
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(target.requests.length <= 2 ? notRun(id) : whole(id, "ok"));
+  });
+  const services = [{ ...rankService, coldStart }];
+  const { gateway, state, call, stop } = await startGateway({ ...document, services }, [target]);
+  state.cold = [{ id: "t-0", bornMs: 1, sequence: 2, leftMs: coldMs }];
+  await waitUntil("the gateway knows", () =>
+    gateway.renderMetrics().includes("clementinemux_gateway_cold_targets 1") ? true : null,
+  );
+  state.takePermits = grantAll;
+  for (const id of ["r-1", "r-2", "r-3"]) {
+    await call({ path: "/p0/" }, id);
+    await delay(200);
+  }
+  t.equal((await call({ path: "/p0/" }, "r-4")).status, 200);
+  await stop();
+});
+
 // Guards against deployments that ask for nothing and are served differently.
 t.test("without a rate in the document, a cold target is used like a warm one", async (t) => {
   const target = new TestTarget(answerOk);
