Estimate only the two drawn targets in the choice by expected work

Targets without memory for the request are drawn again from those with memory, in the rare case that both lack it.

--- a/packages/bench/policy/choice/choosers.ts
+++ b/packages/bench/policy/choice/choosers.ts
@@ -14,7 +14,8 @@
   [ChoiceKind.Earliest]: chooseLeast(({ finishMs }) => finishMs),
   [ChoiceKind.TwoByRequests]: chooseOfTwo(({ load }) => load),
   [ChoiceKind.TwoByWork]: chooseOfTwo(({ leftMs }) => leftMs),
-  [ChoiceKind.ExpectedWork]: chooseByFinish,
+  [ChoiceKind.ExpectedWork]: (candidates, random) =>
+    chooseByFinish(candidates, (candidate) => candidate, random),
   [ChoiceKind.Perfect]: chooseLeast(({ finishMs }) => finishMs),
 };
 
--- a/packages/gateway/WorkEstimates.ts
+++ b/packages/gateway/WorkEstimates.ts
@@ -146,9 +146,15 @@
       );
   }
 
-  /** Forgets targets without requests. */
+  /** Forgets targets without requests, and services that no longer exist. */
   removeIdle(): void {
+    const { table } = this.#options.view.state;
     this.#ledger.removeIdle();
+    for (const service of this.#means.keys()) {
+      if ((table?.findService(service) ?? null) === null) {
+        this.#means.delete(service);
+      }
+    }
   }
 
   #noteError(expectedMs: number, actualMs: number): void {
--- a/packages/gateway/chooseByFinish.ts
+++ b/packages/gateway/chooseByFinish.ts
@@ -1,5 +1,6 @@
 import type { Random } from "@clementinemux/common/Random";
-import type { WorkCandidate } from "./WorkCandidate";
+import type { TargetCandidate } from "./TargetCandidate";
+import type { TargetEstimate } from "./TargetEstimate";
 
 /** Preference for the gateway's own failure domain. */
 const nearFactor = 1.3;
@@ -8,41 +9,67 @@
  * Draws two targets with a free slot, weighted by health and failure domain, and returns the one that is
  * expected to complete the request first. Gateways see each other's work up to half a second late, so if all of
  * them chose the best target they would overload it; two draws spread requests and still avoid the busiest
- * targets. Null when no target has a slot.
+ * targets. Targets without memory for the request are used only if there are no others. Null when no target has
+ * a slot.
  */
-export function chooseByFinish(candidates: readonly WorkCandidate[], random: Random): string | null {
-  const usable = listUsable(candidates);
-  const total = usable.reduce((sum, candidate) => sum + getWeight(candidate), 0);
-  const first = draw(usable, total, random);
-  const second = draw(usable, total, random);
-  if (first === null || second === null) {
-    return null;
+export function chooseByFinish<Candidate extends TargetCandidate>(
+  candidates: readonly Candidate[],
+  estimate: (candidate: Candidate) => TargetEstimate,
+  random: Random,
+): string | null {
+  const [target, hasMemory] = drawBetter(candidates, estimate, random);
+  if (target === null || hasMemory) {
+    return target;
   }
-  return first.finishMs <= second.finishMs ? first.id : second.id;
+  const fitting = candidates.filter((candidate) => estimate(candidate).hasMemory);
+  return drawBetter(fitting, estimate, random)[0] ?? target;
 }
 
-/** Targets with a free slot; those without enough memory only if there are no others. */
-function listUsable(candidates: readonly WorkCandidate[]): readonly WorkCandidate[] {
-  const open = candidates.filter(({ load, slots }) => load < slots);
-  const fitting = open.filter(({ hasMemory }) => hasMemory);
-  return fitting.length > 0 ? fitting : open;
+/** Draws two targets. Returns the better one, and whether it has memory for the request. */
+function drawBetter<Candidate extends TargetCandidate>(
+  candidates: readonly Candidate[],
+  estimate: (candidate: Candidate) => TargetEstimate,
+  random: Random,
+): readonly [string | null, boolean] {
+  let totalWeight = 0;
+  for (const candidate of candidates) {
+    totalWeight += getWeight(candidate);
+  }
+  const first = draw(candidates, random() * totalWeight);
+  const second = draw(candidates, random() * totalWeight);
+  if (first === null || second === null) {
+    return [null, false];
+  }
+  const [firstEstimate, secondEstimate] = [estimate(first), estimate(second)];
+  const isFirst = isBetter(firstEstimate, secondEstimate);
+  return isFirst ? [first.id, firstEstimate.hasMemory] : [second.id, secondEstimate.hasMemory];
 }
 
-function draw(
-  candidates: readonly WorkCandidate[],
-  totalWeight: number,
-  random: Random,
-): WorkCandidate | null {
-  let remaining = random() * totalWeight;
+/** The target at which the weights of those before it and its own exceed `weight`. */
+function draw<Candidate extends TargetCandidate>(
+  candidates: readonly Candidate[],
+  weight: number,
+): Candidate | null {
+  let remaining = weight;
+  let last: Candidate | null = null;
   for (const candidate of candidates) {
-    remaining -= getWeight(candidate);
+    const own = getWeight(candidate);
+    if (own > 0) {
+      remaining -= own;
+      last = candidate;
+    }
     if (remaining < 0) {
-      return candidate;
+      return last;
     }
   }
-  return candidates.at(-1) ?? null;
+  return last;
+}
+
+function isBetter(one: TargetEstimate, other: TargetEstimate): boolean {
+  return one.hasMemory === other.hasMemory ? one.finishMs <= other.finishMs : one.hasMemory;
 }
 
-function getWeight({ weight, isNear }: WorkCandidate): number {
-  return weight * (isNear ? nearFactor : 1);
+/** 0 for a target without a free slot. */
+function getWeight({ weight, isNear, load, slots }: TargetCandidate): number {
+  return load < slots ? weight * (isNear ? nearFactor : 1) : 0;
 }
--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -5,7 +5,7 @@
 import type { RoutedRequest } from "./RoutedRequest";
 import { chooseByFinish } from "./chooseByFinish";
 import { chooseByFreeSlots } from "./chooseByFreeSlots";
-import { estimateCandidates } from "./estimateCandidates";
+import { createTargetEstimate } from "./createTargetEstimate";
 import { listUsableTargets } from "./listUsableTargets";
 
 interface TargetChoice {
@@ -50,7 +50,7 @@
     isNear: target.failureDomain === options.failureDomain,
   }));
   const id = context.work.isInForce(service.name)
-    ? chooseByFinish(estimateCandidates(context, request, candidates), options.random)
+    ? chooseByFinish(candidates, createTargetEstimate(context.work, request), options.random)
     : chooseByFreeSlots(candidates, queueSlots, options.random);
   return targets.find((target) => target.id === id) ?? null;
 }
--- a/packages/gateway/test/expectedWork.test.ts
+++ b/packages/gateway/test/expectedWork.test.ts
@@ -89,7 +89,7 @@
   const choose = (...changes: readonly object[]): Set<string | null> => {
     const random = createRandom(5);
     const candidates = changes.map((change, index) => ({ ...candidate, id: `t-${index}`, ...change }));
-    return new Set(Array.from({ length: 300 }, () => chooseByFinish(candidates, random)));
+    return new Set(Array.from({ length: 300 }, () => chooseByFinish(candidates, (target) => target, random)));
   };
   t.same(choose({ load: 8, finishMs: 1 }, {}), new Set(["t-1"]));
   t.same(choose({ hasMemory: false, finishMs: 1 }, {}), new Set(["t-1"]));
