--- a/packages/cost/AnswerLengths.ts
+++ b/packages/cost/AnswerLengths.ts
@@ -1,3 +1,4 @@
+import type { LengthEstimate } from "./LengthEstimate";
 import { LearnedRatio } from "./LearnedRatio";
 
 /** What the length of an answer is compared with. */
@@ -33,17 +34,18 @@
     }
   }
 
-  /** Expected length of an answer, in tokens. */
-  estimate({ hintTokens, usualTokens, maxTokens }: LengthBasis): number {
+  /** Expected length of an answer, in tokens, and the spread of the ratio that it is based on. */
+  estimate({ hintTokens, usualTokens, maxTokens }: LengthBasis): LengthEstimate {
     const usual = this.#byUsual.estimate;
     const usualLength = usualTokens * usual.mean;
     if (hintTokens <= 0) {
-      return limit(usualLength, maxTokens);
+      return { mean: limit(usualLength, maxTokens), spread: usual.spread };
     }
     const hinted = this.#byHint.estimate;
     const hintWeight = usual.spread ** 2 / (usual.spread ** 2 + hinted.spread ** 2);
     const hintedLength = limit(Math.min(hintTokens, usualTokens * maxHintFactor), maxTokens) * hinted.mean;
-    return limit(hintedLength ** hintWeight * usualLength ** (1 - hintWeight), maxTokens);
+    const mean = limit(hintedLength ** hintWeight * usualLength ** (1 - hintWeight), maxTokens);
+    return { mean, spread: Math.min(hinted.spread, usual.spread) };
   }
 
   /** Expected length of an answer that is already `doneTokens` long, which is more than was expected. */
--- a/packages/cost/CostModel.ts
+++ b/packages/cost/CostModel.ts
@@ -15,6 +15,8 @@
 const maxRoutes = 1024;
 const durationOptions = { minValue: 1, octaves: 17, priorMedian: 100, priorOctaves: 5, priorWeight: 2 };
 const defaultAnswerTokens = 100;
+/** With a distribution this wide, what has arrived of an answer says nothing about the rest of it. */
+const memorylessOctaves = 5;
 
 /**
  * Expected work of requests, from the parameters of their engine and from what was learned of their route.
@@ -35,7 +37,10 @@
       return computeDurationWork(durationMs, request.slots);
     }
     const lengths = known?.lengths ?? unlearned;
-    return computeEngineWork(request.engine, request.promptTokens, lengths.estimate(getBasis(request)));
+    const { mean, spread } = lengths.estimate(getBasis(request));
+    const minLeftTokens = mean * Math.min(1, spread / memorylessOctaves);
+    const maxTokens = request.maxAnswerTokens > 0 ? request.maxAnswerTokens : Infinity;
+    return computeEngineWork(request.engine, request.promptTokens, mean, { minLeftTokens, maxTokens });
   }
 
   /** Expected length of an answer that has `doneTokens` already, more than was expected. */
--- a/packages/cost/RequestWork.ts
+++ b/packages/cost/RequestWork.ts
@@ -13,6 +13,10 @@
   readonly promptTokens: number;
   /** Expected length of the answer; 0 when work is not counted in tokens. */
   readonly answerTokens: number;
+  /** Expected rest of the answer while it is not longer than expected: the less sure the length, the more. */
+  readonly minLeftTokens: number;
+  /** Longest answer; infinite for no limit. */
+  readonly maxTokens: number;
   /** Tokens of one event. */
   readonly stride: number;
   /** Work of one token of the answer. */
--- a/packages/cost/RunningWork.ts
+++ b/packages/cost/RunningWork.ts
@@ -45,12 +45,14 @@
     this.#target.prefillMs -= this.#prefillMs;
     this.#target.leftMs -= this.#prefillMs;
     this.#prefillMs = 0;
-    const { stride, tokenMs } = this.work;
+    const { stride, tokenMs, minLeftTokens, maxTokens } = this.work;
     this.#doneTokens += stride;
     if (this.#doneTokens >= this.#expectedTokens) {
       this.#expect(Math.max(this.#estimateAbove(this.#doneTokens), this.#doneTokens + stride));
     }
-    this.#setDecodeMs(tokenMs * (this.#expectedTokens - this.#doneTokens));
+    const likelyTokens = Math.max(this.#expectedTokens - this.#doneTokens, minLeftTokens);
+    const possibleTokens = Math.max(maxTokens - this.#doneTokens, stride);
+    this.#setDecodeMs(tokenMs * Math.min(likelyTokens, possibleTokens));
   }
 
   /** Frees what the request held; repeated calls change nothing. */
--- a/packages/cost/computeDurationWork.ts
+++ b/packages/cost/computeDurationWork.ts
@@ -12,6 +12,8 @@
     delayingShare: 1,
     promptTokens: 0,
     answerTokens: 0,
+    minLeftTokens: 0,
+    maxTokens: Infinity,
     stride: 1,
     tokenMs: 0,
   };
--- a/packages/cost/computeEngineWork.ts
+++ b/packages/cost/computeEngineWork.ts
@@ -1,6 +1,8 @@
 import type { EngineParameters } from "@clementinemux/routes/EngineParameters";
 import type { RequestWork } from "./RequestWork";
 
+type AnswerBounds = Pick<RequestWork, "minLeftTokens" | "maxTokens">;
+
 const msPerS = 1000;
 const tokensPerThousand = 1000;
 /** Longest prompt where the memory of the engine is not known. */
@@ -14,6 +16,7 @@
   engine: EngineParameters,
   promptTokens: number,
   answerTokens: number,
+  { minLeftTokens = 0, maxTokens = Infinity }: Partial<AnswerBounds> = {},
 ): RequestWork {
   const { slots, stride, stepMs, readPerSecond, meanPromptTokens, meanAnswerTokens } = engine;
   const readTokens = Math.min(promptTokens > 0 ? promptTokens : meanPromptTokens, getMaxTokens(engine));
@@ -30,6 +33,8 @@
     delayingShare: otherMs / (otherMs + stepMs / Math.max(1, slots)),
     promptTokens: readTokens,
     answerTokens,
+    minLeftTokens,
+    maxTokens,
     stride: Math.max(1, stride),
     tokenMs,
   };
--- a/packages/cost/test/costModel.test.ts
+++ b/packages/cost/test/costModel.test.ts
@@ -123,6 +123,35 @@
   t.end();
 });
 
+// Guards against a stream of unknown length that counts as almost done as soon as it is as long as most others.
+t.test("the less sure a length is, the more remains of it", (t) => {
+  const random = createRandom(6);
+  const lengths = Array.from({ length: 400 }, () => 8 * 2 ** (random() * 6));
+  const getLeftShare = (model: CostModel, hintTokens: number): number => {
+    const work = model.estimate({ ...request, hintTokens });
+    const running = new WorkLedger().begin("t", work, (done) => done + 100);
+    for (let tokens = engine.stride; tokens < work.answerTokens * 0.8; tokens += engine.stride) {
+      running.noteEvent();
+    }
+    return running.leftMs / work.decodeMs;
+  };
+  t.ok(
+    getLeftShare(
+      learn(lengths, (tokens) => tokens),
+      100,
+    ) < 0.4,
+    "by an exact hint",
+  );
+  t.ok(
+    getLeftShare(
+      learn(lengths, () => 0),
+      0,
+    ) > 0.7,
+    "without a hint",
+  );
+  t.end();
+});
+
 // A short request is delayed by each other one, however long that runs; a long one only by the work that is left.
 t.test("the expected end depends on the length of the request", (t) => {
   const model = new CostModel();
