--- a/packages/gateway/RunningRequest.ts
+++ b/packages/gateway/RunningRequest.ts
@@ -1,4 +1,3 @@
-import type { RequestWork } from "@clementinemux/cost/RequestWork";
 import type { RunningWork } from "@clementinemux/cost/RunningWork";
 
 interface RunningRequestOptions {
@@ -16,10 +15,6 @@
     this.#options = options;
   }
 
-  get work(): RequestWork {
-    return this.#options.running.work;
-  }
-
   noteEvent(): void {
     this.#options.running.noteEvent();
   }
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -23,6 +23,7 @@
   readonly guard: Guard;
 }
 
+/** Responses from this status on say nothing about the usual work of a route. */
 const firstFailureStatus = 400;
 
 /** Creates an attempt that occupies a slot of its target, and tells what it shows of the target and the request. */
