--- a/packages/gateway/test/expectedWork.test.ts
+++ b/packages/gateway/test/expectedWork.test.ts
@@ -4,9 +4,11 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { FleetView } from "@clementinemux/gateway/FleetView";
 import { GatewayMetrics } from "@clementinemux/gateway/GatewayMetrics";
+import type { RoutedRequest } from "@clementinemux/gateway/RoutedRequest";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { TargetLoads } from "@clementinemux/gateway/TargetLoads";
 import { WorkEstimates } from "@clementinemux/gateway/WorkEstimates";
+import { createTargetEstimate } from "@clementinemux/gateway/createTargetEstimate";
 import { chooseByFinish } from "@clementinemux/gateway/chooseByFinish";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
@@ -100,6 +102,20 @@
   t.end();
 });
 
+// Guards against engines that drop their newest request, because requests of other gateways fill their memory.
+t.test("a target has memory only beside what others hold there", (t) => {
+  const work = createEstimates({ inFlight: { "t-0": 2, "t-1": 1 }, remainingCs: [1, 1] });
+  const service = { ...rankService, engine: { ...rankService.engine!, kvCapacityTokens: 2500 } };
+  const caller = { promptTokens: 700, hintTokens: 100, maxAnswerTokens: 100 };
+  const request = { route: { name: "r" }, service, caller } as unknown as RoutedRequest;
+  const estimate = createTargetEstimate(work, request);
+  t.same(
+    ["t-0", "t-1", "t-2"].map((id) => estimate({ id }).hasMemory),
+    [false, true, true],
+  );
+  t.end();
+});
+
 // Guards against gateways that send to a target which others have filled with long requests.
 t.test("a gateway sends less to targets with much remaining work", async (t) => {
   const targets = createTargets(3);
