--- a/packages/gateway/chooseTarget.ts
+++ b/packages/gateway/chooseTarget.ts
@@ -5,8 +5,8 @@
 import type { RoutedRequest } from "./RoutedRequest";
 import { chooseByFinish } from "./chooseByFinish";
 import { chooseByFreeSlots } from "./chooseByFreeSlots";
+import { createTargetEstimate } from "./createTargetEstimate";
 import { selectFreed } from "./selectFreed";
-import { estimateCandidates } from "./estimateCandidates";
 import { listUsableTargets } from "./listUsableTargets";
 
 interface TargetChoice {
@@ -60,7 +60,7 @@
   const preferred = isQueued ? selectFreed(candidates) : candidates;
   const maxRatio = (service.coldStart ?? null) === null ? Infinity : maxColdWeightRatio;
   const id = context.work.isInForce(service.name)
-    ? chooseByFinish(estimateCandidates(context, request, preferred), options.random)
+    ? chooseByFinish(preferred, createTargetEstimate(context.work, request), options.random)
     : chooseByFreeSlots(preferred, queueSlots, options.random, maxRatio);
   return targets.find((target) => target.id === id) ?? null;
 }
