--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -1,5 +1,4 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import { getPriorityWeight } from "@clementinemux/policy/admission/getPriorityWeight";
 import type { AdmissionLine } from "./AdmissionLine";
 import type { GatewayContext } from "./GatewayContext";
 import type { Guard } from "./Guard";
@@ -73,7 +72,7 @@
     const { service, caller, priority, team, arrivedAtMs } = routed;
     return {
       requestClass: priority,
-      classWeight: getPriorityWeight(priority),
+      classWeight: 1,
       team: team ?? "",
       teamWeight: 1,
       costMs: getRequestCostMs(service.engine, caller),
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -46,16 +46,15 @@
     byteBudget,
     call: callOptions,
     onResponse: (response) => {
+      hasRun = !response.isNotRun && !response.isMisdirected;
       recordNotice(context, target, response);
     },
     onFullResponse: (status, headers, body) => {
-      hasRun = true;
       watch.noteResponse(status, now());
       listener.onFullResponse(attempt, { status, headers, body });
     },
     onStreamStart: listener.onStreamStart,
     onEvent: (bytes, id) => {
-      hasRun = true;
       watch.noteEvent(now());
       listener.onEvent(attempt, bytes, id);
     },
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -80,7 +80,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
-    waitingLine: WaitingLineMode.On,
+    waitingLine: WaitingLineMode.Auto,
     codec,
     clock: new SystemClock(),
     leaseClock: new SystemClock(),
--- a/packages/gateway/test/targetLimits.test.ts
+++ b/packages/gateway/test/targetLimits.test.ts
@@ -93,7 +93,7 @@
         minStallTimeoutMs: 400,
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
-        waitingLine: WaitingLineMode.On,
+        waitingLine: WaitingLineMode.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
         leaseClock: new SystemClock(),
--- a/packages/policy/admission/FairQueue.ts
+++ b/packages/policy/admission/FairQueue.ts
@@ -1,5 +1,6 @@
 import { ClassOrder } from "./ClassOrder";
 import type { FairQueueItem } from "./FairQueueItem";
+import { getRankWeight } from "./getRankWeight";
 
 interface Flow<Item> {
   readonly items: Item[];
@@ -10,14 +11,16 @@
 }
 
 interface ClassFlow<Item> extends Flow<Item> {
+  readonly requestClass: string | number;
   readonly teams: Map<string, Flow<Item>>;
   virtualTime: number;
 }
 
 /** A class and its teams with items, for a dry run. */
 interface ClassCopy<Item> {
+  readonly requestClass: string | number;
   teams: Flow<Item>[];
-  readonly weight: number;
+  weight: number;
   startTag: number;
 }
 
@@ -33,7 +36,7 @@
   #size = 0;
   #costMs = 0;
 
-  constructor(order = ClassOrder.Start) {
+  constructor(order = ClassOrder.Weight) {
     this.#order = order;
   }
 
@@ -189,15 +192,29 @@
   }
 
   #listActive(): ClassFlow<Item>[] {
-    return [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
+    const active = [...this.#classes.values()].filter(({ costMs }) => costMs > 0);
+    this.#rank(active);
+    return active;
+  }
+
+  /** Sets the weights of classes that are ordered by priority. */
+  #rank(classes: readonly { readonly requestClass: string | number; weight: number }[]): void {
+    if (this.#order === ClassOrder.Priority) {
+      const byPriority = [...classes].sort((a, b) => Number(a.requestClass) - Number(b.requestClass));
+      byPriority.forEach((classFlow, rank) => {
+        classFlow.weight = getRankWeight(rank);
+      });
+    }
   }
 
   #findNextClass(classes: readonly ClassCopy<Item>[]): ClassCopy<Item> | null {
     let next: ClassCopy<Item> | null = null;
     let nextTag = Infinity;
-    for (const classFlow of classes) {
+    const active = classes.filter(({ teams }) => teams.length > 0);
+    this.#rank(active);
+    for (const classFlow of active) {
       const tag = this.#getTag(classFlow, classFlow.teams);
-      if (classFlow.teams.length > 0 && tag < nextTag) {
+      if (tag < nextTag) {
         next = classFlow;
         nextTag = tag;
       }
@@ -207,17 +224,25 @@
 
   /** Virtual time by which classes are ordered. */
   #getTag({ startTag, weight }: { startTag: number; weight: number }, teams: Iterable<Flow<Item>>): number {
-    const costMs = this.#order === ClassOrder.End ? (findFirst(teams)?.items[0]?.costMs ?? 0) : 0;
+    const costMs = this.#order === ClassOrder.Priority ? (findFirst(teams)?.items[0]?.costMs ?? 0) : 0;
     return startTag + costMs / weight;
   }
 
   #getClass(item: Item): ClassFlow<Item> {
     let flow = this.#classes.get(item.requestClass);
     if (flow === undefined) {
-      flow = { items: [], teams: new Map(), weight: 1, startTag: 0, virtualTime: 0, costMs: 0 };
+      flow = {
+        requestClass: item.requestClass,
+        items: [],
+        teams: new Map(),
+        weight: 1,
+        startTag: 0,
+        virtualTime: 0,
+        costMs: 0,
+      };
       this.#classes.set(item.requestClass, flow);
     }
-    flow.weight = item.classWeight;
+    flow.weight = this.#order === ClassOrder.Weight ? item.classWeight : flow.weight;
     return flow;
   }
 }
@@ -236,9 +261,14 @@
 }
 
 /** Copies of a class and of its teams with items, for a dry run. */
-function copyClass<Item>({ teams, weight, startTag }: ClassFlow<Item>): ClassCopy<Item> {
+function copyClass<Item>({ requestClass, teams, weight, startTag }: ClassFlow<Item>): ClassCopy<Item> {
   const active = [...teams.values()].filter(({ items }) => items.length > 0);
-  return { teams: active.map((team) => ({ ...team, items: [...team.items] })), weight, startTag };
+  return {
+    requestClass,
+    teams: active.map((team) => ({ ...team, items: [...team.items] })),
+    weight,
+    startTag,
+  };
 }
 
 /** Index for a new item: behind all that are due no later, so that items without a due time keep their order. */
--- a/packages/policy/admission/SlotQueue.ts
+++ b/packages/policy/admission/SlotQueue.ts
@@ -22,7 +22,7 @@
 export class SlotQueue<Item extends SlotRequest> {
   readonly #share: SlotShare;
   readonly #arrivals = new ArrivalRates();
-  #queue = new FairQueue<Item>(ClassOrder.End);
+  #queue = new FairQueue<Item>(ClassOrder.Priority);
   readonly #items = new Set<Item>();
   /** Waiting requests by priority. */
   readonly #counts = new Map<number, number>();
@@ -52,7 +52,7 @@
     this.#arrivals.note(item.requestClass, nowMs);
     if (this.#items.size === 0) {
       // Ends the debts of the last busy period, which are small, so that the tags stay exact.
-      this.#queue = new FairQueue<Item>(ClassOrder.End);
+      this.#queue = new FairQueue<Item>(ClassOrder.Priority);
     }
     this.#items.add(item);
     this.#queue.push(item);
@@ -79,6 +79,11 @@
     return item;
   }
 
+  /** All waiting requests in the order in which they are served. */
+  listInOrder(): readonly Item[] {
+    return this.#queue.listInOrder();
+  }
+
   /** Whether the share of this gateway lets a waiting request take one of the free slots that the gateway sees. */
   mayTake({ requestClass }: Item, freeSlots: number, nowMs: number): boolean {
     const waiting = Math.max(1, this.#counts.get(requestClass) ?? 0);
@@ -134,7 +139,7 @@
   listHopeless(freeSlots: number, nowMs: number): Item[] {
     const hopeless: Item[] = [];
     let ahead = 0;
-    for (const item of this.#queue.listInOrder()) {
+    for (const item of this.listInOrder()) {
       const expected = this.#getFreeRate(item, nowMs) * Math.max(0, item.dueAtMs - nowMs);
       if (ahead + 1 > Math.max(0, freeSlots) + estimateMaxFreed(expected)) {
         hopeless.push(item);
@@ -147,7 +152,7 @@
 
   /** Time until a request of the priority is likely to get a slot if it comes last in its priority, in ms. */
   estimateWaitMs(item: Item, freeSlots: number, nowMs: number): number {
-    const order = this.#queue.listInOrder();
+    const order = this.listInOrder();
     const last = order.findLastIndex(({ requestClass }) => requestClass <= item.requestClass);
     const ahead = Math.max(0, last + 1 - Math.max(0, freeSlots));
     return (ahead + 1) / Math.max(1e-6, this.#getFreeRate(item, nowMs));
--- /dev/null
+++ b/packages/policy/admission/getRankWeight.ts
@@ -0,0 +1,9 @@
+/** Share of the service that all classes behind the first one keep. */
+const lowerShare = 1 / 20;
+/** Classes of this and higher ranks share a weight, so that virtual times stay exact. */
+const maxRank = 5;
+
+/** Weight of a class by the number of waiting classes that are more urgent. */
+export function getRankWeight(rank: number): number {
+  return lowerShare ** Math.min(maxRank, rank);
+}
--- a/packages/policy/test/SlotFleet.ts
+++ b/packages/policy/test/SlotFleet.ts
@@ -3,7 +3,6 @@
 import { selectFreed } from "@clementinemux/gateway/selectFreed";
 import { SlotQueue } from "@clementinemux/policy/admission/SlotQueue";
 import type { SlotRequest } from "@clementinemux/policy/admission/SlotRequest";
-import { getPriorityWeight } from "@clementinemux/policy/admission/getPriorityWeight";
 
 export interface Arrival {
   readonly atMs: number;
@@ -152,7 +151,7 @@
     const request: FleetRequest = {
       arrival,
       requestClass: priority,
-      classWeight: getPriorityWeight(priority),
+      classWeight: 1,
       team,
       teamWeight: 1,
       costMs: slotMs,
