End waiting requests at once when they become suspect

Cause: a queued request checked for suspicion only when it got a slot; the polling checked every 20 ms. Requests for limited targets had no event that tells that coordinators grant permits again. Change: new findings check all waiting requests; while permits are blocked, the queue asks again every 50 ms.

--- a/packages/gateway/AdmissionLine.ts
+++ b/packages/gateway/AdmissionLine.ts
@@ -18,6 +18,9 @@
   readonly recovery: GroupRecovery | null;
 }
 
+/** Interval at which requests for limited targets ask again while no coordinator grants permits. */
+const permitCheckMs = 50;
+
 /**
  * The queue of one service: offers free slots to the requests in their order, and removes those that cannot get one in
  * time. It acts when a request enters, when it is woken by an event that may have freed a slot, and at the times at which
@@ -81,6 +84,13 @@
     });
   }
 
+  /** Ends the requests that are suspected of crashing targets. */
+  checkSuspects(): void {
+    for (const request of this.#queue.listInOrder()) {
+      request.checkSuspect();
+    }
+  }
+
   /** A request was sent to a target. */
   noteTaken(): void {
     this.#queue.noteTaken();
@@ -185,7 +195,9 @@
     const dueInMs = (this.#queue.getNextDueMs() ?? Infinity) - nowMs;
     const pauseMs = first.getLoad()?.pauseMs ?? Infinity;
     const probeInMs = this.#options.recovery?.getProbeInMs(nowMs) ?? Infinity;
-    const inMs = Math.max(1, Math.ceil(Math.min(dueInMs, pauseMs, probeInMs)));
+    const hasLimited = (first.getLoad()?.limited ?? 0) > 0;
+    const permitMs = hasLimited && this.#options.isPermitBlocked() ? permitCheckMs : Infinity;
+    const inMs = Math.max(1, Math.ceil(Math.min(dueInMs, pauseMs, probeInMs, permitMs)));
     this.#timer = setTimeout(() => {
       this.wake();
     }, inMs);
--- a/packages/gateway/AdmissionLines.ts
+++ b/packages/gateway/AdmissionLines.ts
@@ -67,6 +67,13 @@
     }
   }
 
+  /** Ends the waiting requests that are suspected of crashing targets, after new findings. */
+  checkSuspects(): void {
+    for (const line of this.#lines.values()) {
+      line.checkSuspects();
+    }
+  }
+
   /** Lines of services whose queue is in force or not empty. */
   list(): readonly { readonly service: string; readonly line: AdmissionLine }[] {
     return [...this.#lines]
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -33,15 +33,9 @@
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
 import { renderAdmissionLines } from "./renderAdmissionLines";
+import { initialLimits } from "./initialLimits";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
 
-/** Limits until the first document is known. */
-const initialLimits: CallerLimits = {
-  maxHeaderBytes: 16_384,
-  maxBodyBytes: 4_194_304,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
 const housekeepingMs = 1000;
 /**
  * After the stop signal, callers keep this address for this long: the time until they receive a new list of
@@ -108,7 +102,10 @@
       isReplaced: (target) => this.#isReplaced(target),
       isIsolated: (service) =>
         (this.view.state.table?.findService(service)?.engine?.experts ?? null) === null,
-      onNews: () => this.#sync.sync(),
+      onNews: () => {
+        this.#admissions.checkSuspects();
+        return this.#sync.sync();
+      },
       errors: this.#errors,
       logger,
     });
@@ -119,6 +116,7 @@
       getCrashEvidence: () => this.#crashes.getEvidence(),
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
+        this.#admissions.checkSuspects();
       },
       onUpdate: () => {
         this.#loads.noteReport();
--- a/packages/gateway/QueuedRequest.ts
+++ b/packages/gateway/QueuedRequest.ts
@@ -7,6 +7,8 @@
   readonly getLoad: () => ServiceLoad | null;
   /** Looks for a slot or a permit; `mayTake` tells whether the request may take one of the given number of free slots. */
   readonly prepare: (mayTake: (freeSlots: number) => boolean) => boolean;
+  /** Ends the request if it is suspected of crashing targets; it then leaves the queue. */
+  readonly checkSuspect: () => void;
   /** Takes what `prepare` has found; the request has left the queue. */
   readonly start: () => void;
   /** The request cannot get a slot in time, and has left the queue. `waitMs` is the time until one is likely to be free. */
--- a/packages/gateway/RequestAdmission.ts
+++ b/packages/gateway/RequestAdmission.ts
@@ -71,6 +71,7 @@
       slots: this.slots,
       permits: this.permits,
       isResent: () => options.countSends() > 0,
+      rejectSuspect: options.rejectSuspect,
       chooseTarget: () => this.chooseTarget(),
       send: (target) => {
         this.#sendFromQueue(target);
--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -17,6 +17,8 @@
   readonly guard: Guard;
   /** Whether the request was sent before, so that it takes no permit. */
   readonly isResent: () => boolean;
+  /** Ends the request if it is suspected of crashing targets. */
+  readonly rejectSuspect: () => boolean;
   readonly chooseTarget: () => TargetRecord | null;
   /** Sends the request to a target with a free slot. */
   readonly send: (target: TargetRecord) => void;
@@ -86,6 +88,11 @@
         });
         return isPrepared;
       },
+      checkSuspect: () => {
+        guard(() => {
+          this.#options.rejectSuspect();
+        });
+      },
       start: () => {
         guard(() => {
           this.#start();
@@ -110,7 +117,8 @@
     const freeSlots = slots.countFree();
     const mayStart = freeSlots > 0 && mayTake(freeSlots) && slots.takeProbe();
     this.#target = mayStart ? chooseTarget() : null;
-    const mayAsk = freeSlots <= 0 && !isResent();
+    const isFull = freeSlots <= 0 || (mayStart && this.#target === null);
+    const mayAsk = isFull && !isResent();
     this.#candidates = mayAsk ? permits.listCandidates(slots.getWaitLeftMs()) : [];
     return this.#target !== null || this.#candidates.length > 0;
   }
--- a/packages/registry/test/registry.test.ts
+++ b/packages/registry/test/registry.test.ts
@@ -145,6 +145,19 @@
   t.end();
 });
 
+// Guards against gateways that count their own waiting requests as those of others, or those of a frozen one for ever.
+t.test("waiting requests are summed over all other live entries", (t) => {
+  const registry = new EntryRegistry();
+  const entry = { incarnation: "1", address: "x", failureDomain: "a", isReady: true, inFlight: {} };
+  registry.put({ ...entry, name: "a1", waiting: { app: { 0: 1, 2: 5 } } }, 0, null);
+  registry.put({ ...entry, name: "a2", waiting: { app: { 0: 2 }, other: { 1: 7 } } }, 0, "peer");
+  registry.put({ ...entry, name: "earlier-release" }, 0, null);
+  t.same(registry.sumWaiting("a1", 1), { app: { 0: 2 }, other: { 1: 7 } });
+  t.same(registry.sumWaiting("earlier-release", 1), { app: { 0: 3, 2: 5 }, other: { 1: 7 } });
+  t.same(registry.sumWaiting("a1", 1500), {}, "a frozen entry counts until its record expires");
+  t.end();
+});
+
 // Guards against sending callers to a stalled entry until it times out.
 t.test("an entry that has missed some reports is listed only if there are too few others", (t) => {
   const registry = new EntryRegistry();
