Give a new queue the figures of the other gateways at once

Cause: a queue was created at the first request of its service and knew nothing of the others until the next report, so that it sent less urgent requests although urgent ones waited elsewhere. Change: a new line gets the last known figures.

--- a/packages/gateway/AdmissionLines.ts
+++ b/packages/gateway/AdmissionLines.ts
@@ -40,8 +40,12 @@
     const { clock, random, errors, isPermitBlocked, getRecovery } = this.#options;
     const recovery = getRecovery(service);
     const known = this.#lines.get(service.name);
-    const line = known ?? new AdmissionLine({ clock, random, errors, isPermitBlocked, recovery });
+    if (known !== undefined) {
+      return known;
+    }
+    const line = new AdmissionLine({ clock, random, errors, isPermitBlocked, recovery });
     this.#lines.set(service.name, line);
+    this.#report(service.name, line);
     return line;
   }
 
@@ -56,7 +60,7 @@
   noteReport(): void {
     for (const [name, line] of this.#lines) {
       if (this.isInForce(name) || line.size > 0) {
-        line.noteReport(this.#countOthersInFlight(name), this.#getOthersWaiting(name));
+        this.#report(name, line);
       }
     }
   }
@@ -98,6 +102,10 @@
     }
   }
 
+  #report(service: string, line: AdmissionLine): void {
+    line.noteReport(this.#countOthersInFlight(service), this.#getOthersWaiting(service));
+  }
+
   #countOthersInFlight(service: string): number {
     const { view } = this.#options;
     const counts = view.listOpenTargets(service).map(({ id }) => getOwn(view.state.othersInFlight, id) ?? 0);
--- a/packages/gateway/test/admissionQueue.test.ts
+++ b/packages/gateway/test/admissionQueue.test.ts
@@ -159,6 +159,25 @@
   await stop();
 });
 
+// Guards against a gateway that takes the free slots for which more urgent requests wait at others.
+t.test("slots are left to more urgent requests at other gateways", async (t) => {
+  const routes = [0, 2].map((priority) => ({ ...patient, priority }));
+  const { held, send, state, stop } = await start(routes);
+  state.othersWaiting = { app: { 0: 100 } };
+  await delay(500);
+  const calls = Array.from({ length: slots }, (_, index) => send(1, `less-${index}`));
+  await waitUntil("the report", () => (state.waiting.app?.[2] === undefined ? null : true), 2000);
+  t.ok(held.length < slots, `${held.length} of ${slots} sent, at most one for each report`);
+  state.othersWaiting = {};
+  await waitUntil("all are sent", () => (held.length === slots ? true : null), 2000);
+  await waitUntil("the report", () => (state.waiting.app === undefined ? true : null), 2000);
+  held.forEach(({ answer }) => {
+    answer();
+  });
+  t.ok((await Promise.all(calls)).every(({ status }) => status === 200));
+  await stop();
+});
+
 // Guards against a changed order for services whose routes ask for none.
 t.test("without a difference in urgency, requests look for slots as before", async (t) => {
   const { held, send, fillSlots, gateway, stop } = await start([patient, patient]);
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -11,6 +11,7 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { WaitingDemand } from "@clementinemux/registry/WaitingDemand";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import { createSyncResponse } from "@clementinemux/standins/gateway/createSyncResponse";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
@@ -39,10 +40,15 @@
   const findings = null as CrashFindings | null;
   /** Targets that the coordinator lists besides `targets`. */
   const otherTargets: TargetRecord[] = [];
-  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets };
+  /** Requests that wait at this gateway, and at others. */
+  const waiting = {} as WaitingDemand;
+  const othersWaiting = {} as WaitingDemand;
+  const demand = { waiting, othersWaiting };
+  const state = { document, ageMs, isReady: true, leaving, crashes, findings, otherTargets, ...demand };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.leaving = leaving;
+    state.waiting = entry.waiting ?? {};
     state.crashes = crashes ?? null;
     const { version } = state.document;
     const listed = createSyncResponse({
@@ -53,7 +59,8 @@
       document: version > documentVersion ? encode(state.document) : null,
       ageMs: state.ageMs,
     });
-    const response = { ...listed, targets: [...(listed.targets ?? []), ...state.otherTargets] };
+    const allTargets = [...(listed.targets ?? []), ...state.otherTargets];
+    const response = { ...listed, targets: allTargets, waiting: state.othersWaiting };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
