--- a/packages/gateway/AdmissionLines.ts
+++ b/packages/gateway/AdmissionLines.ts
@@ -46,6 +46,7 @@
     const recovery = getRecovery(service);
     const line = new AdmissionLine({ clock, random, errors, isPermitBlocked, isEvacuated, recovery });
     this.#lines.set(service.name, line);
+    this.#report(service.name, line);
     return line;
   }
 
@@ -60,7 +61,7 @@
   noteReport(): void {
     for (const [name, line] of this.#lines) {
       if (this.isInForce(name) || line.size > 0) {
-        line.noteReport(this.#countOthersInFlight(name), this.#getOthersWaiting(name));
+        this.#report(name, line);
       }
     }
   }
@@ -71,6 +72,13 @@
     }
   }
 
+  /** Ends the waiting requests that are suspected of crashing targets, after new findings. */
+  checkSuspects(): void {
+    for (const line of this.#lines.values()) {
+      line.checkSuspects();
+    }
+  }
+
   /** Lines of services whose queue is in force or not empty. */
   list(): readonly { readonly service: string; readonly line: AdmissionLine }[] {
     return [...this.#lines]
@@ -95,6 +103,10 @@
     }
   }
 
+  #report(service: string, line: AdmissionLine): void {
+    line.noteReport(this.#countOthersInFlight(service), this.#getOthersWaiting(service));
+  }
+
   #countOthersInFlight(service: string): number {
     const { view } = this.#options;
     const counts = view.listOpenTargets(service).map(({ id }) => getOwn(view.state.othersInFlight, id) ?? 0);
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -124,7 +124,10 @@
       isReplaced: (target) => isReplaced(this.view, target),
       isIsolated: (service) =>
         (this.view.state.table?.findService(service)?.engine?.experts ?? null) === null,
-      onNews: () => this.#sync.sync(),
+      onNews: () => {
+        this.#admissions.checkSuspects();
+        return this.#sync.sync();
+      },
       errors: this.#errors,
       logger,
     });
@@ -136,6 +139,7 @@
       getCrashEvidence: () => this.#crashes.getEvidence(),
       onCrashFindings: (findings) => {
         this.#crashes.update(findings);
+        this.#admissions.checkSuspects();
       },
       onUpdate: () => {
         this.#loads.noteReport();
--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -1,5 +1,4 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import { getPriorityWeight } from "@clementinemux/policy/admission/getPriorityWeight";
 import type { AdmissionLine } from "./AdmissionLine";
 import type { GatewayContext } from "./GatewayContext";
 import type { Guard } from "./Guard";
@@ -17,6 +16,8 @@
   readonly guard: Guard;
   /** Whether the request was sent before, so that it takes no permit. */
   readonly isResent: () => boolean;
+  /** Ends the request if it is suspected of crashing targets. */
+  readonly rejectSuspect: () => boolean;
   readonly chooseTarget: () => TargetRecord | null;
   /** Sends the request to a target with a free slot. */
   readonly send: (target: TargetRecord) => void;
@@ -72,7 +73,7 @@
     const { priority, team, arrivedAtMs } = routed;
     return {
       requestClass: priority,
-      classWeight: getPriorityWeight(priority),
+      classWeight: 1,
       team: team ?? "",
       teamWeight: 1,
       costMs: Math.max(1, context.work.estimateWork(routed).totalMs),
@@ -86,6 +87,11 @@
         });
         return isPrepared;
       },
+      checkSuspect: () => {
+        guard(() => {
+          this.#options.rejectSuspect();
+        });
+      },
       start: () => {
         guard(() => {
           this.#start();
@@ -110,7 +116,8 @@
     const freeSlots = slots.countFree();
     const mayStart = freeSlots > 0 && mayTake(freeSlots) && slots.takeProbe();
     this.#target = mayStart ? chooseTarget() : null;
-    const mayAsk = freeSlots <= 0 && !isResent();
+    const isFull = freeSlots <= 0 || (mayStart && this.#target === null);
+    const mayAsk = isFull && !isResent();
     this.#candidates = mayAsk ? permits.listCandidates(slots.getWaitLeftMs()) : [];
     return this.#target !== null || this.#candidates.length > 0;
   }
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -52,10 +52,10 @@
     byteBudget,
     call: callOptions,
     onResponse: (response) => {
+      hasRun = !response.isNotRun && !response.isMisdirected;
       recordNotice(context, target, response);
     },
     onFullResponse: (status, headers, body) => {
-      hasRun = true;
       watch.noteResponse(status, now());
       if (status < firstFailureStatus) {
         running.noteComplete(now());
@@ -64,7 +64,6 @@
     },
     onStreamStart: listener.onStreamStart,
     onEvent: (bytes, id) => {
-      hasRun = true;
       watch.noteEvent(now());
       running.noteEvent();
       listener.onEvent(attempt, bytes, id);
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -17,6 +17,7 @@
 import type { SyncRequest } from "@clementinemux/registry/SyncRequest";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
+import type { WaitingDemand } from "@clementinemux/registry/WaitingDemand";
 import type { RouteDocument } from "@clementinemux/routes/RouteDocument";
 import { createSyncResponse } from "@clementinemux/standins/gateway/createSyncResponse";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
@@ -56,11 +57,16 @@
   /** What the coordinator knows of other gateways. */
   const others: Partial<SyncResponse> = {};
   const entry = null as EntryRecord | null;
-  const state = { document, ageMs, isReady: true, entry, leaving, crashes, findings, others, ...places };
+  /** Requests that wait at this gateway, and at others. */
+  const waiting = {} as WaitingDemand;
+  const othersWaiting = {} as WaitingDemand;
+  const reported = { isReady: true, entry, leaving, crashes, waiting };
+  const state = { document, ageMs, findings, others, othersWaiting, ...reported, ...places };
   const createResponse = ({ documentVersion, entry, leaving, crashes }: SyncRequest): SyncResponse => {
     state.isReady = entry.isReady;
     state.entry = entry;
     state.leaving = leaving;
+    state.waiting = entry.waiting ?? {};
     state.crashes = crashes ?? null;
     const { version } = state.document;
     const listed = createSyncResponse({
@@ -77,7 +83,7 @@
     }));
     const { cold, evacuated } = state;
     const known = { targets: [...own, ...state.otherTargets], cold, evacuated };
-    const response = { ...listed, ...state.others, ...known };
+    const response = { ...listed, waiting: state.othersWaiting, ...state.others, ...known };
     return state.findings === null ? response : { ...response, crashes: state.findings };
   };
   const coordinator = new RpcServer({
@@ -112,7 +118,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
-    waitingLine: WaitingLineMode.On,
+    waitingLine: WaitingLineMode.Auto,
     targetChoice: TargetChoiceKind.Auto,
     codec,
     clock: new SystemClock(),
--- a/packages/gateway/test/startGateways.ts
+++ b/packages/gateway/test/startGateways.ts
@@ -73,7 +73,7 @@
         minStallTimeoutMs: 400,
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
-        waitingLine: WaitingLineMode.On,
+        waitingLine: WaitingLineMode.Auto,
         targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
