Answer a dropped call of an operator with 503 instead of 413

A body that the coordinators' API dropped for the sake of others was answered like one that is too large. Operators do not send a call again after a 413, so a valid document could have been given up; a 503 makes them try again.

--- a/packages/wire/receiveBody.ts
+++ b/packages/wire/receiveBody.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import { BodyCollector } from "./BodyCollector";
+import { BodyRefusal } from "./BodyRefusal";
 import type { UploadPool } from "./UploadPool";
 
 interface ReceiveOptions {
@@ -8,17 +9,17 @@
 }
 
 /**
- * Resolves with the body of a request; with null if it is too large or the pool has dropped it, and what follows is
- * discarded. Rejects when the connection ends first.
+ * Resolves with the body of a request, or with why it was refused; what follows then is discarded. Rejects when the
+ * connection fails first.
  */
 export function receiveBody(
   request: IncomingMessage,
   { maxBytes, pool }: ReceiveOptions,
-): Promise<Buffer | null> {
+): Promise<Buffer | BodyRefusal> {
   return new Promise((resolve, reject) => {
     const body = new BodyCollector();
     let isEnded = false;
-    const end = (result: Buffer | null): void => {
+    const end = (result: Buffer | BodyRefusal): void => {
       isEnded = true;
       pool.remove(upload);
       body.clear();
@@ -26,7 +27,7 @@
     };
     const upload = {
       drop: () => {
-        end(null);
+        end(BodyRefusal.Dropped);
       },
     };
     request.on("data", (chunk: Buffer) => {
@@ -35,20 +36,20 @@
       }
       body.add(chunk);
       if (body.sizeBytes > maxBytes) {
-        end(null);
+        end(BodyRefusal.TooLarge);
       } else {
         pool.note(upload, body.heldBytes);
       }
     });
     request.on("end", () => {
-      end(isEnded ? null : body.take());
+      end(isEnded ? BodyRefusal.Dropped : body.take());
     });
     request.on("error", reject);
     request.on("close", () => {
-      end(null);
+      end(BodyRefusal.Dropped);
     });
     if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-      end(null);
+      end(BodyRefusal.TooLarge);
     }
   });
 }
