--- a/packages/wire/acceptPending.ts
+++ b/packages/wire/acceptPending.ts
@@ -5,8 +5,11 @@
  * callers who go on connecting from postponing a stop.
  */
 const maxRounds = 1100;
-/** The first round runs without a look at the queue if this is called from a handler of a socket. */
-const minRounds = 2;
+/**
+ * Rounds without a connection after which the queue counts as empty. The first round runs without a look at the queue if
+ * this is called from a handler of a socket, and a connection may enter the queue after its client knows it as open.
+ */
+const quietRounds = 4;
 
 /**
  * Resolves when a server has accepted the connections that wait in its queue and has read their sockets once.
@@ -19,13 +22,12 @@
     accepted += 1;
   };
   server.on("connection", count);
-  for (let round = 0; round < maxRounds; round += 1) {
+  let quiet = 0;
+  for (let round = 0; round < maxRounds && quiet < quietRounds; round += 1) {
     const before = accepted;
     // The event loop accepts connections and reads sockets before it runs this.
     await new Promise((resolve) => setImmediate(resolve));
-    if (accepted === before && round + 1 >= minRounds) {
-      break;
-    }
+    quiet = accepted === before ? quiet + 1 : 0;
   }
   server.off("connection", count);
 }
