Close the oldest unfinished upload when a crowd of them takes all connections

Beyond the limit of connections, the gate closed the connection that was just added, since it had not sent a request and all others were busy with bodies that never end: a crowd of them kept out everyone else. The connection that was added is no candidate any more, and unfinished uploads are the last ones. The new test fails before.

--- a/packages/wire/HttpGate.ts
+++ b/packages/wire/HttpGate.ts
@@ -72,20 +72,25 @@
       this.#connections.delete(socket);
     });
     if (this.#connections.size > this.#options.maxConnections) {
-      this.#close(this.#findDispensable() ?? socket, ConnectionCloseReason.TooMany);
+      this.#close(this.#findDispensable(socket) ?? socket, ConnectionCloseReason.TooMany);
     }
   }
 
-  /** The oldest connection that has not sent a request, or else the oldest one without a request in work. */
-  #findDispensable(): Socket | null {
+  /**
+   * Besides the one that was added, the oldest connection that has not sent a request, or else the oldest one without a request in work, or with one that has
+   * not been read as a whole: a crowd of unfinished uploads must not keep out others.
+   */
+  #findDispensable(added: Socket): Socket | null {
     let idle: Socket | null = null;
+    let uploading: Socket | null = null;
     for (const [socket, { latest, feeder }] of this.#connections) {
-      if (latest === null) {
+      if (latest === null && socket !== added) {
         return socket;
       }
-      idle ??= feeder.isBusy ? null : socket;
+      idle ??= feeder.isBusy || socket === added ? null : socket;
+      uploading ??= feeder.isUploading ? socket : null;
     }
-    return idle;
+    return idle ?? uploading;
   }
 
   /** Counts sweeps, not time, so that a process that stood still reads its sockets before it closes any. */
--- a/packages/wire/test/httpGate.test.ts
+++ b/packages/wire/test/httpGate.test.ts
@@ -90,6 +90,22 @@
   }
 });
 
+// Guards against new callers that are kept out by uploads that never end.
+t.test("beyond the limit, the oldest unfinished upload is closed", async (t) => {
+  const { state, port } = await serve(t, 3);
+  const uploads = Array.from({ length: 3 }, () => {
+    const socket = connect(port, "127.0.0.1").on("error", () => undefined);
+    socket.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nab");
+    return socket;
+  });
+  await delay(50);
+  t.equal(await send(port, ["GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"]), 1);
+  t.same(state.closed, [ConnectionCloseReason.TooMany]);
+  for (const socket of uploads) {
+    socket.destroy();
+  }
+});
+
 // Guards against an upload that stands still and holds its connection for good.
 t.test("a body without progress gets 408", async (t) => {
   const { state, port } = await serve(t);
