--- a/bin/bench-gateway-process.ts
+++ b/bin/bench-gateway-process.ts
@@ -2,7 +2,7 @@
 import { GatewayBenchSettings } from "@clementinemux/bench/gateway/GatewayBenchSettings";
 import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
-import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
+import { QueueMode } from "@clementinemux/gateway/QueueMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -29,7 +29,7 @@
     minStallTimeoutMs: 10_000,
     maxHeldBytes: 50_331_648,
     maxInFlight: 1000,
-    waitingLine: WaitingLineMode.Auto,
+    queueMode: QueueMode.Auto,
     targetChoice: TargetChoiceKind.Auto,
     codec: new PlainCodec(),
     clock,
--- a/packages/gateway/AdmissionLine.ts
+++ b/packages/gateway/AdmissionQueue.ts
@@ -8,7 +8,7 @@
 import { countFreeSlots } from "./countFreeSlots";
 import { hasLimitedTargetsOnly } from "./hasLimitedTargetsOnly";
 
-interface AdmissionLineOptions {
+interface AdmissionQueueOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly errors: ErrorBoundary<GatewayHandler>;
@@ -28,14 +28,14 @@
  * time. It acts when a request enters, when it is woken by an event that may have freed a slot, and at the times at which
  * a request expires, a pause of all targets ends, or a recovering group may be probed.
  */
-export class AdmissionLine {
-  readonly #options: AdmissionLineOptions;
+export class AdmissionQueue {
+  readonly #options: AdmissionQueueOptions;
   readonly #queue: SlotQueue<QueuedRequest>;
   #timer: NodeJS.Timeout | null = null;
   #isWoken = false;
   #isServing = false;
 
-  constructor(options: AdmissionLineOptions) {
+  constructor(options: AdmissionQueueOptions) {
     this.#options = options;
     this.#queue = new SlotQueue(options.random);
   }
--- a/packages/gateway/AdmissionLines.ts
+++ b/packages/gateway/AdmissionQueues.ts
@@ -4,15 +4,15 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { WaitingDemand } from "@clementinemux/registry/WaitingDemand";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
-import { AdmissionLine } from "./AdmissionLine";
+import { AdmissionQueue } from "./AdmissionQueue";
 import type { FleetView } from "./FleetView";
 import type { GatewayHandler } from "./GatewayHandler";
 import type { GroupRecovery } from "./GroupRecovery";
-import { WaitingLineMode } from "./WaitingLineMode";
+import { QueueMode } from "./QueueMode";
 
-interface AdmissionLinesOptions {
+interface AdmissionQueuesOptions {
   readonly view: FleetView;
-  readonly mode: WaitingLineMode;
+  readonly mode: QueueMode;
   readonly clock: Clock;
   readonly random: Random;
   readonly errors: ErrorBoundary<GatewayHandler>;
@@ -21,11 +21,11 @@
 }
 
 /** The queues of all services of a gateway. Slots are counted for every service, as a new document may bring a queue into force. */
-export class AdmissionLines {
-  readonly #options: AdmissionLinesOptions;
-  readonly #lines = new Map<string, AdmissionLine>();
+export class AdmissionQueues {
+  readonly #options: AdmissionQueuesOptions;
+  readonly #queues = new Map<string, AdmissionQueue>();
 
-  constructor(options: AdmissionLinesOptions) {
+  constructor(options: AdmissionQueuesOptions) {
     this.#options = options;
   }
 
@@ -33,78 +33,78 @@
   isInForce(service: string): boolean {
     const { mode, view } = this.#options;
     const isMixed = view.state.table?.hasMixedDemand(service) ?? false;
-    return mode === WaitingLineMode.On || (mode === WaitingLineMode.Auto && isMixed);
+    return mode === QueueMode.On || (mode === QueueMode.Auto && isMixed);
   }
 
-  get(service: RoutedService): AdmissionLine {
-    const known = this.#lines.get(service.name);
+  get(service: RoutedService): AdmissionQueue {
+    const known = this.#queues.get(service.name);
     if (known !== undefined) {
       return known;
     }
     const { view, clock, random, errors, isPermitBlocked, getRecovery } = this.#options;
     const isEvacuated = (): boolean => view.isEvacuated(service.name);
     const recovery = getRecovery(service);
-    const line = new AdmissionLine({ clock, random, errors, isPermitBlocked, isEvacuated, recovery });
-    this.#lines.set(service.name, line);
-    this.#report(service.name, line);
-    return line;
+    const queue = new AdmissionQueue({ clock, random, errors, isPermitBlocked, isEvacuated, recovery });
+    this.#queues.set(service.name, queue);
+    this.#report(service.name, queue);
+    return queue;
   }
 
   /** Waiting requests by service and priority, for the coordinators; undefined if there are none. */
   listWaiting(): WaitingDemand | undefined {
-    const waiting = [...this.#lines].filter(([, { size }]) => size > 0);
-    const counts = waiting.map(([name, line]) => [name, Object.fromEntries(line.countWaiting())] as const);
+    const waiting = [...this.#queues].filter(([, { size }]) => size > 0);
+    const counts = waiting.map(([name, queue]) => [name, Object.fromEntries(queue.countWaiting())] as const);
     return counts.length === 0 ? undefined : Object.fromEntries(counts);
   }
 
   /** The state of the other gateways has arrived. */
   noteReport(): void {
-    for (const [name, line] of this.#lines) {
-      if (this.isInForce(name) || line.size > 0) {
-        this.#report(name, line);
+    for (const [name, queue] of this.#queues) {
+      if (this.isInForce(name) || queue.size > 0) {
+        this.#report(name, queue);
       }
     }
   }
 
   wake(): void {
-    for (const line of this.#lines.values()) {
-      line.wake();
+    for (const queue of this.#queues.values()) {
+      queue.wake();
     }
   }
 
   /** Ends the waiting requests that are suspected of crashing targets, after new findings. */
   checkSuspects(): void {
-    for (const line of this.#lines.values()) {
-      line.checkSuspects();
+    for (const queue of this.#queues.values()) {
+      queue.checkSuspects();
     }
   }
 
-  /** Lines of services whose queue is in force or not empty. */
-  list(): readonly { readonly service: string; readonly line: AdmissionLine }[] {
-    return [...this.#lines]
-      .map(([service, line]) => ({ service, line }))
-      .filter(({ service, line }) => line.size > 0 || this.isInForce(service));
+  /** Queues of services whose queue is in force or not empty. */
+  list(): readonly { readonly service: string; readonly queue: AdmissionQueue }[] {
+    return [...this.#queues]
+      .map(([service, queue]) => ({ service, queue }))
+      .filter(({ service, queue }) => queue.size > 0 || this.isInForce(service));
   }
 
-  /** Removes the lines of services that no document lists and that have no requests. */
+  /** Removes the queues of services that no document lists and that have no requests. */
   retain(): void {
     const { table } = this.#options.view.state;
-    for (const [name, line] of this.#lines) {
-      if (line.isIdle && table !== null && table.findService(name) === null) {
-        line.close();
-        this.#lines.delete(name);
+    for (const [name, queue] of this.#queues) {
+      if (queue.isIdle && table !== null && table.findService(name) === null) {
+        queue.close();
+        this.#queues.delete(name);
       }
     }
   }
 
   close(): void {
-    for (const line of this.#lines.values()) {
-      line.close();
+    for (const queue of this.#queues.values()) {
+      queue.close();
     }
   }
 
-  #report(service: string, line: AdmissionLine): void {
-    line.noteReport(this.#countOthersInFlight(service), this.#getOthersWaiting(service));
+  #report(service: string, queue: AdmissionQueue): void {
+    queue.noteReport(this.#countOthersInFlight(service), this.#getOthersWaiting(service));
   }
 
   #countOthersInFlight(service: string): number {
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -9,7 +9,7 @@
 import type { CallerLimits } from "@clementinemux/routes/CallerLimits";
 import { acceptPending } from "@clementinemux/wire/acceptPending";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
-import { AdmissionLines } from "./AdmissionLines";
+import { AdmissionQueues } from "./AdmissionQueues";
 import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { UploadPool } from "@clementinemux/wire/UploadPool";
 import { ByteBudget } from "./ByteBudget";
@@ -30,7 +30,7 @@
 import { TargetHealth } from "./TargetHealth";
 import { TargetLoads } from "./TargetLoads";
 import { TargetNotices } from "./TargetNotices";
-import { renderAdmissionLines } from "./renderAdmissionLines";
+import { renderAdmissionQueues } from "./renderAdmissionQueues";
 import { WorkEstimates } from "./WorkEstimates";
 import { initialLimits } from "./initialLimits";
 import { isReplaced } from "./isReplaced";
@@ -68,7 +68,7 @@
   readonly #limits = new LimitTable();
   readonly #cold: ColdWatch;
   readonly #permits: PermitClient;
-  readonly #admissions: AdmissionLines;
+  readonly #admissions: AdmissionQueues;
   readonly #deadlines = new CallerDeadlines();
   readonly #crashes: CrashWatch;
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
@@ -169,9 +169,9 @@
       clock: leaseClock,
       random,
     });
-    this.#admissions = new AdmissionLines({
+    this.#admissions = new AdmissionQueues({
       view: this.view,
-      mode: options.waitingLine,
+      mode: options.queueMode,
       clock,
       random,
       errors: this.#errors,
@@ -240,7 +240,7 @@
       clementinemux_gateway_caller_connections: this.#sockets.size,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
-    const lines = renderAdmissionLines(this.#admissions) + renderTargetWork(this.#work.listMs());
+    const lines = renderAdmissionQueues(this.#admissions) + renderTargetWork(this.#work.listMs());
     return this.metrics.render() + this.#errors.render() + renderGauges(gauges) + lines;
   }
 
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -1,7 +1,7 @@
 import type { ErrorBoundary } from "@clementinemux/metrics/ErrorBoundary";
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
-import type { AdmissionLines } from "./AdmissionLines";
+import type { AdmissionQueues } from "./AdmissionQueues";
 import type { UploadPool } from "@clementinemux/wire/UploadPool";
 import type { ByteBudget } from "./ByteBudget";
 import type { UnreadResponses } from "./UnreadResponses";
@@ -41,7 +41,7 @@
   readonly ramps: TargetRamps;
   readonly permits: PermitClient;
   /** The queues of requests that wait for a slot. */
-  readonly admissions: AdmissionLines;
+  readonly admissions: AdmissionQueues;
   readonly deadlines: CallerDeadlines;
   readonly crashes: CrashWatch;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/GatewayOptions.ts
+++ b/packages/gateway/GatewayOptions.ts
@@ -2,7 +2,7 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { ColdBounds } from "@clementinemux/routes/ColdBounds";
 import type { Logger } from "roarr";
-import type { WaitingLineMode } from "./WaitingLineMode";
+import type { QueueMode } from "./QueueMode";
 import type { TargetChoiceKind } from "./TargetChoiceKind";
 import type { WireCodec } from "./WireCodec";
 
@@ -33,7 +33,7 @@
   readonly maxInFlight: number;
   /** What cold targets may get; 1.5 times their rate and 5 requests more by default. */
   readonly coldBounds?: ColdBounds;
-  readonly waitingLine: WaitingLineMode;
+  readonly queueMode: QueueMode;
   readonly targetChoice: TargetChoiceKind;
   readonly codec: WireCodec;
   readonly clock: Clock;
--- a/packages/gateway/WaitingLineMode.ts
+++ b/packages/gateway/QueueMode.ts
@@ -1,5 +1,5 @@
 /** Whether requests of a service that find no slot wait in a queue. */
-export enum WaitingLineMode {
+export enum QueueMode {
   /** If the routes to the service differ in priority or in objective. */
   Auto = "auto",
   On = "on",
--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -1,5 +1,5 @@
 import type { TargetRecord } from "@clementinemux/registry/TargetRecord";
-import type { AdmissionLine } from "./AdmissionLine";
+import type { AdmissionQueue } from "./AdmissionQueue";
 import type { GatewayContext } from "./GatewayContext";
 import type { Guard } from "./Guard";
 import type { PermitWait } from "./PermitWait";
@@ -30,7 +30,7 @@
 /** The wait of one request in the queue of its service. */
 export class SlotWait {
   readonly #options: SlotWaitOptions;
-  readonly #line: AdmissionLine;
+  readonly #queue: AdmissionQueue;
   #queued: QueuedRequest | null = null;
   #target: TargetRecord | null = null;
   #candidates: readonly TargetRecord[] = [];
@@ -40,7 +40,7 @@
 
   constructor(options: SlotWaitOptions) {
     this.#options = options;
-    this.#line = options.context.admissions.get(options.routed.service);
+    this.#queue = options.context.admissions.get(options.routed.service);
   }
 
   /** How the request left the queue; null if it was never in it, or still is. */
@@ -53,7 +53,7 @@
     this.#queued = this.#createQueued();
     this.#isEntering = !this.#hasWaited;
     try {
-      this.#line.enter(this.#queued);
+      this.#queue.enter(this.#queued);
     } finally {
       this.#isEntering = false;
       this.#hasWaited = true;
@@ -63,7 +63,7 @@
   /** Leaves the queue, as the request has ended. */
   cancel(): void {
     if (this.#queued !== null) {
-      this.#line.leave(this.#queued);
+      this.#queue.leave(this.#queued);
       this.#leave(QueueEnd.Withdrawn);
     }
   }
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -36,14 +36,14 @@
 ): Attempt {
   const { options, loads, ramps, admissions, byteBudget } = context;
   const { route, service } = routed;
-  const line = admissions.get(service);
+  const queue = admissions.get(service);
   const now = (): number => options.clock.monotonicMs();
   const callOptions = createCallOptions(context, routed, { target, ...call });
   const startedAtMs = now();
   let hasRun = false;
   loads.begin(target.id);
   ramps.noteSent(target.id, options.leaseClock.monotonicMs());
-  line.noteTaken();
+  queue.noteTaken();
   const running = context.work.begin(routed, target.id, call.resumeAfter === null);
   const attempt: Attempt = new Attempt({
     targetId: target.id,
@@ -82,7 +82,7 @@
     },
     onReleased: () => {
       loads.end(target.id);
-      line.noteFreed(hasRun ? now() - startedAtMs : null);
+      queue.noteFreed(hasRun ? now() - startedAtMs : null);
       running.end();
     },
   });
--- a/packages/gateway/renderAdmissionLines.ts
+++ b/packages/gateway/renderAdmissionQueues.ts
@@ -1,10 +1,10 @@
-import type { AdmissionLines } from "./AdmissionLines";
+import type { AdmissionQueues } from "./AdmissionQueues";
 
 /** Renders the length and the longest wait of each queue in the Prometheus text format. */
-export function renderAdmissionLines(admissions: AdmissionLines): string {
-  const lines = admissions.list();
-  const lengths = lines.map(({ service, line }) => ({ service, value: line.size }));
-  const ages = lines.map(({ service, line }) => ({ service, value: line.oldestAgeMs / 1000 }));
+export function renderAdmissionQueues(admissions: AdmissionQueues): string {
+  const queues = admissions.list();
+  const lengths = queues.map(({ service, queue }) => ({ service, value: queue.size }));
+  const ages = queues.map(({ service, queue }) => ({ service, value: queue.oldestAgeMs / 1000 }));
   return (
     renderByService("clementinemux_gateway_queue_length", lengths) +
     renderByService("clementinemux_gateway_queue_oldest_seconds", ages)
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -5,7 +5,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
-import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
+import { QueueMode } from "@clementinemux/gateway/QueueMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
 import { createLogger } from "@clementinemux/logging/createLogger";
@@ -118,7 +118,7 @@
     minStallTimeoutMs: 400,
     maxHeldBytes: 8_388_608,
     maxInFlight: 100,
-    waitingLine: WaitingLineMode.Auto,
+    queueMode: QueueMode.Auto,
     targetChoice: TargetChoiceKind.Auto,
     codec,
     clock: new SystemClock(),
--- a/packages/gateway/test/startGateways.ts
+++ b/packages/gateway/test/startGateways.ts
@@ -5,7 +5,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { Gateway } from "@clementinemux/gateway/Gateway";
 import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
-import { WaitingLineMode } from "@clementinemux/gateway/WaitingLineMode";
+import { QueueMode } from "@clementinemux/gateway/QueueMode";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { waitUntil } from "@clementinemux/system/waitUntil";
@@ -73,7 +73,7 @@
         minStallTimeoutMs: 400,
         maxHeldBytes: 8_388_608,
         maxInFlight: 100,
-        waitingLine: WaitingLineMode.Auto,
+        queueMode: QueueMode.Auto,
         targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
         clock: new SystemClock(),
