Mend what the review of the queue, the ramps and the budgets found

The queue woke every millisecond while a due probe had no slot, did not offer a slot to the request that became the first one, and kept the recovery state of the document that it was created under. A suspicion weakened the ramp of a target that had restarted. Remaining work of streams without token costs fell to 0 at the first event. A body had no time limit while the gateway started. A reservation above the whole budget closed callers for nothing. Requests sent with a permit were not counted as admitted.

--- a/packages/cost/AnswerLengths.ts
+++ b/packages/cost/AnswerLengths.ts
@@ -16,7 +16,7 @@
 const usualPrior = { priorMedian: 1, priorOctaves: 4, priorWeight: 4 };
 /** A hint above this multiple of the usual length counts as this multiple. */
 const maxHintFactor = 64;
-/** Share of its length by which an answer goes on that is longer than all known ones. */
+/** Further growth assumed for an answer that is longer than all known ones, relative to its length. */
 const unknownGrowth = 0.25;
 
 /**
--- a/packages/cost/CostModel.ts
+++ b/packages/cost/CostModel.ts
@@ -84,7 +84,7 @@
   }
 }
 
-/** What holds before anything was learned. */
+/** Prior estimate for routes without data; never updated. */
 const unlearned = new AnswerLengths();
 
 function getBasis({ engine, hintTokens, maxAnswerTokens }: CostRequest) {
--- a/packages/cost/RunningWork.ts
+++ b/packages/cost/RunningWork.ts
@@ -47,6 +47,10 @@
     this.#prefillMs = 0;
     const { stride, tokenMs, minLeftTokens, maxTokens } = this.work;
     this.#doneTokens += stride;
+    if (tokenMs === 0) {
+      // Events tell nothing about work that is not counted in tokens.
+      return;
+    }
     if (this.#doneTokens >= this.#expectedTokens) {
       this.#expect(Math.max(this.#estimateAbove(this.#doneTokens), this.#doneTokens + stride));
     }
--- a/packages/gateway/AdmissionQueue.ts
+++ b/packages/gateway/AdmissionQueue.ts
@@ -17,11 +17,13 @@
   /** Whether all targets of the service are in evacuated failure domains, so that waiting is of no use. */
   readonly isEvacuated: () => boolean;
   /** Null for services without rank groups. */
-  readonly recovery: GroupRecovery | null;
+  readonly getRecovery: () => GroupRecovery | null;
 }
 
 /** Interval at which requests for limited targets ask again while no coordinator grants permits. */
 const permitCheckMs = 50;
+/** Shortest time until the next look for a slot for a probe: one that is due may have none. */
+const probeCheckMs = 20;
 
 /**
  * The queue of one service: offers free slots to the requests in their order, and removes those that cannot get one in
@@ -122,8 +124,13 @@
     this.#isServing = true;
     try {
       this.#startAll();
+      const waiting = this.#queue.size;
       this.#expireAll();
       this.#rejectAll();
+      if (this.#queue.size < waiting) {
+        // The request that is first now has not been offered a slot yet.
+        this.wake();
+      }
     } finally {
       this.#isServing = false;
       this.#schedule();
@@ -171,7 +178,7 @@
   /** Rejects the requests that cannot get a slot in time. Slots of a recovering group become free all at once, so its requests wait. */
   #rejectAll(): void {
     const load = this.#queue.first?.getLoad() ?? null;
-    const isRecovering = this.#options.recovery?.isRecovering === true;
+    const isRecovering = this.#options.getRecovery()?.isRecovering === true;
     if (load === null || load.targets === 0 || isRecovering) {
       return;
     }
@@ -197,7 +204,7 @@
     const nowMs = this.#now();
     const dueInMs = (this.#queue.getNextDueMs() ?? Infinity) - nowMs;
     const pauseMs = first.getLoad()?.pauseMs ?? Infinity;
-    const probeInMs = this.#options.recovery?.getProbeInMs(nowMs) ?? Infinity;
+    const probeInMs = Math.max(probeCheckMs, this.#options.getRecovery()?.getProbeInMs(nowMs) ?? Infinity);
     const hasLimited = (first.getLoad()?.limited ?? 0) > 0;
     const permitMs = hasLimited && this.#options.isPermitBlocked() ? permitCheckMs : Infinity;
     const inMs = Math.max(1, Math.ceil(Math.min(dueInMs, pauseMs, probeInMs, permitMs)));
--- a/packages/gateway/AdmissionQueues.ts
+++ b/packages/gateway/AdmissionQueues.ts
@@ -43,8 +43,16 @@
     }
     const { view, clock, random, errors, isPermitBlocked, getRecovery } = this.#options;
     const isEvacuated = (): boolean => view.isEvacuated(service.name);
-    const recovery = getRecovery(service);
-    const queue = new AdmissionQueue({ clock, random, errors, isPermitBlocked, isEvacuated, recovery });
+    const findRecovery = (): GroupRecovery | null =>
+      getRecovery(view.state.table?.findService(service.name) ?? service);
+    const queue = new AdmissionQueue({
+      clock,
+      random,
+      errors,
+      isPermitBlocked,
+      isEvacuated,
+      getRecovery: findRecovery,
+    });
     this.#queues.set(service.name, queue);
     this.#report(service.name, queue);
     return queue;
--- a/packages/gateway/ByteBudget.ts
+++ b/packages/gateway/ByteBudget.ts
@@ -27,6 +27,9 @@
 
   /** Reserves the bytes if all of them are available; returns whether it did. */
   reserve(bytes: number): boolean {
+    if (bytes > this.#limitBytes) {
+      return false;
+    }
     while (this.#usedBytes + bytes > this.#limitBytes) {
       if (!this.#reclaim()) {
         return false;
--- a/packages/gateway/RequestAdmission.ts
+++ b/packages/gateway/RequestAdmission.ts
@@ -59,6 +59,7 @@
       admit,
       send: (target) => {
         if (!options.rejectSuspect()) {
+          this.#wait.noteSent();
           options.send(target);
         }
       },
@@ -179,6 +180,6 @@
   #reject(queueWaitMs: number | null): void {
     const isFull = this.#options.countSends() === 0 && this.#recovery?.isRecovering !== true;
     const end = isFull ? this.slots.fullOutcome : RequestOutcome.Rejected;
-    this.#options.fail(end, "no target has a place", { queueWaitMs });
+    this.#options.fail(end, "no target has a free slot", { queueWaitMs });
   }
 }
--- a/packages/gateway/RequestReceiver.ts
+++ b/packages/gateway/RequestReceiver.ts
@@ -35,6 +35,8 @@
  */
 const startWaitMs = 1000;
 const startPollMs = 20;
+/** Longest time for a body that is received before the first document is known. */
+const startBodyMs = 30_000;
 
 const localResponses = {
   [RequestOutcome.BadRequest]: {
@@ -129,8 +131,11 @@
     if (typeof resolution === "string") {
       upload.cancel();
       refuse(resolution);
-    } else if (resolution !== null && hasBody(request)) {
-      const limitMs = Math.min(resolution.route.timeoutMs, resolution.caller.leftMs ?? Infinity);
+    } else if (hasBody(request)) {
+      const limitMs =
+        resolution === null
+          ? startBodyMs
+          : Math.min(resolution.route.timeoutMs, resolution.caller.leftMs ?? Infinity);
       // A short body comes together with its head.
       setImmediate(() => {
         upload.limitMs(limitMs);
--- a/packages/gateway/SlotWait.ts
+++ b/packages/gateway/SlotWait.ts
@@ -60,6 +60,13 @@
     }
   }
 
+  /** The request was sent with a permit that it has asked for when its turn came. */
+  noteSent(): void {
+    if (this.#hasWaited && this.#end === null) {
+      this.#leave(QueueEnd.Admitted);
+    }
+  }
+
   /** Leaves the queue, as the request has ended. */
   cancel(): void {
     if (this.#queued !== null) {
--- a/packages/gateway/TargetRamps.ts
+++ b/packages/gateway/TargetRamps.ts
@@ -52,7 +52,9 @@
     if (known === undefined) {
       this.#ramps.set(id, { startMs, isSuspected, credit: this.#options.random(), creditAtMs: startMs });
     } else if (startMs >= known.startMs) {
-      this.#move(known, startMs, isSuspected);
+      // A suspicion does not weaken a ramp that runs since the target is known to have restarted.
+      const isRunning = startMs < known.startMs + rampMs;
+      this.#move(known, startMs, isSuspected && (known.isSuspected || !isRunning));
     }
   }
 
--- a/packages/policy/admission/SlotQueue.ts
+++ b/packages/policy/admission/SlotQueue.ts
@@ -51,7 +51,7 @@
   push(item: Item, nowMs: number): void {
     this.#arrivals.note(item.requestClass, nowMs);
     if (this.#items.size === 0) {
-      // Ends the debts of the last busy period, which are small, so that the tags stay exact.
+      // Starts again at virtual time 0, so that tags stay small enough to be exact; what is left between flows is small.
       this.#queue = new FairQueue<Item>(ClassOrder.Priority);
     }
     this.#items.add(item);
