Close connections on which Node answers a request itself

Node answers requests without a host (400) or with an unknown expectation (417) without an event, so the gate did not see them and parsed all that were pipelined at once. 1,000 of them in one write ended the process with an assertion. Two new tests fail before. Bytes after a parse error are not parsed any more, either.

--- a/packages/wire/RequestFeeder.ts
+++ b/packages/wire/RequestFeeder.ts
@@ -5,6 +5,8 @@
 type Parse = (chunk: Buffer) => void;
 
 const headEnd = Buffer.from("\r\n\r\n");
+const carriageReturn = 0x0d;
+const lineFeed = 0x0a;
 const noBytes = Buffer.alloc(0);
 /** Part of a head without an end that is parsed at a time; shorter than many heads with bare line feeds. */
 const maxHeadPartBytes = 1024;
@@ -126,7 +128,7 @@
 
   #feed(bytes: Buffer, isTurn = false): void {
     let rest = bytes;
-    while (rest.length > 0 && !this.#socket.destroyed) {
+    while (rest.length > 0 && !this.#socket.destroyed && this.#socket.writable) {
       if (this.#open > 0 && !this.isUploading) {
         this.#hold(rest);
         return;
@@ -138,7 +140,13 @@
       const endBytes = this.#findEnd(rest);
       const part = rest.subarray(0, endBytes);
       rest = rest.subarray(endBytes);
+      const before = this.#latest;
+      const isHead = !this.isUploading && part.subarray(-headEnd.length).equals(headEnd);
       this.#parse(part);
+      if (isHead && this.#latest === before && !isBlank(part)) {
+        // Node has answered the request itself, as one without a host, and would answer all that follow at once.
+        this.#socket.destroySoon();
+      }
     }
   }
 
@@ -174,3 +182,8 @@
     return at < 0 || (!this.isUploading && at > maxHeadPartBytes) ? null : at + headEnd.length;
   }
 }
+
+/** Whether bytes are only line ends, which clients may send before a request. */
+function isBlank(bytes: Buffer): boolean {
+  return bytes.every((byte) => byte === carriageReturn || byte === lineFeed);
+}
--- a/packages/wire/test/httpGate.test.ts
+++ b/packages/wire/test/httpGate.test.ts
@@ -106,6 +106,24 @@
   }
 });
 
+// Guards against requests that Node answers itself, without an event, so that a crowd of them is parsed at once.
+for (const [name, head] of [
+  ["without a host", "GET / HTTP/1.1\r\n\r\n"],
+  ["with an unknown expectation", "GET / HTTP/1.1\r\nHost: a\r\nExpect: x\r\n\r\n"],
+] as const) {
+  t.test(`pipelined requests ${name} end their connection`, async (t) => {
+    const { port } = await serve(t);
+    const socket = connect(port, "127.0.0.1").on("error", () => undefined);
+    let text = "";
+    socket.on("data", (chunk) => (text += chunk.toString()));
+    socket.write(head.repeat(1000));
+    await new Promise((resolve) => socket.on("close", resolve));
+    t.match(text, /^HTTP\/1.1 4/);
+    t.equal(text.split("HTTP/1.1").length - 1, 1, "responses");
+    t.equal(await send(port, ["GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"]), 1);
+  });
+}
+
 // Guards against an upload that stands still and holds its connection for good.
 t.test("a body without progress gets 408", async (t) => {
   const { state, port } = await serve(t);
