Bound the time for which a peer of a frame server does not read, whatever else pauses it

The timer for unread responses depended on why the pause had begun: a connection that was full of calls when its peer stopped reading stayed open for good, and one that had drained meanwhile was closed. The timer for an incomplete frame ran while the server itself did not read. The command line ends with an unknown outcome when a resent change of the evacuations is refused.

--- a/packages/cli/EvacuationClient.ts
+++ b/packages/cli/EvacuationClient.ts
@@ -20,6 +20,7 @@
   readonly #clients: readonly RpcClient[];
   readonly #endMs: number;
   #current = 0;
+  #calls = 0;
   #lastFailure = "no coordinator is configured";
 
   /** Throws a RangeError for an odd address. */
@@ -39,10 +40,17 @@
       const { state: base, isKnown, isComplete } = await this.#read(change.failureDomain);
       if (isKnown) {
         const proposal = { ...change, base, isForwarded: false };
+        const calls = this.#calls;
         const result = await this.#call(MessageName.ProposeEvacuation, proposal);
         if ((result as EvacuationProposalResult).isApplied) {
           return;
         }
+        if (this.#calls - calls > 1) {
+          // An earlier call without an answer may have been applied, and undone by another operator since.
+          const text =
+            "the outcome is unknown: the evacuations have changed meanwhile, read them and decide anew";
+          throw new CliError(ExitCode.Unreachable, text);
+        }
       } else if (isComplete) {
         const text = `no target, gateway or coordinator of failure domain "${change.failureDomain}" is known`;
         throw new CliError(ExitCode.Refused, text);
@@ -73,6 +81,7 @@
       if (client === undefined || leftMs <= 0) {
         throw new CliError(ExitCode.Unreachable, `no answer in time; last failure: ${this.#lastFailure}`);
       }
+      this.#calls += 1;
       const result = await client.call(name, body, Math.min(callTimeoutMs, leftMs));
       if (result.isRight()) {
         return result.extract();
--- a/packages/control/routes/MembershipManager.ts
+++ b/packages/control/routes/MembershipManager.ts
@@ -56,6 +56,7 @@
       "member changed",
     );
   }
+
   /** Warns when there are fewer voters than the tolerated losses need, and no replica that could become one. */
   #checkVoters(voters: number): void {
     const { logger, targetVoters } = this.#options;
--- a/packages/wire/FrameFlow.ts
+++ b/packages/wire/FrameFlow.ts
@@ -30,21 +30,35 @@
     this.update();
   }
 
+  /** Whether nothing is read for the moment. */
+  get isPaused(): boolean {
+    return this.#isPaused;
+  }
+
   /** Pauses or resumes the connection as its state demands. */
   update(): void {
     const isUnread = this.#socket.writableLength > wireLimits.maxQueuedBytes;
     const isFull = isUnread || this.#inWork >= wireLimits.maxCallsInWork;
-    if (this.#socket.destroyed || isFull === this.#isPaused) {
+    if (this.#socket.destroyed) {
       return;
     }
-    this.#isPaused = isFull;
-    clearTimeout(this.#unreadTimer ?? undefined);
-    if (!isFull) {
-      this.#socket.resume();
-      return;
+    this.#limitUnread(isUnread);
+    if (isFull !== this.#isPaused) {
+      this.#isPaused = isFull;
+      if (isFull) {
+        this.#socket.pause();
+      } else {
+        this.#socket.resume();
+      }
     }
-    this.#socket.pause();
-    if (isUnread) {
+  }
+
+  /** Bounds the time for which the peer does not read, whatever else the connection is paused for. */
+  #limitUnread(isUnread: boolean): void {
+    if (!isUnread) {
+      clearTimeout(this.#unreadTimer ?? undefined);
+      this.#unreadTimer = null;
+    } else if (this.#unreadTimer === null) {
       this.#unreadTimer = setTimeout(() => this.#socket.destroy(), wireLimits.unreadTimeoutMs);
       this.#unreadTimer.unref();
     }
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -139,6 +139,12 @@
       } else if (decoder.isPartial && frameTimer === null) {
         const timeoutMs = this.#options.frameTimeoutMs ?? wireLimits.frameTimeoutMs;
         frameTimer = setTimeout(() => {
+          frameTimer = null;
+          if (flow.isPaused) {
+            // The rest of the frame may have arrived and not been read.
+            updateFrameTimer();
+            return;
+          }
           rejectPeer(
             new WireError(WireErrorCode.FrameIncomplete, `frame not complete within ${timeoutMs} ms`),
           );
