Reword names and comments that a first reader stumbled on, and remove an estimate that nothing uses

The queue estimates by itself when a slot becomes free, so estimateFreeInMs of the cost model had a test as its only caller. The share of less urgent requests and the unit of reported work are defined once.

--- a/packages/cli/EvacuationClient.ts
+++ b/packages/cli/EvacuationClient.ts
@@ -23,7 +23,7 @@
   #calls = 0;
   #lastFailure = "no coordinator is configured";
 
-  /** Throws a RangeError for an odd address. */
+  /** Throws a RangeError for an invalid address. */
   constructor(addresses: readonly string[], timeoutMs: number) {
     this.#clients = addresses.map((text) => new RpcClient({ address: parseAddress(text) }));
     this.#endMs = performance.now() + timeoutMs;
--- a/packages/control/evacuation/EvacuationControl.ts
+++ b/packages/control/evacuation/EvacuationControl.ts
@@ -65,7 +65,7 @@
   async change(change: EvacuationChange, isCallerConnected: () => boolean): Promise<EvacuationOutcome> {
     const outcome = (await this.#service?.change(change, isCallerConnected)) ?? EvacuationOutcome.Unavailable;
     this.#options.outcomes.add(outcome);
-    this.#options.logger.info({ ...change, outcome }, "evacuation called for");
+    this.#options.logger.info({ ...change, outcome }, "evacuation change requested");
     return outcome;
   }
 
--- a/packages/control/evacuation/KnownFailureDomains.ts
+++ b/packages/control/evacuation/KnownFailureDomains.ts
@@ -26,8 +26,4 @@
       this.#names.delete(name);
     }
   }
-
-  has(name: string): boolean {
-    return this.#names.has(name);
-  }
 }
--- a/packages/control/test/evacuationService.test.ts
+++ b/packages/control/test/evacuationService.test.ts
@@ -106,8 +106,8 @@
   t.equal(machine.evacuations.state.revision, 4);
 });
 
-// Guards against an odd proposal that enters the log, where it would end each replica.
-t.test("odd proposals are refused", async (t) => {
+// Guards against an invalid proposal that enters the log, where it would crash every replica.
+t.test("invalid proposals are refused", async (t) => {
   const { service, log } = createLeader();
   const base = { revision: 0, failureDomains: [], ended: [] };
   const proposal = { ...start, base, isForwarded: true };
--- a/packages/gateway/ColdTargets.ts
+++ b/packages/gateway/ColdTargets.ts
@@ -100,7 +100,7 @@
       if (leftMs > 0) {
         this.#table.note({ id, bornMs, sequence: assumedSequence, leftMs }, nowMs);
       }
-      // The targets of the first list have not just appeared, it is the gateway that has.
+      // On the first list the gateway is new, not the targets, so only those assumed cold start a ramp.
       if (coldStart !== null && (before !== null || leftMs > 0)) {
         this.#startRamp(target, nowMs);
       }
--- a/packages/gateway/PermitWait.ts
+++ b/packages/gateway/PermitWait.ts
@@ -13,7 +13,7 @@
   /** Targets to which the request was already sent. */
   readonly tried: ReadonlySet<string>;
   readonly guard: Guard;
-  /** Looks for a place for the request again. */
+  /** Looks for a slot again. */
   readonly admit: () => void;
   /** Sends the request to a target for which it has a permit. */
   readonly send: (target: TargetRecord) => void;
--- a/packages/gateway/WorkEstimates.ts
+++ b/packages/gateway/WorkEstimates.ts
@@ -1,3 +1,4 @@
+import { msPerReportedWork } from "@clementinemux/registry/msPerReportedWork";
 import { getOwn } from "@clementinemux/common/getOwn";
 import { CostModel } from "@clementinemux/cost/CostModel";
 import type { CostRequest } from "@clementinemux/cost/CostRequest";
@@ -25,8 +26,6 @@
 
 /** On average, half of a running request's work remains. */
 const usualLeftShare = 0.5;
-/** Reports give work in hundredths of a second. */
-const msPerReportUnit = 10;
 
 /** Expected work of requests, and the work that remains at targets. */
 export class WorkEstimates {
@@ -57,26 +56,6 @@
     return this.#model.estimate(this.#describe(routed));
   }
 
-  /**
-   * Time until a slot of the service is likely to become free, in ms: 0 while one is free, infinite without
-   * targets. With all slots in use it is also the mean time between two releases.
-   */
-  estimateFreeInMs(service: RoutedService): number {
-    const targets = this.#options.view.listOpenTargets(service.name);
-    let requests = 0;
-    let leftMs = 0;
-    for (const target of targets) {
-      const load = this.getLoad(target.id, service);
-      if (load.requests < (service.engine?.slots ?? target.slots)) {
-        return 0;
-      }
-      requests += load.requests;
-      leftMs += load.leftMs;
-    }
-    // At a target whose slots are all in use, a request ends on average after the time of the work that remains there.
-    return targets.length === 0 ? Infinity : ((leftMs / targets.length) * 2) / (requests + 1);
-  }
-
   /** Work of a request that has completed after `events` events. */
   measureWork(routed: RoutedRequest, events: number, durationMs: number): RequestWork {
     const request = this.#describe(routed);
@@ -130,7 +109,7 @@
     if (!services.some(({ name }) => this.isInForce(name))) {
       return { inFlight };
     }
-    const getUnits = (id: string): number => Math.round(this.#ledger.get(id).leftMs / msPerReportUnit);
+    const getUnits = (id: string): number => Math.round(this.#ledger.get(id).leftMs / msPerReportedWork);
     return { inFlight, remainingCs: Object.keys(inFlight).map((id) => Math.max(0, getUnits(id))) };
   }
 
--- a/packages/gateway/readRemainingMs.ts
+++ b/packages/gateway/readRemainingMs.ts
@@ -1,7 +1,6 @@
+import { msPerReportedWork } from "@clementinemux/registry/msPerReportedWork";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 
-const msPerReportUnit = 10;
-
 /** Remaining work by target, in ms; null if the coordinator does not know it. */
 export function readRemainingMs({
   inFlight,
@@ -11,5 +10,5 @@
   if (remainingCs?.length !== ids.length) {
     return null;
   }
-  return new Map(ids.map((id, index) => [id, (remainingCs[index] ?? 0) * msPerReportUnit]));
+  return new Map(ids.map((id, index) => [id, (remainingCs[index] ?? 0) * msPerReportedWork]));
 }
--- a/packages/gateway/test/expectedWork.test.ts
+++ b/packages/gateway/test/expectedWork.test.ts
@@ -75,17 +75,6 @@
   t.end();
 });
 
-// Guards against a Retry-After or an admission that takes a full service for a free one.
-t.test("a slot becomes free at once, or by the work that remains", (t) => {
-  const full = { "t-0": 8, "t-1": 8, "t-2": 8 };
-  const estimate = (others: Partial<SyncResponse>): number =>
-    createEstimates(others).estimateFreeInMs(rankService);
-  t.equal(estimate({ inFlight: { ...full, "t-1": 7 } }), 0);
-  t.equal(estimate({ inFlight: full, remainingCs: [100, 100, 100] }), (1000 * 2) / 25);
-  t.equal(createEstimates({}).estimateFreeInMs({ ...rankService, name: "unknown" }), Infinity);
-  t.end();
-});
-
 t.test("a full target is never chosen, and one without memory only if there is no other", (t) => {
   const candidate = { slots: 8, load: 3, weight: 1, isNear: false, finishMs: 100, hasMemory: true };
   const choose = (...changes: readonly object[]): Set<string | null> => {
--- a/packages/policy/admission/SlotQueue.ts
+++ b/packages/policy/admission/SlotQueue.ts
@@ -6,11 +6,10 @@
 import type { SlotRequest } from "./SlotRequest";
 import { SlotShare } from "./SlotShare";
 import { estimateMaxFreed } from "./estimateMaxFreed";
+import { lowerShare } from "./lowerShare";
 
 /** Weight of the newest request in the mean time for which a request occupies a slot. */
 const newestWeight = 0.05;
-/** Less urgent requests keep a twentieth of the slots that become free. */
-const lowerShare = 1 / 20;
 /** Most slots that one waiting request stands for. */
 const maxSlotsPerWaiting = 50;
 
--- a/packages/policy/admission/SlotShare.ts
+++ b/packages/policy/admission/SlotShare.ts
@@ -1,5 +1,6 @@
 import type { Random } from "@clementinemux/common/Random";
 import type { SlotReport } from "./SlotReport";
+import { lowerShare } from "./lowerShare";
 
 /** A claim by one waiting request on a free slot. */
 interface SlotClaim {
@@ -13,8 +14,6 @@
 
 /** Without a report for this long, a gateway decides by its own requests only; the records of others expire then. */
 const maxReportAgeMs = 1500;
-/** Less urgent requests keep a twentieth of the slots while others hold more urgent ones. */
-const lowerShare = 1 / 20;
 /** Multiple of the more urgent waiting requests elsewhere for which free slots are left; about as many arrive per report. */
 const urgentReserve = 2;
 /** Share of the slots above its fair share that a gateway passes on per report; at five reports per second, two seconds halve them. */
@@ -35,7 +34,7 @@
   readonly #random: Random;
   #report: SlotReport | null = null;
   /** Slots taken minus slots freed since the last report, with the slots that were passed on. */
-  #net = 0;
+  #netTaken = 0;
   /** Slots owed to others, by the priority of the own requests that are held back. */
   #owed = new Map<number, number>();
   /** One draw per priority and report, which rounds the share of the visible slots. */
@@ -50,17 +49,17 @@
   }
 
   noteTaken(): void {
-    this.#net += 1;
+    this.#netTaken += 1;
   }
 
   noteFreed(): void {
-    this.#net -= 1;
+    this.#netTaken -= 1;
   }
 
   /** Begins the time until the next report. `slotsPerWaiting` is how many slots one waiting request stands for. */
   noteReport(report: SlotReport, slotsPerWaiting: number): void {
     this.#report = report;
-    this.#net = 0;
+    this.#netTaken = 0;
     this.#draws = new Map();
     smooth(this.#meanOwn, report.ownWaiting);
     smooth(this.#meanOthers, report.othersWaiting);
@@ -86,15 +85,15 @@
     if (same + higher === 0) {
       return true;
     }
-    while (this.#net < 0) {
+    while (this.#netTaken < 0) {
       if (!this.#passOn(priority, higher > 0)) {
         return true;
       }
     }
-    const visible = freeSlots + this.#net;
+    const visible = freeSlots + this.#netTaken;
     const left = Math.max(visible - higher * urgentReserve, visible * lowerShare);
     const share = (left * waiting) / (waiting + same);
-    return this.#net < Math.floor(share + this.#draw(priority));
+    return this.#netTaken < Math.floor(share + this.#draw(priority));
   }
 
   /** Leaves a slot that this gateway freed to others, if it owes one. Returns whether it did. */
@@ -107,7 +106,7 @@
     }
     this.#owed.set(priority, owed - 1);
     this.#passed.set(priority, passed + 1);
-    this.#net += 1;
+    this.#netTaken += 1;
     return true;
   }
 
--- a/packages/policy/admission/getRankWeight.ts
+++ b/packages/policy/admission/getRankWeight.ts
@@ -1,5 +1,5 @@
-/** Share of the service that all classes behind the first one keep. */
-const lowerShare = 1 / 20;
+import { lowerShare } from "./lowerShare";
+
 /** Classes of this and higher ranks share a weight, so that virtual times stay exact. */
 const maxRank = 5;
 
--- a/packages/wire/HttpGate.ts
+++ b/packages/wire/HttpGate.ts
@@ -18,7 +18,7 @@
   /** Bytes that were read and written at the last sweep, and the sweeps since then without further ones. */
   readBytes: number;
   writtenBytes: number;
-  stillSweeps: number;
+  sweepsWithoutProgress: number;
 }
 
 const sweepMs = 1000;
@@ -65,7 +65,7 @@
       latest: null,
       readBytes: 0,
       writtenBytes: 0,
-      stillSweeps: 0,
+      sweepsWithoutProgress: 0,
     };
     this.#connections.set(socket, connection);
     socket.once("close", () => {
@@ -77,8 +77,8 @@
   }
 
   /**
-   * Besides the one that was added, the oldest connection that has not sent a request, or else the oldest one without a request in work, or with one that has
-   * not been read as a whole: a crowd of unfinished uploads must not keep out others.
+   * The connection to close in place of the one that was added: the oldest without a request, else the oldest idle one, else the
+   * oldest with an unfinished upload, so that a crowd of these keeps out nobody. Null if there is none.
    */
   #findDispensable(added: Socket): Socket | null {
     let idle: Socket | null = null;
@@ -93,7 +93,7 @@
     return idle ?? uploading;
   }
 
-  /** Counts sweeps, not time, so that a process that stood still reads its sockets before it closes any. */
+  /** Counts sweeps, not time, so that a process that was suspended reads its sockets before it closes any. */
   #sweep(): void {
     const maxSweeps = Math.ceil(this.#options.getIdleTimeoutMs() / sweepMs);
     for (const [socket, connection] of this.#connections) {
@@ -102,10 +102,10 @@
       const isStill = bytesRead === connection.readBytes && writtenBytes === connection.writtenBytes;
       connection.readBytes = bytesRead;
       connection.writtenBytes = writtenBytes;
-      connection.stillSweeps = isStill ? connection.stillSweeps + 1 : 0;
-      if (connection.stillSweeps > maxSweeps && socket.writableLength > 0) {
+      connection.sweepsWithoutProgress = isStill ? connection.sweepsWithoutProgress + 1 : 0;
+      if (connection.sweepsWithoutProgress > maxSweeps && socket.writableLength > 0) {
         this.#close(socket, ConnectionCloseReason.UnreadResponse);
-      } else if (connection.stillSweeps > maxSweeps && connection.feeder.isUploading) {
+      } else if (connection.sweepsWithoutProgress > maxSweeps && connection.feeder.isUploading) {
         this.#close(socket, ConnectionCloseReason.StalledBody);
       }
     }
