--- a/packages/control/evacuation/EvacuationProposal.ts
+++ b/packages/control/evacuation/EvacuationProposal.ts
@@ -15,5 +15,3 @@
   /** Whether a coordinator sends this to the leader on behalf of another process. */
   isForwarded: z.boolean(),
 });
-
-export type EvacuationProposal = z.infer<typeof EvacuationProposal>;
--- a/packages/control/evacuation/EvacuationService.ts
+++ b/packages/control/evacuation/EvacuationService.ts
@@ -1,5 +1,6 @@
 import { setImmediate as nextTurn, setTimeout as delay } from "node:timers/promises";
 import type { Logger } from "roarr";
+import type * as z from "zod";
 import type { Clock } from "@clementinemux/common/Clock";
 import { MessageName } from "@clementinemux/wire/MessageName";
 import type { PeerLinks } from "@clementinemux/wire/PeerLinks";
@@ -16,6 +17,8 @@
 import type { EvacuationTable } from "./EvacuationTable";
 import { changeEvacuations } from "./changeEvacuations";
 
+type Proposal = z.output<typeof EvacuationProposal>;
+
 interface EvacuationServiceOptions {
   readonly group: Pick<ReplicatedGroup, "hasLease" | "propose" | "getLeaderAddress" | "createNotLeaderError">;
   readonly table: EvacuationTable;
@@ -90,7 +93,7 @@
       return this.#commit(proposal);
     }
     this.#checkMayForward(proposal.isForwarded);
-    const forwarded: EvacuationProposal = { ...proposal, isForwarded: true };
+    const forwarded: Proposal = { ...proposal, isForwarded: true };
     const answer = await callLeader(group, links, MessageName.ProposeEvacuation, forwarded, timeoutMs);
     return answer as EvacuationProposalResult;
   }
@@ -119,7 +122,7 @@
     base: EvacuationState,
     leftMs: number,
   ): Promise<EvacuationOutcome | null> {
-    const proposal: EvacuationProposal = {
+    const proposal: Proposal = {
       ...change,
       base: { ...base, failureDomains: [...base.failureDomains], ended: [...base.ended] },
       isForwarded: false,
@@ -128,7 +131,7 @@
     return result?.isApplied === true ? EvacuationOutcome.Acknowledged : null;
   }
 
-  async #commit({ base, failureDomain, isEvacuated }: EvacuationProposal): Promise<EvacuationProposalResult> {
+  async #commit({ base, failureDomain, isEvacuated }: Proposal): Promise<EvacuationProposalResult> {
     const { group, table, logger } = this.#options;
     const baseRevision = base.revision;
     if (baseRevision < table.state.revision) {
--- a/packages/gateway/FleetSync.ts
+++ b/packages/gateway/FleetSync.ts
@@ -30,8 +30,6 @@
   readonly listLeaving: () => readonly TargetIncarnation[];
   readonly getCrashEvidence: () => CrashEvidence;
   readonly onCrashFindings: (findings: CrashFindings) => void;
-  /** Called when the state of the other gateways has arrived. */
-  readonly onUpdate: () => void;
   readonly limits: LimitTable;
   /** Called for each target whose limit has changed by what the coordinator knows. */
   readonly onLimit: (id: string, limitPerS: number | null) => void;
@@ -208,7 +206,6 @@
     try {
       this.#addCoordinators(response.coordinators);
       const isCurrent = this.#update(response, sentAtMs);
-      this.#options.onUpdate();
       if (response.crashes !== undefined) {
         this.#options.onCrashFindings(response.crashes);
       }
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -141,10 +141,6 @@
         this.#crashes.update(findings);
         this.#admissions.checkSuspects();
       },
-      onUpdate: () => {
-        this.#loads.noteReport();
-        this.#admissions.noteReport();
-      },
       limits: this.#limits,
       onLimit: (id, limitPerS) => {
         this.#permits.reset(id);
@@ -153,6 +149,8 @@
       },
       onApplied: ({ cold }) => {
         this.#cold.update(cold);
+        this.#loads.noteReport();
+        this.#admissions.noteReport();
       },
       seeds,
       clock: leaseClock,
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -29,7 +29,7 @@
   readonly options: GatewayOptions;
   readonly view: FleetView;
   readonly loads: TargetLoads;
-  /** Expected work of requests, and when a slot of a service is likely to become free. */
+  /** Expected work of requests, and what remains of it at each target. */
   readonly work: WorkEstimates;
   readonly health: TargetHealth;
   readonly notices: TargetNotices;
--- a/packages/gateway/test/fleetSync.test.ts
+++ b/packages/gateway/test/fleetSync.test.ts
@@ -41,7 +41,6 @@
     getCrashEvidence: () => ({ reports: [], answered: [], suspicions: [] }),
     onCrashFindings: () => undefined,
     limits: new LimitTable(),
-    onUpdate: () => undefined,
     onLimit: () => undefined,
     onApplied: () => undefined,
     seeds: [`127.0.0.1:${port}`],
--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -1,14 +1,10 @@
 import { request } from "node:http";
 import type { IncomingHttpHeaders, RequestOptions } from "node:http";
 import { encode } from "cbor-x";
-import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
-import { QueueMode } from "@clementinemux/gateway/QueueMode";
 import { Gateway } from "@clementinemux/gateway/Gateway";
-import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
-import { createLogger } from "@clementinemux/logging/createLogger";
 import type { ColdTarget } from "@clementinemux/registry/ColdTarget";
 import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
@@ -25,6 +21,7 @@
 import { MessageName } from "@clementinemux/wire/MessageName";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { TestCodec } from "./TestCodec";
+import { gatewayDefaults } from "./gatewayDefaults";
 import type { TestTarget } from "./TestTarget";
 
 interface CallerResponse {
@@ -102,29 +99,13 @@
   await Promise.all(targets.map((target) => target.listen()));
   const codec = new TestCodec();
   const gateway = new Gateway({
+    ...gatewayDefaults,
     name: "g-1",
-    host: "127.0.0.1",
     callerPort,
     readyPort,
-    readyPath: "/ready",
-    failureDomain: "a",
     seeds: [`127.0.0.1:${framePort}`],
-    repeatRatio: 0.2,
-    repeatSlack: 100,
-    repeatWindowMs: 10_000,
-    graceMs: 4000,
-    metricsPort: null,
-    maxHoldMs: 80,
-    minStallTimeoutMs: 400,
-    maxHeldBytes: 8_388_608,
-    maxInFlight: 100,
-    queueMode: QueueMode.Auto,
-    targetChoice: TargetChoiceKind.Auto,
     codec,
-    clock: new SystemClock(),
-    leaseClock: new SystemClock(),
     random: createRandom(1),
-    logger: createLogger("test", {}),
   });
   await gateway.start();
   if (state.ageMs !== null) {
--- a/packages/gateway/test/startGateways.ts
+++ b/packages/gateway/test/startGateways.ts
@@ -1,17 +1,14 @@
 import { request } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import { encode } from "cbor-x";
-import { SystemClock } from "@clementinemux/common/SystemClock";
 import { createRandom } from "@clementinemux/common/createRandom";
 import { Gateway } from "@clementinemux/gateway/Gateway";
-import { TargetChoiceKind } from "@clementinemux/gateway/TargetChoiceKind";
-import { QueueMode } from "@clementinemux/gateway/QueueMode";
-import { createLogger } from "@clementinemux/logging/createLogger";
 import { findFreePorts } from "@clementinemux/system/findFreePorts";
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { CoordinatorFleet } from "../../control/test/CoordinatorFleet";
 import { createDocument } from "../../routes/test/createDocument";
 import { TestCodec } from "./TestCodec";
+import { gatewayDefaults } from "./gatewayDefaults";
 import type { TestTarget } from "./TestTarget";
 
 const gatewayCount = 4;
@@ -57,29 +54,13 @@
   const gateways = await Promise.all(
     Array.from({ length: gatewayCount }, async (_, index) => {
       const gateway = new Gateway({
+        ...gatewayDefaults,
         name: `g-${index}`,
-        host: "127.0.0.1",
         callerPort: ports[index * 2] ?? 0,
         readyPort: ports[index * 2 + 1] ?? 0,
-        readyPath: "/ready",
-        failureDomain: "a",
         seeds: [...fleet.seeds.slice(index % 3), ...fleet.seeds],
-        repeatRatio: 0.2,
-        repeatSlack: 100,
-        repeatWindowMs: 10_000,
-        graceMs: 4000,
-        metricsPort: null,
-        maxHoldMs: 80,
-        minStallTimeoutMs: 400,
-        maxHeldBytes: 8_388_608,
-        maxInFlight: 100,
-        queueMode: QueueMode.Auto,
-        targetChoice: TargetChoiceKind.Auto,
         codec: new TestCodec(),
-        clock: new SystemClock(),
-        leaseClock: new SystemClock(),
         random: createRandom(index),
-        logger: createLogger("test", {}),
       });
       await gateway.start();
       return gateway;
