--- a/packages/cli/ControlCommand.ts
+++ b/packages/cli/ControlCommand.ts
@@ -7,6 +7,7 @@
 import { CliError } from "./CliError";
 import { ExitCode } from "./ExitCode";
 import { OperatorClient } from "./OperatorClient";
+import { parseTimeoutMs } from "./parseTimeoutMs";
 
 interface ConfirmedProposeResponse extends ProposeResponse {
   /**
@@ -94,13 +95,7 @@
     if (controlUrls.length === 0) {
       throw new CliError(ExitCode.Usage, "no control replicas given; use --control or CLEMENTINEMUX_CONTROL");
     }
-    const timeoutMs = Number(this.timeoutMs);
-    if (!(timeoutMs > 0)) {
-      throw new CliError(
-        ExitCode.Usage,
-        `--timeout-ms: "${this.timeoutMs}" is not a positive number of milliseconds`,
-      );
-    }
+    const timeoutMs = parseTimeoutMs(this.timeoutMs);
     return new OperatorClient({
       controlUrls: controlUrls.map((url) => url.replace(/\/$/, "")),
       token: this.tokenFile === undefined ? null : readTextFile(this.tokenFile).trim(),
--- a/packages/cli/CoordinatorCommand.ts
+++ b/packages/cli/CoordinatorCommand.ts
@@ -2,6 +2,7 @@
 import { CliError } from "./CliError";
 import { EvacuationClient } from "./EvacuationClient";
 import { ExitCode } from "./ExitCode";
+import { parseTimeoutMs } from "./parseTimeoutMs";
 
 /** Base class of the commands that call coordinators at their frame ports: common options, errors and exit codes. */
 export abstract class CoordinatorCommand extends Command {
@@ -37,15 +38,11 @@
 
   #createClient(): EvacuationClient {
     const addresses = (this.coordinators ?? "").split(",").filter((text) => text !== "");
-    const timeoutMs = Number(this.timeoutMs);
     if (addresses.length === 0) {
       const text = "no coordinators given; use --coordinators or CLEMENTINEMUX_COORDINATORS";
       throw new CliError(ExitCode.Usage, text);
     }
-    if (!(timeoutMs > 0)) {
-      const text = `--timeout-ms: "${this.timeoutMs}" is not a positive number of milliseconds`;
-      throw new CliError(ExitCode.Usage, text);
-    }
+    const timeoutMs = parseTimeoutMs(this.timeoutMs);
     try {
       return new EvacuationClient(addresses, timeoutMs);
     } catch (error) {
--- a/packages/control/routes/renderStatus.ts
+++ b/packages/control/routes/renderStatus.ts
@@ -1,5 +1,5 @@
 import { renderGauges } from "@clementinemux/metrics/renderGauges";
-import { renderMembers } from "@clementinemux/metrics/renderMembers";
+import { renderLabeledGauge } from "@clementinemux/metrics/renderLabeledGauge";
 import type { CoordinatorStatus } from "./CoordinatorStatus";
 
 const msPerS = 1000;
@@ -26,8 +26,6 @@
     clementinemux_coordinator_evacuation_revision: status.evacuationRevision,
     clementinemux_coordinator_evacuated_failure_domains: status.evacuatedFailureDomains.length,
   });
-  const { evacuatedFailureDomains } = status;
-  return (
-    gauges + renderMembers("clementinemux_coordinator_evacuated", "failure_domain", evacuatedFailureDomains)
-  );
+  const evacuated = status.evacuatedFailureDomains.map((failureDomain) => [failureDomain, 1] as const);
+  return gauges + renderLabeledGauge("clementinemux_coordinator_evacuated", "failure_domain", evacuated);
 }
--- a/packages/gateway/renderAdmissionQueues.ts
+++ b/packages/gateway/renderAdmissionQueues.ts
@@ -1,17 +1,15 @@
+import { renderLabeledGauge } from "@clementinemux/metrics/renderLabeledGauge";
 import type { AdmissionQueues } from "./AdmissionQueues";
 
+const msPerS = 1000;
+
 /** Renders the length and the longest wait of each queue in the Prometheus text format. */
 export function renderAdmissionQueues(admissions: AdmissionQueues): string {
   const queues = admissions.list();
-  const lengths = queues.map(({ service, queue }) => ({ service, value: queue.size }));
-  const ages = queues.map(({ service, queue }) => ({ service, value: queue.oldestAgeMs / 1000 }));
+  const lengths = queues.map(({ service, queue }) => [service, queue.size] as const);
+  const agesS = queues.map(({ service, queue }) => [service, queue.oldestAgeMs / msPerS] as const);
   return (
-    renderByService("clementinemux_gateway_queue_length", lengths) +
-    renderByService("clementinemux_gateway_queue_oldest_seconds", ages)
+    renderLabeledGauge("clementinemux_gateway_queue_length", "service", lengths) +
+    renderLabeledGauge("clementinemux_gateway_queue_oldest_seconds", "service", agesS)
   );
 }
-
-function renderByService(name: string, values: readonly { service: string; value: number }[]): string {
-  const lines = values.map(({ service, value }) => `${name}{service=${JSON.stringify(service)}} ${value}`);
-  return values.length === 0 ? "" : [`# TYPE ${name} gauge`, ...lines, ""].join("\n");
-}
--- a/packages/gateway/renderTargetWork.ts
+++ b/packages/gateway/renderTargetWork.ts
@@ -1,11 +1,9 @@
-const name = "clementinemux_gateway_remaining_work_seconds";
+import { renderLabeledGauge } from "@clementinemux/metrics/renderLabeledGauge";
+
 const msPerS = 1000;
 
 /** Renders the remaining work of targets, in ms, in Prometheus text format. */
-export function renderTargetWork(workMs: Iterable<readonly [string, number]>): string {
-  const lines = Array.from(workMs, ([id, leftMs]) => {
-    const label = id.replaceAll("\\", "\\\\").replaceAll('"', '\\"');
-    return `${name}{target="${label}"} ${leftMs / msPerS}\n`;
-  });
-  return lines.length === 0 ? "" : `# TYPE ${name} gauge\n${lines.join("")}`;
+export function renderTargetWork(workMs: readonly (readonly [string, number])[]): string {
+  const workS = workMs.map(([id, leftMs]) => [id, leftMs / msPerS] as const);
+  return renderLabeledGauge("clementinemux_gateway_remaining_work_seconds", "target", workS);
 }
