--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -107,6 +107,7 @@
   }
 
   #onData(chunk: Buffer): void {
+    this.#options.onPiece(chunk.length);
     if (!this.#isStream) {
       this.#sizeBytes += chunk.length;
       this.#chunks.push(chunk);
--- a/packages/gateway/AttemptOptions.ts
+++ b/packages/gateway/AttemptOptions.ts
@@ -13,6 +13,8 @@
   readonly call: TargetCallOptions;
   /** Budget for the bytes of the response that are buffered until it is complete. */
   readonly byteBudget: ByteBudget;
+  /** Called for each part of a body that arrives, with its size. */
+  readonly onPiece: (sizeBytes: number) => void;
   /**
    * The head of the response to this request has arrived; called once, before all other callbacks about the
    * response.
--- a/packages/gateway/GatewayMetrics.ts
+++ b/packages/gateway/GatewayMetrics.ts
@@ -3,9 +3,11 @@
 import { renderCounters } from "@clementinemux/metrics/renderCounters";
 import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { AttemptRetryReason } from "./AttemptRetryReason";
+import { CallFailure } from "./CallFailure";
 import { ColdPermitOutcome } from "./ColdPermitOutcome";
 import { PermitOutcome } from "./PermitOutcome";
 import { QueueEnd } from "./QueueEnd";
+import { ReceivedUnit } from "./ReceivedUnit";
 import { RequestOutcome } from "./RequestOutcome";
 import { WorkError } from "./WorkError";
 
@@ -17,6 +19,14 @@
     "reason",
     Object.values(AttemptRetryReason),
   );
+  /** Attempts that ended without a usable response. */
+  readonly failedAttempts = new Counters(
+    "clementinemux_gateway_failed_attempts",
+    "failure",
+    Object.values(CallFailure),
+  );
+  /** Responses of targets, as they arrive: a faulty target may send many small pieces. */
+  readonly received = new Counters("clementinemux_gateway_received", "unit", Object.values(ReceivedUnit));
   readonly permits = new Counters("clementinemux_gateway_permits", "outcome", Object.values(PermitOutcome));
   /** Those of the permits that were asked for cold targets. */
   readonly coldPermits = new Counters(
@@ -65,6 +75,8 @@
     return [
       renderCounters(this.outcomes),
       renderCounters(this.retries),
+      renderCounters(this.failedAttempts),
+      renderCounters(this.received),
       renderCounters(this.permits),
       renderCounters(this.coldPermits),
       ...[...this.#queueEnds.values()].map(renderCounters),
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -218,8 +218,9 @@
   }
 
   #onFailure({ attempt, watch, failure, isSent, detail }: FailedAttempt): void {
-    const { health, options } = this.#context;
+    const { health, options, metrics } = this.#context;
     const { targetId } = attempt;
+    metrics.failedAttempts.add(failure);
     if (failure === CallFailure.NotConnected) {
       health.noteUnreachable(targetId, this.#now());
     } else {
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -5,6 +5,7 @@
 import type { AttemptWatch } from "./AttemptWatch";
 import type { GatewayContext } from "./GatewayContext";
 import type { Guard } from "./Guard";
+import { ReceivedUnit } from "./ReceivedUnit";
 import type { RoutedRequest } from "./RoutedRequest";
 import { computeStallTimeoutMs } from "./computeStallTimeoutMs";
 import { createCallOptions } from "./createCallOptions";
@@ -34,7 +35,7 @@
   { target, watch, ...call }: AttemptInput,
   listener: AttemptListener,
 ): Attempt {
-  const { options, loads, ramps, admissions, byteBudget } = context;
+  const { options, loads, ramps, admissions, byteBudget, metrics } = context;
   const { route, service } = routed;
   const queue = admissions.get(service);
   const now = (): number => options.clock.monotonicMs();
@@ -51,6 +52,10 @@
     stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
     byteBudget,
     call: callOptions,
+    onPiece: (sizeBytes) => {
+      metrics.received.add(ReceivedUnit.Bytes, sizeBytes);
+      metrics.received.add(ReceivedUnit.Pieces);
+    },
     onResponse: (response) => {
       hasRun = !response.isNotRun && !response.isMisdirected;
       recordNotice(context, target, response);
