--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -15,8 +15,8 @@
 // A test file that hangs is ended and counted as a failure.
 const fileTimeoutMs = 240_000;
 
-// Files that bound the memory of processes under a crowd of clients run after all others, one at a time.
-const aloneFiles = /platform\/test\/crowds[^/]*\.test\.mjs$/;
+// Files that bound the memory of processes under a crowd of clients or a flood from targets run after all others, one at a time.
+const aloneFiles = /platform\/test\/(crowds|floods)[^/]*\.test\.mjs$/;
 
 const totals = { passed: 0, failed: 0, red: 0 };
 const queue = files.filter((file) => !aloneFiles.test(file));
