Count collected responses by the memory that they hold

Cause: a response is collected as a list of the chunks that Node's parser delivers, and counts with its payload. A chunk of one byte costs over 100 bytes as an object, and keeps the read of up to 64 KB that it came in. A body whose announced length exceeds the limit was read up to the limit all the same.

Change: Attempt and CollectedBody use wire/BodyCollector and reserve its heldBytes. BodyCollector keeps a chunk only if it fills half of the memory behind it, counts a kept one by that memory, and copies all others. A response that is not a stream and announces more than the limit fails at its head as too_large; those to HEAD and with status 204 and 304 announce no body of their own.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -1,3 +1,4 @@
+import { BodyCollector } from "@clementinemux/wire/BodyCollector";
 import type { AttemptOptions } from "./AttemptOptions";
 import { CallFailure } from "./CallFailure";
 import { EventSplitter } from "./EventSplitter";
@@ -5,6 +6,8 @@
 import { StallTimer } from "./StallTimer";
 import type { TargetResponse } from "./TargetResponse";
 import { TargetCall } from "./TargetCall";
+import { bodilessStatuses } from "./bodilessStatuses";
+import { findHeader } from "./findHeader";
 
 /** Limit for buffering a response that is not a stream; a larger one ends the attempt. */
 const maxBufferedBytes = 16_777_216;
@@ -16,14 +19,13 @@
  */
 export class Attempt {
   readonly #options: AttemptOptions;
+  readonly #body = new BodyCollector();
   readonly #splitter = new EventSplitter();
   readonly #reservation: ByteReservation;
   readonly #stallTimer: StallTimer | null;
   #call: TargetCall | null = null;
   #response: TargetResponse | null = null;
   #headers: readonly string[] = [];
-  #chunks: Buffer[] = [];
-  #sizeBytes = 0;
   #isStream = false;
   #hasStarted = false;
   #isPaused = false;
@@ -98,6 +100,12 @@
     this.#headers = headers;
     this.#isStream = this.#options.isStream && response.status === 200 && isEventStream(headers);
     this.#restartStallTimer();
+    const announcedBytes = this.#isStream
+      ? 0
+      : readBodyBytes(this.#options.call.method, response.status, headers);
+    if (announcedBytes > maxBufferedBytes) {
+      this.#failTooLarge(`a body of ${announcedBytes} bytes exceeds the buffer limit`);
+    }
   }
 
   #restartStallTimer(): void {
@@ -109,9 +117,8 @@
   #onData(chunk: Buffer): void {
     this.#options.onPiece(chunk.length);
     if (!this.#isStream) {
-      this.#sizeBytes += chunk.length;
-      this.#chunks.push(chunk);
-      this.#limitBytes(this.#sizeBytes, maxBufferedBytes);
+      this.#body.add(chunk);
+      this.#limitBytes(this.#body, maxBufferedBytes);
       return;
     }
     for (const { bytes, id, hasData } of this.#splitter.push(chunk)) {
@@ -121,27 +128,35 @@
       this.#startStream();
       this.#options.onEvent(bytes, id);
     }
-    this.#limitBytes(this.#splitter.pendingBytes, maxEventBytes);
+    const { pendingBytes } = this.#splitter;
+    this.#limitBytes({ sizeBytes: pendingBytes, heldBytes: pendingBytes }, maxEventBytes);
   }
 
   /**
    * Ends an attempt whose buffered response exceeds its limit, so that it cannot exhaust the memory of the
    * process.
    */
-  #limitBytes(bytes: number, maxBytes: number): void {
-    if (!this.#isDone && (bytes > maxBytes || !this.#reservation.set(bytes))) {
-      this.#call?.cancel();
-      this.#fail(CallFailure.TooLarge, `${bytes} bytes exceed the buffer limit`);
+  #limitBytes(
+    { sizeBytes, heldBytes }: Pick<BodyCollector, "sizeBytes" | "heldBytes">,
+    maxBytes: number,
+  ): void {
+    if (!this.#isDone && (sizeBytes > maxBytes || !this.#reservation.set(heldBytes))) {
+      this.#failTooLarge(`${sizeBytes} bytes exceed the buffer limit`);
     }
   }
 
+  #failTooLarge(detail: string): void {
+    this.#call?.cancel();
+    this.#fail(CallFailure.TooLarge, detail);
+  }
+
   #onEnd(): void {
     const response = this.#response;
     if (this.#isDone || response === null) {
       return;
     }
     const { onNotRun, onStreamEnd, onFullResponse } = this.#options;
-    const body = Buffer.concat(this.#chunks);
+    const body = this.#body.take();
     if (this.#isStream && this.#splitter.pendingBytes > 0) {
       this.#fail(CallFailure.Broken, "stream ended within an event");
       return;
@@ -176,17 +191,18 @@
   #release(): void {
     this.#isDone = true;
     this.#stallTimer?.stop();
-    this.#chunks = [];
+    this.#body.clear();
     this.#reservation.release();
     this.#options.onReleased();
   }
 }
 
 function isEventStream(headers: readonly string[]): boolean {
-  return headers.some(
-    (name, at) =>
-      at % 2 === 0 &&
-      name.toLowerCase() === "content-type" &&
-      (headers[at + 1] ?? "").toLowerCase().startsWith("text/event-stream"),
-  );
+  return findHeader(headers, "content-type")?.toLowerCase().startsWith("text/event-stream") ?? false;
+}
+
+/** Size that a response announces for its body; 0 for none. */
+function readBodyBytes(method: string, status: number, headers: readonly string[]): number {
+  const isBodiless = method === "HEAD" || bodilessStatuses.has(status);
+  return isBodiless ? 0 : Number(findHeader(headers, "content-length") ?? 0);
 }
--- a/packages/gateway/CollectedBody.ts
+++ b/packages/gateway/CollectedBody.ts
@@ -1,11 +1,11 @@
+import { BodyCollector } from "@clementinemux/wire/BodyCollector";
 import type { ByteBudget } from "./ByteBudget";
 import { ByteReservation } from "./ByteReservation";
 
 /** Collects the body of a response whose length has to be known before its first byte is sent. */
 export class CollectedBody {
+  readonly #body = new BodyCollector();
   readonly #reservation: ByteReservation;
-  #chunks: Buffer[] = [];
-  #sizeBytes = 0;
   #isComplete = true;
 
   constructor(budget: ByteBudget) {
@@ -13,24 +13,25 @@
   }
 
   add(bytes: Buffer): void {
-    this.#sizeBytes += bytes.length;
-    if (this.#isComplete && this.#reservation.set(this.#sizeBytes)) {
-      this.#chunks.push(bytes);
-    } else {
+    if (!this.#isComplete) {
+      return;
+    }
+    this.#body.add(bytes);
+    if (!this.#reservation.set(this.#body.heldBytes)) {
       this.#isComplete = false;
-      this.#chunks = [];
+      this.release();
     }
   }
 
   /** Returns the body, or null if it exceeded the budget; frees its bytes. */
   take(): Buffer | null {
-    const body = this.#isComplete ? Buffer.concat(this.#chunks) : null;
+    const body = this.#isComplete ? this.#body.take() : null;
     this.release();
     return body;
   }
 
   release(): void {
-    this.#chunks = [];
+    this.#body.clear();
     this.#reservation.release();
   }
 }
--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -1,12 +1,11 @@
 import type { ServerResponse } from "node:http";
 import { CollectedBody } from "./CollectedBody";
 import type { GatewayContext } from "./GatewayContext";
+import { bodilessStatuses } from "./bodilessStatuses";
+import { findHeader } from "./findHeader";
 import { selectEndToEndHeaders } from "./selectEndToEndHeaders";
 
-const contentLength = "content-length";
 const badGatewayStatus = 502;
-/** Statuses whose responses have no body. */
-const bodilessStatuses: ReadonlySet<number> = new Set([204, 304]);
 /** Responses with this status state no length. */
 const noContentStatus = 204;
 /** With less time left, a caller could read hardly anything more. */
@@ -173,6 +172,5 @@
 
 /** Length that a response without a body states for the body that it stands for; null for none. */
 function findStatedLength(status: number, headers: readonly string[]): string | null {
-  const at = headers.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === contentLength);
-  return status === noContentStatus || at < 0 ? null : (headers[at + 1] ?? null);
+  return status === noContentStatus ? null : findHeader(headers, "content-length");
 }
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -107,6 +107,24 @@
   });
 }
 
+// Guards against reading up to the limit what is known to exceed it.
+t.test("a response that announces too many bytes fails at its head", async (t) => {
+  const target = new TestTarget(({ id, head }, socket) => {
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 900000000000\r\n\r\n`);
+    if (head.startsWith("HEAD")) {
+      socket.end();
+    }
+  });
+  const { gateway, call, stop } = await startGateway(createDocument(1, [nonIdempotent]), [target]);
+  const startedMs = performance.now();
+  t.equal((await call({ path: "/p0/", method: "POST" }, "r1", "x")).status, 502);
+  t.ok(performance.now() - startedMs < 3000, "before the timeout");
+  t.match(gateway.renderMetrics(), 'failed_attempts{failure="too_large"} 1\n');
+  const { status, headers } = await call({ path: "/p0/", method: "HEAD" }, "r2");
+  t.match({ status, length: headers["content-length"] }, { status: 200, length: "900000000000" });
+  await stop();
+});
+
 // Guards against the same with bytes that arrive slowly, which no size limit ends.
 for (const [name, { first, slow, isStream = false }] of Object.entries(endless)) {
   t.test(`endless bytes, slowly: ${name}`, async (t) => {
--- a/packages/wire/BodyCollector.ts
+++ b/packages/wire/BodyCollector.ts
@@ -2,6 +2,8 @@
 const maxBlockBytes = 65_536;
 /** Chunks of at least this size are kept; smaller ones are copied, as a chunk costs far more memory than one byte. */
 const minKeptBytes = 16_384;
+/** A kept chunk fills at least this part of its memory: it may be a small piece of a large read, all of which it holds. */
+const minFilledShare = 0.5;
 const noBytes = Buffer.alloc(0);
 
 /** Collects the chunks of a body, in memory that grows with its bytes and not with the number of its chunks. */
@@ -23,11 +25,12 @@
 
   add(chunk: Buffer): void {
     const isFirst = this.#sizeBytes === 0;
+    const isFilled = chunk.length >= chunk.buffer.byteLength * minFilledShare;
     this.#sizeBytes += chunk.length;
-    if (isFirst || chunk.length >= minKeptBytes) {
+    if (isFilled && (isFirst || chunk.length >= minKeptBytes)) {
       this.#endBlock();
       this.#parts.push(chunk);
-      this.#heldBytes += chunk.length;
+      this.#heldBytes += chunk.buffer.byteLength;
     } else {
       this.#copy(chunk);
     }
--- a/packages/wire/test/httpGate.test.ts
+++ b/packages/wire/test/httpGate.test.ts
@@ -150,6 +150,19 @@
   t.end();
 });
 
+// Guards against a byte that is counted as one, and keeps the read of 64 KB that it came in.
+t.test("a collected body keeps no large read for a small chunk", (t) => {
+  const body = new BodyCollector();
+  const read = Buffer.alloc(65_536, "a");
+  body.add(read.subarray(0, 1));
+  t.ok(body.heldBytes < 2048, `${body.heldBytes}`);
+  read.fill("b");
+  body.add(read.subarray(0, 40_000));
+  t.ok(body.heldBytes > read.length, "a kept chunk counts with its memory");
+  t.equal(body.take().toString(), `a${"b".repeat(40_000)}`);
+  t.end();
+});
+
 // Guards against small uploads that are dropped for the sake of large ones.
 t.test("the largest upload is dropped first", (t) => {
   const pool = new UploadPool(100);
