Let responses that are not complete give way to requests

Cause: responses are collected from the budget that requests need. A few targets with bodies without an end fill it up to 16 MB each, and every second ordinary request is rejected as overloaded.

Change: responses that are not complete, incomplete events and bodies collected for callers of HTTP/1.0 are in a pool of their own: at most three quarters of the budget without uploads (18 MB by default, so that one response of 16 MB fits), and never more than requests and complete responses leave. The largest one is dropped first as too_large, also when a request needs its bytes. wire/UploadPool is now wire/PartialMessagePool; its limit is a function, as that of the responses moves. Heads of responses that are not streams count. A body that announces more than the pool may hold fails at its head. gateway/GatewayMemory makes the division, and shows clementinemux_gateway_response_bytes and clementinemux_gateway_unfinished_responses.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -1,8 +1,8 @@
 import { BodyCollector } from "@clementinemux/wire/BodyCollector";
+import { estimateHeaderBytes } from "@clementinemux/wire/estimateHeaderBytes";
 import type { AttemptOptions } from "./AttemptOptions";
 import { CallFailure } from "./CallFailure";
 import { EventSplitter } from "./EventSplitter";
-import { ByteReservation } from "./ByteReservation";
 import { StallTimer } from "./StallTimer";
 import type { TargetResponse } from "./TargetResponse";
 import { TargetCall } from "./TargetCall";
@@ -21,19 +21,20 @@
   readonly #options: AttemptOptions;
   readonly #body = new BodyCollector();
   readonly #splitter = new EventSplitter();
-  readonly #reservation: ByteReservation;
   readonly #stallTimer: StallTimer | null;
   #call: TargetCall | null = null;
   #response: TargetResponse | null = null;
   #headers: readonly string[] = [];
   #isStream = false;
+  /** Memory of the head, while it is kept for the end of the response. */
+  #headBytes = 0;
+  #heldBytes = 0;
   #hasStarted = false;
   #isPaused = false;
   #isDone = false;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
-    this.#reservation = new ByteReservation(options.byteBudget);
     const { stallTimeoutMs } = options;
     const onStalled = (): void => {
       options.call.guard(() => {
@@ -77,6 +78,13 @@
     }
   }
 
+  /** Incomplete responses hold more than they may together, and this one holds the most. */
+  drop(): void {
+    this.#options.call.guard(() => {
+      this.#failTooLarge(`${this.#heldBytes} bytes are the largest part of what incomplete responses hold`);
+    });
+  }
+
   pause(): void {
     this.#isPaused = true;
     this.#stallTimer?.stop();
@@ -100,11 +108,18 @@
     this.#headers = headers;
     this.#isStream = this.#options.isStream && response.status === 200 && isEventStream(headers);
     this.#restartStallTimer();
-    const announcedBytes = this.#isStream
-      ? 0
-      : readBodyBytes(this.#options.call.method, response.status, headers);
-    if (announcedBytes > maxBufferedBytes) {
-      this.#failTooLarge(`a body of ${announcedBytes} bytes exceeds the buffer limit`);
+    if (!this.#isStream) {
+      this.#headBytes = estimateHeaderBytes(headers);
+      this.#checkAnnounced(readBodyBytes(this.#options.call.method, response.status, headers));
+    }
+  }
+
+  /** Ends an attempt whose response is known to be too large, else notes its head. */
+  #checkAnnounced(bodyBytes: number): void {
+    if (bodyBytes > Math.min(maxBufferedBytes, this.#options.responses.limitBytes)) {
+      this.#failTooLarge(`a body of ${bodyBytes} bytes exceeds the buffer limit`);
+    } else {
+      this.#noteHeld(this.#headBytes);
     }
   }
 
@@ -132,16 +147,25 @@
     this.#limitBytes({ sizeBytes: pendingBytes, heldBytes: pendingBytes }, maxEventBytes);
   }
 
-  /**
-   * Ends an attempt whose buffered response exceeds its limit, so that it cannot exhaust the memory of the
-   * process.
-   */
+  /** Ends an attempt whose buffered response exceeds its limit, and notes what it holds of the memory for all. */
   #limitBytes(
     { sizeBytes, heldBytes }: Pick<BodyCollector, "sizeBytes" | "heldBytes">,
     maxBytes: number,
   ): void {
-    if (!this.#isDone && (sizeBytes > maxBytes || !this.#reservation.set(heldBytes))) {
+    if (this.#isDone) {
+      return;
+    }
+    if (sizeBytes > maxBytes) {
       this.#failTooLarge(`${sizeBytes} bytes exceed the buffer limit`);
+    } else {
+      this.#noteHeld(this.#headBytes + heldBytes);
+    }
+  }
+
+  #noteHeld(bytes: number): void {
+    if (bytes !== this.#heldBytes) {
+      this.#heldBytes = bytes;
+      this.#options.responses.note(this, bytes);
     }
   }
 
@@ -192,7 +216,7 @@
     this.#isDone = true;
     this.#stallTimer?.stop();
     this.#body.clear();
-    this.#reservation.release();
+    this.#options.responses.remove(this);
     this.#options.onReleased();
   }
 }
--- a/packages/gateway/AttemptOptions.ts
+++ b/packages/gateway/AttemptOptions.ts
@@ -1,4 +1,4 @@
-import type { ByteBudget } from "./ByteBudget";
+import type { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 import type { CallFailure } from "./CallFailure";
 import type { TargetResponse } from "./TargetResponse";
 import type { TargetCallOptions } from "./TargetCallOptions";
@@ -11,8 +11,8 @@
   /** Longest time without an event while the stream is being read, in ms; null for no limit. */
   readonly stallTimeoutMs: number | null;
   readonly call: TargetCallOptions;
-  /** Budget for the bytes of the response that are buffered until it is complete. */
-  readonly byteBudget: ByteBudget;
+  /** Shares the memory for responses that are buffered until they are complete, and for incomplete events. */
+  readonly responses: PartialMessagePool;
   /** Called for each part of a body that arrives, with its size. */
   readonly onPiece: (sizeBytes: number) => void;
   /**
--- a/packages/gateway/CollectedBody.ts
+++ b/packages/gateway/CollectedBody.ts
@@ -1,29 +1,30 @@
 import { BodyCollector } from "@clementinemux/wire/BodyCollector";
-import type { ByteBudget } from "./ByteBudget";
-import { ByteReservation } from "./ByteReservation";
+import type { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 
 /** Collects the body of a response whose length has to be known before its first byte is sent. */
 export class CollectedBody {
   readonly #body = new BodyCollector();
-  readonly #reservation: ByteReservation;
+  readonly #pool: PartialMessagePool;
   #isComplete = true;
 
-  constructor(budget: ByteBudget) {
-    this.#reservation = new ByteReservation(budget);
+  constructor(pool: PartialMessagePool) {
+    this.#pool = pool;
   }
 
   add(bytes: Buffer): void {
-    if (!this.#isComplete) {
-      return;
-    }
-    this.#body.add(bytes);
-    if (!this.#reservation.set(this.#body.heldBytes)) {
-      this.#isComplete = false;
-      this.release();
+    if (this.#isComplete) {
+      this.#body.add(bytes);
+      this.#pool.note(this, this.#body.heldBytes);
     }
   }
 
-  /** Returns the body, or null if it exceeded the budget; frees its bytes. */
+  /** The body exceeds what the pool has room for. */
+  drop(): void {
+    this.#isComplete = false;
+    this.release();
+  }
+
+  /** Returns the body, or null if it exceeded the pool; frees its bytes. */
   take(): Buffer | null {
     const body = this.#isComplete ? this.#body.take() : null;
     this.release();
@@ -32,6 +33,6 @@
 
   release(): void {
     this.#body.clear();
-    this.#reservation.release();
+    this.#pool.remove(this);
   }
 }
--- a/packages/gateway/Gateway.ts
+++ b/packages/gateway/Gateway.ts
@@ -11,8 +11,6 @@
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 import { AdmissionQueues } from "./AdmissionQueues";
 import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
-import { UploadPool } from "@clementinemux/wire/UploadPool";
-import { ByteBudget } from "./ByteBudget";
 import { CallerDeadlines } from "./CallerDeadlines";
 import { FleetSync } from "./FleetSync";
 import { FleetView } from "./FleetView";
@@ -20,6 +18,7 @@
 import { CrashWatch } from "./CrashWatch";
 import type { GatewayContext } from "./GatewayContext";
 import { GatewayHandler } from "./GatewayHandler";
+import { GatewayMemory } from "./GatewayMemory";
 import { GatewayMetrics } from "./GatewayMetrics";
 import type { GatewayOptions } from "./GatewayOptions";
 import { RequestReceiver } from "./RequestReceiver";
@@ -36,8 +35,6 @@
 import { isReplaced } from "./isReplaced";
 import { listUnlistedLeaving } from "./listUnlistedLeaving";
 import { renderTargetWork } from "./renderTargetWork";
-import { UnreadResponses } from "./UnreadResponses";
-import { getUploadShareBytes } from "./getUploadShareBytes";
 import { createCallerServer } from "./createCallerServer";
 import { createReadinessServer } from "./createReadinessServer";
 import { isRefusingConnections } from "@clementinemux/wire/isRefusingConnections";
@@ -74,9 +71,7 @@
   readonly #connectionPools = new Map<string, TargetConnectionPool>();
   readonly #services: ServiceStates;
   readonly #sockets = new Set<Socket>();
-  readonly #byteBudget: ByteBudget;
-  readonly #uploads: UploadPool;
-  readonly #unread: UnreadResponses;
+  readonly #memory: GatewayMemory;
   readonly #incarnation: string;
   readonly #receiver: RequestReceiver;
   readonly #metricsPage: MetricsEndpoint;
@@ -100,16 +95,13 @@
       logger,
     });
     this.#services = new ServiceStates(options);
-    const uploadBytes = getUploadShareBytes(options.maxHeldBytes);
-    this.#uploads = new UploadPool(uploadBytes);
-    this.#byteBudget = new ByteBudget(options.maxHeldBytes - uploadBytes);
-    this.#unread = new UnreadResponses(
-      this.#byteBudget,
-      () => clock.monotonicMs(),
-      () => {
+    this.#memory = new GatewayMemory({
+      maxHeldBytes: options.maxHeldBytes,
+      clock,
+      onUnreadDropped: () => {
         this.#noteClosed(ConnectionCloseReason.Budget);
       },
-    );
+    });
     this.#incarnation = `${clock.wallMs()}-${Math.floor(random() * 1e9)}`;
     this.view = new FleetView(codec);
     const { host, metricsPort: port } = options;
@@ -231,10 +223,7 @@
       ...this.#cold.gauges,
       clementinemux_gateway_live_gateways: state.liveEntries,
       clementinemux_gateway_learned_routes: this.#work.learnedRoutes,
-      clementinemux_gateway_held_bytes: this.#byteBudget.usedBytes + this.#uploads.usedBytes,
-      clementinemux_gateway_upload_bytes: this.#uploads.usedBytes,
-      clementinemux_gateway_unfinished_uploads: this.#uploads.size,
-      clementinemux_gateway_unread_responses: this.#unread.size,
+      ...this.#memory.gauges,
       clementinemux_gateway_caller_connections: this.#sockets.size,
       clementinemux_gateway_ready: this.isReady ? 1 : 0,
     };
@@ -316,9 +305,9 @@
       crashes: this.#crashes,
       metrics: this.metrics,
       errors: this.#errors,
-      byteBudget: this.#byteBudget,
-      uploads: this.#uploads,
-      unread: this.#unread,
+      byteBudget: this.#memory.byteBudget,
+      uploads: this.#memory.uploads,
+      unread: this.#memory.unread,
       getRetryBudget: (service) => this.#services.getRetryBudget(service),
       getPassMeter: (service) => this.#services.getPassMeter(service),
       getGroupRecovery: (service) => this.#services.getGroupRecovery(service),
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -2,7 +2,7 @@
 import type { LimitTable } from "@clementinemux/registry/LimitTable";
 import type { RoutedService } from "@clementinemux/routes/RoutedService";
 import type { AdmissionQueues } from "./AdmissionQueues";
-import type { UploadPool } from "@clementinemux/wire/UploadPool";
+import type { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 import type { ByteBudget } from "./ByteBudget";
 import type { UnreadResponses } from "./UnreadResponses";
 import type { CallerDeadlines } from "./CallerDeadlines";
@@ -49,7 +49,7 @@
   /** Limits the bytes of uploads and responses that are buffered until they are complete. */
   readonly byteBudget: ByteBudget;
   /** Uploads that are not complete. */
-  readonly uploads: UploadPool;
+  readonly uploads: PartialMessagePool;
   readonly unread: UnreadResponses;
   readonly getRetryBudget: (service: string) => RetryBudget;
   readonly getPassMeter: (service: string) => PassMeter;
--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -55,7 +55,7 @@
   /** Starts a response whose length is not known yet. */
   begin(status: number, headers: readonly string[]): void {
     if (isBeforeHttp11(this.#response)) {
-      const body = new CollectedBody(this.#context.byteBudget);
+      const body = new CollectedBody(this.#context.byteBudget.responses);
       this.#response.once("close", () => {
         body.release();
       });
--- a/packages/gateway/Upload.ts
+++ b/packages/gateway/Upload.ts
@@ -1,13 +1,13 @@
 import type { IncomingMessage } from "node:http";
 import { BodyCollector } from "@clementinemux/wire/BodyCollector";
-import type { UploadPool } from "@clementinemux/wire/UploadPool";
+import type { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 import { RequestOutcome } from "./RequestOutcome";
 
 type UploadRefusal = RequestOutcome.TooLarge | RequestOutcome.UploadDropped | RequestOutcome.UploadTooSlow;
 
 interface UploadOptions {
   readonly request: IncomingMessage;
-  readonly pool: UploadPool;
+  readonly pool: PartialMessagePool;
   readonly headBytes: number;
   readonly maxBodyBytes: number;
   readonly onEnd: (body: Buffer) => void;
--- a/packages/gateway/createAttempt.ts
+++ b/packages/gateway/createAttempt.ts
@@ -50,7 +50,7 @@
     targetId: target.id,
     isStream: route.kind === RouteKind.Streaming,
     stallTimeoutMs: computeStallTimeoutMs(route, options.minStallTimeoutMs),
-    byteBudget,
+    responses: byteBudget.responses,
     call: callOptions,
     onPiece: (sizeBytes) => {
       metrics.received.add(ReceivedUnit.Bytes, sizeBytes);
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -278,6 +278,58 @@
   await stop();
 });
 
+// Guards against responses without an end that take the memory that requests need, and against small ones that are
+// dropped for the sake of large ones.
+t.test("incomplete responses give way to requests, the largest one first", (t) => {
+  const budget = new ByteBudget(100);
+  const dropped: string[] = [];
+  const [small, large, more] = ["small", "large", "more"].map((name) => ({
+    drop: () => void dropped.push(name),
+  }));
+  const request = new ByteReservation(budget);
+  budget.responses.note(small!, 10);
+  budget.responses.note(large!, 70);
+  t.same(dropped, ["large"], "at most three quarters are for responses");
+  budget.responses.note(large!, 60);
+  t.ok(budget.hasRoom(75, 0.75));
+  t.ok(request.set(40));
+  t.same(dropped, ["large", "large"]);
+  t.equal(budget.usedBytes, 50);
+  budget.responses.note(more!, 51);
+  t.same(dropped, ["large", "large", "more"], "they get no more than requests leave");
+  t.ok(request.set(95));
+  t.notOk(request.set(101));
+  t.equal(budget.usedBytes, 95);
+  t.end();
+});
+
+// Guards against requests that are rejected while a faulty target sends endless bodies to others.
+t.test("ordinary requests are served beside endless bodies", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    if (id.startsWith("r")) {
+      socket.write(responses.whole(id, "ok"));
+      return;
+    }
+    socket.write(chunkedHead(id));
+    writeEndlessly(socket, responses.chunk(block));
+  });
+  const { call, stop } = await startGateway(createDocument(1, [nonIdempotent]), [target]);
+  let isOver = false;
+  const floods = Array.from({ length: 3 }, async (_, index) => {
+    for (let count = 0; !isOver; count += 1) {
+      await call({ path: "/p0/", method: "POST" }, `f${index}-${count}`, "x").catch(() => undefined);
+    }
+  });
+  const statuses: number[] = [];
+  for (let count = 0; count < 30; count += 1) {
+    statuses.push((await call({ path: "/p0/", method: "POST" }, `r${count}`, "x")).status);
+  }
+  isOver = true;
+  await Promise.all(floods);
+  t.same(new Set(statuses), new Set([200]));
+  await stop();
+});
+
 t.test("a budget is shared by its reservations and released", (t) => {
   const budget = new ByteBudget(100);
   const [first, second] = [new ByteReservation(budget), new ByteReservation(budget)];
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -11,7 +11,7 @@
 import { RemoteError } from "./RemoteError";
 import type { RemoteErrorBody } from "./RemoteErrorBody";
 import type { TlsFiles } from "./TlsFiles";
-import { UploadPool } from "./UploadPool";
+import { PartialMessagePool } from "./PartialMessagePool";
 import { WireError } from "./WireError";
 import { WireErrorCode } from "./WireErrorCode";
 import { acceptPending } from "./acceptPending";
@@ -36,7 +36,7 @@
   readonly #options: RpcServerOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
-  readonly #partialFrames = new UploadPool(wireLimits.maxPartialBytes);
+  readonly #partialFrames = new PartialMessagePool(() => wireLimits.maxPartialBytes);
   #isOpen = true;
   #isDraining = false;
   #calls = 0;
--- a/packages/wire/receiveBody.ts
+++ b/packages/wire/receiveBody.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage } from "node:http";
 import { BodyCollector } from "./BodyCollector";
 import { BodyRefusal } from "./BodyRefusal";
-import type { UploadPool } from "./UploadPool";
+import type { PartialMessagePool } from "./PartialMessagePool";
 
 interface ReceiveOptions {
   readonly maxBytes: number;
-  readonly pool: UploadPool;
+  readonly pool: PartialMessagePool;
 }
 
 /**
--- a/packages/wire/test/httpGate.test.ts
+++ b/packages/wire/test/httpGate.test.ts
@@ -7,7 +7,7 @@
 import { BodyCollector } from "@clementinemux/wire/BodyCollector";
 import { ConnectionCloseReason } from "@clementinemux/wire/ConnectionCloseReason";
 import { HttpGate } from "@clementinemux/wire/HttpGate";
-import { UploadPool } from "@clementinemux/wire/UploadPool";
+import { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 
 const workMs = 3;
 const chunked = "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -165,7 +165,7 @@
 
 // Guards against small uploads that are dropped for the sake of large ones.
 t.test("the largest upload is dropped first", (t) => {
-  const pool = new UploadPool(100);
+  const pool = new PartialMessagePool(() => 100);
   const dropped: string[] = [];
   const [small, large] = ["small", "large"].map((name) => ({ drop: () => void dropped.push(name) }));
   pool.note(large!, 80);
