Split events in time that grows with their bytes, not with their pieces

Cause: EventSplitter joins the incomplete event with each piece and scans all of it again, which is quadratic, and makes the events of a whole read at once.

Change: it scans each byte once, collects the incomplete event with wire/BodyCollector, and makes events one at a time (`add`, `next`). What it holds, bytes not yet split included, counts in the pool of incomplete responses.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -136,15 +136,16 @@
       this.#limitBytes(this.#body, maxBufferedBytes);
       return;
     }
-    for (const { bytes, id, hasData } of this.#splitter.push(chunk)) {
-      if (hasData) {
+    this.#splitter.add(chunk);
+    for (let event = this.#splitter.next(); event !== null; event = this.#splitter.next()) {
+      if (event.hasData) {
         this.#restartStallTimer();
       }
       this.#startStream();
-      this.#options.onEvent(bytes, id);
+      this.#options.onEvent(event.bytes, event.id);
     }
-    const { pendingBytes } = this.#splitter;
-    this.#limitBytes({ sizeBytes: pendingBytes, heldBytes: pendingBytes }, maxEventBytes);
+    const { pendingBytes, heldBytes } = this.#splitter;
+    this.#limitBytes({ sizeBytes: pendingBytes, heldBytes }, maxEventBytes);
   }
 
   /** Ends an attempt whose buffered response exceeds its limit, and notes what it holds of the memory for all. */
@@ -216,6 +217,7 @@
     this.#isDone = true;
     this.#stallTimer?.stop();
     this.#body.clear();
+    this.#splitter.clear();
     this.#options.responses.remove(this);
     this.#options.onReleased();
   }
--- a/packages/gateway/EventSplitter.ts
+++ b/packages/gateway/EventSplitter.ts
@@ -1,48 +1,112 @@
+import { BodyCollector } from "@clementinemux/wire/BodyCollector";
 import type { RelayedEvent } from "./RelayedEvent";
 
 const lineFeed = 10;
 const carriageReturn = 13;
+const noBytes = Buffer.alloc(0);
 
-/** Splits the bytes of an event stream into complete events; buffers an incomplete one. */
+/** What the bytes scanned last may be part of: the blank line that ends an event. */
+enum LineEnd {
+  None,
+  LineFeed,
+  /** A line feed and a carriage return. */
+  LineFeedReturn,
+}
+
+/**
+ * Splits the bytes of an event stream into complete events, one at a time; buffers an incomplete one. Scans each byte once,
+ * in whatever pieces they arrive.
+ */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0);
+  readonly #incomplete = new BodyCollector();
+  readonly #chunks: Buffer[] = [];
+  #chunk: Buffer = noBytes;
+  #unreadBytes = 0;
+  #lineEnd = LineEnd.None;
 
   /** Size of the incomplete event that is buffered. */
   get pendingBytes(): number {
-    return this.#pending.length;
+    return this.#incomplete.sizeBytes;
   }
 
-  push(chunk: Buffer): RelayedEvent[] {
-    const bytes = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
-    const events: RelayedEvent[] = [];
-    let start = 0;
-    for (let end = findEnd(bytes, start); end > 0; end = findEnd(bytes, start)) {
-      const eventBytes = bytes.subarray(start, end);
-      events.push({ bytes: eventBytes, ...readFields(eventBytes) });
-      start = end;
-    }
-    this.#pending = start === bytes.length ? Buffer.alloc(0) : bytes.subarray(start);
-    return events;
+  /** Memory of the incomplete event, and of bytes that have not been split yet. */
+  get heldBytes(): number {
+    return this.#incomplete.heldBytes + this.#unreadBytes;
+  }
+
+  add(chunk: Buffer): void {
+    this.#chunks.push(chunk);
+    this.#unreadBytes += chunk.length;
   }
-}
 
-/** Index after the blank line that ends the event at `start`; 0 when there is none yet. */
-function findEnd(bytes: Buffer, start: number): number {
-  for (let at = bytes.indexOf(lineFeed, start); at >= 0; at = bytes.indexOf(lineFeed, at + 1)) {
-    if (bytes[at + 1] === lineFeed) {
-      return at + 2;
+  /** The next complete event; null when all bytes have been split. */
+  next(): RelayedEvent | null {
+    for (;;) {
+      if (this.#chunk.length === 0) {
+        const chunk = this.#chunks.shift();
+        if (chunk === undefined) {
+          return null;
+        }
+        this.#chunk = chunk;
+      }
+      const endAt = this.#findEnd(this.#chunk);
+      const part = this.#takePart(endAt ?? this.#chunk.length);
+      if (endAt !== null && this.#incomplete.sizeBytes === 0) {
+        return createEvent(part);
+      }
+      this.#incomplete.add(part);
+      if (endAt !== null) {
+        return createEvent(this.#incomplete.take());
+      }
     }
-    if (bytes[at + 1] === carriageReturn && bytes[at + 2] === lineFeed) {
-      return at + 3;
+  }
+
+  clear(): void {
+    this.#incomplete.clear();
+    this.#chunks.length = 0;
+    this.#chunk = noBytes;
+    this.#unreadBytes = 0;
+  }
+
+  #takePart(sizeBytes: number): Buffer {
+    const part = this.#chunk.subarray(0, sizeBytes);
+    // An empty part would keep the memory of the whole chunk.
+    this.#chunk = sizeBytes === this.#chunk.length ? noBytes : this.#chunk.subarray(sizeBytes);
+    this.#unreadBytes -= sizeBytes;
+    return part;
+  }
+
+  /** Index after the blank line that ends the event; null if it goes on after these bytes. */
+  #findEnd(bytes: Buffer): number | null {
+    let at = 0;
+    while (at < bytes.length) {
+      if (this.#lineEnd === LineEnd.None) {
+        const lineEndAt = bytes.indexOf(lineFeed, at);
+        if (lineEndAt < 0) {
+          return null;
+        }
+        this.#lineEnd = LineEnd.LineFeed;
+        at = lineEndAt + 1;
+        continue;
+      }
+      const byte = bytes[at];
+      at += 1;
+      if (byte === lineFeed) {
+        this.#lineEnd = LineEnd.None;
+        return at;
+      }
+      const isReturn = this.#lineEnd === LineEnd.LineFeed && byte === carriageReturn;
+      this.#lineEnd = isReturn ? LineEnd.LineFeedReturn : LineEnd.None;
     }
+    return null;
   }
-  return 0;
 }
 
-function readFields(bytes: Buffer): Pick<RelayedEvent, "id" | "hasData"> {
+function createEvent(bytes: Buffer): RelayedEvent {
   const lines = bytes.toString("latin1").split("\n");
   const id = lines.find((line) => line.startsWith("id:"));
   return {
+    bytes,
     id: id === undefined ? null : id.slice(3).trim(),
     hasData: lines.some((line) => line.startsWith("data:")),
   };
--- a/packages/gateway/test/cores.test.ts
+++ b/packages/gateway/test/cores.test.ts
@@ -2,6 +2,7 @@
 import { createRandom } from "@clementinemux/common/createRandom";
 import { AttemptOutcome } from "@clementinemux/gateway/AttemptOutcome";
 import { EventSplitter } from "@clementinemux/gateway/EventSplitter";
+import type { RelayedEvent } from "@clementinemux/gateway/RelayedEvent";
 import { FleetView } from "@clementinemux/gateway/FleetView";
 import { NextStep } from "@clementinemux/gateway/NextStep";
 import { RetryBudget } from "@clementinemux/gateway/RetryBudget";
@@ -32,25 +33,45 @@
   t.end();
 });
 
-t.test("events are split at blank lines for any chunk size", (t) => {
-  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n";
-  for (let size = 1; size < text.length; size += 1) {
-    const splitter = new EventSplitter();
-    const ids: (string | null)[] = [];
-    let bytes = "";
-    for (let at = 0; at < text.length; at += size) {
-      for (const event of splitter.push(Buffer.from(text.slice(at, at + size)))) {
-        ids.push(event.id);
-        bytes += event.bytes.toString();
-      }
+/** Splits a text that arrives in pieces of one size. */
+function split(text: string, pieceBytes: number) {
+  const splitter = new EventSplitter();
+  const events: RelayedEvent[] = [];
+  let maxHeldBytes = 0;
+  for (let at = 0; at < text.length; at += pieceBytes) {
+    splitter.add(Buffer.from(text.slice(at, at + pieceBytes)));
+    for (let event = splitter.next(); event !== null; event = splitter.next()) {
+      events.push(event);
     }
-    t.same(ids, ["1", "2", null]);
+    maxHeldBytes = Math.max(maxHeldBytes, splitter.heldBytes);
+  }
+  const bytes = events.map((event) => event.bytes.toString()).join("");
+  return { events, bytes, maxHeldBytes, pendingBytes: splitter.pendingBytes };
+}
+
+t.test("events are split at blank lines for any chunk size", (t) => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\r\r\n\r\n\n\n";
+  for (let size = 1; size <= text.length; size += 1) {
+    const { events, bytes, pendingBytes } = split(text, size);
+    const ids = events.map(({ id }) => id);
+    t.same(ids, ["1", "2", null, null]);
     t.equal(bytes, text);
-    t.equal(splitter.pendingBytes, 0);
+    t.equal(pendingBytes, 0);
   }
   t.end();
 });
 
+// Guards against an incomplete event that is scanned and copied again at each of its pieces, or held as many objects.
+t.test("an event in pieces of one byte takes time and memory by its bytes", (t) => {
+  const text = `data: ${"x".repeat(250_000)}\n\n`;
+  const startedMs = performance.now();
+  const { bytes, maxHeldBytes } = split(text, 1);
+  t.ok(performance.now() - startedMs < 1000);
+  t.ok(bytes === text, "the event is complete");
+  t.ok(maxHeldBytes < text.length + 131_072, `${maxHeldBytes} bytes were held`);
+  t.end();
+});
+
 t.test("a request that may have run is never rejected as not run", (t) => {
   const base = { attemptsLeft: 1, leftMs: 1000, isRetryable: false, mayHaveRun: false };
   t.equal(decideNextStep({ ...base, outcome: AttemptOutcome.NotRun }), NextStep.Retry);
