Feed responses to Node's parser in parts, and limit their small pieces

Cause: Node parses all that it has read in one turn of the event loop, with a Buffer and an event for each chunk. A read of 64 KB holds 10,900 chunks of one byte, so an endless response of them stops the process and then ends it. limitFramingBytes started anew at each byte of a body, so it never took chunk extensions for too much.

Change: ResponseFeeder takes the place of Node's listener for the data of a socket while a response is read. Parts of 4 to 64 KB are parsed; a part with more than 64 small pieces is the only one of its connection in a turn, and connections take turns. Bytes that wait are held unparsed and the socket is paused. A response ends with an error after a burst of 4,096 pieces below 256 bytes (1,000 more per second), or when its framing outweighs its body eightfold by 65,536 bytes.

--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -3,9 +3,9 @@
 import { Outcome } from "@clementinemux/common/Outcome";
 import { headerNames } from "@clementinemux/common/headerNames";
 import type { Address } from "@clementinemux/wire/Address";
+import { ResponseFeeder } from "@clementinemux/wire/ResponseFeeder";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
-import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 import { onHiddenReset } from "@clementinemux/wire/onHiddenReset";
 import { limitAbandonedCall } from "./limitAbandonedCall";
 
@@ -127,8 +127,8 @@
         clearTimeout(timer);
       });
     });
-    limitFramingBytes(upstream, () => {
-      upstream.destroy(new Error("too many framing bytes without body data"));
+    new ResponseFeeder(upstream, (detail) => {
+      upstream.destroy(new Error(detail));
     });
     let provisionalCount = 0;
     upstream.on("information", () => {
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -1,8 +1,8 @@
 import { Agent as HttpAgent, request as requestHttp } from "node:http";
 import type { ClientRequest } from "node:http";
 import type { Address } from "@clementinemux/wire/Address";
+import { ResponseFeeder } from "@clementinemux/wire/ResponseFeeder";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
-import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 
 interface TargetRequest {
   readonly method: string;
@@ -63,8 +63,8 @@
           });
         },
       );
-      limitFramingBytes(outgoing, () => {
-        outgoing.destroy(new Error("too many framing bytes without body data"));
+      new ResponseFeeder(outgoing, (detail) => {
+        outgoing.destroy(new Error(detail));
       });
       const timer = setTimeout(() => {
         outgoing.destroy(new Error(`target did not respond within ${timeoutMs} ms`));
--- a/packages/gateway/TargetCall.ts
+++ b/packages/gateway/TargetCall.ts
@@ -1,8 +1,8 @@
 import { request as sendRequest } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { ResponseFeeder } from "@clementinemux/wire/ResponseFeeder";
 import { findResponseFault } from "@clementinemux/wire/findResponseFault";
-import { limitFramingBytes } from "@clementinemux/wire/limitFramingBytes";
 import { onHiddenReset } from "@clementinemux/wire/onHiddenReset";
 import { CallFailure } from "./CallFailure";
 import type { TargetCallListener } from "./TargetCallListener";
@@ -21,7 +21,7 @@
   readonly #options: TargetCallOptions;
   readonly #listener: TargetCallListener;
   readonly #request: ClientRequest;
-  #response: IncomingMessage | null = null;
+  readonly #feeder: ResponseFeeder;
   #isConnected = false;
   #isDone = false;
   #provisional = 0;
@@ -85,10 +85,10 @@
         this.#fail(this.#getFailure(error), error.message);
       }),
     );
-    limitFramingBytes(
+    this.#feeder = new ResponseFeeder(
       this.#request,
-      this.#guarded(() => {
-        this.#fail(CallFailure.TooLarge, "too many framing bytes without body data");
+      this.#guarded((detail: string) => {
+        this.#fail(CallFailure.TooLarge, detail);
       }),
     );
     this.#request.end(body);
@@ -106,11 +106,11 @@
   }
 
   pause(): void {
-    this.#response?.pause();
+    this.#feeder.pause();
   }
 
   resume(): void {
-    this.#response?.resume();
+    this.#feeder.resume();
   }
 
   #onConnected(): void {
@@ -146,7 +146,6 @@
       return;
     }
     clearTimeout(this.#timer);
-    this.#response = response;
     const fault = findResponseFault(response);
     if (fault !== null) {
       this.#fail(CallFailure.Malformed, fault);
