--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -5,6 +5,7 @@
 import { headerNames } from "@clementinemux/common/headerNames";
 import { ModelAttempt } from "@clementinemux/entry/ModelAttempt";
 import { ResumeMode } from "@clementinemux/entry/ResumeMode";
+import { SseParser } from "@clementinemux/entry/SseParser";
 import { StreamFault } from "@clementinemux/entry/StreamFault";
 import { TargetLink } from "@clementinemux/entry/TargetLink";
 import { createDefaultConfig } from "@clementinemux/fleet/createDefaultConfig";
@@ -124,6 +125,17 @@
   return { attempt, received, stop };
 }
 
+// Guards against a parser that searches an incomplete event again at each piece, which blocks the entry.
+t.test("a large event in pieces of one byte", (t) => {
+  const event = "x".repeat(200_000);
+  const parser = new SseParser(262_144);
+  const startedMs = performance.now();
+  const events = [...Buffer.from(`${event}\r\n\r\n`)].flatMap((byte) => parser.push(Buffer.of(byte)));
+  t.ok(performance.now() - startedMs < 2000);
+  t.ok(events.length === 1 && events[0] === event);
+  t.end();
+});
+
 for (const [speed, writeIntervalMs] of Object.entries(speeds)) {
   for (const [name, more] of Object.entries({ tokens: createToken(1), "one event": "x" })) {
     // Guards against an engine that keeps sending after the end of its response: the connection was read
