End an agent's response that consists of too many small pieces

UpstreamCall passed on every piece that the HTTP library delivered, until a timeout of its listener. Each costs an event of the listener whatever its size. A call now ends as broken after 4,096 small pieces, and 1,000 per second.

Trial, six calls for 1.5 s against chunks of one byte at full speed: the event loop stood still for up to 695 ms, and no call ended before its time limit. The three tests failed before: the calls had not ended after 1 s, or only by an event of more than 256 KB.

--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -1,4 +1,5 @@
 import type { Client, Dispatcher } from "undici";
+import { PieceAllowance } from "@clementinemux/wire/PieceAllowance";
 import type { TargetLink } from "./TargetLink";
 import { findHeadFault } from "./findHeadFault";
 import type { UpstreamListener } from "./UpstreamListener";
@@ -18,6 +19,9 @@
 /** Limits on what follows the needed part of a response: framing, or output of a target that cleans up. */
 const maxTrailingBytes = 65_536;
 const trailingTimeoutMs = 1000;
+/** Small pieces of a response: a working engine sends tens of events per second. */
+const pieceBurst = 4096;
+const piecesPerS = 1000;
 
 /**
  * One HTTP exchange with an agent. The HTTP library never retries it. A failure has `written` false only if
@@ -25,6 +29,7 @@
  */
 export class UpstreamCall {
   readonly #listener: UpstreamListener;
+  readonly #pieces = new PieceAllowance(pieceBurst, piecesPerS);
   #freshClient: Client | null = null;
   #controller: Dispatcher.DispatchController | null = null;
   #written = false;
@@ -109,6 +114,9 @@
         });
       },
       onResponseData: (_controller, chunk) => {
+        if (!this.#pieces.takePiece(chunk.length, performance.now())) {
+          throw new Error("too many small pieces of a body");
+        }
         this.#notifyIfOpen(() => {
           this.#listener.onData(chunk);
         });
--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -73,6 +73,11 @@
   const id = /clementinemux-attempt: (\S+)/i.exec(head)?.[1] ?? "";
   return `HTTP/1.1 200 OK\r\n${headerNames.attemptId}: ${id}\r\ncontent-type: text/event-stream\r\n\r\n`;
 };
+const smallPieces = {
+  "chunks of one byte": "1\r\nx\r\n",
+  "small comments": "3\r\n:\n\n\r\n",
+  "chunks with long extensions": `1;${"x".repeat(200)}\r\nx\r\n`,
+};
 const createToken = (index: number): string =>
   `data: {"id":"a-1","token_index":${index},"choices":[{"text":"x","finish_reason":null}]}\n\n`;
 const finalEvents = `data: {"id":"a-1","choices":[{"text":"","finish_reason":"stop"}]}\n\ndata: [DONE]\n\n`;
@@ -125,6 +130,21 @@
   return { attempt, received, stop };
 }
 
+for (const [name, piece] of Object.entries(smallPieces)) {
+  // Guards against an engine that keeps the entry busy with tiny chunks until a timeout, or exhausts its memory.
+  t.test(`response in small pieces: ${name}`, async (t) => {
+    const target = new EndlessTarget({
+      first: (head) => streamHead(head).replace("\r\n\r\n", "\r\ntransfer-encoding: chunked\r\n\r\n"),
+      more: piece.repeat(10_000),
+      writeIntervalMs: 0,
+    });
+    const { received, stop } = await runAttempt(target);
+    await waitUntil("the connection is closed", () => (target.closedCount === 1 ? true : null), 1000);
+    t.same(received, { tokens: 0, completed: 0, faults: [], ends: [AttemptEndKind.StreamBroken] });
+    await stop();
+  });
+}
+
 // Guards against a parser that searches an incomplete event again at each piece, which blocks the entry.
 t.test("a large event in pieces of one byte", (t) => {
   const event = "x".repeat(200_000);
