Bound the events of a stream that bring no new token

Comments, empty events, events of another request and repeated tokens were read without a bound, and a repeated token counted as progress, so that no timeout ended such a stream. An attempt now ends with the fault too_many_events after 1,024 of them, and 200 per second, and only a token with a higher index than all before it is progress.

The tests failed before: at full speed, comments, empty events and events of another request ended only at the timeout; a token that was sent again and again ended at no timeout within 1 s, neither at full speed nor at 50 per second. The form 'small comments' of 'response in small pieces' ends by its events now, so it is played at full speed among the stalled streams, and chunks of six bytes take its place.

--- a/packages/entry/ModelAttempt.ts
+++ b/packages/entry/ModelAttempt.ts
@@ -2,6 +2,7 @@
 import { headerNames } from "@clementinemux/common/headerNames";
 import type { FleetDefaults } from "@clementinemux/fleet/FleetDefaults";
 import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
+import { PieceAllowance } from "@clementinemux/wire/PieceAllowance";
 import type { ModelAttemptListener } from "./ModelAttemptListener";
 import { ResumeMode } from "./ResumeMode";
 import { SseParser } from "./SseParser";
@@ -36,6 +37,9 @@
 
 // A token event takes about 200 bytes. A working engine does not send events of this size.
 const maxEventBytes = 262_144;
+/** Events without a new token, such as comments; a working engine sends tens of them per second. */
+const otherEventBurst = 1024;
+const otherEventsPerS = 200;
 const resumeTimeoutShare = 0.5;
 const cannotResumeStatus = 409;
 
@@ -49,12 +53,15 @@
   #mode = ResumeMode.Fresh;
   #call: UpstreamCall | null = null;
   #parser = new SseParser(maxEventBytes);
+  readonly #otherEvents = new PieceAllowance(otherEventBurst, otherEventsPerS);
   #headAccepted = false;
   #refusal: AttemptEndKind | null = null;
   #rejected = false;
   #tryNextMode = false;
   #finalEvent: { readonly reason: string; readonly tokenCount: number | null } | null = null;
   #progressAtMs: number;
+  /** Index of the latest new token of the running call; -1 before the first one. */
+  #lastTokenIndex = -1;
   #receivedToken = false;
   #paused = false;
   #ended = false;
@@ -93,6 +100,7 @@
     const { link, path, headers, resumeHeaders, kvHeaders, repeatable, mayWrite, createBody } = this.#options;
     this.#mode = mode;
     this.#parser = new SseParser(maxEventBytes);
+    this.#lastTokenIndex = -1;
     this.#call = new UpstreamCall(
       {
         link,
@@ -191,6 +199,7 @@
       return;
     }
     for (const event of events) {
+      const lastTokenIndex = this.#lastTokenIndex;
       const data = getEventData(event);
       if (data !== null) {
         this.#onEvent(parseStreamEvent(data, this.attemptId));
@@ -198,6 +207,10 @@
       if (this.#ended) {
         return;
       }
+      if (this.#lastTokenIndex === lastTokenIndex && !this.#otherEvents.take(1, this.#options.readNowMs())) {
+        this.#failWithFault(StreamFault.TooManyEvents);
+        return;
+      }
     }
     this.#listener.onChunkEnd(this);
   }
@@ -260,7 +273,10 @@
 
   #onToken(tokenIndex: number, tail: string, finishReason: string | null): void {
     this.#receivedToken = true;
-    this.#progressAtMs = this.#options.readNowMs();
+    if (tokenIndex > this.#lastTokenIndex) {
+      this.#lastTokenIndex = tokenIndex;
+      this.#progressAtMs = this.#options.readNowMs();
+    }
     const { sentTokenCount, maxTokenCount } = this.#options;
     const position = tokenIndex + (this.#mode === ResumeMode.Replay ? sentTokenCount : 0);
     if (position >= maxTokenCount) {
--- a/packages/entry/StreamFault.ts
+++ b/packages/entry/StreamFault.ts
@@ -8,5 +8,6 @@
   EventTooLarge = "event_too_large",
   MissingFinalEvent = "missing_final_event",
   TooManyTokens = "too_many_tokens",
+  TooManyEvents = "too_many_events",
   TokenCountMismatch = "token_count_mismatch",
 }
--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -75,7 +75,7 @@
 };
 const smallPieces = {
   "chunks of one byte": "1\r\nx\r\n",
-  "small comments": "3\r\n:\n\n\r\n",
+  "chunks of six bytes": "6\r\nabcdef\r\n",
   "chunks with long extensions": `1;${"x".repeat(200)}\r\nx\r\n`,
 };
 const createToken = (index: number): string =>
@@ -195,9 +195,12 @@
   for (const [name, { first, more }] of Object.entries({
     "an event": { first: `${createToken(0)}data: `, more: "x" },
     comments: { first: createToken(0), more: ": wait\n\n" },
+    "empty events": { first: createToken(0), more: 'data: {"id":"a-1"}\n\n' },
+    "the same token": { first: createToken(0), more: createToken(0) },
     "events of another request": { first: createToken(0), more: createToken(1).replace("a-1", "b-2") },
   })) {
-    // Guards against received bytes counting as progress although no token arrives.
+    // Guards against received bytes counting as progress although no new token arrives, and against an entry that is kept
+    // busy until a timeout.
     t.test(`stalled stream, ${speed}: ${name}`, async (t) => {
       const target = new EndlessTarget({
         first: (head) => streamHead(head) + first,
@@ -216,8 +219,7 @@
         1000,
       );
       attempt.abort();
-      const isTooLarge = received.faults.includes(StreamFault.EventTooLarge);
-      t.equal(timedOut, isTooLarge ? AttemptEndKind.StreamBroken : AttemptEndKind.TokenGapTimeout);
+      t.equal(timedOut, writeIntervalMs === 0 ? AttemptEndKind.StreamBroken : AttemptEndKind.TokenGapTimeout);
       await waitUntil("the connection is closed", () => (target.closedCount === 1 ? true : null), 1000);
       await stop();
     });
