Bound a coordinator's wait before its response by the clock

A coordinator that has just started delays its response to a gateway for up to 150 ms. It counted eight sleeps of 20 ms, so late timers of a busy process stretched the wait beyond the gateways' timeout of 350 ms, and the gateway switched away. The wait now ends by the clock.

--- a/packages/control/routes/SyncService.ts
+++ b/packages/control/routes/SyncService.ts
@@ -109,10 +109,9 @@
    * that.
    */
   async #waitUntilConfirmed(): Promise<void> {
-    for (let waitedMs = 0; waitedMs < maxWaitMs; waitedMs += waitStepMs) {
-      if (this.#isClosed || this.#options.getAgeMs() !== null) {
-        return;
-      }
+    const { clock, getAgeMs } = this.#options;
+    const endAtMs = clock.monotonicMs() + maxWaitMs;
+    while (!this.#isClosed && getAgeMs() === null && clock.monotonicMs() < endAtMs) {
       await delay(waitStepMs);
     }
   }
