Let the coordinator tests try again during an election, and close what they start

'documents are accepted at any coordinator' called a leader that it had found before, once: when an election came in between, the call was refused, as it may be, and the throw left the coordinators running until the file's timeout. Documents are now submitted and read as operators do, again after an error, and each test closes its coordinators when it ends, also by an error.

--- a/packages/control/test/coordinators.test.ts
+++ b/packages/control/test/coordinators.test.ts
@@ -1,4 +1,7 @@
 import t from "tap";
+import type { Test } from "tap";
+import type { Coordinator } from "@clementinemux/control/routes/Coordinator";
+import type { StoredDocument } from "@clementinemux/control/routes/StoredDocument";
 import type { SyncResponse } from "@clementinemux/registry/SyncResponse";
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import { MessageName } from "@clementinemux/wire/MessageName";
@@ -21,35 +24,45 @@
   return condition ? true : null;
 }
 
-async function hasLeader(fleet: CoordinatorFleet): Promise<void> {
+/** Starts three coordinators with a leader, which are closed however the test ends. */
+async function startFleet(t: Test): Promise<CoordinatorFleet> {
+  const fleet = await CoordinatorFleet.start(3);
+  t.teardown(() => fleet.close());
   await waitUntil("a leader is there", () => isTrue(fleet.leader >= 0), limitMs);
+  return fleet;
 }
 
-t.test("documents are accepted at any coordinator, the highest version is read at each", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
-  const follower = (fleet.leader + 1) % 3;
+/** Submits a document as an operator does: again after an error, since an election may come in between. */
+async function submit(
+  getCoordinator: () => Coordinator | undefined,
+  document: StoredDocument,
+): Promise<void> {
   await waitUntil(
-    "the follower takes a document",
+    `the document of version ${document.version} is accepted`,
     async () => {
-      await fleet.coordinators[follower]?.submitDocument({ version: 7, bytes: bytes("seven") });
-      return true;
+      const coordinator = getCoordinator();
+      await coordinator?.submitDocument(document);
+      return coordinator === undefined ? null : true;
     },
     limitMs,
   );
-  await fleet.coordinators[fleet.leader]?.submitDocument({ version: 5, bytes: bytes("five") });
-  await fleet.coordinators[follower]?.submitDocument({ version: 7, bytes: bytes("other seven") });
+}
+
+t.test("documents are accepted at any coordinator, the highest version is read at each", async (t) => {
+  const fleet = await startFleet(t);
+  const follower = (fleet.leader + 1) % 3;
+  await submit(() => fleet.coordinators[follower], { version: 7, bytes: bytes("seven") });
+  await submit(() => fleet.coordinators[fleet.leader], { version: 5, bytes: bytes("five") });
+  await submit(() => fleet.coordinators[follower], { version: 7, bytes: bytes("other seven") });
   for (const coordinator of fleet.coordinators) {
-    const { version, bytes: read } = await coordinator.readDocument();
+    const { version, bytes: read } = await waitUntil("a read", () => coordinator.readDocument(), limitMs);
     t.equal(version, 7);
     t.equal(Buffer.from(read).toString(), "seven", "guards against other content under a stored version");
   }
-  await fleet.close();
 });
 
 t.test("a coordinator without a majority neither acknowledges nor reads", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
+  const fleet = await startFleet(t);
   const { leader } = fleet;
   await fleet.coordinators[leader]?.submitDocument({ version: 1, bytes: bytes("one") });
   await Promise.all([0, 1, 2].filter((index) => index !== leader).map((index) => fleet.stop(index)));
@@ -62,12 +75,10 @@
     false,
     "a drain that no other coordinator has confirmed",
   );
-  await fleet.close();
 });
 
 t.test("a coordinator that lost its disk automatically becomes a voter again", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
+  const fleet = await startFleet(t);
   const { leader } = fleet;
   const wiped = (leader + 1) % 3;
   await fleet.coordinators[leader]?.submitDocument({ version: 1, bytes: bytes("one") });
@@ -96,12 +107,10 @@
     2,
     "guards against a group that counts the lost disk",
   );
-  await fleet.close();
 });
 
 t.test("targets and entries that are reported to one coordinator are known to all", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
+  const fleet = await startFleet(t);
   const record = createTargetRecord();
   await waitUntil(
     "heartbeats are acknowledged",
@@ -126,20 +135,17 @@
     () => isTrue(fleet.coordinators.every((item) => item.listEntryAddresses("d-0")[0] === "e:1")),
     1500,
   );
-  await fleet.close();
 });
 
 // Guards against gateways that learn too late that a restarted fleet has a leader, and against responses that
 // arrive after the gateways' timeout.
 t.test("a report waits a moment for a coordinator that has just started", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
+  const fleet = await startFleet(t);
   await Promise.all([0, 1, 2].map((index) => fleet.stop(index)));
   await fleet.open(0, false);
   const client = new RpcClient({ address: parseAddress(fleet.seeds[0] ?? ""), tls: undefined });
-  t.teardown(async () => {
+  t.teardown(() => {
     client.close();
-    await fleet.close();
   });
   const report = async (): Promise<{ tookMs: number; ageMs: number | null }> => {
     const startedAtMs = performance.now();
@@ -158,8 +164,7 @@
 
 // Guards against gateways that keep sending to a leaving target, because it was reported to only one of them.
 t.test("a target is reported as leaving to all gateways until its next incarnation", async (t) => {
-  const fleet = await CoordinatorFleet.start(3);
-  await hasLeader(fleet);
+  const fleet = await startFleet(t);
   const incarnation = { id: "t-1", bornMs: 5 };
   const record = createTargetRecord(incarnation);
   await waitUntil(
@@ -175,7 +180,6 @@
   await fleet.coordinators[2]?.registerTarget({ ...record, bornMs: 6 });
   await waitUntil("its next incarnation is not leaving", () => isTrue(!listAll().includes(true)), 2000);
   t.same(listAll(), [false, false, false]);
-  await fleet.close();
 });
 
 // Guards against a target that stays in use although it has unregistered, at a coordinator that had just
@@ -183,8 +187,7 @@
 t.test(
   "a coordinator that has just started does not acknowledge the removal of an unknown target",
   async (t) => {
-    const fleet = await CoordinatorFleet.start(3);
-    await hasLeader(fleet);
+    const fleet = await startFleet(t);
     t.equal(await fleet.coordinators[0]?.removeTarget("t-unknown"), false);
     const response = await fleet.sync(0, createSyncRequest());
     t.equal(response.isComplete, false);
@@ -197,6 +200,5 @@
     t.equal(await fleet.coordinators[0]?.removeTarget("t-1"), true);
     const { targets } = await fleet.sync(0, createSyncRequest());
     t.match(targets, [{ id: "t-1", isGone: true }], "listed as gone, so that no gateway keeps it");
-    await fleet.close();
   },
 );
