Play chunks of one byte and further endless responses at full speed in all tests

Cause: the list of endless responses had chunks of one byte slowly only, and the tests of gateways and of real processes kept lists of their own, so forms that end a gateway passed at agents, entries and ranks untested.

--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -13,6 +13,9 @@
 import { EndlessTarget } from "../../wire/test/helpers/EndlessTarget";
 import { endlessResponses } from "../../wire/test/helpers/endlessResponses";
 
+// Only a hanging test takes this long.
+t.setTimeout(90_000);
+
 const clock = new SystemClock();
 const readNowMs = (): number => clock.monotonicMs();
 const speeds = { "at full speed": 0, slowly: 20 };
@@ -48,11 +51,15 @@
     // Guards against a faulty agent whose state report fills the memory of an entry, or never ends.
     t.test(`state report, ${speed}: ${name}`, async (t) => {
       const target = new EndlessTarget({
-        first: () => first,
+        first: () => first(""),
         more: writeIntervalMs === 0 ? full : slow,
         writeIntervalMs,
       });
       const link = await openLink(target);
+      t.teardown(async () => {
+        await link.destroy();
+        target.close();
+      });
       const startedMs = performance.now();
       await link.poll(300, readNowMs);
       t.ok(performance.now() - startedMs < 1500);
@@ -62,8 +69,6 @@
       if (name.startsWith("a body")) {
         t.ok(target.sentBytes < maxBytes, `${target.sentBytes} bytes were read`);
       }
-      await link.destroy();
-      target.close();
     });
   }
 }
--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -8,11 +8,16 @@
 import { ByteReservation } from "@clementinemux/gateway/ByteReservation";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { waitUntil } from "@clementinemux/system/waitUntil";
+import type { EndlessResponse } from "../../wire/test/helpers/EndlessResponse";
+import { endlessResponses } from "../../wire/test/helpers/endlessResponses";
 import { createDocument } from "../../routes/test/createDocument";
 import { TestTarget } from "./TestTarget";
 import { responses } from "./responses";
 import { startGateway } from "./startGateway";
 
+// Only a hanging test takes this long.
+t.setTimeout(90_000);
+
 const nonIdempotent = { kind: RouteKind.NonIdempotent, attempts: 1, timeoutMs: 8000 };
 const stream = { kind: RouteKind.Streaming, canResume: false, attempts: 1, timeoutMs: 8000 };
 /** The budget that startGateway sets; also the scale for bytes in flight between sockets. */
@@ -40,89 +45,44 @@
   });
 }
 
-interface EndlessAnswer {
-  readonly first: (id: string) => string;
-  /** Written repeatedly at full speed. */
-  readonly text: string;
-  /** Written repeatedly, every 20 ms. */
-  readonly slow: string;
-  readonly isStream?: boolean;
-}
-
-const endless: Record<string, EndlessAnswer> = {
-  "header lines": {
-    first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n`,
-    text: "x-more: 1\r\n".repeat(500),
-    slow: "x-more: 1\r\n",
-  },
-  "one header": { first: () => "HTTP/1.1 200 OK\r\nx-long: ", text: block, slow: "x" },
-  "line ends before the head": { first: () => "", text: "\r\n".repeat(32_768), slow: "\r\n" },
-  "a status line": { first: () => "HTTP/1.1 200 ", text: block, slow: "x" },
-  "no HTTP at all": { first: () => "", text: block, slow: "x" },
-  "provisional responses": {
-    first: () => "",
-    text: "HTTP/1.1 100 Continue\r\n\r\n".repeat(100),
-    slow: "HTTP/1.1 100 Continue\r\n\r\n",
-  },
-  "a body without length": {
-    first: (id) => `HTTP/1.1 200 OK\r\nx-id: ${id}\r\n\r\n`,
-    text: block,
-    slow: "x",
-  },
-  "a body in chunks": { first: chunkedHead, text: responses.chunk(block), slow: responses.chunk("x") },
-  "a chunk size": { first: chunkedHead, text: "0".repeat(65_536), slow: "0" },
-  "a chunk extension": { first: (id) => `${chunkedHead(id)}1;`, text: block, slow: "x" },
-  trailers: {
-    first: (id) => `${chunkedHead(id)}0\r\n`,
-    text: "x-more: 1\r\n".repeat(500),
-    slow: "x-more: 1\r\n",
-  },
-  "an event": {
-    first: (id) => responses.streamHead(id),
-    text: responses.chunk(block),
-    slow: responses.chunk("x"),
-    isStream: true,
-  },
-};
-
-for (const [name, { first, text, isStream = false }] of Object.entries(endless)) {
+for (const [name, { first, full, isOneEvent = false }] of Object.entries<EndlessResponse>(endlessResponses)) {
   // Guards against a faulty target that fills the memory of a gateway, or occupies a request until its
   // deadline.
   t.test(`endless bytes: ${name}`, async (t) => {
     const target = new TestTarget(({ id }, socket) => {
-      socket.write(first(id));
-      writeEndlessly(socket, text);
+      socket.write(first(`x-id: ${id}\r\n`));
+      writeEndlessly(socket, full);
     });
     const { gateway, call, stop } = await startGateway(
-      createDocument(1, [isStream ? stream : nonIdempotent]),
+      createDocument(1, [isOneEvent ? stream : nonIdempotent]),
       [target],
     );
+    t.teardown(stop);
     const startedMs = performance.now();
     const response = await call({ path: "/p0/", method: "POST" }, "r1", "x");
     t.ok(response.status === 502 || !response.isComplete, "no success");
     t.ok(performance.now() - startedMs < 3000, "ended by the size limit, not by the timeout");
     await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
     t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
-    await stop();
   });
 }
 
 // Guards against the same with bytes that arrive slowly, which no size limit ends.
-for (const [name, { first, slow, isStream = false }] of Object.entries(endless)) {
+for (const [name, { first, slow, isOneEvent = false }] of Object.entries<EndlessResponse>(endlessResponses)) {
   t.test(`endless bytes, slowly: ${name}`, async (t) => {
     const target = new TestTarget(({ id }, socket) => {
-      socket.write(first(id));
+      socket.write(first(`x-id: ${id}\r\n`));
       writeSlowly(socket, slow);
     });
-    const route = { ...(isStream ? stream : nonIdempotent), timeoutMs: 700 };
+    const route = { ...(isOneEvent ? stream : nonIdempotent), timeoutMs: 700 };
     const { gateway, call, stop } = await startGateway(createDocument(1, [route]), [target]);
+    t.teardown(stop);
     const startedMs = performance.now();
     const response = await call({ path: "/p0/", method: "POST" }, "r1", "x");
     t.ok(response.status === 502 || response.status === 504 || !response.isComplete, "no success");
     t.ok(performance.now() - startedMs < 1500, "ended by the route's timeout at the latest");
     await waitUntil("the connection is closed", () => (target.closed === 1 ? true : null), 1000);
     t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
-    await stop();
   });
 }
 
--- a/packages/wire/test/helpers/EndlessTarget.ts
+++ b/packages/wire/test/helpers/EndlessTarget.ts
@@ -1,7 +1,7 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 
-interface EndlessResponse {
+interface EndlessTargetOptions {
   /** First bytes of the response to a request with the given head. */
   readonly first: (head: string) => string;
   /** Written repeatedly until the caller closes the connection. */
@@ -16,12 +16,12 @@
   requestCount = 0;
   /** Connections that the other side has closed. */
   closedCount = 0;
-  readonly #response: EndlessResponse;
+  readonly #response: EndlessTargetOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #closedBytes = 0;
 
-  constructor(response: EndlessResponse) {
+  constructor(response: EndlessTargetOptions) {
     this.#response = response;
     this.#server = createServer((socket) => {
       this.#accept(socket);
