--- a/packages/gateway/test/endless.test.ts
+++ b/packages/gateway/test/endless.test.ts
@@ -10,6 +10,7 @@
 import { waitUntil } from "@clementinemux/system/waitUntil";
 import type { EndlessResponse } from "../../wire/test/helpers/EndlessResponse";
 import { endlessResponses } from "../../wire/test/helpers/endlessResponses";
+import { writeEndlessly } from "../../wire/test/helpers/writeEndlessly";
 import { createDocument } from "../../routes/test/createDocument";
 import { TestTarget } from "./TestTarget";
 import { responses } from "./responses";
@@ -26,17 +27,6 @@
 const chunkedHead = (id: string): string =>
   `HTTP/1.1 200 OK\r\nx-id: ${id}\r\ntransfer-encoding: chunked\r\n\r\n`;
 
-/** Writes the same bytes repeatedly, as fast as they are accepted, until the other side closes. */
-function writeEndlessly(socket: Socket, text: string): void {
-  const write = (): void => {
-    while (!socket.destroyed && socket.write(text)) {
-      // Continues until the socket buffer is full.
-    }
-  };
-  socket.on("drain", write);
-  write();
-}
-
 /** Writes the same bytes every 20 ms until the other side closes. */
 function writeSlowly(socket: Socket, text: string): void {
   const timer = setInterval(() => socket.write(text), 20);
