--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -5,6 +5,7 @@
 import type { CrashEvidence } from "@clementinemux/crashes/CrashEvidence";
 import type { CrashFindings } from "@clementinemux/crashes/CrashFindings";
 import { Gateway } from "@clementinemux/gateway/Gateway";
+import type { GatewayOptions } from "@clementinemux/gateway/GatewayOptions";
 import type { ColdTarget } from "@clementinemux/registry/ColdTarget";
 import type { EvacuatedDomains } from "@clementinemux/registry/EvacuatedDomains";
 import type { PermitRequest } from "@clementinemux/registry/PermitRequest";
@@ -37,6 +38,7 @@
   document: RouteDocument,
   targets: readonly TestTarget[],
   ageMs: number | null = 0,
+  options: Partial<GatewayOptions> = {},
 ) {
   const leaving: SyncRequest["leaving"] = [];
   const crashes = null as CrashEvidence | null;
@@ -106,6 +108,7 @@
     seeds: [`127.0.0.1:${framePort}`],
     codec,
     random: createRandom(1),
+    ...options,
   });
   await gateway.start();
   if (state.ageMs !== null) {
