Slice a received chunk only when it is parsed in several parts

Cause: most responses arrive in chunks that are one part, and each cost two slices. Change: such a chunk is parsed as it is.

--- a/packages/wire/ResponseFeeder.ts
+++ b/packages/wire/ResponseFeeder.ts
@@ -6,6 +6,7 @@
 
 type Parse = (part: Buffer) => void;
 
+const noBytes = Buffer.alloc(0);
 /** Size of a part while parts bring many pieces, and of the first one: up to 680 chunks of one byte. */
 const minPartBytes = 4096;
 /** Node reads no more from a socket at once. */
@@ -173,7 +174,7 @@
 
   /** Returns the bytes that are left. */
   #parsePart(bytes: Buffer): Buffer {
-    const part = bytes.subarray(0, this.#partBytes);
+    const part = bytes.length > this.#partBytes ? bytes.subarray(0, this.#partBytes) : bytes;
     this.#smallPieces = 0;
     this.#bodyBytes = 0;
     this.#nowMs = performance.now();
@@ -187,7 +188,7 @@
     } else {
       this.#partBytes = Math.min(this.#partBytes * 2, maxPartBytes);
     }
-    return bytes.subarray(part.length);
+    return part === bytes ? noBytes : bytes.subarray(part.length);
   }
 
   #waitForTurn(): void {
