Don't resume a stream after an event with a very long id

Cause: the id of the last event, up to 256 KB, is logged and sent to the next target as a header, which no target accepts: the attempt that resumes the stream is spent for nothing.

Change: an id beyond 1,024 characters counts as one that no header can carry.

Result: the test of such ids has one of 2,000 characters more; before, the stream is sent to a second target (2 requests in place of 1).

--- a/packages/gateway/EventRelay.ts
+++ b/packages/gateway/EventRelay.ts
@@ -26,6 +26,8 @@
   resume(): void;
 }
 
+/** Longer ids are not sent on as a header, nor logged. */
+const maxIdLength = 1024;
 /** Objects of a buffered event, beside its bytes. */
 const eventObjectBytes = 256;
 /**
@@ -121,7 +123,7 @@
     this.#arrivedAtMs = nowMs;
     this.#events += 1;
     this.#lastEventId = id ?? this.#lastEventId;
-    this.#isResumable = id === null ? this.#isResumable : isHeaderValue(id);
+    this.#isResumable = id === null ? this.#isResumable : id.length <= maxIdLength && isHeaderValue(id);
     this.#buffered.push({ bytes, atMs: this.#options.pacer.schedule(nowMs) });
     this.#bufferedBytes += getHeldBytes(bytes);
     return true;
--- a/packages/gateway/test/brokenStreams.test.ts
+++ b/packages/gateway/test/brokenStreams.test.ts
@@ -112,9 +112,10 @@
   await stop();
 });
 
-// Guards against an id of an event that ends the gateway when its stream is resumed, as no header can carry it.
+// Guards against an id of an event that ends the gateway when its stream is resumed, as no header can carry it, and against
+// one that no target would accept as a header.
 t.test("a stream is not resumed after an event whose id no header can carry", async (t) => {
-  for (const id of ["\u0000", "1\u00012", "\u007f", "3\r4"]) {
+  for (const id of ["\u0000", "1\u00012", "\u007f", "3\r4", "5".repeat(2000)]) {
     const targets = [0, 1].map(
       () =>
         new TestTarget((request, socket) => {
