Count the heads of streams that are not complete

Cause: the head of a stream is kept until its end. With up to 1,000 short fields it holds over 100 KB that no limit counts.

Change: it counts in the pool of incomplete responses, as that of other responses does. An ordinary head is below 2 KB, so that 1,000 streams at once take a tenth of the 18 MB that are the default.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -29,7 +29,7 @@
   #response: TargetResponse | null = null;
   #headers: readonly string[] = [];
   #isStream = false;
-  /** Memory of the head, while it is kept for the end of the response. */
+  /** Memory of the head, which is kept until the end of the response. */
   #headBytes = 0;
   #heldBytes = 0;
   #hasStarted = false;
@@ -140,10 +140,9 @@
     this.#headers = headers;
     this.#isStream = this.#options.isStream && response.status === 200 && isEventStream(headers);
     this.#restartStallTimer();
-    if (!this.#isStream) {
-      this.#headBytes = estimateHeaderBytes(headers);
-      this.#checkAnnounced(readBodyBytes(this.#options.call.method, response.status, headers));
-    }
+    this.#headBytes = estimateHeaderBytes(headers);
+    const { method } = this.#options.call;
+    this.#checkAnnounced(this.#isStream ? 0 : readBodyBytes(method, response.status, headers));
   }
 
   /** Ends an attempt whose response is known to be too large, else notes its head. */
