End a stream at once when it is too large for a caller of HTTP/1.0

Cause: a stream to a caller of HTTP/1.0 is collected. When it exceeds the memory for it, its bytes are dropped, but the target is read on until the timeout of the route, and only then the caller gets its 502.

Change: the request is aborted when its collected body is dropped, and the response says why.

Result: the new test gets 502 after 5.1 s before the change, the timeout of its route, and within half of it now.

--- a/packages/gateway/CollectedBody.ts
+++ b/packages/gateway/CollectedBody.ts
@@ -5,28 +5,35 @@
 export class CollectedBody {
   readonly #body = new BodyCollector();
   readonly #pool: PartialMessagePool;
-  #isComplete = true;
+  readonly #onTooLarge: () => void;
+  #isTooLarge = false;
 
-  constructor(pool: PartialMessagePool) {
+  /** `onTooLarge` is called once, when the body exceeds what the pool has room for. */
+  constructor(pool: PartialMessagePool, onTooLarge: () => void) {
     this.#pool = pool;
+    this.#onTooLarge = onTooLarge;
+  }
+
+  get isTooLarge(): boolean {
+    return this.#isTooLarge;
   }
 
   add(bytes: Buffer): void {
-    if (this.#isComplete) {
+    if (!this.#isTooLarge) {
       this.#body.add(bytes);
       this.#pool.note(this, this.#body.heldBytes);
     }
   }
 
-  /** The body exceeds what the pool has room for. */
   drop(): void {
-    this.#isComplete = false;
+    this.#isTooLarge = true;
     this.release();
+    this.#onTooLarge();
   }
 
-  /** Returns the body, or null if it exceeded the pool; frees its bytes. */
-  take(): Buffer | null {
-    const body = this.#isComplete ? this.#body.take() : null;
+  /** Returns the body; frees its bytes. */
+  take(): Buffer {
+    const body = this.#body.take();
     this.release();
     return body;
   }
--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -92,7 +92,11 @@
       request: getRequestKey(routed),
       parts: getPartKeys(routed.caller, routed.service.name),
     };
-    this.#writer = new ResponseWriter(response, context);
+    this.#writer = new ResponseWriter(response, context, () => {
+      this.#guard(() => {
+        this.#abort();
+      });
+    });
     this.#relay = createEventRelay(context, routed, {
       writer: this.#writer,
       guard: this.#guard,
--- a/packages/gateway/ResponseWriter.ts
+++ b/packages/gateway/ResponseWriter.ts
@@ -28,13 +28,16 @@
 export class ResponseWriter {
   readonly #response: ServerResponse;
   readonly #context: GatewayContext;
+  readonly #onTooLarge: () => void;
   #isDrainPending = false;
   /** Stream to a caller of HTTP/1.0, which knows no chunks: sent as a whole, with its length; null for any other. */
   #collected: CollectedResponse | null = null;
 
-  constructor(response: ServerResponse, context: GatewayContext) {
+  /** `onTooLarge` is called when a response is too large to be collected; it is to be aborted then. */
+  constructor(response: ServerResponse, context: GatewayContext, onTooLarge: () => void = () => undefined) {
     this.#response = response;
     this.#context = context;
+    this.#onTooLarge = onTooLarge;
     response.sendDate = false;
   }
 
@@ -55,7 +58,7 @@
   /** Starts a response whose length is not known yet. */
   begin(status: number, headers: readonly string[]): void {
     if (isBeforeHttp11(this.#response)) {
-      const body = new CollectedBody(this.#context.byteBudget.responses);
+      const body = new CollectedBody(this.#context.byteBudget.responses, this.#onTooLarge);
       this.#response.once("close", () => {
         body.release();
       });
@@ -92,12 +95,7 @@
       return;
     }
     const { status, headers, body } = this.#collected;
-    const bytes = body.take();
-    if (bytes === null) {
-      this.sendLocal(badGatewayStatus, "the response is too large for HTTP/1.0", null);
-    } else {
-      this.sendFull(status, headers, bytes);
-    }
+    this.sendFull(status, headers, body.take());
   }
 
   /**
@@ -107,7 +105,9 @@
   abort(leftMs: number): void {
     const { socket } = this.#response;
     if (this.#collected !== null) {
-      this.sendLocal(badGatewayStatus, "the response broke off", null);
+      const { isTooLarge } = this.#collected.body;
+      const text = isTooLarge ? "the response is too large for HTTP/1.0" : "the response broke off";
+      this.sendLocal(badGatewayStatus, text, null);
       return;
     }
     if (socket === null || leftMs < minAbortMs) {
--- a/packages/gateway/test/cutResponses.test.ts
+++ b/packages/gateway/test/cutResponses.test.ts
@@ -157,6 +157,26 @@
   }
 });
 
+// Guards against reading a stream until the timeout although its response can't be sent any more.
+t.test("a caller of HTTP/1.0 gets 502 at once when its stream is too large", async (t) => {
+  const target = new TestTarget(({ id }, socket) => {
+    socket.write(streamHead(id));
+    const write = (): void => {
+      while (!socket.destroyed && socket.write(chunk(`data: ${"x".repeat(60_000)}\n\n`))) {
+        // Continues until the socket buffer is full.
+      }
+    };
+    socket.on("drain", write);
+    write();
+  });
+  const { gateway, callerPort, stop } = await startGateway(document, [target]);
+  const startedMs = performance.now();
+  t.match(await callRaw(callerPort, "POST /p0/x HTTP/1.0"), /^HTTP\/1\.1 502 .*too large for HTTP\/1\.0/s);
+  t.ok(performance.now() - startedMs < streaming.timeoutMs / 2, "before the timeout");
+  t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
+  await stop();
+});
+
 t.test("a caller that asks for the connection's end gets chunks and the end", async (t) => {
   const target = new TestTarget(({ id }, socket) => socket.end(unframedHead(id) + event(1)));
   const { callerPort, stop } = await startGateway(document, [target]);
