Count the failure response of a target while its request is tried again

Cause: a target's complete failure response, up to 16 MB, is kept while a retry may bring a better one. No limit counts it then.

Change: gateway/FallbackResponse keeps it in the pool of incomplete responses. When its memory is needed it is forgotten, and the request ends as one whose result is unknown if no retry brings a response.

Result: the new test waits in vain for a failure of 100 KB to count before the change, and passes now.

--- a/packages/gateway/RequestForwarder.ts
+++ b/packages/gateway/RequestForwarder.ts
@@ -8,6 +8,7 @@
 import { AttemptOutcome } from "./AttemptOutcome";
 import { CallFailure } from "./CallFailure";
 import type { EventRelay } from "./EventRelay";
+import { FallbackResponse } from "./FallbackResponse";
 import type { FailedAttempt } from "./FailedAttempt";
 import type { FullResponse } from "./FullResponse";
 import type { GatewayContext } from "./GatewayContext";
@@ -45,6 +46,8 @@
   readonly #endMs: number;
   readonly #admission: RequestAdmission;
   readonly #causes: RequestCauses;
+  /** A target's failure response, delivered when no retry brings a better one. */
+  readonly #fallback: FallbackResponse;
   readonly #tried = new Set<string>();
   readonly #timer: NodeJS.Timeout;
   readonly #listener: AttemptListener = {
@@ -79,8 +82,6 @@
   /** Sends that ended before a connection was established, so that no target got the request. */
   #unsent = 0;
   #mayHaveRun = false;
-  /** A target's failure response, delivered when no retry brings a better one. */
-  #fallback: FullResponse | null = null;
   #isEnded = false;
 
   constructor(context: GatewayContext, routed: RoutedRequest) {
@@ -92,6 +93,7 @@
       request: getRequestKey(routed),
       parts: getPartKeys(routed.caller, routed.service.name),
     };
+    this.#fallback = new FallbackResponse(context.byteBudget.responses);
     this.#writer = new ResponseWriter(response, context, () => {
       this.#guard(() => {
         this.#abort();
@@ -183,7 +185,7 @@
       return;
     }
     health.noteFailure(attempt.targetId);
-    this.#fallback = full;
+    this.#fallback.keep(full);
     if (!this.#retry(AttemptOutcome.Failed)) {
       this.#deliver(full, RequestOutcome.TargetFailure);
     }
@@ -307,8 +309,8 @@
     }
     if (this.#writer.hasStarted) {
       this.#abort();
-    } else if (this.#fallback !== null) {
-      this.#deliver(this.#fallback, RequestOutcome.TargetFailure);
+    } else if (this.#fallback.response !== null) {
+      this.#deliver(this.#fallback.response, RequestOutcome.TargetFailure);
     } else {
       const { retryAfterMs = null, queueWaitMs = null } = times;
       const failure = { end, text, mayHaveRun: this.#mayHaveRun, retryAfterMs, queueWaitMs };
@@ -356,6 +358,7 @@
     this.#admission.cancel();
     this.#attempt?.cancel();
     this.#relay.cancel();
+    this.#fallback.clear();
     const serviceLoad = end === RequestOutcome.Full ? this.#admission.load : null;
     this.#log.logOutcome({
       end,
--- a/packages/gateway/test/cutResponses.test.ts
+++ b/packages/gateway/test/cutResponses.test.ts
@@ -2,8 +2,11 @@
 import type { Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
+import { FallbackResponse } from "@clementinemux/gateway/FallbackResponse";
 import { RouteKind } from "@clementinemux/routes/RouteKind";
 import { resetSocket } from "@clementinemux/standins/net/resetSocket";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { PartialMessagePool } from "@clementinemux/wire/PartialMessagePool";
 import { createDocument } from "../../routes/test/createDocument";
 import { sendRaw } from "../../wire/test/helpers/sendRaw";
 import { TestTarget } from "./TestTarget";
@@ -177,6 +180,37 @@
   await stop();
 });
 
+// Guards against failure responses that no limit counts while their requests are tried again.
+t.test("a failure response counts while a retry may bring a better one, and gives way", async (t) => {
+  const failure = "f".repeat(100_000);
+  let sends = 0;
+  const targets = [0, 1].map(
+    () =>
+      new TestTarget(({ id }, socket) => {
+        sends += 1;
+        if (sends === 1) {
+          socket.write(whole(id, failure, "500 Internal Server Error"));
+        } else {
+          setTimeout(() => socket.write(whole(id, "again", "500 Internal Server Error")), 300);
+        }
+      }),
+  );
+  const route = { kind: RouteKind.Idempotent, attempts: 2, timeoutMs: 5000 };
+  const { gateway, call, stop } = await startGateway(createDocument(1, [route]), targets);
+  const response = call(post, "r1", "x");
+  await waitUntil("the failure counts", () =>
+    Number(/_response_bytes (\d+)/.exec(gateway.renderMetrics())?.[1]) >= failure.length ? true : null,
+  );
+  t.match(await response, { status: 500, body: "again" });
+  t.match(gateway.renderMetrics(), "clementinemux_gateway_held_bytes 0\n");
+  await stop();
+  const pool = new PartialMessagePool(() => failure.length);
+  const fallback = new FallbackResponse(pool);
+  fallback.keep({ status: 500, headers: [], body: Buffer.from(failure) });
+  pool.note({ drop: () => undefined }, 1);
+  t.equal(fallback.response, null, "its memory was needed");
+});
+
 t.test("a caller that asks for the connection's end gets chunks and the end", async (t) => {
   const target = new TestTarget(({ id }, socket) => socket.end(unframedHead(id) + event(1)));
   const { callerPort, stop } = await startGateway(document, [target]);
