Check the timeouts of attempts at the entry after its sockets were read

The entry checked them in its tick, which runs before the sockets are read: after a stall of the process longer than a timeout, it cancelled streams whose tokens were waiting to be read, and sent their requests again. The check now runs after the sockets were read, against the time of the tick. A target that is silent is found in the same turn of the event loop.

--- a/packages/entry/Dispatcher.ts
+++ b/packages/entry/Dispatcher.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from "node:timers/promises";
 import type { Clock } from "@clementinemux/common/Clock";
 import type { FleetConfig } from "@clementinemux/fleet/FleetConfig";
 import { AttemptEndKind } from "@clementinemux/policy/AttemptEndKind";
@@ -63,9 +64,12 @@
     this.#run(this.#policy.applyTargets(targets, this.#clock.monotonicMs()));
   }
 
-  tick(config: FleetConfig): void {
+  /** Checks timeouts once the sockets have been read, so that a stall of this process isn't taken for a silent target. */
+  async tick(config: FleetConfig): Promise<void> {
     const nowMs = this.#clock.monotonicMs();
     this.#run(this.#policy.onTick(nowMs));
+    // Immediates run after the sockets were read.
+    await setImmediate();
     for (const session of [...this.#sessions.values()]) {
       session.tick(nowMs, config.defaults);
     }
--- a/packages/entry/EntryServer.ts
+++ b/packages/entry/EntryServer.ts
@@ -153,9 +153,7 @@
     const bound = this.#server.address();
     const port = typeof bound === "object" && bound !== null ? bound.port : 0;
     this.#url ||= `${tls === undefined ? "http" : "https"}://${host}:${port}`;
-    this.#runPeriodically(tickIntervalMs, () => {
-      this.#tick();
-    });
+    this.#runPeriodically(tickIntervalMs, () => this.#tick());
     this.#runPeriodically(this.#settings.pollIntervalMs, () => this.#refreshFleet());
     this.#runPeriodically(limitReportIntervalMs, () => this.#exchangeLimitShares(false));
     this.#runPeriodically(crashRefreshIntervalMs, () => this.#crashes.refresh());
@@ -317,9 +315,9 @@
     return orderAddresses(this.#getEntries(), team, caller, region, getSpreadCount(tokensPerS));
   }
 
-  #tick(): void {
-    this.#dispatcher.tick(this.#lease.config);
+  async #tick(): Promise<void> {
     this.#shutdown.tick();
+    await this.#dispatcher.tick(this.#lease.config);
   }
 
   async #renewLease(): Promise<void> {
--- a/packages/entry/test/standstill.test.ts
+++ b/packages/entry/test/standstill.test.ts
@@ -2,6 +2,7 @@
 import t from "tap";
 import { RawConnection } from "../../wire/test/helpers/RawConnection";
 import { blockEventLoop } from "../../wire/test/helpers/blockEventLoop";
+import { requestModel } from "./requestModel";
 import { startFleet } from "./startFleet";
 
 // Reached only when a test hangs.
@@ -64,3 +65,24 @@
   t.match(slow.text, /^HTTP\/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n/);
   await stop();
 });
+
+// Guards against a stall of the entry that is taken for a silent engine, so that the entry cancels streams whose tokens wait in
+// its sockets.
+t.test("an entry that stalls does not time out the engines that it has not read from", async (t) => {
+  const fleet = await startFleet({
+    engine: { tokenIntervalMs: 10 },
+    defaults: { tokenGapTimeoutMs: 150 },
+  });
+  t.teardown(() => fleet.stop());
+  const { counts } = fleet.engines[0]!;
+  const running = requestModel(fleet.urls[0]!, "p", { tokenCount: 100 });
+  while (counts.tokens < 10) {
+    await delay(5);
+  }
+  for (let stall = 0; stall < 5; stall += 1) {
+    blockEventLoop(250);
+    await delay(60);
+  }
+  t.ok((await running).isComplete);
+  t.match(counts, { started: 1, cancelled: 0 });
+});
