Collect all bodies of calls with one function, and feed probes of agents in parts

They use wire/collectBody now, whose memory goes by bytes. probeAgent, which had no limit on framing, reads through ResponseFeeder.

The probe test failed before: line ends before the head were read until the timeout.

--- a/packages/agent/OrderQueue.ts
+++ b/packages/agent/OrderQueue.ts
@@ -1,11 +1,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "@clementinemux/common/Clock";
+import { collectBody } from "@clementinemux/wire/collectBody";
 import { AgentRefusal } from "./AgentRefusal";
 import type { OrderGate } from "./OrderGate";
 import type { OrderRequest } from "./OrderRequest";
 import type { TargetClient } from "./TargetClient";
 import { parseOrder } from "./parseOrder";
-import { readBody } from "./readBody";
 
 interface OrderQueueOptions {
   readonly gate: OrderGate;
@@ -30,7 +30,8 @@
   }
 
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const order = parseOrder(await readBody(request, maxOrderBytes)).extractNullable();
+    const body = await collectBody(request, maxOrderBytes);
+    const order = parseOrder(body.toString("utf8")).extractNullable();
     if (order === null) {
       this.#options.refuse(response, AgentRefusal.OrderMalformed);
       return;
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -3,6 +3,7 @@
 import type { Address } from "@clementinemux/wire/Address";
 import { ResponseFeeder } from "@clementinemux/wire/ResponseFeeder";
 import { closeIdleOnData } from "@clementinemux/wire/closeIdleOnData";
+import { collectBody } from "@clementinemux/wire/collectBody";
 
 interface TargetRequest {
   readonly method: string;
@@ -48,19 +49,10 @@
       const outgoing: ClientRequest = this.#transport.request(
         { ...this.#address, method, path, agent: this.#transport.agent, headers: { ...headers } },
         (response) => {
-          let text = "";
-          response.setEncoding("utf8");
-          response.on("data", (chunk: string) => {
-            text += chunk;
-            if (text.length > maxResponseBytes) {
-              outgoing.destroy(new Error("response of the target is too long"));
-            }
-          });
-          response.on("error", fail);
-          response.on("end", () => {
+          collectBody(response, maxResponseBytes).then((bytes) => {
             clearTimeout(timer);
-            resolve({ status: response.statusCode ?? 0, text });
-          });
+            resolve({ status: response.statusCode ?? 0, text: bytes.toString("utf8") });
+          }, fail);
         },
       );
       new ResponseFeeder(outgoing, (detail) => {
--- a/packages/control/ApiServer.ts
+++ b/packages/control/ApiServer.ts
@@ -4,6 +4,7 @@
 import { createServer as createHttpsServer } from "node:https";
 import type { Logger } from "roarr";
 import { HttpDrain } from "@clementinemux/wire/HttpDrain";
+import { collectBody } from "@clementinemux/wire/collectBody";
 import { listenWhenFree } from "@clementinemux/wire/listenWhenFree";
 
 interface ApiServerOptions {
@@ -74,7 +75,7 @@
       send(response, 404, { error: `there is no ${route}` });
       return;
     }
-    const text = await readBody(request);
+    const text = (await collectBody(request, maxBodyBytes)).toString("utf8");
     let body: unknown = null;
     try {
       body = text === "" ? null : JSON.parse(text);
@@ -108,16 +109,3 @@
   }
   response.end(JSON.stringify(body));
 }
-
-async function readBody(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of request) {
-    sizeBytes += (chunk as Buffer).length;
-    if (sizeBytes > maxBodyBytes) {
-      throw new Error(`the body is larger than ${maxBodyBytes} bytes`);
-    }
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks).toString();
-}
--- a/packages/entry/TargetLink.ts
+++ b/packages/entry/TargetLink.ts
@@ -6,6 +6,7 @@
 import type { LoadReport } from "@clementinemux/policy/LoadReport";
 import type { TargetView } from "@clementinemux/policy/TargetView";
 import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { collectBody } from "@clementinemux/wire/collectBody";
 
 interface TargetLinkOptions {
   readonly connectTimeoutMs: number;
@@ -136,7 +137,7 @@
         dispatcher: client,
         signal: AbortSignal.timeout(timeoutMs),
       });
-      const { lastCrash = null } = JSON.parse(await readText(body)) as AgentState;
+      const { lastCrash = null } = parseState(await collectBody(body, maxStateBytes));
       return lastCrash !== null && lastCrash.ageMs <= recentCrashMs ? lastCrash.number : null;
     } catch (error) {
       return (error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? 0 : null;
@@ -195,7 +196,7 @@
         await body.dump();
         return false;
       }
-      const state = JSON.parse(await readText(body)) as AgentState;
+      const state = parseState(await collectBody(body, maxStateBytes));
       this.#stamp = state.stamp;
       // The agent may have issued the stamp any time after the request was sent.
       this.#stampAtMs = sentAtMs;
@@ -212,16 +213,6 @@
   }
 }
 
-/** Reads a body of limited size. Throws on a larger one, which closes its connection. */
-async function readText(body: AsyncIterable<Buffer>): Promise<string> {
-  const chunks: Buffer[] = [];
-  let sizeBytes = 0;
-  for await (const chunk of body) {
-    sizeBytes += chunk.length;
-    if (sizeBytes > maxStateBytes) {
-      throw new RangeError(`state report is larger than ${maxStateBytes} bytes`);
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString("utf8");
+function parseState(body: Buffer): AgentState {
+  return JSON.parse(body.toString("utf8")) as AgentState;
 }
--- a/packages/membership/probeAgent.ts
+++ b/packages/membership/probeAgent.ts
@@ -1,4 +1,6 @@
+import { ResponseFeeder } from "@clementinemux/wire/ResponseFeeder";
 import type { TlsFiles } from "@clementinemux/wire/TlsFiles";
+import { collectBody } from "@clementinemux/wire/collectBody";
 import { parseAddress } from "@clementinemux/wire/parseAddress";
 import type { ProbeRequest } from "./ProbeRequest";
 
@@ -24,17 +26,18 @@
       headers: { connection: "close" },
     };
     const outgoing = request(options, (response) => {
-      let text = "";
-      response.setEncoding("utf8");
-      response.on("data", (chunk: string) => {
-        text += chunk;
-        if (text.length > maxResponseBytes) {
-          outgoing.destroy();
-        }
-      });
-      response.on("end", () => {
-        finish(response.statusCode === 200 && isStateOfIncarnation(text, target, incarnation));
-      });
+      collectBody(response, maxResponseBytes).then(
+        (body) => {
+          const isState = isStateOfIncarnation(body.toString("utf8"), target, incarnation);
+          finish(response.statusCode === 200 && isState);
+        },
+        () => {
+          finish(false);
+        },
+      );
+    });
+    new ResponseFeeder(outgoing, () => {
+      finish(false);
     });
     const timer = setTimeout(() => {
       finish(false);
--- a/packages/membership/test/probeAgent.test.ts
+++ b/packages/membership/test/probeAgent.test.ts
@@ -4,6 +4,9 @@
 import type { AddressInfo, Server } from "node:net";
 import t from "tap";
 import { probeAgent } from "@clementinemux/membership/probeAgent";
+import { waitUntil } from "@clementinemux/system/waitUntil";
+import { EndlessTarget } from "../../wire/test/helpers/EndlessTarget";
+import { endlessResponses } from "../../wire/test/helpers/endlessResponses";
 
 async function listen(server: Server): Promise<string> {
   server.listen(0, "127.0.0.1");
@@ -31,3 +34,16 @@
   t.equal(await probeAgent({ target: "r-1", incarnation: "1", address }, 1000), false);
   server.close();
 });
+
+for (const [name, { first, full }] of Object.entries(endlessResponses)) {
+  // Guards against a faulty agent that keeps a coordinator busy until the timeout of the probe.
+  t.test(`endless response: ${name}`, async (t) => {
+    const target = new EndlessTarget({ first: () => first(""), more: full, writeIntervalMs: 0 });
+    const address = `127.0.0.1:${await target.listen()}`;
+    t.teardown(() => {
+      target.close();
+    });
+    t.equal(await probeAgent({ target: "r-0", incarnation: "1", address }, 60_000), false);
+    await waitUntil("the connection is closed", () => (target.closedCount === 1 ? true : null), 1000);
+  });
+}
