Close an RPC connection whose peer sends responses to no call

Each response, asked for or not, set the count of timeouts back, so a peer that floods its client kept the connection while all calls over it timed out. A client now closes the connection after as many such responses as calls may have timed out (10,000), and 1,000 per second.

--- a/packages/wire/RpcClient.ts
+++ b/packages/wire/RpcClient.ts
@@ -7,6 +7,7 @@
 import type { Frame } from "./Frame";
 import { FrameDecoder } from "./FrameDecoder";
 import { FrameKind } from "./FrameKind";
+import { PieceAllowance } from "./PieceAllowance";
 import type { RemoteErrorBody } from "./RemoteErrorBody";
 import type { TlsFiles } from "./TlsFiles";
 import { WireError } from "./WireError";
@@ -107,6 +108,7 @@
         : connectTls({ ...address, ...tls, checkServerIdentity: () => undefined });
     const decoder = new FrameDecoder();
     const connectTimeoutMs = this.#options.connectTimeoutMs ?? defaultConnectTimeoutMs;
+    const unexpected = new PieceAllowance(wireLimits.maxPendingCalls, wireLimits.unexpectedResponsesPerS);
     const peer = `${address.host}:${address.port}`;
     const fail = (code: WireErrorCode, reason: string): void => {
       if (this.#socket === socket) {
@@ -134,7 +136,10 @@
     socket.on("data", (chunk: Buffer) => {
       try {
         for (const frame of decoder.push(chunk)) {
-          this.#onFrame(frame);
+          if (!this.#onFrame(frame) && !unexpected.take(1, performance.now())) {
+            fail(WireErrorCode.ConnectionClosed, "too many responses to no call");
+            return;
+          }
         }
       } catch (error) {
         fail(WireErrorCode.FrameMalformed, error instanceof Error ? error.message : String(error));
@@ -143,12 +148,12 @@
     return socket;
   }
 
-  #onFrame(frame: Frame): void {
+  /** Returns whether a call waited for the frame; one that has timed out does not. */
+  #onFrame(frame: Frame): boolean {
     this.#consecutiveTimeouts = 0;
     const pending = this.#removePending(frame.id);
     if (pending === null) {
-      // The call has already timed out.
-      return;
+      return false;
     }
     if (frame.kind === FrameKind.Error) {
       const { code, message, detail } = frame.body as RemoteErrorBody;
@@ -156,9 +161,10 @@
       const isStopping = code === stoppingCode;
       const kind = isStopping ? WireErrorCode.Stopping : WireErrorCode.Remote;
       pending.resolve(Left(new WireError(kind, message, { code, detail })));
-      return;
+      return true;
     }
     pending.resolve(Right(frame.body));
+    return true;
   }
 
   #onTimeout(id: number, name: string, timeoutMs: number): void {
--- a/packages/wire/wireLimits.ts
+++ b/packages/wire/wireLimits.ts
@@ -12,6 +12,11 @@
   /** Unsent bytes and calls in work of one connection above which a server reads no further frames from it. */
   maxQueuedBytes: 262_144,
   maxCallsInWork: 1024,
+  /** Bytes that a server decodes at a time, and the frames in them after which other connections have their turn. */
+  maxPartBytes: 4096,
+  maxFramesPerTurn: 64,
+  /** Responses to no waiting call that a client accepts per second; at once, as many as calls may have timed out. */
+  unexpectedResponsesPerS: 1000,
   /** Time for a peer to read what is unsent while its frames are not read. */
   unreadTimeoutMs: 15_000,
   /** Incomplete frames of all connections of a server; above it, the connection with the largest one is closed. */
