Handle the frames of an RPC connection in turns

A read of 64 KB can hold 6,500 frames, all of which were handled in one turn of the event loop, and the socket was read again at once.

--- a/packages/wire/FrameFlow.ts
+++ b/packages/wire/FrameFlow.ts
@@ -1,13 +1,15 @@
 import type { Socket } from "node:net";
+import type { TurnQueue } from "./TurnQueue";
 import { wireLimits } from "./wireLimits";
 
 /**
- * Stops reading frames from one connection while its peer does not read its responses, or has too many calls in work. A
- * peer that reads nothing for too long is disconnected.
+ * Stops reading frames from one connection while its peer does not read its responses, has too many calls in work, or
+ * waits for its turn. A peer that reads nothing for too long is disconnected.
  */
 export class FrameFlow {
   readonly #socket: Socket;
   #inWork = 0;
+  #isWaitingForTurn = false;
   #isPaused = false;
   #unreadTimer: NodeJS.Timeout | null = null;
 
@@ -35,10 +37,19 @@
     return this.#isPaused;
   }
 
+  /** Reads no further frames before the next turn of the connection, so that others are read in between. */
+  waitForTurn(turns: TurnQueue): void {
+    this.#isWaitingForTurn = true;
+    turns.add(() => {
+      this.#isWaitingForTurn = false;
+      this.update();
+    });
+  }
+
   /** Pauses or resumes the connection as its state demands. */
   update(): void {
     const isUnread = this.#socket.writableLength > wireLimits.maxQueuedBytes;
-    const isFull = isUnread || this.#inWork >= wireLimits.maxCallsInWork;
+    const isFull = isUnread || this.#isWaitingForTurn || this.#inWork >= wireLimits.maxCallsInWork;
     if (this.#socket.destroyed) {
       return;
     }
--- a/packages/wire/RpcServer.ts
+++ b/packages/wire/RpcServer.ts
@@ -11,6 +11,7 @@
 import { RemoteError } from "./RemoteError";
 import type { RemoteErrorBody } from "./RemoteErrorBody";
 import type { TlsFiles } from "./TlsFiles";
+import { TurnQueue } from "./TurnQueue";
 import { UploadPool } from "./UploadPool";
 import { WireError } from "./WireError";
 import { WireErrorCode } from "./WireErrorCode";
@@ -37,6 +38,8 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #partialFrames = new UploadPool(wireLimits.maxPartialBytes);
+  /** Connections with many frames at once. */
+  readonly #turns = new TurnQueue();
   #isOpen = true;
   #isDraining = false;
   #calls = 0;
@@ -158,13 +161,14 @@
         clearTimeout(frameTimer);
       }
     });
-    socket.on("data", (chunk: Buffer) => {
+    /** Returns the number of frames, which are handled. */
+    const handlePart = (part: Buffer): number => {
       let frames: Frame[];
       try {
-        frames = decoder.push(chunk);
+        frames = decoder.push(part);
       } catch (error) {
         rejectPeer(error);
-        return;
+        return 0;
       }
       if (frames.length > 0 && frameTimer !== null) {
         // The remaining bytes belong to a new frame, which has its own timeout.
@@ -179,7 +183,22 @@
           flow.end();
         });
       }
+      return frames.length;
+    };
+    socket.on("data", (chunk: Buffer) => {
+      let rest = chunk;
+      let frameCount = 0;
+      while (rest.length > 0 && frameCount <= wireLimits.maxFramesPerTurn && !socket.destroyed) {
+        frameCount += handlePart(rest.subarray(0, wireLimits.maxPartBytes));
+        rest = rest.subarray(wireLimits.maxPartBytes);
+      }
+      if (frameCount > wireLimits.maxFramesPerTurn) {
+        flow.waitForTurn(this.#turns);
+      }
       flow.update();
+      if (rest.length > 0 && !socket.destroyed) {
+        socket.unshift(rest);
+      }
     });
   }
 
--- a/packages/wire/test/rpc.test.ts
+++ b/packages/wire/test/rpc.test.ts
@@ -1,12 +1,14 @@
-import { connect } from "node:net";
-import type { Socket } from "node:net";
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as delay } from "node:timers/promises";
 import t from "tap";
 import { createLogger } from "@clementinemux/logging/createLogger";
 import { waitUntil } from "@clementinemux/system/waitUntil";
+import { FrameKind } from "@clementinemux/wire/FrameKind";
 import { RpcClient } from "@clementinemux/wire/RpcClient";
 import { RpcServer } from "@clementinemux/wire/RpcServer";
 import { WireErrorCode } from "@clementinemux/wire/WireErrorCode";
+import { encodeFrame } from "@clementinemux/wire/encodeFrame";
 import { wireLimits } from "@clementinemux/wire/wireLimits";
 import { FaultyProxy } from "./helpers/FaultyProxy";
 
@@ -133,3 +135,42 @@
   later.close();
   await server.close();
 });
+
+/** Many small frames of one kind. */
+function createFrames(kind: FrameKind): Buffer {
+  const frame = encodeFrame({ kind, id: 999_999, name: "note", body: null });
+  return Buffer.concat(Array.from({ length: 20_000 }, () => frame));
+}
+
+// Guards against a peer whose many small frames are all handled before any other connection is read.
+t.test("many small frames are handled in turns", async (t) => {
+  let handled = 0;
+  let largestTurn = 0;
+  const note = (): void => {
+    handled += 1;
+  };
+  const server = new RpcServer({ handlers: { note } });
+  const peer = connect({ host, port: await server.listen(host, 0) });
+  peer.write(createFrames(FrameKind.Notify));
+  for (let before = handled; handled < 20_000; before = handled) {
+    await new Promise(setImmediate);
+    largestTurn = Math.max(largestTurn, handled - before);
+  }
+  t.ok(largestTurn < 1000, `${largestTurn} frames were handled in one turn`);
+  peer.destroy();
+  await server.close();
+});
+
+// Guards against a faulty peer that keeps a client busy, and its connection in use, with responses to no call.
+t.test("responses to no call end the connection", async (t) => {
+  const peer = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.write(createFrames(FrameKind.Response));
+  });
+  await new Promise<void>((resolve) => peer.listen(0, host, resolve));
+  const client = new RpcClient({ address: { host, port: (peer.address() as AddressInfo).port } });
+  const error = (await client.call("echo", 1, 5000)).swap().extract() as { readonly code: WireErrorCode };
+  t.equal(error.code, WireErrorCode.ConnectionClosed);
+  client.close();
+  peer.close();
+});
