Stop the test gateway when it doesn't become ready

startGateway threw before it returned what stops the gateway, so that the file ran into its timeout after such a failure and tap added 'timeout!' to it.

--- a/packages/gateway/test/startGateway.ts
+++ b/packages/gateway/test/startGateway.ts
@@ -107,9 +107,22 @@
     codec,
     random: createRandom(1),
   });
+  const stop = async (): Promise<void> => {
+    gateway.close();
+    targets.forEach((target) => {
+      target.close();
+    });
+    await coordinator.close();
+  };
   await gateway.start();
   if (state.ageMs !== null) {
-    await waitUntil("the gateway is ready", () => (gateway.isReady ? true : null), 3000);
+    try {
+      await waitUntil("the gateway is ready", () => (gateway.isReady ? true : null), 3000);
+    } catch (error) {
+      // What stays open would hold the file until its timeout.
+      await stop();
+      throw error;
+    }
   }
   const open = (options: RequestOptions, id: string) =>
     request({
@@ -134,12 +147,5 @@
       });
       sent.end(body);
     });
-  const stop = async (): Promise<void> => {
-    gateway.close();
-    targets.forEach((target) => {
-      target.close();
-    });
-    await coordinator.close();
-  };
   return { gateway, codec, state, call, open, callerPort, readyPort, stop };
 }
