--- a/packages/cli/OperatorClient.ts
+++ b/packages/cli/OperatorClient.ts
@@ -8,6 +8,7 @@
 import { ExitCode } from "./ExitCode";
 import type { OperatorResponse } from "./OperatorResponse";
 import type { OperatorClientOptions } from "./OperatorClientOptions";
+import { readBodyText } from "./readBodyText";
 import { sendHedged } from "./sendHedged";
 
 const attemptTimeoutMs = 8000;
@@ -89,14 +90,23 @@
       const urls = [...this.#urls];
       const sendTo = async (index: number, signal: AbortSignal): Promise<OperatorResponse | null> => {
         const url = urls[index] ?? "";
+        const abort = new AbortController();
+        const stop = (): void => {
+          abort.abort();
+        };
+        const timer = setTimeout(stop, deadlineMs - Date.now());
+        signal.addEventListener("abort", stop);
         try {
-          const response = await this.#send(method, `${url}${path}`, body, signal);
+          const response = await this.#send(method, `${url}${path}`, body, abort.signal);
           if (!retryStatuses.includes(response.status)) {
             return response;
           }
           lastFailure = `${url}: ${getProblemText(response)}`;
         } catch (error) {
           lastFailure = `${url}: ${error instanceof Error ? error.message : String(error)}`;
+        } finally {
+          clearTimeout(timer);
+          signal.removeEventListener("abort", stop);
         }
         return null;
       };
@@ -146,7 +156,7 @@
       },
       body: body === null ? null : JSON.stringify(body),
     });
-    const text = await response.body.text();
+    const text = await readBodyText(response.body);
     const { location } = response.headers;
     return {
       status: response.statusCode,
--- a/packages/cli/commands/ExplainCommand.ts
+++ b/packages/cli/commands/ExplainCommand.ts
@@ -5,9 +5,11 @@
 import { ExitCode } from "../ExitCode";
 import { findRequestTrace } from "../findRequestTrace";
 import { formatTrace } from "../formatTrace";
+import { readBodyText } from "../readBodyText";
 
 /** File name that means standard input. */
 const standardInput = "-";
+const entryTimeoutMs = 5000;
 
 /**
  * `explain`. Reads the logs of several processes, or queries the entries; only the entry that handled the
@@ -71,8 +73,9 @@
       try {
         const response = await requestHttp(`${url}/v1/explain/${encodeURIComponent(this.requestId)}`, {
           headers: this.token === undefined ? {} : { authorization: `Bearer ${this.token}` },
+          signal: AbortSignal.timeout(entryTimeoutMs),
         });
-        const text = await response.body.text();
+        const text = await readBodyText(response.body);
         if (response.statusCode === 200) {
           this.context.stdout.write(`${JSON.stringify(JSON.parse(text), null, 2)}\n`);
           return ExitCode.Done;
--- a/packages/cli/commands/GroupCommand.ts
+++ b/packages/cli/commands/GroupCommand.ts
@@ -7,6 +7,7 @@
 import { ExitCode } from "../ExitCode";
 import type { OperatorResponse } from "../OperatorResponse";
 import type { OperatorClient } from "../OperatorClient";
+import { readBodyText } from "../readBodyText";
 
 interface LeaderAddress {
   readonly target: string;
@@ -71,6 +72,7 @@
       bodyTimeout: agentTimeoutMs,
       signal: AbortSignal.timeout(agentTimeoutMs),
     });
-    return { status: response.statusCode, leaderUrl: null, body: await response.body.json() };
+    const body = JSON.parse(await readBodyText(response.body)) as unknown;
+    return { status: response.statusCode, leaderUrl: null, body };
   }
 }
--- a/packages/cli/test/operatorClient.test.ts
+++ b/packages/cli/test/operatorClient.test.ts
@@ -6,6 +6,8 @@
 import { sendHedged } from "@clementinemux/cli/sendHedged";
 import { ExitCode } from "@clementinemux/cli/ExitCode";
 import { ConfigChangeKind } from "@clementinemux/fleet/ConfigChangeKind";
+import { EndlessTarget } from "../../wire/test/helpers/EndlessTarget";
+import { endlessResponses } from "../../wire/test/helpers/endlessResponses";
 
 interface SeenRequest {
   readonly requestId: string;
@@ -139,3 +141,19 @@
   });
   await client.close();
 });
+
+for (const name of ["a body without length", "a body in chunks of one byte", "a chunk size"] as const) {
+  // Guards against a command that a faulty replica keeps from ending, or whose memory it exhausts.
+  t.test(`endless response: ${name}`, async (t) => {
+    const { first, full } = endlessResponses[name];
+    const target = new EndlessTarget({ first: () => first(""), more: full, writeIntervalMs: 0 });
+    const client = createClient([`http://127.0.0.1:${await target.listen()}`], 500);
+    t.teardown(async () => {
+      target.close();
+      await client.close();
+    });
+    const startedMs = performance.now();
+    await t.rejects(client.get("/v1/config"), /no answer from control/);
+    t.ok(performance.now() - startedMs < 5000);
+  });
+}
