Count the bytes that an abandoned call has read at its socket

A socket emits the parts of a received chunk again that wait to be parsed, so their lengths were counted several times. No test: too small a number of such parts is possible before ResponseFeeder ends the call to reach the limit wrongly.

--- a/packages/agent/limitAbandonedCall.ts
+++ b/packages/agent/limitAbandonedCall.ts
@@ -11,14 +11,15 @@
   if (call.closed) {
     return;
   }
-  let readBytes = 0;
+  const { socket } = call;
+  const startBytes = socket?.bytesRead ?? 0;
   const timer = setTimeout(() => {
     call.destroy();
   }, timeoutMs);
   timer.unref();
-  call.socket?.on("data", ({ length }: Buffer) => {
-    readBytes += length;
-    if (readBytes > maxAbandonedBytes) {
+  // Not the length of the data, parts of which a socket may emit again while they wait to be parsed.
+  socket?.on("data", () => {
+    if (socket.bytesRead - startBytes > maxAbandonedBytes) {
       call.destroy();
     }
   });
