End an agent's response that consists of too much framing

The HTTP library reports neither the digits of a chunk size nor chunk extensions, so an agent that sent one of them without an end kept the entry's parser busy until a timeout. UpstreamCall compares the bytes of its socket with those of the body, as ResponseFeeder does; it gets the socket from the diagnostics channel that the library publishes.

The two new forms failed before: not closed after 1 s.

--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -1,7 +1,10 @@
+import type { Socket } from "node:net";
 import type { Client, Dispatcher } from "undici";
+import { FramingDebt } from "@clementinemux/wire/FramingDebt";
 import { PieceAllowance } from "@clementinemux/wire/PieceAllowance";
 import type { TargetLink } from "./TargetLink";
 import { findHeadFault } from "./findHeadFault";
+import { onRequestSocket } from "./onRequestSocket";
 import type { UpstreamListener } from "./UpstreamListener";
 
 interface UpstreamCallOptions {
@@ -32,6 +35,9 @@
   readonly #pieces = new PieceAllowance(pieceBurst, piecesPerS);
   #freshClient: Client | null = null;
   #controller: Dispatcher.DispatchController | null = null;
+  #stopWatching: () => void = () => undefined;
+  /** Bytes of the body since the framing was last checked. */
+  #newBodyBytes = 0;
   #written = false;
   #closed = false;
   /** Bytes received after `finish`; null before. */
@@ -103,6 +109,9 @@
           return;
         }
         this.#written = true;
+        onRequestSocket((socket) => {
+          this.#watchFraming(socket);
+        });
       },
       onResponseStart: (_controller, status, headers) => {
         const fault = findHeadFault(status, headers);
@@ -114,6 +123,7 @@
         });
       },
       onResponseData: (_controller, chunk) => {
+        this.#newBodyBytes += chunk.length;
         if (!this.#pieces.takePiece(chunk.length, performance.now())) {
           throw new Error("too many small pieces of a body");
         }
@@ -135,6 +145,26 @@
     };
   }
 
+  /** Ends the exchange when the agent sends too much framing, which the HTTP library doesn't report or limit. */
+  #watchFraming(socket: Socket): void {
+    const framing = new FramingDebt();
+    let seenBytes = socket.bytesRead;
+    // Runs after the parser for the same bytes; those that wait for it are still readable.
+    const check = (): void => {
+      const parsedBytes = socket.bytesRead - socket.readableLength;
+      const isTooMuch = framing.add(parsedBytes - seenBytes, this.#newBodyBytes);
+      seenBytes = parsedBytes;
+      this.#newBodyBytes = 0;
+      if (isTooMuch) {
+        this.#controller?.abort(new Error("too many framing bytes for the body"));
+      }
+    };
+    socket.on("readable", check);
+    this.#stopWatching = () => {
+      socket.off("readable", check);
+    };
+  }
+
   #notifyIfOpen(notify: () => void): void {
     if (!this.#closed && this.#trailingBytes === null) {
       notify();
@@ -161,6 +191,7 @@
 
   #close(): void {
     this.#closed = true;
+    this.#stopWatching();
     clearTimeout(this.#trailingTimer);
     this.#closeClient();
   }
--- a/packages/entry/test/endless.test.ts
+++ b/packages/entry/test/endless.test.ts
@@ -81,6 +81,8 @@
 const smallPieces = {
   "chunks of one byte": "1\r\nx\r\n",
   "chunks of six bytes": "6\r\nabcdef\r\n",
+  "no chunk, but its size": "0000000",
+  "no chunk, but its extension": "1;xxxxx",
   "chunks with long extensions": `1;${"x".repeat(200)}\r\nx\r\n`,
 };
 const createToken = (index: number): string =>
