--- a/packages/wire/ResponseFeeder.ts
+++ b/packages/wire/ResponseFeeder.ts
@@ -13,11 +13,11 @@
 const maxPartBytes = 65_536;
 /** A part with more small pieces is the only one of its connection in a turn of the event loop. */
 const maxDirectPieces = 64;
-/** Small pieces of a response: a working engine sends tens of events per second. */
-const pieceBurst = 4096;
+/** A working engine sends tens of events per second. */
 const piecesPerS = 1000;
+const pieceBurst = 4096;
 
-/** Shared by all connections, so that together they parse one part with many pieces per turn. */
+/** Shared by all connections: after its first part with many pieces, each waits for its turn. */
 const turns = new TurnQueue();
 
 /**
@@ -43,7 +43,7 @@
   #nowMs = 0;
   #isPaused = false;
   #isInTurn = false;
-  #isBroken = false;
+  #isReset = false;
   #isExceeded = false;
 
   constructor(request: ClientRequest, onExceeded: (detail: string) => void) {
@@ -85,7 +85,7 @@
       !this.#isExceeded &&
       !this.#request.destroyed &&
       this.#response?.complete !== true &&
-      (this.#isBroken || this.#socket?.destroyed === false)
+      (this.#isReset || this.#socket?.destroyed === false)
     );
   }
 
@@ -93,10 +93,22 @@
     return this.#isPaused || this.#isInTurn || this.#isBlocked;
   }
 
-  /** Whether the consumer leaves more data unread than Node buffers; Node resumes the socket when it reads. */
+  /**
+   * Whether the consumer doesn't read. One that is paused holds no further pieces. A reader on 'readable' events is never
+   * resumed; Node resumes the socket when it reads.
+   */
   get #isBlocked(): boolean {
     const response = this.#response;
-    return response !== null && response.readableLength >= response.readableHighWaterMark;
+    if (response === null) {
+      return false;
+    }
+    const isPaused = response.readableFlowing === false && response.listenerCount("readable") === 0;
+    return isPaused || response.readableLength >= response.readableHighWaterMark;
+  }
+
+  /** Node detaches its parser at a parse error. */
+  get #hasParser(): boolean {
+    return Boolean((this.#socket as { parser?: unknown } | null)?.parser);
   }
 
   #attach(socket: Socket): void {
@@ -132,6 +144,9 @@
       }
       return push(chunk, encoding);
     };
+    response.on("resume", () => {
+      this.#socket?.resume();
+    });
     if (this.#isPaused) {
       response.pause();
     }
@@ -158,20 +173,15 @@
     }
   };
 
-  /** Parses what was received before the connection broke. */
+  /** Parses what was received before a reset. */
   readonly #onError = (): void => {
-    this.#isBroken = true;
+    this.#isReset = true;
     let rest = this.#socket?.read() as Buffer | null;
     while (rest !== null && rest.length > 0 && this.#isActive && this.#hasParser) {
       rest = this.#parsePart(rest);
     }
   };
 
-  /** Node detaches its parser at a parse error. */
-  get #hasParser(): boolean {
-    return Boolean((this.#socket as { parser?: unknown } | null)?.parser);
-  }
-
   /** Returns the bytes that are left. */
   #parsePart(bytes: Buffer): Buffer {
     const part = bytes.length > this.#partBytes ? bytes.subarray(0, this.#partBytes) : bytes;
