Bound the events that a stream delivers in a turn, also when each is a piece of its own

Pieces that come within 10 ms of the last event now count together, and beyond 32 events they wait for a turn. Those of a working engine come further apart.

The new test delivered 500 events in one turn before, 32 now.

--- a/packages/gateway/EventDelivery.ts
+++ b/packages/gateway/EventDelivery.ts
@@ -18,6 +18,8 @@
 
 const burstEvents = 1024;
 const maxEventsPerTurn = 32;
+/** Events after such a pause are delivered at once; those of a working engine come further apart. */
+const directPauseMs = 10;
 
 /**
  * Delivers the events of one stream in order, a bounded number in each turn of the event loop, and small ones at a
@@ -29,6 +31,9 @@
   readonly #splitter = new EventSplitter();
   readonly #allowance = new PieceAllowance(burstEvents, eventsPerS);
   #timer: NodeJS.Timeout | null = null;
+  /** Events that were delivered since the last pause, and when the latest ones were. */
+  #recentEvents = 0;
+  #deliveredAtMs = -Infinity;
   #isScheduled = false;
   #isPaused = false;
   #isCancelled = false;
@@ -54,7 +59,12 @@
 
   add(chunk: Buffer): void {
     this.#splitter.add(chunk);
-    if (!this.#isScheduled && !this.#isPaused) {
+    if (this.#options.clock.monotonicMs() - this.#deliveredAtMs >= directPauseMs) {
+      this.#recentEvents = 0;
+    }
+    if (this.#recentEvents >= maxEventsPerTurn) {
+      this.#schedule();
+    } else if (!this.#isScheduled && !this.#isPaused) {
       this.#runTurn();
     }
   }
@@ -113,6 +123,8 @@
       this.#allowance.takePiece(event.bytes.length, nowMs);
       events.push(event);
     }
+    this.#recentEvents += events.length;
+    this.#deliveredAtMs = nowMs;
     return events;
   }
 
--- a/packages/gateway/test/eventDelivery.test.ts
+++ b/packages/gateway/test/eventDelivery.test.ts
@@ -63,6 +63,21 @@
   t.end();
 });
 
+// Guards against a bound for the events of one piece that many pieces in a turn exceed together.
+t.test("events in pieces of their own are delivered in small parts", async (t) => {
+  const { delivery, state } = createDelivery();
+  for (let event = 1; event <= 500; event += 1) {
+    delivery.add(Buffer.from(responses.event(event)));
+  }
+  const count = (): number => state.batches.reduce((sum, size) => sum + size, 0);
+  t.equal(count(), 32, "in the turn of the pieces");
+  t.ok(delivery.isHolding);
+  await new Promise<void>((resolve) => {
+    delivery.end(resolve);
+  });
+  t.ok(state.text === createEvents(500));
+});
+
 // Guards against delivering a whole read to a caller that does not read, and against an end before the last event.
 t.test("paused events wait, and so does the end", async (t) => {
   const text = createEvents(100);
