--- a/packages/entry/getEventData.ts
+++ b/packages/entry/getEventData.ts
@@ -1,15 +1,16 @@
-const dataField = "data:";
+const dataLineStart = "\ndata:";
 
-/** Returns the data of an event, with several data lines joined; null when it has none, such as a comment. */
+/**
+ * Returns the data of an event, with several data lines joined; null when it has none, such as a comment. Searches the lines
+ * in place, since an event may consist of very many short ones.
+ */
 export function getEventData(event: string): string | null {
-  if (event.startsWith("data: ") && !event.includes("\n")) {
-    return event.slice(dataField.length + 1);
+  const text = `\n${event}`;
+  const lines: string[] = [];
+  for (let at = text.indexOf(dataLineStart); at >= 0; at = text.indexOf(dataLineStart, at + 1)) {
+    const start = at + dataLineStart.length;
+    const end = text.indexOf("\n", start);
+    lines.push(text.slice(text[start] === " " ? start + 1 : start, end < 0 ? text.length : end));
   }
-  const lines = event.split("\n").filter((line) => line.startsWith(dataField));
-  if (lines.length === 0) {
-    return null;
-  }
-  return lines
-    .map((line) => line.slice(line[dataField.length] === " " ? dataField.length + 1 : dataField.length))
-    .join("\n");
+  return lines.length === 0 ? null : lines.join("\n");
 }
--- a/packages/gateway/EventSplitter.ts
+++ b/packages/gateway/EventSplitter.ts
@@ -107,12 +107,14 @@
   }
 }
 
+/** Searches the lines in place, since an event may consist of very many short ones. */
 function createEvent(bytes: Buffer): RelayedEvent {
-  const lines = bytes.toString("latin1").split("\n");
-  const id = lines.find((line) => line.startsWith("id:"));
+  const text = `\n${bytes.toString("latin1")}`;
+  const idAt = text.indexOf("\nid:");
+  const idStart = idAt + "\nid:".length;
   return {
     bytes,
-    id: id === undefined ? null : id.slice(3).trim(),
-    hasData: lines.some((line) => line.startsWith("data:")),
+    id: idAt < 0 ? null : text.slice(idStart, text.indexOf("\n", idStart)).trim(),
+    hasData: text.includes("\ndata:"),
   };
 }
