Let a connection wait for its turn after many pieces of any size, and after a full read

Found by the review: only pieces below 256 bytes counted for the turns, and Node reads a socket up to 32 times in a row while reads are full, so that one target could bring 493 pieces, or 2 MB, in one turn. A part with more than 64 pieces of any size, and a full read of 64 KB, now let other connections have their turn.

wire, gateway/endless and soundTargets pass (378 tests with those of cores, stalledStreams, pacedStreams and entry).

--- a/packages/wire/ResponseFeeder.ts
+++ b/packages/wire/ResponseFeeder.ts
@@ -10,8 +10,8 @@
 /** Size of a part while parts bring many pieces, and of the first one: up to 680 chunks of one byte. */
 const minPartBytes = 4096;
 /** Node reads no more from a socket at once. */
-const maxPartBytes = 65_536;
-/** A part with more small pieces is the only one of its connection in a turn of the event loop. */
+const maxReadBytes = 65_536;
+/** A part with more pieces is the only one of its connection in a turn of the event loop. */
 const maxDirectPieces = 64;
 /** A working engine sends tens of events per second. */
 const piecesPerS = 1000;
@@ -38,7 +38,7 @@
   #response: IncomingMessage | null = null;
   #partBytes = minPartBytes;
   /** Pieces and body bytes of the part that is parsed, and when this began. */
-  #smallPieces = 0;
+  #pieceCount = 0;
   #bodyBytes = 0;
   #nowMs = 0;
   #isPaused = false;
@@ -157,12 +157,18 @@
     while (rest.length > 0 && this.#isActive && !this.#isWaiting) {
       rest = this.#parsePart(rest);
     }
+    if (chunk.length >= maxReadBytes) {
+      // More is likely to wait, and Node would read a socket up to 32 times in a row.
+      this.#waitForTurn();
+    }
     if (rest.length > 0 && this.#isActive) {
       this.#socket?.pause();
       this.#socket?.unshift(rest);
     } else if (rest.length > 0) {
       // More than the response, which must not reach the next one.
       this.#socket?.destroy();
+    } else if (this.#isActive && this.#isInTurn) {
+      this.#socket?.pause();
     }
   };
 
@@ -185,18 +191,18 @@
   /** Returns the bytes that are left. */
   #parsePart(bytes: Buffer): Buffer {
     const part = bytes.length > this.#partBytes ? bytes.subarray(0, this.#partBytes) : bytes;
-    this.#smallPieces = 0;
+    this.#pieceCount = 0;
     this.#bodyBytes = 0;
     this.#nowMs = performance.now();
     this.#parse?.(part);
     if (this.#framing.add(part.length, this.#bodyBytes)) {
       this.#exceed("too many framing bytes for the body");
     }
-    if (this.#smallPieces > maxDirectPieces) {
+    if (this.#pieceCount > maxDirectPieces) {
       this.#partBytes = minPartBytes;
       this.#waitForTurn();
     } else {
-      this.#partBytes = Math.min(this.#partBytes * 2, maxPartBytes);
+      this.#partBytes = Math.min(this.#partBytes * 2, maxReadBytes);
     }
     return part === bytes ? noBytes : bytes.subarray(part.length);
   }
@@ -216,7 +222,7 @@
   /** Returns whether the piece is within the limit. */
   #countPiece(sizeBytes: number): boolean {
     this.#bodyBytes += sizeBytes;
-    this.#smallPieces += PieceAllowance.isSmall(sizeBytes) ? 1 : 0;
+    this.#pieceCount += 1;
     if (!this.#isExceeded && !this.#pieces.takePiece(sizeBytes, this.#nowMs)) {
       this.#exceed("too many small pieces of a body");
     }
