Recognise an event stream by any of its content types again

Cause: the shared findHeader looks at the first header of a name only, while a stream was recognised by any of them.

--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -292,7 +292,12 @@
 }
 
 function isEventStream(headers: readonly string[]): boolean {
-  return findHeader(headers, "content-type")?.toLowerCase().startsWith("text/event-stream") ?? false;
+  return headers.some(
+    (name, at) =>
+      at % 2 === 0 &&
+      name.toLowerCase() === "content-type" &&
+      (headers[at + 1] ?? "").toLowerCase().startsWith("text/event-stream"),
+  );
 }
 
 /** Size that a response announces for its body; 0 for none. */
