--- a/packages/agent/Forwarder.ts
+++ b/packages/agent/Forwarder.ts
@@ -127,9 +127,7 @@
         clearTimeout(timer);
       });
     });
-    new ResponseFeeder(upstream, (detail) => {
-      upstream.destroy(new Error(detail));
-    });
+    new ResponseFeeder(upstream);
     let provisionalCount = 0;
     upstream.on("information", () => {
       provisionalCount += 1;
--- a/packages/agent/TargetClient.ts
+++ b/packages/agent/TargetClient.ts
@@ -55,9 +55,7 @@
           }, fail);
         },
       );
-      new ResponseFeeder(outgoing, (detail) => {
-        outgoing.destroy(new Error(detail));
-      });
+      new ResponseFeeder(outgoing);
       const timer = setTimeout(() => {
         outgoing.destroy(new Error(`target did not respond within ${timeoutMs} ms`));
       }, timeoutMs);
--- a/packages/entry/UpstreamCall.ts
+++ b/packages/entry/UpstreamCall.ts
@@ -1,6 +1,6 @@
 import type { Socket } from "node:net";
 import type { Client, Dispatcher } from "undici";
-import { FramingDebt } from "@clementinemux/wire/FramingDebt";
+import { FramingLimit } from "@clementinemux/wire/FramingLimit";
 import { PieceAllowance } from "@clementinemux/wire/PieceAllowance";
 import type { TargetLink } from "./TargetLink";
 import { findHeadFault } from "./findHeadFault";
@@ -22,9 +22,6 @@
 /** Limits on what follows the needed part of a response: framing, or output of a target that cleans up. */
 const maxTrailingBytes = 65_536;
 const trailingTimeoutMs = 1000;
-/** Small pieces of a response: a working engine sends tens of events per second. */
-const pieceBurst = 4096;
-const piecesPerS = 1000;
 
 /**
  * One HTTP exchange with an agent. The HTTP library never retries it. A failure has `written` false only if
@@ -32,7 +29,7 @@
  */
 export class UpstreamCall {
   readonly #listener: UpstreamListener;
-  readonly #pieces = new PieceAllowance(pieceBurst, piecesPerS);
+  readonly #pieces = new PieceAllowance();
   #freshClient: Client | null = null;
   #controller: Dispatcher.DispatchController | null = null;
   #stopWatching: () => void = () => undefined;
@@ -147,7 +144,7 @@
 
   /** Ends the exchange when the agent sends too much framing, which the HTTP library doesn't report or limit. */
   #watchFraming(socket: Socket): void {
-    const framing = new FramingDebt();
+    const framing = new FramingLimit();
     let seenBytes = socket.bytesRead;
     // Runs after the parser for the same bytes; those that wait for it are still readable.
     const check = (): void => {
--- a/packages/gateway/Attempt.ts
+++ b/packages/gateway/Attempt.ts
@@ -176,7 +176,7 @@
     const newEvents = this.#options.onEvents(events);
     if (this.#progress.note(events, newEvents)) {
       this.#restartStallTimer();
-    } else if (this.#progress.isExhausted) {
+    } else if (this.#progress.hasTooManyEvents) {
       this.#failStalled("events without anything new");
     }
   }
--- a/packages/gateway/AttemptOptions.ts
+++ b/packages/gateway/AttemptOptions.ts
@@ -15,7 +15,7 @@
   readonly stallTimeoutMs: number | null;
   readonly call: TargetCallOptions;
   readonly clock: Clock;
-  /** In which all streams take turns to deliver events. */
+  /** Streams of targets deliver their events in turns; shared by all of them. */
   readonly turns: TurnQueue;
   /** Shares the memory for responses that are buffered until they are complete, and for incomplete events. */
   readonly responses: PartialMessagePool;
--- a/packages/gateway/GatewayContext.ts
+++ b/packages/gateway/GatewayContext.ts
@@ -52,7 +52,7 @@
   /** Uploads that are not complete. */
   readonly uploads: PartialMessagePool;
   readonly unread: UnreadResponses;
-  /** In which the streams of targets take turns to deliver events. */
+  /** Streams of targets deliver their events in turns. */
   readonly turns: TurnQueue;
   readonly getRetryBudget: (service: string) => RetryBudget;
   readonly getPassMeter: (service: string) => PassMeter;
--- a/packages/gateway/StreamProgress.ts
+++ b/packages/gateway/StreamProgress.ts
@@ -6,25 +6,25 @@
  * repeated ones while their ids rise, as a resumed stream may start again. Keep-alives and others are not.
  */
 export class StreamProgress {
-  readonly #maxUselessEvents: number;
-  #uselessEvents = 0;
+  readonly #maxEventsWithoutProgress: number;
+  #eventsWithoutProgress = 0;
   #highestId = -Infinity;
 
   /** `stallTimeoutMs` is the longest time without progress; null for no limit. */
   constructor(stallTimeoutMs: number | null) {
-    this.#maxUselessEvents = ((stallTimeoutMs ?? Infinity) * eventsPerS) / 1000;
+    this.#maxEventsWithoutProgress = ((stallTimeoutMs ?? Infinity) * eventsPerS) / 1000;
   }
 
   /** Whether more events without progress have come in a row than the longest time without it allows. */
-  get isExhausted(): boolean {
-    return this.#uselessEvents > this.#maxUselessEvents;
+  get hasTooManyEvents(): boolean {
+    return this.#eventsWithoutProgress > this.#maxEventsWithoutProgress;
   }
 
   /** Notes events, of which some are new to the caller. Returns whether any is progress. */
   note(events: readonly RelayedEvent[], newEvents: readonly RelayedEvent[]): boolean {
     const hasRisen = events.filter((event) => this.#raiseId(event)).length > 0;
     const isProgress = hasRisen || newEvents.some(({ hasData }) => hasData);
-    this.#uselessEvents = isProgress ? 0 : this.#uselessEvents + events.length;
+    this.#eventsWithoutProgress = isProgress ? 0 : this.#eventsWithoutProgress + events.length;
     return isProgress;
   }
 
--- a/packages/gateway/test/eventDelivery.test.ts
+++ b/packages/gateway/test/eventDelivery.test.ts
@@ -128,9 +128,9 @@
   for (let count = 0; count < stallTimeoutMs; count += 1) {
     note(event("1"), false);
   }
-  t.notOk(progress.isExhausted);
+  t.notOk(progress.hasTooManyEvents);
   note(event("1"), false);
-  t.ok(progress.isExhausted);
+  t.ok(progress.hasTooManyEvents);
   t.end();
 });
 
--- a/packages/wire/PieceAllowance.ts
+++ b/packages/wire/PieceAllowance.ts
@@ -1,7 +1,10 @@
 import { TokenBucket } from "@clementinemux/common/TokenBucket";
 
-/** The bytes of a piece of this size outweigh its objects, so limits for bytes cover it. */
-const freePieceBytes = 256;
+/** The bytes of a larger piece outweigh its objects, so that limits for bytes cover its memory. */
+const smallPieceBytes = 256;
+/** Of one response. A working engine sends tens of events per second. */
+const defaultBurst = 4096;
+const defaultPerS = 1000;
 
 /**
  * Limits the number of small pieces, as each costs memory and processor time whatever its size. Pure: the caller passes
@@ -10,12 +13,12 @@
 export class PieceAllowance {
   readonly #bucket: TokenBucket;
 
-  constructor(burst: number, perSecond: number) {
+  constructor(burst = defaultBurst, perSecond = defaultPerS) {
     this.#bucket = new TokenBucket(perSecond, burst, Number.NEGATIVE_INFINITY);
   }
 
   static isSmall(sizeBytes: number): boolean {
-    return sizeBytes < freePieceBytes;
+    return sizeBytes < smallPieceBytes;
   }
 
   /** Takes one for a small piece and none for another; false if none is available. */
--- a/packages/wire/ResponseFeeder.ts
+++ b/packages/wire/ResponseFeeder.ts
@@ -1,6 +1,6 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
-import { FramingDebt } from "./FramingDebt";
+import { FramingLimit } from "./FramingLimit";
 import { PieceAllowance } from "./PieceAllowance";
 import { TurnQueue } from "./TurnQueue";
 
@@ -13,9 +13,6 @@
 const maxReadBytes = 65_536;
 /** A part with more pieces is the only one of its connection in a turn of the event loop. */
 const maxDirectPieces = 64;
-/** A working engine sends tens of events per second. */
-const piecesPerS = 1000;
-const pieceBurst = 4096;
 
 /** Shared by all connections: after its first part with many pieces, each waits for its turn. */
 const turns = new TurnQueue();
@@ -26,13 +23,13 @@
  * Bytes that wait, as while the consumer doesn't read, go back into the buffer of the paused socket, which therefore
  * reports its end only after them.
  *
- * Must be created with the request. The callback is to destroy the request.
+ * Must be created with the request. The callback is to destroy the request; by default, it does so with an error.
  */
 export class ResponseFeeder {
   readonly #request: ClientRequest;
   readonly #onExceeded: (detail: string) => void;
-  readonly #pieces = new PieceAllowance(pieceBurst, piecesPerS);
-  readonly #framing = new FramingDebt();
+  readonly #pieces = new PieceAllowance();
+  readonly #framing = new FramingLimit();
   #socket: Socket | null = null;
   #parse: Parse | null = null;
   #response: IncomingMessage | null = null;
@@ -46,7 +43,7 @@
   #isReset = false;
   #isExceeded = false;
 
-  constructor(request: ClientRequest, onExceeded: (detail: string) => void) {
+  constructor(request: ClientRequest, onExceeded: (detail: string) => void = createDestroyer(request)) {
     this.#request = request;
     this.#onExceeded = onExceeded;
     // The first listener, so that Node's listener is the latest one of the socket.
@@ -236,3 +233,9 @@
     }
   }
 }
+
+function createDestroyer(request: ClientRequest): (detail: string) => void {
+  return (detail) => {
+    request.destroy(new Error(detail));
+  };
+}
