--- a/packages/gateway/EventDelivery.ts
+++ b/packages/gateway/EventDelivery.ts
@@ -123,8 +123,10 @@
       this.#allowance.takePiece(event.bytes.length, nowMs);
       events.push(event);
     }
-    this.#recentEvents += events.length;
-    this.#deliveredAtMs = nowMs;
+    if (events.length > 0) {
+      this.#recentEvents += events.length;
+      this.#deliveredAtMs = nowMs;
+    }
     return events;
   }
 
--- a/packages/wire/ResponseFeeder.ts
+++ b/packages/wire/ResponseFeeder.ts
@@ -14,7 +14,7 @@
 /** A part with more pieces is the only one of its connection in a turn of the event loop. */
 const maxDirectPieces = 64;
 
-/** Shared by all connections: after its first part with many pieces, each waits for its turn. */
+/** Shared by all connections: after a part with many pieces or a full read, each waits for its turn. */
 const turns = new TurnQueue();
 
 /**
