Look at the memory behind a piece only if it may be kept, and drop a method that only its class used

BodyCollector read the buffer behind each piece, also of small ones, which are copied in any case; PieceAllowance.isSmall has had no other user since pieces of any size count for the turns. No change of behaviour: wire, gateway/endless and soundTargets, 124 passed.

--- a/packages/wire/BodyCollector.ts
+++ b/packages/wire/BodyCollector.ts
@@ -25,9 +25,9 @@
 
   add(chunk: Buffer): void {
     const isFirst = this.#sizeBytes === 0;
-    const isFilled = chunk.length >= chunk.buffer.byteLength * minFilledShare;
+    const isLarge = isFirst || chunk.length >= minKeptBytes;
     this.#sizeBytes += chunk.length;
-    if (isFilled && (isFirst || chunk.length >= minKeptBytes)) {
+    if (isLarge && chunk.length >= chunk.buffer.byteLength * minFilledShare) {
       this.#endBlock();
       this.#parts.push(chunk);
       this.#heldBytes += chunk.buffer.byteLength;
--- a/packages/wire/PieceAllowance.ts
+++ b/packages/wire/PieceAllowance.ts
@@ -17,13 +17,9 @@
     this.#bucket = new TokenBucket(perSecond, burst, Number.NEGATIVE_INFINITY);
   }
 
-  static isSmall(sizeBytes: number): boolean {
-    return sizeBytes < smallPieceBytes;
-  }
-
   /** Takes one for a small piece and none for another; false if none is available. */
   takePiece(sizeBytes: number, nowMs: number): boolean {
-    return !PieceAllowance.isSmall(sizeBytes) || this.take(1, nowMs);
+    return sizeBytes >= smallPieceBytes || this.take(1, nowMs);
   }
 
   /** Takes all or nothing; false if that many are not available. More than the burst are available when it is full. */
