--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -3,6 +3,7 @@
 import type { CaseContext } from "../lib-2/runCase";
 import { SmallDeployment } from "../lib-2/SmallDeployment";
 import { StandInRunner } from "../lib-2/StandInRunner";
+import { createLookupConfig } from "../lib-2/createLookupConfig";
 import { runCase } from "../lib-2/runCase";
 
 const firstLimitBytes = 16_384;
@@ -21,32 +22,15 @@
   readonly status: number | null;
 }
 
-/** A configuration of one application, with a limit for the headers of a request. */
+/** A configuration with a limit for the headers of a request. */
 function createConfig(version: number, maxHeaderBytes: number): object {
-  const route = {
-    name: "r-lookup",
-    host: "app.example",
-    path_prefix: "/stock/",
-    kind: "idempotent",
-    timeout_ms: 4000,
-    slo_ms: 386,
-    priority: 1,
-    service: "patio",
-    attempts: 2,
-    public: false,
-  };
-  return {
-    version,
-    routes: [route],
-    services: [{ name: "patio", health_path: "/health", max_conns: 238, protocol: "h1", tls: false }],
-    limits: {
-      max_header_bytes: maxHeaderBytes,
-      max_body_bytes: 4_194_304,
-      header_timeout_ms: 3000,
-      idle_timeout_ms: 15_000,
-    },
-    tenants: [{ name: "team-a", api_keys: ["key-a"], priority: 1 }],
+  const limits = {
+    max_header_bytes: maxHeaderBytes,
+    max_body_bytes: 4_194_304,
+    header_timeout_ms: 3000,
+    idle_timeout_ms: 15_000,
   };
+  return createLookupConfig(version, { limits });
 }
 
 /** Status of the answer; null without one. */
--- a/review/lib-2/SmallDeployment.ts
+++ b/review/lib-2/SmallDeployment.ts
@@ -60,7 +60,8 @@
     const endMs = performance.now() + withinMs;
     for (let at = 0; performance.now() < endMs; at += 1) {
       const host = coordinatorHosts[at % coordinatorHosts.length] ?? "";
-      if (await this.#callOnce(host, method, path, body)) {
+      const status = await this.#callOnce(host, method, path, body);
+      if (status !== null && status >= 200 && status < 300) {
         return;
       }
       await delay(retryMs);
@@ -68,7 +69,12 @@
     throw new Error(`no acknowledgement of ${method} ${path} within ${withinMs} ms`);
   }
 
-  async #callOnce(host: string, method: string, path: string, body: object | null): Promise<boolean> {
+  /** Calls one coordinator. Resolves with the status; null without an answer. */
+  callAt(at: number, method: string, path: string): Promise<number | null> {
+    return this.#callOnce(coordinatorHosts[at % coordinatorHosts.length] ?? "", method, path, null);
+  }
+
+  async #callOnce(host: string, method: string, path: string, body: object | null): Promise<number | null> {
     try {
       const response = await fetch(`http://${host}:${this.#controlPort}${path}`, {
         method,
@@ -78,10 +84,10 @@
           : { body: JSON.stringify(body), headers: { "Content-Type": "application/json" } }),
       });
       await response.text();
-      return response.ok;
+      return response.status;
     } catch {
       // The process has not started yet, or does not answer.
-      return false;
+      return null;
     }
   }
 }
--- a/review/lib-2/StandInRunner.ts
+++ b/review/lib-2/StandInRunner.ts
@@ -11,6 +11,7 @@
   readonly id: string;
   readonly service: string;
   readonly host: string;
+  readonly zone?: string;
   readonly record: CaseRecord;
 }
 
@@ -57,10 +58,10 @@
     if (state === "draining") {
       clearInterval(this.#timer ?? undefined);
     }
-    const { service, host } = this.#options;
+    const { service, host, zone = "zone-1" } = this.#options;
     const { port } = this.#server.address() as AddressInfo;
     this.#sequence += 1;
-    const place = { service, address: `${host}:${port}`, zone: "zone-1", version: "v1", slots: 6 };
+    const place = { service, address: `${host}:${port}`, zone, version: "v1", slots: 6 };
     return { ...place, state, cold_left_ms: 0, seq: this.#sequence, born: this.#bornMs };
   }
 
