--- a/review/7/case.ts
+++ b/review/7/case.ts
@@ -1,17 +1,16 @@
-import { request as sendRequest } from "node:http";
 import { setTimeout as delay } from "node:timers/promises";
 import type { CaseContext } from "../lib-2/runCase";
 import { SmallDeployment } from "../lib-2/SmallDeployment";
 import { StandInRunner } from "../lib-2/StandInRunner";
 import { createLookupConfig } from "../lib-2/createLookupConfig";
 import { runCase } from "../lib-2/runCase";
+import { sendLookup } from "../lib-2/sendLookup";
 
 const firstLimitBytes = 16_384;
 const raisedLimitBytes = 32_768;
 /** Bytes of the header that makes a request long: above the first limit, well below the raised one. */
 const longHeaderBytes = 20_000;
 const configMs = 2000;
-const deadlineMs = 4000;
 /** A request may also be lost to a machine that is not in touch; this is the bound of the rule DENIED. */
 const maxDenied = 5;
 const rounds = 30;
@@ -33,36 +32,6 @@
   return createLookupConfig(version, { limits });
 }
 
-/** Status of the answer; null without one. */
-function send(address: string, id: string, note: string): Promise<number | null> {
-  const [host = "", port = ""] = address.split(":");
-  return new Promise((resolve) => {
-    const call = sendRequest({
-      host,
-      port: Number(port),
-      path: "/stock/42",
-      headers: {
-        Host: "app.example",
-        "Attempt-Id": id,
-        "Deadline-Ms": String(deadlineMs),
-        Authorization: "Bearer key-a",
-        Note: note,
-      },
-      agent: false,
-    });
-    call.setTimeout(deadlineMs, () => call.destroy());
-    call.on("error", () => {
-      resolve(null);
-    });
-    call.on("response", (response) => {
-      response.resume();
-      response.on("error", () => undefined);
-      resolve(response.statusCode ?? null);
-    });
-    call.end();
-  });
-}
-
 async function play(context: CaseContext): Promise<boolean> {
   const { record, hasTrouble, onEnd } = context;
   const deployment = await SmallDeployment.start(context);
@@ -84,7 +53,7 @@
     for (const address of deployment.gatewayAddresses) {
       for (const isLong of [false, true]) {
         const id = `${isLong ? "long" : "short"}-${all.length}`;
-        const status = await send(address, id, isLong ? "x".repeat(longHeaderBytes) : "x");
+        const status = await sendLookup(address, id, isLong ? "x".repeat(longHeaderBytes) : "x");
         record.add(`${id} to ${address}: ${status ?? "no answer"}`);
         all.push({ isLong, status });
       }
--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -15,6 +15,8 @@
 const held = 0;
 const broken = 1;
 const notRun = 2;
+/** A case may take 120 s. */
+const longestMs = 115_000;
 
 /** Runs a case, which resolves with whether the rule held, and exits with the status of the case. */
 export async function runCase(
@@ -25,16 +27,25 @@
   const record = new CaseRecord(`review/${number}/record.txt`);
   const hasTrouble = process.env.TROUBLE !== "0";
   const ends: (() => Promise<void> | void)[] = [];
-  let status = notRun;
+  const finish = async (status: number): Promise<never> => {
+    await Promise.all(ends.map(async (end) => end()));
+    rmSync(folder, { recursive: true, force: true });
+    process.exit(status);
+  };
+  const giveUp = (): void => {
+    record.add("the case could not run to its end");
+    void finish(notRun);
+  };
+  process.once("SIGTERM", giveUp);
+  process.once("SIGINT", giveUp);
+  setTimeout(giveUp, longestMs);
   try {
     const hasHeld = await play({ folder, record, hasTrouble, onEnd: (end) => ends.push(end) });
-    status = hasHeld ? held : broken;
     record.add(hasHeld ? "the rule held" : "the rule was broken");
+    return await finish(hasHeld ? held : broken);
   } catch (error) {
     record.add(`the case could not run: ${String(error)}`);
     process.stderr.write(`${String(error)}\n`);
+    return finish(notRun);
   }
-  await Promise.all(ends.map(async (end) => end()));
-  rmSync(folder, { recursive: true, force: true });
-  process.exit(status);
 }
