--- a/review/lib-2/runCase.ts
+++ b/review/lib-2/runCase.ts
@@ -20,11 +20,11 @@
 
 /** Runs a case, which resolves with whether the rule held, and exits with the status of the case. */
 export async function runCase(
-  number: number,
+  name: number | string,
   play: (context: CaseContext) => Promise<boolean>,
 ): Promise<never> {
-  const folder = mkdtempSync(join(tmpdir(), `clementinemux-review-${number}-`));
-  const record = new CaseRecord(`review/${number}/record.txt`);
+  const folder = mkdtempSync(join(tmpdir(), `clementinemux-review-${name}-`));
+  const record = new CaseRecord(`review/${name}/record.txt`);
   const hasTrouble = process.env.TROUBLE !== "0";
   const ends: (() => Promise<void> | void)[] = [];
   const finish = async (status: number): Promise<never> => {
